--- /dev/null
+++ b/src/include/turmerichead/handle.h
@@ -0,0 +1,49 @@
+/// \file
+/// The one owner type for reference-counted GLib objects.
+#pragma once
+
+#include <glib-object.h>
+#include <utility>
+
+namespace turmerichead {
+
+/// Holds one reference to a GObject and drops it at the end of its life.
+template <typename Object> class handle {
+public:
+  handle() = default;
+
+  /// Takes over a reference that the caller owns (transfer full).
+  static handle adopt(Object *Pointer) { return handle(Pointer); }
+
+  /// Adds a reference to an object that somebody else owns.
+  static handle share(Object *Pointer) {
+    if (Pointer)
+      g_object_ref(Pointer);
+    return handle(Pointer);
+  }
+
+  handle(const handle &Other) : Pointer(Other.Pointer) {
+    if (Pointer)
+      g_object_ref(Pointer);
+  }
+  handle(handle &&Other) noexcept
+      : Pointer(std::exchange(Other.Pointer, nullptr)) {}
+  handle &operator=(handle Other) noexcept {
+    std::swap(Pointer, Other.Pointer);
+    return *this;
+  }
+  ~handle() {
+    if (Pointer)
+      g_object_unref(Pointer);
+  }
+
+  Object *get() const { return Pointer; }
+  explicit operator bool() const { return Pointer != nullptr; }
+  void reset() { *this = handle(); }
+
+private:
+  explicit handle(Object *Pointer) : Pointer(Pointer) {}
+  Object *Pointer = nullptr;
+};
+
+} // namespace turmerichead
--- /dev/null
+++ b/src/include/turmerichead/metrics.h
@@ -0,0 +1,47 @@
+/// \file
+/// Counters, gauges and latency summaries, exposed in the Prometheus text
+/// format.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace turmerichead {
+
+/// All metrics of one process. Series are created when first named. Labels
+/// are given as in the exposition format: `rank="urgent",entry="yard"`.
+///
+///     Metrics.add("calls_total", R"(rank="urgent")");
+///     Metrics.observe("call_ms", "", 12.5);
+class metrics {
+public:
+  metrics();
+  ~metrics();
+  metrics(const metrics &) = delete;
+  metrics &operator=(const metrics &) = delete;
+
+  /// Adds \p Amount to a counter.
+  void add(std::string_view Name, std::string_view Labels = "",
+           double Amount = 1);
+
+  /// Sets a gauge.
+  void set(std::string_view Name, std::string_view Labels, double Value);
+
+  /// Adds a sample to a summary (count, sum, and the 50th, 95th and 99th
+  /// percentile by extended P-square).
+  void observe(std::string_view Name, std::string_view Labels, double Value);
+
+  /// The value of a counter or gauge; 0 if it was never named.
+  double value(std::string_view Name, std::string_view Labels = "") const;
+
+  /// All series, each name prefixed with "turmerichead_".
+  std::string toPrometheus() const;
+
+private:
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+} // namespace turmerichead
