--- /dev/null
+++ b/src/include/turmerichead/net_peer.h
@@ -0,0 +1,221 @@
+/// \file
+/// Links between hosts: HTTP/2 streams (nghttp2) over TCP, driven by the GLib
+/// main loop.
+///
+/// A host has one peer_server, which takes requests from other hosts, and one
+/// peer_links, which holds at most one connection to each of them. A request
+/// is a path, a few headers and one body; a response is a sequence of
+/// messages, each delivered whole, and an end. Hosts prove to each other that
+/// they know the shared key before anything is served. The key protects
+/// against wrong and foreign hosts; the bytes are not encrypted.
+///
+///     auto Server = peer_server::create("10.0.0.1:7100", Settings, Key,
+///         {.OnRequest = [&](const peer_request_view &Request) {
+///           Server->write(Request.Reply, "first message");
+///           Server->end(Request.Reply, {});
+///         }});
+///     auto Links = peer_links::create(Settings, Key);
+///     Links->setAddress("seoul-b-1", "10.0.0.1:7100");
+///     Links->send("seoul-b-1", {.Path = "/call", .Body = Bytes},
+///                 {.OnMessage = [](std::string_view Message) { ... },
+///                  .OnEnd = [](const peer_result &Result) { ... }});
+///
+/// All callbacks run on the main loop, never inside the call that caused
+/// them, and may call any function of this file except destroy the object
+/// that calls them.
+#pragma once
+
+#include "turmerichead/clock.h"
+#include "turmerichead/error.h"
+#include "turmerichead/id.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmerichead {
+
+/// One header of a request between hosts. Names are in lower case.
+struct peer_header {
+  std::string Name;
+  std::string Value;
+};
+
+/// Limits and times of the links of one host.
+struct peer_settings {
+  std::string Host; ///< This host's own name, told to the other side.
+
+  std::size_t MaxMessageBytes = 32U << 20U;  ///< One message or request body.
+  std::size_t MaxBufferedBytes = 64U << 20U; ///< Unsent bytes of one stream.
+  std::uint32_t MaxStreams = 4096;           ///< At once, on one connection.
+  std::uint32_t MaxHeaderBytes = 16U << 10U; ///< All headers of a request.
+  std::size_t MaxConnections = 1024;         ///< Accepted by a server at once.
+  std::uint32_t StreamWindowBytes = 1U << 20U;
+  std::uint32_t LinkWindowBytes = 64U << 20U;
+
+  milliseconds HandshakeTimeout{3000}; ///< From connect to the proof.
+  milliseconds PingInterval{500};      ///< Idle time before a ping.
+  milliseconds PingTimeout{2000};      ///< Silence after which a link is lost.
+  milliseconds RetryMin{50};           ///< First pause before a reconnect.
+  milliseconds RetryMax{2000};         ///< Longest pause before a reconnect.
+};
+
+/// How a stream ended.
+struct peer_result {
+  /// None if the other side ended the response and meant success. The code
+  /// given to peer_server::end otherwise, or
+  ///   Unavailable   no link, or the link was lost;
+  ///   Unauthorized  the other side does not know the shared key;
+  ///   Refused       the other side's limits.
+  error_code Code = error_code::None;
+  std::string Text;
+  /// True if the whole request may have reached the other side's handler.
+  /// False is certain: the handler has not seen it and never will.
+  bool Sent = false;
+  /// True if \p Code comes from the other side's handler; false if it comes
+  /// from the link.
+  bool Answered = false;
+};
+
+struct peer_request {
+  std::string Path; ///< Begins with a slash, for example "/call".
+  std::vector<peer_header> Headers;
+  std::string Body;
+};
+
+/// What the sender of a request is told. OnEnd is called exactly once, unless
+/// the stream was cancelled.
+struct peer_stream_events {
+  std::function<void(std::string_view Message)> OnMessage;
+  std::function<void(const peer_result &Result)> OnEnd;
+};
+
+struct peer_stream_row;
+using peer_stream_id = typed_id<peer_stream_row>;
+
+/// Counts since the start, for the metrics.
+struct peer_counters {
+  std::uint64_t BytesIn = 0;
+  std::uint64_t BytesOut = 0;
+  std::uint64_t Requests = 0;
+  std::uint64_t LinksLost = 0;
+  std::uint64_t HandshakesRefused = 0;
+  std::size_t OpenLinks = 0;
+  std::size_t OpenStreams = 0;
+};
+
+/// The outgoing links of a host: one connection for each host written to,
+/// opened on demand and opened again, with back-off, after a loss.
+class peer_links {
+public:
+  /// \p SharedKey must not be empty. Fails with InvalidInput.
+  static std::optional<peer_links> create(peer_settings Settings,
+                                          std::string SharedKey);
+
+  /// Tells where \p Host listens ("ip:port"). A changed address closes the
+  /// old connection once its streams have ended.
+  bool setAddress(std::string_view Host, std::string_view Address);
+
+  /// Sends all traffic for \p Host to \p Address instead, whatever
+  /// setAddress says. An empty address takes the override away.
+  bool setRoute(std::string_view Host, std::string_view Address);
+
+  /// Forgets a host. Its open streams end as Unavailable.
+  void forget(std::string_view Host);
+
+  /// Starts a request. It waits for the link if there is none, for at most
+  /// the handshake timeout, and then ends as Unavailable and not sent.
+  peer_stream_id send(std::string_view Host, peer_request Request,
+                      peer_stream_events Events);
+
+  /// Takes back a request. None of its events is called any more. Returns
+  /// false if the stream has ended before.
+  bool cancel(peer_stream_id Id);
+
+  /// True while an authenticated link to \p Host stands.
+  bool isUp(std::string_view Host) const;
+
+  peer_counters counters() const;
+
+  peer_links(peer_links &&Other) noexcept;
+  peer_links &operator=(peer_links &&Other) noexcept;
+  ~peer_links();
+
+private:
+  struct state;
+  explicit peer_links(std::unique_ptr<state> State);
+  std::unique_ptr<state> State;
+};
+
+struct peer_reply_row;
+using peer_reply_id = typed_id<peer_reply_row>;
+
+/// A request as the server's handler sees it. The views are valid during the
+/// call of the handler.
+struct peer_request_view {
+  peer_reply_id Reply;
+  std::string_view Host; ///< Who asks, as proved with the shared key.
+  std::string_view Path;
+  std::string_view Body;
+  const std::vector<peer_header> *Headers = nullptr;
+
+  /// The value of a header, or empty.
+  std::string_view header(std::string_view Name) const;
+};
+
+/// How a handler ends its response.
+struct peer_status {
+  error_code Code = error_code::None;
+  std::string Text;
+};
+
+struct peer_server_events {
+  std::function<void(const peer_request_view &Request)> OnRequest;
+  /// The asker has cancelled, or its link was lost. The reply id is stale
+  /// afterwards. Not called for a reply that was ended.
+  std::function<void(peer_reply_id Reply)> OnGone;
+};
+
+/// Takes requests from other hosts.
+class peer_server {
+public:
+  /// Listens on \p Address ("ip:port"; port 0 takes a free one). Fails with
+  /// InvalidInput or Unavailable.
+  static std::optional<peer_server> create(std::string_view Address,
+                                           peer_settings Settings,
+                                           std::string SharedKey,
+                                           peer_server_events Events);
+
+  /// The port that it listens on.
+  std::uint16_t port() const;
+
+  /// Appends a message to a response. Returns false if the asker has gone
+  /// (NotFound), or reads too slowly and the buffer is full (Refused).
+  bool write(peer_reply_id Reply, std::string_view Message);
+
+  /// Ends a response; the reply id is stale afterwards. Messages written
+  /// before are still delivered.
+  bool end(peer_reply_id Reply, peer_status Status);
+
+  /// Accepts no further connections and refuses new requests on those that
+  /// stand, as not run; replies in progress are finished.
+  void stopAccepting();
+
+  peer_counters counters() const;
+
+  peer_server(peer_server &&Other) noexcept;
+  peer_server &operator=(peer_server &&Other) noexcept;
+  ~peer_server();
+
+private:
+  struct state;
+  explicit peer_server(std::unique_ptr<state> State);
+  std::unique_ptr<state> State;
+};
+
+} // namespace turmerichead
