--- /dev/null
+++ b/src/include/turmerichead/sched_poison.h
@@ -0,0 +1,88 @@
+/// \file
+/// Requests that take down the upstream that runs them.
+///
+/// A request is known by the fingerprint of its content, whoever sends it.
+/// After one death it is a suspect: one copy runs at a time, and no runner
+/// gets a second suspect beside it, so that the next death names the culprit
+/// and not its neighbours. After two deaths it gets its final answer.
+/// Entries are merged between hosts; they carry ages, not times, because the
+/// clocks of hosts differ.
+#pragma once
+
+#include "turmerichead/sched_types.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace turmerichead::sched {
+
+struct poison_settings {
+  int MaxDeaths = 2; ///< Upstreams that one fingerprint may take down.
+  milliseconds KeepFor{3'600'000}; ///< A death is forgotten after this.
+  std::size_t MaxEntries = 10'000; ///< The oldest go first.
+  bool Enabled = true;
+};
+
+/// One upstream death that a fingerprint was in flight at.
+struct poison_death {
+  std::uint64_t Incident = 0; ///< Same for all requests of one death.
+  milliseconds Age{0};
+};
+
+/// A fingerprint's record, as hosts exchange it.
+struct poison_entry {
+  std::uint64_t Fingerprint = 0;
+  std::vector<poison_death> Deaths;
+  /// Age of the last success of the fingerprint; deaths before it are void.
+  std::optional<milliseconds> ClearedAge;
+};
+
+enum class poison_state : std::uint8_t { Clean, Suspect, Condemned };
+
+/// The fingerprints that were in flight when an upstream died.
+class poison_table {
+public:
+  explicit poison_table(const poison_settings &Settings = {});
+
+  poison_state stateOf(std::uint64_t Fingerprint, time_point Now) const;
+
+  /// Records that an upstream died under \p Fingerprint. Reporting the same
+  /// \p Incident again changes nothing.
+  void recordDeath(std::uint64_t Fingerprint, std::uint64_t Incident,
+                   time_point Now);
+
+  /// Records that a run of \p Fingerprint went well, which clears suspicion.
+  void recordSuccess(std::uint64_t Fingerprint, time_point Now);
+
+  /// All records that have not expired, for other hosts.
+  std::vector<poison_entry> entries(time_point Now) const;
+
+  /// Takes in another host's records. Merging is commutative and may be
+  /// repeated.
+  void merge(std::span<const poison_entry> Entries, time_point Now);
+
+  /// Drops what has expired.
+  void expire(time_point Now);
+
+  std::size_t size() const { return Rows.size(); }
+
+private:
+  struct death {
+    std::uint64_t Incident;
+    time_point At;
+  };
+  struct row {
+    std::vector<death> Deaths;
+    std::optional<time_point> ClearedAt;
+  };
+  void addDeath(row &Row, std::uint64_t Incident, time_point At);
+  void makeRoom();
+
+  poison_settings Settings;
+  std::unordered_map<std::uint64_t, row> Rows;
+};
+
+} // namespace turmerichead::sched
