--- /dev/null
+++ b/src/libhost/context.cpp
@@ -0,0 +1,25 @@
+#include "context_pvt.h"
+
+namespace turmerichead::host_pvt {
+
+std::uint32_t host_context::shardOf(std::string_view Root) const {
+  auto Shards = static_cast<std::uint32_t>(Map.Shards.size());
+  if (Shards == 0)
+    Shards = static_cast<std::uint32_t>(Settings.Cluster.Shards);
+  return cluster::shardOf(Root, Shards);
+}
+
+std::string_view host_context::holderOf(std::string_view Program) const {
+  const shard_placement *Placement =
+      Map.placement(shardOf(rootOf(Program)));
+  if (!Placement)
+    return {};
+  return Placement->Holder;
+}
+
+host_life host_context::lifeOf(std::string_view Host) const {
+  const host_record *Record = Map.find(Host);
+  return {std::string(Host), Record ? Record->Incarnation : 0};
+}
+
+} // namespace turmerichead::host_pvt
--- /dev/null
+++ b/src/libhost/context_pvt.h
@@ -0,0 +1,64 @@
+/// \file
+/// What all parts of a host share.
+#pragma once
+
+#include "turmerichead/cluster_config.h"
+#include "turmerichead/cluster_detector.h"
+#include "turmerichead/cluster_map.h"
+#include "turmerichead/metrics.h"
+#include "turmerichead/net_http.h"
+#include "turmerichead/net_peer.h"
+#include "turmerichead/net_platform.h"
+#include "turmerichead/report.h"
+#include "turmerichead/settings.h"
+#include "wire_pvt.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+
+namespace turmerichead::host_pvt {
+
+/// State that several parts read. Each member names the part that writes it.
+struct host_context {
+  host_settings Settings;
+  std::string SharedKey;
+  /// Rises with each start of the process and with each life after it was
+  /// replaced (written by the host).
+  std::uint64_t Incarnation = 0;
+  std::mt19937_64 Random;
+
+  metrics Metrics;
+  std::optional<report_recorder> Recorder;
+  std::optional<http_client> Http;
+  std::optional<peer_links> Links;
+  std::optional<platform_client> Platform;
+
+  config_store Config; ///< Written by the watcher and by membership.
+  force_tracker Force; ///< Written by the watcher and by membership.
+  std::map<std::string, upstream_object, std::less<>> Upstreams; ///< Watcher.
+
+  shard_map Map; ///< Written by membership.
+  std::uint64_t MapRevision = 0;
+  std::optional<failure_detector> Detector; ///< Written by membership.
+  /// Loads of groups by the last heartbeats (written by membership).
+  std::map<std::string, group_load, std::less<>> GroupLoads;
+
+  bool Draining = false;
+  /// The steady time at which the platform last answered.
+  time_point PlatformSeen;
+
+  const std::string &self() const { return Settings.Host.Id; }
+  host_life life() const { return {self(), Incarnation}; }
+
+  /// The host that holds \p Program's shard by the map; empty if none.
+  std::string_view holderOf(std::string_view Program) const;
+  std::uint32_t shardOf(std::string_view Root) const;
+
+  /// The life of \p Host by the map; incarnation 0 if it is not in it.
+  host_life lifeOf(std::string_view Host) const;
+};
+
+} // namespace turmerichead::host_pvt
--- /dev/null
+++ b/src/libhost/wire_pvt.h
@@ -0,0 +1,268 @@
+/// \file
+/// The messages between hosts, encoded with msgpack.
+#pragma once
+
+#include "turmerichead/error.h"
+#include "turmerichead/state_journal.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmerichead::host_pvt {
+
+// -- Paths of requests between hosts -------------------------------------------
+
+inline constexpr std::string_view CallPath = "/call";
+inline constexpr std::string_view HistoryPath = "/history";
+inline constexpr std::string_view EndPath = "/end";
+inline constexpr std::string_view AskPath = "/ask";
+inline constexpr std::string_view DonePath = "/done";
+inline constexpr std::string_view PausedPath = "/paused";
+inline constexpr std::string_view EndedPath = "/ended";
+inline constexpr std::string_view LivingPath = "/living";
+inline constexpr std::string_view BeatPath = "/beat";
+inline constexpr std::string_view StatePath = "/state";
+inline constexpr std::string_view ReportPath = "/report";
+inline constexpr std::string_view PoisonPath = "/poison";
+inline constexpr std::string_view KeepPath = "/keep";
+inline constexpr std::string_view TrimPath = "/trim";
+inline constexpr std::string_view ClosePath = "/close";
+inline constexpr std::string_view SealedPath = "/sealed";
+
+// -- Calls ------------------------------------------------------------------------
+
+/// A call on its way from the entry host to the holder.
+struct call_message {
+  std::string Program; ///< Path from the root.
+  std::uint32_t Number = 0;
+  std::uint8_t Kind = 0; ///< call_kind
+  bool NonIdempotent = false;
+  bool WantStream = false;
+  std::string IdempotencyKey;
+  std::string Target; ///< Model, or "service/path".
+  std::string Body;
+  std::string Entry;
+  std::string Owner;
+  std::int64_t DeadlineMs = 0; ///< From now; clocks of hosts differ.
+  MSGPACK_DEFINE(Program, Number, Kind, NonIdempotent, WantStream,
+                 IdempotencyKey, Target, Body, Entry, Owner, DeadlineMs)
+};
+
+/// How a call ended, as its caller is told.
+struct call_end {
+  std::uint8_t Outcome = 0; ///< call_outcome
+  std::uint16_t HttpStatus = 0;
+  std::string ContentType;
+  std::string Body;
+  std::string Code;
+  std::string Text;
+  std::uint32_t Number = 0;
+  std::int64_t RetryAfterMs = 0;
+  bool Replayed = false;
+  bool Moved = false;
+  /// Parts of the answer went to this caller before, and fit the whole.
+  bool Streamed = false;
+  MSGPACK_DEFINE(Outcome, HttpStatus, ContentType, Body, Code, Text, Number,
+                 RetryAfterMs, Replayed, Moved, Streamed)
+};
+
+/// One message of the answer to a call: events to pass on, or the end.
+struct answer_frame {
+  bool IsEnd = false;
+  std::string Bytes; ///< Server-sent events, or a packed call_end.
+  MSGPACK_DEFINE(IsEnd, Bytes)
+};
+
+/// Asks the holder for a program's history, or to end it.
+struct program_message {
+  std::string Program;
+  std::string Owner;
+  MSGPACK_DEFINE(Program, Owner)
+};
+
+/// The holder's answer, ready for the caller.
+struct program_reply {
+  std::uint16_t HttpStatus = 200;
+  std::string Body;
+  bool Moved = false;
+  MSGPACK_DEFINE(HttpStatus, Body, Moved)
+};
+
+// -- Gates ------------------------------------------------------------------------
+
+/// Asks the gate of a group for a runner.
+struct ask_message {
+  std::string Group;
+  std::string Root;
+  std::string Program;
+  std::string Owner;
+  std::string Entry;
+  std::uint8_t Rank = 0;
+  std::int64_t PromptTokens = 0;
+  std::int64_t CachedTokens = 0;
+  std::int64_t MaxOutputTokens = 0;
+  std::int64_t AttainedService = 0;
+  bool Started = false;
+  std::int64_t ProgramAgeMs = 0;
+  std::int64_t DeadlineMs = 0; ///< From now.
+  std::uint64_t Fingerprint = 0;
+  bool ParentWaiting = false;
+  bool MayRepeat = true;
+  std::string AvoidRunner;
+  MSGPACK_DEFINE(Group, Root, Program, Owner, Entry, Rank, PromptTokens,
+                 CachedTokens, MaxOutputTokens, AttainedService, Started,
+                 ProgramAgeMs, DeadlineMs, Fingerprint, ParentWaiting,
+                 MayRepeat, AvoidRunner)
+};
+
+/// The gate's one answer: a runner, or a final refusal.
+struct ask_reply {
+  bool Granted = false;
+  std::string Runner;
+  std::string MoveCacheFrom;
+  std::string Reason; ///< Of a refusal; a stable code.
+  std::int64_t RetryAfterMs = 0;
+  std::uint32_t AskIndex = 0; ///< Names the ask in done_message.
+  std::uint32_t AskGeneration = 0;
+  MSGPACK_DEFINE(Granted, Runner, MoveCacheFrom, Reason, RetryAfterMs, AskIndex,
+                 AskGeneration)
+};
+
+/// Tells the gate how a granted call ended.
+struct done_message {
+  std::string Group;
+  std::uint32_t AskIndex = 0;
+  std::uint32_t AskGeneration = 0;
+  std::uint8_t Outcome = 0; ///< sched::outcome
+  std::int64_t PromptTokens = 0;
+  std::int64_t CachedTokens = 0;
+  std::int64_t OutputTokens = 0;
+  std::string Program;
+  std::int64_t ExpectedPauseMs = 0; ///< The program's next call; 0 unknown.
+  MSGPACK_DEFINE(Group, AskIndex, AskGeneration, Outcome, PromptTokens,
+                 CachedTokens, OutputTokens, Program, ExpectedPauseMs)
+};
+
+/// Tells the gates that a program has ended.
+struct ended_message {
+  std::string Program;
+  MSGPACK_DEFINE(Program)
+};
+
+/// Asks a holder which of these programs live.
+struct living_message {
+  std::vector<std::string> Programs;
+  MSGPACK_DEFINE(Programs)
+};
+
+/// Deaths of upstreams under a fingerprint, as ages.
+struct poison_row {
+  std::uint64_t Fingerprint = 0;
+  std::vector<std::uint64_t> Incidents;
+  std::vector<std::int64_t> AgesMs;
+  std::int64_t ClearedAgeMs = -1; ///< -1: never.
+  MSGPACK_DEFINE(Fingerprint, Incidents, AgesMs, ClearedAgeMs)
+};
+struct poison_message {
+  std::vector<poison_row> Rows;
+  MSGPACK_DEFINE(Rows)
+};
+
+// -- Membership -------------------------------------------------------------------
+
+/// Load of a group, as its gate sees it.
+struct group_load {
+  std::string Group;
+  std::int64_t Slots = 0;
+  std::int64_t InFlight = 0;
+  std::int64_t Queued = 0;
+  MSGPACK_DEFINE(Group, Slots, InFlight, Queued)
+};
+
+/// A heartbeat with what travels along.
+struct beat_message {
+  std::string Beat; ///< An encoded heartbeat of libcluster.
+  std::vector<group_load> Groups;
+  MSGPACK_DEFINE(Beat, Groups)
+};
+
+/// A catalogue item on its way between hosts.
+struct config_row {
+  std::string Name;
+  std::uint64_t Version = 0;
+  bool Deleted = false;
+  std::string Spec;
+  std::string ChangedBy;
+  std::int64_t ChangedAtMs = 0;
+  MSGPACK_DEFINE(Name, Version, Deleted, Spec, ChangedBy, ChangedAtMs)
+};
+
+/// Answer to a heartbeat or to a state request: what the other side lacks.
+struct state_message {
+  std::vector<config_row> Config;
+  std::string Map; ///< JSON of the shard map; empty if not newer.
+  std::uint64_t MapRevision = 0;
+  std::string Upstreams; ///< JSON list of upstream objects; often empty.
+  MSGPACK_DEFINE(Config, Map, MapRevision, Upstreams)
+};
+
+// -- Journal ----------------------------------------------------------------------
+
+/// Records that a standby keeps for their writer.
+struct keep_message {
+  host_life Origin;
+  host_life Standby; ///< The life that the writer means.
+  std::vector<journal_entry> Entries;
+  MSGPACK_DEFINE(Origin, Standby, Entries)
+};
+struct keep_reply {
+  std::uint64_t UpTo = 0;
+  MSGPACK_DEFINE(UpTo)
+};
+struct trim_message {
+  host_life Origin;
+  std::uint64_t UpTo = 0;
+  MSGPACK_DEFINE(Origin, UpTo)
+};
+/// Asks a standby for the tail of a journal (close), or tells it that the
+/// journal is sealed.
+struct close_message {
+  host_life Standby;
+  host_life Journal;
+  MSGPACK_DEFINE(Standby, Journal)
+};
+struct close_reply {
+  std::vector<journal_entry> Entries;
+  MSGPACK_DEFINE(Entries)
+};
+
+// -- Encoding ---------------------------------------------------------------------
+
+/// The msgpack bytes of \p Message.
+template <typename Message> std::string pack(const Message &Value) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Value);
+  return {Buffer.data(), Buffer.size()};
+}
+
+/// Reads a message back; std::nullopt with error Corrupt if it does not
+/// decode. msgpack throws, and its exceptions end here.
+template <typename Message>
+std::optional<Message> unpack(std::string_view Bytes) {
+  try {
+    msgpack::unpack_limit Limit(1U << 20U, 1U << 16U, 64U << 20U, 64U << 20U,
+                                1U << 16U, 32);
+    msgpack::object_handle Handle = msgpack::unpack(
+        Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
+    return Handle.get().as<Message>();
+  } catch (const std::exception &Error) {
+    return fail(error_code::Corrupt,
+                std::string("message between hosts: ") + Error.what());
+  }
+}
+
+} // namespace turmerichead::host_pvt
