Name the limits that a program was granted granted_limits

libcatalogue has a program_limits of its own, with the limits as an entry states them; two types of one name in one namespace break the one-definition rule.

--- a/src/include/turmerichead/state_book.h
+++ b/src/include/turmerichead/state_book.h
@@ -49,7 +49,7 @@
   std::string Entry;
   std::string Owner; ///< Already authenticated.
   std::uint8_t Rank = 0;
-  program_limits Limits;
+  granted_limits Limits;
 };
 
 /// What submit() decided, for metrics; the waiter is told by commands.
@@ -182,7 +182,7 @@
   /// Ends the root of \p Program; false with error NotFound if unknown.
   bool endProgram(std::string_view Program, end_reason Reason, moment Now);
   /// New limits of an entry, in force for its living programs at once.
-  void entryChanged(std::string_view Entry, const program_limits &Limits,
+  void entryChanged(std::string_view Entry, const granted_limits &Limits,
                     moment Now);
 
   // -- Journal --------------------------------------------------------------
--- a/src/include/turmerichead/state_records.h
+++ b/src/include/turmerichead/state_records.h
@@ -63,7 +63,7 @@
 /// The limits that a catalogue entry grants to one root program and its
 /// sub-agents together. 0 is "no limit" for counts and times, but not for the
 /// budget: a budget of 0 grants no model call.
-struct program_limits {
+struct granted_limits {
   std::uint64_t BudgetTokens = 0;
   std::uint32_t Turns = 0;
   std::uint32_t ToolCalls = 0;
@@ -81,7 +81,7 @@
   std::string Entry;
   std::string Owner;
   std::uint8_t Rank = 0;
-  program_limits Limits;
+  granted_limits Limits;
   std::int64_t WallStartMs = 0;
   MSGPACK_DEFINE(Program, Entry, Owner, Rank, Limits, WallStartMs)
 };
--- a/src/include/turmerichead/state_rows.h
+++ b/src/include/turmerichead/state_rows.h
@@ -60,7 +60,7 @@
   std::string Entry;
   std::string Owner;
   std::uint8_t Rank = 0;
-  program_limits Limits;
+  granted_limits Limits;
   std::int64_t WallStartMs = 0;
   std::uint64_t SpentTokens = 0;
   std::uint64_t ReservedUpTo = 0; ///< Tokens in all, spent ones included.
--- a/src/libhost/context.cpp
+++ b/src/libhost/context.cpp
@@ -10,8 +10,7 @@
 }
 
 std::string_view host_context::holderOf(std::string_view Program) const {
-  const shard_placement *Placement =
-      Map.placement(shardOf(rootOf(Program)));
+  const shard_placement *Placement = Map.placement(shardOf(rootOf(Program)));
   if (!Placement)
     return {};
   return Placement->Holder;
--- a/src/libhost/loop.cpp
+++ b/src/libhost/loop.cpp
@@ -68,9 +68,8 @@
         (*static_cast<std::function<void()> *>(Data))();
         return G_SOURCE_REMOVE;
       },
-      new std::function<void()>(std::move(Action)), [](void *Data) {
-        delete static_cast<std::function<void()> *>(Data);
-      });
+      new std::function<void()>(std::move(Action)),
+      [](void *Data) { delete static_cast<std::function<void()> *>(Data); });
   g_source_attach(Source, nullptr);
   g_source_unref(Source);
 }
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -14,7 +14,8 @@
 
 namespace turmerichead::host_pvt {
 
-// -- Paths of requests between hosts -------------------------------------------
+// -- Paths of requests between hosts
+// -------------------------------------------
 
 inline constexpr std::string_view CallPath = "/call";
 inline constexpr std::string_view HistoryPath = "/history";
@@ -33,7 +34,8 @@
 inline constexpr std::string_view ClosePath = "/close";
 inline constexpr std::string_view SealedPath = "/sealed";
 
-// -- Calls ------------------------------------------------------------------------
+// -- Calls
+// ------------------------------------------------------------------------
 
 /// A call on its way from the entry host to the holder.
 struct call_message {
@@ -92,7 +94,8 @@
   MSGPACK_DEFINE(HttpStatus, Body, Moved)
 };
 
-// -- Gates ------------------------------------------------------------------------
+// -- Gates
+// ------------------------------------------------------------------------
 
 /// Asks the gate of a group for a runner.
 struct ask_message {
@@ -172,7 +175,8 @@
   MSGPACK_DEFINE(Rows)
 };
 
-// -- Membership -------------------------------------------------------------------
+// -- Membership
+// -------------------------------------------------------------------
 
 /// Load of a group, as its gate sees it.
 struct group_load {
@@ -210,7 +214,8 @@
   MSGPACK_DEFINE(Config, Map, MapRevision, Upstreams)
 };
 
-// -- Journal ----------------------------------------------------------------------
+// -- Journal
+// ----------------------------------------------------------------------
 
 /// Records that a standby keeps for their writer.
 struct keep_message {
@@ -240,7 +245,8 @@
   MSGPACK_DEFINE(Entries)
 };
 
-// -- Encoding ---------------------------------------------------------------------
+// -- Encoding
+// ---------------------------------------------------------------------
 
 /// The msgpack bytes of \p Message.
 template <typename Message> std::string pack(const Message &Value) {
@@ -256,8 +262,8 @@
   try {
     msgpack::unpack_limit Limit(1U << 20U, 1U << 16U, 64U << 20U, 64U << 20U,
                                 1U << 16U, 32);
-    msgpack::object_handle Handle = msgpack::unpack(
-        Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
+    msgpack::object_handle Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
     return Handle.get().as<Message>();
   } catch (const std::exception &Error) {
     return fail(error_code::Corrupt,
