--- a/src/libhost/chat.cpp
+++ b/src/libhost/chat.cpp
@@ -135,24 +135,45 @@
         {"prompt_tokens_details", {{"cached_tokens", Usage.CachedTokens}}}}}};
 }
 
+namespace {
+
+std::string contentChunk(const json &Completion, const json &Delta) {
+  json Chunk = chunkBase(Completion);
+  Chunk["choices"] = {
+      {{"index", 0}, {"delta", Delta}, {"finish_reason", nullptr}}};
+  return asEvent(Chunk);
+}
+
+std::string endingEvents(const json &Completion) {
+  json Last = chunkBase(Completion);
+  Last["choices"] = {
+      {{"index", 0},
+       {"delta", json::object()},
+       {"finish_reason", Completion["choices"][0]["finish_reason"]}}};
+  Last["usage"] = Completion["usage"];
+  return asEvent(Last) + "data: [DONE]\n\n";
+}
+
+} // namespace
+
 std::string completionAsEvents(const json &Completion) {
-  const json &Choice = Completion["choices"][0];
-  json Whole = chunkBase(Completion);
-  json Delta = Choice["message"];
+  json Delta = Completion["choices"][0]["message"];
   auto Calls = Delta.find("tool_calls");
   if (Calls != Delta.end()) {
     std::size_t Index = 0;
     for (json &Call : *Calls)
       Call["index"] = Index++;
   }
-  Whole["choices"] = {
-      {{"index", 0}, {"delta", Delta}, {"finish_reason", nullptr}}};
-  json Last = chunkBase(Completion);
-  Last["choices"] = {{{"index", 0},
-                      {"delta", json::object()},
-                      {"finish_reason", Choice["finish_reason"]}}};
-  Last["usage"] = Completion["usage"];
-  return asEvent(Whole) + asEvent(Last) + "data: [DONE]\n\n";
+  return contentChunk(Completion, Delta) + endingEvents(Completion);
+}
+
+std::string completionTailEvents(const json &Completion,
+                                 std::size_t SentBytes) {
+  std::string Content = textAt(Completion["choices"][0]["message"], "content");
+  std::string Rest;
+  if (SentBytes < Content.size())
+    Rest = contentChunk(Completion, {{"content", Content.substr(SentBytes)}});
+  return Rest + endingEvents(Completion);
 }
 
 std::optional<chat_request> parseChatRequest(std::string_view Body) {
--- a/src/libhost/chat_pvt.h
+++ b/src/libhost/chat_pvt.h
@@ -39,6 +39,10 @@
   const chat_usage &usage() const { return Usage; }
   std::uint64_t chunks() const { return Chunks; }
 
+  /// Text of the answer so far.
+  const std::string &content() const { return Content; }
+  bool hasToolCalls() const { return !ToolCalls.empty(); }
+
   /// The whole answer as a `chat.completion` object.
   nlohmann::json completion() const;
 
@@ -63,6 +67,12 @@
 /// and "[DONE]".
 std::string completionAsEvents(const nlohmann::json &Completion);
 
+/// Renders what is left of a stream whose first \p SentBytes bytes of content
+/// the caller has: the rest of the content, the finish reason with usage, and
+/// "[DONE]".
+std::string completionTailEvents(const nlohmann::json &Completion,
+                                 std::size_t SentBytes);
+
 /// A request body checked for forwarding.
 struct chat_request {
   nlohmann::json Body;
--- /dev/null
+++ b/src/libhost/dispatcher_pvt.h
@@ -0,0 +1,103 @@
+/// \file
+/// Carries calls from the holder to upstreams and brings back what became of
+/// them.
+#pragma once
+
+#include "chat_pvt.h"
+#include "context_pvt.h"
+#include "gates_pvt.h"
+#include "turmerichead/sched_admission.h"
+#include "turmerichead/sched_poison.h"
+#include "turmerichead/state_book.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace turmerichead::host_pvt {
+
+/// What the holder knows of a call's program, for the gate.
+struct program_facts {
+  std::string Owner;
+  std::int64_t AttainedTokens = 0;
+  std::int64_t LastCallTokens = 0; ///< Left in a runner's cache, perhaps.
+  bool Started = false;
+  bool ParentWaiting = false;
+  std::int64_t AgeMs = 0;
+  milliseconds ExpectedPause{0};
+  milliseconds CallTimeout{0};
+};
+
+/// What the dispatcher tells. After any but OnEvents the call is forgotten.
+struct dispatch_events {
+  /// Server-sent events that may go to the caller at once.
+  std::function<void(call_id Call, std::string_view Events)> OnEvents;
+  std::function<void(call_id Call, upstream_answer Answer)> OnAnswered;
+  /// Nothing was sent; final.
+  std::function<void(call_id Call, std::string Code, std::int64_t RetryAfterMs)>
+      OnNotSent;
+  std::function<void(call_id Call, std::string Code, bool MayHaveRun)> OnLost;
+  /// \p Partial is the content that was streamed before; nullopt if it can't
+  /// be continued by another attempt.
+  std::function<void(call_id Call, std::string Upstream,
+                     std::optional<std::string> Partial)>
+      OnDied;
+};
+
+class dispatcher {
+public:
+  dispatcher(host_context &Context, gate_client &Gates, dispatch_events Events);
+
+  void start(const dispatch_call &Command, const program_facts &Facts);
+  void cancel(call_id Call);
+  std::size_t open() const { return Rows.size(); }
+
+private:
+  struct row {
+    dispatch_call Command;
+    program_facts Facts;
+    nlohmann::json Body; ///< Of a model call.
+    std::uint64_t Fingerprint = 0;
+    std::string Upstream;
+    gate_client::ask_id Ask = 0;
+    http_call_id Http;
+    sse_splitter Splitter;
+    chat_assembler Assembler;
+    std::string Received; ///< Body of a service's or an error's answer.
+    std::string ContentType;
+    int Status = 0;
+    int Connects = 0; ///< Upstreams that could not be reached.
+    bool Broken = false;
+  };
+  /// Rows are shared with the callbacks of calls under way, which hold the
+  /// id only; a stale id finds no row.
+  row *find(call_id Call);
+
+  void startModel(call_id Call);
+  void askGate(call_id Call);
+  void onGrant(call_id Call, const ask_reply &Reply);
+  void moveCache(call_id Call, const std::string &From);
+  void sendModel(call_id Call);
+  void onModelChunk(call_id Call, std::string_view Bytes);
+  void onModelEnd(call_id Call, const http_result &Result);
+  void finishModel(call_id Call, sched::outcome Outcome);
+
+  void startService(call_id Call);
+  std::string pickService(std::string_view Service, std::string_view Avoid);
+  void onServiceEnd(call_id Call, const http_result &Result);
+
+  void notSent(call_id Call, std::string Code, std::int64_t RetryAfterMs);
+  row take(call_id Call);
+
+  host_context &Context;
+  gate_client &Gates;
+  dispatch_events Events;
+  std::unordered_map<call_id, std::unique_ptr<row>> Rows;
+  std::map<std::string, int, std::less<>> ServiceInFlight;
+  std::map<std::string, sched::circuit_breaker, std::less<>> Breakers;
+  sched::poison_table ServicePoison;
+};
+
+} // namespace turmerichead::host_pvt
--- /dev/null
+++ b/src/libhost/gates_pvt.h
@@ -0,0 +1,147 @@
+/// \file
+/// The gates of the runner groups that this host serves, and the way from a
+/// holder to the gate of a group wherever it is.
+#pragma once
+
+#include "context_pvt.h"
+#include "loop_pvt.h"
+#include "turmerichead/sched_gate.h"
+
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace turmerichead::host_pvt {
+
+/// Called once with the gate's answer.
+using ask_callback = std::function<void(const ask_reply &Reply)>;
+
+/// Runs a decision core for each group whose gate is this host. Soft state:
+/// everything in it is rebuilt from asks and from the runners themselves.
+class gate_service {
+public:
+  explicit gate_service(host_context &Context);
+
+  /// Queues an ask; \p Callback is called now or later, unless it is
+  /// cancelled. Returns the id that names it; an empty id was refused.
+  sched::request_id ask(const ask_message &Message, ask_callback Callback);
+
+  /// Takes back an ask, granted or not.
+  void cancel(std::string_view Group, sched::request_id Id);
+
+  void done(const done_message &Message);
+  void ended(std::string_view Program);
+
+  /// Takes in other hosts' deaths of upstreams.
+  void mergePoison(const poison_message &Message);
+  poison_message poisonRows();
+
+  /// The fleet entry has changed: its values reach every gate.
+  void fleetChanged();
+
+  /// Rebuilds groups after runners, map or catalogue changed.
+  void refresh();
+
+  /// Grants, refuses and releases what is due. Call every few milliseconds
+  /// while asks wait, and at least every 100 ms.
+  void tick();
+
+  /// Loads for the next heartbeat.
+  std::vector<group_load> loads() const;
+
+  /// Sets the gate metrics.
+  void exportMetrics();
+
+private:
+  struct group_row {
+    std::string Model;
+    sched::default_gate Gate;
+    std::unordered_map<sched::request_id, ask_callback> Waiting;
+    std::unordered_map<sched::request_id, std::uint64_t> Running;
+  };
+
+  group_row *rowOf(std::string_view Group);
+  sched::gate_settings gateSettings() const;
+  void refreshGroup(const runner_group &Group, const std::string &Model);
+  void flush(group_row &Row);
+  void grantAsk(group_row &Row, const sched::grant &Grant);
+  void refuseAsk(group_row &Row, const sched::refusal &Refusal);
+  void releaseCache(const sched::release_command &Command);
+  void pollRunners();
+  void pollLoad(const std::string &Group, const std::string &Runner);
+  void pollEvents(const std::string &Group, const std::string &Runner);
+  void sweepCaches();
+  void sweepRunner(const std::string &Group, const std::string &Runner);
+  void findDead(const std::string &Group, const std::string &Runner,
+                std::vector<std::string> Listed);
+  void broadcastPoison();
+
+  host_context &Context;
+  std::map<std::string, group_row, std::less<>> Rows;
+  std::map<std::string, std::uint64_t, std::less<>> EventCursor;
+  sched::poison_table Poison; ///< Kept beside the gates, for new ones.
+  timer LoadTimer;
+  timer SweepTimer;
+};
+
+/// Asks the gate of a group, here or on another host, and finds the next gate
+/// if that host is gone.
+class gate_client {
+public:
+  gate_client(host_context &Context, gate_service &Local)
+      : Context(Context), Local(Local) {}
+
+  /// Names one ask of this client.
+  using ask_id = std::uint64_t;
+
+  /// Asks until there is an answer; \p Callback is called once.
+  ask_id ask(ask_message Message, ask_callback Callback);
+
+  /// Tells how a granted call ended, and forgets the ask.
+  void done(ask_id Id, sched::outcome Outcome, const sched::usage &Usage,
+            milliseconds ExpectedPause);
+
+  /// Takes back an ask that is not answered yet.
+  void cancel(ask_id Id);
+
+  /// Tells all gates that a program has ended.
+  void ended(const std::string &Program);
+
+private:
+  struct row {
+    ask_message Message;
+    ask_callback Callback;
+    std::string Gate; ///< Host that was asked.
+    peer_stream_id Stream;
+    sched::request_id Request;
+    bool Answered = false;
+    bool Refused = false;
+    int Tries = 0;
+    timer Retry;
+    time_point AskedAt;
+  };
+  void send(ask_id Id);
+  void sendTo(ask_id Id, row &Row);
+  void answer(ask_id Id, const ask_reply &Reply);
+  void retryLater(ask_id Id);
+
+  host_context &Context;
+  gate_service &Local;
+  std::unordered_map<ask_id, row> Rows;
+  ask_id NextId = 1;
+};
+
+/// The groups of the runners of \p Model, by the upstreams known now.
+std::vector<runner_group> groupsOf(const host_context &Context,
+                                   std::string_view Model);
+
+/// The group that a root program's call should ask; empty if no runner has
+/// the model.
+std::string chooseGroupFor(host_context &Context, std::string_view Model,
+                           std::string_view Root);
+
+} // namespace turmerichead::host_pvt
--- /dev/null
+++ b/src/libhost/holder_commands.cpp
@@ -0,0 +1,316 @@
+// The holder's commands: what the book and the journal want done.
+
+#include "holder_pvt.h"
+
+#include "turmerichead/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmerichead::host_pvt {
+
+namespace {
+
+nlohmann::json segmentObject(const create_segment &Command) {
+  return {{"metadata", {{"name", Command.Name}}},
+          {"spec", {{"data", encodeBase64(Command.Bytes)}}}};
+}
+
+} // namespace
+
+void holder::pump() {
+  if (Pumping)
+    return;
+  Pumping = true;
+  runBookCommands();
+  Pumping = false;
+  scheduleJournal();
+  if (!Fenced)
+    return;
+  // The host begins another life, which replaces this book and journal; not
+  // from inside one of their calls.
+  Fenced = false;
+  defer([this, Now = Life] {
+    if (Now == Life)
+      OnFenced();
+  });
+}
+
+void holder::runBookCommands() {
+  while (true) {
+    std::vector<book_command> Commands = Book->takeCommands();
+    for (book_command &Command : Commands)
+      std::visit([this](auto &Each) { carryOut(Each); }, Command);
+    Writer->tick(steadyNow());
+    std::vector<journal_command> Journal = Writer->takeCommands();
+    for (const journal_command &Command : Journal)
+      std::visit([this](const auto &Each) { carryOut(Each); }, Command);
+    if (Commands.empty() && Journal.empty())
+      return;
+  }
+}
+
+void holder::scheduleJournal() {
+  auto Due = Writer->nextDue();
+  if (!Due) {
+    JournalTimer.stop();
+    return;
+  }
+  milliseconds Wait = std::max(*Due - steadyNow(), milliseconds(1));
+  JournalTimer = timer::once(Wait, [this] { pump(); });
+}
+
+// -- The book's commands
+// --------------------------------------------------------------
+
+void holder::carryOut(commit_record &Command) {
+  std::uint64_t Sequence = Writer->append(Command.Record, steadyNow());
+  if (Sequence != Command.Ticket)
+    log::error("journal and book count differently",
+               {{"ticket", Command.Ticket}, {"sequence", Sequence}});
+}
+
+program_facts holder::factsOf(const dispatch_call &Command) const {
+  program_facts Facts;
+  const catalogue_entry *Entry = Context.Config.find(Command.Entry);
+  if (const program_entry *Program = Entry ? Entry->program() : nullptr) {
+    Facts.Owner = Program->Owner;
+    Facts.ExpectedPause = Program->ExpectedPause;
+    Facts.CallTimeout = Program->Limits.Call;
+  }
+  const root_row *Root = Book->rows().findRoot(Command.Program);
+  if (!Root)
+    return Facts;
+  Facts.AttainedTokens = static_cast<std::int64_t>(Root->SpentTokens);
+  Facts.Started = Root->Turns > 0;
+  Facts.AgeMs = wallNowMs() - Root->WallStartMs;
+  Facts.ParentWaiting = Command.Program.size() > Root->Root.size();
+  const program_row *Program = Book->rows().findProgram(Command.Program);
+  if (Program && !Program->Calls.empty())
+    Facts.LastCallTokens =
+        static_cast<std::int64_t>(Program->Calls.back().Tokens);
+  return Facts;
+}
+
+void holder::carryOut(dispatch_call &Command) {
+  Dispatches[Command.Call] = {Command.FirstWaiter, Command.Attempt};
+  Dispatcher->start(Command, factsOf(Command));
+}
+
+void holder::carryOut(release_waiter &Command) {
+  auto Found = Waiters.find(Command.Waiter);
+  if (Found == Waiters.end())
+    return;
+  waiter_row &Row = Found->second;
+  call_end End;
+  End.Outcome = static_cast<std::uint8_t>(Command.Outcome);
+  End.HttpStatus = Command.HttpStatus;
+  End.ContentType = std::move(Command.ContentType);
+  End.Body = std::move(Command.Body);
+  End.Code = std::move(Command.Code);
+  End.Text = std::move(Command.Text);
+  End.Number = Command.Number;
+  End.RetryAfterMs = Command.RetryAfterMs;
+  End.Replayed = Command.Replayed;
+  End.Moved = Command.Moved;
+  if (Row.Broken) {
+    End.StreamBroken = true;
+  } else if (Row.Streamed) {
+    nlohmann::json Answer = nlohmann::json::parse(End.Body, nullptr, false);
+    std::string Content;
+    if (Answer.is_object() && Answer.contains("choices"))
+      Content = Answer["choices"][0]["message"].value("content", "");
+    if (!Row.Partial)
+      End.StreamedBytes = static_cast<std::int64_t>(Content.size());
+    else if (Content.starts_with(*Row.Partial))
+      End.StreamedBytes = static_cast<std::int64_t>(Row.Partial->size());
+    else
+      End.StreamBroken = true;
+  }
+  finish(Command.Waiter, std::move(End));
+}
+
+void holder::carryOut(cancel_dispatch &Command) {
+  Dispatcher->cancel(Command.Call);
+  Dispatches.erase(Command.Call);
+}
+
+void holder::carryOut(program_over &Command) {
+  auto Found = Admitted.find(Command.Root);
+  if (Found != Admitted.end()) {
+    admitted_row Row = Found->second;
+    Admitted.erase(Found);
+    Admission.endProgram(Row.Entry, Row.Owner);
+    const catalogue_entry *Entry = Context.Config.find(Row.Entry);
+    const program_entry *Program = Entry ? Entry->program() : nullptr;
+    std::int64_t Took = wallNowMs() - Row.WallStartMs;
+    bool InTime = !Program || Program->Target.count() == 0 ||
+                  Took <= Program->Target.count();
+    Context.Metrics.observe("program_ms",
+                            "rank=\"" + std::string(nameOf(Row.Rank)) + '"',
+                            static_cast<double>(Took));
+    if (Context.Recorder)
+      Context.Recorder->count(Row.Entry, Row.Rank, steadyNow(),
+                              [&](entry_counters &Counters) {
+                                if (Command.Reason != end_reason::Asked) {
+                                  ++Counters.OverLimit;
+                                  return;
+                                }
+                                ++Counters.ProgramsFinished;
+                                if (InTime)
+                                  ++Counters.FinishedInTime;
+                              });
+  }
+  Gates.ended(Command.Root);
+}
+
+// -- The dispatcher's news
+// --------------------------------------------------------------
+
+dispatch_events holder::dispatchEvents() {
+  dispatch_events Events;
+  Events.OnEvents = [this](call_id Call, std::string_view Bytes) {
+    onEvents(Call, Bytes);
+  };
+  Events.OnAnswered = [this](call_id Call, upstream_answer Answer) {
+    Dispatches.erase(Call);
+    Book->answered(Call, std::move(Answer), now());
+    pump();
+  };
+  Events.OnNotSent = [this](call_id Call, std::string Code,
+                            std::int64_t RetryAfterMs) {
+    Dispatches.erase(Call);
+    Book->notSent(Call, std::move(Code), RetryAfterMs, now());
+    pump();
+  };
+  Events.OnLost = [this](call_id Call, std::string Code, bool MayHaveRun) {
+    Dispatches.erase(Call);
+    Book->lost(Call, std::move(Code), MayHaveRun, now());
+    pump();
+  };
+  Events.OnDied = [this](call_id Call, std::string Upstream,
+                         std::optional<std::string> Partial) {
+    auto Dispatch = Dispatches.find(Call);
+    if (Dispatch != Dispatches.end()) {
+      auto Waiter = Waiters.find(Dispatch->second.Waiter);
+      if (Waiter != Waiters.end() && Waiter->second.Streamed &&
+          Dispatch->second.Attempt == 1) {
+        Waiter->second.Broken = !Partial;
+        Waiter->second.Partial = std::move(Partial);
+      }
+      Dispatches.erase(Dispatch);
+    }
+    Book->upstreamDied(Call, std::move(Upstream), now());
+    pump();
+  };
+  return Events;
+}
+
+void holder::onEvents(call_id Call, std::string_view Events) {
+  auto Dispatch = Dispatches.find(Call);
+  // A later attempt may answer otherwise than the first, so that nothing of
+  // it is passed on before it is whole.
+  if (Dispatch == Dispatches.end() || Dispatch->second.Attempt > 1)
+    return;
+  auto Waiter = Waiters.find(Dispatch->second.Waiter);
+  if (Waiter == Waiters.end() || !Waiter->second.WantStream)
+    return;
+  Waiter->second.Streamed = true;
+  Waiter->second.Sink.OnEvents(Events);
+}
+
+// -- The journal's commands
+// ---------------------------------------------------------------
+
+void holder::carryOut(const create_segment &Command) {
+  time_point Start = steadyNow();
+  Context.Metrics.add("journal_writes_total");
+  Context.Metrics.add("journal_bytes_total", "",
+                      static_cast<double>(Command.Bytes.size()));
+  Context.Platform->create(
+      "segments", segmentObject(Command),
+      [this, Start, Now = Life](const platform_reply &Reply) {
+        if (Now != Life)
+          return;
+        create_result Result = create_result::Failed;
+        if (Reply.Outcome == platform_outcome::Ok)
+          Result = create_result::Created;
+        if (Reply.Outcome == platform_outcome::Conflict)
+          Result = create_result::Exists;
+        Context.Metrics.observe(
+            "journal_write_ms", "",
+            static_cast<double>((steadyNow() - Start).count()));
+        Writer->created(Result, steadyNow());
+        pump();
+      });
+}
+
+void holder::carryOut(const read_segment &Command) {
+  Context.Platform->get("segments", Command.Name,
+                        [this, Now = Life](const platform_reply &Reply) {
+                          if (Now != Life)
+                            return;
+                          std::string Bytes;
+                          read_result Result = read_result::Failed;
+                          if (Reply.Outcome == platform_outcome::NotFound)
+                            Result = read_result::Absent;
+                          if (Reply.Outcome == platform_outcome::Ok &&
+                              Reply.Object.contains("spec")) {
+                            Result = read_result::Found;
+                            Bytes = decodeBase64(
+                                        Reply.Object["spec"].value("data", ""))
+                                        .value_or(std::string());
+                          }
+                          Writer->read(Result, Bytes, steadyNow());
+                          pump();
+                        });
+}
+
+void holder::carryOut(const send_to_standby &Command) {
+  keep_message Message{Context.life(), Command.Standby, Command.Entries};
+  auto Reply = std::make_shared<std::optional<keep_reply>>();
+  Context.Links->send(
+      Command.Standby.Host,
+      {.Path = std::string(KeepPath), .Headers = {}, .Body = pack(Message)},
+      {.OnMessage =
+           [Reply](std::string_view Bytes) {
+             *Reply = unpack<keep_reply>(Bytes);
+           },
+       .OnEnd =
+           [this, Reply, Standby = Command.Standby,
+            Now = Life](const peer_result &) {
+             if (Now != Life)
+               return;
+             std::uint64_t UpTo = *Reply ? (*Reply)->UpTo : 0;
+             Writer->standbyAnswered(Standby, Reply->has_value(), UpTo,
+                                     steadyNow());
+             pump();
+           }});
+}
+
+void holder::carryOut(const trim_standby &Command) {
+  trim_message Message{Context.life(), Command.UpTo};
+  Context.Links->send(
+      Command.Standby.Host,
+      {.Path = std::string(TrimPath), .Headers = {}, .Body = pack(Message)},
+      {});
+}
+
+void holder::carryOut(const journal_committed &Command) {
+  Book->committedUpTo(Command.UpTo, now());
+}
+
+void holder::carryOut(const journal_fenced &) {
+  log::warn("journal was sealed by a successor",
+            {{"incarnation", Context.Incarnation}});
+  Context.Metrics.add("fenced_total");
+  Book->fenced(now());
+  Fenced = true;
+}
+
+void holder::carryOut(const journal_keeping &Command) {
+  log::info("journal keeping changed", {{"can_keep", Command.CanKeep}});
+  Book->setKeeping(Command.CanKeep, now());
+}
+
+} // namespace turmerichead::host_pvt
--- /dev/null
+++ b/src/libhost/holder_pvt.h
@@ -0,0 +1,149 @@
+/// \file
+/// The holder: joins the state machine of programs, the journal and the
+/// dispatcher, for the shards that the map gives this host.
+#pragma once
+
+#include "context_pvt.h"
+#include "dispatcher_pvt.h"
+#include "gates_pvt.h"
+#include "loop_pvt.h"
+#include "shards_pvt.h"
+#include "turmerichead/sched_admission.h"
+#include "turmerichead/state_book.h"
+#include "turmerichead/state_journal.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace turmerichead::host_pvt {
+
+/// Where the answer to a call goes: a caller here, or a stream to the entry
+/// host. Exactly one OnEnd is called, unless callerGone() came first.
+struct answer_sink {
+  std::function<void(std::string_view Events)> OnEvents;
+  std::function<void(const call_end &End)> OnEnd;
+};
+
+class holder {
+public:
+  /// \p OnFenced is told, after all waiters were released, that this host was
+  /// replaced and must join again under a new incarnation.
+  holder(host_context &Context, gate_client &Gates,
+         std::function<void()> OnFenced);
+
+  /// Begins the life that Context.Incarnation names: an empty book and a new
+  /// journal.
+  void beginLife();
+
+  // -- Calls
+  // ----------------------------------------------------------------------
+
+  waiter_id submit(const call_message &Message, answer_sink Sink);
+  void callerGone(waiter_id Waiter);
+  program_reply history(const program_message &Message);
+  program_reply endProgram(const program_message &Message);
+
+  /// Those of \p Programs that live, or that this host does not hold.
+  living_message living(const living_message &Message) const;
+
+  /// The catalogue has changed: limits of living programs follow.
+  void entryChanged(const catalogue_entry &Entry);
+
+  // -- Shards and journal
+  // ---------------------------------------------------------
+
+  /// Acquires and hands over shards as the new map says.
+  void mapChanged();
+  bool servesAll() const { return Shards && Shards->servesAll(); }
+  /// True when no shard and no call is left.
+  bool empty() const;
+
+  std::optional<keep_reply> keep(const keep_message &Message);
+  void trim(const trim_message &Message);
+  std::optional<close_reply> close(const close_message &Message);
+  void sealed(const close_message &Message);
+
+  /// Limits that depend on time, metrics and counts for the report.
+  void tick();
+
+private:
+  struct waiter_row {
+    answer_sink Sink;
+    bool WantStream = false;
+    std::string Program;
+    std::string Entry;
+    work_rank Rank = work_rank::Ordinary;
+    std::uint32_t Number = 0;
+    time_point Since;
+    time_point Deadline;
+    bool Streamed = false;
+    bool Broken = false;
+    std::optional<std::string> Partial; ///< Streamed before an upstream died.
+  };
+  struct dispatch_row {
+    waiter_id Waiter = 0;
+    std::uint32_t Attempt = 1;
+  };
+  struct admitted_row {
+    std::string Entry;
+    std::string Owner;
+    work_rank Rank = work_rank::Ordinary;
+    std::int64_t WallStartMs = 0;
+  };
+
+  static moment now();
+  void pump();
+  void runBookCommands();
+  void runJournalCommands();
+  void scheduleJournal();
+  void carryOut(commit_record &Command);
+  void carryOut(dispatch_call &Command);
+  void carryOut(release_waiter &Command);
+  void carryOut(cancel_dispatch &Command);
+  void carryOut(program_over &Command);
+  void carryOut(const create_segment &Command);
+  void carryOut(const read_segment &Command);
+  void carryOut(const send_to_standby &Command);
+  void carryOut(const trim_standby &Command);
+  void carryOut(const journal_committed &Command);
+  void carryOut(const journal_fenced &Command);
+  void carryOut(const journal_keeping &Command);
+
+  void refuse(waiter_id Waiter, std::uint16_t Status, std::string Code,
+              std::string Text, std::int64_t RetryAfterMs);
+  void finish(waiter_id Waiter, call_end End);
+  void countEnd(const waiter_row &Row, const call_end &End);
+  bool admit(const call_message &Message, const program_entry &Entry,
+             waiter_id Waiter);
+  program_facts factsOf(const dispatch_call &Command) const;
+  dispatch_events dispatchEvents();
+  void onEvents(call_id Call, std::string_view Events);
+  void nameStandbys();
+  void countRunning();
+  void restoreAdmissions();
+
+  host_context &Context;
+  gate_client &Gates;
+  std::function<void()> OnFenced;
+  std::unique_ptr<program_book> Book;
+  std::unique_ptr<journal_writer> Writer;
+  std::unique_ptr<dispatcher> Dispatcher;
+  std::unique_ptr<shard_keeper> Shards;
+  standby_store Standbys;
+  std::vector<host_life> NamedStandbys;
+  std::unordered_map<waiter_id, waiter_row> Waiters;
+  std::unordered_map<call_id, dispatch_row> Dispatches;
+  std::map<std::string, admitted_row, std::less<>> Admitted; ///< By root.
+  sched::admission Admission;
+  waiter_id NextWaiter = 1;
+  std::uint64_t Life = 0; ///< Counts beginLife(), so that old replies are lost.
+  bool Pumping = false;
+  bool Fenced = false;
+  timer JournalTimer;
+};
+
+} // namespace turmerichead::host_pvt
--- a/src/libhost/loop.cpp
+++ b/src/libhost/loop.cpp
@@ -59,8 +59,8 @@
   Task.reset();
 }
 
-void defer(std::function<void()> Action) {
-  GSource *Source = g_idle_source_new();
+namespace {
+void attachOnce(GSource *Source, std::function<void()> Action) {
   g_source_set_priority(Source, G_PRIORITY_DEFAULT);
   g_source_set_callback(
       Source,
@@ -73,5 +73,15 @@
   g_source_attach(Source, nullptr);
   g_source_unref(Source);
 }
+} // namespace
+
+void defer(std::function<void()> Action) {
+  attachOnce(g_idle_source_new(), std::move(Action));
+}
+
+void after(milliseconds Delay, std::function<void()> Action) {
+  auto Wait = static_cast<guint>(std::max<std::int64_t>(Delay.count(), 0));
+  attachOnce(g_timeout_source_new(Wait), std::move(Action));
+}
 
 } // namespace turmerichead::host_pvt
--- a/src/libhost/loop_pvt.h
+++ b/src/libhost/loop_pvt.h
@@ -42,4 +42,7 @@
 /// Calls \p Action once, after the events that are being handled now.
 void defer(std::function<void()> Action);
 
+/// Calls \p Action once, after \p Delay.
+void after(milliseconds Delay, std::function<void()> Action);
+
 } // namespace turmerichead::host_pvt
--- /dev/null
+++ b/src/libhost/shards_pvt.h
@@ -0,0 +1,116 @@
+/// \file
+/// Acquires shards with all that was committed for them, keeps snapshots, and
+/// hands shards over.
+#pragma once
+
+#include "context_pvt.h"
+#include "loop_pvt.h"
+#include "turmerichead/state_book.h"
+#include "turmerichead/state_journal.h"
+#include "turmerichead/state_snapshot.h"
+#include "turmerichead/state_takeover.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace turmerichead::host_pvt {
+
+/// The shards of one life of one host. A shard is served only after a
+/// snapshot that names this life's journal was kept; so the newest manifest
+/// of a shard always tells whose journal continues it.
+class shard_keeper {
+public:
+  /// \p Changed is called after a shard was acquired or given up.
+  shard_keeper(host_context &Context, program_book &Book,
+               journal_writer &Writer, std::function<void()> Changed);
+
+  /// Compares the map with what is served and starts what is needed.
+  void mapChanged();
+  /// Goes on with drains, retries and due snapshots. Call every 50 ms or so.
+  void tick();
+
+  bool servesAll() const;
+  bool empty() const { return Rows.empty(); }
+  std::size_t serving() const;
+
+private:
+  enum class phase : std::uint8_t {
+    Listing, ///< Its manifests are to be listed.
+    Waiting, ///< Its old holder lives and is to release it.
+    Loading, ///< Its snapshot or its old holder's journal is being read.
+    Writing, ///< The snapshot of this life is being written.
+    Serving,
+    Draining, ///< No new calls; those under way finish.
+    Releasing ///< The last snapshot is being written.
+  };
+  struct shard_row {
+    phase Phase = phase::Listing;
+    std::uint64_t Fence = 0;
+    state_rows Rows; ///< Until they are served.
+    std::unique_ptr<snapshot_maker> Maker;
+    bool Busy = false;            ///< A snapshot is being written.
+    std::uint64_t SnapshotAt = 0; ///< Ticket of the latest snapshot.
+    time_point StartedAt;
+  };
+  struct takeover_row {
+    takeover Takeover;
+    std::vector<std::uint32_t> Shards;
+    time_point StartedAt;
+  };
+
+  shard_row *find(std::uint32_t Shard, phase Expected);
+  void listManifests();
+  void takeManifests(const platform_list_reply &Reply);
+  void startFrom(std::uint32_t Shard, const snapshot_manifest &Manifest);
+  void loadReleased(std::uint32_t Shard, const snapshot_manifest &Manifest);
+  bool livesOn(const host_life &Life) const;
+
+  void startTakeover(const host_life &Journal,
+                     std::vector<std::uint32_t> Shards);
+  void pumpTakeover(const host_life &Journal);
+  void carryOut(const host_life &Journal, const takeover_command &Command);
+  void finishTakeover(const host_life &Journal);
+
+  void writeFirst(std::uint32_t Shard, state_rows Rows,
+                  std::optional<snapshot_manifest> Known);
+  void writeSnapshot(std::uint32_t Shard, const state_rows &Rows,
+                     const journal_position &Position, bool Released,
+                     std::function<void()> Done);
+  void writeObjects(std::uint32_t Shard,
+                    std::shared_ptr<std::vector<snapshot_object>> Objects,
+                    std::size_t Index, std::function<void()> Done);
+  void collectGarbage(std::uint32_t Shard, shard_row &Row);
+  void collectSegments();
+  void snapshotDue();
+  void drain(std::uint32_t Shard, shard_row &Row);
+  journal_position positionNow() const;
+
+  /// A guard for callbacks that may come after this object has gone.
+  template <typename Function> auto guarded(Function Action) {
+    return [Alive = std::weak_ptr<int>(Token),
+            Action = std::move(Action)](auto &&...Arguments) {
+      if (!Alive.expired())
+        Action(std::forward<decltype(Arguments)>(Arguments)...);
+    };
+  }
+
+  host_context &Context;
+  program_book &Book;
+  journal_writer &Writer;
+  std::function<void()> Changed;
+  std::map<std::uint32_t, shard_row> Rows;
+  std::map<host_life, takeover_row> Takeovers;
+  std::set<std::string> ManifestNames; ///< By the latest list.
+  std::shared_ptr<int> Token = std::make_shared<int>(0);
+  bool ListOpen = false;
+  time_point ListDue;
+  std::uint64_t FirstSegment = 1; ///< Segments before it were deleted.
+  std::uint64_t SnapshotCursor = 0;
+};
+
+} // namespace turmerichead::host_pvt
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -66,10 +66,14 @@
   std::int64_t RetryAfterMs = 0;
   bool Replayed = false;
   bool Moved = false;
-  /// Parts of the answer went to this caller before, and fit the whole.
-  bool Streamed = false;
+  /// Bytes of the answer's content that went to this caller before; -1 if
+  /// nothing did, so that the whole answer is still to be sent.
+  std::int64_t StreamedBytes = -1;
+  /// What was streamed does not fit the answer, which a later attempt gave:
+  /// the stream is cut, and the same call sent again gets the whole.
+  bool StreamBroken = false;
   MSGPACK_DEFINE(Outcome, HttpStatus, ContentType, Body, Code, Text, Number,
-                 RetryAfterMs, Replayed, Moved, Streamed)
+                 RetryAfterMs, Replayed, Moved, StreamedBytes, StreamBroken)
 };
 
 /// One message of the answer to a call: events to pass on, or the end.
--- /dev/null
+++ b/src/turmerichead/main.cpp
@@ -0,0 +1,54 @@
+// The daemon of an entry host.
+
+#include "turmerichead/error.h"
+#include "turmerichead/host.h"
+#include "turmerichead/log.h"
+#include "turmerichead/settings.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+DEFINE_string(settings, "", "the settings file of this host (TOML)");
+DEFINE_bool(check, false, "check the settings file and stop");
+
+namespace {
+
+constexpr int ExitFailure = 1;
+constexpr int ExitBadInput = 2;
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  using namespace turmerichead;
+  gflags::SetVersionString(TURMERICHEAD_VERSION);
+  gflags::SetUsageMessage(
+      "the daemon of an entry host\n\n"
+      "  turmerichead --settings FILE [--check]\n\n"
+      "Exit codes: 0 drained or checked, 1 cannot start, 2 bad settings.\n\n"
+      "Settings:\n" +
+      renderSettingsHelp());
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  if (FLAGS_settings.empty()) {
+    std::cerr << "--settings FILE is needed; --help shows the settings\n";
+    return ExitBadInput;
+  }
+  findings Findings;
+  auto Settings = host_settings::load(FLAGS_settings, Findings);
+  if (!Settings) {
+    std::cerr << Findings.toText();
+    return ExitBadInput;
+  }
+  if (FLAGS_check) {
+    std::cout << FLAGS_settings << ": good\n";
+    return 0;
+  }
+  log::open(Settings->Host.Id, Settings->Log.Level, Settings->Log.AuditFile);
+  auto Host = host::create(std::move(*Settings));
+  if (!Host) {
+    log::error("cannot start", {{"reason", lastError().Text},
+                                {"code", nameOf(lastError().Code)}});
+    return ExitFailure;
+  }
+  return Host->run();
+}
