Implement libnet: peer links, HTTP, the platform's client

The HTTP server accepts connections itself and hands them to libsoup, so that their number and their idle time can be limited.

--- a/src/include/turmerichead/net_http.h
+++ b/src/include/turmerichead/net_http.h
@@ -123,8 +123,10 @@
   http_server &operator=(http_server &&Other) noexcept;
   ~http_server();
 
-private:
+  /// Private to the implementation.
   struct state;
+
+private:
   explicit http_server(std::unique_ptr<state> State);
   std::unique_ptr<state> State;
 };
@@ -147,6 +149,11 @@
   std::vector<http_header> Headers;
   std::string Body;
   std::string ContentType = "application/json"; ///< Sent if a body is.
+  /// Opens a connection for this call alone. A kept connection may be closed
+  /// by the other side at the moment that a request is written to it, which
+  /// leaves the outcome unknown; set this where that is costly.
+  bool FreshConnection = false;
+  std::size_t MaxBodyBytes = 0; ///< Of the response; 0: the client's limit.
   /// From the call to the last byte. 0: no limit.
   milliseconds Timeout{0};
   /// From the call to the first byte of the response. 0: no limit.
@@ -197,8 +204,10 @@
   http_client &operator=(http_client &&Other) noexcept;
   ~http_client();
 
-private:
+  /// Private to the implementation.
   struct state;
+
+private:
   explicit http_client(std::unique_ptr<state> State);
   std::unique_ptr<state> State;
 };
--- a/src/include/turmerichead/net_peer.h
+++ b/src/include/turmerichead/net_peer.h
@@ -63,6 +63,7 @@
   milliseconds PingTimeout{2000};      ///< Silence after which a link is lost.
   milliseconds RetryMin{50};           ///< First pause before a reconnect.
   milliseconds RetryMax{2000};         ///< Longest pause before a reconnect.
+  milliseconds IdleTimeout{60000};     ///< A link without streams is closed.
 };
 
 /// How a stream ended.
@@ -129,7 +130,9 @@
   void forget(std::string_view Host);
 
   /// Starts a request. It waits for the link if there is none, for at most
-  /// the handshake timeout, and then ends as Unavailable and not sent.
+  /// the handshake timeout, and then ends as Unavailable and not sent. A host
+  /// that could not be reached is left alone for the back-off's pause, and
+  /// requests to it end at once meanwhile.
   peer_stream_id send(std::string_view Host, peer_request Request,
                       peer_stream_events Events);
 
@@ -146,8 +149,10 @@
   peer_links &operator=(peer_links &&Other) noexcept;
   ~peer_links();
 
-private:
+  /// Private to the implementation.
   struct state;
+
+private:
   explicit peer_links(std::unique_ptr<state> State);
   std::unique_ptr<state> State;
 };
@@ -212,8 +217,10 @@
   peer_server &operator=(peer_server &&Other) noexcept;
   ~peer_server();
 
-private:
+  /// Private to the implementation.
   struct state;
+
+private:
   explicit peer_server(std::unique_ptr<state> State);
   std::unique_ptr<state> State;
 };
--- a/src/include/turmerichead/net_platform.h
+++ b/src/include/turmerichead/net_platform.h
@@ -58,8 +58,10 @@
   NotFound,    ///< 404
   Conflict,    ///< 409: exists already, or the resource version is old.
   Invalid,     ///< Another 4xx: the platform will never take it.
-  Unavailable, ///< Never sent, or 429 or 503: it had no effect.
-  Unknown      ///< No answer, or 5xx: a write may have taken effect.
+  Unavailable, ///< A read without an answer; a write that had no effect (not
+               ///< sent, or 429).
+  Unknown      ///< A write without an answer, or 5xx: it may have taken
+               ///< effect.
 };
 
 /// The stable name of \p Outcome, for example "conflict".
@@ -169,8 +171,10 @@
   platform_client &operator=(platform_client &&Other) noexcept;
   ~platform_client();
 
-private:
+  /// Private to the implementation.
   struct state;
+
+private:
   explicit platform_client(std::unique_ptr<state> State);
   std::unique_ptr<state> State;
 };
--- /dev/null
+++ b/src/libnet/http_server.cpp
@@ -0,0 +1,554 @@
+#include "turmerichead/net_http.h"
+
+#include "loop_pvt.h"
+#include "turmerichead/table.h"
+
+#include <libsoup/soup.h>
+
+#include <algorithm>
+#include <sys/socket.h>
+
+namespace turmerichead {
+
+using namespace pvt;
+
+namespace {
+
+constexpr milliseconds SweepInterval{500};
+constexpr int StatusHeadersTooLarge = 431; ///< libsoup has no name for it.
+constexpr const char *ConnectionKey = "turmerichead-connection";
+
+struct connection_row;
+using connection_id = typed_id<connection_row>;
+
+/// A caller's connection.
+struct connection_row {
+  GSocketConnection *Stream = nullptr; ///< Owned by the SoupServer.
+  handle<GSocket> Socket;
+  time_point LastActive;
+  std::optional<time_point> ReadingSince; ///< Set while a body is read.
+  std::size_t BodyBytes = 0;
+};
+
+/// Typed context of a callback that GLib calls; freed by GLib.
+struct connection_context {
+  http_server::state *Owner;
+  connection_id Id;
+};
+
+struct exchange_context {
+  http_server::state *Owner;
+  http_exchange_id Id;
+};
+
+template <typename Context> void freeContext(gpointer Data, GClosure *) {
+  delete static_cast<Context *>(Data);
+}
+
+} // namespace
+
+/// A request that has been handed to the handler, until its response has been
+/// taken by the caller.
+struct http_exchange_row {
+  handle<SoupServerMessage> Message;
+  connection_id Connection;
+  loop_source CallerClosed;
+  std::size_t Buffered = 0;
+  time_point LastTaken;
+  bool Streaming = false;
+  bool Ended = false; ///< The response is complete on our side.
+};
+
+struct http_server::state {
+  http_server_settings Settings;
+  http_server_events Events;
+  handle<SoupServer> Server;
+  handle<GSocket> Listener;
+  loop_source Accepting;
+  loop_source Sweep;
+  bool Stopped = false;
+  std::uint16_t Port = 0;
+  table<connection_row> Connections;
+  table<http_exchange_row> Exchanges;
+
+  ~state();
+  void accept();
+  void adopt(handle<GSocket> Socket);
+  connection_id connectionOf(SoupServerMessage *Message) const;
+  void checkHeaders(SoupServerMessage *Message);
+  void reject(SoupServerMessage *Message, int Status, std::string_view Text);
+  void begin(SoupServerMessage *Message, const char *Path);
+  bool watchCaller(http_exchange_id Id);
+  void finished(http_exchange_id Id);
+  void cutOff(http_exchange_id Id);
+  void sweep();
+  http_exchange_row *open(http_exchange_id Id);
+
+  static void onEarly(SoupServer *Server, SoupServerMessage *Message,
+                      const char *Path, GHashTable *Query, gpointer Data);
+  static void onRequest(SoupServer *Server, SoupServerMessage *Message,
+                        const char *Path, GHashTable *Query, gpointer Data);
+  static void onChunk(SoupServerMessage *Message, GBytes *Chunk,
+                      connection_context *Context);
+  static void onFinished(SoupServerMessage *Message, exchange_context *Context);
+  static void onWrote(SoupServerMessage *Message, guint Size,
+                      exchange_context *Context);
+  static void onConnectionGone(gpointer Data, GObject *Where);
+};
+
+// -- Connections -------------------------------------------------------------
+
+void http_server::state::accept() {
+  while (auto Socket = acceptFrom(Listener.get()))
+    if (Connections.size() < Settings.MaxConnections)
+      adopt(std::move(*Socket));
+}
+
+void http_server::state::adopt(handle<GSocket> Socket) {
+  auto Stream = handle<GSocketConnection>::adopt(
+      g_socket_connection_factory_create_connection(Socket.get()));
+  auto Local = handle<GSocketAddress>::adopt(
+      g_socket_connection_get_local_address(Stream.get(), nullptr));
+  auto Remote = handle<GSocketAddress>::adopt(
+      g_socket_connection_get_remote_address(Stream.get(), nullptr));
+  if (!Local || !Remote)
+    return; // The caller has gone already.
+  connection_row Row;
+  Row.Stream = Stream.get();
+  Row.Socket = std::move(Socket);
+  Row.LastActive = steadyNow();
+  connection_id Id = Connections.insert(std::move(Row));
+  // A message of libsoup gives no access to its connection, but hands back
+  // the very address object that its connection was accepted with.
+  g_object_set_data_full(
+      G_OBJECT(Remote.get()), ConnectionKey, new connection_context{this, Id},
+      [](gpointer Data) { delete static_cast<connection_context *>(Data); });
+  g_object_weak_ref(G_OBJECT(Stream.get()), onConnectionGone,
+                    new connection_context{this, Id});
+  soup_server_accept_iostream(Server.get(), G_IO_STREAM(Stream.get()),
+                              Local.get(), Remote.get(), nullptr);
+}
+
+void http_server::state::onConnectionGone(gpointer Data, GObject *) {
+  std::unique_ptr<connection_context> Context(
+      static_cast<connection_context *>(Data));
+  if (Context->Owner)
+    Context->Owner->Connections.erase(Context->Id);
+}
+
+connection_id
+http_server::state::connectionOf(SoupServerMessage *Message) const {
+  GSocketAddress *Remote = soup_server_message_get_remote_address(Message);
+  if (!Remote)
+    return {};
+  auto *Context = static_cast<connection_context *>(
+      g_object_get_data(G_OBJECT(Remote), ConnectionKey));
+  return Context ? Context->Id : connection_id{};
+}
+
+// -- Reading a request -------------------------------------------------------
+
+namespace {
+
+std::size_t sizeOf(SoupMessageHeaders *Headers) {
+  std::size_t Bytes = 0;
+  SoupMessageHeadersIter Iter;
+  soup_message_headers_iter_init(&Iter, Headers);
+  const char *Name = nullptr;
+  const char *Value = nullptr;
+  while (soup_message_headers_iter_next(&Iter, &Name, &Value))
+    Bytes += std::string_view(Name).size() + std::string_view(Value).size();
+  return Bytes;
+}
+
+} // namespace
+
+void http_server::state::onEarly(SoupServer * /*Server*/,
+                                 SoupServerMessage *Message,
+                                 const char * /*Path*/, GHashTable * /*Query*/,
+                                 gpointer Data) {
+  static_cast<state *>(Data)->checkHeaders(Message);
+}
+
+void http_server::state::checkHeaders(SoupServerMessage *Message) {
+  connection_id Id = connectionOf(Message);
+  if (connection_row *Connection = Connections.find(Id)) {
+    Connection->ReadingSince = steadyNow();
+    Connection->BodyBytes = 0;
+  }
+  SoupMessageHeaders *Headers =
+      soup_server_message_get_request_headers(Message);
+  if (sizeOf(Headers) > Settings.MaxHeaderBytes) {
+    reject(Message, StatusHeadersTooLarge, "the headers are over the limit");
+    return;
+  }
+  bool IsSized = soup_message_headers_get_encoding(Headers) ==
+                 SOUP_ENCODING_CONTENT_LENGTH;
+  auto Declared = soup_message_headers_get_content_length(Headers);
+  if (IsSized && Declared > static_cast<goffset>(Settings.MaxBodyBytes)) {
+    reject(Message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
+           "the body is over the limit");
+    return;
+  }
+  g_signal_connect_data(Message, "got-chunk", G_CALLBACK(onChunk),
+                        new connection_context{this, Id},
+                        freeContext<connection_context>,
+                        static_cast<GConnectFlags>(0));
+}
+
+void http_server::state::onChunk(SoupServerMessage *Message, GBytes *Chunk,
+                                 connection_context *Context) {
+  state &Owner = *Context->Owner;
+  connection_row *Connection = Owner.Connections.find(Context->Id);
+  if (!Connection || soup_server_message_get_status(Message) != 0)
+    return;
+  Connection->BodyBytes += g_bytes_get_size(Chunk);
+  if (Connection->BodyBytes > Owner.Settings.MaxBodyBytes)
+    Owner.reject(Message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
+                 "the body is over the limit");
+}
+
+/// Answers without the handler. What is left of the body is read and dropped
+/// by libsoup, for at most the request timeout.
+void http_server::state::reject(SoupServerMessage *Message, int Status,
+                                std::string_view Text) {
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(Message), FALSE);
+  soup_message_headers_replace(
+      soup_server_message_get_response_headers(Message), "Connection", "close");
+  soup_server_message_set_status(Message, static_cast<guint>(Status), nullptr);
+  std::string Body;
+  if (Events.OnBadRequest)
+    Body = Events.OnBadRequest(Status, Text);
+  soup_server_message_set_response(Message, "application/json",
+                                   SOUP_MEMORY_COPY, Body.data(), Body.size());
+}
+
+std::optional<std::string_view>
+http_request_view::header(std::string_view Name) const {
+  auto *Rows = static_cast<SoupMessageHeaders *>(const_cast<void *>(Headers));
+  const char *Value =
+      soup_message_headers_get_one(Rows, std::string(Name).c_str());
+  if (!Value)
+    return std::nullopt;
+  return Value;
+}
+
+void http_server::state::onRequest(SoupServer * /*Server*/,
+                                   SoupServerMessage *Message, const char *Path,
+                                   GHashTable * /*Query*/, gpointer Data) {
+  static_cast<state *>(Data)->begin(Message, Path);
+}
+
+void http_server::state::begin(SoupServerMessage *Message, const char *Path) {
+  if (soup_server_message_get_status(Message) != 0)
+    return; // Rejected before.
+  connection_id Connection = connectionOf(Message);
+  std::string Remote;
+  if (connection_row *Row = Connections.find(Connection)) {
+    Row->ReadingSince.reset();
+    Row->LastActive = steadyNow();
+  }
+  http_exchange_row Exchange;
+  Exchange.Message = handle<SoupServerMessage>::share(Message);
+  Exchange.Connection = Connection;
+  Exchange.LastTaken = steadyNow();
+  http_exchange_id Id = Exchanges.insert(std::move(Exchange));
+  g_signal_connect_data(Message, "finished", G_CALLBACK(onFinished),
+                        new exchange_context{this, Id},
+                        freeContext<exchange_context>,
+                        static_cast<GConnectFlags>(0));
+  g_signal_connect_data(Message, "wrote-body-data", G_CALLBACK(onWrote),
+                        new exchange_context{this, Id},
+                        freeContext<exchange_context>,
+                        static_cast<GConnectFlags>(0));
+  if (connection_row *Row = Connections.find(Connection))
+    Exchanges.find(Id)->CallerClosed = loop_source::onSocket(
+        Row->Socket.get(), G_IO_IN, [this, Id] { return watchCaller(Id); });
+  soup_server_message_pause(Message);
+  SoupMessageBody *Body = soup_server_message_get_request_body(Message);
+  auto Bytes = soup_message_body_flatten(Body);
+  gsize Length = 0;
+  const auto *Data =
+      static_cast<const char *>(g_bytes_get_data(Bytes, &Length));
+  const char *Query = g_uri_get_query(soup_server_message_get_uri(Message));
+  const char *Host = soup_server_message_get_remote_host(Message);
+  Events.OnRequest({Id, soup_server_message_get_method(Message), Path,
+                    Query ? Query : "", std::string_view(Data, Length),
+                    Host ? Host : "",
+                    soup_server_message_get_request_headers(Message)});
+  g_bytes_unref(Bytes);
+}
+
+// -- The end of an exchange --------------------------------------------------
+
+/// While a response is awaited nobody reads the connection, so a caller that
+/// closes it would go unnoticed. Returns false to stop watching.
+bool http_server::state::watchCaller(http_exchange_id Id) {
+  http_exchange_row *Exchange = Exchanges.find(Id);
+  connection_row *Connection =
+      Exchange ? Connections.find(Exchange->Connection) : nullptr;
+  if (!Connection)
+    return false;
+  char Byte = 0;
+  ssize_t Count = recv(g_socket_get_fd(Connection->Socket.get()), &Byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
+  if (Count > 0)
+    return false; // A further request; it waits for this one to end.
+  if (Count < 0 && (errno == EAGAIN || errno == EINTR))
+    return true;
+  cutOff(Id);
+  return false;
+}
+
+/// Shuts the connection, so that libsoup finds it broken with the next write
+/// and lets go of it.
+void http_server::state::cutOff(http_exchange_id Id) {
+  http_exchange_row *Exchange = Exchanges.find(Id);
+  if (!Exchange)
+    return;
+  if (connection_row *Row = Connections.find(Exchange->Connection))
+    g_socket_shutdown(Row->Socket.get(), TRUE, TRUE, nullptr);
+  SoupServerMessage *Message = Exchange->Message.get();
+  if (soup_server_message_get_status(Message) == 0)
+    soup_server_message_set_status(Message, SOUP_STATUS_INTERNAL_SERVER_ERROR,
+                                   nullptr);
+  soup_message_body_append(soup_server_message_get_response_body(Message),
+                           SOUP_MEMORY_STATIC, " ", 1);
+  soup_server_message_unpause(Message);
+  bool Ended = Exchange->Ended;
+  Exchanges.erase(Id);
+  if (!Ended && Events.OnClientGone)
+    Events.OnClientGone(Id);
+}
+
+void http_server::state::onFinished(SoupServerMessage * /*Message*/,
+                                    exchange_context *Context) {
+  Context->Owner->finished(Context->Id);
+}
+
+void http_server::state::finished(http_exchange_id Id) {
+  http_exchange_row *Exchange = Exchanges.find(Id);
+  if (!Exchange)
+    return;
+  bool Ended = Exchange->Ended;
+  if (connection_row *Row = Connections.find(Exchange->Connection)) {
+    Row->LastActive = steadyNow();
+    if (Stopped)
+      g_socket_shutdown(Row->Socket.get(), TRUE, FALSE, nullptr);
+  }
+  Exchanges.erase(Id);
+  if (!Ended && Events.OnClientGone)
+    Events.OnClientGone(Id);
+}
+
+void http_server::state::onWrote(SoupServerMessage * /*Message*/, guint Size,
+                                 exchange_context *Context) {
+  http_exchange_row *Exchange = Context->Owner->Exchanges.find(Context->Id);
+  if (!Exchange)
+    return;
+  Exchange->Buffered -= std::min<std::size_t>(Exchange->Buffered, Size);
+  Exchange->LastTaken = steadyNow();
+}
+
+void http_server::state::sweep() {
+  time_point Now = steadyNow();
+  std::vector<http_exchange_id> Slow;
+  std::vector<connection_id> Busy;
+  Exchanges.forEach([&](http_exchange_id Id, http_exchange_row &Row) {
+    Busy.push_back(Row.Connection);
+    if (Row.Buffered > 0 && Now - Row.LastTaken >= Settings.WriteTimeout)
+      Slow.push_back(Id);
+  });
+  for (connection_id Id : Busy)
+    if (connection_row *Row = Connections.find(Id))
+      Row->LastActive = Now;
+  for (http_exchange_id Id : Slow)
+    cutOff(Id);
+  Connections.forEach([&](connection_id, connection_row &Row) {
+    bool SlowRequest =
+        Row.ReadingSince && Now - *Row.ReadingSince >= Settings.RequestTimeout;
+    bool Idle = Now - Row.LastActive >= Settings.IdleTimeout;
+    if (SlowRequest || Idle)
+      g_socket_shutdown(Row.Socket.get(), TRUE, TRUE, nullptr);
+  });
+}
+
+http_server::state::~state() {
+  Exchanges.forEach([&](http_exchange_id, http_exchange_row &Row) {
+    g_signal_handlers_disconnect_matched(
+        Row.Message.get(), G_SIGNAL_MATCH_FUNC, 0, 0, nullptr,
+        reinterpret_cast<gpointer>(onFinished), nullptr);
+    g_signal_handlers_disconnect_matched(
+        Row.Message.get(), G_SIGNAL_MATCH_FUNC, 0, 0, nullptr,
+        reinterpret_cast<gpointer>(onWrote), nullptr);
+    soup_server_message_unpause(Row.Message.get());
+  });
+  // Closing the connections calls onConnectionGone, which needs the table.
+  if (Server)
+    soup_server_disconnect(Server.get());
+  Server.reset();
+}
+
+// -- Interface ---------------------------------------------------------------
+
+std::optional<http_server> http_server::create(std::string_view Address,
+                                               http_server_settings Settings,
+                                               http_server_events Events) {
+  auto Parsed = parseAddress(Address);
+  if (!Parsed)
+    return std::nullopt;
+  auto Listener = listenOn(Parsed->get());
+  if (!Listener)
+    return std::nullopt;
+  auto State = std::make_unique<state>();
+  state *Raw = State.get();
+  Raw->Settings = Settings;
+  Raw->Events = std::move(Events);
+  Raw->Listener = std::move(*Listener);
+  Raw->Port = localPort(Raw->Listener.get());
+  Raw->Server = handle<SoupServer>::adopt(
+      soup_server_new("server-header", nullptr, nullptr));
+  soup_server_add_early_handler(Raw->Server.get(), nullptr, state::onEarly, Raw,
+                                nullptr);
+  soup_server_add_handler(Raw->Server.get(), nullptr, state::onRequest, Raw,
+                          nullptr);
+  Raw->Accepting = loop_source::onSocket(Raw->Listener.get(), G_IO_IN, [Raw] {
+    Raw->accept();
+    return true;
+  });
+  Raw->Sweep = loop_source::every(SweepInterval, [Raw] {
+    Raw->sweep();
+    return true;
+  });
+  return http_server(std::move(State));
+}
+
+http_server::http_server(std::unique_ptr<state> State)
+    : State(std::move(State)) {}
+http_server::http_server(http_server &&Other) noexcept = default;
+http_server &http_server::operator=(http_server &&Other) noexcept = default;
+http_server::~http_server() = default;
+
+std::uint16_t http_server::port() const { return State->Port; }
+
+http_exchange_row *http_server::state::open(http_exchange_id Id) {
+  http_exchange_row *Exchange = Exchanges.find(Id);
+  if (Exchange && !Exchange->Ended)
+    return Exchange;
+  fail(error_code::NotFound, "the exchange has ended");
+  return nullptr;
+}
+
+namespace {
+
+void setHead(SoupServerMessage *Message, int Status,
+             const std::vector<http_header> &Headers) {
+  soup_server_message_set_status(Message, static_cast<guint>(Status), nullptr);
+  SoupMessageHeaders *Rows = soup_server_message_get_response_headers(Message);
+  for (const http_header &Header : Headers)
+    soup_message_headers_replace(Rows, Header.Name.c_str(),
+                                 Header.Value.c_str());
+}
+
+void append(http_exchange_row &Exchange, std::string_view Bytes) {
+  if (Bytes.empty())
+    return;
+  soup_message_body_append(
+      soup_server_message_get_response_body(Exchange.Message.get()),
+      SOUP_MEMORY_COPY, Bytes.data(), Bytes.size());
+  if (Exchange.Buffered == 0)
+    Exchange.LastTaken = steadyNow();
+  Exchange.Buffered += Bytes.size();
+}
+
+} // namespace
+
+bool http_server::respond(http_exchange_id Exchange, int Status,
+                          const std::vector<http_header> &Headers,
+                          std::string_view Body) {
+  http_exchange_row *Row = State->open(Exchange);
+  if (!Row)
+    return false;
+  SoupServerMessage *Message = Row->Message.get();
+  setHead(Message, Status, Headers);
+  soup_message_headers_set_content_length(
+      soup_server_message_get_response_headers(Message),
+      static_cast<goffset>(Body.size()));
+  append(*Row, Body);
+  Row->Ended = true;
+  soup_message_body_complete(soup_server_message_get_response_body(Message));
+  soup_server_message_unpause(Message);
+  return true;
+}
+
+bool http_server::beginStream(http_exchange_id Exchange, int Status,
+                              const std::vector<http_header> &Headers) {
+  http_exchange_row *Row = State->open(Exchange);
+  if (!Row)
+    return false;
+  SoupServerMessage *Message = Row->Message.get();
+  setHead(Message, Status, Headers);
+  soup_message_headers_set_encoding(
+      soup_server_message_get_response_headers(Message), SOUP_ENCODING_CHUNKED);
+  soup_message_body_set_accumulate(
+      soup_server_message_get_response_body(Message), FALSE);
+  Row->Streaming = true;
+  soup_server_message_unpause(Message);
+  return true;
+}
+
+bool http_server::writeChunk(http_exchange_id Exchange,
+                             std::string_view Bytes) {
+  http_exchange_row *Row = State->open(Exchange);
+  if (!Row)
+    return false;
+  if (Row->Buffered + Bytes.size() > State->Settings.MaxBufferedBytes) {
+    fail(error_code::Refused, "the caller reads too slowly");
+    return false;
+  }
+  append(*Row, Bytes);
+  soup_server_message_unpause(Row->Message.get());
+  return true;
+}
+
+bool http_server::endStream(http_exchange_id Exchange) {
+  http_exchange_row *Row = State->open(Exchange);
+  if (!Row)
+    return false;
+  Row->Ended = true;
+  soup_message_body_complete(
+      soup_server_message_get_response_body(Row->Message.get()));
+  soup_server_message_unpause(Row->Message.get());
+  return true;
+}
+
+bool http_server::abortStream(http_exchange_id Exchange) {
+  http_exchange_row *Row = State->open(Exchange);
+  if (!Row)
+    return false;
+  Row->Ended = true; // The owner knows, so it is not told.
+  State->cutOff(Exchange);
+  return true;
+}
+
+std::size_t http_server::bufferedBytes(http_exchange_id Exchange) const {
+  const http_exchange_row *Row = State->Exchanges.find(Exchange);
+  return Row ? Row->Buffered : 0;
+}
+
+void http_server::stopAccepting() {
+  State->Stopped = true;
+  State->Accepting.reset();
+  g_socket_close(State->Listener.get(), nullptr);
+}
+
+std::size_t http_server::openConnections() const {
+  return State->Connections.size();
+}
+
+std::size_t http_server::openExchanges() const {
+  return State->Exchanges.size();
+}
+
+} // namespace turmerichead
--- /dev/null
+++ b/src/libnet/loop.cpp
@@ -0,0 +1,158 @@
+#include "loop_pvt.h"
+
+#include "turmerichead/error.h"
+
+#include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace turmerichead::pvt {
+
+namespace {
+
+constexpr int ListenBacklog = 1024;
+
+gboolean runAction(gpointer Data) {
+  auto &Action = *static_cast<loop_source::action *>(Data);
+  return Action() ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+gboolean runSocketAction(GSocket * /*Socket*/, GIOCondition /*Condition*/,
+                         gpointer Data) {
+  return runAction(Data);
+}
+
+void deleteAction(gpointer Data) {
+  delete static_cast<loop_source::action *>(Data);
+}
+
+std::optional<handle<GSocket>> newSocket(GSocketAddress *Address) {
+  GError *Error = nullptr;
+  GSocket *Socket =
+      g_socket_new(g_socket_address_get_family(Address), G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_TCP, &Error);
+  if (!Socket)
+    return fail(error_code::Unavailable, takeText(Error));
+  g_socket_set_blocking(Socket, FALSE);
+  return handle<GSocket>::adopt(Socket);
+}
+
+} // namespace
+
+loop_source loop_source::adopt(GSource *Source, action Action, bool IsSocket) {
+  GSourceFunc Callback = runAction;
+  if (IsSocket)
+    Callback = G_SOURCE_FUNC(runSocketAction);
+  g_source_set_callback(Source, Callback, new action(std::move(Action)),
+                        deleteAction);
+  g_source_attach(Source, g_main_context_get_thread_default());
+  loop_source Result;
+  Result.Source = Source;
+  return Result;
+}
+
+loop_source loop_source::every(milliseconds Interval, action Action) {
+  auto Ms = static_cast<guint>(Interval.count() > 0 ? Interval.count() : 0);
+  return adopt(g_timeout_source_new(Ms), std::move(Action), false);
+}
+
+loop_source loop_source::soon(action Action) {
+  GSource *Source = g_idle_source_new();
+  g_source_set_priority(Source, G_PRIORITY_DEFAULT);
+  return adopt(Source, std::move(Action), false);
+}
+
+loop_source loop_source::onSocket(GSocket *Socket, GIOCondition Condition,
+                                  action Action) {
+  return adopt(g_socket_create_source(Socket, Condition, nullptr),
+               std::move(Action), true);
+}
+
+void loop_source::reset() {
+  GSource *Old = std::exchange(Source, nullptr);
+  if (!Old)
+    return;
+  g_source_destroy(Old);
+  g_source_unref(Old);
+}
+
+std::optional<handle<GSocketAddress>> parseAddress(std::string_view Text) {
+  std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return fail(error_code::InvalidInput, "an address is \"ip:port\"");
+  std::string_view Ip = Text.substr(0, Colon);
+  std::string_view PortText = Text.substr(Colon + 1);
+  if (Ip.size() >= 2 && Ip.front() == '[' && Ip.back() == ']')
+    Ip = Ip.substr(1, Ip.size() - 2);
+  std::uint16_t Port = 0;
+  auto [End, Status] =
+      std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
+  if (Status != std::errc() || End != PortText.data() + PortText.size())
+    return fail(error_code::InvalidInput, "a port is a number up to 65535");
+  GSocketAddress *Address =
+      g_inet_socket_address_new_from_string(std::string(Ip).c_str(), Port);
+  if (!Address)
+    return fail(error_code::InvalidInput, "not an IP address");
+  return handle<GSocketAddress>::adopt(Address);
+}
+
+std::optional<handle<GSocket>> listenOn(GSocketAddress *Address) {
+  auto Socket = newSocket(Address);
+  if (!Socket)
+    return std::nullopt;
+  GError *Error = nullptr;
+  if (!g_socket_bind(Socket->get(), Address, TRUE, &Error))
+    return fail(error_code::Unavailable, takeText(Error));
+  g_socket_set_listen_backlog(Socket->get(), ListenBacklog);
+  if (!g_socket_listen(Socket->get(), &Error))
+    return fail(error_code::Unavailable, takeText(Error));
+  return Socket;
+}
+
+std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address) {
+  auto Socket = newSocket(Address);
+  if (!Socket)
+    return std::nullopt;
+  setNoDelay(Socket->get());
+  GError *Error = nullptr;
+  if (g_socket_connect(Socket->get(), Address, nullptr, &Error))
+    return Socket;
+  if (!g_error_matches(Error, G_IO_ERROR, G_IO_ERROR_PENDING))
+    return fail(error_code::Unavailable, takeText(Error));
+  g_error_free(Error);
+  return Socket;
+}
+
+std::optional<handle<GSocket>> acceptFrom(GSocket *Listener) {
+  GError *Error = nullptr;
+  GSocket *Socket = g_socket_accept(Listener, nullptr, &Error);
+  if (!Socket)
+    return fail(error_code::Unavailable, takeText(Error));
+  g_socket_set_blocking(Socket, FALSE);
+  setNoDelay(Socket);
+  return handle<GSocket>::adopt(Socket);
+}
+
+void setNoDelay(GSocket *Socket) {
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+}
+
+std::uint16_t localPort(GSocket *Socket) {
+  GSocketAddress *Address = g_socket_get_local_address(Socket, nullptr);
+  if (!Address)
+    return 0;
+  std::uint16_t Port =
+      g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(Address));
+  g_object_unref(Address);
+  return Port;
+}
+
+std::string takeText(GError *Error) {
+  if (!Error)
+    return "unknown reason";
+  std::string Text = Error->message;
+  g_error_free(Error);
+  return Text;
+}
+
+} // namespace turmerichead::pvt
--- /dev/null
+++ b/src/libnet/platform_pvt.h
@@ -0,0 +1,140 @@
+/// \file
+/// The state behind platform_client.
+#pragma once
+
+#include "loop_pvt.h"
+#include "turmerichead/net_platform.h"
+#include "turmerichead/table.h"
+
+#include <deque>
+#include <map>
+#include <random>
+
+namespace turmerichead {
+
+namespace pvt {
+
+/// Gives out a number of tokens a second, and keeps a burst of them.
+class token_bucket {
+public:
+  token_bucket(double PerSecond, double Burst)
+      : PerSecond(PerSecond), Burst(Burst), Tokens(Burst) {}
+
+  void setRate(double Rate, time_point Now);
+  bool take(time_point Now);
+  /// Time until a token is there.
+  milliseconds delay(time_point Now);
+
+private:
+  void refill(time_point Now);
+
+  double PerSecond;
+  double Burst;
+  double Tokens;
+  std::optional<time_point> Filled;
+};
+
+/// What came back from the platform, before it is judged.
+struct raw_answer {
+  http_result Result;
+  std::string Body;
+};
+
+struct raw_call {
+  platform_verb Verb = platform_verb::Get;
+  http_request Request;
+  std::function<void(const raw_answer &Answer)> Done;
+  bool Retried = false;
+};
+
+bool isWrite(platform_verb Verb);
+
+/// The outcome of a call by its answer; see platform_outcome.
+platform_outcome judge(platform_verb Verb, const http_result &Result);
+
+/// A text for people on an answer that was not Ok.
+std::string reasonOf(const raw_answer &Answer);
+
+/// A list that is being read, page by page.
+struct list_job {
+  std::string Plural;
+  platform_list_callback Done;
+  std::vector<nlohmann::json> Items;
+  std::string Continue;
+  bool Restarted = false;
+};
+
+enum class watch_phase { Listing, Connecting, Following, Pausing };
+
+} // namespace pvt
+
+struct platform_watch_row {
+  std::string Plural;
+  std::shared_ptr<const platform_watch_events> Events;
+  pvt::watch_phase Phase = pvt::watch_phase::Listing;
+  std::map<std::string, nlohmann::json, std::less<>> Known;
+  std::uint64_t Version = 0; ///< 0 until the first list.
+  http_call_id Call;
+  std::string Line;
+  time_point LastHeard;
+  milliseconds Pause{0};
+  pvt::loop_source Retry;
+  pvt::loop_source Silence;
+  bool Lost = false; ///< OnLost has been called, and no OnSynced since.
+};
+
+struct platform_client::state {
+  platform_settings Settings;
+  http_client *Http = nullptr;
+  pvt::token_bucket Reads;
+  pvt::token_bucket Writes;
+  std::deque<pvt::raw_call> WaitingReads;
+  std::deque<pvt::raw_call> WaitingWrites;
+  pvt::loop_source Wake;
+  std::vector<std::function<void()>> Deferred;
+  pvt::loop_source DeferredSource;
+  platform_counters Counters;
+  table<platform_watch_row> Watches;
+  std::mt19937_64 Random;
+  std::shared_ptr<state *> Self;
+
+  state(platform_settings Settings, http_client &Http);
+
+  // Calls.
+  std::string urlOf(std::string_view Plural, std::string_view Name = {}) const;
+  http_request newRequest(std::string Method, std::string Url,
+                          milliseconds Timeout) const;
+  void call(platform_verb Verb, http_request Request,
+            std::function<void(const pvt::raw_answer &Answer)> Done);
+  void dispatch(pvt::raw_call Call);
+  void drainWaiting();
+  void drainQueue(std::deque<pvt::raw_call> &Queue, pvt::token_bucket &Bucket);
+  void count(platform_verb Verb, platform_outcome Outcome);
+  platform_counters::verb &countersOf(platform_verb Verb);
+  void defer(std::function<void()> Action);
+  void callForObject(platform_verb Verb, http_request Request,
+                     platform_callback Done);
+  void nextPage(std::shared_ptr<pvt::list_job> Job);
+  void takePage(const std::shared_ptr<pvt::list_job> &Job,
+                const pvt::raw_answer &Answer);
+
+  // Watches.
+  void listForWatch(platform_watch_id Id);
+  void takeList(platform_watch_id Id, const platform_list_reply &Reply);
+  void tellGone(platform_watch_id Id, const std::vector<nlohmann::json> &Items);
+  void connect(platform_watch_id Id);
+  void openStream(platform_watch_id Id);
+  void takeBytes(platform_watch_id Id, std::string_view Bytes);
+  bool takeLine(platform_watch_id Id, std::string_view Line);
+  bool takeEvent(platform_watch_id Id, const std::string &Type,
+                 const nlohmann::json &Object);
+  void tell(platform_watch_id Id, platform_change Change,
+            const nlohmann::json &Object);
+  void synced(platform_watch_id Id);
+  void streamEnded(platform_watch_id Id, const http_result &Result);
+  void pauseThenRetry(platform_watch_id Id, std::string Reason);
+  void relist(platform_watch_id Id);
+  bool checkSilence(platform_watch_id Id);
+};
+
+} // namespace turmerichead
--- /dev/null
+++ b/src/libnet/sse_splitter.cpp
@@ -0,0 +1,53 @@
+#include "turmerichead/error.h"
+#include "turmerichead/net_http.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmerichead {
+
+bool sse_splitter::feed(
+    std::string_view Bytes,
+    const std::function<void(std::string_view Data)> &OnData) {
+  for (std::size_t I = 0; I < Bytes.size() && !Failed;) {
+    // A line ends with CR, LF or both; the LF of a pair may come later.
+    if (SkipLineFeed && Bytes[I] == '\n')
+      ++I;
+    SkipLineFeed = false;
+    std::size_t End = Bytes.find_first_of("\r\n", I);
+    Line += Bytes.substr(I, End == std::string_view::npos ? End : End - I);
+    Failed = Line.size() + Data.size() > MaxEventBytes;
+    if (End == std::string_view::npos || Failed)
+      break;
+    SkipLineFeed = Bytes[End] == '\r';
+    I = End + 1;
+    std::string Whole = std::exchange(Line, {});
+    takeLine(Whole, OnData);
+  }
+  if (Failed)
+    fail(error_code::Corrupt, "an event of the stream is over the limit");
+  return !Failed;
+}
+
+void sse_splitter::takeLine(
+    std::string_view Line,
+    const std::function<void(std::string_view Data)> &OnData) {
+  if (Line.empty()) {
+    if (HasData)
+      OnData(std::exchange(Data, {}));
+    HasData = false;
+    Data.clear();
+    return;
+  }
+  if (!Line.starts_with("data") || (Line.size() > 4 && Line[4] != ':'))
+    return;
+  std::string_view Value = Line.substr(std::min<std::size_t>(Line.size(), 5));
+  if (Value.starts_with(' '))
+    Value.remove_prefix(1);
+  if (HasData)
+    Data += '\n';
+  Data += Value;
+  HasData = true;
+}
+
+} // namespace turmerichead
