--- a/src/include/turmerichead/state_book.h
+++ b/src/include/turmerichead/state_book.h
@@ -62,7 +62,7 @@
   Conflict  ///< Number or key used with another body, or another owner's.
 };
 
-struct open_call;
+struct open_call; // in book_pvt.h
 using call_id = typed_id<open_call>;
 
 /// Keep \p Record in the journal, in this order.
@@ -102,8 +102,10 @@
   std::uint32_t Number = 0; ///< The call's number; 0 if it got none.
   std::int64_t RetryAfterMs = 0; ///< 0: a repeat won't help.
   bool Replayed = false;
-  bool Moved = false; ///< This host no longer holds the program: forward the
-                      ///< same call to its new holder.
+  /// This host no longer holds the program: forward the same call to its new
+  /// holder if it is numbered, keyed or its outcome here is NotRun. Where that
+  /// fails, tell the caller Unknown.
+  bool Moved = false;
 };
 
 /// Stop a dispatched call; nobody waits for it or its program has ended.
@@ -136,7 +138,9 @@
   std::uint32_t ReserveSlackTokens = 2048; ///< Ahead, for new messages.
   std::uint32_t DeathsBeforeRefusal = 2;   ///< Upstreams one call may take.
   std::int64_t RefusedRetryAfterMs = 1000;
-  std::int64_t EndedKeptMs = 600000; ///< Ended roots answer repeats so long.
+  std::int64_t BodiesKeptMs = 600000;  ///< Of ended roots, for repeats.
+  std::int64_t EndedKeptMs = 86400000; ///< No call of an ended root runs
+                                       ///< again for so long.
 };
 
 class program_book {
--- a/src/include/turmerichead/state_delta.h
+++ b/src/include/turmerichead/state_delta.h
@@ -4,6 +4,8 @@
 /// program's previous call and its answer.
 #pragma once
 
+#include <msgpack.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -19,6 +21,7 @@
   std::uint32_t Bytes = 0;
   friend bool operator==(const message_digest &,
                          const message_digest &) = default;
+  MSGPACK_DEFINE(Hash, Bytes)
 };
 
 /// What the book needs to know of a model call's body.
--- a/src/include/turmerichead/state_journal.h
+++ b/src/include/turmerichead/state_journal.h
@@ -22,23 +22,29 @@
 /// Largest encoded segment, in bytes; its base64 text stays below 1 MB.
 inline constexpr std::size_t MaxSegmentBytes = std::size_t{700} << 10;
 
-/// One encoded record with its place in the writer's order.
+/// Longer records are split into entries of this size.
+inline constexpr std::size_t MaxEntryBytes = std::size_t{256} << 10;
+
+/// One encoded record, or a part of it, with its place in the writer's order.
 struct journal_entry {
-  std::uint64_t Sequence = 0; ///< From 1 within a host's life.
+  std::uint64_t Sequence = 0; ///< From 1 within a host's life, without gaps.
+  bool Continues = false;     ///< The record goes on in the next entry.
   std::string Bytes;          ///< encodeRecord().
-  MSGPACK_DEFINE(Sequence, Bytes)
+  MSGPACK_DEFINE(Sequence, Continues, Bytes)
 };
 
 /// The content of one segment object. A segment with \c Sealed ends the
 /// journal: it was created by a successor.
 struct journal_segment {
   host_life Writer; ///< Who created it.
-  bool Sealed = false;
-  /// Of a seal: tail objects by this writer that hold the standby's records.
-  std::uint32_t TailObjects = 0;
-  bool TailMissing = false; ///< No standby answered: records may be lost.
+  /// Who may hold entries after this segment's during an outage.
+  std::vector<host_life> Standbys;
   std::vector<journal_entry> Entries;
-  MSGPACK_DEFINE(Writer, Sealed, TailObjects, TailMissing, Entries)
+  bool Sealed = false;
+  /// Of a seal: objects in the plural `segments` with the standby's entries.
+  std::vector<std::string> TailObjects;
+  bool TailMissing = false; ///< No standby answered: entries may be lost.
+  MSGPACK_DEFINE(Writer, Standbys, Entries, Sealed, TailObjects, TailMissing)
 };
 
 std::string encodeSegment(const journal_segment &Segment);
@@ -47,6 +53,9 @@
 
 /// "<host>.<incarnation>.<n>"; n counts from 1.
 std::string segmentName(const host_life &Journal, std::uint64_t Number);
+/// The number in a segment's name; std::nullopt for other names.
+std::optional<std::uint64_t> segmentNumber(const host_life &Journal,
+                                           std::string_view Name);
 /// The name of a tail object that \p Successor wrote for \p Journal.
 std::string tailName(const host_life &Journal, const host_life &Successor,
                      std::uint32_t Index);
@@ -75,6 +84,7 @@
 /// standbyAnswered().
 struct send_to_standby {
   host_life Standby;
+  std::uint64_t OnPlatform = 0; ///< Entries up to here need no standby.
   std::vector<journal_entry> Entries;
 };
 /// Tell a standby that entries up to \c UpTo are on the platform.
@@ -82,9 +92,9 @@
   host_life Standby;
   std::uint64_t UpTo = 0;
 };
-/// Entries up to \c UpTo are committed.
+/// All records with tickets up to \c Ticket are committed.
 struct journal_committed {
-  std::uint64_t UpTo = 0;
+  std::uint64_t Ticket = 0;
 };
 /// This host has been replaced; nothing more is committed, ever.
 struct journal_fenced {};
@@ -107,23 +117,33 @@
 };
 
 /// Writes one host life's journal.
+///
+///     auto Ticket = Commit.Ticket;             // a commit_record of the book
+///     Journal.append(Commit.Record, Ticket, Now);
+///     Journal.tick(Now);                       // and again at nextDue()
+///     for (journal_command &Command : Journal.takeCommands())
+///       ...
 class journal_writer {
 public:
-  /// Continues nothing: a new life starts a new journal at segment 1.
+  /// A new life starts a new journal at segment 1.
   journal_writer(host_life Self, journal_settings Settings);
 
-  /// Names the standbys; they count once the record of it is committed, so
-  /// append a standbys_record with the same content.
-  void setStandbys(std::vector<host_life> Standbys);
+  /// Names the standbys, in other data centres if there are any. They are
+  /// written with the next segment; until that is known to be on the
+  /// platform, the old and the new ones must all keep an entry.
+  void setStandbys(std::vector<host_life> Names, time_point Now);
 
-  /// Queues a record and returns its sequence number.
-  std::uint64_t append(const record &Record, time_point Now);
+  /// Queues a record. Tickets rise from call to call.
+  void append(const record &Record, std::uint64_t Ticket, time_point Now);
 
+  /// Answers create_segment.
   void created(create_result Result, time_point Now);
+  /// Answers read_segment.
   void read(read_result Result, std::string_view Bytes, time_point Now);
-  /// \p Kept is false if the standby refused or did not answer.
-  void standbyAnswered(const host_life &Standby, bool Kept, std::uint64_t UpTo,
-                       time_point Now);
+  /// Answers send_to_standby; \p UpTo is std::nullopt if the standby refused
+  /// or did not answer.
+  void standbyAnswered(const host_life &Standby,
+                       std::optional<std::uint64_t> UpTo, time_point Now);
   /// Starts what is due. Call at nextDue().
   void tick(time_point Now);
   std::optional<time_point> nextDue() const;
@@ -131,40 +151,46 @@
   std::vector<journal_command> takeCommands();
 
   const host_life &self() const { return Self; }
-  std::uint64_t committed() const { return Committed; }
-  std::uint64_t lastSequence() const { return LastSequence; }
-  /// The number of the next segment to be written.
-  std::uint64_t nextSegment() const { return SegmentNumber; }
-  /// The first segment that may hold entries after \p Sequence; replay from
-  /// there needs nothing earlier.
-  std::uint64_t segmentAfter(std::uint64_t Sequence) const;
-  /// Forgets the index of segments before \p Segment (they were deleted).
-  void forgetBefore(std::uint64_t Segment);
   bool fenced() const { return State == state::Fenced; }
   bool buffering() const { return Buffering; }
   bool keeping() const { return Keeping; }
+  /// Bytes that are not yet on the platform.
   std::size_t openBytes() const { return OpenBytes; }
+  /// The ticket that journal_committed told last.
+  std::uint64_t committedTicket() const { return CommittedTicket; }
+  /// The sequence of the latest committed entry, and of the latest one.
+  std::uint64_t committedSequence() const { return Committed; }
+  std::uint64_t lastSequence() const { return LastSequence; }
+  /// The first segment that may hold entries after \p Sequence: replay of
+  /// what came after needs nothing earlier.
+  std::uint64_t segmentAfter(std::uint64_t Sequence) const;
+  /// Segments before \p Segment were deleted.
+  void forgetBefore(std::uint64_t Segment);
 
 private:
   enum class state : std::uint8_t { Idle, Creating, Reading, Waiting, Fenced };
   struct standby_row {
     host_life Host;
-    std::uint64_t SentUpTo = 0;
-    std::uint64_t AckedUpTo = 0;
+    bool Leaving = false; ///< Replaced once the segment in work is kept.
+    std::uint64_t Acked = 0;
     bool InFlight = false;
-    bool Refused = false;
+    bool Failed = false;
     time_point SentAt;
   };
+  struct ticket_row {
+    std::uint64_t Sequence = 0;
+    std::uint64_t Ticket = 0;
+  };
 
+  bool segmentDue(time_point Now) const;
   void startSegment(time_point Now);
+  void create(time_point Now);
   void finishSegment(time_point Now);
-  void fence();
-  void retryLater(time_point Now);
-  void commitTo(std::uint64_t UpTo);
+  void adoptStandbys();
+  void commitTo(std::uint64_t Sequence);
   void startBuffering(time_point Now);
   void sendToStandbys(time_point Now);
-  void judgeKeeping(time_point Now);
-  void setKeeping(bool CanKeep);
+  void judgeStandbys(time_point Now);
 
   host_life Self;
   journal_settings Settings;
@@ -172,20 +198,22 @@
   bool Buffering = false;
   bool Keeping = true;
   std::deque<journal_entry> Open; ///< Not yet on the platform.
+  std::deque<ticket_row> Tickets; ///< Not yet committed.
   std::size_t OpenBytes = 0;
-  std::size_t InSegment = 0; ///< Leading entries of Open in the write.
-  std::string SegmentBytes;
   std::uint64_t LastSequence = 0;
   std::uint64_t OnPlatform = 0;
   std::uint64_t Committed = 0;
-  std::uint64_t SegmentNumber = 1;
+  std::uint64_t CommittedTicket = 0;
+  std::uint64_t SegmentNumber = 1; ///< In work, or the next one.
+  std::uint64_t SegmentLast = 0;   ///< Last sequence of the one in work.
+  std::string SegmentBytes;
   std::map<std::uint64_t, std::uint64_t> LastOfSegment;
   std::vector<standby_row> Standbys;
+  bool StandbysChanged = false; ///< To be written with the next segment.
+  bool StandbysInWork = false;  ///< Written with the segment in work.
   time_point LastStart{INT64_MIN / 2};
-  time_point LastSuccess;
+  time_point BehindSince; ///< When the segment in work was first tried.
   time_point RetryAt;
-  bool Sluggish = false;
-  time_point BehindSince;
   std::vector<journal_command> Commands;
 };
 
@@ -199,6 +227,7 @@
   /// with error Fenced (the tail was given to a successor) or Refused (full,
   /// or a gap before the first entry).
   std::optional<std::uint64_t> keep(const host_life &Origin,
+                                    std::uint64_t OnPlatform,
                                     std::span<const journal_entry> Entries);
   /// Drops what is on the platform.
   void trim(const host_life &Origin, std::uint64_t UpTo);
@@ -212,9 +241,11 @@
 private:
   struct origin_row {
     std::deque<journal_entry> Entries;
+    std::uint64_t Trimmed = 0; ///< Entries up to here are on the platform.
     bool Closed = false;
-    std::uint64_t Trimmed = 0;
   };
+  void trimRow(origin_row &Row, std::uint64_t UpTo);
+
   std::size_t MaxBytes;
   std::size_t Bytes = 0;
   std::map<host_life, origin_row> Origins;
--- a/src/include/turmerichead/state_records.h
+++ b/src/include/turmerichead/state_records.h
@@ -94,9 +94,10 @@
   std::uint64_t Fingerprint = 0;
   bool NonIdempotent = false;
   std::uint32_t KeptMessages = 0; ///< Leading messages left out of Delta.
+  std::uint64_t RestHash = 0;     ///< chat_digest::RestHash of a model call.
   std::string Delta; ///< Body; of a model call without its kept messages.
   MSGPACK_DEFINE(Kind, Target, IdempotencyKey, Fingerprint, NonIdempotent,
-                 KeptMessages, Delta)
+                 KeptMessages, RestHash, Delta)
 };
 
 /// A call that may be repeated is being dispatched. Not waited for.
@@ -159,7 +160,8 @@
 struct program_ended_record {
   std::string Program;
   end_reason Reason = end_reason::None;
-  MSGPACK_DEFINE(Program, Reason)
+  std::int64_t WallMs = 0;
+  MSGPACK_DEFINE(Program, Reason, WallMs)
 };
 
 /// The writer serves a shard from here on, or no longer does.
@@ -178,17 +180,10 @@
   MSGPACK_DEFINE(Host, Incarnation)
 };
 
-/// The standbys that buffer this journal's records during an outage.
-struct standbys_record {
-  std::vector<host_life> Standbys;
-  MSGPACK_DEFINE(Standbys)
-};
-
 using record =
     std::variant<program_started_record, call_accepted_record, intent_record,
                  budget_reserved_record, answer_record, call_closed_record,
-                 upstream_death_record, program_ended_record, shard_record,
-                 standbys_record>;
+                 upstream_death_record, program_ended_record, shard_record>;
 
 /// The bytes of \p Record.
 std::string encodeRecord(const record &Record);
--- a/src/include/turmerichead/state_rows.h
+++ b/src/include/turmerichead/state_rows.h
@@ -15,7 +15,8 @@
 
 namespace turmerichead {
 
-/// How far a kept call got.
+/// How far a kept call got. Open numbers have no call, or one that did not
+/// run.
 enum class call_state : std::uint8_t { Accepted, Intent, Open, Ended };
 
 } // namespace turmerichead
@@ -46,11 +47,16 @@
   std::vector<call_row> Calls;
   /// Calls answered or failed without a gap from the first one.
   std::uint32_t EndedCalls = 0;
-  bool Ended = false;
   /// Taken over from a holder that may have dispatched the next call without
   /// a record of it: that call can't be said to be "not run".
   std::uint32_t UncertainNumber = 0;
-  MSGPACK_DEFINE(Path, Calls, EndedCalls, Ended, UncertainNumber)
+  /// The conversation after the latest answered model call, and what that
+  /// call used: the next call's prompt is at least as long.
+  std::vector<message_digest> Messages;
+  std::uint64_t MessagesTokens = 0;
+  std::uint64_t MessagesRest = 0; ///< chat_digest::RestHash of that call.
+  MSGPACK_DEFINE(Path, Calls, EndedCalls, UncertainNumber, Messages,
+                 MessagesTokens, MessagesRest)
 };
 
 /// What a root program and its sub-agents share.
@@ -68,10 +74,12 @@
   std::uint32_t ToolCalls = 0;
   std::uint32_t RetriesUsed = 0;
   end_reason EndReason = end_reason::None;
+  std::int64_t WallEndMs = 0;
+  bool Stripped = false; ///< Its bodies were dropped some time after its end.
   std::map<std::string, program_row> Programs; ///< By path, the root's too.
   MSGPACK_DEFINE(Root, Shard, Entry, Owner, Rank, Limits, WallStartMs,
                  SpentTokens, ReservedUpTo, Turns, ToolCalls, RetriesUsed,
-                 EndReason, Programs)
+                 EndReason, WallEndMs, Stripped, Programs)
 
   bool ended() const { return EndReason != end_reason::None; }
 };
@@ -100,6 +108,9 @@
   state_rows takeShard(std::uint32_t Shard);
   /// Takes in the roots of another set; a root present in both is replaced.
   void merge(state_rows Other);
+  /// Drops the bodies of a root that has ended, and keeps its numbers, keys
+  /// and outcomes, so that no call of it runs again.
+  void strip(std::string_view Root);
   /// Drops a root that has ended.
   void forget(std::string_view Root);
 
--- /dev/null
+++ b/src/libstate/book.cpp
@@ -0,0 +1,346 @@
+#include "book_pvt.h"
+
+#include "turmerichead/error.h"
+#include "turmerichead/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmerichead {
+
+std::uint64_t fingerprintOf(const call_request &Request) {
+  std::uint64_t Kind = Request.Kind == call_kind::Model ? 1 : 2;
+  std::uint64_t Target = hash64(Request.Target, Kind);
+  return hash64(Request.Body, Target + (Request.NonIdempotent ? 1 : 0));
+}
+
+ending endingOf(end_reason Reason) {
+  ending Out;
+  Out.HttpStatus = Reason == end_reason::Asked ? 410 : 429;
+  Out.Code = Reason == end_reason::Asked ? "program_ended"
+                                         : std::string(nameOf(Reason));
+  Out.Text = "the program has ended: " + std::string(nameOf(Reason));
+  return Out;
+}
+
+// -- Shards ---------------------------------------------------------------
+
+void program_book::acquireShard(std::uint32_t Shard, state_rows Rows) {
+  State->Rows.merge(std::move(Rows));
+  State->Shards.insert(Shard);
+  State->Draining.erase(Shard);
+}
+
+bool program_book::holdsShard(std::uint32_t Shard) const {
+  return State->Shards.contains(Shard);
+}
+
+state_rows program_book::releaseShard(std::uint32_t Shard) {
+  State->Shards.erase(Shard);
+  State->Draining.erase(Shard);
+  std::erase_if(State->Live,
+                [&](const auto &Row) { return Row.second.Shard == Shard; });
+  return State->Rows.takeShard(Shard);
+}
+
+// -- Arrival and identity ---------------------------------------------------
+
+// A call without a number takes the first one that nobody has.
+std::uint32_t program_book::impl::numberOf(const call_request &Request,
+                                           const program_row *Program,
+                                           const live_program *Open) const {
+  if (!Request.IdempotencyKey.empty()) {
+    if (Program)
+      for (std::size_t I = 0; I < Program->Calls.size(); ++I)
+        if (Program->Calls[I].Call.IdempotencyKey == Request.IdempotencyKey)
+          return static_cast<std::uint32_t>(I) + 1;
+    if (Open)
+      for (auto [Number, Id] : Open->Open)
+        if (Calls.find(Id)->Request.IdempotencyKey == Request.IdempotencyKey)
+          return Number;
+  }
+  if (Request.Number != 0)
+    return Request.Number;
+  std::uint32_t Number = Program ? Program->EndedCalls + 1 : 1;
+  auto Taken = [&](std::uint32_t Candidate) {
+    bool Kept = Program && Candidate <= Program->Calls.size() &&
+                Program->Calls[Candidate - 1].State != call_state::Open;
+    return Kept || (Open && Open->Open.contains(Candidate));
+  };
+  while (Taken(Number))
+    ++Number;
+  return Number;
+}
+
+bool program_book::impl::uncertain(std::string_view Program,
+                                   std::uint32_t Number, bool Keyed) const {
+  const program_row *Row = Rows.findProgram(Program);
+  if (!Row || Row->UncertainNumber == 0)
+    return false;
+  return Number == Row->UncertainNumber ||
+         (Keyed && Number > Row->UncertainNumber);
+}
+
+call_id program_book::impl::openCall(std::string_view Program,
+                                     std::uint32_t Number) const {
+  const live_program *Open = findOpen(Program);
+  if (!Open)
+    return {};
+  auto Found = Open->Open.find(Number);
+  return Found == Open->Open.end() ? call_id() : Found->second;
+}
+
+// Calls that the program has already made: joined, replayed or refused.
+std::optional<submit_decision>
+program_book::impl::known(const call_request &Request, waiter_id Waiter,
+                          std::uint32_t Number, std::uint64_t Fingerprint) {
+  ending Conflict{call_outcome::NotRun,
+                  409,
+                  "call_reused",
+                  "the number or key was used with another body",
+                  0,
+                  false};
+  if (Request.Number != 0 && Request.Number != Number) {
+    release(Waiter, Number, Conflict);
+    return submit_decision::Conflict;
+  }
+  if (call_id Id = openCall(Request.Program, Number)) {
+    open_call &Call = *Calls.find(Id);
+    if (Call.Fingerprint != Fingerprint) {
+      release(Waiter, Number, Conflict);
+      return submit_decision::Conflict;
+    }
+    Call.Waiters.push_back(Waiter);
+    Waiters[Waiter] = Id;
+    return submit_decision::Joined;
+  }
+  const program_row *Program = Rows.findProgram(Request.Program);
+  if (!Program || Number > Program->Calls.size())
+    return std::nullopt;
+  const call_row &Call = Program->Calls[Number - 1];
+  if (Call.State == call_state::Open)
+    return std::nullopt;
+  if (Call.Call.Fingerprint != Fingerprint) {
+    release(Waiter, Number, Conflict);
+    return submit_decision::Conflict;
+  }
+  if (Call.State != call_state::Ended)
+    return std::nullopt;
+  replay(Call, *Rows.findRoot(Request.Program), Waiter, Number);
+  return submit_decision::Replayed;
+}
+
+void program_book::impl::replay(const call_row &Call, const root_row &Root,
+                                waiter_id Waiter, std::uint32_t Number) {
+  release_waiter Out;
+  Out.Waiter = Waiter;
+  Out.Number = Number;
+  Out.Replayed = true;
+  Out.Outcome = Call.Outcome;
+  Out.HttpStatus = Call.HttpStatus;
+  Out.ContentType = Call.ContentType;
+  Out.Body = Call.Body;
+  Out.Code = Call.Code;
+  if (Call.Outcome != call_outcome::Answered) {
+    Out.HttpStatus = 502;
+    Out.Text = "the call ended without an answer";
+  } else if (Root.Stripped) {
+    Out.HttpStatus = 410;
+    Out.Code = "answer_expired";
+    Out.Text = "the call was answered; the program ended long ago";
+  }
+  Commands.emplace_back(std::move(Out));
+}
+
+// Reasons to refuse a call that is new.
+std::optional<ending> program_book::impl::refusal(const call_request &Request,
+                                                  std::uint32_t Number) const {
+  std::int64_t Later = Settings.RefusedRetryAfterMs;
+  const root_row *Root = Rows.findRoot(Request.Program);
+  const live_root *Open = findLive(Request.Program);
+  if (Root && Root->ended())
+    return endingOf(Root->EndReason);
+  if (Open && Open->Ending != end_reason::None)
+    return endingOf(Open->Ending);
+  bool IsRoot = rootOf(Request.Program) == Request.Program;
+  if (!Root && !Open && !IsRoot)
+    return ending{call_outcome::NotRun,
+                  404,
+                  "parent_unknown",
+                  "the root program has not started",
+                  Later,
+                  false};
+  if (!Root && !Open &&
+      std::max(Rows.roots().size(), Live.size()) >= Settings.MaxPrograms)
+    return ending{call_outcome::NotRun,
+                  503,
+                  "too_many_programs",
+                  "this host holds as many programs as it may",
+                  Later,
+                  false};
+  if (Calls.size() >= Settings.MaxOpenCalls)
+    return ending{call_outcome::NotRun,
+                  503,
+                  "too_many_calls",
+                  "this host has as many open calls as it may",
+                  Later,
+                  false};
+  if (!Keeping)
+    return ending{call_outcome::NotRun,
+                  503,
+                  "not_kept",
+                  "records can't be kept at present",
+                  Later,
+                  false};
+  const program_row *Program = Rows.findProgram(Request.Program);
+  std::uint32_t Ended = Program ? Program->EndedCalls : 0;
+  if (Number > Ended + Settings.MaxQueuedPerProgram)
+    return ending{call_outcome::NotRun,
+                  429,
+                  "too_far_ahead",
+                  "too many earlier calls have not been made",
+                  Later,
+                  false};
+  return std::nullopt;
+}
+
+live_root *program_book::impl::findLive(std::string_view Program) {
+  auto Found = Live.find(rootOf(Program));
+  return Found == Live.end() ? nullptr : &Found->second;
+}
+
+const live_root *program_book::impl::findLive(std::string_view Program) const {
+  auto Found = Live.find(rootOf(Program));
+  return Found == Live.end() ? nullptr : &Found->second;
+}
+
+const live_program *
+program_book::impl::findOpen(std::string_view Program) const {
+  const live_root *Root = findLive(Program);
+  if (!Root)
+    return nullptr;
+  auto Found = Root->Programs.find(std::string(Program));
+  return Found == Root->Programs.end() ? nullptr : &Found->second;
+}
+
+live_root &program_book::impl::liveRoot(const call_request &Request,
+                                        moment Now) {
+  std::string Name(rootOf(Request.Program));
+  auto [Found, Fresh] = Live.try_emplace(Name);
+  live_root &Root = Found->second;
+  if (Fresh) {
+    Root.Shard = ShardOf(Name);
+    Root.WallStartMs = Now.WallMs;
+    Root.Entry = Request.Entry;
+    Root.Owner = Request.Owner;
+    Root.Rank = Request.Rank;
+    if (const root_row *Row = Rows.findRoot(Name)) {
+      Root.WallStartMs = Row->WallStartMs;
+      Root.Entry = Row->Entry;
+      Root.Owner = Row->Owner;
+    }
+  }
+  Entries[Request.Entry] = Request.Limits;
+  return Root;
+}
+
+submit_decision program_book::impl::submit(const call_request &Request,
+                                           waiter_id Waiter, moment Now) {
+  std::uint32_t Shard = ShardOf(rootOf(Request.Program));
+  if (Fenced || !Shards.contains(Shard) || Draining.contains(Shard)) {
+    release(Waiter, 0,
+            {call_outcome::NotRun, 503, "moved", "the program has moved",
+             Settings.RefusedRetryAfterMs, true});
+    return submit_decision::Refused;
+  }
+  const root_row *Root = Rows.findRoot(Request.Program);
+  const live_root *Open = findLive(Request.Program);
+  bool Foreign = (Root && Root->Owner != Request.Owner) ||
+                 (Open && Open->Owner != Request.Owner);
+  bool OtherEntry = (Root && Root->Entry != Request.Entry) ||
+                    (Open && Open->Entry != Request.Entry);
+  if (Foreign || OtherEntry) {
+    release(Waiter, 0,
+            {call_outcome::NotRun, 403, "not_yours",
+             "the program belongs to another owner or entry", 0, false});
+    return submit_decision::Conflict;
+  }
+  const program_row *Program = Rows.findProgram(Request.Program);
+  std::uint32_t Number = numberOf(Request, Program, findOpen(Request.Program));
+  std::uint64_t Fingerprint = fingerprintOf(Request);
+  if (auto Decision = known(Request, Waiter, Number, Fingerprint))
+    return *Decision;
+
+  bool Keyed = Request.Number == 0 && !Request.IdempotencyKey.empty();
+  if (auto Refusal = refusal(Request, Number)) {
+    if (uncertain(Request.Program, Number, Keyed))
+      Refusal->Outcome = call_outcome::Unknown;
+    release(Waiter, Number, *Refusal);
+    return submit_decision::Refused;
+  }
+  live_root &Live = liveRoot(Request, Now);
+  open_call Call;
+  Call.Request = Request;
+  Call.Number = Number;
+  Call.Fingerprint = Fingerprint;
+  Call.Waiters.push_back(Waiter);
+  Call.Keyed = Keyed;
+  call_id Id = Calls.insert(std::move(Call));
+  Live.Programs[Request.Program].Open[Number] = Id;
+  Waiters[Waiter] = Id;
+  pump(Request.Program, Now);
+  const open_call *After = Calls.find(Id);
+  if (!After)
+    return submit_decision::Refused;
+  return After->Phase == call_phase::Dispatched ? submit_decision::Running
+                                                : submit_decision::Waiting;
+}
+
+// -- Public face --------------------------------------------------------------
+
+program_book::program_book(book_settings Settings, shard_of_root ShardOf)
+    : State(std::make_unique<impl>(Settings, std::move(ShardOf))) {}
+program_book::~program_book() = default;
+
+submit_decision program_book::submit(const call_request &Request,
+                                     waiter_id Waiter, moment Now) {
+  return State->submit(Request, Waiter, Now);
+}
+void program_book::answered(call_id Call, upstream_answer Answer, moment) {
+  State->answered(Call, std::move(Answer));
+}
+void program_book::lost(call_id Call, std::string Code, bool MayHaveRun,
+                        moment) {
+  State->closeCall(Call,
+                   MayHaveRun ? call_outcome::Unknown : call_outcome::Failed,
+                   std::move(Code));
+}
+void program_book::callerGone(waiter_id Waiter, moment Now) {
+  State->callerGone(Waiter, Now);
+}
+void program_book::upstreamDied(call_id Call, std::string Upstream,
+                                moment Now) {
+  State->upstreamDied(Call, std::move(Upstream), Now);
+}
+void program_book::committedUpTo(commit_ticket Ticket, moment Now) {
+  State->committedUpTo(Ticket, Now);
+}
+void program_book::fenced(moment) { State->fenced(); }
+void program_book::setKeeping(bool CanKeep, moment Now) {
+  State->setKeeping(CanKeep, Now);
+}
+void program_book::tick(moment Now) { State->tick(Now); }
+bool program_book::drainShard(std::uint32_t Shard, moment Now) {
+  return State->drainShard(Shard, Now);
+}
+std::vector<book_command> program_book::takeCommands() {
+  return std::exchange(State->Commands, {});
+}
+const state_rows &program_book::rows() const { return State->Rows; }
+commit_ticket program_book::rowsTicket() const { return State->Committed; }
+std::size_t program_book::openCalls() const { return State->Calls.size(); }
+commit_ticket program_book::keep(record Record) {
+  return State->keep(std::move(Record));
+}
+
+} // namespace turmerichead
--- /dev/null
+++ b/src/libstate/book_end.cpp
@@ -0,0 +1,278 @@
+#include "book_pvt.h"
+
+#include "turmerichead/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmerichead {
+
+commit_ticket program_book::impl::keep(record Record) {
+  commit_record Out{++LastTicket, std::move(Record)};
+  Pending.push_back(Out);
+  Commands.emplace_back(std::move(Out));
+  return LastTicket;
+}
+
+void program_book::impl::await(call_id Id, call_phase Phase,
+                               commit_ticket Ticket) {
+  open_call &Call = *Calls.find(Id);
+  Call.Phase = Phase;
+  Call.WaitFor = Ticket;
+  Awaiting.emplace(Ticket, Id);
+}
+
+// -- Ends told by upstreams ---------------------------------------------------
+
+void program_book::impl::answered(call_id Id, upstream_answer Answer) {
+  open_call *Call = Calls.find(Id);
+  if (!Call || Call->Phase != call_phase::Dispatched)
+    return;
+  bool IsModel = Call->Request.Kind == call_kind::Model;
+  std::uint64_t Used = IsModel ? Answer.Tokens.value_or(Call->Charge) : 0;
+  Call->Charge = 0;
+  live_root &Root = *findLive(Call->Request.Program);
+  Root.PendingSpent.push_back({LastTicket + 1, Used});
+  answer_record Record;
+  Record.Program = Call->Request.Program;
+  Record.Number = Call->Number;
+  Record.HttpStatus = Answer.HttpStatus;
+  Record.ContentType = std::move(Answer.ContentType);
+  Record.Body = std::move(Answer.Body);
+  Record.Tokens = Used;
+  Record.ReserveUpTo = IsModel ? reserveAhead(*Call, Used) : 0;
+  await(Id, call_phase::AwaitEnd, keep(std::move(Record)));
+}
+
+// Reserves what the next call of the conversation may use, so that it need
+// not wait for a commit.
+std::uint64_t program_book::impl::reserveAhead(const open_call &Call,
+                                               std::uint64_t Used) const {
+  const live_root &Live = *findLive(Call.Request.Program);
+  if (Live.Ending != end_reason::None)
+    return 0;
+  std::string_view Root = rootOf(Call.Request.Program);
+  program_limits Limits = limitsOf(Root);
+  std::uint64_t Next =
+      Used + Settings.ReserveSlackTokens + Limits.MaxOutputTokens;
+  std::uint64_t UpTo =
+      std::min(spent(Root) + charged(Root) + Next, Limits.BudgetTokens);
+  const root_row *Row = Rows.findRoot(Root);
+  return Row && UpTo <= Row->ReservedUpTo ? 0 : UpTo;
+}
+
+void program_book::impl::closeCall(call_id Id, call_outcome Outcome,
+                                   std::string Code) {
+  open_call *Call = Calls.find(Id);
+  if (!Call || Call->Phase == call_phase::AwaitEnd)
+    return;
+  std::uint64_t Used = std::exchange(Call->Charge, 0);
+  live_root &Root = *findLive(Call->Request.Program);
+  Root.PendingSpent.push_back({LastTicket + 1, Used});
+  call_closed_record Record{Call->Request.Program, Call->Number, Outcome,
+                            std::move(Code), Used};
+  await(Id, call_phase::AwaitEnd, keep(std::move(Record)));
+}
+
+void program_book::impl::upstreamDied(call_id Id, std::string Upstream,
+                                      moment Now) {
+  open_call *Call = Calls.find(Id);
+  if (!Call || Call->Phase != call_phase::Dispatched)
+    return;
+  if (Call->Request.NonIdempotent)
+    return closeCall(Id, call_outcome::Unknown, "upstream_died");
+  ++Call->Deaths;
+  if (Call->Deaths >= Settings.DeathsBeforeRefusal)
+    return closeCall(Id, call_outcome::Failed, "kills_upstreams");
+  live_root &Root = *findLive(Call->Request.Program);
+  const root_row *Row = Rows.findRoot(Call->Request.Program);
+  std::uint32_t Retries = Root.PendingRetries + (Row ? Row->RetriesUsed : 0);
+  bool MayRetry = Retries < limitsOf(Call->Request.Program).Retries &&
+                  Root.Ending == end_reason::None && Keeping;
+  if (!MayRetry)
+    return closeCall(Id, call_outcome::Failed, "upstream_died");
+  std::uint64_t Used = std::exchange(Call->Charge, 0);
+  Root.PendingSpent.push_back({LastTicket + 1, Used});
+  ++Root.PendingRetries;
+  keep(upstream_death_record{Call->Request.Program, Call->Number,
+                             std::move(Upstream), Used});
+  Call->Phase = call_phase::Queued;
+  begin(Id, Now);
+}
+
+void program_book::notSent(call_id Call, std::string Code,
+                           std::int64_t RetryAfterMs, moment Now) {
+  open_call *Row = State->Calls.find(Call);
+  if (!Row || Row->Phase != call_phase::Dispatched)
+    return;
+  std::string Root(rootOf(Row->Request.Program));
+  State->drop(Call, {call_outcome::NotRun, 503, std::move(Code),
+                     "no upstream took the call", RetryAfterMs, false});
+  State->pumpRoot(Root, Now);
+}
+
+// -- Ends of waiters
+// ------------------------------------------------------------
+
+// Ends a call that is not at an upstream. Its number opens again, unless an
+// earlier attempt of it ran.
+void program_book::impl::drop(call_id Id, ending Ending) {
+  open_call &Call = *Calls.find(Id);
+  if (Call.Deaths > 0)
+    return closeCall(Id, call_outcome::Failed, std::move(Ending.Code));
+  if (Call.RecordWritten)
+    keep(call_closed_record{Call.Request.Program, Call.Number,
+                            call_outcome::NotRun, Ending.Code, 0});
+  if (uncertain(Call.Request.Program, Call.Number, Call.Keyed))
+    Ending.Outcome = call_outcome::Unknown;
+  releaseAll(Call, Ending);
+  erase(Id);
+}
+
+void program_book::impl::release(waiter_id Waiter, std::uint32_t Number,
+                                 const ending &Ending) {
+  release_waiter Out;
+  Out.Waiter = Waiter;
+  Out.Outcome = Ending.Outcome;
+  Out.HttpStatus = Ending.HttpStatus;
+  Out.Code = Ending.Code;
+  Out.Text = Ending.Text;
+  Out.Number = Number;
+  Out.RetryAfterMs = Ending.RetryAfterMs;
+  Out.Moved = Ending.Moved;
+  Commands.emplace_back(std::move(Out));
+}
+
+void program_book::impl::releaseAll(open_call &Call, const ending &Ending) {
+  for (waiter_id Waiter : std::exchange(Call.Waiters, {})) {
+    Waiters.erase(Waiter);
+    release(Waiter, Call.Number, Ending);
+  }
+}
+
+void program_book::impl::erase(call_id Id) {
+  const open_call &Call = *Calls.find(Id);
+  if (live_root *Root = findLive(Call.Request.Program))
+    Root->Programs[Call.Request.Program].Open.erase(Call.Number);
+  Calls.erase(Id);
+}
+
+std::vector<call_id> program_book::impl::callsOf(std::string_view Root) const {
+  std::vector<call_id> Out;
+  if (const live_root *Row = findLive(Root))
+    for (const auto &[Path, Program] : Row->Programs)
+      for (auto [Number, Id] : Program.Open)
+        Out.push_back(Id);
+  return Out;
+}
+
+// -- Ends of programs
+// -------------------------------------------------------------
+
+bool program_book::endProgram(std::string_view Program, end_reason Reason,
+                              moment Now) {
+  std::string Root(rootOf(Program));
+  const root_row *Row = State->Rows.findRoot(Root);
+  if (!Row && !State->findLive(Root)) {
+    fail(error_code::NotFound, "no such program");
+    return false;
+  }
+  if (!Row || !Row->ended())
+    State->endRoot(Root, Reason, Now);
+  return true;
+}
+
+// Calls at an upstream run to their end, for what they did must be kept; the
+// model's are cut short where nobody wants more of the program.
+void program_book::impl::endRoot(const std::string &Root, end_reason Reason,
+                                 moment Now) {
+  const root_row *Row = Rows.findRoot(Root);
+  live_root &Ended = Live[Root];
+  if (Row && Ended.Entry.empty()) {
+    Ended.Entry = Row->Entry;
+    Ended.Owner = Row->Owner;
+    Ended.Shard = Row->Shard;
+    Ended.WallStartMs = Row->WallStartMs;
+  }
+  if (Ended.Ending != end_reason::None)
+    return;
+  Ended.Ending = Reason;
+  if (started(Root))
+    keep(program_ended_record{Root, Reason, Now.WallMs});
+  bool Cut = Reason == end_reason::Asked || Reason == end_reason::WallTimeLimit;
+  for (call_id Id : callsOf(Root)) {
+    const open_call &Call = *Calls.find(Id);
+    bool Waits = Call.Phase == call_phase::Queued ||
+                 Call.Phase == call_phase::AwaitCommit;
+    if (Waits)
+      drop(Id, endingOf(Reason));
+    else if (Cut && Call.Phase == call_phase::Dispatched &&
+             Call.Request.Kind == call_kind::Model)
+      Commands.emplace_back(cancel_dispatch{Id});
+  }
+  if (!started(Root))
+    Live.erase(Root);
+}
+
+// -- Commits
+// ------------------------------------------------------------------------
+
+void program_book::impl::applyOne(const commit_record &Kept) {
+  Committed = Kept.Ticket;
+  bool WasEnded = false;
+  std::string_view Path = programOf(Kept.Record);
+  if (const root_row *Root = Rows.findRoot(Path))
+    WasEnded = Root->ended();
+  Rows.apply(Kept.Record, ShardOf);
+  if (live_root *Live = Path.empty() ? nullptr : findLive(Path)) {
+    while (!Live->PendingSpent.empty() &&
+           Live->PendingSpent.front().Ticket <= Committed)
+      Live->PendingSpent.pop_front();
+    if (std::holds_alternative<upstream_death_record>(Kept.Record))
+      --Live->PendingRetries;
+  }
+  const auto *Ended = std::get_if<program_ended_record>(&Kept.Record);
+  if (Ended && !WasEnded)
+    Commands.emplace_back(program_over{Ended->Program, Ended->Reason});
+}
+
+void program_book::impl::committedUpTo(commit_ticket Ticket, moment Now) {
+  if (Fenced)
+    return;
+  while (!Pending.empty() && Pending.front().Ticket <= Ticket) {
+    applyOne(Pending.front());
+    Pending.pop_front();
+  }
+  while (!Awaiting.empty() && Awaiting.begin()->first <= Committed) {
+    auto [WaitFor, Id] = *Awaiting.begin();
+    Awaiting.erase(Awaiting.begin());
+    const open_call *Call = Calls.find(Id);
+    if (!Call || Call->WaitFor != WaitFor)
+      continue;
+    if (Call->Phase == call_phase::AwaitCommit)
+      dispatch(Id);
+    else if (Call->Phase == call_phase::AwaitEnd)
+      finish(Id, Now);
+  }
+}
+
+// A call's end is kept: now its waiters may have it.
+void program_book::impl::finish(call_id Id, moment Now) {
+  open_call &Call = *Calls.find(Id);
+  std::string Path = Call.Request.Program;
+  const program_row *Program = Rows.findProgram(Path);
+  const root_row *Root = Rows.findRoot(Path);
+  if (Program && Call.Number <= Program->Calls.size()) {
+    const call_row &Row = Program->Calls[Call.Number - 1];
+    for (waiter_id Waiter : std::exchange(Call.Waiters, {})) {
+      Waiters.erase(Waiter);
+      replay(Row, *Root, Waiter, Call.Number);
+      std::get<release_waiter>(Commands.back()).Replayed = false;
+    }
+  }
+  erase(Id);
+  pump(Path, Now);
+  pumpRoot(rootOf(Path), Now);
+}
+
+} // namespace turmerichead
--- /dev/null
+++ b/src/libstate/book_tick.cpp
@@ -0,0 +1,199 @@
+#include "book_pvt.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmerichead {
+
+namespace {
+
+bool notYetSent(const open_call &Call) {
+  return Call.Phase == call_phase::Queued ||
+         Call.Phase == call_phase::AwaitCommit;
+}
+
+} // namespace
+
+// -- The journal's state ------------------------------------------------------
+
+// What can't be kept is refused at once; what is at an upstream goes on.
+void program_book::impl::setKeeping(bool CanKeep, moment Now) {
+  Keeping = CanKeep;
+  if (CanKeep)
+    return;
+  (void)Now;
+  std::vector<call_id> Waiting;
+  Calls.forEach([&](call_id Id, const open_call &Call) {
+    if (notYetSent(Call))
+      Waiting.push_back(Id);
+  });
+  for (call_id Id : Waiting)
+    drop(Id, {call_outcome::NotRun, 503, "not_kept",
+              "records can't be kept at present", Settings.RefusedRetryAfterMs,
+              false});
+}
+
+// The successor decides about every open call, so nothing is said to be not
+// run that it might run: the callers are sent on to it.
+void program_book::impl::fenced() {
+  Fenced = true;
+  std::vector<call_id> Open;
+  Calls.forEach([&](call_id Id, const open_call &) { Open.push_back(Id); });
+  for (call_id Id : Open) {
+    open_call &Call = *Calls.find(Id);
+    bool MayHaveRun = Call.Attempt > 0 ||
+                      uncertain(Call.Request.Program, Call.Number, Call.Keyed);
+    releaseAll(Call, {MayHaveRun ? call_outcome::Unknown : call_outcome::NotRun,
+                      503, "moved", "the program has moved",
+                      Settings.RefusedRetryAfterMs, true});
+    if (Call.Phase == call_phase::Dispatched &&
+        Call.Request.Kind == call_kind::Model)
+      Commands.emplace_back(cancel_dispatch{Id});
+    erase(Id);
+  }
+  Pending.clear();
+  Awaiting.clear();
+  Live.clear();
+  Shards.clear();
+}
+
+// -- Shards
+// -----------------------------------------------------------------------
+
+bool program_book::impl::drainShard(std::uint32_t Shard, moment Now) {
+  (void)Now;
+  Draining.insert(Shard);
+  bool Busy = false;
+  std::vector<call_id> Waiting;
+  Calls.forEach([&](call_id Id, const open_call &Call) {
+    if (ShardOf(rootOf(Call.Request.Program)) != Shard)
+      return;
+    if (notYetSent(Call) && Call.Deaths == 0)
+      Waiting.push_back(Id);
+    else
+      Busy = true;
+  });
+  for (call_id Id : Waiting)
+    drop(Id, {call_outcome::NotRun, 503, "moved", "the program is moving",
+              Settings.RefusedRetryAfterMs, true});
+  for (const commit_record &Kept : Pending) {
+    std::string_view Path = programOf(Kept.Record);
+    if (!Path.empty() && ShardOf(rootOf(Path)) == Shard)
+      Busy = true;
+  }
+  return !Busy;
+}
+
+// -- Callers and time
+// ---------------------------------------------------------------
+
+void program_book::impl::callerGone(waiter_id Waiter, moment Now) {
+  auto Found = Waiters.find(Waiter);
+  if (Found == Waiters.end())
+    return;
+  call_id Id = Found->second;
+  Waiters.erase(Found);
+  open_call &Call = *Calls.find(Id);
+  std::erase(Call.Waiters, Waiter);
+  if (!Call.Waiters.empty() || !notYetSent(Call))
+    return;
+  std::string Root(rootOf(Call.Request.Program));
+  drop(Id, {call_outcome::NotRun, 499, "caller_gone", "", 0, false});
+  pumpRoot(Root, Now);
+}
+
+void program_book::impl::tick(moment Now) {
+  if (Fenced)
+    return;
+  expireCalls(Now);
+  endOverdueRoots(Now);
+  forgetEndedRoots(Now);
+  forgetIdle();
+}
+
+void program_book::impl::expireCalls(moment Now) {
+  std::vector<call_id> Late;
+  Calls.forEach([&](call_id Id, const open_call &Call) {
+    if (Call.Request.Deadline <= Now.Now && !Call.Waiters.empty())
+      Late.push_back(Id);
+  });
+  for (call_id Id : Late) {
+    open_call *Call = Calls.find(Id);
+    if (!Call)
+      continue;
+    ending Ending{call_outcome::NotRun,
+                  504,
+                  "deadline",
+                  "the deadline passed before the call's turn",
+                  Settings.RefusedRetryAfterMs,
+                  false};
+    if (!notYetSent(*Call) || Call->Deaths > 0) {
+      Ending.Outcome = call_outcome::Unknown;
+      Ending.Text = "the deadline passed while the call ran";
+      releaseAll(*Call, Ending);
+      continue;
+    }
+    std::string Root(rootOf(Call->Request.Program));
+    drop(Id, Ending);
+    pumpRoot(Root, Now);
+  }
+}
+
+void program_book::impl::endOverdueRoots(moment Now) {
+  std::vector<std::string> Overdue;
+  for (const auto &[Name, Root] : Rows.roots()) {
+    std::int64_t Limit = limitsOf(Name).WallTimeMs;
+    if (!Root.ended() && Limit != 0 && Now.WallMs - Root.WallStartMs > Limit)
+      Overdue.push_back(Name);
+  }
+  for (const std::string &Name : Overdue)
+    endRoot(Name, end_reason::WallTimeLimit, Now);
+}
+
+void program_book::impl::forgetEndedRoots(moment Now) {
+  std::vector<std::string> Old;
+  std::vector<std::string> Strip;
+  for (const auto &[Name, Root] : Rows.roots()) {
+    if (!Root.ended() || !callsOf(Name).empty())
+      continue;
+    std::int64_t Age = Now.WallMs - Root.WallEndMs;
+    if (Age > Settings.EndedKeptMs)
+      Old.push_back(Name);
+    else if (Age > Settings.BodiesKeptMs && !Root.Stripped)
+      Strip.push_back(Name);
+  }
+  for (const std::string &Name : Strip)
+    Rows.strip(Name);
+  for (const std::string &Name : Old)
+    Rows.forget(Name);
+}
+
+// A root without open calls and without pending records needs no live row.
+void program_book::impl::forgetIdle() {
+  auto Idle = [&](const auto &Row) {
+    const live_root &Root = Row.second;
+    if (!Root.PendingSpent.empty() || Root.PendingRetries != 0)
+      return false;
+    const root_row *Kept = Rows.findRoot(Row.first);
+    if (Root.Ending != end_reason::None && Kept && !Kept->ended())
+      return false;
+    for (const auto &[Path, Program] : Root.Programs)
+      if (!Program.Open.empty() || Program.StartTicket > Committed)
+        return false;
+    return true;
+  };
+  std::erase_if(Live, Idle);
+}
+
+void program_book::entryChanged(std::string_view Entry,
+                                const program_limits &Limits, moment Now) {
+  State->Entries[std::string(Entry)] = Limits;
+  std::vector<std::string> Roots;
+  for (const auto &[Name, Root] : State->Live)
+    if (Root.Entry == Entry)
+      Roots.push_back(Name);
+  for (const std::string &Name : Roots)
+    State->pumpRoot(Name, Now);
+}
+
+} // namespace turmerichead
--- /dev/null
+++ b/src/libstate/journal.cpp
@@ -0,0 +1,364 @@
+#include "turmerichead/state_journal.h"
+
+#include "turmerichead/error.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace turmerichead {
+
+namespace {
+
+constexpr std::size_t MaxEntriesPerSegment = 4096;
+constexpr std::size_t MaxSegmentDepth = 8;
+
+std::string prefixOf(const host_life &Journal) {
+  return Journal.Host + "." + std::to_string(Journal.Incarnation) + ".";
+}
+
+} // namespace
+
+// -- Names and encoding -------------------------------------------------------
+
+std::string segmentName(const host_life &Journal, std::uint64_t Number) {
+  return prefixOf(Journal) + std::to_string(Number);
+}
+
+std::optional<std::uint64_t> segmentNumber(const host_life &Journal,
+                                           std::string_view Name) {
+  std::string Prefix = prefixOf(Journal);
+  if (!Name.starts_with(Prefix))
+    return std::nullopt;
+  Name.remove_prefix(Prefix.size());
+  std::uint64_t Number = 0;
+  auto [End, Error] =
+      std::from_chars(Name.data(), Name.data() + Name.size(), Number);
+  if (Error != std::errc() || End != Name.data() + Name.size())
+    return std::nullopt;
+  return Number;
+}
+
+std::string tailName(const host_life &Journal, const host_life &Successor,
+                     std::uint32_t Index) {
+  return prefixOf(Journal) + "tail." + prefixOf(Successor) +
+         std::to_string(Index);
+}
+
+std::string encodeSegment(const journal_segment &Segment) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Segment);
+  return {Buffer.data(), Buffer.size()};
+}
+
+std::optional<journal_segment> decodeSegment(std::string_view Bytes) {
+  try {
+    msgpack::unpack_limit Limit(MaxEntriesPerSegment, MaxEntriesPerSegment,
+                                Bytes.size(), Bytes.size(), 0, MaxSegmentDepth);
+    auto Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
+    return Handle.get().as<journal_segment>();
+  } catch (const std::exception &Reason) {
+    return fail(error_code::Corrupt, std::string("segment: ") + Reason.what());
+  }
+}
+
+// -- Records in
+// -----------------------------------------------------------------
+
+journal_writer::journal_writer(host_life Self, journal_settings Settings)
+    : Self(std::move(Self)), Settings(Settings) {}
+
+void journal_writer::append(const record &Record, std::uint64_t Ticket,
+                            time_point Now) {
+  if (State == state::Fenced)
+    return;
+  std::string Bytes = encodeRecord(Record);
+  OpenBytes += Bytes.size();
+  std::size_t Offset = 0;
+  do {
+    std::size_t Size = std::min(MaxEntryBytes, Bytes.size() - Offset);
+    bool Continues = Offset + Size < Bytes.size();
+    Open.push_back({++LastSequence, Continues, Bytes.substr(Offset, Size)});
+    Offset += Size;
+  } while (Offset < Bytes.size());
+  Tickets.push_back({LastSequence, Ticket});
+  if (Buffering) {
+    sendToStandbys(Now);
+    judgeStandbys(Now);
+  }
+}
+
+void journal_writer::setStandbys(std::vector<host_life> Names, time_point Now) {
+  if (State == state::Fenced)
+    return;
+  for (standby_row &Row : Standbys)
+    Row.Leaving =
+        std::find(Names.begin(), Names.end(), Row.Host) == Names.end();
+  for (host_life &Name : Names) {
+    bool Known = std::any_of(Standbys.begin(), Standbys.end(),
+                             [&](const auto &Row) { return Row.Host == Name; });
+    if (!Known)
+      Standbys.push_back(
+          {std::move(Name), false, OnPlatform, false, false, Now});
+  }
+  StandbysChanged = true;
+  if (Buffering)
+    sendToStandbys(Now);
+}
+
+// -- Segments
+// -------------------------------------------------------------------
+
+bool journal_writer::segmentDue(time_point Now) const {
+  bool Work = !Open.empty() || StandbysChanged;
+  return State == state::Idle && Work &&
+         Now >= LastStart + Settings.CommitInterval;
+}
+
+void journal_writer::startSegment(time_point Now) {
+  journal_segment Segment;
+  Segment.Writer = Self;
+  for (const standby_row &Row : Standbys)
+    if (!Row.Leaving)
+      Segment.Standbys.push_back(Row.Host);
+  StandbysInWork = std::exchange(StandbysChanged, false);
+  std::size_t Bytes = 0;
+  SegmentLast = OnPlatform;
+  for (const journal_entry &Entry : Open) {
+    Bytes += Entry.Bytes.size() + 16;
+    bool Full = Bytes > MaxSegmentBytes ||
+                Segment.Entries.size() == MaxEntriesPerSegment;
+    if (Full && !Segment.Entries.empty())
+      break;
+    Segment.Entries.push_back(Entry);
+    SegmentLast = Entry.Sequence;
+  }
+  SegmentBytes = encodeSegment(Segment);
+  BehindSince = Buffering ? BehindSince : Now;
+  create(Now);
+}
+
+void journal_writer::create(time_point Now) {
+  State = state::Creating;
+  LastStart = Now;
+  Commands.emplace_back(
+      create_segment{segmentName(Self, SegmentNumber), SegmentBytes});
+}
+
+void journal_writer::created(create_result Result, time_point Now) {
+  if (State != state::Creating)
+    return;
+  if (Result == create_result::Created)
+    return finishSegment(Now);
+  if (Result == create_result::Exists) {
+    // Either our own write whose answer was lost, or a successor's seal.
+    State = state::Reading;
+    Commands.emplace_back(read_segment{segmentName(Self, SegmentNumber)});
+    return;
+  }
+  State = state::Waiting;
+  RetryAt = Now + Settings.RetryInterval;
+}
+
+void journal_writer::read(read_result Result, std::string_view Bytes,
+                          time_point Now) {
+  if (State != state::Reading)
+    return;
+  if (Result == read_result::Found && Bytes == SegmentBytes)
+    return finishSegment(Now);
+  if (Result == read_result::Found) {
+    State = state::Fenced;
+    Open.clear();
+    Tickets.clear();
+    OpenBytes = 0;
+    Commands.emplace_back(journal_fenced{});
+    return;
+  }
+  State = state::Waiting;
+  RetryAt = Now + Settings.RetryInterval;
+}
+
+void journal_writer::finishSegment(time_point Now) {
+  State = state::Idle;
+  LastOfSegment[SegmentNumber] = SegmentLast;
+  ++SegmentNumber;
+  OnPlatform = SegmentLast;
+  while (!Open.empty() && Open.front().Sequence <= OnPlatform) {
+    OpenBytes -= Open.front().Bytes.size();
+    Open.pop_front();
+  }
+  bool Back = std::exchange(Buffering, false);
+  if (std::exchange(StandbysInWork, false) && !StandbysChanged)
+    adoptStandbys();
+  for (standby_row &Row : Standbys) {
+    if (Row.Acked > 0 && Row.Acked <= OnPlatform)
+      Commands.emplace_back(trim_standby{Row.Host, OnPlatform});
+    Row.Failed = false;
+  }
+  commitTo(OnPlatform);
+  if (Back || !Keeping)
+    judgeStandbys(Now);
+}
+
+void journal_writer::adoptStandbys() {
+  std::erase_if(Standbys, [](const auto &Row) { return Row.Leaving; });
+}
+
+void journal_writer::commitTo(std::uint64_t Sequence) {
+  if (Sequence <= Committed)
+    return;
+  Committed = Sequence;
+  std::uint64_t Before = CommittedTicket;
+  while (!Tickets.empty() && Tickets.front().Sequence <= Committed) {
+    CommittedTicket = Tickets.front().Ticket;
+    Tickets.pop_front();
+  }
+  if (CommittedTicket != Before)
+    Commands.emplace_back(journal_committed{CommittedTicket});
+}
+
+std::uint64_t journal_writer::segmentAfter(std::uint64_t Sequence) const {
+  for (const auto &[Number, Last] : LastOfSegment)
+    if (Last > Sequence)
+      return Number;
+  return SegmentNumber;
+}
+
+void journal_writer::forgetBefore(std::uint64_t Segment) {
+  LastOfSegment.erase(LastOfSegment.begin(),
+                      LastOfSegment.lower_bound(Segment));
+}
+
+// -- Outage
+// -----------------------------------------------------------------------
+
+void journal_writer::startBuffering(time_point Now) {
+  Buffering = true;
+  sendToStandbys(Now);
+  judgeStandbys(Now);
+}
+
+void journal_writer::sendToStandbys(time_point Now) {
+  for (standby_row &Row : Standbys) {
+    if (Row.InFlight || Row.Failed)
+      continue;
+    send_to_standby Out{Row.Host, OnPlatform, {}};
+    std::size_t Bytes = 0;
+    for (const journal_entry &Entry : Open) {
+      if (Entry.Sequence <= Row.Acked)
+        continue;
+      Bytes += Entry.Bytes.size();
+      if (Bytes > MaxSegmentBytes && !Out.Entries.empty())
+        break;
+      Out.Entries.push_back(Entry);
+    }
+    if (Out.Entries.empty())
+      continue;
+    Row.InFlight = true;
+    Row.SentAt = Now;
+    Commands.emplace_back(std::move(Out));
+  }
+}
+
+void journal_writer::standbyAnswered(const host_life &Standby,
+                                     std::optional<std::uint64_t> UpTo,
+                                     time_point Now) {
+  if (State == state::Fenced)
+    return;
+  for (standby_row &Row : Standbys) {
+    if (Row.Host != Standby)
+      continue;
+    Row.InFlight = false;
+    Row.Failed = !UpTo;
+    Row.SentAt = Now;
+    if (UpTo)
+      Row.Acked = std::max(Row.Acked, *UpTo);
+  }
+  judgeStandbys(Now);
+  if (Standbys.empty())
+    return;
+  // An entry that some standby does not have could be missing from the one
+  // that a successor asks.
+  std::uint64_t All = UINT64_MAX;
+  for (const standby_row &Row : Standbys)
+    All = std::min(All, Row.Acked);
+  commitTo(std::min(All, LastSequence));
+  if (Buffering)
+    sendToStandbys(Now);
+}
+
+// Tells whether records can be kept: always, but in an outage in which the
+// standbys don't take them.
+void journal_writer::judgeStandbys(time_point Now) {
+  (void)Now;
+  bool Can = true;
+  if (Buffering) {
+    Can = !Standbys.empty() && OpenBytes <= Settings.MaxBufferBytes;
+    for (const standby_row &Row : Standbys)
+      Can = Can && !Row.Failed;
+  }
+  if (Can == Keeping)
+    return;
+  Keeping = Can;
+  Commands.emplace_back(journal_keeping{Can});
+}
+
+// -- Time
+// ---------------------------------------------------------------------------
+
+void journal_writer::tick(time_point Now) {
+  if (State == state::Fenced)
+    return;
+  if (State == state::Waiting && Now >= RetryAt)
+    create(Now);
+  if (segmentDue(Now))
+    startSegment(Now);
+  bool Behind = State != state::Idle && !Buffering &&
+                Now >= BehindSince + Settings.OutageTimeout;
+  if (Behind)
+    startBuffering(Now);
+  if (!Buffering)
+    return;
+  for (standby_row &Row : Standbys) {
+    if (Row.InFlight && Now >= Row.SentAt + Settings.StandbyTimeout) {
+      Row.InFlight = false;
+      Row.Failed = true;
+      Row.SentAt = Now;
+    } else if (Row.Failed && Now >= Row.SentAt + Settings.RetryInterval) {
+      // Tried again with the next send; it counts as failed until it answers.
+      Row.Failed = false;
+      sendToStandbys(Now);
+      Row.Failed = true;
+      Row.SentAt = Now;
+    }
+  }
+  judgeStandbys(Now);
+}
+
+std::optional<time_point> journal_writer::nextDue() const {
+  if (State == state::Fenced)
+    return std::nullopt;
+  std::optional<time_point> Due;
+  auto Consider = [&](time_point At) { Due = Due ? std::min(*Due, At) : At; };
+  if (State == state::Idle && (!Open.empty() || StandbysChanged))
+    Consider(LastStart + Settings.CommitInterval);
+  if (State == state::Waiting)
+    Consider(RetryAt);
+  if (State != state::Idle && !Buffering)
+    Consider(BehindSince + Settings.OutageTimeout);
+  if (Buffering)
+    for (const standby_row &Row : Standbys) {
+      if (Row.InFlight)
+        Consider(Row.SentAt + Settings.StandbyTimeout);
+      else if (Row.Failed)
+        Consider(Row.SentAt + Settings.RetryInterval);
+    }
+  return Due;
+}
+
+std::vector<journal_command> journal_writer::takeCommands() {
+  return std::exchange(Commands, {});
+}
+
+} // namespace turmerichead
