--- a/src/libstate/book_end.cpp
+++ b/src/libstate/book_end.cpp
@@ -52,7 +52,7 @@
   if (Live.Ending != end_reason::None)
     return 0;
   std::string_view Root = rootOf(Call.Request.Program);
-  program_limits Limits = limitsOf(Root);
+  granted_limits Limits = limitsOf(Root);
   std::uint64_t Next =
       Used + Settings.ReserveSlackTokens + Limits.MaxOutputTokens;
   std::uint64_t UpTo =
--- a/src/libstate/book_pvt.h
+++ b/src/libstate/book_pvt.h
@@ -86,7 +86,7 @@
   std::map<std::string, live_root, std::less<>> Live;
   std::multimap<commit_ticket, call_id> Awaiting;
   std::unordered_map<waiter_id, call_id> Waiters;
-  std::map<std::string, program_limits, std::less<>> Entries; ///< Latest.
+  std::map<std::string, granted_limits, std::less<>> Entries; ///< Latest.
   std::set<std::uint32_t> Shards;
   std::set<std::uint32_t> Draining;
   bool Fenced = false;
@@ -124,7 +124,7 @@
   std::uint64_t promptBound(const open_call &Call) const;
   std::uint64_t charged(std::string_view Root) const;
   std::uint64_t spent(std::string_view Root) const;
-  program_limits limitsOf(std::string_view Program) const;
+  granted_limits limitsOf(std::string_view Program) const;
   call_body bodyOf(const open_call &Call) const;
   void dispatch(call_id Id);
 
--- a/src/libstate/book_run.cpp
+++ b/src/libstate/book_run.cpp
@@ -111,7 +111,7 @@
 }
 
 end_reason program_book::impl::limitReached(const open_call &Call) const {
-  program_limits Limits = limitsOf(Call.Request.Program);
+  granted_limits Limits = limitsOf(Call.Request.Program);
   const root_row *Row = Rows.findRoot(Call.Request.Program);
   std::string_view Root = rootOf(Call.Request.Program);
   if (Call.Request.Kind == call_kind::Model) {
@@ -153,7 +153,7 @@
 
 // -- Budget -----------------------------------------------------------------
 
-program_limits program_book::impl::limitsOf(std::string_view Program) const {
+granted_limits program_book::impl::limitsOf(std::string_view Program) const {
   const live_root *Live = findLive(Program);
   const root_row *Row = Rows.findRoot(Program);
   auto Found = Entries.find(Live  ? std::string_view(Live->Entry)
@@ -161,7 +161,7 @@
                                   : std::string_view());
   if (Found != Entries.end())
     return Found->second;
-  return Row ? Row->Limits : program_limits();
+  return Row ? Row->Limits : granted_limits();
 }
 
 std::uint64_t program_book::impl::spent(std::string_view Root) const {
@@ -201,7 +201,7 @@
 program_book::impl::budget_fit
 program_book::impl::chargeCall(open_call &Call) const {
   std::string_view Root = rootOf(Call.Request.Program);
-  program_limits Limits = limitsOf(Root);
+  granted_limits Limits = limitsOf(Root);
   std::uint64_t Cap = std::max<std::uint32_t>(Limits.MaxOutputTokens, 1);
   std::uint64_t Asked = Call.Request.Digest.MaxOutputTokens;
   std::uint64_t Wanted = Asked == 0 ? Cap : std::min(Asked, Cap);
--- a/src/libstate/book_tick.cpp
+++ b/src/libstate/book_tick.cpp
@@ -186,7 +186,7 @@
 }
 
 void program_book::entryChanged(std::string_view Entry,
-                                const program_limits &Limits, moment Now) {
+                                const granted_limits &Limits, moment Now) {
   State->Entries[std::string(Entry)] = Limits;
   std::vector<std::string> Roots;
   for (const auto &[Name, Root] : State->Live)
