--- a/src/include/turmerichead/state_snapshot.h
+++ b/src/include/turmerichead/state_snapshot.h
@@ -1,12 +1,13 @@
 /// \file
 /// Snapshots of a shard: the rows of its programs, and the histories of
-/// their calls in chunks that are written once. No object exceeds
+/// their calls in batches that are written once. No object exceeds
 /// MaxObjectBytes. The manifest is created last, so a snapshot is either
 /// whole or absent.
 #pragma once
 
 #include "turmerichead/state_rows.h"
 
+#include <optional>
 #include <set>
 #include <span>
 
@@ -29,81 +30,98 @@
   std::string Bytes;
 };
 
+/// Calls that ended between two snapshots, in objects of their own.
+struct history_batch {
+  std::vector<std::string> Objects; ///< Pieces of one byte string, in order.
+  std::vector<std::string> Roots;   ///< Whose calls it holds.
+  MSGPACK_DEFINE(Objects, Roots)
+};
+
 /// The manifest of a snapshot.
 struct snapshot_manifest {
   std::uint32_t Shard = 0;
   std::uint64_t Fence = 0;  ///< The shard map's version of its holder.
   std::uint64_t Number = 0; ///< Rises within a fence.
   journal_position Position;
-  bool Released = false; ///< The holder has stopped: no journal to read.
-  std::vector<std::string> RowObjects;
-  std::vector<std::string> HistoryObjects; ///< In the order of their making.
-  MSGPACK_DEFINE(Shard, Fence, Number, Position, Released, RowObjects,
-                 HistoryObjects)
+  bool Released = false;  ///< The holder has stopped: no journal to read.
+  std::string InlineRows; ///< The rows, unless they are in RowObjects.
+  std::vector<std::string> RowObjects;  ///< Pieces of one byte string.
+  std::vector<history_batch> Histories; ///< In the order of their making.
+  MSGPACK_DEFINE(Shard, Fence, Number, Position, Released, InlineRows,
+                 RowObjects, Histories)
 };
 
-/// "<shard>.<fence>.<number>", digits padded so that names sort by age.
+/// "<shard>.<fence>.<number>.manifest", digits padded so that the names of a
+/// shard sort by age.
 std::string manifestName(std::uint32_t Shard, std::uint64_t Fence,
                          std::uint64_t Number);
 
-/// The newest manifest of \p Shard among \p Names (as listed); std::nullopt
-/// with error NotFound if there is none.
+/// What the names of all objects of \p Shard begin with.
+std::string snapshotPrefix(std::uint32_t Shard);
+
+/// The newest manifest of \p Shard among \p Names; std::nullopt if none.
 std::optional<std::string> newestManifest(std::span<const std::string> Names,
                                           std::uint32_t Shard);
 
 /// Makes the snapshots of one shard for one holder. Calls that have ended are
-/// written to a history chunk once; later snapshots refer to it.
+/// written to a history batch once; later snapshots refer to it.
 ///
-///     snapshot_maker Maker(Shard, Fence, {});
+///     snapshot_maker Maker(Shard, Fence, ManifestTakenOver);
 ///     auto Objects = Maker.make(Book.rows(), Position, false);
-///     // create Objects in this order, then Maker.kept()
+///     // create all in this order, then
+///     Maker.kept();
+///     for (const std::string &Name : Maker.takeGarbage())
+///       // delete
 class snapshot_maker {
 public:
-  /// \p Known are the history objects of the snapshot that was taken over.
+  /// \p Known is the snapshot that was taken over, if there was one.
   snapshot_maker(std::uint32_t Shard, std::uint64_t Fence,
                  std::optional<snapshot_manifest> Known);
 
-  /// The objects to create, the manifest last. If any create fails for good,
-  /// call make() again later; names are not reused.
+  /// The objects to create, the manifest last. If a create fails for good,
+  /// call make() again later; names are not used twice. \p Rows may hold
+  /// other shards, which are left out.
   std::vector<snapshot_object>
   make(const state_rows &Rows, const journal_position &Position, bool Released);
   /// All objects of the latest make() were created.
   void kept();
-  /// Objects that no newer snapshot needs, to be deleted.
+  /// Objects that the latest kept snapshot does not need.
   std::vector<std::string> takeGarbage();
-  /// The position of the latest snapshot that was kept.
+  /// The latest snapshot that was kept.
   const std::optional<snapshot_manifest> &latest() const { return Latest; }
 
 private:
-  struct written_call {
-    std::string Program;
-    std::uint32_t Number = 0;
-  };
   std::uint32_t Shard;
   std::uint64_t Fence;
   std::uint64_t NextNumber = 1;
   std::optional<snapshot_manifest> Latest;
   std::optional<snapshot_manifest> Making;
-  /// Which calls are in which history object.
-  std::map<std::string, std::vector<written_call>> Histories;
-  std::map<std::string, std::uint32_t> WrittenCalls; ///< By program.
-  std::map<std::string, std::uint32_t> MakingCalls;
+  std::map<std::string, std::uint32_t> Written; ///< Calls, by program's life.
+  std::map<std::string, std::uint32_t> MakingWritten;
+  std::vector<std::string> Unkept; ///< Of attempts that were given up.
   std::vector<std::string> Garbage;
 };
 
+/// std::nullopt with error Corrupt where \p Bytes are no manifest.
 std::optional<snapshot_manifest> decodeManifest(std::string_view Bytes);
 
-/// Rebuilds the rows of a snapshot from its objects, in the manifest's order.
-/// std::nullopt with error Corrupt if one is missing or does not decode.
-std::optional<state_rows>
-loadSnapshot(const snapshot_manifest &Manifest,
-             std::span<const std::string> RowObjects,
-             std::span<const std::string> HistoryObjects);
+/// Names of the objects that loadSnapshot() needs, in its order.
+std::vector<std::string> objectsOf(const snapshot_manifest &Manifest);
 
-/// The segments of \p Journal among \p Names that all of \p Positions cover.
-/// A seal is never among them: it must outlive the writer it fences.
+/// Rebuilds the rows from a manifest and the objects of objectsOf().
+/// std::nullopt with error Corrupt if something does not decode.
+std::optional<state_rows> loadSnapshot(const snapshot_manifest &Manifest,
+                                       std::span<const std::string> Objects);
+
+/// The segments of \p Journal among \p Names, and no others, that all of
+/// \p Positions cover. The latest segment is never among them: its number
+/// keeps a successor from sealing below it, and a seal must outlive the
+/// writer that it fences.
 std::vector<std::string>
 coveredSegments(const host_life &Journal, std::span<const std::string> Names,
                 std::span<const journal_position> Positions);
 
+/// Splits \p Bytes into pieces of at most MaxObjectBytes.
+std::vector<std::string> splitBytes(std::string_view Bytes);
+
 } // namespace turmerichead
--- /dev/null
+++ b/src/libstate/snapshot.cpp
@@ -0,0 +1,294 @@
+#include "turmerichead/state_snapshot.h"
+
+#include "turmerichead/error.h"
+#include "turmerichead/state_journal.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace turmerichead {
+
+namespace {
+
+constexpr std::size_t MaxInlineBytes = std::size_t{300} << 10;
+// Beyond this many batches the next snapshot writes all calls anew.
+constexpr std::size_t MaxBatches = 16;
+constexpr std::size_t MaxDepth = 16;
+constexpr std::size_t MaxItems = std::size_t{1} << 20;
+constexpr std::string_view ManifestSuffix = ".manifest";
+
+// What a call's row leaves to the history batches.
+struct history_entry {
+  std::string Program;
+  std::int64_t WallStartMs = 0; ///< Tells lives of a program's name apart.
+  std::uint32_t Number = 0;
+  std::string Delta;
+  std::string Body;
+  MSGPACK_DEFINE(Program, WallStartMs, Number, Delta, Body)
+};
+
+template <typename Content> std::string packed(const Content &Value) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Value);
+  return {Buffer.data(), Buffer.size()};
+}
+
+template <typename Content>
+std::optional<Content> unpacked(std::string_view Bytes) {
+  try {
+    msgpack::unpack_limit Limit(MaxItems, MaxItems, Bytes.size(), Bytes.size(),
+                                0, MaxDepth);
+    auto Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
+    return Handle.get().as<Content>();
+  } catch (const std::exception &Reason) {
+    return fail(error_code::Corrupt, std::string("snapshot: ") + Reason.what());
+  }
+}
+
+std::string lifeOf(const root_row &Root, const std::string &Program) {
+  return Program + "@" + std::to_string(Root.WallStartMs);
+}
+
+std::string stemOf(std::uint32_t Shard, std::uint64_t Fence,
+                   std::uint64_t Number) {
+  char Text[64];
+  std::snprintf(Text, sizeof Text, "%06u.%012llu.%09llu", Shard,
+                static_cast<unsigned long long>(Fence),
+                static_cast<unsigned long long>(Number));
+  return Text;
+}
+
+// Adds the pieces of \p Bytes to the objects and returns their names.
+std::vector<std::string> addPieces(std::vector<snapshot_object> &Objects,
+                                   const std::string &Stem,
+                                   std::string_view Bytes) {
+  std::vector<std::string> Names;
+  for (std::string &Piece : splitBytes(Bytes)) {
+    Names.push_back(Stem + std::to_string(Names.size()));
+    Objects.push_back({Names.back(), std::move(Piece)});
+  }
+  return Names;
+}
+
+// Moves the bodies of a program's ended calls out of its row. Those up to
+// \p AlreadyWritten are in older batches and are dropped only.
+void moveBodies(const root_row &Root, program_row &Program,
+                std::uint32_t AlreadyWritten, std::vector<history_entry> &Out) {
+  for (std::uint32_t I = 0; I < Program.EndedCalls; ++I) {
+    call_row &Call = Program.Calls[I];
+    history_entry Entry{Program.Path, Root.WallStartMs, I + 1,
+                        std::exchange(Call.Call.Delta, {}),
+                        std::exchange(Call.Body, {})};
+    if (I >= AlreadyWritten)
+      Out.push_back(std::move(Entry));
+  }
+}
+
+} // namespace
+
+std::vector<std::string> splitBytes(std::string_view Bytes) {
+  std::vector<std::string> Out;
+  for (std::size_t At = 0; At < Bytes.size(); At += MaxObjectBytes)
+    Out.emplace_back(Bytes.substr(At, MaxObjectBytes));
+  return Out;
+}
+
+// -- Names
+// ------------------------------------------------------------------------
+
+std::string snapshotPrefix(std::uint32_t Shard) {
+  return stemOf(Shard, 0, 0).substr(0, 7);
+}
+
+std::string manifestName(std::uint32_t Shard, std::uint64_t Fence,
+                         std::uint64_t Number) {
+  return stemOf(Shard, Fence, Number) + std::string(ManifestSuffix);
+}
+
+std::optional<std::string> newestManifest(std::span<const std::string> Names,
+                                          std::uint32_t Shard) {
+  std::string Prefix = snapshotPrefix(Shard);
+  std::optional<std::string> Newest;
+  for (const std::string &Name : Names)
+    if (Name.starts_with(Prefix) && Name.ends_with(ManifestSuffix) &&
+        (!Newest || *Newest < Name))
+      Newest = Name;
+  return Newest;
+}
+
+// -- Making
+// -----------------------------------------------------------------------
+
+snapshot_maker::snapshot_maker(std::uint32_t Shard, std::uint64_t Fence,
+                               std::optional<snapshot_manifest> Known)
+    : Shard(Shard), Fence(Fence), Latest(std::move(Known)) {
+  // After an unfinished attempt in an earlier life with the same fence.
+  if (Latest && Latest->Fence == Fence)
+    NextNumber = Latest->Number + 1;
+}
+
+std::vector<snapshot_object>
+snapshot_maker::make(const state_rows &Rows, const journal_position &Position,
+                     bool Released) {
+  if (Making)
+    for (const std::string &Name : objectsOf(*Making))
+      Unkept.push_back(Name);
+  snapshot_manifest Manifest;
+  Manifest.Shard = Shard;
+  Manifest.Fence = Fence;
+  Manifest.Number = NextNumber++;
+  Manifest.Position = Position;
+  Manifest.Released = Released;
+  // The first snapshot of a holder writes everything: it does not know which
+  // calls the batches of its predecessor hold.
+  bool Anew = Written.empty() || !Latest || Latest->Fence != Fence ||
+              Latest->Histories.size() >= MaxBatches;
+  if (!Anew)
+    Manifest.Histories = Latest->Histories;
+  MakingWritten.clear();
+
+  std::vector<root_row> Roots;
+  std::set<std::string> LiveRoots;
+  std::vector<history_entry> Entries;
+  history_batch Batch;
+  for (const auto &[Name, Row] : Rows.roots()) {
+    if (Row.Shard != Shard)
+      continue;
+    Roots.push_back(Row);
+    if (Row.Stripped)
+      continue;
+    LiveRoots.insert(Name);
+    std::size_t Before = Entries.size();
+    for (auto &[Path, Program] : Roots.back().Programs) {
+      std::string Life = lifeOf(Row, Path);
+      auto Found = Written.find(Life);
+      bool Known = !Anew && Found != Written.end();
+      moveBodies(Row, Program, Known ? Found->second : 0, Entries);
+      MakingWritten[Life] = Program.EndedCalls;
+    }
+    if (Entries.size() > Before)
+      Batch.Roots.push_back(Name);
+  }
+
+  std::string Stem = stemOf(Shard, Fence, Manifest.Number);
+  std::vector<snapshot_object> Objects;
+  std::erase_if(Manifest.Histories, [&](const history_batch &Old) {
+    return std::none_of(Old.Roots.begin(), Old.Roots.end(),
+                        [&](const auto &R) { return LiveRoots.contains(R); });
+  });
+  if (!Entries.empty()) {
+    Batch.Objects = addPieces(Objects, Stem + ".h", packed(Entries));
+    Manifest.Histories.push_back(std::move(Batch));
+  }
+  std::string RowBytes = packed(Roots);
+  if (RowBytes.size() <= MaxInlineBytes)
+    Manifest.InlineRows = std::move(RowBytes);
+  else
+    Manifest.RowObjects = addPieces(Objects, Stem + ".r", RowBytes);
+  Objects.push_back(
+      {manifestName(Shard, Fence, Manifest.Number), packed(Manifest)});
+  Making = std::move(Manifest);
+  return Objects;
+}
+
+void snapshot_maker::kept() {
+  if (!Making)
+    return;
+  std::vector<std::string> Needed = objectsOf(*Making);
+  auto Unneeded = [&](const std::string &Name) {
+    return std::find(Needed.begin(), Needed.end(), Name) == Needed.end();
+  };
+  if (Latest) {
+    for (const std::string &Name : objectsOf(*Latest))
+      if (Unneeded(Name))
+        Garbage.push_back(Name);
+    Garbage.push_back(
+        manifestName(Latest->Shard, Latest->Fence, Latest->Number));
+  }
+  for (const std::string &Name : std::exchange(Unkept, {}))
+    if (Unneeded(Name))
+      Garbage.push_back(Name);
+  Latest = std::exchange(Making, std::nullopt);
+  Written = std::exchange(MakingWritten, {});
+}
+
+std::vector<std::string> snapshot_maker::takeGarbage() {
+  return std::exchange(Garbage, {});
+}
+
+// -- Loading
+// ------------------------------------------------------------------------
+
+std::optional<snapshot_manifest> decodeManifest(std::string_view Bytes) {
+  return unpacked<snapshot_manifest>(Bytes);
+}
+
+std::vector<std::string> objectsOf(const snapshot_manifest &Manifest) {
+  std::vector<std::string> Names = Manifest.RowObjects;
+  for (const history_batch &Batch : Manifest.Histories)
+    Names.insert(Names.end(), Batch.Objects.begin(), Batch.Objects.end());
+  return Names;
+}
+
+std::optional<state_rows> loadSnapshot(const snapshot_manifest &Manifest,
+                                       std::span<const std::string> Objects) {
+  if (Objects.size() != objectsOf(Manifest).size())
+    return fail(error_code::Corrupt, "snapshot: an object is missing");
+  std::string RowBytes = Manifest.InlineRows;
+  std::size_t Next = 0;
+  for (; Next < Manifest.RowObjects.size(); ++Next)
+    RowBytes += Objects[Next];
+  auto Roots = unpacked<std::vector<root_row>>(RowBytes);
+  if (!Roots)
+    return std::nullopt;
+  state_rows Rows;
+  for (root_row &Root : *Roots)
+    Rows.roots()[Root.Root] = std::move(Root);
+  for (const history_batch &Batch : Manifest.Histories) {
+    std::string Bytes;
+    for (std::size_t I = 0; I < Batch.Objects.size(); ++I)
+      Bytes += Objects[Next++];
+    auto Entries = unpacked<std::vector<history_entry>>(Bytes);
+    if (!Entries)
+      return std::nullopt;
+    for (history_entry &Entry : *Entries) {
+      root_row *Root = Rows.findRoot(Entry.Program);
+      if (!Root || Root->Stripped || Root->WallStartMs != Entry.WallStartMs)
+        continue;
+      auto Program = Root->Programs.find(Entry.Program);
+      if (Program == Root->Programs.end() || Entry.Number == 0 ||
+          Entry.Number > Program->second.Calls.size())
+        continue;
+      call_row &Call = Program->second.Calls[Entry.Number - 1];
+      Call.Call.Delta = std::move(Entry.Delta);
+      Call.Body = std::move(Entry.Body);
+    }
+  }
+  return Rows;
+}
+
+// -- Garbage
+// ------------------------------------------------------------------------
+
+std::vector<std::string>
+coveredSegments(const host_life &Journal, std::span<const std::string> Names,
+                std::span<const journal_position> Positions) {
+  std::uint64_t Needed = UINT64_MAX;
+  for (const journal_position &Position : Positions)
+    if (Position.Journal == Journal)
+      Needed = std::min(Needed, Position.Segment);
+  std::uint64_t Latest = 0;
+  for (const std::string &Name : Names)
+    Latest = std::max(Latest, segmentNumber(Journal, Name).value_or(0));
+  std::vector<std::string> Out;
+  for (const std::string &Name : Names) {
+    auto Number = segmentNumber(Journal, Name);
+    if (Number && *Number < Needed && *Number < Latest)
+      Out.push_back(Name);
+  }
+  return Out;
+}
+
+} // namespace turmerichead
