--- a/src/libhost/shards.cpp
+++ b/src/libhost/shards.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view Segments = "segments";
 constexpr milliseconds ListRetry{100};
 constexpr milliseconds WriteRetry{200};
+constexpr milliseconds SnapshotPause{1000};
 
 json binaryObject(const std::string &Name, std::string_view Bytes) {
   return {{"metadata", {{"name", Name}}},
@@ -455,21 +456,28 @@
 }
 
 void shard_keeper::snapshotDue() {
+  // Snapshots only bound replay. They go one at a time and at a slow pace, so
+  // that the writes of the journal, on which answers wait, come first.
+  time_point Now = steadyNow();
+  if (Now < SnapshotDue)
+    return;
+  SnapshotDue = Now + SnapshotPause;
   auto Every =
       static_cast<std::uint64_t>(Context.Settings.Journal.SnapshotEveryRecords);
-  // One shard at a time, round robin, so that snapshots are spread over time.
-  auto Next = Rows.lower_bound(static_cast<std::uint32_t>(SnapshotCursor));
-  if (Next == Rows.end()) {
-    SnapshotCursor = 0;
-    collectSegments();
+  auto IsBusy = [](const auto &Row) { return Row.second.Busy; };
+  if (std::any_of(Rows.begin(), Rows.end(), IsBusy))
     return;
-  }
-  SnapshotCursor = Next->first + 1;
-  shard_row &Row = Next->second;
-  if (Row.Phase != phase::Serving || Row.Busy ||
-      Book.rowsTicket() < Row.SnapshotAt + Every)
+  auto Oldest = Rows.end();
+  for (auto Row = Rows.begin(); Row != Rows.end(); ++Row)
+    if (Row->second.Phase == phase::Serving &&
+        (Oldest == Rows.end() ||
+         Row->second.SnapshotAt < Oldest->second.SnapshotAt))
+      Oldest = Row;
+  if (Oldest == Rows.end())
     return;
-  writeSnapshot(Next->first, Book.rows(), positionNow(), false, [] {});
+  if (Book.rowsTicket() >= Oldest->second.SnapshotAt + Every)
+    writeSnapshot(Oldest->first, Book.rows(), positionNow(), false, [] {});
+  collectSegments();
 }
 
 void shard_keeper::collectSegments() {
--- a/src/libhost/shards_pvt.h
+++ b/src/libhost/shards_pvt.h
@@ -110,7 +110,7 @@
   bool ListOpen = false;
   time_point ListDue;
   std::uint64_t FirstSegment = 1; ///< Segments before it were deleted.
-  std::uint64_t SnapshotCursor = 0;
+  time_point SnapshotDue;
 };
 
 } // namespace turmerichead::host_pvt
