--- a/src/include/turmerichead/state_journal.h
+++ b/src/include/turmerichead/state_journal.h
@@ -158,6 +158,10 @@
   std::size_t openBytes() const { return OpenBytes; }
   /// The ticket that journal_committed told last.
   std::uint64_t committedTicket() const { return CommittedTicket; }
+  /// The sequence at which the record of committedTicket() ends. What a
+  /// snapshot of the committed rows covers; a part of a further record may be
+  /// committed already.
+  std::uint64_t committedRecord() const { return CommittedRecord; }
   /// The sequence of the latest committed entry, and of the latest one.
   std::uint64_t committedSequence() const { return Committed; }
   std::uint64_t lastSequence() const { return LastSequence; }
@@ -204,6 +208,7 @@
   std::uint64_t OnPlatform = 0;
   std::uint64_t Committed = 0;
   std::uint64_t CommittedTicket = 0;
+  std::uint64_t CommittedRecord = 0;
   std::uint64_t SegmentNumber = 1; ///< In work, or the next one.
   std::uint64_t SegmentLast = 0;   ///< Last sequence of the one in work.
   std::string SegmentBytes;
--- a/src/libhost/holder.cpp
+++ b/src/libhost/holder.cpp
@@ -302,7 +302,7 @@
                  {"started_ms", Root->WallStartMs},
                  {"spent_tokens", Root->SpentTokens},
                  {"budget_tokens", Root->Limits.BudgetTokens},
-                 {"ended", Program->Ended || Root->ended()},
+                 {"ended", Root->ended()},
                  {"end_reason", nameOf(Reason)},
                  {"sub_agents", std::move(SubAgents)},
                  {"calls", std::move(Calls)}};
@@ -396,14 +396,14 @@
   if (Chosen == NamedStandbys || Chosen.size() < StandbyCount)
     return;
   NamedStandbys = Chosen;
-  Writer->setStandbys(Chosen);
-  Book->keep(standbys_record{Chosen});
+  Writer->setStandbys(Chosen, steadyNow());
 }
 
 std::optional<keep_reply> holder::keep(const keep_message &Message) {
   if (Message.Standby != Context.life())
     return fail(error_code::Fenced, "this host lives another life");
-  auto UpTo = Standbys.keep(Message.Origin, Message.Entries);
+  auto UpTo =
+      Standbys.keep(Message.Origin, Message.OnPlatform, Message.Entries);
   if (!UpTo)
     return std::nullopt;
   return keep_reply{*UpTo};
--- a/src/libhost/holder_commands.cpp
+++ b/src/libhost/holder_commands.cpp
@@ -64,10 +64,7 @@
 // --------------------------------------------------------------
 
 void holder::carryOut(commit_record &Command) {
-  std::uint64_t Sequence = Writer->append(Command.Record, steadyNow());
-  if (Sequence != Command.Ticket)
-    log::error("journal and book count differently",
-               {{"ticket", Command.Ticket}, {"sequence", Sequence}});
+  Writer->append(Command.Record, Command.Ticket, steadyNow());
 }
 
 program_facts holder::factsOf(const dispatch_call &Command) const {
@@ -267,7 +264,8 @@
 }
 
 void holder::carryOut(const send_to_standby &Command) {
-  keep_message Message{Context.life(), Command.Standby, Command.Entries};
+  keep_message Message{Context.life(), Command.Standby, Command.OnPlatform,
+                       Command.Entries};
   auto Reply = std::make_shared<std::optional<keep_reply>>();
   Context.Links->send(
       Command.Standby.Host,
@@ -281,9 +279,10 @@
             Now = Life](const peer_result &) {
              if (Now != Life)
                return;
-             std::uint64_t UpTo = *Reply ? (*Reply)->UpTo : 0;
-             Writer->standbyAnswered(Standby, Reply->has_value(), UpTo,
-                                     steadyNow());
+             std::optional<std::uint64_t> UpTo;
+             if (*Reply)
+               UpTo = (*Reply)->UpTo;
+             Writer->standbyAnswered(Standby, UpTo, steadyNow());
              pump();
            }});
 }
@@ -297,7 +296,7 @@
 }
 
 void holder::carryOut(const journal_committed &Command) {
-  Book->committedUpTo(Command.UpTo, now());
+  Book->committedUpTo(Command.Ticket, now());
 }
 
 void holder::carryOut(const journal_fenced &) {
--- a/src/libhost/shards.cpp
+++ b/src/libhost/shards.cpp
@@ -197,9 +197,7 @@
   };
   auto Load = std::make_shared<loading>();
   Load->Manifest = Manifest;
-  Load->Names = Manifest.RowObjects;
-  Load->Names.insert(Load->Names.end(), Manifest.HistoryObjects.begin(),
-                     Manifest.HistoryObjects.end());
+  Load->Names = objectsOf(Manifest);
   auto Next = std::make_shared<std::function<void()>>();
   auto Again = [this, Shard] {
     if (shard_row *Row = find(Shard, phase::Loading))
@@ -223,10 +221,7 @@
           }));
       return;
     }
-    std::span<const std::string> All = Load->Bytes;
-    std::size_t RowCount = Load->Manifest.RowObjects.size();
-    auto Loaded = loadSnapshot(Load->Manifest, All.first(RowCount),
-                               All.subspan(RowCount));
+    auto Loaded = loadSnapshot(Load->Manifest, Load->Bytes);
     if (!Loaded) {
       log::error("snapshot does not load",
                  {{"shard", Shard}, {"reason", lastError().Text}});
@@ -287,19 +282,34 @@
                           steadyNow());
     });
   });
-  if (std::get_if<list_snapshots>(&Command)) {
+  auto OnList = [&](auto Keep) {
+    return guarded([WithTakeover, Keep](const platform_list_reply &Reply) {
+      std::vector<std::string> Names;
+      for (const json &Item : Reply.Items)
+        Names.push_back(nameOfObject(Item));
+      Keep(Names);
+      WithTakeover([&](takeover &Takeover) {
+        Takeover.listed(Reply.Outcome == platform_outcome::Ok, Names,
+                        steadyNow());
+      });
+    });
+  };
+  if (const auto *List = std::get_if<list_snapshots>(&Command)) {
+    std::string Prefix = snapshotPrefix(List->Shard);
     Context.Platform->list(
-        Manifests,
-        guarded([this, WithTakeover](const platform_list_reply &Reply) {
-          std::vector<std::string> Names;
-          for (const json &Item : Reply.Items)
-            Names.push_back(nameOfObject(Item));
-          ManifestNames = {Names.begin(), Names.end()};
-          WithTakeover([&](takeover &Takeover) {
-            Takeover.listed(Reply.Outcome == platform_outcome::Ok, Names,
-                            steadyNow());
+        Manifests, OnList([this, Prefix](std::vector<std::string> &Names) {
+          std::erase_if(Names, [&](const std::string &Name) {
+            return !Name.starts_with(Prefix);
           });
+          ManifestNames.insert(Names.begin(), Names.end());
         }));
+  } else if (std::get_if<list_segments>(&Command)) {
+    Context.Platform->list(Segments,
+                           OnList([Journal](std::vector<std::string> &Names) {
+                             std::erase_if(Names, [&](const std::string &Name) {
+                               return !segmentNumber(Journal, Name);
+                             });
+                           }));
   } else if (const auto *Read = std::get_if<read_snapshot>(&Command)) {
     std::string_view Plural =
         ManifestNames.contains(Read->Name) ? Manifests : Snapshots;
@@ -359,9 +369,13 @@
                                    std::to_string(Row.Shards.size()) +
                                    " shards taken over by " + Context.self(),
                                wallNowMs(), Took);
-  for (shard_takeover &Shard : Row.Takeover.takeResult())
-    if (find(Shard.Shard, phase::Loading))
+  for (shard_takeover &Shard : Row.Takeover.takeResult()) {
+    shard_row *Open = find(Shard.Shard, phase::Loading);
+    if (Open && Shard.Elsewhere)
+      Open->Phase = phase::Listing;
+    else if (Open)
       writeFirst(Shard.Shard, std::move(Shard.Rows), std::move(Shard.Manifest));
+  }
 }
 
 // -- Snapshots
@@ -370,8 +384,8 @@
 journal_position shard_keeper::positionNow() const {
   journal_position Position;
   Position.Journal = Context.life();
-  Position.Segment = Writer.segmentAfter(Book.rowsTicket());
-  Position.Sequence = Book.rowsTicket();
+  Position.Segment = Writer.segmentAfter(Writer.committedRecord());
+  Position.Sequence = Writer.committedRecord();
   return Position;
 }
 
@@ -407,7 +421,7 @@
                                  bool Released, std::function<void()> Done) {
   shard_row &Row = Rows.find(Shard)->second;
   Row.Busy = true;
-  Row.SnapshotAt = Position.Sequence;
+  Row.SnapshotAt = Book.rowsTicket();
   auto Objects = std::make_shared<std::vector<snapshot_object>>(
       Row.Maker->make(Source, Position, Released));
   writeObjects(Shard, std::move(Objects), 0, std::move(Done));
@@ -481,7 +495,7 @@
 }
 
 void shard_keeper::collectSegments() {
-  std::uint64_t Oldest = Writer.nextSegment();
+  std::uint64_t Oldest = Writer.segmentAfter(Writer.committedRecord());
   for (const auto &[Shard, Row] : Rows) {
     if (!Row.Maker || !Row.Maker->latest())
       return;
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -224,9 +224,10 @@
 /// Records that a standby keeps for their writer.
 struct keep_message {
   host_life Origin;
-  host_life Standby; ///< The life that the writer means.
+  host_life Standby;            ///< The life that the writer means.
+  std::uint64_t OnPlatform = 0; ///< Entries up to here need no standby.
   std::vector<journal_entry> Entries;
-  MSGPACK_DEFINE(Origin, Standby, Entries)
+  MSGPACK_DEFINE(Origin, Standby, OnPlatform, Entries)
 };
 struct keep_reply {
   std::uint64_t UpTo = 0;
--- a/src/libstate/journal.cpp
+++ b/src/libstate/journal.cpp
@@ -212,6 +212,7 @@
   std::uint64_t Before = CommittedTicket;
   while (!Tickets.empty() && Tickets.front().Sequence <= Committed) {
     CommittedTicket = Tickets.front().Ticket;
+    CommittedRecord = Tickets.front().Sequence;
     Tickets.pop_front();
   }
   if (CommittedTicket != Before)
