Add the decision core: order, place, memory, admission and poison requests

A gate queues by a virtual arrival time that is fixed when a request is queued; all of its bonuses and penalties are bounded, so nobody is starved and a decision does not depend on the queue's length. Ordinary work is owed its floor by a ledger of estimated engine time. A suspect fingerprint runs alone on its runner, so that a second death names the culprit and not a neighbour.

--- a/src/include/turmerichead/sched_admission.h
+++ b/src/include/turmerichead/sched_admission.h
@@ -34,7 +34,7 @@
   token_count Tokens = 0; ///< Spent and reserved.
   std::int64_t ToolCalls = 0;
   std::int64_t InFlight = 0;
-  time_point Start;
+  time_point Start{};
 };
 
 /// A call that asks to run.
@@ -114,6 +114,8 @@
   void started(time_point Now);
   void succeeded();
   void failed(time_point Now);
+  /// Opens at once: the upstream is known to be gone.
+  void trip(time_point Now);
   /// The call ended without telling anything about the upstream.
   void abandoned();
   bool isOpen(time_point Now) const { return !allows(Now); }
--- a/src/include/turmerichead/sched_gate.h
+++ b/src/include/turmerichead/sched_gate.h
@@ -31,9 +31,12 @@
 /// Settings of a gate. The page docs/operators/tuning.md says which of them
 /// answers which complaint.
 struct gate_settings {
-  order_settings Order;
-  place_settings Place;
-  poison_settings Poison;
+  /// Differs between a gate and its successors, so that the incidents they
+  /// record are told apart.
+  std::uint64_t Incarnation = 1;
+  order_settings Order{};
+  place_settings Place{};
+  poison_settings Poison{};
 
   /// Part of the work, 0 to 0.9, that ordinary requests keep while urgent
   /// ones would take everything.
@@ -69,12 +72,12 @@
 
 /// What a gate is told about a runner by the catalogue of upstreams.
 struct runner_info {
-  std::string Name;
+  std::string Name{};
   int Slots = 16;
   runner_phase Phase = runner_phase::Live;
   /// False if this gate must not grant to it (an order is under way).
   bool Usable = true;
-  engine_rates Rates;
+  engine_rates Rates{};
   token_count CacheTokens = 0; ///< Capacity of its prefix cache; 0 unknown.
 };
 
@@ -90,57 +93,57 @@
 struct cache_event {
   enum class kind : std::uint8_t { Stored, Evicted, Cleared };
   kind Kind = kind::Stored;
-  std::string Program; ///< Empty for Cleared.
+  std::string Program{}; ///< Empty for Cleared.
   token_count Tokens = 0;
   milliseconds Age{0}; ///< How old the event was when it arrived.
 };
 
 /// A model call that waits for a runner.
 struct gate_request {
-  std::string RootProgram;
-  std::string Program; ///< Path from the root; equals it for the root.
-  std::string Owner;
-  std::string Entry;
+  std::string RootProgram{};
+  std::string Program{}; ///< Path from the root; equals it for the root.
+  std::string Owner{};
+  std::string Entry{};
   rank Rank = rank::Ordinary;
   token_count PromptTokens = 0;
   token_count CachedTokens = 0; ///< Prefix the program's last call left.
   token_count MaxOutputTokens = 0;
   token_count AttainedService = 0; ///< Of the whole root program.
   bool Started = false; ///< The root program has had an answer before.
-  time_point ProgramStart;
+  time_point ProgramStart{};
   time_point Deadline{INT64_MAX}; ///< After it, the answer has no use.
   std::uint64_t Fingerprint = 0;  ///< Of the prompt; 0 is "none".
   bool ParentWaiting = false;     ///< A parent waits for this sub-agent.
   bool MayRepeat = true;
-  std::string AvoidRunner; ///< For a retry or a hedge; empty is "none".
+  std::string AvoidRunner{}; ///< For a retry or a hedge; empty is "none".
 };
 
 /// An id, or the reason why there is none.
 struct enqueue_result {
-  request_id Id;
-  std::optional<refusal> Refusal;
+  request_id Id{};
+  std::optional<refusal> Refusal{};
 };
 
 /// Binds a request to a runner.
 struct grant {
-  request_id Request;
-  std::string Runner;
+  request_id Request{};
+  std::string Runner{};
   /// Not empty: copy the program's cache from this runner first.
-  std::string MoveCacheFrom;
+  std::string MoveCacheFrom{};
   token_count MoveTokens = 0;
 };
 
 /// A command about a program's cache at a runner.
 struct release_command {
-  std::string Program;
-  std::string Runner;
+  std::string Program{};
+  std::string Runner{};
 };
 
 /// What a tick decided. The spans are valid until the gate's next call.
 struct gate_output {
-  std::span<const grant> Grants;
-  std::span<const refusal> Refusals;
-  std::span<const release_command> Releases;
+  std::span<const grant> Grants{};
+  std::span<const refusal> Refusals{};
+  std::span<const release_command> Releases{};
 };
 
 /// Figures for metrics, for the report, and for the summary that holders
--- a/src/include/turmerichead/sched_order.h
+++ b/src/include/turmerichead/sched_order.h
@@ -37,7 +37,7 @@
 
 /// What a policy sees besides the request.
 struct order_context {
-  time_point Now;
+  time_point Now{};
   /// Time the group needs for the work this owner has queued, times the
   /// number of owners that wait: the delay under fair sharing.
   milliseconds OwnerBacklog{0};
--- a/src/include/turmerichead/sched_place.h
+++ b/src/include/turmerichead/sched_place.h
@@ -43,7 +43,7 @@
   token_count Cached = 0;      ///< Of the request's prompt, by estimate.
   double PrefillBacklogMs = 0; ///< Prefill granted there and not done yet.
   double WaitMs = 0;           ///< Until a slot is free for this request.
-  engine_rates Rates;
+  engine_rates Rates{};
   int ReportedWaiting = 0; ///< From the last load report.
   bool Leaving = false;
 };
@@ -51,15 +51,14 @@
 /// The prompt of the request to place.
 struct place_query {
   token_count PromptTokens = 0;
-  time_point WaitingSince;
-  time_point Now;
-  std::uint64_t ProgramHash = 0;
+  time_point WaitingSince{};
+  time_point Now{};
 };
 
 /// A choice: the runner, and whence to copy the cache.
 struct placement {
   std::size_t Runner = 0;
-  std::optional<std::size_t> MoveFrom;
+  std::optional<std::size_t> MoveFrom{};
   bool Wait = false; ///< Wait for Runner, which has no free slot now.
 };
 
--- a/src/include/turmerichead/sched_poison.h
+++ b/src/include/turmerichead/sched_poison.h
@@ -35,9 +35,9 @@
 /// A fingerprint's record, as hosts exchange it.
 struct poison_entry {
   std::uint64_t Fingerprint = 0;
-  std::vector<poison_death> Deaths;
+  std::vector<poison_death> Deaths{};
   /// Age of the last success of the fingerprint; deaths before it are void.
-  std::optional<milliseconds> ClearedAge;
+  std::optional<milliseconds> ClearedAge{};
 };
 
 enum class poison_state : std::uint8_t { Clean, Suspect, Condemned };
--- a/src/include/turmerichead/sched_types.h
+++ b/src/include/turmerichead/sched_types.h
@@ -57,7 +57,7 @@
 
 /// A final, immediate "not run".
 struct refusal {
-  request_id Request; ///< Empty if the request never got an id.
+  request_id Request{}; ///< Empty if the request never got an id.
   refusal_reason Reason = refusal_reason::Overload;
   milliseconds RetryAfter{0}; ///< 0: coming back does not help.
 };
--- /dev/null
+++ b/src/libsched/floor.cpp
@@ -0,0 +1,33 @@
+#include "floor_pvt.h"
+
+#include <algorithm>
+
+namespace turmerichead::sched::pvt {
+
+namespace {
+/// Neither rank saves up or owes more than this, so that a long flood of one
+/// does not shut out the other when it is over.
+constexpr double MaxCreditMs = 30'000;
+} // namespace
+
+void floor_ledger::add(rank Rank, double Work) {
+  WorkMs[indexOf(Rank)] += Work;
+  CreditMs += Rank == rank::Urgent ? Floor * Work : -(1 - Floor) * Work;
+  CreditMs = std::clamp(CreditMs, -MaxCreditMs, MaxCreditMs);
+}
+
+void floor_ledger::charge(rank Rank, double Work, bool OthersWait) {
+  if (OthersWait)
+    add(Rank, Work);
+}
+
+void floor_ledger::correct(rank Rank, double DifferenceMs) {
+  add(Rank, DifferenceMs);
+}
+
+double floor_ledger::ordinaryShare() const {
+  double All = WorkMs[0] + WorkMs[1];
+  return All > 0 ? WorkMs[indexOf(rank::Ordinary)] / All : 0;
+}
+
+} // namespace turmerichead::sched::pvt
--- /dev/null
+++ b/src/libsched/floor_pvt.h
@@ -0,0 +1,37 @@
+/// \file
+/// The part of the work that ordinary requests keep.
+#pragma once
+
+#include "turmerichead/sched_types.h"
+
+namespace turmerichead::sched::pvt {
+
+/// Counts engine time granted to each rank while both wait, and says when the
+/// next grant is due to the ordinary one.
+class floor_ledger {
+public:
+  explicit floor_ledger(double Floor) : Floor(Floor) {}
+
+  /// True when ordinary requests have had less than their floor.
+  bool ordinaryDue() const { return Floor > 0 && CreditMs > 0; }
+
+  /// Charges a grant of \p WorkMs of engine time. \p OthersWait tells whether
+  /// the other rank had requests that waited: only then does a grant count.
+  void charge(rank Rank, double WorkMs, bool OthersWait);
+
+  /// Corrects the charge of a request that is finished by the difference
+  /// between its true and its estimated work.
+  void correct(rank Rank, double DifferenceMs);
+
+  /// Part of the work granted to ordinary requests while both ranks waited.
+  double ordinaryShare() const;
+
+private:
+  void add(rank Rank, double WorkMs);
+
+  double Floor;
+  double CreditMs = 0; ///< Work that is owed to ordinary requests.
+  per_rank<double> WorkMs{};
+};
+
+} // namespace turmerichead::sched::pvt
--- /dev/null
+++ b/src/libsched/gate.cpp
@@ -0,0 +1,174 @@
+#include "turmerichead/sched_gate.h"
+
+#include "gate_core_pvt.h"
+
+#include "turmerichead/error.h"
+
+namespace turmerichead::sched {
+
+namespace {
+
+/// The first thing wrong with \p Settings; empty if they check.
+std::string checkSettings(const gate_settings &Settings) {
+  if (!(Settings.OrdinaryFloor >= 0 && Settings.OrdinaryFloor <= 0.9))
+    return "the ordinary floor must lie between 0 and 0.9";
+  if (!(Settings.UrgentReserve >= 0 && Settings.UrgentReserve <= 0.5))
+    return "the urgent reserve must lie between 0 and 0.5";
+  if (Settings.ScanLimit == 0 || Settings.MaxQueued == 0)
+    return "the scan limit and the queue's bound must be at least 1";
+  if (!(Settings.CacheHighWater > 0 && Settings.CacheHighWater <= 1))
+    return "the cache's high water must lie between 0 and 1";
+  if (Settings.BreakerErrors < 1 || Settings.Poison.MaxDeaths < 1)
+    return "the breaker's errors and the poison deaths must be at least 1";
+  return {};
+}
+
+} // namespace
+
+template <order_policy Order, place_policy Place>
+struct basic_gate<Order, Place>::state {
+  explicit state(const gate_settings &Settings)
+      : Settings(Settings), Core(Settings) {}
+
+  /// Grants the first request of \p Queue that can be placed now.
+  bool grantNext(std::size_t Queue, time_point Now) {
+    while (request_row *Row = Core.nextCandidate(Queue, Now)) {
+      auto Choice = Policy.choose(Settings.Place, Core.queryOf(*Row, Now),
+                                  Core.viewsFor(*Row, Now));
+      if (!Choice)
+        continue;
+      if (Choice->Wait) {
+        Core.noteWaiter(Choice->Runner, Now);
+        continue;
+      }
+      Core.grantTo(*Row, *Choice, Now);
+      return true;
+    }
+    return false;
+  }
+
+  gate_settings Settings;
+  pvt::gate_core Core;
+  Place Policy;
+};
+
+template <order_policy Order, place_policy Place>
+std::optional<basic_gate<Order, Place>>
+basic_gate<Order, Place>::create(const gate_settings &Settings) {
+  std::string Wrong = checkSettings(Settings);
+  if (!Wrong.empty())
+    return fail(error_code::InvalidInput, Wrong);
+  return basic_gate(std::make_unique<state>(Settings));
+}
+
+template <order_policy Order, place_policy Place>
+basic_gate<Order, Place>::basic_gate(std::unique_ptr<state> State)
+    : State(std::move(State)) {}
+template <order_policy Order, place_policy Place>
+basic_gate<Order, Place>::basic_gate(basic_gate &&) noexcept = default;
+template <order_policy Order, place_policy Place>
+basic_gate<Order, Place> &
+basic_gate<Order, Place>::operator=(basic_gate &&) noexcept = default;
+template <order_policy Order, place_policy Place>
+basic_gate<Order, Place>::~basic_gate() = default;
+
+template <order_policy Order, place_policy Place>
+void basic_gate<Order, Place>::upsertRunner(const runner_info &Info) {
+  State->Core.upsertRunner(Info);
+}
+
+template <order_policy Order, place_policy Place>
+void basic_gate<Order, Place>::removeRunner(std::string_view Name) {
+  State->Core.removeRunner(Name);
+}
+
+template <order_policy Order, place_policy Place>
+void basic_gate<Order, Place>::reportLoad(std::string_view Name,
+                                          const load_report &Load,
+                                          time_point Now) {
+  State->Core.reportLoad(Name, Load, Now);
+}
+
+template <order_policy Order, place_policy Place>
+void basic_gate<Order, Place>::cacheEvent(std::string_view Name,
+                                          const sched::cache_event &Event,
+                                          time_point Now) {
+  State->Core.cacheEvent(Name, Event, Now);
+}
+
+template <order_policy Order, place_policy Place>
+enqueue_result basic_gate<Order, Place>::enqueue(const gate_request &Request,
+                                                 time_point Now) {
+  if (auto Refusal = State->Core.check(Request, Now)) {
+    State->Core.countRefused(Request.Rank);
+    return {{}, Refusal};
+  }
+  order_context Context = State->Core.contextOf(Request, Now);
+  std::int64_t Arrival =
+      Order::virtualArrivalMs(State->Settings.Order, Request, Context);
+  std::size_t Queue = Order::UsesRanks ? indexOf(Request.Rank) : 0;
+  return {State->Core.insert(Request, Arrival, Queue, Now), std::nullopt};
+}
+
+template <order_policy Order, place_policy Place>
+bool basic_gate<Order, Place>::cancel(request_id Id, time_point Now) {
+  return State->Core.cancel(Id, Now);
+}
+
+template <order_policy Order, place_policy Place>
+gate_output basic_gate<Order, Place>::tick(time_point Now) {
+  pvt::gate_core &Core = State->Core;
+  Core.beginTick(Now);
+  while (Core.hasFreeSlot()) {
+    auto [First, Second] = Core.queueOrder();
+    if (!State->grantNext(First, Now) && !State->grantNext(Second, Now))
+      break;
+  }
+  Core.endTick();
+  return Core.output();
+}
+
+template <order_policy Order, place_policy Place>
+bool basic_gate<Order, Place>::finished(request_id Id, outcome Outcome,
+                                        const usage &Usage, time_point Now) {
+  return State->Core.finished(Id, Outcome, Usage, Now);
+}
+
+template <order_policy Order, place_policy Place>
+void basic_gate<Order, Place>::programPaused(std::string_view Program,
+                                             milliseconds ExpectedPause,
+                                             time_point Now) {
+  State->Core.programPaused(Program, ExpectedPause, Now);
+}
+
+template <order_policy Order, place_policy Place>
+void basic_gate<Order, Place>::programEnded(std::string_view Program) {
+  State->Core.programEnded(Program);
+}
+
+template <order_policy Order, place_policy Place>
+void basic_gate<Order, Place>::sweepDead(std::string_view Runner,
+                                         std::span<const std::string> Listed,
+                                         std::span<const std::string> Dead,
+                                         time_point Now) {
+  State->Core.sweepDead(Runner, Listed, Dead, Now);
+}
+
+template <order_policy Order, place_policy Place>
+poison_table &basic_gate<Order, Place>::poison() {
+  return State->Core.Poison;
+}
+
+template <order_policy Order, place_policy Place>
+gate_snapshot basic_gate<Order, Place>::snapshot(time_point Now) const {
+  return State->Core.snapshot(Now);
+}
+
+template class basic_gate<attained_order, affinity_place>;
+template class basic_gate<fifo_order, least_load_place>;
+template class basic_gate<fifo_order, round_robin_place>;
+template class basic_gate<fifo_order, sticky_place>;
+template class basic_gate<fifo_order, affinity_place>;
+template class basic_gate<attained_order, least_load_place>;
+
+} // namespace turmerichead::sched
--- /dev/null
+++ b/src/libsched/gate_core.cpp
@@ -0,0 +1,302 @@
+#include "gate_core_pvt.h"
+
+#include "turmerichead/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmerichead::sched::pvt {
+
+namespace {
+
+/// Weight of the latest sample in a moving mean.
+constexpr double MeanWeight = 0.1;
+/// New programs of a rank that may wait for each 16 slots without a look at
+/// how long they will.
+constexpr std::size_t SlotsPerFreeEntry = 16;
+
+void moveMean(double &Mean, double Sample) {
+  Mean += MeanWeight * (Sample - Mean);
+}
+
+std::size_t stageOf(const gate_request &Request) {
+  return Request.Started ? 1 : 0;
+}
+
+} // namespace
+
+gate_core::gate_core(const gate_settings &Settings)
+    : Poison(Settings.Poison), Settings(Settings),
+      Floor(Settings.OrdinaryFloor) {}
+
+// ---- Requests: admission and the queue
+// ---------------------------------------
+
+std::size_t gate_core::liveRunners() const {
+  std::size_t Count = 0;
+  Runners.forEach([&](runner_id, const runner_row &Row) {
+    Count += !Row.Gone && Row.Info.Phase == runner_phase::Live;
+  });
+  return Count;
+}
+
+std::size_t gate_core::liveSlots() const {
+  std::size_t Count = 0;
+  Runners.forEach([&](runner_id, const runner_row &Row) {
+    if (!Row.Gone && Row.Info.Phase == runner_phase::Live)
+      Count += static_cast<std::size_t>(Row.Info.Slots);
+  });
+  return Count;
+}
+
+double gate_core::workOf(const gate_request &Request) const {
+  engine_rates Rates;
+  int Slots = 16;
+  Runners.forEach([&](runner_id, const runner_row &Row) {
+    Rates = Row.Info.Rates;
+    Slots = std::max(1, Row.Info.Slots);
+  });
+  auto Prefill =
+      static_cast<double>(Request.PromptTokens - Request.CachedTokens);
+  double Output = OutputMean;
+  if (Request.MaxOutputTokens > 0)
+    Output = std::min(Output, static_cast<double>(Request.MaxOutputTokens));
+  return std::max(0.0, Prefill) * Rates.PrefillMsPerToken +
+         Output * Rates.DecodeMsPerToken / Slots;
+}
+
+milliseconds gate_core::expectedWait(rank Rank, time_point Now) const {
+  std::size_t Waiting = QueuedNew[indexOf(Rank)];
+  if (Waiting <= std::max<std::size_t>(2, liveSlots() / SlotsPerFreeEntry))
+    return milliseconds(0);
+  double Rate = Starts[indexOf(Rank)].perSecond(Now);
+  constexpr double LongestMs = 3'600'000;
+  double WaitMs = LongestMs;
+  if (Rate > 0)
+    WaitMs = std::min(LongestMs, static_cast<double>(Waiting) / Rate * 1000);
+  return milliseconds(static_cast<std::int64_t>(WaitMs));
+}
+
+std::optional<refusal> gate_core::check(const gate_request &Request,
+                                        time_point Now) const {
+  auto Refuse = [&](refusal_reason Reason, milliseconds Base) {
+    return refusal{{}, Reason, spreadRetry(Base, Request.Program)};
+  };
+  if (Poison.stateOf(Request.Fingerprint, Now) == poison_state::Condemned)
+    return Refuse(refusal_reason::PoisonRequest, milliseconds(0));
+  if (Request.Deadline <= Now)
+    return Refuse(refusal_reason::DeadlinePassed, milliseconds(0));
+  if (liveRunners() == 0)
+    return Refuse(refusal_reason::NoRunner, Settings.RetryBase);
+  std::size_t Waiting = Queued[0] + Queued[1];
+  // What is under way may use the queue further than what is new.
+  std::size_t Bound = Settings.MaxQueued * (Request.Started ? 2 : 1);
+  if (Waiting >= Bound)
+    return Refuse(refusal_reason::QueueFull, Settings.RetryBase);
+  if (!Settings.RefuseOverload || Request.Started)
+    return std::nullopt;
+  milliseconds Wait = expectedWait(Request.Rank, Now);
+  milliseconds MaxWait = Settings.NewProgramMaxWait[indexOf(Request.Rank)];
+  if (Wait > MaxWait || Wait > Request.Deadline - Now)
+    return Refuse(refusal_reason::Overload, Settings.RetryBase);
+  return std::nullopt;
+}
+
+order_context gate_core::contextOf(const gate_request &Request,
+                                   time_point Now) const {
+  order_context Context{Now, milliseconds(0)};
+  auto Found = Owners.find(Request.Owner);
+  if (Found == Owners.end())
+    return Context;
+  std::size_t Rank = indexOf(Request.Rank);
+  std::size_t Stage = stageOf(Request);
+  double OwnMs = Found->second.QueuedMs[Rank][Stage];
+  // Alone, an owner stands back for the one that may come next.
+  int Others = OwnersWaiting[Rank][Stage] - (OwnMs > 0 ? 1 : 0);
+  Others = std::max(1, Others);
+  double Runs = static_cast<double>(std::max<std::size_t>(1, liveRunners()));
+  Context.OwnerBacklog =
+      milliseconds(static_cast<std::int64_t>(OwnMs * Others / Runs));
+  return Context;
+}
+
+void gate_core::countQueued(const request_row &Row, int Sign) {
+  std::size_t Rank = indexOf(Row.Request.Rank);
+  std::size_t Stage = stageOf(Row.Request);
+  Queued[Rank] += static_cast<std::size_t>(Sign);
+  if (Stage == 0)
+    QueuedNew[Rank] += static_cast<std::size_t>(Sign);
+  double &OwnMs = Owners[Row.Request.Owner].QueuedMs[Rank][Stage];
+  bool Waited = OwnMs > 0;
+  OwnMs += Sign * Row.WorkMs;
+  // Sums of differences do not come back to zero by themselves.
+  constexpr double Nothing = 1e-3;
+  if (OwnMs < Nothing)
+    OwnMs = 0;
+  OwnersWaiting[Rank][Stage] += (OwnMs > 0 ? 1 : 0) - (Waited ? 1 : 0);
+  const owner_row &Owner = Owners[Row.Request.Owner];
+  if (Owner.QueuedMs == owner_row{}.QueuedMs)
+    Owners.erase(Row.Request.Owner);
+}
+
+request_id gate_core::insert(const gate_request &Request,
+                             std::int64_t ArrivalMs, std::size_t Queue,
+                             time_point Now) {
+  request_row Row;
+  Row.Request = Request;
+  Row.Program = Caches.intern(Request.Program);
+  Row.Queue = Queue;
+  Row.QueuedAt = Now;
+  Row.WorkMs = std::max(1.0, workOf(Request));
+  request_id Id = Requests.insert(std::move(Row));
+  request_row &Stored = *Requests.find(Id);
+  Stored.Key = {ArrivalMs, ++Sequence, Id};
+  Queues[Queue].insert(Stored.Key);
+  if (Request.Deadline.Ms != INT64_MAX)
+    Deadlines.emplace(Request.Deadline, Id);
+  ByProgram[Stored.Program].push_back(Id);
+  ++Caches.row(Stored.Program)->Active;
+  countQueued(Stored, 1);
+  return Id;
+}
+
+void gate_core::leaveQueue(const request_row &Row) {
+  Queues[Row.Queue].erase(Row.Key);
+  Deadlines.erase({Row.Request.Deadline, Row.Key.Request});
+  countQueued(Row, -1);
+}
+
+void gate_core::forget(request_id Id) {
+  const request_row &Row = *Requests.find(Id);
+  program_id Program = Row.Program;
+  program_queue &Outstanding = ByProgram[Program];
+  std::erase(Outstanding, Id);
+  if (Outstanding.empty())
+    ByProgram.erase(Program);
+  program_row *Cached = Caches.row(Program);
+  --Cached->Active;
+  if (Cached->Ended && Cached->Active == 0 && Settings.ReleaseEnded)
+    releaseAll(Program);
+  Caches.forgetIfIdle(Program);
+  Requests.erase(Id);
+}
+
+void gate_core::refuseQueued(request_id Id, refusal_reason Reason,
+                             milliseconds Retry) {
+  const request_row &Row = *Requests.find(Id);
+  ++Totals.Refused[indexOf(Row.Request.Rank)];
+  Refusals.push_back({Id, Reason, Retry});
+  leaveQueue(Row);
+  forget(Id);
+}
+
+bool gate_core::cancel(request_id Id, time_point Now) {
+  const request_row *Row = Requests.find(Id);
+  if (!Row)
+    return false;
+  if (Row->InFlight)
+    return finished(Id, outcome::Cancelled, {}, Now);
+  leaveQueue(*Row);
+  forget(Id);
+  return true;
+}
+
+// ---- Requests: the end
+// ---------------------------------------------------------
+
+void gate_core::runnerDied(request_row &Row, runner_row &Runner,
+                           time_point Now) {
+  std::string Incident = Runner.Info.Name + "#" + std::to_string(Row.Epoch);
+  Poison.recordDeath(Row.Request.Fingerprint,
+                     hash64(Incident, Settings.Incarnation), Now);
+  if (Row.Epoch != Runner.Epoch)
+    return; // Another request has told of this death before.
+  ++Runner.Epoch;
+  Runner.Breaker.trip(Now);
+  Caches.dropRunner(Row.Runner);
+}
+
+void gate_core::settleRunner(request_row &Row, outcome Outcome,
+                             time_point Now) {
+  runner_row *Runner = Runners.find(Row.Runner);
+  --Runner->InFlight[indexOf(Row.Request.Rank)];
+  Runner->Suspects -= Row.Suspect ? 1 : 0;
+  if (Runner->inFlight() == 0)
+    Runner->PrefillUntilMs = 0; // Whatever was estimated is done.
+  auto TookMs = static_cast<double>((Now - Row.GrantedAt).count());
+  switch (Outcome) {
+  case outcome::Ok:
+    Runner->Breaker.succeeded();
+    moveMean(Runner->ServiceMs, TookMs);
+    Poison.recordSuccess(Row.Request.Fingerprint, Now);
+    break;
+  case outcome::Error:
+    Runner->Breaker.failed(Now);
+    break;
+  case outcome::RunnerDied:
+    runnerDied(Row, *Runner, Now);
+    break;
+  case outcome::Cancelled:
+    Runner->Breaker.abandoned();
+    break;
+  }
+  if (Runner->Gone && Runner->inFlight() == 0) {
+    RunnerNames.erase(Runner->Info.Name);
+    Caches.dropRunner(Row.Runner);
+    Runners.erase(Row.Runner);
+  }
+}
+
+void gate_core::settleCache(const request_row &Row, outcome Outcome,
+                            const usage &Usage, time_point Now) {
+  if (Outcome != outcome::Ok)
+    return;
+  program_row *Program = Caches.row(Row.Program);
+  token_count Computed = Usage.PromptTokens - Usage.CachedTokens;
+  token_count Before = std::min(Usage.PromptTokens, Program->LongestComputed);
+  Totals.PrefillTokens += Computed;
+  Totals.WastedPrefillTokens +=
+      std::max<token_count>(0, Before - Usage.CachedTokens);
+  token_count Length = Usage.PromptTokens + Usage.OutputTokens;
+  Program->LongestComputed = std::max(Program->LongestComputed, Length);
+  if (!Runners.find(Row.Runner))
+    return;
+  Caches.store(Row.Program, Row.Runner, Length, Now);
+  if (!Settings.ReleaseEnded)
+    return;
+  // What other runners hold of this program is older than this copy.
+  std::vector<cached_copy> Copies = Program->Copies;
+  for (const cached_copy &Copy : Copies)
+    if (Copy.Runner != Row.Runner)
+      release(Row.Program, Copy.Runner);
+}
+
+bool gate_core::finished(request_id Id, outcome Outcome, const usage &Usage,
+                         time_point Now) {
+  request_row *Row = Requests.find(Id);
+  if (!Row || !Row->InFlight)
+    return false;
+  if (Row->Request.Fingerprint != 0) {
+    auto &Copies = ByFingerprint[Row->Request.Fingerprint];
+    std::erase(Copies, Id);
+    if (Copies.empty())
+      ByFingerprint.erase(Row->Request.Fingerprint);
+  }
+  if (Outcome == outcome::Ok && Row->Charged) {
+    engine_rates Rates = Runners.find(Row->Runner)->Info.Rates;
+    int Slots = std::max(1, Runners.find(Row->Runner)->Info.Slots);
+    auto Prefill = static_cast<double>(Usage.PromptTokens - Usage.CachedTokens);
+    auto Output = static_cast<double>(Usage.OutputTokens);
+    double TrueMs = Prefill * Rates.PrefillMsPerToken +
+                    Output * Rates.DecodeMsPerToken / Slots;
+    Floor.correct(Row->Request.Rank, TrueMs - Row->WorkMs);
+  }
+  if (Outcome == outcome::Ok)
+    moveMean(OutputMean, static_cast<double>(Usage.OutputTokens));
+  settleRunner(*Row, Outcome, Now);
+  settleCache(*Row, Outcome, Usage, Now);
+  forget(Id);
+  return true;
+}
+
+} // namespace turmerichead::sched::pvt
--- /dev/null
+++ b/src/libsched/gate_memory.cpp
@@ -0,0 +1,199 @@
+// What a gate knows of its runners, and the memory of their engines.
+#include "gate_core_pvt.h"
+
+#include <algorithm>
+
+namespace turmerichead::sched::pvt {
+
+namespace {
+/// A request's time at a runner before any has been seen.
+constexpr double FirstServiceMs = 3'000;
+/// Load that others put on a runner is believed for this long.
+constexpr milliseconds ForeignFor{3'000};
+} // namespace
+
+// ---- Runners
+// -------------------------------------------------------------------
+
+runner_row *gate_core::findRunner(std::string_view Name) {
+  auto Found = RunnerNames.find(Name);
+  return Found == RunnerNames.end() ? nullptr : Runners.find(Found->second);
+}
+
+void gate_core::upsertRunner(const runner_info &Info) {
+  if (runner_row *Known = findRunner(Info.Name)) {
+    Known->Info = Info;
+    Known->Gone = false;
+    return;
+  }
+  runner_row Row(Settings);
+  Row.Info = Info;
+  Row.ServiceMs = FirstServiceMs;
+  RunnerNames.emplace(Info.Name, Runners.insert(std::move(Row)));
+}
+
+void gate_core::removeRunner(std::string_view Name) {
+  auto Found = RunnerNames.find(Name);
+  if (Found == RunnerNames.end())
+    return;
+  runner_id Id = Found->second;
+  Caches.dropRunner(Id);
+  runner_row &Row = *Runners.find(Id);
+  Row.Gone = true;
+  if (Row.inFlight() > 0)
+    return;
+  RunnerNames.erase(Found);
+  Runners.erase(Id);
+}
+
+void gate_core::reportLoad(std::string_view Name, const load_report &Load,
+                           time_point Now) {
+  runner_row *Row = findRunner(Name);
+  if (!Row)
+    return;
+  // The report is old: what this gate had there at any time since the report
+  // before last may be in it.
+  int Own = std::max(Row->PeakInFlight, Row->PeakBefore);
+  Row->Foreign = std::max(0, Load.Running + Load.Waiting - Own);
+  Row->ForeignUntil = Now + ForeignFor;
+  Row->ReportedWaiting = Load.Waiting;
+  Row->PeakBefore = Row->PeakInFlight;
+  Row->PeakInFlight = Row->inFlight();
+}
+
+void gate_core::cacheEvent(std::string_view Name, const cache_event &Event,
+                           time_point Now) {
+  auto Found = RunnerNames.find(Name);
+  if (Found == RunnerNames.end())
+    return;
+  runner_id Runner = Found->second;
+  if (Event.Kind == cache_event::kind::Cleared) {
+    Caches.dropRunner(Runner);
+    return;
+  }
+  auto Program = Caches.find(Event.Program);
+  if (!Program)
+    return; // Not served here; a sweep decides whether it is to go.
+  program_row &Row = *Caches.row(*Program);
+  auto Copy = std::ranges::find(Row.Copies, Runner, &cached_copy::Runner);
+  bool Known = Copy != Row.Copies.end();
+  // An event from before the last use tells of an older state.
+  if (Known && Copy->LastUse > Now - Event.Age)
+    return;
+  if (Event.Kind == cache_event::kind::Stored) {
+    Caches.store(*Program, Runner, Event.Tokens, Now - Event.Age);
+    return;
+  }
+  Caches.drop(*Program, Runner);
+  Caches.forgetIfIdle(*Program);
+}
+
+// ---- Memory
+// --------------------------------------------------------------------
+
+void gate_core::release(program_id Program, runner_id Runner) {
+  const runner_row *Row = Runners.find(Runner);
+  if (Row && !Row->Gone)
+    PendingReleases.push_back({Caches.row(Program)->Name, Row->Info.Name});
+  Caches.drop(Program, Runner);
+}
+
+void gate_core::releaseAll(program_id Program) {
+  std::vector<cached_copy> Copies = Caches.row(Program)->Copies;
+  for (const cached_copy &Copy : Copies)
+    release(Program, Copy.Runner);
+}
+
+void gate_core::releaseSurplus() {
+  for (runner_id Id : ViewIds) {
+    const runner_row *Row = Runners.find(Id);
+    if (!Row || Row->Info.CacheTokens <= 0)
+      continue;
+    auto Limit = static_cast<token_count>(
+        Settings.CacheHighWater * static_cast<double>(Row->Info.CacheTokens));
+    if (Caches.usedAt(Id) <= Limit)
+      continue;
+    for (const stale_copy &Copy : Caches.surplus(Id, Limit)) {
+      release(Copy.Program, Copy.Runner);
+      Caches.forgetIfIdle(Copy.Program);
+    }
+  }
+}
+
+void gate_core::programPaused(std::string_view Program,
+                              milliseconds ExpectedPause, time_point Now) {
+  if (auto Id = Caches.find(Program))
+    Caches.row(*Id)->ExpectedResume = Now + ExpectedPause;
+}
+
+void gate_core::programEnded(std::string_view Program) {
+  for (program_id Id : Caches.tree(Program)) {
+    program_row &Row = *Caches.row(Id);
+    Row.Ended = true;
+    if (Row.Active > 0)
+      continue; // Released when its last request has gone.
+    if (Settings.ReleaseEnded)
+      releaseAll(Id);
+    Caches.forgetIfIdle(Id);
+  }
+}
+
+void gate_core::sweepDead(std::string_view Runner,
+                          std::span<const std::string> Listed,
+                          std::span<const std::string> Dead, time_point Now) {
+  auto Found = RunnerNames.find(Runner);
+  if (Found == RunnerNames.end())
+    return;
+  runner_id Id = Found->second;
+  for (const std::string &Program : Dead) {
+    PendingReleases.push_back({Program, std::string(Runner)});
+    if (auto Known = Caches.find(Program)) {
+      Caches.drop(*Known, Id);
+      Caches.forgetIfIdle(*Known);
+    }
+  }
+  std::set<std::string_view> Present(Listed.begin(), Listed.end());
+  auto Cached = Caches.programsAt(Id);
+  std::vector<program_id> Before(Cached.begin(), Cached.end());
+  for (program_id Program : Before) {
+    const program_row &Row = *Caches.row(Program);
+    if (Row.Active > 0 || Present.contains(Row.Name))
+      continue;
+    Caches.drop(Program, Id);
+    Caches.forgetIfIdle(Program);
+  }
+  for (const std::string &Program : Listed)
+    if (auto Known = Caches.find(Program))
+      touchListed(*Known, Id, Now);
+}
+
+void gate_core::touchListed(program_id Program, runner_id Runner,
+                            time_point Now) {
+  // A listing names programs without their length; a copy that was thought
+  // evicted counts as long as the program was when it was last computed.
+  const program_row &Row = *Caches.row(Program);
+  if (Row.Ended || Caches.tokensAt(Program, Runner) > 0)
+    return;
+  if (Row.LongestComputed > 0)
+    Caches.store(Program, Runner, Row.LongestComputed, Now);
+}
+
+// ---- Figures
+// -------------------------------------------------------------------
+
+gate_snapshot gate_core::snapshot(time_point Now) const {
+  gate_snapshot Figures = Totals;
+  Figures.Queued = Queued;
+  Figures.OrdinaryShareUnderPressure = Floor.ordinaryShare();
+  Runners.forEach([&](runner_id, const runner_row &Row) {
+    for (std::size_t I = 0; I < RankCount; ++I)
+      Figures.InFlight[I] += static_cast<std::size_t>(Row.InFlight[I]);
+    if (takesWork(Row, Now))
+      Figures.Slots += static_cast<std::size_t>(Row.Info.Slots);
+    Figures.OpenBreakers += !Row.Gone && !Row.Breaker.allows(Now);
+  });
+  Figures.ExpectedWait = expectedWait(rank::Ordinary, Now);
+  return Figures;
+}
+
+} // namespace turmerichead::sched::pvt
--- /dev/null
+++ b/src/libsched/group.cpp
@@ -0,0 +1,61 @@
+#include "turmerichead/sched_place.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace turmerichead::sched {
+
+double loadOf(const group_summary &Group) {
+  if (Group.Slots <= 0)
+    return 1e9;
+  int Work = Group.InFlight + Group.Queued + Group.SentSince;
+  return static_cast<double>(Work) / Group.Slots;
+}
+
+namespace {
+
+bool takesWork(const group_summary &Group) {
+  return Group.Usable && Group.Slots > 0;
+}
+
+std::size_t countUsable(std::span<const group_summary> Groups) {
+  return static_cast<std::size_t>(std::ranges::count_if(Groups, takesWork));
+}
+
+/// The index of the \p Nth usable group.
+std::size_t nthUsable(std::span<const group_summary> Groups, std::size_t Nth) {
+  for (std::size_t I = 0; I < Groups.size(); ++I)
+    if (takesWork(Groups[I]) && Nth-- == 0)
+      return I;
+  return 0;
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseGroup(std::span<const group_summary> Groups,
+                                       std::optional<std::uint32_t> Home,
+                                       double SpillLoad, std::uint64_t Random) {
+  std::size_t Usable = countUsable(Groups);
+  if (Usable == 0)
+    return std::nullopt;
+  std::size_t First = Random % Usable;
+  // The second draw is one of the others, each with the same chance.
+  std::size_t Second = First;
+  if (Usable > 1)
+    Second = (First + 1 + (Random >> 32) % (Usable - 1)) % Usable;
+  std::size_t Left = nthUsable(Groups, First);
+  std::size_t Right = nthUsable(Groups, Second);
+  std::size_t Drawn =
+      loadOf(Groups[Right]) < loadOf(Groups[Left]) ? Right : Left;
+  if (!Home)
+    return Drawn;
+  auto Found = std::ranges::find(Groups, *Home, &group_summary::Group);
+  if (Found == Groups.end() || !takesWork(*Found))
+    return Drawn;
+  auto HomeIndex = static_cast<std::size_t>(Found - Groups.begin());
+  if (loadOf(*Found) <= SpillLoad || loadOf(*Found) <= loadOf(Groups[Drawn]))
+    return HomeIndex;
+  return Drawn;
+}
+
+} // namespace turmerichead::sched
--- /dev/null
+++ b/src/libsched/place.cpp
@@ -0,0 +1,148 @@
+#include "turmerichead/sched_place.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace turmerichead::sched {
+
+namespace {
+
+/// The runner that takes work and has the longest cached prefix.
+std::optional<std::size_t> bestCached(std::span<const runner_view> Runners) {
+  std::optional<std::size_t> Best;
+  for (std::size_t I = 0; I < Runners.size(); ++I) {
+    const runner_view &Runner = Runners[I];
+    if (!Runner.Takes || Runner.Cached == 0)
+      continue;
+    if (!Best || Runner.Cached > Runners[*Best].Cached)
+      Best = I;
+  }
+  return Best;
+}
+
+/// The longest cached prefix of all, a leaving runner's included: it may
+/// still be copied from there.
+std::optional<std::size_t> bestSource(std::span<const runner_view> Runners) {
+  std::optional<std::size_t> Best;
+  for (std::size_t I = 0; I < Runners.size(); ++I)
+    if (Runners[I].Cached > 0 &&
+        (!Best || Runners[I].Cached > Runners[*Best].Cached))
+      Best = I;
+  return Best;
+}
+
+/// Part of the slots in use, 0 to 1.
+double fillOf(const runner_view &Runner) {
+  if (Runner.Slots <= 0)
+    return 1;
+  return static_cast<double>(Runner.InFlight) / Runner.Slots;
+}
+
+std::optional<std::size_t> leastLoaded(std::span<const runner_view> Runners) {
+  std::optional<std::size_t> Best;
+  for (std::size_t I = 0; I < Runners.size(); ++I)
+    if (Runners[I].Free &&
+        (!Best || fillOf(Runners[I]) < fillOf(Runners[*Best])))
+      Best = I;
+  return Best;
+}
+
+double prefillMs(const runner_view &Runner, token_count Tokens) {
+  return static_cast<double>(Tokens) * Runner.Rates.PrefillMsPerToken;
+}
+
+double moveMs(const runner_view &Runner, token_count Tokens) {
+  return Runner.Rates.MoveFixedMs +
+         static_cast<double>(Tokens) * Runner.Rates.MoveMsPerToken;
+}
+
+/// A runner's cost for a request in milliseconds, and how it gets its prefix.
+struct cost {
+  double Ms = std::numeric_limits<double>::infinity();
+  std::optional<std::size_t> MoveFrom;
+};
+
+cost costAt(const place_settings &Settings, const place_query &Query,
+            std::span<const runner_view> Runners, std::size_t Index,
+            std::optional<std::size_t> Source) {
+  const runner_view &Runner = Runners[Index];
+  cost Cost;
+  Cost.Ms = prefillMs(Runner, Query.PromptTokens - Runner.Cached);
+  bool CanMove = Settings.MoveCache && Source && *Source != Index &&
+                 Runners[*Source].Cached > Runner.Cached;
+  if (CanMove) {
+    token_count Cached = Runners[*Source].Cached;
+    double Moved =
+        moveMs(Runner, Cached) + prefillMs(Runner, Query.PromptTokens - Cached);
+    if (Moved < Cost.Ms)
+      Cost = {Moved, Source};
+  }
+  Cost.Ms +=
+      Settings.LoadWeight * (Runner.PrefillBacklogMs + fillOf(Runner) * 100.0);
+  return Cost;
+}
+
+} // namespace
+
+std::optional<placement>
+least_load_place::choose(const place_settings &, const place_query &,
+                         std::span<const runner_view> Runners) {
+  if (auto Best = leastLoaded(Runners))
+    return placement{*Best, std::nullopt, false};
+  return std::nullopt;
+}
+
+std::optional<placement>
+round_robin_place::choose(const place_settings &, const place_query &,
+                          std::span<const runner_view> Runners) {
+  for (std::size_t Step = 0; Step < Runners.size(); ++Step) {
+    std::size_t Index = (Next + Step) % Runners.size();
+    if (!Runners[Index].Free)
+      continue;
+    Next = Index + 1;
+    return placement{Index, std::nullopt, false};
+  }
+  return std::nullopt;
+}
+
+std::optional<placement>
+sticky_place::choose(const place_settings &, const place_query &,
+                     std::span<const runner_view> Runners) {
+  if (auto Cached = bestCached(Runners))
+    return placement{*Cached, std::nullopt, !Runners[*Cached].Free};
+  if (auto Best = leastLoaded(Runners))
+    return placement{*Best, std::nullopt, false};
+  return std::nullopt;
+}
+
+std::optional<placement>
+affinity_place::choose(const place_settings &Settings, const place_query &Query,
+                       std::span<const runner_view> Runners) {
+  auto Source = bestSource(Runners);
+  std::optional<std::size_t> Best;
+  cost BestCost;
+  for (std::size_t I = 0; I < Runners.size(); ++I) {
+    if (!Runners[I].Free)
+      continue;
+    cost Cost = costAt(Settings, Query, Runners, I, Source);
+    if (Cost.Ms < BestCost.Ms) {
+      Best = I;
+      BestCost = Cost;
+    }
+  }
+  auto Home = bestCached(Runners);
+  if (Home && !Runners[*Home].Free) {
+    cost AtHome = costAt(Settings, Query, Runners, *Home, Source);
+    double Wait = Runners[*Home].WaitMs;
+    milliseconds Waited = Query.Now - Query.WaitingSince;
+    bool MayWait = Waited + milliseconds(static_cast<std::int64_t>(Wait)) <
+                   Settings.MaxAffinityWait;
+    if (MayWait && (AtHome.Ms + Wait) * Settings.LeaveFactor < BestCost.Ms)
+      return placement{*Home, std::nullopt, true};
+  }
+  if (!Best)
+    return std::nullopt;
+  return placement{*Best, BestCost.MoveFrom, false};
+}
+
+} // namespace turmerichead::sched
