Let a gate's settings change while it runs

A catalogue change must take effect everywhere, and the floor of ordinary work is in the fleet entry. Making the gate anew would have lost its queue.

--- a/src/include/turmerichead/sched_gate.h
+++ b/src/include/turmerichead/sched_gate.h
@@ -173,6 +173,10 @@
   /// error_code::InvalidInput.
   static std::optional<basic_gate> create(const gate_settings &Settings);
 
+  /// Changes the settings of a running gate; what is queued keeps its place.
+  /// Returns false, with InvalidInput, if \p Settings do not check.
+  bool configure(const gate_settings &Settings);
+
   basic_gate(basic_gate &&) noexcept;
   basic_gate &operator=(basic_gate &&) noexcept;
   ~basic_gate();
--- a/src/include/turmerichead/sched_poison.h
+++ b/src/include/turmerichead/sched_poison.h
@@ -47,6 +47,9 @@
 public:
   explicit poison_table(const poison_settings &Settings = {});
 
+  /// Changes the settings; records stay.
+  void configure(const poison_settings &Changed) { Settings = Changed; }
+
   poison_state stateOf(std::uint64_t Fingerprint, time_point Now) const;
 
   /// Records that an upstream died under \p Fingerprint. Reporting the same
--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -268,7 +268,7 @@
                                                   Context.Config.summary()));
   Message.Groups = Events.Loads();
   std::string Body = pack(Message);
-  for (const std::string &Target : Context.Detector->targets()) {
+  for (const std::string &Target : Context.Detector->targets(Now)) {
     ++BeatsSent;
     Context.Metrics.add("control_bytes_total", "kind=\"beat\"",
                         static_cast<double>(Body.size()));
@@ -286,7 +286,8 @@
   if (!Beat || Beat->From != From || !Context.Detector)
     return Reply;
   Context.Detector->receive(*Beat, steadyNow());
-  Context.Force.heard(Beat->From, Beat->Config.Root);
+  Context.Force.heard(Beat->From, Beat->Config.Root,
+                      Context.Config.summary().Root);
   for (const group_load &Load : Message.Groups)
     Context.GroupLoads[Load.Group] = Load;
   for (const config_item &Item : Context.Config.deltaSince(Beat->Config))
--- a/src/libsched/floor_pvt.h
+++ b/src/libsched/floor_pvt.h
@@ -12,6 +12,9 @@
 public:
   explicit floor_ledger(double Floor) : Floor(Floor) {}
 
+  /// Changes the floor; what is owed so far stays.
+  void setFloor(double Changed) { Floor = Changed; }
+
   /// True when ordinary requests have had less than their floor.
   bool ordinaryDue() const { return Floor > 0 && CreditMs > 0; }
 
--- a/src/libsched/gate.cpp
+++ b/src/libsched/gate.cpp
@@ -72,6 +72,18 @@
 template <order_policy Order, place_policy Place>
 basic_gate<Order, Place>::~basic_gate() = default;
 
+template <order_policy Order, place_policy Place>
+bool basic_gate<Order, Place>::configure(const gate_settings &Settings) {
+  std::string Wrong = checkSettings(Settings);
+  if (!Wrong.empty()) {
+    (void)fail(error_code::InvalidInput, Wrong);
+    return false;
+  }
+  State->Settings = Settings;
+  State->Core.configure(Settings);
+  return true;
+}
+
 template <order_policy Order, place_policy Place>
 void basic_gate<Order, Place>::upsertRunner(const runner_info &Info) {
   State->Core.upsertRunner(Info);
--- a/src/libsched/gate_core.cpp
+++ b/src/libsched/gate_core.cpp
@@ -29,6 +29,12 @@
     : Poison(Settings.Poison), Settings(Settings),
       Floor(Settings.OrdinaryFloor) {}
 
+void gate_core::configure(const gate_settings &Changed) {
+  Settings = Changed;
+  Floor.setFloor(Changed.OrdinaryFloor);
+  Poison.configure(Changed.Poison);
+}
+
 // ---- Requests: admission and the queue
 // ---------------------------------------
 
--- a/src/libsched/gate_core_pvt.h
+++ b/src/libsched/gate_core_pvt.h
@@ -65,6 +65,9 @@
 public:
   explicit gate_core(const gate_settings &Settings);
 
+  /// Runners that are known already keep their breakers' settings.
+  void configure(const gate_settings &Changed);
+
   // ---- Runners -------------------------------------------------------------
   void upsertRunner(const runner_info &Info);
   void removeRunner(std::string_view Name);
--- a/src/libsched/gate_test.cpp
+++ b/src/libsched/gate_test.cpp
@@ -353,3 +353,24 @@
   }
   CHECK(Before <= 3);
 }
+
+TEST_CASE("settings change under a running gate and keep the queue") {
+  gate_settings Settings;
+  auto Gate = default_gate::create(Settings);
+  gate_request Request;
+  Request.RootProgram = "a";
+  Request.Program = "a";
+  // A gate without runners refuses, so one with no free slot holds the queue.
+  Gate->upsertRunner({.Name = "r1", .Slots = 1});
+  REQUIRE_FALSE(Gate->enqueue(Request, {1}).Refusal);
+  Request.RootProgram = "b";
+  Request.Program = "b";
+  REQUIRE_FALSE(Gate->enqueue(Request, {1}).Refusal);
+  REQUIRE(Gate->tick({1}).Grants.size() == 1);
+  Settings.OrdinaryFloor = 0.5;
+  CHECK(Gate->configure(Settings));
+  CHECK(Gate->snapshot({2}).Queued[indexOf(rank::Ordinary)] == 1);
+  Settings.OrdinaryFloor = 2;
+  CHECK_FALSE(Gate->configure(Settings));
+  CHECK(lastError().Code == error_code::InvalidInput);
+}
