--- a/src/include/turmerichead/cluster_config.h
+++ b/src/include/turmerichead/cluster_config.h
@@ -153,15 +153,25 @@
     std::optional<catalogue_entry> Entry;
     std::string Invalid; ///< Findings of Latest, if it does not check.
   };
-  void addWanted(const slot &Slot, resource_version KnownLatest,
-                 resource_version KnownGood,
-                 std::vector<config_item> &Items) const;
+  bool buryIfDeleted(const config_item &Item, std::int64_t NowMs);
+  void putInForce(slot &Slot, const config_item &Item,
+                  std::optional<catalogue_entry> Entry, config_source Source,
+                  std::int64_t NowMs);
 
   std::map<std::string, slot, std::less<>> Slots;
   std::vector<config_change> Changes;
   resource_version Complete = 0;
+  resource_version Listed = 0; ///< Of the newest complete list.
+  std::uint64_t Root = 0;      ///< XOR of the hashes of all slots.
 };
 
+/// Bytes for peers (msgpack), and back. Bytes that do not decode fail with
+/// Corrupt.
+std::string encode(std::span<const config_item> Items);
+std::optional<std::vector<config_item>> decodeItems(std::string_view Bytes);
+std::string encode(const config_digest &Digest);
+std::optional<config_digest> decodeDigest(std::string_view Bytes);
+
 /// Tells when a change is in force on every host. A host counts once it has
 /// reported the same hash as this host had after the change; a host that is
 /// not heard from never counts, so the answer is late rather than wrong.
@@ -172,8 +182,8 @@
   void applied(std::string_view Name, resource_version Version,
                std::uint64_t RootAfter, std::int64_t NowMs);
 
-  /// A host has reported \p Root.
-  void heard(std::string_view Host, std::uint64_t Root);
+  /// A host has reported the hash \p Root; this host's own is \p OwnRoot.
+  void heard(std::string_view Host, std::uint64_t Root, std::uint64_t OwnRoot);
 
   /// One change and how far it has come.
   struct progress {
