--- a/src/libhost/gates.cpp
+++ b/src/libhost/gates.cpp
@@ -368,21 +368,22 @@
                        for (const auto &[Program, Tokens] :
                             Value["programs"].items())
                          Listed.push_back(Program);
-                       findDead(Group, Runner, std::move(Listed));
+                       findDead(Group, Runner, Listed);
                      }));
 }
 
 void gate_service::findDead(const std::string &Group, const std::string &Runner,
-                            std::vector<std::string> Listed) {
+                            const std::vector<std::string> &Listed) {
   // Each holder is asked for its own programs. One that does not answer
   // leaves its programs alive until the next sweep.
   std::map<std::string, std::vector<std::string>> ByHolder;
   for (const std::string &Program : Listed)
     if (std::string Holder(Context.holderOf(Program)); !Holder.empty())
       ByHolder[Holder].push_back(Program);
-  for (auto &[Holder, Programs] : ByHolder) {
-    living_message Message{Programs};
-    auto Finish = [this, Group, Runner, Programs](const living_message &Reply) {
+  for (const auto &Asked : ByHolder) {
+    living_message Message{Asked.second};
+    auto Finish = [this, Group, Runner,
+                   Programs = Asked.second](const living_message &Reply) {
       auto Row = Rows.find(Group);
       if (Row == Rows.end())
         return;
@@ -393,7 +394,7 @@
           releaseCache({Program, Runner});
     };
     Context.Links->send(
-        Holder,
+        Asked.first,
         {.Path = std::string(LivingPath), .Headers = {}, .Body = pack(Message)},
         {.OnMessage =
              [Finish](std::string_view Bytes) {
--- a/src/libhost/gates_pvt.h
+++ b/src/libhost/gates_pvt.h
@@ -77,7 +77,7 @@
   void sweepCaches();
   void sweepRunner(const std::string &Group, const std::string &Runner);
   void findDead(const std::string &Group, const std::string &Runner,
-                std::vector<std::string> Listed);
+                const std::vector<std::string> &Listed);
   void broadcastPoison();
 
   host_context &Context;
--- a/src/libhost/router.cpp
+++ b/src/libhost/router.cpp
@@ -184,14 +184,15 @@
 // -- Histories
 // --------------------------------------------------------------------
 
-void call_router::askHolder(std::string_view Path, program_message Message,
-                            program_callback Done) {
-  askOnce(std::string(Path), std::move(Message), std::move(Done),
-          steadyNow() + RouteGiveUp);
+void call_router::askHolder(std::string_view Path,
+                            const program_message &Message,
+                            const program_callback &Done) {
+  askOnce(std::string(Path), Message, Done, steadyNow() + RouteGiveUp);
 }
 
-void call_router::askOnce(std::string Path, program_message Message,
-                          program_callback Done, time_point GiveUp) {
+void call_router::askOnce(const std::string &Path,
+                          const program_message &Message,
+                          const program_callback &Done, time_point GiveUp) {
   if (steadyNow() >= GiveUp) {
     Done({StatusUnavailable,
           R"({"error":{"code":"no_holder","message":"no host holds the )"
--- a/src/libhost/router_pvt.h
+++ b/src/libhost/router_pvt.h
@@ -29,8 +29,8 @@
 
   using program_callback = std::function<void(const program_reply &Reply)>;
   /// Asks the holder for a history, or to end a program.
-  void askHolder(std::string_view Path, program_message Message,
-                 program_callback Done);
+  void askHolder(std::string_view Path, const program_message &Message,
+                 const program_callback &Done);
 
   std::size_t open() const { return Rows.size(); }
 
--- a/src/libhost/shards.cpp
+++ b/src/libhost/shards.cpp
@@ -424,11 +424,12 @@
   Row.SnapshotAt = Book.rowsTicket();
   auto Objects = std::make_shared<std::vector<snapshot_object>>(
       Row.Maker->make(Source, Position, Released));
-  writeObjects(Shard, std::move(Objects), 0, std::move(Done));
+  writeObjects(Shard, Objects, 0, std::move(Done));
 }
 
 void shard_keeper::writeObjects(
-    std::uint32_t Shard, std::shared_ptr<std::vector<snapshot_object>> Objects,
+    std::uint32_t Shard,
+    const std::shared_ptr<std::vector<snapshot_object>> &Objects,
     std::size_t Index, std::function<void()> Done) {
   auto Found = Rows.find(Shard);
   if (Found == Rows.end())
--- a/src/libhost/shards_pvt.h
+++ b/src/libhost/shards_pvt.h
@@ -81,9 +81,10 @@
   void writeSnapshot(std::uint32_t Shard, const state_rows &Rows,
                      const journal_position &Position, bool Released,
                      std::function<void()> Done);
-  void writeObjects(std::uint32_t Shard,
-                    std::shared_ptr<std::vector<snapshot_object>> Objects,
-                    std::size_t Index, std::function<void()> Done);
+  void
+  writeObjects(std::uint32_t Shard,
+               const std::shared_ptr<std::vector<snapshot_object>> &Objects,
+               std::size_t Index, std::function<void()> Done);
   void collectGarbage(std::uint32_t Shard, shard_row &Row);
   void collectSegments();
   void snapshotDue();
