Test libnet's links and HTTP; never take a cut answer for a whole one

Two faults showed. libsoup's client takes a connection that closes between two chunks for the end of the body; the client now looks whether the socket has been closed by the other side, unless the response announced that. Counting the bytes on the wire was tried first and ruled out: libsoup counts them when it fills its buffer, which may hold the last chunk already. And libsoup opens a connection for each POST; requests are now marked so that a kept connection is used, while the restart on a broken one stays off.

--- a/src/include/turmerichead/net_http.h
+++ b/src/include/turmerichead/net_http.h
@@ -162,7 +162,9 @@
 
 /// How a call ended.
 struct http_result {
-  /// None if a whole response was read, whatever its status. Otherwise
+  /// None if a whole response was read, whatever its status. A body whose
+  /// end is the announced end of the connection counts as whole; where that
+  /// matters its content must show its end. Otherwise
   /// Unavailable (no connection, or lost), Timeout, Refused (the response is
   /// over the limit) or InvalidInput (the URL).
   error_code Code = error_code::None;
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <sys/socket.h>
 
 namespace turmerichead {
 
@@ -24,6 +25,7 @@
   handle<SoupMessage> Message;
   handle<GCancellable> Cancellable;
   handle<GInputStream> Body;
+  handle<GSocket> Socket; ///< Set while a chunked body is read.
   /// Shared, because a receiver may erase the row that it was called from.
   std::shared_ptr<const http_call_events> Events;
   loop_source Readable;
@@ -91,9 +93,12 @@
 void http_client::state::start(http_call_id Id, const http_request &Request) {
   http_call_row &Call = *Calls.find(Id);
   SoupMessage *Message = Call.Message.get();
+  // libsoup opens a connection for each request that it does not take for
+  // idempotent. The flag only makes it use a kept one: onRestarted prevents
+  // that it sends a request twice.
   unsigned Flags = SOUP_MESSAGE_NO_REDIRECT;
-  if (Request.FreshConnection)
-    Flags |= SOUP_MESSAGE_NEW_CONNECTION;
+  Flags |= Request.FreshConnection ? SOUP_MESSAGE_NEW_CONNECTION
+                                   : SOUP_MESSAGE_IDEMPOTENT;
   soup_message_set_flags(Message, static_cast<SoupMessageFlags>(Flags));
   SoupMessageHeaders *Headers = soup_message_get_request_headers(Message);
   for (const http_header &Header : Request.Headers)
@@ -165,6 +170,40 @@
   Owner->begin(Context->Id);
 }
 
+namespace {
+
+/// The socket below the streams of a response, if there is one.
+handle<GSocket> socketBelow(GInputStream *Stream) {
+  while (G_IS_FILTER_INPUT_STREAM(Stream))
+    Stream =
+        g_filter_input_stream_get_base_stream(G_FILTER_INPUT_STREAM(Stream));
+  if (!g_object_class_find_property(G_OBJECT_GET_CLASS(Stream), "socket"))
+    return {};
+  GSocket *Socket = nullptr;
+  g_object_get(Stream, "socket", &Socket, nullptr);
+  return handle<GSocket>::adopt(Socket);
+}
+
+bool isChunked(SoupMessage *Message) {
+  return soup_message_headers_get_encoding(soup_message_get_response_headers(
+             Message)) == SOUP_ENCODING_CHUNKED;
+}
+
+/// libsoup reports a connection that closes between two chunks as the end of
+/// the body. A whole body leaves the connection open, unless the response has
+/// announced that it closes it.
+bool isCutChunked(const http_call_row &Call) {
+  bool MayClose = soup_message_is_keepalive(Call.Message.get()) == FALSE;
+  if (!Call.Socket || MayClose)
+    return false;
+  char Byte = 0;
+  ssize_t Count = recv(g_socket_get_fd(Call.Socket.get()), &Byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
+  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+} // namespace
+
 void http_client::state::begin(http_call_id Id) {
   http_call_row &Call = *Calls.find(Id);
   Call.FirstByteTimeout.reset();
@@ -185,6 +224,8 @@
   http_call_row *Row = Calls.find(Id);
   if (!Row)
     return;
+  if (isChunked(Row->Message.get()))
+    Row->Socket = socketBelow(Row->Body.get());
   GSource *Source = g_pollable_input_stream_create_source(
       G_POLLABLE_INPUT_STREAM(Row->Body.get()), nullptr);
   Row->Readable = loop_source::adopt(
@@ -211,7 +252,10 @@
       return false;
     }
     if (Count == 0) {
-      end(Id, error_code::None, {});
+      if (isCutChunked(*Call))
+        end(Id, error_code::Unavailable, "the response was cut off");
+      else
+        end(Id, error_code::None, {});
       return false;
     }
     Call->BodyBytes += static_cast<std::size_t>(Count);
--- /dev/null
+++ b/src/libnet/test_loop_pvt.h
@@ -0,0 +1,95 @@
+/// \file
+/// Helpers of libnet's tests: turning the main loop, and a raw TCP server.
+#pragma once
+
+#include "loop_pvt.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace turmerichead::pvt {
+
+/// Turns the main loop until \p Reached. Returns false after a minute, which
+/// no healthy test needs.
+inline bool turnUntil(const std::function<bool()> &Reached) {
+  constexpr milliseconds Bound{60000};
+  time_point End = steadyNow() + Bound;
+  auto Tick = loop_source::every(milliseconds(5), [] { return true; });
+  while (!Reached()) {
+    if (steadyNow() >= End)
+      return false;
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  return true;
+}
+
+inline std::string addressOf(std::uint16_t Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+/// Accepts connections, keeps what was read of each, and leaves it to the
+/// test what to answer.
+class raw_server {
+public:
+  struct connection {
+    handle<GSocket> Socket;
+    std::string Input;
+    loop_source Readable;
+    bool Closed = false;
+  };
+
+  raw_server() {
+    Listener = *listenOn(parseAddress("127.0.0.1:0")->get());
+    Accepting = loop_source::onSocket(Listener.get(), G_IO_IN, [this] {
+      while (auto Socket = acceptFrom(Listener.get()))
+        adopt(std::move(*Socket));
+      return true;
+    });
+  }
+
+  std::uint16_t port() const { return localPort(Listener.get()); }
+
+  void send(std::size_t Index, std::string_view Bytes) {
+    g_socket_send(Connections[Index]->Socket.get(), Bytes.data(), Bytes.size(),
+                  nullptr, nullptr);
+  }
+  void close(std::size_t Index) {
+    Connections[Index]->Readable.reset();
+    g_socket_close(Connections[Index]->Socket.get(), nullptr);
+  }
+
+  std::vector<std::unique_ptr<connection>> Connections;
+  bool Reading = true;
+
+private:
+  void adopt(handle<GSocket> Socket) {
+    auto Row = std::make_unique<connection>();
+    connection *Raw = Row.get();
+    Row->Socket = std::move(Socket);
+    Row->Readable = loop_source::onSocket(Row->Socket.get(), G_IO_IN,
+                                          [this, Raw] { return read(*Raw); });
+    Connections.push_back(std::move(Row));
+  }
+  bool read(connection &Row) {
+    if (!Reading)
+      return true;
+    std::string Bytes(65536, '\0');
+    gssize Count = g_socket_receive(Row.Socket.get(), Bytes.data(),
+                                    Bytes.size(), nullptr, nullptr);
+    if (Count <= 0) {
+      Row.Closed = true;
+      return false;
+    }
+    Row.Input.append(Bytes, 0, static_cast<std::size_t>(Count));
+    return true;
+  }
+
+  handle<GSocket> Listener;
+  loop_source Accepting;
+};
+
+} // namespace turmerichead::pvt
