--- a/src/libnet/platform_pvt.h
+++ b/src/libnet/platform_pvt.h
@@ -77,6 +77,7 @@
   http_call_id Call;
   std::string Line;
   time_point LastHeard;
+  time_point OpenedAt;
   milliseconds Pause{0};
   pvt::loop_source Retry;
   pvt::loop_source Silence;
--- a/src/libnet/platform_watch.cpp
+++ b/src/libnet/platform_watch.cpp
@@ -135,7 +135,6 @@
   if (!Row)
     return;
   Row->Lost = false;
-  Row->Pause = milliseconds(0);
   auto Events = Row->Events;
   if (Events->OnSynced)
     Events->OnSynced(Row->Version);
@@ -164,6 +163,7 @@
   platform_watch_row &Row = *Watches.find(Id);
   Row.Line.clear();
   Row.LastHeard = steadyNow();
+  Row.OpenedAt = Row.LastHeard;
   ++countersOf(platform_verb::Watch).Calls;
   std::string Url = urlOf(Row.Plural);
   Url += "?watch=true&allowWatchBookmarks=true&resourceVersion=";
@@ -271,6 +271,10 @@
     return;
   count(platform_verb::Watch, judge(platform_verb::Watch, Result));
   Row->Call = {};
+  // A platform that takes watches and drops them at once still gets the
+  // growing pauses.
+  if (steadyNow() - Row->OpenedAt >= Settings.RetryMax)
+    Row->Pause = milliseconds(0);
   if (Result.Code == error_code::None && Result.Status == Gone) {
     relist(Id);
     return;
