Add the scenario language and its runner

Failures of whole processes have to be caused in order, in real processes, and judged without regard to time.

--- /dev/null
+++ b/testsuite/scenario/interpreter.cpp
@@ -0,0 +1,217 @@
+#include "interpreter.h"
+
+#include "event_loop.h"
+
+#include "turmerichead/error.h"
+
+#include <glib.h>
+
+#include <fstream>
+#include <iostream>
+
+namespace turmerichead::scenario {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *ApiPath = "/apis/turmerichead.io/v1/namespaces/default";
+
+std::string sha256(const std::string &Text) {
+  char *Digest = g_compute_checksum_for_string(
+      G_CHECKSUM_SHA256, Text.data(), static_cast<gssize>(Text.size()));
+  std::string Result(Digest);
+  g_free(Digest);
+  return Result;
+}
+
+std::string lastLines(const std::string &File, std::size_t Count) {
+  std::ifstream Stream(File);
+  std::vector<std::string> Lines;
+  std::string Line;
+  while (std::getline(Stream, Line))
+    Lines.push_back(Line);
+  std::string Text;
+  const std::size_t First = Lines.size() > Count ? Lines.size() - Count : 0;
+  for (std::size_t I = First; I < Lines.size(); ++I)
+    Text += "    " + Lines[I] + "\n";
+  return Text;
+}
+
+} // namespace
+
+interpreter::interpreter(run_settings Given)
+    : Settings(std::move(Given)),
+      Processes(Settings.BinFolder, Settings.Scratch), Calls(Client),
+      Loads(Calls, Builder) {}
+
+const std::map<std::string, interpreter::action> &interpreter::actions() {
+  static const std::map<std::string, action> Actions = {
+      {"start", &interpreter::start},
+      {"kill", &interpreter::kill},
+      {"term", &interpreter::term},
+      {"wait_exit", &interpreter::waitExit},
+      {"freeze", &interpreter::freeze},
+      {"thaw", &interpreter::thaw},
+      {"cut", &interpreter::cut},
+      {"heal", &interpreter::heal},
+      {"slow", &interpreter::slow},
+      {"control", &interpreter::control},
+      {"idle", &interpreter::idle},
+      {"send", &interpreter::send},
+      {"pause", &interpreter::pause},
+      {"ctl", &interpreter::ctl},
+      {"apply", &interpreter::apply},
+      {"remove", &interpreter::remove},
+      {"call", &interpreter::call},
+      {"await", &interpreter::awaitEvents},
+      {"abandon", &interpreter::abandon},
+      {"join", &interpreter::join},
+      {"load", &interpreter::load},
+      {"join_load", &interpreter::joinLoad},
+      {"stop_load", &interpreter::stopLoad},
+      {"expect", &interpreter::expect},
+      {"show", &interpreter::show},
+  };
+  return Actions;
+}
+
+bool interpreter::run(std::span<const step> Steps) {
+  for (const step &Next : Steps) {
+    Written = &Next;
+    const step Step = substituted(Next);
+    const auto Action = actions().find(Step.Verb);
+    const outcome Outcome = Action == actions().end()
+                                ? bad("verb without an action")
+                                : (this->*Action->second)(Step);
+    std::string Line = Next.Verb;
+    if (Step.has("about"))
+      Line += " (" + Step.text("about") + ")";
+    Line += ": " + Outcome.Text;
+    if (!Outcome.Good) {
+      Failure = Step.place() + ": " + Line;
+      return false;
+    }
+    print("* " + Line);
+    Transcript.push_back(Line);
+  }
+  return true;
+}
+
+std::string interpreter::logTails() {
+  constexpr std::size_t Lines = 25;
+  std::string Text;
+  for (const auto &[Name, Process] : Processes.all()) {
+    const std::string Tail = lastLines(Processes.logFile(Process), Lines);
+    if (Process.Kind == process_kind::Host && !Tail.empty())
+      Text.append("  last lines of ").append(Name).append(":\n").append(Tail);
+  }
+  return Text;
+}
+
+void interpreter::print(const std::string &Text) const {
+  if (Settings.Verbose)
+    std::cout << Text << std::endl;
+}
+
+process *interpreter::resolve(const std::string &Name, std::string &Reason) {
+  const std::string Holder = "holder:";
+  const std::string Other = "not-holder:";
+  process *Found = nullptr;
+  if (Name.compare(0, Holder.size(), Holder) == 0)
+    Found = holderOf(Name.substr(Holder.size()), false);
+  else if (Name.compare(0, Other.size(), Other) == 0)
+    Found = holderOf(Name.substr(Other.size()), true);
+  else
+    Found = Processes.find(Name);
+  if (!Found)
+    Reason = "there is no process \"" + Name + "\"";
+  return Found;
+}
+
+process *interpreter::holderOf(const std::string &Program, bool Inverse) {
+  const auto Token = Tokens.find(Program);
+  for (auto &[Name, Process] : Processes.all()) {
+    if (Process.Kind != process_kind::Host || !processes::running(Process) ||
+        Process.Frozen)
+      continue;
+    http_request Request;
+    Request.Url = url(Process, "/v1/programs/" + Program);
+    if (Token != Tokens.end())
+      Request.Headers["Authorization"] = "Bearer " + Token->second;
+    const http_response Response = Client.fetch(Request, Settings.BoundMs);
+    const json Body = json::parse(Response.Body, nullptr, false);
+    if (!Body.is_object() || !Body.contains("holder"))
+      continue;
+    const auto Holder = Body.value("holder", std::string());
+    if (!Inverse)
+      return Processes.find(Holder);
+    for (auto &[OtherName, Other] : Processes.all())
+      if (Other.Kind == process_kind::Host && OtherName != Holder &&
+          processes::running(Other) && !Other.Frozen)
+        return &Other;
+  }
+  return nullptr;
+}
+
+std::vector<std::string> interpreter::baseUrls(const step &Step,
+                                               std::string &Reason) {
+  std::vector<std::string> Urls;
+  for (const std::string &Name : Step.texts("via")) {
+    const process *Process = resolve(Name, Reason);
+    if (!Process)
+      return {};
+    Urls.push_back(url(*Process, ""));
+  }
+  if (Urls.empty())
+    Reason = "\"via\" names no host";
+  return Urls;
+}
+
+std::string interpreter::substitute(const std::string &Text) {
+  std::string Result;
+  std::size_t At = 0;
+  for (;;) {
+    const std::size_t Begin = Text.find("${", At);
+    const std::size_t End =
+        Begin == std::string::npos ? Begin : Text.find('}', Begin);
+    if (End == std::string::npos)
+      return Result + Text.substr(At);
+    Result += Text.substr(At, Begin - At);
+    const std::string Name = Text.substr(Begin + 2, End - Begin - 2);
+    At = End + 1;
+    const std::size_t Dot = Name.rfind(".second");
+    if (Name == "api")
+      Result += ApiPath;
+    else if (Name == "scratch")
+      Result += Processes.scratch();
+    else if (Name.compare(0, 7, "sha256:") == 0)
+      Result += sha256(Name.substr(7));
+    else if (Name.compare(0, 5, "mark:") == 0)
+      Result += replyMark(Name.substr(5));
+    else if (process *Process = Processes.find(Name.substr(0, Dot)))
+      Result += Dot == std::string::npos ? Processes.addressOf(*Process)
+                                         : Processes.secondAddressOf(*Process);
+    else
+      Result += "${" + Name + "}";
+  }
+}
+
+json interpreter::substituteAll(const json &Value) {
+  if (Value.is_string())
+    return substitute(Value.get<std::string>());
+  if (!Value.is_structured())
+    return Value;
+  json Result = Value;
+  for (json &Item : Result)
+    Item = substituteAll(Item);
+  return Result;
+}
+
+step interpreter::substituted(const step &Step) {
+  step Result = Step;
+  Result.Fields = substituteAll(Step.Fields);
+  return Result;
+}
+
+} // namespace turmerichead::scenario
