--- a/src/include/turmerichead/cluster_config.h
+++ b/src/include/turmerichead/cluster_config.h
@@ -41,6 +41,18 @@
   friend bool operator==(const config_item &, const config_item &) = default;
 };
 
+/// The order in which items of one name replace each other: by version, and
+/// of one version the tombstone last. A deletion that is noticed by a list
+/// alone may have no version but that of the content it deleted.
+inline std::uint64_t orderOf(const config_item &Item) {
+  return 2 * Item.Version + (Item.Deleted ? 1 : 0);
+}
+
+/// Reads an object of the platform: name, version, spec and the annotation
+/// "turmerichead.io/changed-by". An object without name or version gives one
+/// with version 0, which is never applied.
+config_item itemFromObject(const nlohmann::json &Object, bool Deleted);
+
 /// Where an item came from; for the audit trail only.
 enum class config_source : std::uint8_t { Platform, Peer, Disk };
 std::string_view nameOf(config_source Source);
@@ -78,11 +90,11 @@
                          const config_summary &) = default;
 };
 
-/// Versions of one name that a host knows.
+/// What a host knows of one name, as order numbers (see orderOf()).
 struct config_digest_row {
   std::string Name;
-  resource_version Latest = 0;
-  resource_version Good = 0; ///< In force; 0: none.
+  std::uint64_t Latest = 0;
+  std::uint64_t Good = 0; ///< In force; 0: none.
 };
 using config_digest = std::vector<config_digest_row>;
 
@@ -153,15 +165,25 @@
     std::optional<catalogue_entry> Entry;
     std::string Invalid; ///< Findings of Latest, if it does not check.
   };
-  void addWanted(const slot &Slot, resource_version KnownLatest,
-                 resource_version KnownGood,
-                 std::vector<config_item> &Items) const;
+  bool buryIfDeleted(const config_item &Item, std::int64_t NowMs);
+  void putInForce(slot &Slot, const config_item &Item,
+                  std::optional<catalogue_entry> Entry, config_source Source,
+                  std::int64_t NowMs);
 
   std::map<std::string, slot, std::less<>> Slots;
   std::vector<config_change> Changes;
   resource_version Complete = 0;
+  resource_version Listed = 0; ///< Of the newest complete list.
+  std::uint64_t Root = 0;      ///< XOR of the hashes of all slots.
 };
 
+/// Bytes for peers (msgpack), and back. Bytes that do not decode fail with
+/// Corrupt.
+std::string encode(std::span<const config_item> Items);
+std::optional<std::vector<config_item>> decodeItems(std::string_view Bytes);
+std::string encode(const config_digest &Digest);
+std::optional<config_digest> decodeDigest(std::string_view Bytes);
+
 /// Tells when a change is in force on every host. A host counts once it has
 /// reported the same hash as this host had after the change; a host that is
 /// not heard from never counts, so the answer is late rather than wrong.
@@ -172,8 +194,8 @@
   void applied(std::string_view Name, resource_version Version,
                std::uint64_t RootAfter, std::int64_t NowMs);
 
-  /// A host has reported \p Root.
-  void heard(std::string_view Host, std::uint64_t Root);
+  /// A host has reported the hash \p Root; this host's own is \p OwnRoot.
+  void heard(std::string_view Host, std::uint64_t Root, std::uint64_t OwnRoot);
 
   /// One change and how far it has come.
   struct progress {
@@ -200,7 +222,7 @@
     std::uint64_t RootAfter = 0;
     std::set<std::string, std::less<>> Confirmed;
   };
-  std::deque<row> Rows; ///< Oldest first.
+  std::deque<row> Rows; ///< Newest first.
 };
 
 } // namespace turmerichead
--- a/src/include/turmerichead/cluster_detector.h
+++ b/src/include/turmerichead/cluster_detector.h
@@ -21,12 +21,11 @@
 
 namespace turmerichead {
 
-/// What the sender of a heartbeat knows of another host.
+/// What the sender of a heartbeat has heard itself of another host.
 struct peer_sighting {
   std::string Host;
   std::uint64_t Incarnation = 0;
   std::uint32_t AgeMs = 0; ///< Since the sender last heard from it.
-  bool Direct = true;      ///< Heard itself, not told by another.
 };
 
 /// One heartbeat. Sightings are bounded by detector_options::MaxSightings.
@@ -48,21 +47,22 @@
   milliseconds Heartbeat{500};
   milliseconds Suspect{2'000};
   /// Up to this many hosts every host beats to every other; beyond it, to
-  /// Neighbours in its data centre, and one of Aggregators to other centres.
+  /// Neighbours in its data centre and RemoteNeighbours in others. Those that
+  /// a host beats to are its watchers; they alone judge it.
   std::size_t FullMesh = 16;
   std::size_t Neighbours = 4;
-  std::size_t Aggregators = 2;
+  std::size_t RemoteNeighbours = 2;
   std::size_t MaxSightings = 16;
-  /// A host that reaches no majority waits this many Suspect times before it
-  /// acts alone, because the others may all be dead.
+  /// Watchers that are no majority wait this many Suspect times before they
+  /// act, because the others may all be dead.
   int MinorityFactor = 10;
 };
 
 enum class host_health : std::uint8_t {
   Unknown,   ///< Not a member.
-  Alive,     ///< Heard, directly or through another, within Suspect.
+  Alive,     ///< Heard within Suspect, or not watched by this host.
   Suspected, ///< Not heard; too few agree to act.
-  Dead       ///< Not heard, and a majority of those who watch it agrees.
+  Dead       ///< Not heard, and a majority of its watchers and itself agrees.
 };
 std::string_view nameOf(host_health Health);
 
@@ -87,10 +87,12 @@
   /// noticed, and then no peer is suspected for it.
   void tick(time_point Now);
 
-  /// The heartbeat to send now, and whom to send it to.
+  /// The heartbeat to send now, and whom to send it to: the watchers of this
+  /// host and, while one of those it watches is silent, the other watchers of
+  /// that one, so that they can agree.
   heartbeat compose(time_point Now, std::uint64_t MapVersion,
                     const config_summary &Config);
-  std::vector<std::string> targets() const;
+  std::vector<std::string> targets(time_point Now) const;
 
   host_health health(std::string_view Host, time_point Now) const;
 
@@ -102,34 +104,44 @@
   /// all compute alike; the next one follows if nothing happens.
   std::vector<std::string> proposals(time_point Now) const;
 
-  /// Whether this host hears a majority of the members. The map cannot tell.
-  bool reachesMajority(time_point Now) const;
+  /// Whether this host hears more than half of those that should beat to it.
+  bool hearsMajority(time_point Now) const;
 
 private:
+  /// What a watcher last said of a member.
+  struct opinion {
+    time_point HeardAt;
+    time_point SaidAt;
+  };
   struct member {
     host_record Record;
     std::uint64_t Sequence = 0;
-    std::uint64_t HeardIncarnation = 0;
-    time_point DirectAt;
-    time_point HeardAt; ///< Directly or through another.
-    std::map<std::string, time_point, std::less<>> SeenBy; ///< Last sighting.
+    time_point KnownSince;
+    std::optional<time_point> HeardAt;  ///< By this host.
+    std::optional<time_point> EchoedAt; ///< By any, as told.
+    std::vector<std::string> Watchers;
+    bool WatchedBySelf = false;
+    std::map<std::string, opinion, std::less<>> Opinions;
   };
   failure_detector(std::string Self, std::uint64_t Incarnation,
                    const detector_options &Options);
 
-  bool isFresh(time_point At, time_point Now) const;
-  std::vector<std::string> watchersOf(const member &Target) const;
-  std::vector<std::string> targetsOf(const host_record &From) const;
-  bool isAggregator(const host_record &Host) const;
+  time_point lastSign(const member &Member) const;
+  bool isSilent(const member &Member, time_point Now) const;
+  bool majorityAgrees(const member &Member, time_point Now) const;
+  std::vector<std::string> watchersOf(const host_record &Host,
+                                      std::span<const host_record> Hosts) const;
+  int turnOf(const member &Dead, time_point Now) const;
 
   std::string Self;
   std::uint64_t Incarnation;
   detector_options Options;
   std::map<std::string, member, std::less<>> Members; ///< Self left out.
-  host_record SelfRecord;
+  std::vector<std::string> Targets;
   std::set<std::string, std::less<>> Gone;
   std::uint64_t Sequence = 0;
   std::optional<time_point> LastTick;
+  time_point GraceFrom; ///< Nobody is silent since before this moment.
   std::size_t SightingCursor = 0;
 };
 
