--- a/src/include/turmerichead/sched_poison.h
+++ b/src/include/turmerichead/sched_poison.h
@@ -35,9 +35,9 @@
 /// A fingerprint's record, as hosts exchange it.
 struct poison_entry {
   std::uint64_t Fingerprint = 0;
-  std::vector<poison_death> Deaths;
+  std::vector<poison_death> Deaths{};
   /// Age of the last success of the fingerprint; deaths before it are void.
-  std::optional<milliseconds> ClearedAge;
+  std::optional<milliseconds> ClearedAge{};
 };
 
 enum class poison_state : std::uint8_t { Clean, Suspect, Condemned };
@@ -47,6 +47,9 @@
 public:
   explicit poison_table(const poison_settings &Settings = {});
 
+  /// Changes the settings; records stay.
+  void configure(const poison_settings &Changed) { Settings = Changed; }
+
   poison_state stateOf(std::uint64_t Fingerprint, time_point Now) const;
 
   /// Records that an upstream died under \p Fingerprint. Reporting the same
--- a/src/libhost/shards.cpp
+++ b/src/libhost/shards.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view Segments = "segments";
 constexpr milliseconds ListRetry{100};
 constexpr milliseconds WriteRetry{200};
+constexpr milliseconds SnapshotPause{1000};
 
 json binaryObject(const std::string &Name, std::string_view Bytes) {
   return {{"metadata", {{"name", Name}}},
@@ -196,9 +197,7 @@
   };
   auto Load = std::make_shared<loading>();
   Load->Manifest = Manifest;
-  Load->Names = Manifest.RowObjects;
-  Load->Names.insert(Load->Names.end(), Manifest.HistoryObjects.begin(),
-                     Manifest.HistoryObjects.end());
+  Load->Names = objectsOf(Manifest);
   auto Next = std::make_shared<std::function<void()>>();
   auto Again = [this, Shard] {
     if (shard_row *Row = find(Shard, phase::Loading))
@@ -222,10 +221,7 @@
           }));
       return;
     }
-    std::span<const std::string> All = Load->Bytes;
-    std::size_t RowCount = Load->Manifest.RowObjects.size();
-    auto Loaded = loadSnapshot(Load->Manifest, All.first(RowCount),
-                               All.subspan(RowCount));
+    auto Loaded = loadSnapshot(Load->Manifest, Load->Bytes);
     if (!Loaded) {
       log::error("snapshot does not load",
                  {{"shard", Shard}, {"reason", lastError().Text}});
@@ -286,19 +282,34 @@
                           steadyNow());
     });
   });
-  if (std::get_if<list_snapshots>(&Command)) {
+  auto OnList = [&](auto Keep) {
+    return guarded([WithTakeover, Keep](const platform_list_reply &Reply) {
+      std::vector<std::string> Names;
+      for (const json &Item : Reply.Items)
+        Names.push_back(nameOfObject(Item));
+      Keep(Names);
+      WithTakeover([&](takeover &Takeover) {
+        Takeover.listed(Reply.Outcome == platform_outcome::Ok, Names,
+                        steadyNow());
+      });
+    });
+  };
+  if (const auto *List = std::get_if<list_snapshots>(&Command)) {
+    std::string Prefix = snapshotPrefix(List->Shard);
     Context.Platform->list(
-        Manifests,
-        guarded([this, WithTakeover](const platform_list_reply &Reply) {
-          std::vector<std::string> Names;
-          for (const json &Item : Reply.Items)
-            Names.push_back(nameOfObject(Item));
-          ManifestNames = {Names.begin(), Names.end()};
-          WithTakeover([&](takeover &Takeover) {
-            Takeover.listed(Reply.Outcome == platform_outcome::Ok, Names,
-                            steadyNow());
+        Manifests, OnList([this, Prefix](std::vector<std::string> &Names) {
+          std::erase_if(Names, [&](const std::string &Name) {
+            return !Name.starts_with(Prefix);
           });
+          ManifestNames.insert(Names.begin(), Names.end());
         }));
+  } else if (std::get_if<list_segments>(&Command)) {
+    Context.Platform->list(Segments,
+                           OnList([Journal](std::vector<std::string> &Names) {
+                             std::erase_if(Names, [&](const std::string &Name) {
+                               return !segmentNumber(Journal, Name);
+                             });
+                           }));
   } else if (const auto *Read = std::get_if<read_snapshot>(&Command)) {
     std::string_view Plural =
         ManifestNames.contains(Read->Name) ? Manifests : Snapshots;
@@ -358,9 +369,13 @@
                                    std::to_string(Row.Shards.size()) +
                                    " shards taken over by " + Context.self(),
                                wallNowMs(), Took);
-  for (shard_takeover &Shard : Row.Takeover.takeResult())
-    if (find(Shard.Shard, phase::Loading))
+  for (shard_takeover &Shard : Row.Takeover.takeResult()) {
+    shard_row *Open = find(Shard.Shard, phase::Loading);
+    if (Open && Shard.Elsewhere)
+      Open->Phase = phase::Listing;
+    else if (Open)
       writeFirst(Shard.Shard, std::move(Shard.Rows), std::move(Shard.Manifest));
+  }
 }
 
 // -- Snapshots
@@ -369,8 +384,8 @@
 journal_position shard_keeper::positionNow() const {
   journal_position Position;
   Position.Journal = Context.life();
-  Position.Segment = Writer.segmentAfter(Book.rowsTicket());
-  Position.Sequence = Book.rowsTicket();
+  Position.Segment = Writer.segmentAfter(Writer.committedRecord());
+  Position.Sequence = Writer.committedRecord();
   return Position;
 }
 
@@ -406,7 +421,7 @@
                                  bool Released, std::function<void()> Done) {
   shard_row &Row = Rows.find(Shard)->second;
   Row.Busy = true;
-  Row.SnapshotAt = Position.Sequence;
+  Row.SnapshotAt = Book.rowsTicket();
   auto Objects = std::make_shared<std::vector<snapshot_object>>(
       Row.Maker->make(Source, Position, Released));
   writeObjects(Shard, std::move(Objects), 0, std::move(Done));
@@ -455,25 +470,32 @@
 }
 
 void shard_keeper::snapshotDue() {
+  // Snapshots only bound replay. They go one at a time and at a slow pace, so
+  // that the writes of the journal, on which answers wait, come first.
+  time_point Now = steadyNow();
+  if (Now < SnapshotDue)
+    return;
+  SnapshotDue = Now + SnapshotPause;
   auto Every =
       static_cast<std::uint64_t>(Context.Settings.Journal.SnapshotEveryRecords);
-  // One shard at a time, round robin, so that snapshots are spread over time.
-  auto Next = Rows.lower_bound(static_cast<std::uint32_t>(SnapshotCursor));
-  if (Next == Rows.end()) {
-    SnapshotCursor = 0;
-    collectSegments();
+  auto IsBusy = [](const auto &Row) { return Row.second.Busy; };
+  if (std::any_of(Rows.begin(), Rows.end(), IsBusy))
     return;
-  }
-  SnapshotCursor = Next->first + 1;
-  shard_row &Row = Next->second;
-  if (Row.Phase != phase::Serving || Row.Busy ||
-      Book.rowsTicket() < Row.SnapshotAt + Every)
+  auto Oldest = Rows.end();
+  for (auto Row = Rows.begin(); Row != Rows.end(); ++Row)
+    if (Row->second.Phase == phase::Serving &&
+        (Oldest == Rows.end() ||
+         Row->second.SnapshotAt < Oldest->second.SnapshotAt))
+      Oldest = Row;
+  if (Oldest == Rows.end())
     return;
-  writeSnapshot(Next->first, Book.rows(), positionNow(), false, [] {});
+  if (Book.rowsTicket() >= Oldest->second.SnapshotAt + Every)
+    writeSnapshot(Oldest->first, Book.rows(), positionNow(), false, [] {});
+  collectSegments();
 }
 
 void shard_keeper::collectSegments() {
-  std::uint64_t Oldest = Writer.nextSegment();
+  std::uint64_t Oldest = Writer.segmentAfter(Writer.committedRecord());
   for (const auto &[Shard, Row] : Rows) {
     if (!Row.Maker || !Row.Maker->latest())
       return;
