Tell not run only after a commit that proves the holder

A holder that was frozen or cut off and has been replaced does not know what its successor ran. Its refusals now wait for the commit of a record that was written after they were decided; where nothing can be committed they are told at once as unknown, with a time to come back. Ruled out: a lease, for it lapses while its holder is paused.

--- a/src/include/turmerichead/state_book.h
+++ b/src/include/turmerichead/state_book.h
@@ -11,6 +11,13 @@
 ///
 /// Each waiter that is submitted gets exactly one release_waiter, unless it
 /// is withdrawn by callerGone(). The book has no I/O, clock or randomness.
+///
+/// "Not run" is told only after a commit that was begun later than the
+/// refusal was decided: a holder that was replaced without its knowledge
+/// does not know what its successor ran. Where nothing can be committed, the
+/// refusal is told at once as Unknown, with a time to come back. For the same
+/// reason nobody but the book may tell a caller of a numbered or keyed call
+/// that it was not run.
 #pragma once
 
 #include "turmerichead/clock.h"
--- a/src/include/turmerichead/state_records.h
+++ b/src/include/turmerichead/state_records.h
@@ -180,10 +180,17 @@
   MSGPACK_DEFINE(Host, Incarnation)
 };
 
+/// Changes nothing; its commit shows that the writer has not been replaced.
+struct barrier_record {
+  std::uint8_t Version = 1;
+  MSGPACK_DEFINE(Version)
+};
+
 using record =
     std::variant<program_started_record, call_accepted_record, intent_record,
                  budget_reserved_record, answer_record, call_closed_record,
-                 upstream_death_record, program_ended_record, shard_record>;
+                 upstream_death_record, program_ended_record, shard_record,
+                 barrier_record>;
 
 /// The bytes of \p Record.
 std::string encodeRecord(const record &Record);
--- a/src/libstate/book.cpp
+++ b/src/libstate/book.cpp
@@ -334,6 +334,7 @@
   return State->drainShard(Shard, Now);
 }
 std::vector<book_command> program_book::takeCommands() {
+  State->TicketUntaken = false;
   return std::exchange(State->Commands, {});
 }
 const state_rows &program_book::rows() const { return State->Rows; }
--- a/src/libstate/book_end.cpp
+++ b/src/libstate/book_end.cpp
@@ -11,6 +11,7 @@
   commit_record Out{++LastTicket, std::move(Record)};
   Pending.push_back(Out);
   Commands.emplace_back(std::move(Out));
+  TicketUntaken = true;
   return LastTicket;
 }
 
@@ -140,9 +141,37 @@
   Out.Number = Number;
   Out.RetryAfterMs = Ending.RetryAfterMs;
   Out.Moved = Ending.Moved;
+  bool Gate = Out.Outcome == call_outcome::NotRun && !Out.Moved;
+  if (Gate && Keeping) {
+    Gated.push_back({barrier(), std::move(Out)});
+    return;
+  }
+  if (Gate)
+    Out.Outcome = call_outcome::Unknown;
   Commands.emplace_back(std::move(Out));
 }
 
+// The ticket of a record that no write has begun with yet.
+commit_ticket program_book::impl::barrier() {
+  return TicketUntaken ? LastTicket : keep(barrier_record{});
+}
+
+void program_book::impl::releaseGated() {
+  while (!Gated.empty() && Gated.front().Ticket <= Committed) {
+    Commands.emplace_back(std::move(Gated.front().Release));
+    Gated.pop_front();
+  }
+}
+
+// The proof will not come, or not soon.
+void program_book::impl::ungate(call_outcome Outcome, bool Moved) {
+  for (gated_release &Row : std::exchange(Gated, {})) {
+    Row.Release.Outcome = Outcome;
+    Row.Release.Moved = Moved;
+    Commands.emplace_back(std::move(Row.Release));
+  }
+}
+
 void program_book::impl::releaseAll(open_call &Call, const ending &Ending) {
   for (waiter_id Waiter : std::exchange(Call.Waiters, {})) {
     Waiters.erase(Waiter);
@@ -243,6 +272,7 @@
     applyOne(Pending.front());
     Pending.pop_front();
   }
+  releaseGated();
   while (!Awaiting.empty() && Awaiting.begin()->first <= Committed) {
     auto [WaitFor, Id] = *Awaiting.begin();
     Awaiting.erase(Awaiting.begin());
--- a/src/libstate/book_pvt.h
+++ b/src/libstate/book_pvt.h
@@ -47,6 +47,12 @@
   bool Moved = false;
 };
 
+/// A refusal that waits for the proof that this host is still the holder.
+struct gated_release {
+  commit_ticket Ticket = 0;
+  release_waiter Release;
+};
+
 struct live_program {
   commit_ticket StartTicket = 0;         ///< 0: not written by this book.
   std::map<std::uint32_t, call_id> Open; ///< By number.
@@ -82,6 +88,8 @@
   commit_ticket LastTicket = 0;
   std::deque<commit_record> Pending; ///< Handed out, not yet committed.
   std::vector<book_command> Commands;
+  std::deque<gated_release> Gated; ///< By rising ticket.
+  bool TicketUntaken = false;      ///< The last record is still in Commands.
   table<open_call> Calls;
   std::map<std::string, live_root, std::less<>> Live;
   std::multimap<commit_ticket, call_id> Awaiting;
@@ -137,6 +145,9 @@
   void upstreamDied(call_id Id, std::string Upstream, moment Now);
   void drop(call_id Id, ending Ending);
   void release(waiter_id Waiter, std::uint32_t Number, const ending &Ending);
+  commit_ticket barrier();
+  void releaseGated();
+  void ungate(call_outcome Outcome, bool Moved);
   void releaseAll(open_call &Call, const ending &Ending);
   void endRoot(const std::string &Root, end_reason Reason, moment Now);
   bool started(std::string_view Program) const;
--- a/src/libstate/book_tick.cpp
+++ b/src/libstate/book_tick.cpp
@@ -31,6 +31,7 @@
     drop(Id, {call_outcome::NotRun, 503, "not_kept",
               "records can't be kept at present", Settings.RefusedRetryAfterMs,
               false});
+  ungate(call_outcome::Unknown, false);
 }
 
 // The successor decides about every open call, so nothing is said to be not
@@ -51,6 +52,7 @@
       Commands.emplace_back(cancel_dispatch{Id});
     erase(Id);
   }
+  ungate(call_outcome::NotRun, true);
   Pending.clear();
   Awaiting.clear();
   Live.clear();
@@ -88,6 +90,9 @@
 // ---------------------------------------------------------------
 
 void program_book::impl::callerGone(waiter_id Waiter, moment Now) {
+  std::erase_if(Gated, [&](const gated_release &Row) {
+    return Row.Release.Waiter == Waiter;
+  });
   auto Found = Waiters.find(Waiter);
   if (Found == Waiters.end())
     return;
--- a/src/libstate/rows.cpp
+++ b/src/libstate/rows.cpp
@@ -51,6 +51,7 @@
 
   bool operator()(const program_started_record &) { return true; }
   bool operator()(const shard_record &) { return true; }
+  bool operator()(const barrier_record &) { return true; }
 
   bool operator()(const call_accepted_record &Record) {
     return begin(Record.Number, Record.Call, call_state::Accepted);
