--- a/src/libstate/fuzz_test.cpp
+++ b/src/libstate/fuzz_test.cpp
@@ -119,8 +119,11 @@
   int Answers = 0;
   bool Held = rc::check("journal, book, snapshots and takeover", [&] {
     fuzz::world World;
-    rc::state::check(no_model(), World,
-                     rc::state::gen::execOneOfWithArgs<step>());
+    // Long sequences, for one call alone takes a dozen messages.
+    auto Commands = rc::state::gen::commands(
+        no_model(), rc::state::gen::execOneOfWithArgs<step>());
+    auto Steps = *rc::gen::scale(8, std::move(Commands));
+    rc::state::runAll(Steps, no_model(), World);
     World.settle();
     for (const std::string &Text : World.violations())
       RC_FAIL(Text);
