--- a/src/libhost/router_pvt.h
+++ b/src/libhost/router_pvt.h
@@ -55,8 +55,8 @@
   void retryLater(route_id Id);
   void finish(route_id Id, const call_end &End);
   call_end gaveUp(const row &Row);
-  void askOnce(std::string Path, program_message Message, program_callback Done,
-               time_point GiveUp);
+  void askOnce(const std::string &Path, const program_message &Message,
+               const program_callback &Done, time_point GiveUp);
 
   host_context &Context;
   holder &Holder;
