--- a/src/include/turmerichead/cluster_config.h
+++ b/src/include/turmerichead/cluster_config.h
@@ -119,6 +119,11 @@
                  resource_version ListVersion, std::int64_t NowMs,
                  findings &Findings);
 
+  /// Notes that a complete list of \p Version has been applied item by item,
+  /// with a tombstone for each name it lacked; applyList() does so itself.
+  /// Not for a watch: an event that it missed would be taken for a deletion.
+  void noteListed(resource_version Version);
+
   /// Notes that the platform's watch has come to \p Version without a gap.
   void noteWatched(resource_version Version);
 
--- a/src/include/turmerichead/report.h
+++ b/src/include/turmerichead/report.h
@@ -211,6 +211,7 @@
   /// Merges what is known of the expected hosts. A host whose report is older
   /// than \p MaxAge is not known; its counters of broken promises still count.
   /// \p InTimePercent of the finished programs must have met their target.
+  /// Without expected hosts nothing is known.
   fleet_report build(std::span<const expected_host> Expected,
                      std::string_view TakenBy, time_point Now,
                      std::int64_t WallNowMs, milliseconds MaxAge,
@@ -220,7 +221,15 @@
   struct row {
     host_report Report;
     time_point ReceivedAt;
+    /// Counters of the host's earlier incarnations, so that a restart hides
+    /// no broken promise.
+    std::map<std::string, entry_report> Earlier;
+
+    std::int64_t ageMs(time_point Now) const {
+      return Report.AgeMs + (Now - ReceivedAt).count();
+    }
   };
+  class merge;
   std::map<std::string, row, std::less<>> Rows;
 };
 
--- a/src/libcluster/config_store.cpp
+++ b/src/libcluster/config_store.cpp
@@ -149,8 +149,12 @@
   }
   for (const config_item &Tombstone : Tombstones)
     apply(Tombstone, config_source::Platform, NowMs, Findings);
-  Listed = std::max(Listed, ListVersion);
-  noteWatched(ListVersion);
+  noteListed(ListVersion);
+}
+
+void config_store::noteListed(resource_version Version) {
+  Listed = std::max(Listed, Version);
+  noteWatched(Version);
 }
 
 void config_store::noteWatched(resource_version Version) {
