--- a/src/include/turmerichead/settings.h
+++ b/src/include/turmerichead/settings.h
@@ -101,6 +101,10 @@
   parse(std::string_view Text, std::string_view File, findings &Findings);
 };
 
+/// Whether \p Text is a settings file rather than catalogue entries: TOML
+/// with a table [host] or [platform].
+bool looksLikeSettings(std::string_view Text);
+
 /// What a setting or a field of a catalogue entry holds.
 enum class value_type {
   Text,
--- a/src/libcatalogue/page.cpp
+++ b/src/libcatalogue/page.cpp
@@ -43,7 +43,8 @@
 std::string renderSettingsPage() {
   return "# Settings\n\n"
          "The settings file of a host is TOML; its path is given by\n"
-         "`turmerichead --config FILE`. `turmericheadctl check FILE` reports\n"
+         "`turmerichead --settings FILE`. `turmericheadctl check FILE` "
+         "reports\n"
          "all findings with file, line, column and key, and ends with exit\n"
          "code 2 if there are any. The daemon makes the same check before it\n"
          "starts. A key that is not in this table is a finding.\n\n"
--- a/src/libcatalogue/settings.cpp
+++ b/src/libcatalogue/settings.cpp
@@ -356,6 +356,14 @@
   return parse(Text, Path, Findings);
 }
 
+bool looksLikeSettings(std::string_view Text) {
+  findings Ignored;
+  auto Document = parseToml(Text, "", Ignored);
+  if (!Document)
+    return Text.find("[host]") != std::string_view::npos;
+  return Document->Root.contains("host") || Document->Root.contains("platform");
+}
+
 std::vector<setting_info> settingTable() {
   std::vector<setting_info> Result;
   for (const auto &Field : allFields())
--- a/src/libreport/render_text.cpp
+++ b/src/libreport/render_text.cpp
@@ -33,8 +33,10 @@
 void writeEntries(const fleet_report &Report, line_writer &Out) {
   for (const entry_report &Row : Report.Entries) {
     Out.heading(Row.Entry + " (" + std::string(nameOf(Row.Rank)) + ')');
-    for (const auto &[Label, Figures] : pvt::entryLines(Row))
-      Out.line(Label + ": " + Figures, 2);
+    for (const auto &[Label, Figures] : pvt::entryLines(Row)) {
+      std::string Line = Label;
+      Out.line(Line.append(": ").append(Figures), 2);
+    }
   }
   if (Report.Entries.empty())
     Out.heading("no entry has been used yet");
--- /dev/null
+++ b/src/turmericheadctl/turmericheadctl_test.sh
@@ -0,0 +1,83 @@
+#!/usr/bin/env bash
+# Drives turmericheadctl against the platform's stand-in: findings, apply, a
+# lost race, reading back, and the audit trail.
+# usage: turmericheadctl_test.sh TURMERICHEADCTL STANDIN_PLATFORM
+set -uo pipefail
+ctl=$1
+folder=$(mktemp -d)
+coproc platform { exec "$2" --port 0; }
+stand_in=$platform_PID
+trap 'kill $stand_in 2>/dev/null; rm -rf "$folder"' EXIT
+read -r _ port <&"${platform[0]}"
+url=http://127.0.0.1:$port
+failures=0
+
+# expect CODE PATTERN ARGUMENTS...: exit code, and a line of the output.
+expect() {
+  local code=$1 pattern=$2
+  shift 2
+  local output status
+  output=$("$ctl" "$@" 2>&1)
+  status=$?
+  if [ $status -ne "$code" ] || ! grep -q -- "$pattern" <<<"$output"; then
+    echo "FAILED: $* (exit $status, expected $code and '$pattern')"
+    echo "$output"
+    failures=$((failures + 1))
+  fi
+}
+
+entry() { # entry TOKENS
+  cat <<TOML
+name = "yard"
+owner = "gleisfenster"
+owner_token_sha256 = "$(printf secret | sha256sum | cut -c1-64)"
+rank = "urgent"
+model = "dispatch-7b"
+target_ms = 8000
+[limits]
+tokens = $1
+TOML
+}
+entry 60000 >"$folder/yard.toml"
+entry 70000 >"$folder/other.toml"
+entry -1 >"$folder/bad.toml"
+printf '[host]\nid = "A"\n' >"$folder/host.toml"
+
+expect 2 'usage' check
+expect 0 'yard.toml: good' check "$folder/yard.toml"
+expect 2 'bad.toml:8:1: limits.tokens: is out of range' check "$folder/bad.toml"
+expect 2 'host.toml:2:1: host.id: must be a name' check "$folder/host.toml"
+expect 2 'cannot be read' check "$folder/nothing.toml"
+expect 2 'no such command' frobnicate
+expect 2 'address is needed' get
+expect 0 'exit codes\|Exit codes' --help
+expect 0 'version' --version
+
+expect 2 'out of range' apply "$folder/bad.toml" --platform "$url"
+expect 1 'no such entry' get yard --platform "$url"
+expect 0 'yard: applied, version [0-9]* by ines' \
+  apply "$folder/yard.toml" --who ines --platform "$url"
+expect 0 'unchanged' apply "$folder/yard.toml" --who ines --platform "$url"
+expect 0 'limits.tokens: 60000 -> 70000' \
+  apply "$folder/other.toml" --who tomas --platform "$url"
+# ines still works on the first version: tomas was first, and she sees it.
+expect 3 'another change was first: version [0-9]* by tomas' \
+  apply "$folder/yard.toml" --who ines --expect 1 --platform "$url"
+expect 3 'limits.tokens: 70000 -> 60000' \
+  apply "$folder/yard.toml" --who ines --expect 1 --platform "$url"
+expect 0 'yard  version [0-9]* by tomas' get --platform "$url"
+expect 0 '"tokens": 70000' get yard --platform "$url"
+expect 1 '' get --platform http://127.0.0.1:1
+expect 1 '' report --host 127.0.0.1:1
+expect 2 'address of a host' status
+
+cat >"$folder/audit.jsonl" <<'JSON'
+not JSON
+{"time_ms":1796351467000,"level":"audit","host":"a-1","event":"catalogue entry in force","entry":"yard","version":7,"who":"ines","fields":[{"key":"limits.tokens","before":"60000","after":"70000"}]}
+{"time_ms":1796351468000,"level":"audit","host":"a-1","event":"catalogue entry in force everywhere","entry":"yard","version":7,"took_ms":420}
+JSON
+expect 0 'yard version 7 by ines' audit "$folder/audit.jsonl"
+expect 0 'limits.tokens: 60000 -> 70000' audit "$folder/audit.jsonl"
+expect 0 'after 420 ms' audit "$folder/audit.jsonl" -n 1
+[ $failures -eq 0 ] && echo "all good"
+exit $((failures > 0))
