--- a/src/include/turmerichead/cluster_config.h
+++ b/src/include/turmerichead/cluster_config.h
@@ -74,11 +74,16 @@
   std::int64_t ChangedAtMs = 0;     ///< Wall clock, by the platform.
   std::int64_t AppliedAtMs = 0;     ///< Wall clock, on this host.
   bool Deleted = false;
+  bool Created = false; ///< Nothing of this name was in force before.
 };
 
 /// The fields of an audit record.
 nlohmann::json toJson(const config_change &Change);
 
+/// The change in one line, for the report: "limits.tokens 60000 -> 70000 and
+/// 2 more", "new" or "deleted".
+std::string summaryOf(const config_change &Change);
+
 /// What a heartbeat says of a host's configuration.
 struct config_summary {
   /// Every change up to this version has been seen, if no event was missed.
@@ -199,6 +204,9 @@
   void applied(std::string_view Name, resource_version Version,
                std::uint64_t RootAfter, std::int64_t NowMs);
 
+  /// The same for a change with its author and content.
+  void applied(const config_change &Change, std::uint64_t RootAfter);
+
   /// A host has reported the hash \p Root; this host's own is \p OwnRoot.
   void heard(std::string_view Host, std::uint64_t Root, std::uint64_t OwnRoot);
 
@@ -206,6 +214,8 @@
   struct progress {
     std::string Name;
     resource_version Version = 0;
+    std::string Who;  ///< Empty if not given to applied().
+    std::string What; ///< summaryOf() the change; empty likewise.
     std::int64_t AppliedAtMs = 0;
     std::int64_t EverywhereAtMs = 0; ///< 0: not yet.
     std::vector<std::string> Missing;
--- a/src/libcluster/config_store.cpp
+++ b/src/libcluster/config_store.cpp
@@ -70,6 +70,7 @@
     Change.ChangedAtMs = Item.ChangedAtMs;
     Change.AppliedAtMs = NowMs;
     Change.Deleted = Item.Deleted;
+    Change.Created = !Slot.Entry.has_value();
     Changes.push_back(std::move(Change));
   }
   Slot.Good = Item;
@@ -285,6 +286,22 @@
           {"fields", std::move(Fields)}};
 }
 
+std::string summaryOf(const config_change &Change) {
+  if (Change.Deleted)
+    return "deleted";
+  if (Change.Created)
+    return "new";
+  if (Change.Fields.empty())
+    return "";
+  const field_change &First = Change.Fields.front();
+  std::string Result = First.Key;
+  Result.append(" ").append(First.Before).append(" -> ").append(First.After);
+  std::size_t More = Change.Fields.size() - 1;
+  if (More > 0)
+    Result.append(" and ").append(std::to_string(More)).append(" more");
+  return Result;
+}
+
 namespace {
 
 nlohmann::json itemToJson(const config_item &Item) {
--- a/src/libcluster/config_test.cpp
+++ b/src/libcluster/config_test.cpp
@@ -50,6 +50,12 @@
   CHECK(Changes[1].Fields[0] == field_change{"limits.tokens", "5000", "7000"});
   CHECK(toJson(Changes[1])["who"] == "ines");
   CHECK(Store.takeChanges().empty());
+  CHECK(summaryOf(Changes[0]) == "new");
+  CHECK(summaryOf(Changes[1]) == "limits.tokens 5000 -> 7000");
+  force_tracker Tracker;
+  Tracker.applied(Changes[1], Store.summary().Root);
+  CHECK(Tracker.latest()[0].Who == "ines");
+  CHECK(Tracker.latest()[0].What == "limits.tokens 5000 -> 7000");
 }
 
 TEST_CASE("invalid content leaves the last good version in force") {
--- a/src/libcluster/force_tracker.cpp
+++ b/src/libcluster/force_tracker.cpp
@@ -14,6 +14,13 @@
     Rows.pop_back();
 }
 
+void force_tracker::applied(const config_change &Change,
+                            std::uint64_t RootAfter) {
+  applied(Change.Name, Change.Version, RootAfter, Change.AppliedAtMs);
+  Rows.front().Progress.Who = Change.Who;
+  Rows.front().Progress.What = summaryOf(Change);
+}
+
 void force_tracker::heard(std::string_view Host, std::uint64_t Root,
                           std::uint64_t OwnRoot) {
   // The store only goes forward, so a host whose hash matches a later state
