--- a/src/libcatalogue/settings.cpp
+++ b/src/libcatalogue/settings.cpp
@@ -163,28 +163,30 @@
            .Unit = "runners"}),
       bind<settings, &settings::Gate, &section::MaxQueueUrgent>(
           {.Key = "gate.max_queue_urgent",
-           .Text = "Urgent calls that a gate queues before it refuses.",
+           .Text =
+               "Urgent calls that a gate plans for; it refuses above the sum "
+               "of both ranks.",
            .Default = "2000",
            .Min = 1,
            .Max = 1'000'000,
            .Unit = "calls"}),
       bind<settings, &settings::Gate, &section::MaxQueueOrdinary>(
           {.Key = "gate.max_queue_ordinary",
-           .Text = "Ordinary calls that a gate queues before it refuses.",
+           .Text = "Ordinary calls that a gate plans for, likewise.",
            .Default = "2000",
            .Min = 1,
            .Max = 1'000'000,
            .Unit = "calls"}),
       bind<settings, &settings::Gate, &section::MaxWaitUrgent>(
           {.Key = "gate.max_wait_urgent_ms",
-           .Text = "An urgent call that waited this long is refused.",
+           .Text = "A new urgent program that would wait longer is refused.",
            .Default = "30000",
            .Min = 10,
            .Max = 86'400'000,
            .Unit = "ms"}),
       bind<settings, &settings::Gate, &section::MaxWaitOrdinary>(
           {.Key = "gate.max_wait_ordinary_ms",
-           .Text = "An ordinary call that waited this long is refused.",
+           .Text = "A new ordinary program that would wait longer is refused.",
            .Default = "600000",
            .Min = 10,
            .Max = 86'400'000,
--- a/src/libcluster/detector_test.cpp
+++ b/src/libcluster/detector_test.cpp
@@ -189,6 +189,27 @@
   CHECK(World.proposers(3).empty());
 }
 
+TEST_CASE("a link cut both ways alone does not make a host dead") {
+  cluster_world World(9);
+  World.run(5 * Second);
+  World.cutBoth(3, 5);
+  World.run(60 * Second);
+  CHECK(World.health(5, 3) == host_health::Alive);
+  CHECK(World.health(3, 5) == host_health::Alive);
+}
+
+TEST_CASE("one of three data centres lost: the others act at once") {
+  cluster_world World(9);
+  World.run(5 * Second);
+  for (std::size_t Host : {0U, 3U, 6U}) // All of data centre d0.
+    World.setUp(Host, false);
+  World.run(10 * Second);
+  for (std::size_t Host : {0U, 3U, 6U})
+    CHECK(!World.proposers(Host).empty());
+  for (std::size_t Host : {1U, 2U, 4U, 5U, 7U, 8U})
+    CHECK(World.proposers(Host).empty());
+}
+
 TEST_CASE("a host that was frozen suspects nobody when it wakes") {
   cluster_world World(9);
   World.run(5 * Second);
--- a/src/turmericheadctl/hosts.cpp
+++ b/src/turmericheadctl/hosts.cpp
@@ -124,7 +124,8 @@
       std::cerr << lastError().Text << '\n';
       return BadInput;
     }
-    Key->erase(Key->find_last_not_of(" \t\r\n") + 1);
+    // As the daemon reads it: without the newlines at its end.
+    Key->erase(Key->find_last_not_of('\n') + 1);
     Request.Headers = {{"Authorization", "Bearer " + *Key}};
   }
   response Response = fetch(std::move(Request));
