--- a/src/benches/policy_bench/main.cpp
+++ b/src/benches/policy_bench/main.cpp
@@ -17,6 +17,7 @@
 DEFINE_string(variant, "", "only policies whose name contains this");
 DEFINE_string(scenario, "", "only scenarios whose name contains this");
 DEFINE_bool(cost, true, "measure the cost of a decision as well");
+DEFINE_string(set, "", "changed settings, for a trial: name=value,...");
 DEFINE_string(csv, "", "also write every run's figures to this file");
 
 namespace bench {
@@ -214,6 +215,10 @@
 
 int run() {
   bool Passed = true;
+  if (!changeDefaults(FLAGS_set)) {
+    std::fprintf(stderr, "unknown setting in --set=%s\n", FLAGS_set.c_str());
+    return 2;
+  }
   std::FILE *Csv = nullptr;
   if (!FLAGS_csv.empty()) {
     Csv = std::fopen(FLAGS_csv.c_str(), "w");
@@ -231,6 +236,8 @@
       Passed = smoke(User) && Passed;
       continue;
     }
+    std::printf("%s: a runner does at best %.3f of its engine time\n",
+                User.Name.c_str(), bestWorkRate(User));
     results Results = runAll(User, Csv);
     if (FLAGS_scenario.empty())
       printTargets(User, Results);
--- a/src/benches/policy_bench/workload.cpp
+++ b/src/benches/policy_bench/workload.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
+#include <string>
 
 namespace bench {
 
@@ -158,6 +160,81 @@
   return Sum / Samples;
 }
 
+namespace {
+
+/// A program that runs its turns without pauses.
+struct endless_caller {
+  program_plan Plan;
+  std::size_t Turn = 0;
+  token_count Context = 0;
+  std::string Name;
+};
+
+/// Draws an entry as often as its programs arrive.
+std::size_t drawEntry(const user_profile &User,
+                      const std::vector<double> &Means, random_source &Random) {
+  std::vector<double> Weights;
+  for (std::size_t I = 0; I < Means.size(); ++I)
+    Weights.push_back(User.Entries[I].WorkShare / Means[I]);
+  std::discrete_distribution<std::size_t> Draw(Weights.begin(), Weights.end());
+  return Draw(Random);
+}
+
+} // namespace
+
+double bestWorkRate(const user_profile &User) {
+  constexpr double WarmUpMs = 200'000;
+  constexpr double WindowMs = 2'000'000;
+  constexpr std::uint64_t Seed = 12;
+  random_source Random(Seed);
+  std::vector<double> Means;
+  for (std::size_t I = 0; I < User.Entries.size(); ++I)
+    Means.push_back(meanWorkMs(User, I));
+  engine_constants Constants;
+  engine_constants Endless = Constants;
+  Endless.CacheTokens = INT64_MAX;
+  engine Engine(Endless);
+  std::vector<endless_caller> Callers(
+      static_cast<std::size_t>(Constants.Slots));
+  double NowMs = 0;
+  double Work = 0;
+  std::uint64_t Programs = 0;
+  auto Send = [&](std::size_t Index) {
+    endless_caller &Caller = Callers[Index];
+    if (Caller.Turn >= Caller.Plan.Turns.size()) {
+      Engine.release(Caller.Name);
+      std::size_t Entry = drawEntry(User, Means, Random);
+      Caller = {drawProgram(User, Entry, Random), 0,
+                User.Entries[Entry].SharedPrefix,
+                "p" + std::to_string(++Programs)};
+    }
+    const entry_profile &Entry = User.Entries[Caller.Plan.Entry];
+    const turn_plan &Turn = Caller.Plan.Turns[Caller.Turn];
+    Caller.Context += Turn.NewTokens;
+    Engine.start({Index, Caller.Name, Entry.Name, Entry.SharedPrefix,
+                  Caller.Context, Turn.OutputTokens},
+                 NowMs);
+  };
+  for (std::size_t I = 0; I < Callers.size(); ++I)
+    Send(I);
+  while (NowMs < WarmUpMs + WindowMs) {
+    NowMs = *Engine.nextEventMs() + 1e-7;
+    for (const engine_result &Result : Engine.advance(NowMs)) {
+      endless_caller &Caller = Callers[Result.Id];
+      const turn_plan &Turn = Caller.Plan.Turns[Caller.Turn];
+      if (NowMs > WarmUpMs)
+        Work +=
+            static_cast<double>(Turn.NewTokens) * Constants.PrefillMsPerToken +
+            static_cast<double>(Turn.OutputTokens) *
+                Constants.decodeMsPerToken();
+      Caller.Context += Turn.OutputTokens;
+      ++Caller.Turn;
+      Send(Result.Id);
+    }
+  }
+  return Work / WindowMs;
+}
+
 double targetMs(rank Rank, double IdealLatencyMs) {
   if (Rank == rank::Urgent)
     return 1.5 * IdealLatencyMs + 10'000;
--- a/src/benches/policy_bench/workload.h
+++ b/src/benches/policy_bench/workload.h
@@ -68,6 +68,11 @@
 /// Mean of idealWorkMs() over many programs of an entry.
 double meanWorkMs(const user_profile &User, std::size_t Entry);
 
+/// Ideal work that one runner does in a millisecond at best: measured on an
+/// engine whose batch is always full and whose cache holds everything. It is
+/// below 1, because sequences in prefill hold slots of the batch.
+double bestWorkRate(const user_profile &User);
+
 /// The longest a program of this rank may take and still be "in its target".
 double targetMs(rank Rank, double IdealLatencyMs);
 
--- a/src/include/turmerichead/sched_gate.h
+++ b/src/include/turmerichead/sched_gate.h
@@ -47,8 +47,8 @@
   /// Requests that may be queued; further ones are refused.
   std::size_t MaxQueued = 20000;
   /// A new program is refused when its expected wait is longer than this.
-  per_rank<milliseconds> NewProgramMaxWait{milliseconds(10'000),
-                                           milliseconds(60'000)};
+  per_rank<milliseconds> NewProgramMaxWait{milliseconds(5'000),
+                                           milliseconds(30'000)};
   /// Refuse new programs by the rule above.
   bool RefuseOverload = true;
   /// The shortest time to come back that a refusal names.
@@ -56,9 +56,19 @@
   /// Candidates looked at in one scan of a rank's queue.
   std::size_t ScanLimit = 128;
 
-  /// Release caches of paused programs, those needed last first, when a
-  /// runner's cache is fuller than this part.
+  /// A new program starts only while the group's caches are less full than
+  /// this part, so that those under way find their prefixes again.
+  per_rank<double> StartCacheFill{0.78, 0.68};
+  /// Memory that ordinary programs keep, as a multiple of their floor: they
+  /// are longer than urgent ones and hold more for the same work.
+  double OrdinaryMemory = 1.6;
+  /// It starts in any case after it has waited for this long.
+  milliseconds MaxCacheWait{300'000};
+  /// When a runner's cache is fuller than this part, those of its paused
+  /// programs that are needed last go: to a runner with room, or else away.
   double CacheHighWater = 0.95;
+  /// A runner that is less full than this part takes the caches of others.
+  double CacheLowWater = 0.8;
   /// Tell runners to release the caches of ended programs.
   bool ReleaseEnded = true;
   /// Release by expected pause; if false, the engine's own eviction decides.
@@ -128,7 +138,8 @@
 struct grant {
   request_id Request{};
   std::string Runner{};
-  /// Not empty: copy the program's cache from this runner first.
+  /// Not empty: copy the program's cache from this runner first, and release
+  /// it there once it has been imported.
   std::string MoveCacheFrom{};
   token_count MoveTokens = 0;
 };
@@ -139,11 +150,20 @@
   std::string Runner{};
 };
 
+/// Copies a paused program's cache to a runner with room, and releases it at
+/// the first one. It is a hint: nothing is lost if it fails.
+struct move_command {
+  std::string Program;
+  std::string From;
+  std::string To;
+};
+
 /// What a tick decided. The spans are valid until the gate's next call.
 struct gate_output {
   std::span<const grant> Grants{};
   std::span<const refusal> Refusals{};
   std::span<const release_command> Releases{};
+  std::span<const move_command> Moves{};
 };
 
 /// Figures for metrics, for the report, and for the summary that holders
--- a/src/include/turmerichead/sched_place.h
+++ b/src/include/turmerichead/sched_place.h
@@ -24,14 +24,20 @@
 };
 
 struct place_settings {
-  /// How many times cheaper than waiting another runner has to be.
-  double LeaveFactor = 1.0;
+  /// A request leaves the runner with its cache only for one that costs less
+  /// than this part of waiting there, 0 to 1.
+  double LeaveFactor = 0.15;
   /// A request never waits longer than this for the runner with its cache.
-  milliseconds MaxAffinityWait{3'000};
+  milliseconds MaxAffinityWait{8'000};
   /// Copy caches between runners where that is cheaper than computing.
   bool MoveCache = true;
   /// Weight of the runner's load against the cost of the prefill.
   double LoadWeight = 1.0;
+  /// Cost in milliseconds of a full cache for a request that adds to it.
+  double FullCacheMs = 200;
+  /// Beyond this part, what a request adds is charged as if it had to be
+  /// computed again for the programs that it pushes out.
+  double CacheHighWater = 0.8;
 };
 
 /// A runner as a place policy sees it for one request.
@@ -44,7 +50,9 @@
   double PrefillBacklogMs = 0; ///< Prefill granted there and not done yet.
   double WaitMs = 0;           ///< Until a slot is free for this request.
   engine_rates Rates{};
-  int ReportedWaiting = 0; ///< From the last load report.
+  token_count CacheUsed = 0;     ///< Of its prefix cache, by estimate.
+  token_count CacheCapacity = 0; ///< 0 is "not known".
+  int ReportedWaiting = 0;       ///< From the last load report.
   bool Leaving = false;
 };
 
--- a/src/libsched/cache.cpp
+++ b/src/libsched/cache.cpp
@@ -31,6 +31,22 @@
   return Found == Row->Copies.end() ? 0 : Found->Tokens;
 }
 
+void cache_directory::count(const program_row &Row, token_count Tokens) {
+  UsedByRank[indexOf(Row.Rank)] += Tokens;
+}
+
+void cache_directory::setRank(program_id Id, rank Rank) {
+  program_row *Row = Programs.find(Id);
+  if (!Row || Row->Rank == Rank)
+    return;
+  token_count Tokens = 0;
+  for (const cached_copy &Copy : Row->Copies)
+    Tokens += Copy.Tokens;
+  count(*Row, -Tokens);
+  Row->Rank = Rank;
+  count(*Row, Tokens);
+}
+
 void cache_directory::store(program_id Id, runner_id Runner, token_count Tokens,
                             time_point Now) {
   program_row *Row = Programs.find(Id);
@@ -42,9 +58,11 @@
     Row->Copies.push_back({Runner, Tokens, Now});
     Use.Programs.push_back(Id);
     Use.Used += Tokens;
+    count(*Row, Tokens);
     return;
   }
   Use.Used += Tokens - Found->Tokens;
+  count(*Row, Tokens - Found->Tokens);
   Found->Tokens = Tokens;
   Found->LastUse = Now;
 }
@@ -58,6 +76,7 @@
     return;
   runner_use &Use = Runners[Runner];
   Use.Used -= Found->Tokens;
+  count(*Row, -Found->Tokens);
   std::erase(Use.Programs, Id);
   Row->Copies.erase(Found);
 }
--- a/src/libsched/cache_pvt.h
+++ b/src/libsched/cache_pvt.h
@@ -31,6 +31,7 @@
 /// A program of which a cache is known, or which has requests here.
 struct program_row {
   std::string Name;
+  rank Rank = rank::Ordinary; ///< Of its latest request.
   std::vector<cached_copy> Copies;
   time_point ExpectedResume;
   int Active = 0; ///< Requests queued or in flight.
@@ -68,6 +69,9 @@
   void forgetIfIdle(program_id Id);
 
   token_count usedAt(runner_id Runner) const;
+  /// Of all runners, by programs of a rank.
+  token_count usedBy(rank Rank) const { return UsedByRank[indexOf(Rank)]; }
+  void setRank(program_id Id, rank Rank);
   std::span<const program_id> programsAt(runner_id Runner) const;
 
   /// The idle copies at \p Runner that are needed last, enough to bring it
@@ -84,7 +88,10 @@
 
   table<program_row> Programs;
   std::map<std::string, program_id, std::less<>> Names;
+  void count(const program_row &Row, token_count Tokens);
+
   std::unordered_map<runner_id, runner_use> Runners;
+  per_rank<token_count> UsedByRank{};
 };
 
 } // namespace turmerichead::sched::pvt
--- a/src/libsched/floor_pvt.h
+++ b/src/libsched/floor_pvt.h
@@ -10,7 +10,9 @@
 /// next grant is due to the ordinary one.
 class floor_ledger {
 public:
-  explicit floor_ledger(double Floor) : Floor(Floor) {}
+  /// Aims somewhat above \p Promised, because the work is estimated and
+  /// ordinary requests do not wait at every moment.
+  explicit floor_ledger(double Promised) : Floor(Promised * Margin) {}
 
   /// True when ordinary requests have had less than their floor.
   bool ordinaryDue() const { return Floor > 0 && CreditMs > 0; }
@@ -27,6 +29,8 @@
   double ordinaryShare() const;
 
 private:
+  static constexpr double Margin = 1.08;
+
   void add(rank Rank, double WorkMs);
 
   double Floor;
--- a/src/libsched/gate.cpp
+++ b/src/libsched/gate.cpp
@@ -124,7 +124,7 @@
     if (!State->grantNext(First, Now) && !State->grantNext(Second, Now))
       break;
   }
-  Core.endTick();
+  Core.endTick(Now);
   return Core.output();
 }
 
--- a/src/libsched/gate_core.cpp
+++ b/src/libsched/gate_core.cpp
@@ -155,6 +155,7 @@
   if (Request.Deadline.Ms != INT64_MAX)
     Deadlines.emplace(Request.Deadline, Id);
   ByProgram[Stored.Program].push_back(Id);
+  Caches.setRank(Stored.Program, Request.Rank);
   ++Caches.row(Stored.Program)->Active;
   countQueued(Stored, 1);
   return Id;
--- a/src/libsched/gate_core_pvt.h
+++ b/src/libsched/gate_core_pvt.h
@@ -52,6 +52,9 @@
   int Foreign = 0;           ///< Requests there that are not this gate's.
   time_point ForeignUntil;
   int ReportedWaiting = 0;
+  /// True size of the cache against the sum of the copies known here.
+  /// Programs share prefixes, so that the sum counts too much.
+  double CacheScale = 1;
 
   int inFlight() const { return InFlight[0] + InFlight[1]; }
 };
@@ -99,8 +102,8 @@
   place_query queryOf(const request_row &Row, time_point Now) const;
   void noteWaiter(std::size_t View, time_point Now);
   void grantTo(request_row &Row, const placement &Choice, time_point Now);
-  void endTick();
-  gate_output output() const { return {Grants, Refusals, Releases}; }
+  void endTick(time_point Now);
+  gate_output output() const { return {Grants, Refusals, Releases, Moves}; }
 
   // ---- Memory
   // ----------------------------------------------------------------
@@ -139,8 +142,13 @@
   void runnerDied(request_row &Row, runner_row &Runner, time_point Now);
   void release(program_id Program, runner_id Runner);
   void releaseAll(program_id Program);
+  bool mayStart(const request_row &Row, time_point Now) const;
   void expireDeadlines(time_point Now);
-  void releaseSurplus();
+  token_count cacheUsed(runner_id Id, const runner_row &Row) const;
+  void releaseSurplus(time_point Now);
+  std::optional<runner_id> roomFor(token_count Tokens, runner_id Except,
+                                   time_point Now) const;
+  token_count limitOf(const runner_row &Row, double Part) const;
   void touchListed(program_id Program, runner_id Runner, time_point Now);
   void refreshView(std::size_t Index, time_point Now);
 
@@ -164,12 +172,15 @@
 
   // Scratch and output of the tick under way.
   std::array<cursor, RankCount> Cursors;
+  per_rank<double> CacheFill{}; ///< Part of the caches, by rank.
+  double CacheCapacity = 0;     ///< Of the group, counted as copies are.
   std::vector<runner_id> ViewIds;
   std::vector<runner_view> BaseViews;
   std::vector<runner_view> Views;
   std::vector<grant> Grants;
   std::vector<refusal> Refusals;
   std::vector<release_command> Releases;
+  std::vector<move_command> Moves;
   std::vector<release_command> PendingReleases;
   gate_snapshot Totals;
 };
--- a/src/libsched/gate_memory.cpp
+++ b/src/libsched/gate_memory.cpp
@@ -10,6 +10,8 @@
 constexpr double FirstServiceMs = 3'000;
 /// Load that others put on a runner is believed for this long.
 constexpr milliseconds ForeignFor{3'000};
+/// Weight of the latest report in a cache's scale.
+constexpr double ScaleWeight = 0.1;
 } // namespace
 
 // ---- Runners
@@ -57,6 +59,12 @@
   Row->Foreign = std::max(0, Load.Running + Load.Waiting - Own);
   Row->ForeignUntil = Now + ForeignFor;
   Row->ReportedWaiting = Load.Waiting;
+  auto Sum = static_cast<double>(Caches.usedAt(RunnerNames.find(Name)->second));
+  if (Load.CacheUsed > 0 && Sum > 0) {
+    double Scale = static_cast<double>(Load.CacheUsed) / Sum;
+    Row->CacheScale +=
+        ScaleWeight * (std::clamp(Scale, 0.2, 2.0) - Row->CacheScale);
+  }
   Row->PeakBefore = Row->PeakInFlight;
   Row->PeakInFlight = Row->inFlight();
 }
@@ -104,18 +112,57 @@
     release(Program, Copy.Runner);
 }
 
-void gate_core::releaseSurplus() {
+token_count gate_core::cacheUsed(runner_id Id, const runner_row &Row) const {
+  return static_cast<token_count>(Row.CacheScale *
+                                  static_cast<double>(Caches.usedAt(Id)));
+}
+
+token_count gate_core::limitOf(const runner_row &Row, double Part) const {
+  // Counted as the copies are, by their sum.
+  return static_cast<token_count>(
+      Part * static_cast<double>(Row.Info.CacheTokens) / Row.CacheScale);
+}
+
+std::optional<runner_id>
+gate_core::roomFor(token_count Tokens, runner_id Except, time_point Now) const {
+  std::optional<runner_id> Best;
+  token_count BestRoom = Tokens;
+  for (runner_id Id : ViewIds) {
+    const runner_row *Row = Runners.find(Id);
+    if (!Row || Id == Except || !takesWork(*Row, Now))
+      continue;
+    token_count Room =
+        limitOf(*Row, Settings.CacheLowWater) - Caches.usedAt(Id);
+    if (Room <= BestRoom)
+      continue;
+    Best = Id;
+    BestRoom = Room;
+  }
+  return Best;
+}
+
+void gate_core::releaseSurplus(time_point Now) {
   for (runner_id Id : ViewIds) {
     const runner_row *Row = Runners.find(Id);
     if (!Row || Row->Info.CacheTokens <= 0)
       continue;
-    auto Limit = static_cast<token_count>(
-        Settings.CacheHighWater * static_cast<double>(Row->Info.CacheTokens));
+    token_count Limit = limitOf(*Row, Settings.CacheHighWater);
     if (Caches.usedAt(Id) <= Limit)
       continue;
     for (const stale_copy &Copy : Caches.surplus(Id, Limit)) {
-      release(Copy.Program, Copy.Runner);
-      Caches.forgetIfIdle(Copy.Program);
+      token_count Tokens = Caches.tokensAt(Copy.Program, Id);
+      auto Target =
+          Settings.Place.MoveCache ? roomFor(Tokens, Id, Now) : std::nullopt;
+      if (!Target) {
+        release(Copy.Program, Id);
+        Caches.forgetIfIdle(Copy.Program);
+        continue;
+      }
+      Moves.push_back({Caches.row(Copy.Program)->Name, Row->Info.Name,
+                       Runners.find(*Target)->Info.Name});
+      Caches.drop(Copy.Program, Id);
+      Caches.store(Copy.Program, *Target, Tokens, Now);
+      ++Totals.CacheMoves;
     }
   }
 }
--- a/src/libsched/gate_tick.cpp
+++ b/src/libsched/gate_tick.cpp
@@ -24,9 +24,11 @@
 void gate_core::beginTick(time_point Now) {
   Grants.clear();
   Refusals.clear();
+  Moves.clear();
   expireDeadlines(Now);
   ViewIds.clear();
   BaseViews.clear();
+  CacheCapacity = 0;
   Runners.forEach([&](runner_id Id, runner_row &Row) {
     Row.Waiters = 0;
     runner_view View;
@@ -37,7 +39,16 @@
     View.ReportedWaiting = Row.ReportedWaiting;
     ViewIds.push_back(Id);
     BaseViews.push_back(View);
+    if (View.Takes && Row.Info.CacheTokens > 0) {
+      CacheCapacity +=
+          static_cast<double>(Row.Info.CacheTokens) / Row.CacheScale;
+    }
   });
+  for (rank Rank : {rank::Urgent, rank::Ordinary})
+    CacheFill[indexOf(Rank)] =
+        CacheCapacity > 0
+            ? static_cast<double>(Caches.usedBy(Rank)) / CacheCapacity
+            : 0;
   for (std::size_t I = 0; I < RankCount; ++I)
     Cursors[I] = {Queues[I].begin(), 0};
   Views = BaseViews;
@@ -52,6 +63,8 @@
   View.Takes = takesWork(Row, Now);
   View.InFlight = Row.inFlight() + Foreign;
   View.Free = View.Takes && View.InFlight < View.Slots;
+  View.CacheUsed = cacheUsed(ViewIds[Index], Row);
+  View.CacheCapacity = Row.Info.CacheTokens;
   double Busy = Row.PrefillUntilMs - static_cast<double>(Now.Ms);
   View.PrefillBacklogMs = std::max(0.0, Busy);
   double SlotMs = Row.ServiceMs / std::max(1, View.Slots);
@@ -76,6 +89,26 @@
   return ByProgram.at(Row.Program).front() == Row.Key.Request;
 }
 
+bool gate_core::mayStart(const request_row &Row, time_point Now) const {
+  if (Row.Request.Started)
+    return true;
+  rank Rank = Row.Request.Rank;
+  double Limit = Settings.StartCacheFill[indexOf(Rank)];
+  double Used = CacheFill[0] + CacheFill[1];
+  // The floor holds for memory as well, or no ordinary program could start
+  // and there would be no calls to give the floor to.
+  double Kept = Settings.OrdinaryMemory * Settings.OrdinaryFloor *
+                Settings.StartCacheFill[indexOf(rank::Urgent)];
+  double Ordinary = CacheFill[indexOf(rank::Ordinary)];
+  if (Rank == rank::Ordinary && Ordinary < Kept)
+    return true;
+  if (Rank == rank::Urgent)
+    Used += std::max(0.0, Kept - Ordinary);
+  if (Used <= Limit)
+    return true;
+  return Now - Row.QueuedAt >= Settings.MaxCacheWait;
+}
+
 request_row *gate_core::nextCandidate(std::size_t Queue, time_point Now) {
   cursor &Cursor = Cursors[Queue];
   while (Cursor.Next != Queues[Queue].end() &&
@@ -86,6 +119,8 @@
     if (!isHeadOfProgram(Row))
       continue;
     ++Cursor.Seen;
+    if (!mayStart(Row, Now))
+      continue;
     poison_state State = Poison.stateOf(Row.Request.Fingerprint, Now);
     if (State != poison_state::Condemned)
       return &Row;
@@ -175,6 +210,7 @@
     Cached = Views[*Choice.MoveFrom].Cached;
     Grant.MoveCacheFrom = Runners.find(ViewIds[*Choice.MoveFrom])->Info.Name;
     Grant.MoveTokens = Cached;
+    Caches.drop(Row.Program, ViewIds[*Choice.MoveFrom]);
     ++Totals.CacheMoves;
   }
   double PrefillMs = static_cast<double>(Row.Request.PromptTokens - Cached) *
@@ -191,6 +227,11 @@
   ++Totals.Granted[Rank];
   if (!Row.Request.Started)
     Starts[Rank].count(Now);
+  token_count Added =
+      Row.Request.PromptTokens - Caches.tokensAt(Row.Program, Row.Runner);
+  if (CacheCapacity > 0 && Added > 0)
+    CacheFill[Rank] += static_cast<double>(Added) / CacheCapacity;
+  Caches.store(Row.Program, Row.Runner, Row.Request.PromptTokens, Now);
 
   ++Runner.InFlight[Rank];
   Runner.PeakInFlight = std::max(Runner.PeakInFlight, Runner.inFlight());
@@ -204,9 +245,9 @@
   refreshView(Choice.Runner, Now);
 }
 
-void gate_core::endTick() {
+void gate_core::endTick(time_point Now) {
   if (Settings.PauseAware)
-    releaseSurplus();
+    releaseSurplus(Now);
   Releases.swap(PendingReleases);
   PendingReleases.clear();
   Totals.Releases += Releases.size();
--- a/src/libsched/place.cpp
+++ b/src/libsched/place.cpp
@@ -56,6 +56,21 @@
          static_cast<double>(Tokens) * Runner.Rates.MoveMsPerToken;
 }
 
+/// What a request costs others by the memory that it adds at a runner.
+double memoryMs(const place_settings &Settings, const place_query &Query,
+                const runner_view &Runner) {
+  if (Runner.CacheCapacity <= 0)
+    return 0;
+  auto Capacity = static_cast<double>(Runner.CacheCapacity);
+  auto Used = static_cast<double>(Runner.CacheUsed);
+  auto Added = static_cast<double>(Query.PromptTokens - Runner.Cached);
+  double Over = Used + Added - Settings.CacheHighWater * Capacity;
+  double Pushed = std::clamp(Over, 0.0, Added);
+  return Pushed * Runner.Rates.PrefillMsPerToken +
+         Settings.FullCacheMs * Used / Capacity *
+             (Added / static_cast<double>(Query.PromptTokens));
+}
+
 /// A runner's cost for a request in milliseconds, and how it gets its prefix.
 struct cost {
   double Ms = std::numeric_limits<double>::infinity();
@@ -79,6 +94,7 @@
   }
   Cost.Ms +=
       Settings.LoadWeight * (Runner.PrefillBacklogMs + fillOf(Runner) * 100.0);
+  Cost.Ms += memoryMs(Settings, Query, Runner);
   return Cost;
 }
 
--- a/src/libsched/rules_test.cpp
+++ b/src/libsched/rules_test.cpp
@@ -67,6 +67,8 @@
   affinity_place Place;
   place_settings Settings;
   Settings.MoveCache = false;
+  Settings.LeaveFactor = 1;
+  Settings.MaxAffinityWait = 10 * Second;
   place_query Query{20'000, {0}, {0}};
   std::vector<runner_view> Runners{freeRunner(8, 19'000), freeRunner(0)};
 
