Let callbacks of the HTTP server outlive it

Under the address sanitizer a message that libsoup ended after its server had been destroyed reached the server's freed tables. The contexts of callbacks now hold a weak reference. Linter findings are mended on the way.

--- a/src/include/turmerichead/net_http.h
+++ b/src/include/turmerichead/net_http.h
@@ -194,7 +194,7 @@
   static std::optional<http_client> create(http_client_settings Settings);
 
   /// Starts a call. No event is called before this function has returned.
-  http_call_id send(http_request Request, http_call_events Events);
+  http_call_id send(const http_request &Request, http_call_events Events);
 
   /// Takes back a call and closes its connection. None of its events is
   /// called any more. Returns false if the call has ended before.
--- a/src/include/turmerichead/net_platform.h
+++ b/src/include/turmerichead/net_platform.h
@@ -130,8 +130,8 @@
 class platform_client {
 public:
   /// \p Http must outlive the client. Fails with InvalidInput.
-  static std::optional<platform_client> create(platform_settings Settings,
-                                               http_client &Http);
+  static std::optional<platform_client>
+  create(const platform_settings &Settings, http_client &Http);
 
   void get(std::string_view Plural, std::string_view Name,
            platform_callback Done);
@@ -142,12 +142,12 @@
 
   /// Creates an object; Conflict if the name is taken. \p Object needs
   /// metadata.name.
-  void create(std::string_view Plural, nlohmann::json Object,
+  void create(std::string_view Plural, const nlohmann::json &Object,
               platform_callback Done);
 
   /// Replaces an object if metadata.resourceVersion is its present version;
   /// Conflict otherwise.
-  void update(std::string_view Plural, nlohmann::json Object,
+  void update(std::string_view Plural, const nlohmann::json &Object,
               platform_callback Done);
 
   /// Deletes an object; if \p Version is given, only in that version.
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -332,7 +332,8 @@
 http_client &http_client::operator=(http_client &&Other) noexcept = default;
 http_client::~http_client() = default;
 
-http_call_id http_client::send(http_request Request, http_call_events Events) {
+http_call_id http_client::send(const http_request &Request,
+                               http_call_events Events) {
   http_call_row Row;
   Row.Events = std::make_shared<const http_call_events>(std::move(Events));
   Row.MaxBodyBytes = Request.MaxBodyBytes > 0 ? Request.MaxBodyBytes
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -30,16 +30,20 @@
   std::size_t BodyBytes = 0;
 };
 
-/// Typed context of a callback that GLib calls; freed by GLib.
-struct connection_context {
-  http_server::state *Owner;
-  connection_id Id;
-};
-
-struct exchange_context {
-  http_server::state *Owner;
-  http_exchange_id Id;
+/// What a callback of GLib needs to find its row. It may outlive the server,
+/// because libsoup ends a message after its connection was shut.
+template <typename Id> struct row_context {
+  std::weak_ptr<http_server::state *> Server;
+  Id Row;
+
+  /// The server, or nullptr if it has gone.
+  http_server::state *owner() const {
+    auto Locked = Server.lock();
+    return Locked ? *Locked : nullptr;
+  }
 };
+using connection_context = row_context<connection_id>;
+using exchange_context = row_context<http_exchange_id>;
 
 template <typename Context> void freeContext(gpointer Data, GClosure *) {
   delete static_cast<Context *>(Data);
@@ -70,6 +74,7 @@
   std::uint16_t Port = 0;
   table<connection_row> Connections;
   table<http_exchange_row> Exchanges;
+  std::shared_ptr<state *> Self = std::make_shared<state *>(this);
 
   ~state();
   void accept();
@@ -121,10 +126,10 @@
   // A message of libsoup gives no access to its connection, but hands back
   // the very address object that its connection was accepted with.
   g_object_set_data_full(
-      G_OBJECT(Remote.get()), ConnectionKey, new connection_context{this, Id},
+      G_OBJECT(Remote.get()), ConnectionKey, new connection_context{Self, Id},
       [](gpointer Data) { delete static_cast<connection_context *>(Data); });
   g_object_weak_ref(G_OBJECT(Stream.get()), onConnectionGone,
-                    new connection_context{this, Id});
+                    new connection_context{Self, Id});
   soup_server_accept_iostream(Server.get(), G_IO_STREAM(Stream.get()),
                               Local.get(), Remote.get(), nullptr);
 }
@@ -132,8 +137,8 @@
 void http_server::state::onConnectionGone(gpointer Data, GObject *) {
   std::unique_ptr<connection_context> Context(
       static_cast<connection_context *>(Data));
-  if (Context->Owner)
-    Context->Owner->Connections.erase(Context->Id);
+  if (state *Owner = Context->owner())
+    Owner->Connections.erase(Context->Row);
 }
 
 connection_id
@@ -143,7 +148,7 @@
     return {};
   auto *Context = static_cast<connection_context *>(
       g_object_get_data(G_OBJECT(Remote), ConnectionKey));
-  return Context ? Context->Id : connection_id{};
+  return Context ? Context->Row : connection_id{};
 }
 
 // -- Reading a request -------------------------------------------------------
@@ -191,21 +196,22 @@
     return;
   }
   g_signal_connect_data(Message, "got-chunk", G_CALLBACK(onChunk),
-                        new connection_context{this, Id},
+                        new connection_context{Self, Id},
                         freeContext<connection_context>,
                         static_cast<GConnectFlags>(0));
 }
 
 void http_server::state::onChunk(SoupServerMessage *Message, GBytes *Chunk,
                                  connection_context *Context) {
-  state &Owner = *Context->Owner;
-  connection_row *Connection = Owner.Connections.find(Context->Id);
+  state *Owner = Context->owner();
+  connection_row *Connection =
+      Owner ? Owner->Connections.find(Context->Row) : nullptr;
   if (!Connection || soup_server_message_get_status(Message) != 0)
     return;
   Connection->BodyBytes += g_bytes_get_size(Chunk);
-  if (Connection->BodyBytes > Owner.Settings.MaxBodyBytes)
-    Owner.reject(Message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
-                 "the body is over the limit");
+  if (Connection->BodyBytes > Owner->Settings.MaxBodyBytes)
+    Owner->reject(Message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
+                  "the body is over the limit");
 }
 
 /// Answers without the handler. What is left of the body is read and dropped
@@ -255,11 +261,11 @@
   Exchange.LastTaken = steadyNow();
   http_exchange_id Id = Exchanges.insert(std::move(Exchange));
   g_signal_connect_data(Message, "finished", G_CALLBACK(onFinished),
-                        new exchange_context{this, Id},
+                        new exchange_context{Self, Id},
                         freeContext<exchange_context>,
                         static_cast<GConnectFlags>(0));
   g_signal_connect_data(Message, "wrote-body-data", G_CALLBACK(onWrote),
-                        new exchange_context{this, Id},
+                        new exchange_context{Self, Id},
                         freeContext<exchange_context>,
                         static_cast<GConnectFlags>(0));
   if (connection_row *Row = Connections.find(Connection))
@@ -324,7 +330,8 @@
 
 void http_server::state::onFinished(SoupServerMessage * /*Message*/,
                                     exchange_context *Context) {
-  Context->Owner->finished(Context->Id);
+  if (state *Owner = Context->owner())
+    Owner->finished(Context->Row);
 }
 
 void http_server::state::finished(http_exchange_id Id) {
@@ -344,7 +351,9 @@
 
 void http_server::state::onWrote(SoupServerMessage * /*Message*/, guint Size,
                                  exchange_context *Context) {
-  http_exchange_row *Exchange = Context->Owner->Exchanges.find(Context->Id);
+  state *Owner = Context->owner();
+  http_exchange_row *Exchange =
+      Owner ? Owner->Exchanges.find(Context->Row) : nullptr;
   if (!Exchange)
     return;
   Exchange->Buffered -= std::min<std::size_t>(Exchange->Buffered, Size);
@@ -375,19 +384,12 @@
 }
 
 http_server::state::~state() {
-  Exchanges.forEach([&](http_exchange_id, http_exchange_row &Row) {
-    g_signal_handlers_disconnect_matched(
-        Row.Message.get(), G_SIGNAL_MATCH_FUNC, 0, 0, nullptr,
-        reinterpret_cast<gpointer>(onFinished), nullptr);
-    g_signal_handlers_disconnect_matched(
-        Row.Message.get(), G_SIGNAL_MATCH_FUNC, 0, 0, nullptr,
-        reinterpret_cast<gpointer>(onWrote), nullptr);
+  Self.reset(); // From here on the callbacks do nothing.
+  Exchanges.forEach([](http_exchange_id, http_exchange_row &Row) {
     soup_server_message_unpause(Row.Message.get());
   });
-  // Closing the connections calls onConnectionGone, which needs the table.
   if (Server)
     soup_server_disconnect(Server.get());
-  Server.reset();
 }
 
 // -- Interface ---------------------------------------------------------------
--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -421,7 +421,9 @@
       {"3\r\nabc\r\n2", false},
   };
   for (bool ByteByByte : {false, true}) {
-    for (const auto &[Bytes, Whole] : Cases) {
+    for (const auto &Case : Cases) {
+      const std::string &Bytes = Case.first;
+      const bool Whole = Case.second;
       CAPTURE(Bytes);
       CAPTURE(ByteByByte);
       raw_server Raw;
--- a/src/libnet/peer_server.cpp
+++ b/src/libnet/peer_server.cpp
@@ -6,7 +6,6 @@
 #include <msgpack.hpp>
 
 #include <algorithm>
-#include <cstring>
 #include <unordered_map>
 
 namespace turmerichead {
@@ -407,7 +406,7 @@
   server_stream &Stream = Found->second;
   std::size_t Count =
       std::min(Length, Stream.Output.size() - Stream.OutputSent);
-  std::memcpy(Buffer, Stream.Output.data() + Stream.OutputSent, Count);
+  std::copy_n(Stream.Output.data() + Stream.OutputSent, Count, Buffer);
   Stream.OutputSent += Count;
   if (Stream.OutputSent == Stream.Output.size()) {
     Stream.Output.clear();
--- a/src/libnet/peer_streams.cpp
+++ b/src/libnet/peer_streams.cpp
@@ -271,7 +271,7 @@
     return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
   const std::string &Body = Stream->Request.Body;
   std::size_t Count = std::min(Length, Body.size() - Stream->BodySent);
-  std::memcpy(Buffer, Body.data() + Stream->BodySent, Count);
+  std::copy_n(Body.data() + Stream->BodySent, Count, Buffer);
   Stream->BodySent += Count;
   if (Stream->BodySent == Body.size())
     *Flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/libnet/peer_test.cpp
+++ b/src/libnet/peer_test.cpp
@@ -24,7 +24,7 @@
   std::optional<peer_server> Server;
   std::optional<peer_links> Links;
 
-  explicit pair_of_hosts(peer_settings ServerSettings = settingsOf("b"),
+  explicit pair_of_hosts(const peer_settings &ServerSettings = settingsOf("b"),
                          const std::string &ServerKey = "key") {
     Server = peer_server::create(
         "127.0.0.1:0", ServerSettings, ServerKey,
--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -184,7 +184,8 @@
 
 // -- Calls -------------------------------------------------------------------
 
-platform_client::state::state(platform_settings Settings, http_client &Http)
+platform_client::state::state(const platform_settings &Settings,
+                              http_client &Http)
     : Settings(Settings), Http(&Http),
       Reads(Settings.ReadsPerSecond, Settings.ReadBurst),
       Writes(Settings.WritesPerSecond, Settings.WriteBurst),
@@ -346,7 +347,7 @@
 
 // -- Lists -------------------------------------------------------------------
 
-void platform_client::state::nextPage(std::shared_ptr<list_job> Job) {
+void platform_client::state::nextPage(const std::shared_ptr<list_job> &Job) {
   std::string Url = urlOf(Job->Plural);
   Url += "?limit=" + std::to_string(Settings.PageSize);
   if (!Job->Continue.empty()) {
@@ -401,13 +402,13 @@
 // -- Interface ---------------------------------------------------------------
 
 std::optional<platform_client>
-platform_client::create(platform_settings Settings, http_client &Http) {
+platform_client::create(const platform_settings &Settings, http_client &Http) {
   if (Settings.BaseUrl.empty() || Settings.Namespace.empty())
     return fail(error_code::InvalidInput,
                 "the platform needs a base URL and a namespace");
   if (Settings.ReadsPerSecond <= 0 || Settings.WritesPerSecond <= 0)
     return fail(error_code::InvalidInput, "a budget must be above zero");
-  return platform_client(std::make_unique<state>(std::move(Settings), Http));
+  return platform_client(std::make_unique<state>(Settings, Http));
 }
 
 platform_client::platform_client(std::unique_ptr<state> State)
@@ -429,10 +430,10 @@
   auto Job = std::make_shared<list_job>();
   Job->Plural = Plural;
   Job->Done = std::move(Done);
-  State->nextPage(std::move(Job));
+  State->nextPage(Job);
 }
 
-void platform_client::create(std::string_view Plural, json Object,
+void platform_client::create(std::string_view Plural, const json &Object,
                              platform_callback Done) {
   http_request Request =
       State->newRequest("POST", State->urlOf(Plural), State->Settings.Timeout);
@@ -441,7 +442,7 @@
                        std::move(Done));
 }
 
-void platform_client::update(std::string_view Plural, json Object,
+void platform_client::update(std::string_view Plural, const json &Object,
                              platform_callback Done) {
   http_request Request =
       State->newRequest("PUT", State->urlOf(Plural, nameOfObject(Object)),
--- a/src/libnet/platform_pvt.h
+++ b/src/libnet/platform_pvt.h
@@ -99,7 +99,7 @@
   std::mt19937_64 Random;
   std::shared_ptr<state *> Self;
 
-  state(platform_settings Settings, http_client &Http);
+  state(const platform_settings &Settings, http_client &Http);
 
   // Calls.
   std::string urlOf(std::string_view Plural, std::string_view Name = {}) const;
@@ -115,7 +115,7 @@
   void defer(std::function<void()> Action);
   void callForObject(platform_verb Verb, http_request Request,
                      platform_callback Done);
-  void nextPage(std::shared_ptr<pvt::list_job> Job);
+  void nextPage(const std::shared_ptr<pvt::list_job> &Job);
   void takePage(const std::shared_ptr<pvt::list_job> &Job,
                 const pvt::raw_answer &Answer);
 
@@ -133,7 +133,7 @@
             const nlohmann::json &Object);
   void synced(platform_watch_id Id);
   void streamEnded(platform_watch_id Id, const http_result &Result);
-  void pauseThenRetry(platform_watch_id Id, std::string Reason);
+  void pauseThenRetry(platform_watch_id Id, const std::string &Reason);
   void relist(platform_watch_id Id);
   bool checkSilence(platform_watch_id Id);
 };
--- a/src/libnet/platform_watch.cpp
+++ b/src/libnet/platform_watch.cpp
@@ -62,7 +62,7 @@
   Job->Done = [this, Id](const platform_list_reply &Reply) {
     takeList(Id, Reply);
   };
-  nextPage(std::move(Job));
+  nextPage(Job);
 }
 
 void platform_client::state::takeList(platform_watch_id Id,
@@ -295,7 +295,7 @@
 
 /// An empty \p Reason is the ordinary end of a stream.
 void platform_client::state::pauseThenRetry(platform_watch_id Id,
-                                            std::string Reason) {
+                                            const std::string &Reason) {
   platform_watch_row &Row = *Watches.find(Id);
   Row.Phase = watch_phase::Pausing;
   Row.Pause = std::clamp(Row.Pause * 2, Settings.RetryMin, Settings.RetryMax);
