--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -43,9 +43,10 @@
   std::optional<http_result> Result;
 };
 
-http_call_id call(http_client &Client, answer &Answer, http_request Request) {
+http_call_id call(http_client &Client, answer &Answer,
+                  const http_request &Request) {
   return Client.send(
-      std::move(Request),
+      Request,
       {.OnHeaders =
            [&Answer](int Status, const auto &Header) {
              Answer.Status = Status;
--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -294,7 +294,6 @@
 
 void platform_client::state::dispatch(raw_call Call) {
   ++countersOf(Call.Verb).Calls;
-  http_request Request = Call.Request;
   auto Shared = std::make_shared<raw_call>(std::move(Call));
   auto Answer = std::make_shared<raw_answer>();
   std::weak_ptr<state *> Weak = Self;
