--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -298,7 +298,7 @@
   auto Answer = std::make_shared<raw_answer>();
   std::weak_ptr<state *> Weak = Self;
   Http->send(
-      std::move(Request),
+      Shared->Request,
       {.OnHeaders = {},
        .OnChunk = [Answer](std::string_view Bytes) { Answer->Body += Bytes; },
        .OnEnd =
