--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -43,9 +43,10 @@
   std::optional<http_result> Result;
 };
 
-http_call_id call(http_client &Client, answer &Answer, http_request Request) {
+http_call_id call(http_client &Client, answer &Answer,
+                  const http_request &Request) {
   return Client.send(
-      std::move(Request),
+      Request,
       {.OnHeaders =
            [&Answer](int Status, const auto &Header) {
              Answer.Status = Status;
@@ -421,7 +422,9 @@
       {"3\r\nabc\r\n2", false},
   };
   for (bool ByteByByte : {false, true}) {
-    for (const auto &[Bytes, Whole] : Cases) {
+    for (const auto &Case : Cases) {
+      const std::string &Bytes = Case.first;
+      const bool Whole = Case.second;
       CAPTURE(Bytes);
       CAPTURE(ByteByByte);
       raw_server Raw;
