--- a/testsuite/scenario/call_builder.cpp
+++ b/testsuite/scenario/call_builder.cpp
@@ -19,6 +19,7 @@
   Spec.Token = Step.text("token");
   Spec.Question = Step.text("question");
   Spec.MaxTokens = Step.number("max_tokens", 0);
+  Spec.MinTokens = Step.number("min_tokens", 0);
   Spec.Stream = Step.flag("stream");
   Spec.Service = Step.text("service");
   if (Step.has("body"))
@@ -61,6 +62,8 @@
                {"messages", messagesFor(Spec)}};
   if (Spec.MaxTokens > 0)
     Body["max_tokens"] = Spec.MaxTokens;
+  if (Spec.MinTokens > 0)
+    Body["min_tokens"] = Spec.MinTokens;
   Row->second = Body.dump();
   return Row->second;
 }
--- a/testsuite/scenario/call_builder.h
+++ b/testsuite/scenario/call_builder.h
@@ -21,6 +21,7 @@
   std::string Token;
   std::string Question; ///< Empty: one that names program and call.
   std::int64_t MaxTokens = 0;
+  std::int64_t MinTokens = 0; ///< The length of the answer.
   bool Stream = false;
   std::string Service; ///< "service/path": a service call.
   nlohmann::json Body; ///< Of a service call.
--- a/testsuite/standins/runner_engine.cpp
+++ b/testsuite/standins/runner_engine.cpp
@@ -92,9 +92,10 @@
   Row.Program = Call.header("X-Turmerichead-Program");
   Row.Key = Row.Program + "#" + CallNumber;
   Row.Stream = Request.value("stream", false);
+  const std::int64_t Whole = Request.value("min_tokens", Settings.AnswerTokens);
   const std::int64_t Wanted =
-      Request.value("max_tokens", Settings.AnswerTokens);
-  Row.Cut = Request.contains("max_tokens");
+      std::min(Whole, Request.value("max_tokens", Whole));
+  Row.Cut = Wanted < Whole;
   Row.Tokens = answerTokens(lastQuestion(Request["messages"]), Row.Program,
                             CallNumber, Wanted);
   skipPartialAnswer(Row, Request);
--- a/testsuite/standins/runner_engine.h
+++ b/testsuite/standins/runner_engine.h
@@ -20,7 +20,7 @@
   std::size_t Slots = 16;
   double MsPerToken = 1;
   double PrefillUsPerToken = 20;
-  std::int64_t AnswerTokens = 24; ///< Where the request does not say.
+  std::int64_t AnswerTokens = 24; ///< Where no min_tokens asks for more.
   std::int64_t CacheTokens = 200000;
   std::int64_t EventLagMs = 200;
   std::uint64_t LoseEvery = 7;
--- a/testsuite/standins/runner_main.cpp
+++ b/testsuite/standins/runner_main.cpp
@@ -17,7 +17,8 @@
 DEFINE_double(ms_per_token, 1, "Decode pace, in milliseconds a token");
 DEFINE_double(prefill_us_per_token, 20,
               "Prefill pace, in microseconds a token that is not cached");
-DEFINE_int64(answer_tokens, 24, "Length of an answer without max_tokens");
+DEFINE_int64(answer_tokens, 24,
+             "Length of an answer that asks for no min_tokens");
 DEFINE_int64(cache_tokens, 200000, "Size of the prefix cache, in tokens");
 DEFINE_int64(event_lag_ms, 200, "Delay of cache events, in milliseconds");
 DEFINE_uint64(lose_every, 7, "One cache event in so many is lost; 0: none");
