--- a/src/include/turmerichead/cluster_config.h
+++ b/src/include/turmerichead/cluster_config.h
@@ -41,6 +41,18 @@
   friend bool operator==(const config_item &, const config_item &) = default;
 };
 
+/// The order in which items of one name replace each other: by version, and
+/// of one version the tombstone last. A deletion that is noticed by a list
+/// alone may have no version but that of the content it deleted.
+inline std::uint64_t orderOf(const config_item &Item) {
+  return 2 * Item.Version + (Item.Deleted ? 1 : 0);
+}
+
+/// Reads an object of the platform: name, version, spec and the annotation
+/// "turmerichead.io/changed-by". An object without name or version gives one
+/// with version 0, which is never applied.
+config_item itemFromObject(const nlohmann::json &Object, bool Deleted);
+
 /// Where an item came from; for the audit trail only.
 enum class config_source : std::uint8_t { Platform, Peer, Disk };
 std::string_view nameOf(config_source Source);
@@ -78,11 +90,11 @@
                          const config_summary &) = default;
 };
 
-/// Versions of one name that a host knows.
+/// What a host knows of one name, as order numbers (see orderOf()).
 struct config_digest_row {
   std::string Name;
-  resource_version Latest = 0;
-  resource_version Good = 0; ///< In force; 0: none.
+  std::uint64_t Latest = 0;
+  std::uint64_t Good = 0; ///< In force; 0: none.
 };
 using config_digest = std::vector<config_digest_row>;
 
@@ -210,7 +222,7 @@
     std::uint64_t RootAfter = 0;
     std::set<std::string, std::less<>> Confirmed;
   };
-  std::deque<row> Rows; ///< Oldest first.
+  std::deque<row> Rows; ///< Newest first.
 };
 
 } // namespace turmerichead
--- a/src/libcluster/config_store.cpp
+++ b/src/libcluster/config_store.cpp
@@ -5,13 +5,14 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace turmerichead {
 namespace {
 
-std::uint64_t slotHash(std::string_view Name, resource_version Latest,
-                       resource_version Good) {
+std::uint64_t slotHash(std::string_view Name, std::uint64_t Latest,
+                       std::uint64_t Good) {
   if (Latest == 0 && Good == 0)
     return 0;
   std::string Key(Name);
@@ -73,7 +74,7 @@
   }
   Slot.Good = Item;
   Slot.Entry = std::move(Entry);
-  if (Slot.Latest.Version <= Item.Version) {
+  if (orderOf(Slot.Latest) <= orderOf(Item)) {
     Slot.Latest = Item;
     Slot.Invalid.clear();
   }
@@ -83,7 +84,10 @@
   // A complete list lacked this name although the item is older: it was
   // deleted in between, and whoever sent it has missed that. The tombstone
   // tells the sender so.
-  if (Item.Deleted || Item.Version > Listed || Slots.contains(Item.Name))
+  if (Item.Deleted || Item.Version > Listed)
+    return false;
+  auto Found = Slots.find(Item.Name);
+  if (Found != Slots.end() && !Found->second.Latest.Deleted)
     return false;
   findings None;
   apply(tombstoneOf(Item.Name, Listed), config_source::Platform, NowMs, None);
@@ -94,12 +98,15 @@
                                  std::int64_t NowMs, findings &Findings) {
   if (buryIfDeleted(Item, NowMs))
     return apply_result::Known;
+  if (Item.Version == 0)
+    return apply_result::Known;
   auto Found = Slots.find(Item.Name);
-  resource_version Good = Found == Slots.end() ? 0 : Found->second.Good.Version;
-  resource_version Latest =
-      Found == Slots.end() ? 0 : Found->second.Latest.Version;
-  bool SeenInvalid = Item.Version == Latest && Latest != Good;
-  if (Item.Version <= Good || SeenInvalid)
+  bool IsNew = Found == Slots.end();
+  std::uint64_t Good = IsNew ? 0 : orderOf(Found->second.Good);
+  std::uint64_t Latest = IsNew ? 0 : orderOf(Found->second.Latest);
+  std::uint64_t Order = orderOf(Item);
+  bool SeenInvalid = Order == Latest && Latest != Good;
+  if (Order <= Good || SeenInvalid)
     return apply_result::Known;
 
   std::optional<catalogue_entry> Entry;
@@ -107,7 +114,7 @@
   if (!Item.Deleted)
     Entry = checkItem(Item, Own);
   bool Valid = Item.Deleted || Entry.has_value();
-  if (!Valid && Item.Version <= Latest)
+  if (!Valid && Order <= Latest)
     return apply_result::Known;
 
   slot &Slot = Slots[Item.Name];
@@ -120,7 +127,7 @@
       Findings.add(Row.Place, Row.Text);
   }
   Root ^= slotHash(Item.Name, Latest, Good) ^
-          slotHash(Item.Name, Slot.Latest.Version, Slot.Good.Version);
+          slotHash(Item.Name, orderOf(Slot.Latest), orderOf(Slot.Good));
   return Valid ? apply_result::InForce : apply_result::Invalid;
 }
 
@@ -193,7 +200,7 @@
   config_digest Result;
   Result.reserve(Slots.size());
   for (const auto &[Name, Slot] : Slots)
-    Result.push_back({Name, Slot.Latest.Version, Slot.Good.Version});
+    Result.push_back({Name, orderOf(Slot.Latest), orderOf(Slot.Good)});
   return Result;
 }
 
@@ -220,18 +227,45 @@
   std::vector<config_item> Result;
   for (const auto &[Name, Slot] : Slots) {
     auto Found = Known.find(Name);
-    resource_version PeerGood = Found == Known.end() ? 0 : Found->second->Good;
-    resource_version PeerLatest =
-        Found == Known.end() ? 0 : Found->second->Latest;
-    if (Slot.Good.Version > PeerGood)
+    bool IsNew = Found == Known.end();
+    std::uint64_t PeerGood = IsNew ? 0 : Found->second->Good;
+    std::uint64_t PeerLatest = IsNew ? 0 : Found->second->Latest;
+    std::uint64_t Good = orderOf(Slot.Good);
+    std::uint64_t Latest = orderOf(Slot.Latest);
+    if (Good > PeerGood)
       Result.push_back(Slot.Good);
-    if (Slot.Latest.Version > Slot.Good.Version &&
-        Slot.Latest.Version > PeerLatest)
+    if (Latest > Good && Latest > PeerLatest)
       Result.push_back(Slot.Latest);
   }
   return Result;
 }
 
+config_item itemFromObject(const nlohmann::json &Object, bool Deleted) {
+  constexpr const char *Annotation = "/annotations/turmerichead.io~1changed-by";
+  config_item Item;
+  if (!Object.is_object() || !Object.contains("metadata") ||
+      !Object["metadata"].is_object())
+    return Item;
+  const nlohmann::json &Metadata = Object["metadata"];
+  const auto TextAt = [&Metadata](const char *Pointer) -> std::string {
+    nlohmann::json::json_pointer Path(Pointer);
+    if (!Metadata.contains(Path) || !Metadata[Path].is_string())
+      return "";
+    return Metadata[Path];
+  };
+  Item.Name = TextAt("/name");
+  Item.ChangedBy = TextAt(Annotation);
+  Item.Deleted = Deleted;
+  if (!Deleted && Object.contains("spec"))
+    Item.Spec = Object["spec"].dump();
+  std::string Version = TextAt("/resourceVersion");
+  const char *End = Version.data() + Version.size();
+  auto [Rest, Error] = std::from_chars(Version.data(), End, Item.Version);
+  if (Error != std::errc() || Rest != End || Item.Name.empty())
+    Item.Version = 0;
+  return Item;
+}
+
 nlohmann::json toJson(const config_change &Change) {
   nlohmann::json Fields = nlohmann::json::array();
   for (const field_change &Field : Change.Fields)
--- a/src/libcluster/force_tracker.cpp
+++ b/src/libcluster/force_tracker.cpp
@@ -9,9 +9,9 @@
   Row.Progress.Version = Version;
   Row.Progress.AppliedAtMs = NowMs;
   Row.RootAfter = RootAfter;
-  Rows.push_back(std::move(Row));
+  Rows.push_front(std::move(Row));
   if (Rows.size() > MaxChanges)
-    Rows.pop_front();
+    Rows.pop_back();
 }
 
 void force_tracker::heard(std::string_view Host, std::uint64_t Root,
@@ -19,10 +19,10 @@
   // The store only goes forward, so a host whose hash matches a later state
   // has the earlier changes too.
   bool Has = Root == OwnRoot;
-  for (auto Row = Rows.rbegin(); Row != Rows.rend(); ++Row) {
-    Has = Has || Row->RootAfter == Root;
-    if (Has && Row->Progress.EverywhereAtMs == 0)
-      Row->Confirmed.emplace(Host);
+  for (row &Row : Rows) {
+    Has = Has || Row.RootAfter == Root;
+    if (Has && Row.Progress.EverywhereAtMs == 0)
+      Row.Confirmed.emplace(Host);
   }
 }
 
@@ -49,8 +49,8 @@
 std::vector<force_tracker::progress> force_tracker::latest() const {
   std::vector<progress> Result;
   Result.reserve(Rows.size());
-  for (auto Row = Rows.rbegin(); Row != Rows.rend(); ++Row)
-    Result.push_back(Row->Progress);
+  for (const row &Row : Rows)
+    Result.push_back(Row.Progress);
   return Result;
 }
 
--- a/src/libcluster/shard_map.cpp
+++ b/src/libcluster/shard_map.cpp
@@ -26,7 +26,7 @@
 auto lowerBound(auto &Hosts, std::string_view Id) {
   return std::lower_bound(Hosts.begin(), Hosts.end(), Id,
                           [](const host_record &Row, std::string_view Key) {
-                            return Row.Id < Key;
+                            return Row.Id.compare(Key) < 0;
                           });
 }
 
