--- a/testsuite/scenario/call_table.cpp
+++ b/testsuite/scenario/call_table.cpp
@@ -67,10 +67,13 @@
          Result.Status == 429 || Result.Status == 503;
 }
 
-/// A refused connection was never taken, as a balancer would notice.
-bool wasCutOff(const http_response &Response) {
-  return Response.Broken &&
-         Response.Failure.find("refused") == std::string::npos;
+/// A refused connection was never taken, as a balancer would notice. An answer
+/// that ends early is cut off, also where the connection ends in good order,
+/// unless an error says why.
+bool wasCutOff(const http_response &Response, const call_result &Result) {
+  if (Response.Broken)
+    return Response.Failure.find("refused") == std::string::npos;
+  return !Result.Complete && Result.Outcome.empty();
 }
 
 } // namespace
@@ -157,7 +160,7 @@
   if (!Response.Done)
     return;
   Row.Result = readAnswer(Response, Row.Order.ReplyMark);
-  if (wasCutOff(Response))
+  if (wasCutOff(Response, Row.Result))
     ++CutOff;
   Client.forget(Row.Request);
   if (Row.Order.Retry && mayRepeat(Row.Result)) {
--- a/testsuite/scenario/interpreter.cpp
+++ b/testsuite/scenario/interpreter.cpp
@@ -214,8 +214,14 @@
 }
 
 json interpreter::substituteAll(const json &Value) {
-  if (Value.is_string())
-    return substitute(Value.get<std::string>());
+  if (Value.is_string()) {
+    const auto &Text = Value.get_ref<const std::string &>();
+    std::string Result = substitute(Text);
+    // A remembered number stays a number.
+    const json Number =
+        Result == Text ? json() : json::parse(Result, nullptr, false);
+    return Number.is_number() ? Number : json(Result);
+  }
   if (!Value.is_structured())
     return Value;
   json Result = Value;
--- a/testsuite/scenario/scenario_file.cpp
+++ b/testsuite/scenario/scenario_file.cpp
@@ -71,7 +71,7 @@
         "within_ms"}},
       {"pause", {"ms"}},
       {"reserve", {"names"}},
-      {"remember", {"name", "value"}},
+      {"remember", {"name", "value", "process", "path", "pointer"}},
       {"show", {"process", "path", "accept", "token", "entry", "title"}},
   };
   return Verbs;
--- a/testsuite/scenario/steps_processes.cpp
+++ b/testsuite/scenario/steps_processes.cpp
@@ -310,12 +310,24 @@
 }
 
 interpreter::outcome interpreter::remember(const step &Step) {
-  const std::string Value = Step.text("value");
+  std::string Value = Step.text("value");
+  if (Step.has("process")) {
+    std::string Reason;
+    const process *Process = resolve(Step.text("process"), Reason);
+    if (!Process)
+      return bad(Reason);
+    const http_response Response = fetchFrom(Step, *Process);
+    const auto Member = memberAt(json::parse(Response.Body, nullptr, false),
+                                 Step.text("pointer"));
+    Value = Member ? Member->dump() : "";
+  }
   if (Value.empty() || Value[0] == '$')
-    return bad(Written->text("value") + " is not known");
+    return bad(Step.text("name") + " is not known");
   Remembered[Step.text("name")] = Value;
   print("  " + Step.text("name") + " is " + Value);
-  return good(Step.text("name") + " is " + Written->text("value"));
+  return good(Step.text("name") + " is " +
+              Written->text("value", Written->text("process") + " " +
+                                         Written->text("pointer")));
 }
 
 interpreter::outcome interpreter::pause(const step &Step) {
