Let the chain of manifests decide who holds a shard

Found by the fuzz: a released manifest that arrived late, or a host that was about to acquire a shard and woke after its successor had, led to two holders. Pieces carry their writer's life in their names. program_book::loseShard() is for a holder that learns of its loss this way, journal_writer::latestSegment() names the segment that must not be deleted.

--- a/src/include/turmerichead/state_book.h
+++ b/src/include/turmerichead/state_book.h
@@ -157,7 +157,7 @@
   program_book(const program_book &) = delete;
   program_book &operator=(const program_book &) = delete;
 
-  // -- Shards -------------------------------------------------------------
+  // -- Shards --
 
   /// Serves \p Shard from now on, with the rows that were taken over. The
   /// rows must be kept in a snapshot of this holder beforehand.
@@ -166,10 +166,13 @@
   /// Takes no new calls of \p Shard (they are told Moved); true once none of
   /// its calls is under way, and its rows may be handed over.
   bool drainShard(std::uint32_t Shard, moment Now);
+  /// Another host holds \p Shard: all its waiters are released with Moved,
+  /// and its rows are dropped.
+  void loseShard(std::uint32_t Shard, moment Now);
   /// Gives the rows of a drained shard up.
   state_rows releaseShard(std::uint32_t Shard);
 
-  // -- Calls --------------------------------------------------------------
+  // -- Calls --
 
   submit_decision submit(const call_request &Request, waiter_id Waiter,
                          moment Now);
@@ -188,7 +191,7 @@
   /// dropped; a dispatched one runs on, so that a repeat can join it.
   void callerGone(waiter_id Waiter, moment Now);
 
-  // -- Programs and entries -----------------------------------------------
+  // -- Programs and entries --
 
   /// Ends the root of \p Program; false with error NotFound if unknown.
   bool endProgram(std::string_view Program, end_reason Reason, moment Now);
@@ -196,7 +199,7 @@
   void entryChanged(std::string_view Entry, const granted_limits &Limits,
                     moment Now);
 
-  // -- Journal --------------------------------------------------------------
+  // -- Journal --
 
   /// All records up to \p Ticket are kept.
   void committedUpTo(commit_ticket Ticket, moment Now);
@@ -210,7 +213,7 @@
   /// Limits that depend on time. Call about once a second.
   void tick(moment Now);
 
-  // -- Results --------------------------------------------------------------
+  // -- Results --
 
   /// The commands since the last take, to be carried out in this order.
   std::vector<book_command> takeCommands();
--- a/src/include/turmerichead/state_journal.h
+++ b/src/include/turmerichead/state_journal.h
@@ -167,6 +167,9 @@
   /// The first segment that may hold entries after \p Sequence: replay of
   /// what came after needs nothing earlier.
   std::uint64_t segmentAfter(std::uint64_t Sequence) const;
+  /// The latest segment known to be on the platform; 0 if none. It must not
+  /// be deleted: a successor would seal in the hole.
+  std::uint64_t latestSegment() const { return SegmentNumber - 1; }
   /// Segments before \p Segment were deleted.
   void forgetBefore(std::uint64_t Segment);
 
--- a/src/include/turmerichead/state_snapshot.h
+++ b/src/include/turmerichead/state_snapshot.h
@@ -3,8 +3,15 @@
 /// their calls in batches that are written once. No object exceeds
 /// MaxObjectBytes. The manifest is created last, so a snapshot is either
 /// whole or absent.
+///
+/// The manifests of a shard are numbered without gaps and created only if
+/// absent. They decide who holds the shard: the newest one names the journal
+/// that goes on from it, and a host serves a shard only after it has created
+/// the next one. The shard map only says who should try. So two hosts that
+/// read different maps can't both acquire a shard.
 #pragma once
 
+#include "turmerichead/state_journal.h"
 #include "turmerichead/state_rows.h"
 
 #include <optional>
@@ -41,7 +48,7 @@
 struct snapshot_manifest {
   std::uint32_t Shard = 0;
   std::uint64_t Fence = 0;  ///< The shard map's version of its holder.
-  std::uint64_t Number = 0; ///< Rises within a fence.
+  std::uint64_t Number = 0; ///< From 1, without gaps.
   journal_position Position;
   bool Released = false;  ///< The holder has stopped: no journal to read.
   std::string InlineRows; ///< The rows, unless they are in RowObjects.
@@ -51,10 +58,9 @@
                  RowObjects, Histories)
 };
 
-/// "<shard>.<fence>.<number>.manifest", digits padded so that the names of a
-/// shard sort by age.
-std::string manifestName(std::uint32_t Shard, std::uint64_t Fence,
-                         std::uint64_t Number);
+/// "<shard>.<number>.manifest", digits padded so that the names of a shard
+/// sort by age.
+std::string manifestName(std::uint32_t Shard, std::uint64_t Number);
 
 /// What the names of all objects of \p Shard begin with.
 std::string snapshotPrefix(std::uint32_t Shard);
@@ -68,19 +74,21 @@
 ///
 ///     snapshot_maker Maker(Shard, Fence, ManifestTakenOver);
 ///     auto Objects = Maker.make(Book.rows(), Position, false);
-///     // create all in this order, then
+///     snapshot_writer Writer(Shard, std::move(Objects), false);
+///     // on snapshot_kept:
 ///     Maker.kept();
 ///     for (const std::string &Name : Maker.takeGarbage())
 ///       // delete
+///     // on snapshot_lost: another host holds the shard
 class snapshot_maker {
 public:
   /// \p Known is the snapshot that was taken over, if there was one.
   snapshot_maker(std::uint32_t Shard, std::uint64_t Fence,
                  std::optional<snapshot_manifest> Known);
 
-  /// The objects to create, the manifest last. If a create fails for good,
-  /// call make() again later; names are not used twice. \p Rows may hold
-  /// other shards, which are left out.
+  /// The objects to create, the manifest last. Write them with a
+  /// snapshot_writer, and call make() again only after it told the end.
+  /// \p Rows may hold other shards, which are left out.
   std::vector<snapshot_object>
   make(const state_rows &Rows, const journal_position &Position, bool Released);
   /// All objects of the latest make() were created.
@@ -93,15 +101,73 @@
 private:
   std::uint32_t Shard;
   std::uint64_t Fence;
-  std::uint64_t NextNumber = 1;
   std::optional<snapshot_manifest> Latest;
   std::optional<snapshot_manifest> Making;
   std::map<std::string, std::uint32_t> Written; ///< Calls, by program's life.
   std::map<std::string, std::uint32_t> MakingWritten;
-  std::vector<std::string> Unkept; ///< Of attempts that were given up.
   std::vector<std::string> Garbage;
 };
 
+/// Create an object in the plural `snapshots`, or `manifests` for a manifest,
+/// only if it is absent. Answer with created().
+struct create_snapshot {
+  std::string Name;
+  std::string Bytes;
+  bool Manifest = false;
+};
+/// Read an object in the plural `manifests`. Answer with read().
+struct read_manifest {
+  std::string Name;
+};
+/// List the names in the plural `manifests` that begin with
+/// snapshotPrefix(Shard). Answer with listed(). The list must show every
+/// create that was acknowledged before it was asked for.
+struct list_manifests {
+  std::uint32_t Shard = 0;
+};
+/// The snapshot is on the platform; with \c Acquires the shard may be served.
+struct snapshot_kept {};
+/// Another host's manifest has this number: it holds the shard. Stop serving
+/// (program_book::loseShard()) and look at the newest manifest again.
+struct snapshot_lost {};
+
+using snapshot_command =
+    std::variant<create_snapshot, read_manifest, list_manifests, snapshot_kept,
+                 snapshot_lost>;
+
+/// Writes the objects of one snapshot, with one command at a time.
+class snapshot_writer {
+public:
+  /// \p Acquires is true for the first snapshot of a tenure: it is kept only
+  /// if its manifest is still the newest one after it was created.
+  snapshot_writer(std::uint32_t Shard, std::vector<snapshot_object> Objects,
+                  bool Acquires);
+
+  void start();
+  void created(create_result Result, time_point Now);
+  void read(read_result Result, std::string_view Bytes, time_point Now);
+  void listed(bool Success, std::span<const std::string> Names, time_point Now);
+  /// A step that failed is tried again at nextDue().
+  void tick(time_point Now);
+  std::optional<time_point> nextDue() const { return RetryAt; }
+  std::vector<snapshot_command> takeCommands();
+
+private:
+  enum class step : std::uint8_t { Create, Read, Verify, Done };
+  void issue();
+  void go(step Next);
+  void manifestCreated();
+  void end(bool Kept);
+
+  std::uint32_t Shard;
+  std::vector<snapshot_object> Objects;
+  bool Acquires;
+  step Step = step::Create;
+  std::size_t Index = 0;
+  std::optional<time_point> RetryAt;
+  std::vector<snapshot_command> Commands;
+};
+
 /// std::nullopt with error Corrupt where \p Bytes are no manifest.
 std::optional<snapshot_manifest> decodeManifest(std::string_view Bytes);
 
--- a/src/include/turmerichead/state_takeover.h
+++ b/src/include/turmerichead/state_takeover.h
@@ -9,10 +9,11 @@
 ///
 /// What the caller must keep to:
 /// - A list shows every create that was acknowledged before it was asked for.
-/// - A holder keeps a snapshot of a shard before it serves it, an empty one
-///   if the shard is new: a shard without a snapshot was never served.
-/// - Take over only from a holder that is thought to be dead, for its whole
-///   journal is sealed, unless it released all of the shards.
+/// - The result is written with a snapshot_writer that acquires; only after
+///   snapshot_kept is the shard served, a new one too. After snapshot_lost it
+///   starts again.
+/// - Take over only from a host that is thought to be dead: its whole journal
+///   is sealed, unless it released all of the shards.
 #pragma once
 
 #include "turmerichead/state_journal.h"
@@ -20,8 +21,8 @@
 
 namespace turmerichead {
 
-/// List the names in the plural `snapshots` that begin with
-/// snapshotPrefix(Shard). Answer with listed().
+/// List the names of a shard's manifests, in the plural where the caller
+/// keeps them, that begin with snapshotPrefix(Shard). Answer with listed().
 struct list_snapshots {
   std::uint32_t Shard = 0;
 };
@@ -61,16 +62,16 @@
   std::uint32_t Shard = 0;
   state_rows Rows;
   std::optional<snapshot_manifest> Manifest; ///< The one it started from.
-  /// The snapshot refers to another journal than the one given, for the
-  /// holder died before it made a snapshot of its own. Rows are not complete:
-  /// run a takeover of that journal for this shard.
+  /// The newest manifest names another journal than the one given. Rows are
+  /// not complete: run a takeover of that journal for this shard, or wait for
+  /// its release where that host lives.
   std::optional<host_life> Elsewhere;
 };
 
 class takeover {
 public:
   /// \p Journal is the life of the holder that is gone, \p Shards those that
-  /// \p Self takes; the shard map must already name \p Self for them.
+  /// \p Self takes; each one's newest manifest should name \p Journal.
   takeover(host_life Self, host_life Journal, std::vector<std::uint32_t> Shards,
            shard_of_root ShardOf);
 
--- a/src/libstate/book.cpp
+++ b/src/libstate/book.cpp
@@ -23,7 +23,7 @@
   return Out;
 }
 
-// -- Shards ---------------------------------------------------------------
+// -- Shards --
 
 void program_book::acquireShard(std::uint32_t Shard, state_rows Rows) {
   State->Rows.merge(std::move(Rows));
@@ -43,7 +43,7 @@
   return State->Rows.takeShard(Shard);
 }
 
-// -- Arrival and identity ---------------------------------------------------
+// -- Arrival and identity --
 
 // A call without a number takes the first one that nobody has.
 std::uint32_t program_book::impl::numberOf(const call_request &Request,
@@ -296,7 +296,7 @@
                                                 : submit_decision::Waiting;
 }
 
-// -- Public face --------------------------------------------------------------
+// -- Public face --
 
 program_book::program_book(book_settings Settings, shard_of_root ShardOf)
     : State(std::make_unique<impl>(Settings, std::move(ShardOf))) {}
@@ -326,6 +326,9 @@
   State->committedUpTo(Ticket, Now);
 }
 void program_book::fenced(moment) { State->fenced(); }
+void program_book::loseShard(std::uint32_t Shard, moment) {
+  State->loseShard(Shard);
+}
 void program_book::setKeeping(bool CanKeep, moment Now) {
   State->setKeeping(CanKeep, Now);
 }
--- a/src/libstate/book_end.cpp
+++ b/src/libstate/book_end.cpp
@@ -23,7 +23,7 @@
   Awaiting.emplace(Ticket, Id);
 }
 
-// -- Ends told by upstreams ---------------------------------------------------
+// -- Ends told by upstreams --
 
 void program_book::impl::answered(call_id Id, upstream_answer Answer) {
   open_call *Call = Calls.find(Id);
@@ -112,8 +112,7 @@
   State->pumpRoot(Root, Now);
 }
 
-// -- Ends of waiters
-// ------------------------------------------------------------
+// -- Ends of waiters --
 
 // Ends a call that is not at an upstream. Its number opens again, unless an
 // earlier attempt of it ran.
@@ -195,8 +194,7 @@
   return Out;
 }
 
-// -- Ends of programs
-// -------------------------------------------------------------
+// -- Ends of programs --
 
 bool program_book::endProgram(std::string_view Program, end_reason Reason,
                               moment Now) {
@@ -243,8 +241,7 @@
     Live.erase(Root);
 }
 
-// -- Commits
-// ------------------------------------------------------------------------
+// -- Commits --
 
 void program_book::impl::applyOne(const commit_record &Kept) {
   Committed = Kept.Ticket;
--- a/src/libstate/book_pvt.h
+++ b/src/libstate/book_pvt.h
@@ -160,6 +160,7 @@
   // -- Shards, time and the journal's state (book_tick.cpp) --
   void setKeeping(bool CanKeep, moment Now);
   void fenced();
+  void loseShard(std::uint32_t Shard);
   void tick(moment Now);
   void expireCalls(moment Now);
   void endOverdueRoots(moment Now);
--- a/src/libstate/book_run.cpp
+++ b/src/libstate/book_run.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-// -- Turns ----------------------------------------------------------------
+// -- Turns --
 
 // Begins the call whose turn it is, if it has come.
 void program_book::impl::pump(const std::string &Program, moment Now) {
@@ -151,7 +151,7 @@
   return Ticket;
 }
 
-// -- Budget -----------------------------------------------------------------
+// -- Budget --
 
 granted_limits program_book::impl::limitsOf(std::string_view Program) const {
   const live_root *Live = findLive(Program);
@@ -235,7 +235,7 @@
   return keep(budget_reserved_record{Root, Needed});
 }
 
-// -- Dispatch -----------------------------------------------------------------
+// -- Dispatch --
 
 call_body program_book::impl::bodyOf(const open_call &Call) const {
   call_body Out;
--- a/src/libstate/book_tick.cpp
+++ b/src/libstate/book_tick.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-// -- The journal's state ------------------------------------------------------
+// -- The journal's state --
 
 // What can't be kept is refused at once; what is at an upstream goes on.
 void program_book::impl::setKeeping(bool CanKeep, moment Now) {
@@ -38,8 +38,19 @@
 // run that it might run: the callers are sent on to it.
 void program_book::impl::fenced() {
   Fenced = true;
+  for (std::uint32_t Shard : std::set<std::uint32_t>(Shards))
+    loseShard(Shard);
+  ungate(call_outcome::NotRun, true);
+  Pending.clear();
+  Awaiting.clear();
+}
+
+void program_book::impl::loseShard(std::uint32_t Shard) {
   std::vector<call_id> Open;
-  Calls.forEach([&](call_id Id, const open_call &) { Open.push_back(Id); });
+  Calls.forEach([&](call_id Id, const open_call &Call) {
+    if (ShardOf(rootOf(Call.Request.Program)) == Shard)
+      Open.push_back(Id);
+  });
   for (call_id Id : Open) {
     open_call &Call = *Calls.find(Id);
     bool MayHaveRun = Call.Attempt > 0 ||
@@ -52,15 +63,14 @@
       Commands.emplace_back(cancel_dispatch{Id});
     erase(Id);
   }
-  ungate(call_outcome::NotRun, true);
-  Pending.clear();
-  Awaiting.clear();
-  Live.clear();
-  Shards.clear();
+  Rows.takeShard(Shard);
+  std::erase_if(Live,
+                [&](const auto &Row) { return Row.second.Shard == Shard; });
+  Shards.erase(Shard);
+  Draining.erase(Shard);
 }
 
-// -- Shards
-// -----------------------------------------------------------------------
+// -- Shards --
 
 bool program_book::impl::drainShard(std::uint32_t Shard, moment Now) {
   (void)Now;
@@ -86,8 +96,7 @@
   return !Busy;
 }
 
-// -- Callers and time
-// ---------------------------------------------------------------
+// -- Callers and time --
 
 void program_book::impl::callerGone(waiter_id Waiter, moment Now) {
   std::erase_if(Gated, [&](const gated_release &Row) {
--- a/src/libstate/journal.cpp
+++ b/src/libstate/journal.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-// -- Names and encoding -------------------------------------------------------
+// -- Names and encoding --
 
 std::string segmentName(const host_life &Journal, std::uint64_t Number) {
   return prefixOf(Journal) + std::to_string(Number);
@@ -63,8 +63,7 @@
   }
 }
 
-// -- Records in
-// -----------------------------------------------------------------
+// -- Records in --
 
 journal_writer::journal_writer(host_life Self, journal_settings Settings)
     : Self(std::move(Self)), Settings(Settings) {}
@@ -107,8 +106,7 @@
     sendToStandbys(Now);
 }
 
-// -- Segments
-// -------------------------------------------------------------------
+// -- Segments --
 
 bool journal_writer::segmentDue(time_point Now) const {
   bool Work = !Open.empty() || StandbysChanged;
@@ -232,8 +230,7 @@
                       LastOfSegment.lower_bound(Segment));
 }
 
-// -- Outage
-// -----------------------------------------------------------------------
+// -- Outage --
 
 void journal_writer::startBuffering(time_point Now) {
   Buffering = true;
@@ -306,8 +303,7 @@
   Commands.emplace_back(journal_keeping{Can});
 }
 
-// -- Time
-// ---------------------------------------------------------------------------
+// -- Time --
 
 void journal_writer::tick(time_point Now) {
   if (State == state::Fenced)
--- a/src/libstate/snapshot.cpp
+++ b/src/libstate/snapshot.cpp
@@ -1,7 +1,6 @@
 #include "turmerichead/state_snapshot.h"
 
 #include "turmerichead/error.h"
-#include "turmerichead/state_journal.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -14,6 +13,7 @@
 constexpr std::size_t MaxInlineBytes = std::size_t{300} << 10;
 // Beyond this many batches the next snapshot writes all calls anew.
 constexpr std::size_t MaxBatches = 16;
+constexpr milliseconds RetryInterval{200};
 constexpr std::size_t MaxDepth = 16;
 constexpr std::size_t MaxItems = std::size_t{1} << 20;
 constexpr std::string_view ManifestSuffix = ".manifest";
@@ -51,15 +51,21 @@
   return Program + "@" + std::to_string(Root.WallStartMs);
 }
 
-std::string stemOf(std::uint32_t Shard, std::uint64_t Fence,
-                   std::uint64_t Number) {
-  char Text[64];
-  std::snprintf(Text, sizeof Text, "%06u.%012llu.%09llu", Shard,
-                static_cast<unsigned long long>(Fence),
-                static_cast<unsigned long long>(Number));
+std::string paddedText(std::uint64_t Value, int Digits) {
+  char Text[32];
+  std::snprintf(Text, sizeof Text, "%0*llu", Digits,
+                static_cast<unsigned long long>(Value));
   return Text;
 }
 
+// Pieces carry their writer's life, for two hosts may try the same number.
+std::string stemOf(const snapshot_manifest &Manifest) {
+  const host_life &Writer = Manifest.Position.Journal;
+  return snapshotPrefix(Manifest.Shard) + paddedText(Manifest.Number, 12) +
+         "." + Writer.Host + "." + std::to_string(Writer.Incarnation) + "." +
+         std::to_string(Manifest.Fence);
+}
+
 // Adds the pieces of \p Bytes to the objects and returns their names.
 std::vector<std::string> addPieces(std::vector<snapshot_object> &Objects,
                                    const std::string &Stem,
@@ -95,16 +101,15 @@
   return Out;
 }
 
-// -- Names
-// ------------------------------------------------------------------------
+// -- Names --
 
 std::string snapshotPrefix(std::uint32_t Shard) {
-  return stemOf(Shard, 0, 0).substr(0, 7);
+  return paddedText(Shard, 6) + ".";
 }
 
-std::string manifestName(std::uint32_t Shard, std::uint64_t Fence,
-                         std::uint64_t Number) {
-  return stemOf(Shard, Fence, Number) + std::string(ManifestSuffix);
+std::string manifestName(std::uint32_t Shard, std::uint64_t Number) {
+  return snapshotPrefix(Shard) + paddedText(Number, 12) +
+         std::string(ManifestSuffix);
 }
 
 std::optional<std::string> newestManifest(std::span<const std::string> Names,
@@ -118,33 +123,25 @@
   return Newest;
 }
 
-// -- Making
-// -----------------------------------------------------------------------
+// -- Making --
 
 snapshot_maker::snapshot_maker(std::uint32_t Shard, std::uint64_t Fence,
                                std::optional<snapshot_manifest> Known)
-    : Shard(Shard), Fence(Fence), Latest(std::move(Known)) {
-  // After an unfinished attempt in an earlier life with the same fence.
-  if (Latest && Latest->Fence == Fence)
-    NextNumber = Latest->Number + 1;
-}
+    : Shard(Shard), Fence(Fence), Latest(std::move(Known)) {}
 
 std::vector<snapshot_object>
 snapshot_maker::make(const state_rows &Rows, const journal_position &Position,
                      bool Released) {
-  if (Making)
-    for (const std::string &Name : objectsOf(*Making))
-      Unkept.push_back(Name);
   snapshot_manifest Manifest;
   Manifest.Shard = Shard;
   Manifest.Fence = Fence;
-  Manifest.Number = NextNumber++;
+  Manifest.Number = Latest ? Latest->Number + 1 : 1;
   Manifest.Position = Position;
   Manifest.Released = Released;
   // The first snapshot of a holder writes everything: it does not know which
   // calls the batches of its predecessor hold.
-  bool Anew = Written.empty() || !Latest || Latest->Fence != Fence ||
-              Latest->Histories.size() >= MaxBatches;
+  bool Anew =
+      Written.empty() || !Latest || Latest->Histories.size() >= MaxBatches;
   if (!Anew)
     Manifest.Histories = Latest->Histories;
   MakingWritten.clear();
@@ -172,7 +169,7 @@
       Batch.Roots.push_back(Name);
   }
 
-  std::string Stem = stemOf(Shard, Fence, Manifest.Number);
+  std::string Stem = stemOf(Manifest);
   std::vector<snapshot_object> Objects;
   std::erase_if(Manifest.Histories, [&](const history_batch &Old) {
     return std::none_of(Old.Roots.begin(), Old.Roots.end(),
@@ -187,8 +184,7 @@
     Manifest.InlineRows = std::move(RowBytes);
   else
     Manifest.RowObjects = addPieces(Objects, Stem + ".r", RowBytes);
-  Objects.push_back(
-      {manifestName(Shard, Fence, Manifest.Number), packed(Manifest)});
+  Objects.push_back({manifestName(Shard, Manifest.Number), packed(Manifest)});
   Making = std::move(Manifest);
   return Objects;
 }
@@ -204,12 +200,8 @@
     for (const std::string &Name : objectsOf(*Latest))
       if (Unneeded(Name))
         Garbage.push_back(Name);
-    Garbage.push_back(
-        manifestName(Latest->Shard, Latest->Fence, Latest->Number));
+    Garbage.push_back(manifestName(Shard, Latest->Number));
   }
-  for (const std::string &Name : std::exchange(Unkept, {}))
-    if (Unneeded(Name))
-      Garbage.push_back(Name);
   Latest = std::exchange(Making, std::nullopt);
   Written = std::exchange(MakingWritten, {});
 }
@@ -218,8 +210,103 @@
   return std::exchange(Garbage, {});
 }
 
-// -- Loading
-// ------------------------------------------------------------------------
+// -- Writing --
+
+snapshot_writer::snapshot_writer(std::uint32_t Shard,
+                                 std::vector<snapshot_object> Objects,
+                                 bool Acquires)
+    : Shard(Shard), Objects(std::move(Objects)), Acquires(Acquires) {}
+
+void snapshot_writer::start() { issue(); }
+
+void snapshot_writer::go(step Next) {
+  Step = Next;
+  issue();
+}
+
+void snapshot_writer::issue() {
+  RetryAt.reset();
+  const snapshot_object &Object = Objects[Index];
+  bool IsManifest = Index + 1 == Objects.size();
+  if (Step == step::Create)
+    Commands.emplace_back(
+        create_snapshot{Object.Name, Object.Bytes, IsManifest});
+  else if (Step == step::Read)
+    Commands.emplace_back(read_manifest{Object.Name});
+  else if (Step == step::Verify)
+    Commands.emplace_back(list_manifests{Shard});
+}
+
+void snapshot_writer::created(create_result Result, time_point Now) {
+  if (Step != step::Create)
+    return;
+  if (Result == create_result::Failed) {
+    RetryAt = Now + RetryInterval;
+    return;
+  }
+  if (Index + 1 < Objects.size()) {
+    // Its name is this writer's alone: where it exists, an attempt whose
+    // answer was lost took effect.
+    ++Index;
+    return issue();
+  }
+  if (Result == create_result::Exists)
+    return go(step::Read);
+  manifestCreated();
+}
+
+void snapshot_writer::read(read_result Result, std::string_view Bytes,
+                           time_point Now) {
+  if (Step != step::Read)
+    return;
+  if (Result == read_result::Failed) {
+    RetryAt = Now + RetryInterval;
+    return;
+  }
+  // An absent one was deleted by the writer of a newer manifest.
+  if (Result == read_result::Absent || Bytes != Objects[Index].Bytes)
+    return end(false);
+  manifestCreated();
+}
+
+void snapshot_writer::manifestCreated() {
+  if (Acquires)
+    return go(step::Verify);
+  end(true);
+}
+
+// The number may have been a hole that the deletion of old manifests left.
+// The newest one is never deleted, so then there is a later one.
+void snapshot_writer::listed(bool Success, std::span<const std::string> Names,
+                             time_point Now) {
+  if (Step != step::Verify)
+    return;
+  if (!Success) {
+    RetryAt = Now + RetryInterval;
+    return;
+  }
+  auto Newest = newestManifest(Names, Shard);
+  end(Newest && *Newest == Objects[Index].Name);
+}
+
+void snapshot_writer::end(bool Kept) {
+  Step = step::Done;
+  if (Kept)
+    Commands.emplace_back(snapshot_kept{});
+  else
+    Commands.emplace_back(snapshot_lost{});
+}
+
+void snapshot_writer::tick(time_point Now) {
+  if (RetryAt && Now >= *RetryAt)
+    issue();
+}
+
+std::vector<snapshot_command> snapshot_writer::takeCommands() {
+  return std::exchange(Commands, {});
+}
+
+// -- Loading --
 
 std::optional<snapshot_manifest> decodeManifest(std::string_view Bytes) {
   return unpacked<snapshot_manifest>(Bytes);
@@ -269,8 +356,7 @@
   return Rows;
 }
 
-// -- Garbage
-// ------------------------------------------------------------------------
+// -- Garbage --
 
 std::vector<std::string>
 coveredSegments(const host_life &Journal, std::span<const std::string> Names,
--- a/src/libstate/takeover.cpp
+++ b/src/libstate/takeover.cpp
@@ -23,7 +23,7 @@
     : Self(std::move(Self)), Journal(std::move(Journal)),
       Shards(std::move(Shards)), ShardOf(std::move(ShardOf)) {}
 
-// -- Steps --------------------------------------------------------------------
+// -- Steps --
 
 void takeover::start(time_point) {
   if (Shards.empty())
@@ -95,8 +95,7 @@
     issue();
 }
 
-// -- Snapshots
-// ------------------------------------------------------------------
+// -- Snapshots --
 
 void takeover::listed(bool Success, std::span<const std::string> Names,
                       time_point Now) {
@@ -143,21 +142,18 @@
   startReplay();
 }
 
-// The journal is sealed even if no shard needs its entries: a holder that
-// was about to acquire a shard must not commit anything either.
+// A journal is sealed only where a newest manifest names it: a host that has
+// created none does not serve.
 void takeover::startReplay() {
   Segment = UINT64_MAX;
   Covered = UINT64_MAX;
-  bool AllReleased = true;
   for (const shard_takeover &Result : Results) {
-    bool Released = Result.Manifest && Result.Manifest->Released;
-    AllReleased = AllReleased && Released;
     if (!needsReplay(Result))
       continue;
     Segment = std::min(Segment, Result.Manifest->Position.Segment);
     Covered = std::min(Covered, Result.Manifest->Position.Sequence);
   }
-  if (AllReleased)
+  if (Covered == UINT64_MAX)
     return finish();
   go(step::ListSegments);
 }
@@ -210,8 +206,7 @@
   segmentRead(*Decoded);
 }
 
-// -- Segments
-// -------------------------------------------------------------------
+// -- Segments --
 
 void takeover::segmentRead(const journal_segment &Read) {
   if (Read.Sealed)
@@ -302,8 +297,7 @@
   go(step::ReadAtSeal);
 }
 
-// -- Result
-// -----------------------------------------------------------------------
+// -- Result --
 
 void takeover::finish() {
   std::string Bytes;
