--- a/src/libstate/fuzz_oracle_test.cpp
+++ b/src/libstate/fuzz_oracle_test.cpp
@@ -132,13 +132,14 @@
 void world::callerLeaves(int A) {
   if (Waiting.empty())
     return;
-  auto Row = std::next(Waiting.begin(), static_cast<long>(A % Waiting.size()));
+  waiter_id Leaving =
+      std::next(Waiting.begin(), static_cast<long>(A % Waiting.size()))->first;
   for (auto &Node : Nodes)
     if (Node && !Node->Frozen) {
-      Node->Book.callerGone(Row->first, now());
+      Node->Book.callerGone(Leaving, now());
       run(*Node);
     }
-  Waiting.erase(Row);
+  Waiting.erase(Leaving);
 }
 
 // -- Upstreams --
