--- /dev/null
+++ b/src/libhost/cache_move.cpp
@@ -0,0 +1,83 @@
+#include "cache_move_pvt.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace turmerichead::host_pvt {
+
+namespace {
+
+constexpr milliseconds OrderTimeout{2000};
+constexpr int HttpOk = 200;
+
+std::string orderBody(const host_context &Context, const std::string &Program) {
+  return nlohmann::json{{"program", Program},
+                        {"fencing_token", Context.Map.Version}}
+      .dump();
+}
+
+http_request orderTo(const upstream_object &Runner, std::string_view Path,
+                     std::string Body) {
+  http_request Request;
+  Request.Method = "POST";
+  Request.Url = "http://" + Runner.Address.toText() + std::string(Path);
+  Request.Body = std::move(Body);
+  Request.Timeout = OrderTimeout;
+  return Request;
+}
+
+bool wentWell(const http_result &Result) {
+  return Result.Code == error_code::None && Result.Status == HttpOk;
+}
+
+} // namespace
+
+void releaseCacheAt(host_context &Context, const std::string &Program,
+                    const std::string &Runner) {
+  auto Upstream = Context.Upstreams.find(Runner);
+  if (Upstream == Context.Upstreams.end())
+    return;
+  Context.Metrics.add("cache_releases_total");
+  Context.Http->send(
+      orderTo(Upstream->second, "/cache/release", orderBody(Context, Program)),
+      {});
+}
+
+void moveCache(host_context &Context, const std::string &Program,
+               const std::string &From, const std::string &To,
+               std::function<void()> Done) {
+  auto Source = Context.Upstreams.find(From);
+  if (Source == Context.Upstreams.end() || !Context.Upstreams.contains(To)) {
+    Done();
+    return;
+  }
+  auto Blob = std::make_shared<std::string>();
+  auto Import = [&Context, Program, From, To, Blob, Done] {
+    auto Target = Context.Upstreams.find(To);
+    if (Target == Context.Upstreams.end()) {
+      Done();
+      return;
+    }
+    Context.Metrics.add("cache_moves_total");
+    Context.Http->send(
+        orderTo(Target->second, "/cache/import", std::move(*Blob)),
+        {.OnHeaders = {},
+         .OnChunk = {},
+         .OnEnd = [&Context, Program, From, Done](const http_result &Result) {
+           if (wentWell(Result))
+             releaseCacheAt(Context, Program, From);
+           Done();
+         }});
+  };
+  Context.Http->send(
+      orderTo(Source->second, "/cache/export", orderBody(Context, Program)),
+      {.OnHeaders = {},
+       .OnChunk = [Blob](std::string_view Bytes) { *Blob += Bytes; },
+       .OnEnd =
+           [Import, Done](const http_result &Result) {
+             wentWell(Result) ? Import() : Done();
+           }});
+}
+
+} // namespace turmerichead::host_pvt
--- a/src/libhost/dispatcher.cpp
+++ b/src/libhost/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher_pvt.h"
 
+#include "cache_move_pvt.h"
 #include "turmerichead/hash.h"
 #include "turmerichead/log.h"
 
@@ -14,7 +15,6 @@
 
 /// Upstreams tried for one attempt while none could even be reached.
 constexpr int MaxConnects = 3;
-constexpr milliseconds CacheMoveTimeout{2000};
 constexpr std::size_t BytesPerToken = 4;
 constexpr int HttpOk = 200;
 constexpr int HttpTooMany = 429;
@@ -100,8 +100,7 @@
   Events.OnNotSent(Call, std::move(Code), RetryAfterMs);
 }
 
-// -- Model calls
-// ------------------------------------------------------------------
+// -- Model calls ------------------------------------------------------------
 
 void dispatcher::startModel(call_id Call) {
   row *Row = find(Call);
@@ -162,55 +161,11 @@
   if (Reply.MoveCacheFrom.empty())
     sendModel(Call);
   else
-    moveCache(Call, Reply.MoveCacheFrom);
-}
-
-void dispatcher::moveCache(call_id Call, const std::string &From) {
-  row *Row = find(Call);
-  auto Source = Context.Upstreams.find(From);
-  auto Target = Context.Upstreams.find(Row->Upstream);
-  if (Source == Context.Upstreams.end() || Target == Context.Upstreams.end()) {
-    sendModel(Call);
-    return;
-  }
-  // A move that fails costs a prefill, nothing else: the call goes on.
-  json Order = {{"program", Row->Command.Program},
-                {"fencing_token", Context.Map.Version}};
-  http_request Export{.Method = "POST",
-                      .Url = "http://" + Source->second.Address.toText() +
-                             "/cache/export",
-                      .Headers = {},
-                      .Body = Order.dump(),
-                      .Timeout = CacheMoveTimeout};
-  std::string ImportUrl =
-      "http://" + Target->second.Address.toText() + "/cache/import";
-  auto Blob = std::make_shared<std::string>();
-  Context.Http->send(
-      std::move(Export),
-      {.OnHeaders = {},
-       .OnChunk = [Blob](std::string_view Bytes) { *Blob += Bytes; },
-       .OnEnd =
-           [this, Call, Blob, ImportUrl](const http_result &Result) {
-             if (!find(Call))
-               return;
-             if (Result.Code != error_code::None || Result.Status != HttpOk) {
-               sendModel(Call);
-               return;
-             }
-             http_request Import{.Method = "POST",
-                                 .Url = ImportUrl,
-                                 .Headers = {},
-                                 .Body = *Blob,
-                                 .Timeout = CacheMoveTimeout};
-             Context.Metrics.add("cache_moves_total");
-             Context.Http->send(std::move(Import),
-                                {.OnHeaders = {},
-                                 .OnChunk = {},
-                                 .OnEnd = [this, Call](const http_result &) {
-                                   if (find(Call))
-                                     sendModel(Call);
-                                 }});
-           }});
+    moveCache(Context, Row->Command.Program, Reply.MoveCacheFrom, Reply.Runner,
+              [this, Call] {
+                if (find(Call))
+                  sendModel(Call);
+              });
 }
 
 void dispatcher::sendModel(call_id Call) {
@@ -343,8 +298,7 @@
   Events.OnDied(Call, Done.Upstream, std::move(Partial));
 }
 
-// -- Service calls
-// ----------------------------------------------------------------
+// -- Service calls ----------------------------------------------------------
 
 std::string dispatcher::pickService(std::string_view Service,
                                     std::string_view Avoid) {
--- a/src/libhost/dispatcher_pvt.h
+++ b/src/libhost/dispatcher_pvt.h
@@ -78,7 +78,6 @@
   void startModel(call_id Call);
   void askGate(call_id Call);
   void onGrant(call_id Call, const ask_reply &Reply);
-  void moveCache(call_id Call, const std::string &From);
   void sendModel(call_id Call);
   void onModelChunk(call_id Call, std::string_view Bytes);
   void onModelEnd(call_id Call, const http_result &Result);
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -120,8 +120,7 @@
                   errorJson(Code, Message, "not_run", Place, 0));
 }
 
-// -- Routes
-// -----------------------------------------------------------------------
+// -- Routes -----------------------------------------------------------------
 
 void http_front::onRequest(const http_request_view &Request) {
   std::string_view Path = Request.Path;
@@ -182,8 +181,7 @@
   });
 }
 
-// -- Callers
-// ----------------------------------------------------------------------
+// -- Callers ----------------------------------------------------------------
 
 std::optional<http_front::caller>
 http_front::checkCaller(const http_request_view &Request) {
@@ -339,8 +337,7 @@
                    });
 }
 
-// -- Answers
-// ----------------------------------------------------------------------
+// -- Answers ----------------------------------------------------------------
 
 void http_front::start(http_exchange_id Exchange, call_message Message) {
   if (Context.Draining && Context.Map.Hosts.size() <= 1) {
--- a/src/libhost/gates.cpp
+++ b/src/libhost/gates.cpp
@@ -1,5 +1,6 @@
 #include "gates_pvt.h"
 
+#include "cache_move_pvt.h"
 #include "turmerichead/log.h"
 
 #include <algorithm>
@@ -240,8 +241,12 @@
                                        Output.Refusals.end());
   std::vector<sched::release_command> Releases(Output.Releases.begin(),
                                                Output.Releases.end());
+  std::vector<sched::move_command> Moves(Output.Moves.begin(),
+                                         Output.Moves.end());
   for (const sched::release_command &Command : Releases)
-    releaseCache(Command);
+    releaseCacheAt(Context, Command.Program, Command.Runner);
+  for (const sched::move_command &Command : Moves)
+    moveCache(Context, Command.Program, Command.From, Command.To, [] {});
   for (const sched::grant &Grant : Grants)
     grantAsk(Row, Grant);
   for (const sched::refusal &Refusal : Refusals)
@@ -274,23 +279,7 @@
   defer([Callback = std::move(Callback), Reply] { Callback(Reply); });
 }
 
-void gate_service::releaseCache(const sched::release_command &Command) {
-  auto Upstream = Context.Upstreams.find(Command.Runner);
-  if (Upstream == Context.Upstreams.end())
-    return;
-  http_request Request;
-  Request.Method = "POST";
-  Request.Url = urlOf(Upstream->second, "/cache/release");
-  Request.Body =
-      json{{"program", Command.Program}, {"fencing_token", Context.Map.Version}}
-          .dump();
-  Request.Timeout = RunnerCallTimeout;
-  Context.Http->send(std::move(Request), {});
-  Context.Metrics.add("cache_releases_total");
-}
-
-// -- Runners
-// --------------------------------------------------------------------
+// -- Runners ----------------------------------------------------------------
 
 void gate_service::pollRunners() {
   for (const auto &[Group, Row] : Rows)
@@ -391,7 +380,7 @@
                                                 Reply.Programs.end());
       for (const std::string &Program : Programs)
         if (!Living.contains(Program))
-          releaseCache({Program, Runner});
+          releaseCacheAt(Context, Program, Runner);
     };
     Context.Links->send(
         Asked.first,
@@ -405,8 +394,7 @@
   }
 }
 
-// -- Poison requests
-// --------------------------------------------------------------
+// -- Poison requests --------------------------------------------------------
 
 poison_message gate_service::poisonRows() {
   time_point Now = steadyNow();
@@ -454,8 +442,7 @@
           {.Path = std::string(PoisonPath), .Headers = {}, .Body = Body}, {});
 }
 
-// -- Figures
-// ----------------------------------------------------------------------
+// -- Figures ----------------------------------------------------------------
 
 std::vector<group_load> gate_service::loads() const {
   std::vector<group_load> Loads;
--- a/src/libhost/gates_pvt.h
+++ b/src/libhost/gates_pvt.h
@@ -70,7 +70,6 @@
   void flush(group_row &Row);
   void grantAsk(group_row &Row, const sched::grant &Grant);
   void refuseAsk(group_row &Row, const sched::refusal &Refusal);
-  void releaseCache(const sched::release_command &Command);
   void pollRunners();
   void pollLoad(const std::string &Group, const std::string &Runner);
   void pollEvents(const std::string &Group, const std::string &Runner);
--- a/src/libhost/holder.cpp
+++ b/src/libhost/holder.cpp
@@ -112,8 +112,7 @@
   mapChanged();
 }
 
-// -- Calls
-// ------------------------------------------------------------------------
+// -- Calls ------------------------------------------------------------------
 
 waiter_id holder::submit(const call_message &Message, answer_sink Sink) {
   waiter_id Waiter = NextWaiter++;
@@ -273,8 +272,7 @@
                           });
 }
 
-// -- Programs
-// ---------------------------------------------------------------------
+// -- Programs ---------------------------------------------------------------
 
 program_reply holder::history(const program_message &Message) {
   const root_row *Root = Book->rows().findRoot(Message.Program);
@@ -354,8 +352,7 @@
   pump();
 }
 
-// -- Shards and standbys
-// ------------------------------------------------------------
+// -- Shards and standbys ----------------------------------------------------
 
 void holder::mapChanged() {
   nameStandbys();
--- a/src/libhost/holder_commands.cpp
+++ b/src/libhost/holder_commands.cpp
@@ -60,8 +60,7 @@
   JournalTimer = timer::once(Wait, [this] { pump(); });
 }
 
-// -- The book's commands
-// --------------------------------------------------------------
+// -- The book's commands ----------------------------------------------------
 
 void holder::carryOut(commit_record &Command) {
   Writer->append(Command.Record, Command.Ticket, steadyNow());
@@ -161,8 +160,7 @@
   Gates.ended(Command.Root);
 }
 
-// -- The dispatcher's news
-// --------------------------------------------------------------
+// -- The dispatcher's news --------------------------------------------------
 
 dispatch_events holder::dispatchEvents() {
   dispatch_events Events;
@@ -216,8 +214,7 @@
   Waiter->second.Sink.OnEvents(Events);
 }
 
-// -- The journal's commands
-// ---------------------------------------------------------------
+// -- The journal's commands -------------------------------------------------
 
 void holder::carryOut(const create_segment &Command) {
   time_point Start = steadyNow();
--- a/src/libhost/host.cpp
+++ b/src/libhost/host.cpp
@@ -171,8 +171,7 @@
 
 void host::state::tickSlow() { Watcher->tick(); }
 
-// -- Graceful shutdown
-// ------------------------------------------------------------
+// -- Graceful shutdown ------------------------------------------------------
 
 void host::state::beginDrain() {
   if (Context.Draining)
@@ -214,8 +213,7 @@
   after(SlowInterval, [this] { Removing = false; });
 }
 
-// -- Requests of other hosts
-// ------------------------------------------------------
+// -- Requests of other hosts ------------------------------------------------
 
 template <typename Message>
 void host::state::answerOptional(peer_reply_id Reply,
@@ -394,8 +392,7 @@
   Gates->cancel(Row.Group, Row.Request);
 }
 
-// -- The public class
-// -------------------------------------------------------------
+// -- The public class -------------------------------------------------------
 
 host::host(std::unique_ptr<state> State) : State(std::move(State)) {}
 host::host(host &&Other) noexcept = default;
--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -47,8 +47,7 @@
   AskTimer = timer::every(AskPeersInterval, [this] { askPeers(); });
 }
 
-// -- Joining
-// ----------------------------------------------------------------------
+// -- Joining ----------------------------------------------------------------
 
 void membership::join() {
   Joined = false;
@@ -147,8 +146,7 @@
     Context.Platform->update(MapPlural, mapObject(*Next, Revision), Done);
 }
 
-// -- The map
-// ----------------------------------------------------------------------
+// -- The map ----------------------------------------------------------------
 
 void membership::watchMap() {
   if (Watching)
@@ -247,8 +245,7 @@
       std::move(Done));
 }
 
-// -- Heartbeats
-// -------------------------------------------------------------------
+// -- Heartbeats -------------------------------------------------------------
 
 void membership::beat() {
   time_point Now = steadyNow();
--- a/src/libhost/reporter.cpp
+++ b/src/libhost/reporter.cpp
@@ -94,8 +94,7 @@
   after(ReportWait, Finish);
 }
 
-// -- Metrics
-// ----------------------------------------------------------------------
+// -- Metrics ----------------------------------------------------------------
 
 void reporter::exportPlatform() {
   platform_counters Counters = Context.Platform->counters();
--- a/src/libhost/router.cpp
+++ b/src/libhost/router.cpp
@@ -181,8 +181,7 @@
   Sink.OnEnd(End);
 }
 
-// -- Histories
-// --------------------------------------------------------------------
+// -- Histories --------------------------------------------------------------
 
 void call_router::askHolder(std::string_view Path,
                             const program_message &Message,
--- a/src/libhost/shards.cpp
+++ b/src/libhost/shards.cpp
@@ -16,7 +16,6 @@
 constexpr std::string_view Snapshots = "snapshots";
 constexpr std::string_view Segments = "segments";
 constexpr milliseconds ListRetry{100};
-constexpr milliseconds WriteRetry{200};
 constexpr milliseconds SnapshotPause{1000};
 
 json binaryObject(const std::string &Name, std::string_view Bytes) {
@@ -114,8 +113,15 @@
   for (std::uint32_t Shard : Drains)
     if (shard_row *Row = find(Shard, phase::Draining))
       drain(Shard, *Row);
-  if (NeedList && !ListOpen && Now >= ListDue)
-    listManifests();
+  if (NeedList && !Looking && Now >= ListDue) {
+    Looking = true;
+    listManifests([this](const platform_list_reply &Reply) {
+      Looking = false;
+      ListDue = steadyNow() + ListRetry;
+      if (Reply.Outcome == platform_outcome::Ok)
+        takeManifests(Reply);
+    });
+  }
   std::vector<host_life> Due;
   for (auto &[Journal, Row] : Takeovers) {
     Row.Takeover.tick(Now);
@@ -123,21 +129,37 @@
   }
   for (const host_life &Journal : Due)
     pumpTakeover(Journal);
+  std::vector<std::uint32_t> Writes;
+  for (auto &[Shard, Row] : Rows)
+    if (Row.Write) {
+      Row.Write->tick(Now);
+      Writes.push_back(Shard);
+    }
+  for (std::uint32_t Shard : Writes)
+    pumpWrite(Shard);
   snapshotDue();
 }
 
-// -- Acquiring
-// --------------------------------------------------------------------
+// -- Acquiring --------------------------------------------------------------
 
-void shard_keeper::listManifests() {
+void shard_keeper::listManifests(list_callback Done) {
+  ListWaiters.push_back(std::move(Done));
+  if (!ListOpen)
+    startList();
+}
+
+void shard_keeper::startList() {
   ListOpen = true;
-  Context.Platform->list(Manifests,
-                         guarded([this](const platform_list_reply &Reply) {
-                           ListOpen = false;
-                           ListDue = steadyNow() + ListRetry;
-                           if (Reply.Outcome == platform_outcome::Ok)
-                             takeManifests(Reply);
-                         }));
+  auto Waiters = std::make_shared<std::vector<list_callback>>();
+  Waiters->swap(ListWaiters);
+  Context.Platform->list(
+      Manifests, guarded([this, Waiters](const platform_list_reply &Reply) {
+        ListOpen = false;
+        for (const list_callback &Done : *Waiters)
+          Done(Reply);
+        if (!ListWaiters.empty() && !ListOpen)
+          startList();
+      }));
 }
 
 bool shard_keeper::livesOn(const host_life &Life) const {
@@ -233,8 +255,7 @@
   (*Next)();
 }
 
-// -- Takeover
-// ---------------------------------------------------------------------
+// -- Takeover ---------------------------------------------------------------
 
 void shard_keeper::startTakeover(const host_life &Journal,
                                  std::vector<std::uint32_t> Shards) {
@@ -296,13 +317,12 @@
   };
   if (const auto *List = std::get_if<list_snapshots>(&Command)) {
     std::string Prefix = snapshotPrefix(List->Shard);
-    Context.Platform->list(
-        Manifests, OnList([this, Prefix](std::vector<std::string> &Names) {
-          std::erase_if(Names, [&](const std::string &Name) {
-            return !Name.starts_with(Prefix);
-          });
-          ManifestNames.insert(Names.begin(), Names.end());
-        }));
+    listManifests(OnList([this, Prefix](std::vector<std::string> &Names) {
+      std::erase_if(Names, [&](const std::string &Name) {
+        return !Name.starts_with(Prefix);
+      });
+      ManifestNames.insert(Names.begin(), Names.end());
+    }));
   } else if (std::get_if<list_segments>(&Command)) {
     Context.Platform->list(Segments,
                            OnList([Journal](std::vector<std::string> &Names) {
@@ -378,8 +398,7 @@
   }
 }
 
-// -- Snapshots
-// --------------------------------------------------------------------
+// -- Snapshots --------------------------------------------------------------
 
 journal_position shard_keeper::positionNow() const {
   journal_position Position;
@@ -399,7 +418,7 @@
   Row.Rows = std::move(TakenRows);
   Row.Maker =
       std::make_unique<snapshot_maker>(Shard, Row.Fence, std::move(Known));
-  writeSnapshot(Shard, Row.Rows, positionNow(), false, [this, Shard] {
+  writeSnapshot(Shard, Row.Rows, false, true, [this, Shard] {
     shard_row *Row = find(Shard, phase::Writing);
     if (!Row)
       return;
@@ -417,49 +436,88 @@
 }
 
 void shard_keeper::writeSnapshot(std::uint32_t Shard, const state_rows &Source,
-                                 const journal_position &Position,
-                                 bool Released, std::function<void()> Done) {
+                                 bool Released, bool Acquires,
+                                 std::function<void()> Kept) {
   shard_row &Row = Rows.find(Shard)->second;
-  Row.Busy = true;
   Row.SnapshotAt = Book.rowsTicket();
-  auto Objects = std::make_shared<std::vector<snapshot_object>>(
-      Row.Maker->make(Source, Position, Released));
-  writeObjects(Shard, Objects, 0, std::move(Done));
+  Row.Kept = std::move(Kept);
+  Row.Write = std::make_unique<snapshot_writer>(
+      Shard, Row.Maker->make(Source, positionNow(), Released), Acquires);
+  Row.Write->start();
+  pumpWrite(Shard);
 }
 
-void shard_keeper::writeObjects(
-    std::uint32_t Shard,
-    const std::shared_ptr<std::vector<snapshot_object>> &Objects,
-    std::size_t Index, std::function<void()> Done) {
+void shard_keeper::pumpWrite(std::uint32_t Shard) {
   auto Found = Rows.find(Shard);
-  if (Found == Rows.end())
-    return;
-  if (Index == Objects->size()) {
-    Found->second.Busy = false;
-    Found->second.Maker->kept();
-    collectGarbage(Shard, Found->second);
-    Done();
+  if (Found == Rows.end() || !Found->second.Write)
     return;
+  for (const snapshot_command &Command : Found->second.Write->takeCommands())
+    carryOut(Shard, Command);
+}
+
+void shard_keeper::carryOut(std::uint32_t Shard,
+                            const snapshot_command &Command) {
+  auto WithWriter = [this, Shard](auto Action) {
+    auto Found = Rows.find(Shard);
+    if (Found == Rows.end() || !Found->second.Write)
+      return;
+    Action(*Found->second.Write);
+    pumpWrite(Shard);
+  };
+  if (const auto *Create = std::get_if<create_snapshot>(&Command)) {
+    Context.Platform->create(Create->Manifest ? Manifests : Snapshots,
+                             binaryObject(Create->Name, Create->Bytes),
+                             guarded([WithWriter](const platform_reply &Reply) {
+                               WithWriter([&](snapshot_writer &Write) {
+                                 Write.created(createResultOf(Reply.Outcome),
+                                               steadyNow());
+                               });
+                             }));
+  } else if (const auto *Read = std::get_if<read_manifest>(&Command)) {
+    Context.Platform->get(Manifests, Read->Name,
+                          guarded([WithWriter](const platform_reply &Reply) {
+                            WithWriter([&](snapshot_writer &Write) {
+                              Write.read(readResultOf(Reply.Outcome),
+                                         bytesOf(Reply.Object), steadyNow());
+                            });
+                          }));
+  } else if (const auto *List = std::get_if<list_manifests>(&Command)) {
+    std::string Prefix = snapshotPrefix(List->Shard);
+    listManifests([WithWriter, Prefix](const platform_list_reply &Reply) {
+      std::vector<std::string> Names;
+      for (const json &Item : Reply.Items)
+        if (std::string Name = nameOfObject(Item); Name.starts_with(Prefix))
+          Names.push_back(std::move(Name));
+      WithWriter([&](snapshot_writer &Write) {
+        Write.listed(Reply.Outcome == platform_outcome::Ok, Names, steadyNow());
+      });
+    });
+  } else if (std::get_if<snapshot_kept>(&Command)) {
+    snapshotKept(Shard);
+  } else if (std::get_if<snapshot_lost>(&Command)) {
+    snapshotLost(Shard);
   }
-  const snapshot_object &Object = (*Objects)[Index];
-  std::string_view Plural =
-      Index + 1 == Objects->size() ? Manifests : Snapshots;
-  Context.Platform->create(
-      Plural, binaryObject(Object.Name, Object.Bytes),
-      guarded([this, Shard, Objects, Index,
-               Done = std::move(Done)](const platform_reply &Reply) {
-        // The names carry this holder's fence, so that one which is taken was
-        // taken by an attempt of this holder whose answer was lost.
-        bool Kept = Reply.Outcome == platform_outcome::Ok ||
-                    Reply.Outcome == platform_outcome::Conflict;
-        if (Kept) {
-          writeObjects(Shard, Objects, Index + 1, Done);
-          return;
-        }
-        after(WriteRetry, guarded([this, Shard, Objects, Index, Done] {
-                writeObjects(Shard, Objects, Index, Done);
-              }));
-      }));
+}
+
+void shard_keeper::snapshotKept(std::uint32_t Shard) {
+  shard_row &Row = Rows.find(Shard)->second;
+  Row.Write.reset();
+  Row.Maker->kept();
+  collectGarbage(Shard, Row);
+  // The action may erase the row that holds it.
+  std::function<void()> Kept = std::move(Row.Kept);
+  Kept();
+}
+
+void shard_keeper::snapshotLost(std::uint32_t Shard) {
+  log::warn("another host holds the shard", {{"shard", Shard}});
+  Context.Metrics.add("shards_lost_total");
+  phase Phase = Rows.find(Shard)->second.Phase;
+  Rows.erase(Shard);
+  if (Phase != phase::Writing)
+    Book.loseShard(Shard, {steadyNow(), wallNowMs()});
+  Changed();
+  mapChanged();
 }
 
 void shard_keeper::collectGarbage(std::uint32_t Shard, shard_row &Row) {
@@ -479,7 +537,7 @@
   SnapshotDue = Now + SnapshotPause;
   auto Every =
       static_cast<std::uint64_t>(Context.Settings.Journal.SnapshotEveryRecords);
-  auto IsBusy = [](const auto &Row) { return Row.second.Busy; };
+  auto IsBusy = [](const auto &Row) { return Row.second.Write != nullptr; };
   if (std::any_of(Rows.begin(), Rows.end(), IsBusy))
     return;
   auto Oldest = Rows.end();
@@ -491,12 +549,14 @@
   if (Oldest == Rows.end())
     return;
   if (Book.rowsTicket() >= Oldest->second.SnapshotAt + Every)
-    writeSnapshot(Oldest->first, Book.rows(), positionNow(), false, [] {});
+    writeSnapshot(Oldest->first, Book.rows(), false, false, [] {});
   collectSegments();
 }
 
 void shard_keeper::collectSegments() {
-  std::uint64_t Oldest = Writer.segmentAfter(Writer.committedRecord());
+  // The latest segment stays: a successor would seal in the hole.
+  std::uint64_t Oldest = std::min(
+      Writer.latestSegment(), Writer.segmentAfter(Writer.committedRecord()));
   for (const auto &[Shard, Row] : Rows) {
     if (!Row.Maker || !Row.Maker->latest())
       return;
@@ -511,15 +571,14 @@
   Writer.forgetBefore(FirstSegment);
 }
 
-// -- Handing over
-// -----------------------------------------------------------------
+// -- Handing over -----------------------------------------------------------
 
 void shard_keeper::drain(std::uint32_t Shard, shard_row &Row) {
   moment Now{steadyNow(), wallNowMs()};
-  if (Row.Busy || !Book.drainShard(Shard, Now))
+  if (Row.Write || !Book.drainShard(Shard, Now))
     return;
   Row.Phase = phase::Releasing;
-  writeSnapshot(Shard, Book.rows(), positionNow(), true, [this, Shard] {
+  writeSnapshot(Shard, Book.rows(), true, false, [this, Shard] {
     Book.releaseShard(Shard);
     Rows.erase(Shard);
     Changed();
--- a/src/libhost/shards_pvt.h
+++ b/src/libhost/shards_pvt.h
@@ -53,8 +53,9 @@
     std::uint64_t Fence = 0;
     state_rows Rows; ///< Until they are served.
     std::unique_ptr<snapshot_maker> Maker;
-    bool Busy = false;            ///< A snapshot is being written.
-    std::uint64_t SnapshotAt = 0; ///< Ticket of the latest snapshot.
+    std::unique_ptr<snapshot_writer> Write; ///< While one is being written.
+    std::function<void()> Kept;             ///< Of that snapshot.
+    std::uint64_t SnapshotAt = 0;           ///< Ticket of the latest snapshot.
     time_point StartedAt;
   };
   struct takeover_row {
@@ -64,7 +65,11 @@
   };
 
   shard_row *find(std::uint32_t Shard, phase Expected);
-  void listManifests();
+  using list_callback = std::function<void(const platform_list_reply &Reply)>;
+  /// Lists all manifests. Calls that come while a list is under way share the
+  /// next one, which shows what was created before they were made.
+  void listManifests(list_callback Done);
+  void startList();
   void takeManifests(const platform_list_reply &Reply);
   void startFrom(std::uint32_t Shard, const snapshot_manifest &Manifest);
   void loadReleased(std::uint32_t Shard, const snapshot_manifest &Manifest);
@@ -78,13 +83,12 @@
 
   void writeFirst(std::uint32_t Shard, state_rows Rows,
                   std::optional<snapshot_manifest> Known);
-  void writeSnapshot(std::uint32_t Shard, const state_rows &Rows,
-                     const journal_position &Position, bool Released,
-                     std::function<void()> Done);
-  void
-  writeObjects(std::uint32_t Shard,
-               const std::shared_ptr<std::vector<snapshot_object>> &Objects,
-               std::size_t Index, std::function<void()> Done);
+  void writeSnapshot(std::uint32_t Shard, const state_rows &Source,
+                     bool Released, bool Acquires, std::function<void()> Kept);
+  void pumpWrite(std::uint32_t Shard);
+  void carryOut(std::uint32_t Shard, const snapshot_command &Command);
+  void snapshotKept(std::uint32_t Shard);
+  void snapshotLost(std::uint32_t Shard);
   void collectGarbage(std::uint32_t Shard, shard_row &Row);
   void collectSegments();
   void snapshotDue();
@@ -108,7 +112,9 @@
   std::map<host_life, takeover_row> Takeovers;
   std::set<std::string> ManifestNames; ///< By the latest list.
   std::shared_ptr<int> Token = std::make_shared<int>(0);
+  std::vector<list_callback> ListWaiters; ///< For the next list.
   bool ListOpen = false;
+  bool Looking = false; ///< A list for shards that are to be acquired.
   time_point ListDue;
   std::uint64_t FirstSegment = 1; ///< Segments before it were deleted.
   time_point SnapshotDue;
--- a/src/libhost/watcher.cpp
+++ b/src/libhost/watcher.cpp
@@ -56,8 +56,7 @@
   watchHosts();
 }
 
-// -- Entries
-// ----------------------------------------------------------------------
+// -- Entries ----------------------------------------------------------------
 
 void watcher::watchEntries() {
   platform_watch_events Handlers;
@@ -174,8 +173,7 @@
   Context.Recorder->setInvalid(std::move(Invalid));
 }
 
-// -- Upstreams
-// --------------------------------------------------------------------
+// -- Upstreams --------------------------------------------------------------
 
 void watcher::watchUpstreams() {
   platform_watch_events Handlers;
@@ -227,8 +225,7 @@
     onUpstream(platform_change::Added, Object);
 }
 
-// -- The platform's list of hosts
-// -------------------------------------------------
+// -- The platform's list of hosts -------------------------------------------
 
 void watcher::watchHosts() {
   platform_watch_events Handlers;
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -14,8 +14,7 @@
 
 namespace turmerichead::host_pvt {
 
-// -- Paths of requests between hosts
-// -------------------------------------------
+// -- Paths of requests between hosts ----------------------------------------
 
 inline constexpr std::string_view CallPath = "/call";
 inline constexpr std::string_view HistoryPath = "/history";
@@ -34,8 +33,7 @@
 inline constexpr std::string_view ClosePath = "/close";
 inline constexpr std::string_view SealedPath = "/sealed";
 
-// -- Calls
-// ------------------------------------------------------------------------
+// -- Calls ------------------------------------------------------------------
 
 /// A call on its way from the entry host to the holder.
 struct call_message {
@@ -98,8 +96,7 @@
   MSGPACK_DEFINE(HttpStatus, Body, Moved)
 };
 
-// -- Gates
-// ------------------------------------------------------------------------
+// -- Gates ------------------------------------------------------------------
 
 /// Asks the gate of a group for a runner.
 struct ask_message {
@@ -179,8 +176,7 @@
   MSGPACK_DEFINE(Rows)
 };
 
-// -- Membership
-// -------------------------------------------------------------------
+// -- Membership -------------------------------------------------------------
 
 /// Load of a group, as its gate sees it.
 struct group_load {
@@ -218,8 +214,7 @@
   MSGPACK_DEFINE(Config, Map, MapRevision, Upstreams)
 };
 
-// -- Journal
-// ----------------------------------------------------------------------
+// -- Journal ----------------------------------------------------------------
 
 /// Records that a standby keeps for their writer.
 struct keep_message {
@@ -250,8 +245,7 @@
   MSGPACK_DEFINE(Entries)
 };
 
-// -- Encoding
-// ---------------------------------------------------------------------
+// -- Encoding ---------------------------------------------------------------
 
 /// The msgpack bytes of \p Message.
 template <typename Message> std::string pack(const Message &Value) {
