Fuzz the parsers of entries, settings and reports with mangled input

Files with bytes replaced, removed and repeated end in findings or read back equal; reports with a value of another type are refused or keep their rules. A name for the audit trail that is not UTF-8 is refused before it reaches JSON.

--- a/src/libcatalogue/entry_test.cpp
+++ b/src/libcatalogue/entry_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 
 #include <fstream>
 #include <iterator>
@@ -173,6 +174,57 @@
   CHECK(Findings.rows().size() == 2);
 }
 
+namespace {
+
+/// \p Text with bytes replaced, removed and repeated, as \p Edits say.
+std::string mutate(std::string Text, const std::vector<std::uint32_t> &Edits) {
+  constexpr std::string_view Bytes = "[]{}\"'=.,#\n-+0919eE\\u\xff _:";
+  for (std::uint32_t Edit : Edits) {
+    if (Text.empty())
+      break;
+    std::size_t Place = Edit / 64 % Text.size();
+    if (Edit % 4 == 0)
+      Text.erase(Place, 1 + Edit / 4 % 16);
+    else if (Edit % 4 == 1)
+      Text.insert(Place, Text.substr(Edit % Text.size(), Edit / 4 % 16));
+    else
+      Text[Place] = Bytes[Edit / 4 % Bytes.size()];
+  }
+  return Text;
+}
+
+void checkMutant(const std::string &Text) {
+  findings Findings;
+  auto Entries = entriesFromText(Text, "f", Findings);
+  RC_ASSERT(Entries.has_value() == Findings.empty());
+  if (!Entries)
+    return;
+  for (const catalogue_entry &Entry : *Entries) {
+    findings Again;
+    auto Back = entryFromJson(Entry.Name, toJson(Entry), "f", Again);
+    RC_ASSERT(Back == Entry);
+  }
+}
+
+} // namespace
+
+TEST_CASE("fuzz: broken files end in findings, accepted ones read back") {
+  nlohmann::json Named = toJson(yard());
+  Named["name"] = "yard";
+  std::string Toml = yardToml();
+  std::string Json = Named.dump(1);
+  CHECK(rc::check("mutated files", [&] {
+    auto Edits = *rc::gen::container<std::vector<std::uint32_t>>(
+        rc::gen::inRange<std::uint32_t>(0, 1'000'000));
+    checkMutant(mutate(Toml, Edits));
+    checkMutant(mutate(Json, Edits));
+    findings Findings;
+    host_settings::parse(mutate(renderSettingsHelp() + Toml, Edits), "f",
+                         Findings);
+    RC_ASSERT(!Findings.empty());
+  }));
+}
+
 TEST_CASE("docs/CATALOGUE.md holds the table of the fields") {
   std::ifstream Stream(TURMERICHEAD_DOCS "/CATALOGUE.md");
   std::string Page{std::istreambuf_iterator<char>(Stream), {}};
--- a/src/libcluster/detector_test.cpp
+++ b/src/libcluster/detector_test.cpp
@@ -114,7 +114,7 @@
   cluster_world World(9);
   World.run(30 * Second);
   MESSAGE("9 hosts: bytes of heartbeats sent by a host a second: "
-          << World.Bytes / (30 * 9));
+          << World.Bytes / 30 / 9);
   for (std::size_t I = 0; I < 9; ++I) {
     CHECK(World.Nodes[I].Detector.suspected(World.Now).empty());
     CHECK(World.Nodes[I].Detector.hearsMajority(World.Now));
@@ -242,7 +242,7 @@
   // A host beats to its six watchers only.
   CHECK(World.Messages == 6 * 20 * TargetHosts);
   MESSAGE("410 hosts: bytes of heartbeats sent by a host a second: "
-          << World.Bytes / (10 * TargetHosts));
+          << World.Bytes / 10 / TargetHosts);
   World.setUp(100, false);
   World.run(8 * Second);
   CHECK(!World.proposers(100).empty());
--- a/src/libreport/report_test.cpp
+++ b/src/libreport/report_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -272,3 +273,37 @@
   if (const char *File = std::getenv("REPORT_PAGE"))
     std::ofstream(File) << Page;
 }
+
+TEST_CASE("fuzz: reports add up in any order, and survive being mangled") {
+  CHECK(rc::check("reports", [] {
+    auto Counts = *rc::gen::container<std::vector<std::uint32_t>>(
+        rc::gen::inRange<std::uint32_t>(0, 5));
+    entry_counters Forward;
+    entry_counters Backward;
+    const auto One = [](std::uint32_t Count) {
+      entry_counters Result;
+      Result.CallsAnswered = Count;
+      Result.AnswersLost = Count / 4;
+      Result.RefusedBy["reason-" + std::to_string(Count)] = 1;
+      return Result;
+    };
+    for (std::uint32_t Count : Counts)
+      Forward.add(One(Count));
+    for (auto Count = Counts.rbegin(); Count != Counts.rend(); ++Count)
+      Backward.add(One(*Count));
+    RC_ASSERT(Forward == Backward);
+
+    report_recorder Host("a", "a", 1, {});
+    Host.count("yard", work_rank::Urgent, {1},
+               [&Forward](entry_counters &Row) { Row = Forward; });
+    nlohmann::json Value = toJson(Host.take({2}));
+    // Any one value of the report replaced by one of another type.
+    nlohmann::json Flat = Value.flatten();
+    auto Place = *rc::gen::inRange<std::size_t>(0, Flat.size());
+    auto Item = Flat.begin();
+    std::advance(Item, static_cast<std::ptrdiff_t>(Place));
+    *Item = *rc::gen::element<nlohmann::json>(-1, 1.5, "x", nullptr, true);
+    auto Back = hostReportFromJson(Flat.unflatten());
+    RC_ASSERT(!Back || Back->AgeMs >= 0);
+  }));
+}
--- a/src/turmericheadctl/main.cpp
+++ b/src/turmericheadctl/main.cpp
@@ -90,6 +90,10 @@
   Options.Lines = FLAGS_n;
   Options.Json = FLAGS_json;
   Options.Markdown = FLAGS_markdown;
+  if (!g_utf8_validate(Options.Who.c_str(), -1, nullptr)) {
+    std::cerr << "--who must be UTF-8\n";
+    return BadInput;
+  }
   if (!readSettings(Options))
     return BadInput;
   if (Options.Namespace.empty())
--- a/src/turmericheadctl/turmericheadctl_test.sh
+++ b/src/turmericheadctl/turmericheadctl_test.sh
@@ -53,6 +53,7 @@
 expect 0 'exit codes\|Exit codes' --help
 expect 0 'version' --version
 
+expect 2 'must be UTF-8' get --who "$(printf 'i\xff')" --platform "$url"
 expect 2 'out of range' apply "$folder/bad.toml" --platform "$url"
 expect 1 'no such entry' get yard --platform "$url"
 expect 0 'yard: applied, version [0-9]* by ines' \
