--- a/src/libsched/floor_pvt.h
+++ b/src/libsched/floor_pvt.h
@@ -10,7 +10,9 @@
 /// next grant is due to the ordinary one.
 class floor_ledger {
 public:
-  explicit floor_ledger(double Floor) : Floor(Floor) {}
+  /// Aims somewhat above \p Promised, because the work is estimated and
+  /// ordinary requests do not wait at every moment.
+  explicit floor_ledger(double Promised) : Floor(Promised * Margin) {}
 
   /// Changes the floor; what is owed so far stays.
   void setFloor(double Changed) { Floor = Changed; }
@@ -30,6 +32,8 @@
   double ordinaryShare() const;
 
 private:
+  static constexpr double Margin = 1.08;
+
   void add(rank Rank, double WorkMs);
 
   double Floor;
