--- a/src/libcatalogue/settings.cpp
+++ b/src/libcatalogue/settings.cpp
@@ -89,8 +89,8 @@
       bind<settings, &settings::Cluster, &section::SharedKeyFile>(
           {.Key = "cluster.shared_key_file",
            .Text = "File with the key by which hosts authenticate each "
-                   "other. Empty: peers are not checked.",
-           .Default = ""}),
+                   "other; the same on all hosts.",
+           .Required = true}),
       bind<settings, &settings::Cluster, &section::Shards>(
           {.Key = "cluster.shards",
            .Text = "Shards of a new cluster. An existing map keeps its own.",
--- a/src/libcatalogue/settings_test.cpp
+++ b/src/libcatalogue/settings_test.cpp
@@ -21,6 +21,8 @@
 peer_listen = "127.0.0.1:8081"
 [platform]
 url = "http://127.0.0.1:6443"
+[cluster]
+shared_key_file = "shared.key"
 )";
 
 std::string readFile(const std::string &Path) {
@@ -75,11 +77,12 @@
            "peer_route[0].address: is missing",
            "host.toml:14:2: nothing: is not a known key",
            "platform.url: is missing",
+           "cluster.shared_key_file: is missing",
        }) {
     CAPTURE(Text);
     CHECK_MESSAGE(Text.find(Expected) != std::string::npos, Expected);
   }
-  CHECK(Findings.rows().size() == 10);
+  CHECK(Findings.rows().size() == 11);
 }
 
 TEST_CASE("a syntax error has line and column") {
@@ -91,13 +94,13 @@
 
 TEST_CASE("rules over two settings") {
   findings Findings;
-  std::string Text = Minimal + "[cluster]\nheartbeat_ms = 500\n"
+  std::string Text = Minimal + "heartbeat_ms = 500\n"
                                "suspect_ms = 1000\n";
   Text.replace(Text.find("127.0.0.1:8081"), 14, "127.0.0.1:8080");
   CHECK(!host_settings::parse(Text, "host.toml", Findings));
   REQUIRE(Findings.rows().size() == 2);
   CHECK(Findings.rows()[0].Place.Key == "cluster.suspect_ms");
-  CHECK(Findings.rows()[0].Place.Line == 11);
+  CHECK(Findings.rows()[0].Place.Line == 12);
   CHECK(Findings.rows()[1].Place.Key == "host.peer_listen");
 }
 
@@ -110,7 +113,7 @@
   REQUIRE(Settings->PeerRoutes.size() == 1);
   CHECK(Settings->PeerRoutes[0].Address.toText() == "10.0.0.1:81");
   CHECK(!host_settings::parse(Minimal + Route + Route, "f", Findings));
-  CHECK(Findings.toText() == "f:13:1: peer_route[1].host: is named twice\n");
+  CHECK(Findings.toText() == "f:15:1: peer_route[1].host: is named twice\n");
 }
 
 TEST_CASE("a key that imitates a path is not taken for it") {
