Switch least attained service off by default

Programs that have had much service hold much cache: putting them off keeps memory from new ones.

Change: DelayPerKiloToken is 0; the rule stays as a setting, with its tests, which now name the values that they test.

--- a/src/benches/policy_bench/variants.cpp
+++ b/src/benches/policy_bench/variants.cpp
@@ -120,9 +120,6 @@
   Without("order", [](variant &V) { V.Kind = gate_kind::FifoAffinity; });
   Without("affinity",
           [](variant &V) { V.Kind = gate_kind::AttainedLeastLoad; });
-  Without("least attained", [](variant &V) {
-    V.Settings.Order.DelayPerKiloToken = milliseconds(0);
-  });
   Without("started first", [](variant &V) {
     V.Settings.Order.NewProgramDelay = milliseconds(0);
   });
@@ -138,6 +135,10 @@
   Without("moving", [](variant &V) { V.Settings.Place.MoveCache = false; });
   Without("pause awareness", [](variant &V) { V.Settings.PauseAware = false; });
   Without("releases", [](variant &V) { V.Settings.ReleaseEnded = false; });
+  variant LeastAttained = defaultVariant(User);
+  LeastAttained.Name = "with least attained";
+  LeastAttained.Settings.Order.DelayPerKiloToken = milliseconds(50);
+  All.push_back(LeastAttained);
   Without("admission", [](variant &V) { V.Settings.RefuseOverload = false; });
   return All;
 }
--- a/src/include/turmerichead/sched_order.h
+++ b/src/include/turmerichead/sched_order.h
@@ -19,8 +19,9 @@
 
 /// Settings of attained_order. All are bounds in milliseconds of queueing.
 struct order_settings {
-  /// Delay of a call for each 1,000 tokens its program has been served.
-  milliseconds DelayPerKiloToken{50};
+  /// Delay of a call for each 1,000 tokens its program has been served; 0
+  /// switches least attained service off.
+  milliseconds DelayPerKiloToken{0};
   /// The most that attained service can delay a call.
   milliseconds MaxAttainedDelay{5'000};
   /// How much later the first call of a program counts than its others.
--- a/src/libsched/rules_test.cpp
+++ b/src/libsched/rules_test.cpp
@@ -13,7 +13,9 @@
 constexpr milliseconds Second(1'000);
 
 std::int64_t arrivalOf(const gate_request &Request, time_point Now) {
-  return attained_order::virtualArrivalMs({}, Request, {Now});
+  order_settings Settings;
+  Settings.DelayPerKiloToken = milliseconds(50);
+  return attained_order::virtualArrivalMs(Settings, Request, {Now});
 }
 
 runner_view freeRunner(int InFlight = 0, token_count Cached = 0) {
@@ -55,6 +57,8 @@
   Best.Started = true;
   Best.ParentWaiting = true;
   order_settings Settings;
+  Settings.DelayPerKiloToken = milliseconds(50);
+  Settings.AgeWeight = 0.5;
   std::int64_t Latest = attained_order::virtualArrivalMs(Settings, Worst, Old);
   milliseconds Bound = Settings.MaxAttainedDelay + Settings.NewProgramDelay +
                        Settings.MaxOwnerDelay + Settings.ChildBonus +
