Keep callers' connections after a response

The server now has a socket of its own for that purpose. On a stopped server a response says that the connection closes, and idle connections are closed; shutting them from the end of an exchange was tried first and went unnoticed by libsoup. A test carries twenty streams after another on each of twenty connections.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -6,6 +6,7 @@
 #include <libsoup/soup.h>
 
 #include <algorithm>
+#include <gio/gunixsocketaddress.h>
 #include <sys/socket.h>
 
 namespace turmerichead {
@@ -151,6 +152,29 @@
   return Context ? Context->Row : connection_id{};
 }
 
+namespace {
+
+/// libsoup keeps a connection after a response only while its server listens
+/// itself. This socket is for that alone: it has a random name, in the
+/// abstract namespace of Unix sockets, and nobody connects to it.
+bool listenForKeepAlive(SoupServer *Server) {
+  gchar *Name = g_uuid_string_random();
+  auto Address =
+      handle<GSocketAddress>::adopt(g_unix_socket_address_new_with_type(
+          Name, -1, G_UNIX_SOCKET_ADDRESS_ABSTRACT));
+  g_free(Name);
+  auto Socket = handle<GSocket>::adopt(
+      g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_DEFAULT, nullptr));
+  return Socket && g_socket_bind(Socket.get(), Address.get(), FALSE, nullptr) &&
+         g_socket_listen(Socket.get(), nullptr) &&
+         soup_server_listen_socket(Server, Socket.get(),
+                                   static_cast<SoupServerListenOptions>(0),
+                                   nullptr);
+}
+
+} // namespace
+
 // -- Reading a request -------------------------------------------------------
 
 namespace {
@@ -339,11 +363,8 @@
   if (!Exchange)
     return;
   bool Ended = Exchange->Ended;
-  if (connection_row *Row = Connections.find(Exchange->Connection)) {
+  if (connection_row *Row = Connections.find(Exchange->Connection))
     Row->LastActive = steadyNow();
-    if (Stopped)
-      g_socket_shutdown(Row->Socket.get(), TRUE, FALSE, nullptr);
-  }
   Exchanges.erase(Id);
   if (!Ended && Events.OnClientGone)
     Events.OnClientGone(Id);
@@ -377,7 +398,9 @@
   Connections.forEach([&](connection_id, connection_row &Row) {
     bool SlowRequest =
         Row.ReadingSince && Now - *Row.ReadingSince >= Settings.RequestTimeout;
-    bool Idle = Now - Row.LastActive >= Settings.IdleTimeout;
+    // A stopped server keeps connections only for streams in progress.
+    bool Idle = Now - Row.LastActive >=
+                (Stopped ? SweepInterval : Settings.IdleTimeout);
     if (SlowRequest || Idle)
       g_socket_shutdown(Row.Socket.get(), TRUE, TRUE, nullptr);
   });
@@ -411,6 +434,8 @@
   Raw->Port = localPort(Raw->Listener.get());
   Raw->Server = handle<SoupServer>::adopt(
       soup_server_new("server-header", nullptr, nullptr));
+  if (!listenForKeepAlive(Raw->Server.get()))
+    return fail(error_code::Unavailable, "no socket for kept connections");
   soup_server_add_early_handler(Raw->Server.get(), nullptr, state::onEarly, Raw,
                                 nullptr);
   soup_server_add_handler(Raw->Server.get(), nullptr, state::onRequest, Raw,
@@ -445,9 +470,11 @@
 namespace {
 
 void setHead(SoupServerMessage *Message, int Status,
-             const std::vector<http_header> &Headers) {
+             const std::vector<http_header> &Headers, bool Last) {
   soup_server_message_set_status(Message, static_cast<guint>(Status), nullptr);
   SoupMessageHeaders *Rows = soup_server_message_get_response_headers(Message);
+  if (Last)
+    soup_message_headers_replace(Rows, "Connection", "close");
   for (const http_header &Header : Headers)
     soup_message_headers_replace(Rows, Header.Name.c_str(),
                                  Header.Value.c_str());
@@ -473,7 +500,7 @@
   if (!Row)
     return false;
   SoupServerMessage *Message = Row->Message.get();
-  setHead(Message, Status, Headers);
+  setHead(Message, Status, Headers, State->Stopped);
   soup_message_headers_set_content_length(
       soup_server_message_get_response_headers(Message),
       static_cast<goffset>(Body.size()));
@@ -490,7 +517,7 @@
   if (!Row)
     return false;
   SoupServerMessage *Message = Row->Message.get();
-  setHead(Message, Status, Headers);
+  setHead(Message, Status, Headers, State->Stopped);
   soup_message_headers_set_encoding(
       soup_server_message_get_response_headers(Message), SOUP_ENCODING_CHUNKED);
   soup_message_body_set_accumulate(
--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -175,6 +175,52 @@
   CHECK(Pair.Gone.empty());
 }
 
+TEST_CASE("a connection carries one stream after another") {
+  http_pair Pair;
+  std::vector<http_exchange_id> Open;
+  Pair.OnRequest = [&](const http_request_view &Request) {
+    Pair.Server->beginStream(Request.Exchange, 200, {});
+    Pair.Server->writeChunk(Request.Exchange, Request.Body);
+    Open.push_back(Request.Exchange);
+  };
+  auto Ticker = loop_source::every(milliseconds(1), [&] {
+    for (http_exchange_id Id : std::exchange(Open, {})) {
+      Pair.Server->writeChunk(Id, " more");
+      Pair.Server->writeChunk(Id, " end");
+      Pair.Server->endStream(Id);
+    }
+    return true;
+  });
+  constexpr int Callers = 20;
+  constexpr int Rounds = 20;
+  int Answered = 0;
+  int Ended = 0;
+  std::function<void(int)> Next = [&](int Round) {
+    auto Body = std::make_shared<std::string>();
+    Pair.Client->send(
+        post(Pair.url("/"), "round"),
+        {.OnHeaders = {},
+         .OnChunk = [Body](std::string_view Bytes) { *Body += Bytes; },
+         .OnEnd =
+             [&, Body, Round](const http_result &Result) {
+               bool Good =
+                   Result.Code == error_code::None && *Body == "round more end";
+               CAPTURE(Result.Text);
+               CHECK(Good);
+               Answered += Good ? 1 : 0;
+               if (Round + 1 < Rounds)
+                 Next(Round + 1);
+               else
+                 ++Ended;
+             }});
+  };
+  for (int I = 0; I < Callers; ++I)
+    Next(0);
+  REQUIRE(turnUntil([&] { return Ended == Callers; }));
+  CHECK(Answered == Callers * Rounds);
+  CHECK(Pair.Gone.empty());
+}
+
 TEST_CASE("an aborted stream is not taken for a whole one") {
   http_pair Pair;
   std::optional<http_exchange_id> Id;
--- a/tools/fleet_for_bench.sh
+++ b/tools/fleet_for_bench.sh
@@ -16,8 +16,19 @@
 base=${BASE_PORT:-21000}
 work=$(mktemp -d)
 pids=()
+daemons=()
+# Hosts drain first, while the platform is there to hand their shards over.
 stop_fleet() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${daemons[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for ((try = 0; try < 100; try++)); do
+    alive=0
+    for pid in "${daemons[@]}"; do kill -0 "$pid" 2>/dev/null && alive=1; done
+    [ $alive = 0 ] && break
+    sleep 0.1
+  done
+  for pid in "${daemons[@]}" "${pids[@]}"; do
+    kill -9 "$pid" 2>/dev/null || true
+  done
   wait 2>/dev/null || true
   rm -rf "$work"
 }
@@ -73,7 +84,7 @@
 level = "warn"
 TOML
   "$build/bin/turmerichead" --settings="$work/h$i.toml" >"$work/h$i.log" 2>&1 &
-  pids+=($!)
+  daemons+=($!)
   host_pids+=${host_pids:+,}h$i=$!
   host_urls+=${host_urls:+ }127.0.0.1:$http
 done
@@ -84,7 +95,7 @@
   done
   curl -sf -o /dev/null "http://$url/readyz" || {
     echo "host $url is not ready" >&2
-    tail -3 "$work"/h*.log >&2
+    tail -n 3 "$work/h1.log" >&2
     exit 1
   }
 done
