--- a/src/libcluster/detector_test.cpp
+++ b/src/libcluster/detector_test.cpp
@@ -113,6 +113,8 @@
 TEST_CASE("all alive: nobody is suspected") {
   cluster_world World(9);
   World.run(30 * Second);
+  MESSAGE("9 hosts: bytes of heartbeats sent by a host a second: "
+          << World.Bytes / (30 * 9));
   for (std::size_t I = 0; I < 9; ++I) {
     CHECK(World.Nodes[I].Detector.suspected(World.Now).empty());
     CHECK(World.Nodes[I].Detector.hearsMajority(World.Now));
@@ -187,6 +189,27 @@
   CHECK(World.proposers(3).empty());
 }
 
+TEST_CASE("a link cut both ways alone does not make a host dead") {
+  cluster_world World(9);
+  World.run(5 * Second);
+  World.cutBoth(3, 5);
+  World.run(60 * Second);
+  CHECK(World.health(5, 3) == host_health::Alive);
+  CHECK(World.health(3, 5) == host_health::Alive);
+}
+
+TEST_CASE("one of three data centres lost: the others act at once") {
+  cluster_world World(9);
+  World.run(5 * Second);
+  for (std::size_t Host : {0U, 3U, 6U}) // All of data centre d0.
+    World.setUp(Host, false);
+  World.run(10 * Second);
+  for (std::size_t Host : {0U, 3U, 6U})
+    CHECK(!World.proposers(Host).empty());
+  for (std::size_t Host : {1U, 2U, 4U, 5U, 7U, 8U})
+    CHECK(World.proposers(Host).empty());
+}
+
 TEST_CASE("a host that was frozen suspects nobody when it wakes") {
   cluster_world World(9);
   World.run(5 * Second);
@@ -218,6 +241,8 @@
   World.run(10 * Second);
   // A host beats to its six watchers only.
   CHECK(World.Messages == 6 * 20 * TargetHosts);
+  MESSAGE("410 hosts: bytes of heartbeats sent by a host a second: "
+          << World.Bytes / (10 * TargetHosts));
   World.setUp(100, false);
   World.run(8 * Second);
   CHECK(!World.proposers(100).empty());
