Watch all sockets of HTTP with one source

A profile of a host under a hundred streams showed half of its time in the GLib loop itself: each turn visits every source, and each call had two timers, a source for its response and one for its caller. Responses and callers are now watched through one epoll descriptor each, and deadlines wait in one queue.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t ReadBytes = 32U << 10U;
 constexpr int MaxReadsPerTurn = 8;
+constexpr int WholeDeadline = 0;
+constexpr int FirstByteDeadline = 1;
 
 } // namespace
 
@@ -25,13 +27,12 @@
   handle<SoupMessage> Message;
   handle<GCancellable> Cancellable;
   handle<GInputStream> Body;
-  handle<GSocket> Socket; ///< Set while a chunked body is read.
+  handle<GSocket> Socket; ///< Set while the body is read.
   /// Shared, because a receiver may erase the row that it was called from.
   std::shared_ptr<const http_call_events> Events;
-  loop_source Readable;
-  loop_source Timeout;
-  loop_source FirstByteTimeout;
   loop_source Failure;
+  loop_source Again;  ///< Set when bytes were left for the next turn.
+  bool Begun = false; ///< The response has.
   std::size_t BodyBytes = 0;
   std::size_t MaxBodyBytes = 0;
   int Status = 0;
@@ -55,13 +56,18 @@
   table<http_call_row> Calls;
   std::shared_ptr<state *> Self;
   std::array<char, ReadBytes> Buffer;
+  std::optional<poll_set> Sockets;
+  deadline_queue Deadlines;
 
+  state();
   ~state();
+  void due(std::uint64_t Key, int Kind);
   void start(http_call_id Id, const http_request &Request);
   void begin(http_call_id Id);
   bool read(http_call_id Id);
   void end(http_call_id Id, error_code Code, std::string Text);
   void drop(http_call_id Id);
+  void stopReading(const http_call_row &Call);
 
   static void onStarting(SoupMessage *Message, call_context *Context);
   static void onRestarted(SoupMessage *Message, call_context *Context);
@@ -88,6 +94,18 @@
 
 } // namespace
 
+http_client::state::state()
+    : Deadlines([this](std::uint64_t Key, int Kind) { due(Key, Kind); }) {}
+
+void http_client::state::due(std::uint64_t Key, int Kind) {
+  auto Id = idOf<http_call_row>(Key);
+  http_call_row *Call = Calls.find(Id);
+  if (Call && Kind == WholeDeadline)
+    end(Id, error_code::Timeout, "the call took too long");
+  else if (Call && !Call->Begun)
+    end(Id, error_code::Timeout, "the response did not begin in time");
+}
+
 // -- The life of a call ------------------------------------------------------
 
 void http_client::state::start(http_call_id Id, const http_request &Request) {
@@ -116,16 +134,9 @@
     g_signal_connect_data(Message, Signal, Handler, new call_context{Self, Id},
                           freeContext, static_cast<GConnectFlags>(0));
   if (Request.Timeout.count() > 0)
-    Call.Timeout = loop_source::every(Request.Timeout, [this, Id] {
-      end(Id, error_code::Timeout, "the call took too long");
-      return false;
-    });
+    Deadlines.add(Request.Timeout, keyOf(Id), WholeDeadline);
   if (Request.FirstByteTimeout.count() > 0)
-    Call.FirstByteTimeout =
-        loop_source::every(Request.FirstByteTimeout, [this, Id] {
-          end(Id, error_code::Timeout, "the response did not begin in time");
-          return false;
-        });
+    Deadlines.add(Request.FirstByteTimeout, keyOf(Id), FirstByteDeadline);
   soup_session_send_async(Session.get(), Message, G_PRIORITY_DEFAULT,
                           Call.Cancellable.get(), onSent,
                           new call_context{Self, Id});
@@ -194,7 +205,7 @@
 /// announced that it closes it.
 bool isCutChunked(const http_call_row &Call) {
   bool MayClose = soup_message_is_keepalive(Call.Message.get()) == FALSE;
-  if (!Call.Socket || MayClose)
+  if (MayClose || !isChunked(Call.Message.get()))
     return false;
   char Byte = 0;
   ssize_t Count = recv(g_socket_get_fd(Call.Socket.get()), &Byte, 1,
@@ -206,7 +217,7 @@
 
 void http_client::state::begin(http_call_id Id) {
   http_call_row &Call = *Calls.find(Id);
-  Call.FirstByteTimeout.reset();
+  Call.Begun = true;
   Call.Status = static_cast<int>(soup_message_get_status(Call.Message.get()));
   auto Message = Call.Message;
   auto Events = Call.Events;
@@ -224,12 +235,11 @@
   http_call_row *Row = Calls.find(Id);
   if (!Row)
     return;
-  if (isChunked(Row->Message.get()))
-    Row->Socket = socketBelow(Row->Body.get());
-  GSource *Source = g_pollable_input_stream_create_source(
-      G_POLLABLE_INPUT_STREAM(Row->Body.get()), nullptr);
-  Row->Readable = loop_source::adopt(
-      Source, [this, Id] { return read(Id); }, true);
+  Row->Socket = socketBelow(Row->Body.get());
+  // Part of the body may lie in libsoup's buffer, where no poll sees it.
+  if (read(Id) && (Row = Calls.find(Id)))
+    Sockets->add(g_socket_get_fd(Row->Socket.get()),
+                 poll_set::interest::Readable, keyOf(Id));
 }
 
 /// Passes on what has arrived. Returns false when the call has ended.
@@ -267,6 +277,11 @@
     if (Events->OnChunk)
       Events->OnChunk({Buffer.data(), static_cast<std::size_t>(Count)});
   }
+  if (http_call_row *Call = Calls.find(Id))
+    Call->Again = loop_source::soon([this, Id] {
+      read(Id);
+      return false;
+    });
   return true;
 }
 
@@ -277,6 +292,7 @@
     return;
   auto Events = Call->Events;
   http_result Result{Code, std::move(Text), Call->Status, Call->Sent};
+  stopReading(*Call);
   if (Code == error_code::None)
     Calls.erase(Id);
   else
@@ -285,10 +301,16 @@
     Events->OnEnd(Result);
 }
 
+void http_client::state::stopReading(const http_call_row &Call) {
+  if (Call.Socket && !g_socket_is_closed(Call.Socket.get()))
+    Sockets->remove(g_socket_get_fd(Call.Socket.get()));
+}
+
 /// Forgets a call whose response was not read to its end, and closes its
 /// connection.
 void http_client::state::drop(http_call_id Id) {
   http_call_row *Call = Calls.find(Id);
+  stopReading(*Call);
   auto Cancellable = Call->Cancellable;
   auto Body = Call->Body;
   Calls.erase(Id);
@@ -312,6 +334,11 @@
   auto State = std::make_unique<state>();
   State->Settings = Settings;
   State->Self = std::make_shared<state *>(State.get());
+  State->Sockets = poll_set::create([Raw = State.get()](std::uint64_t Key) {
+    Raw->read(idOf<http_call_row>(Key));
+  });
+  if (!State->Sockets)
+    return std::nullopt;
   State->Session = handle<SoupSession>::adopt(soup_session_new_with_options(
       "max-conns", static_cast<int>(Settings.MaxTotal), "max-conns-per-host",
       static_cast<int>(Settings.MaxPerHost), "idle-timeout",
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <gio/gunixsocketaddress.h>
-#include <sys/socket.h>
 
 namespace turmerichead {
 
@@ -26,6 +25,7 @@
 struct connection_row {
   GSocketConnection *Stream = nullptr; ///< Owned by the SoupServer.
   handle<GSocket> Socket;
+  http_exchange_id Exchange; ///< Stale between exchanges.
   time_point LastActive;
   std::optional<time_point> ReadingSince; ///< Set while a body is read.
   std::size_t BodyBytes = 0;
@@ -57,7 +57,6 @@
 struct http_exchange_row {
   handle<SoupServerMessage> Message;
   connection_id Connection;
-  loop_source CallerClosed;
   std::size_t Buffered = 0;
   time_point LastTaken;
   bool Streaming = false;
@@ -69,6 +68,7 @@
   http_server_events Events;
   handle<SoupServer> Server;
   handle<GSocket> Listener;
+  std::optional<poll_set> Callers;
   loop_source Accepting;
   loop_source Sweep;
   bool Stopped = false;
@@ -84,7 +84,7 @@
   void checkHeaders(SoupServerMessage *Message);
   void reject(SoupServerMessage *Message, int Status, std::string_view Text);
   void begin(SoupServerMessage *Message, const char *Path);
-  bool watchCaller(http_exchange_id Id);
+  void callerClosed(connection_id Id);
   void finished(http_exchange_id Id);
   void cutOff(http_exchange_id Id);
   void sweep();
@@ -292,9 +292,13 @@
                         new exchange_context{Self, Id},
                         freeContext<exchange_context>,
                         static_cast<GConnectFlags>(0));
-  if (connection_row *Row = Connections.find(Connection))
-    Exchanges.find(Id)->CallerClosed = loop_source::onSocket(
-        Row->Socket.get(), G_IO_IN, [this, Id] { return watchCaller(Id); });
+  // While a response is awaited nobody reads the connection, so a caller that
+  // closes it would go unnoticed.
+  if (connection_row *Row = Connections.find(Connection)) {
+    Row->Exchange = Id;
+    Callers->add(g_socket_get_fd(Row->Socket.get()),
+                 poll_set::interest::ClosedByPeer, keyOf(Connection));
+  }
   soup_server_message_pause(Message);
   SoupMessageBody *Body = soup_server_message_get_request_body(Message);
   auto Bytes = soup_message_body_flatten(Body);
@@ -312,23 +316,10 @@
 
 // -- The end of an exchange --------------------------------------------------
 
-/// While a response is awaited nobody reads the connection, so a caller that
-/// closes it would go unnoticed. Returns false to stop watching.
-bool http_server::state::watchCaller(http_exchange_id Id) {
-  http_exchange_row *Exchange = Exchanges.find(Id);
-  connection_row *Connection =
-      Exchange ? Connections.find(Exchange->Connection) : nullptr;
-  if (!Connection)
-    return false;
-  char Byte = 0;
-  ssize_t Count = recv(g_socket_get_fd(Connection->Socket.get()), &Byte, 1,
-                       MSG_PEEK | MSG_DONTWAIT);
-  if (Count > 0)
-    return false; // A further request; it waits for this one to end.
-  if (Count < 0 && (errno == EAGAIN || errno == EINTR))
-    return true;
-  cutOff(Id);
-  return false;
+void http_server::state::callerClosed(connection_id Id) {
+  connection_row *Connection = Connections.find(Id);
+  if (Connection && Exchanges.find(Connection->Exchange))
+    cutOff(Connection->Exchange);
 }
 
 /// Shuts the connection, so that libsoup finds it broken with the next write
@@ -432,6 +423,11 @@
   Raw->Events = std::move(Events);
   Raw->Listener = std::move(*Listener);
   Raw->Port = localPort(Raw->Listener.get());
+  Raw->Callers = poll_set::create([Raw](std::uint64_t Key) {
+    Raw->callerClosed(idOf<connection_row>(Key));
+  });
+  if (!Raw->Callers)
+    return std::nullopt;
   Raw->Server = handle<SoupServer>::adopt(
       soup_server_new("server-header", nullptr, nullptr));
   if (!listenForKeepAlive(Raw->Server.get()))
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -2,9 +2,15 @@
 
 #include "turmerichead/error.h"
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <charconv>
+#include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <unistd.h>
 
 namespace turmerichead::pvt {
 
@@ -22,6 +28,11 @@
   return runAction(Data);
 }
 
+gboolean runDescriptorAction(gint /*Descriptor*/, GIOCondition /*Condition*/,
+                             gpointer Data) {
+  return runAction(Data);
+}
+
 void deleteAction(gpointer Data) {
   delete static_cast<loop_source::action *>(Data);
 }
@@ -39,10 +50,13 @@
 
 } // namespace
 
-loop_source loop_source::adopt(GSource *Source, action Action, bool IsSocket) {
+loop_source loop_source::adopt(GSource *Source, action Action,
+                               source_kind Kind) {
   GSourceFunc Callback = runAction;
-  if (IsSocket)
+  if (Kind == source_kind::Socket)
     Callback = G_SOURCE_FUNC(runSocketAction);
+  if (Kind == source_kind::Descriptor)
+    Callback = G_SOURCE_FUNC(runDescriptorAction);
   g_source_set_callback(Source, Callback, new action(std::move(Action)),
                         deleteAction);
   g_source_attach(Source, g_main_context_get_thread_default());
@@ -53,19 +67,19 @@
 
 loop_source loop_source::every(milliseconds Interval, action Action) {
   auto Ms = static_cast<guint>(Interval.count() > 0 ? Interval.count() : 0);
-  return adopt(g_timeout_source_new(Ms), std::move(Action), false);
+  return adopt(g_timeout_source_new(Ms), std::move(Action), source_kind::Plain);
 }
 
 loop_source loop_source::soon(action Action) {
   GSource *Source = g_idle_source_new();
   g_source_set_priority(Source, G_PRIORITY_DEFAULT);
-  return adopt(Source, std::move(Action), false);
+  return adopt(Source, std::move(Action), source_kind::Plain);
 }
 
 loop_source loop_source::onSocket(GSocket *Socket, GIOCondition Condition,
                                   action Action) {
   return adopt(g_socket_create_source(Socket, Condition, nullptr),
-               std::move(Action), true);
+               std::move(Action), source_kind::Socket);
 }
 
 void loop_source::reset() {
@@ -76,6 +90,83 @@
   g_source_unref(Old);
 }
 
+// -- poll_set ----------------------------------------------------------------
+
+std::optional<poll_set>
+poll_set::create(std::function<void(std::uint64_t Key)> OnReady) {
+  int Epoll = epoll_create1(EPOLL_CLOEXEC);
+  if (Epoll < 0)
+    return fail(error_code::Unavailable, "no epoll descriptor");
+  poll_set Set(Epoll);
+  auto Dispatch = [Epoll, OnReady = std::move(OnReady)] {
+    constexpr int MaxEvents = 256;
+    std::array<epoll_event, MaxEvents> Events{};
+    int Count = epoll_wait(Epoll, Events.data(), MaxEvents, 0);
+    for (int I = 0; I < Count; ++I)
+      OnReady(Events.at(static_cast<std::size_t>(I)).data.u64);
+    return true;
+  };
+  Set.Source = loop_source::adopt(g_unix_fd_source_new(Epoll, G_IO_IN),
+                                  std::move(Dispatch), source_kind::Descriptor);
+  return Set;
+}
+
+poll_set::descriptor::~descriptor() {
+  if (Value >= 0)
+    close(Value);
+}
+
+bool poll_set::add(int Descriptor, interest Interest, std::uint64_t Key) {
+  epoll_event Event{};
+  Event.data.u64 = Key;
+  Event.events = EPOLLIN;
+  if (Interest == interest::ClosedByPeer)
+    Event.events = EPOLLRDHUP | EPOLLONESHOT;
+  if (epoll_ctl(Epoll.Value, EPOLL_CTL_ADD, Descriptor, &Event) == 0)
+    return true;
+  return errno == EEXIST &&
+         epoll_ctl(Epoll.Value, EPOLL_CTL_MOD, Descriptor, &Event) == 0;
+}
+
+void poll_set::remove(int Descriptor) {
+  if (Descriptor >= 0)
+    epoll_ctl(Epoll.Value, EPOLL_CTL_DEL, Descriptor, nullptr);
+}
+
+// -- deadline_queue ----------------------------------------------------------
+
+void deadline_queue::add(milliseconds Delay, std::uint64_t Key, int Kind) {
+  Entries.push({steadyNow() + Delay, Key, Kind});
+  arm();
+}
+
+void deadline_queue::arm() {
+  if (Entries.empty())
+    return;
+  time_point Next = Entries.top().At;
+  if (ArmedFor && *ArmedFor <= Next)
+    return;
+  ArmedFor = Next;
+  milliseconds Wait = std::max(Next - steadyNow(), milliseconds(0));
+  Timer = loop_source::every(Wait, [this] {
+    fire();
+    return false;
+  });
+}
+
+void deadline_queue::fire() {
+  ArmedFor.reset();
+  time_point Now = steadyNow();
+  while (!Entries.empty() && Entries.top().At <= Now) {
+    entry Due = Entries.top();
+    Entries.pop();
+    OnDue(Due.Key, Due.Kind);
+  }
+  arm();
+}
+
+// -- Sockets -----------------------------------------------------------------
+
 std::optional<handle<GSocketAddress>> parseAddress(std::string_view Text) {
   std::size_t Colon = Text.rfind(':');
   if (Colon == std::string_view::npos)
