--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -23,7 +23,8 @@
 
 /// A caller's connection.
 struct connection_row {
-  GSocketConnection *Stream = nullptr; ///< Owned by the SoupServer.
+  /// Owned by the SoupServer; nullptr until the first bytes have come.
+  GSocketConnection *Stream = nullptr;
   handle<GSocket> Socket;
   http_exchange_id Exchange; ///< Stale between exchanges.
   time_point LastActive;
@@ -79,12 +80,13 @@
 
   ~state();
   void accept();
-  void adopt(handle<GSocket> Socket);
+  void waitForRequest(handle<GSocket> Socket);
+  void adopt(connection_id Id);
   connection_id connectionOf(SoupServerMessage *Message) const;
   void checkHeaders(SoupServerMessage *Message);
   void reject(SoupServerMessage *Message, int Status, std::string_view Text);
   void begin(SoupServerMessage *Message, const char *Path);
-  void callerClosed(connection_id Id);
+  void callerReady(connection_id Id);
   void finished(http_exchange_id Id);
   void cutOff(http_exchange_id Id);
   void sweep();
@@ -107,23 +109,35 @@
 void http_server::state::accept() {
   while (auto Socket = acceptFrom(Listener.get()))
     if (Connections.size() < Settings.MaxConnections)
-      adopt(std::move(*Socket));
+      waitForRequest(std::move(*Socket));
 }
 
-void http_server::state::adopt(handle<GSocket> Socket) {
+/// libsoup keeps a source of the loop for each connection, which each turn of
+/// the loop visits. So it gets a connection only with its first bytes.
+void http_server::state::waitForRequest(handle<GSocket> Socket) {
+  int Descriptor = g_socket_get_fd(Socket.get());
+  connection_row Row;
+  Row.Socket = std::move(Socket);
+  Row.LastActive = steadyNow();
+  connection_id Id = Connections.insert(std::move(Row));
+  Callers->add(Descriptor, poll_set::interest::Readable, keyOf(Id));
+}
+
+void http_server::state::adopt(connection_id Id) {
+  connection_row &Row = *Connections.find(Id);
+  Callers->remove(g_socket_get_fd(Row.Socket.get()));
   auto Stream = handle<GSocketConnection>::adopt(
-      g_socket_connection_factory_create_connection(Socket.get()));
+      g_socket_connection_factory_create_connection(Row.Socket.get()));
   auto Local = handle<GSocketAddress>::adopt(
       g_socket_connection_get_local_address(Stream.get(), nullptr));
   auto Remote = handle<GSocketAddress>::adopt(
       g_socket_connection_get_remote_address(Stream.get(), nullptr));
-  if (!Local || !Remote)
-    return; // The caller has gone already.
-  connection_row Row;
+  if (!Local || !Remote) {
+    Connections.erase(Id); // The caller has gone already.
+    return;
+  }
   Row.Stream = Stream.get();
-  Row.Socket = std::move(Socket);
   Row.LastActive = steadyNow();
-  connection_id Id = Connections.insert(std::move(Row));
   // A message of libsoup gives no access to its connection, but hands back
   // the very address object that its connection was accepted with.
   g_object_set_data_full(
@@ -316,9 +330,12 @@
 
 // -- The end of an exchange --------------------------------------------------
 
-void http_server::state::callerClosed(connection_id Id) {
+/// A connection has its first bytes, or its caller has closed it.
+void http_server::state::callerReady(connection_id Id) {
   connection_row *Connection = Connections.find(Id);
-  if (Connection && Exchanges.find(Connection->Exchange))
+  if (Connection && !Connection->Stream)
+    adopt(Id);
+  else if (Connection && Exchanges.find(Connection->Exchange))
     cutOff(Connection->Exchange);
 }
 
@@ -386,15 +403,20 @@
       Row->LastActive = Now;
   for (http_exchange_id Id : Slow)
     cutOff(Id);
-  Connections.forEach([&](connection_id, connection_row &Row) {
+  std::vector<connection_id> Unused;
+  Connections.forEach([&](connection_id Id, connection_row &Row) {
     bool SlowRequest =
         Row.ReadingSince && Now - *Row.ReadingSince >= Settings.RequestTimeout;
     // A stopped server keeps connections only for streams in progress.
     bool Idle = Now - Row.LastActive >=
                 (Stopped ? SweepInterval : Settings.IdleTimeout);
-    if (SlowRequest || Idle)
+    if (Idle && !Row.Stream)
+      Unused.push_back(Id);
+    else if (SlowRequest || Idle)
       g_socket_shutdown(Row.Socket.get(), TRUE, TRUE, nullptr);
   });
+  for (connection_id Id : Unused)
+    Connections.erase(Id);
 }
 
 http_server::state::~state() {
@@ -424,7 +446,7 @@
   Raw->Listener = std::move(*Listener);
   Raw->Port = localPort(Raw->Listener.get());
   Raw->Callers = poll_set::create([Raw](std::uint64_t Key) {
-    Raw->callerClosed(idOf<connection_row>(Key));
+    Raw->callerReady(idOf<connection_row>(Key));
   });
   if (!Raw->Callers)
     return std::nullopt;
