--- a/src/libstate/book_test.cpp
+++ b/src/libstate/book_test.cpp
@@ -167,6 +167,15 @@
   CHECK(Bench.Released.back().Code == "parent_unknown");
 }
 
+TEST_CASE("a sub-agent does not start before its root") {
+  bench Bench;
+  Bench.submit(modelCall("p", 2), 1);
+  CHECK(Bench.submit(modelCall("p/q", 1), 2) == submit_decision::Refused);
+  Bench.commit();
+  REQUIRE(Bench.Released.size() == 1);
+  CHECK(Bench.Released[0].Code == "parent_unknown");
+}
+
 TEST_CASE("a booking is dispatched after its intent is committed") {
   bench Bench;
   Bench.submit(modelCall("p", 1), 1);
--- a/src/libstate/journal_test.cpp
+++ b/src/libstate/journal_test.cpp
@@ -156,6 +156,20 @@
   CHECK_FALSE(Bench.Journal.keeping());
 }
 
+TEST_CASE("standbys that no segment on the platform names do not count") {
+  bench Bench;
+  Bench.Journal.setStandbys({Left, Right}, Bench.Now);
+  Bench.append();
+  Bench.tick(0);
+  Bench.created(create_result::Failed);
+  Bench.tick(2000);
+  Bench.Journal.standbyAnswered(Left, 1, Bench.Now);
+  Bench.Journal.standbyAnswered(Right, 1, Bench.Now);
+  Bench.drain();
+  CHECK(Bench.Committed == 0);
+  CHECK_FALSE(Bench.Journal.keeping());
+}
+
 TEST_CASE("after an outage the buffer drains in order and is trimmed") {
   bench Bench;
   Bench.enterOutage();
--- /dev/null
+++ b/src/libstate/takeover_test.cpp
@@ -0,0 +1,215 @@
+#include "turmerichead/state_takeover.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <map>
+
+using namespace turmerichead;
+
+namespace {
+
+const host_life Dead{"seoul-a", 1};
+const host_life Successor{"seoul-b", 1};
+const host_life Standby{"seoul-c", 1};
+
+std::uint32_t oneShard(std::string_view) { return 0; }
+
+std::string recordBytes(const record &Record) { return encodeRecord(Record); }
+
+// A platform that answers at once; a test may act between two commands.
+struct bench {
+  std::map<std::string, std::string> Objects;
+  std::vector<journal_entry> Tail;
+  bool StandbyLives = true;
+  int Closes = 0;
+  takeover Takeover{Successor, Dead, {0}, oneShard};
+  std::function<void(const takeover_command &)> Before = [](const auto &) {};
+
+  // Makes an empty first manifest and segments with one record each.
+  explicit bench(int Segments) {
+    snapshot_maker Maker(0, 1, std::nullopt);
+    keep(Maker.make({}, {Dead, 1, 0}, false));
+    for (int N = 1; N <= Segments; ++N)
+      addSegment(N);
+  }
+
+  void keep(const std::vector<snapshot_object> &New) {
+    for (const snapshot_object &Object : New)
+      Objects[Object.Name] = Object.Bytes;
+  }
+
+  void addSegment(std::uint64_t N) {
+    journal_segment Segment;
+    Segment.Writer = Dead;
+    Segment.Standbys = {Standby};
+    program_started_record Started;
+    Started.Program = "p" + std::to_string(N);
+    Segment.Entries = {{N, false, recordBytes(Started)}};
+    Objects[segmentName(Dead, N)] = encodeSegment(Segment);
+  }
+
+  std::vector<std::string> names(const std::string &Prefix) const {
+    std::vector<std::string> Out;
+    for (const auto &[Name, Bytes] : Objects)
+      if (Name.starts_with(Prefix))
+        Out.push_back(Name);
+    return Out;
+  }
+
+  void answer(const takeover_command &Command) {
+    time_point Now;
+    if (std::holds_alternative<list_snapshots>(Command))
+      Takeover.listed(true, names(snapshotPrefix(0)), Now);
+    if (std::holds_alternative<list_segments>(Command))
+      Takeover.listed(true, names("seoul-a.1."), Now);
+    if (const auto *Read = std::get_if<read_snapshot>(&Command))
+      readName(Read->Name);
+    if (const auto *Read = std::get_if<read_segment>(&Command))
+      readName(Read->Name);
+    if (const auto *Create = std::get_if<create_segment>(&Command)) {
+      bool Fresh = Objects.emplace(Create->Name, Create->Bytes).second;
+      Takeover.created(Fresh ? create_result::Created : create_result::Exists,
+                       Now);
+    }
+    if (std::holds_alternative<close_standby>(Command)) {
+      ++Closes;
+      Takeover.tail(StandbyLives, Tail, Now);
+    }
+  }
+
+  void readName(const std::string &Name) {
+    auto Found = Objects.find(Name);
+    Takeover.readObject(Found == Objects.end() ? read_result::Absent
+                                               : read_result::Found,
+                        Found == Objects.end() ? "" : Found->second, {});
+  }
+
+  // The roots of the shard, or none if the takeover does not end.
+  std::size_t run() {
+    Takeover.start({});
+    for (int Step = 0; Step < 1000 && !Takeover.done(); ++Step) {
+      for (const takeover_command &Command : Takeover.takeCommands()) {
+        Before(Command);
+        answer(Command);
+      }
+      if (auto Due = Takeover.nextDue())
+        Takeover.tick(*Due);
+    }
+    if (!Takeover.done())
+      return 0;
+    return Takeover.takeResult().at(0).Rows.roots().size();
+  }
+};
+
+bool sealedAt(const bench &Bench, std::uint64_t N) {
+  auto Found = Bench.Objects.find(segmentName(Dead, N));
+  return Found != Bench.Objects.end() && decodeSegment(Found->second)->Sealed;
+}
+
+} // namespace
+
+TEST_CASE("a takeover seals the journal and replays it") {
+  bench Bench(3);
+  CHECK(Bench.run() == 3);
+  CHECK(sealedAt(Bench, 4));
+  CHECK(Bench.Closes == 1);
+}
+
+TEST_CASE("the standby's tail is replayed after the segments, once") {
+  bench Bench(1);
+  program_started_record Late;
+  Late.Program = "late";
+  Bench.Tail = {{1, false, recordBytes(Late)}, {2, false, recordBytes(Late)}};
+  CHECK(Bench.run() == 2);
+  // A second successor finds the tail through the seal, with no standby.
+  bench Second(0);
+  Second.Objects = Bench.Objects;
+  Second.StandbyLives = false;
+  CHECK(Second.run() == 2);
+  CHECK(Second.Closes == 0);
+}
+
+TEST_CASE("a segment that slips in before the seal is replayed") {
+  bench Bench(1);
+  Bench.Before = [&](const takeover_command &Command) {
+    if (std::holds_alternative<close_standby>(Command) && Bench.Closes == 0)
+      Bench.addSegment(2);
+  };
+  CHECK(Bench.run() == 2);
+  CHECK(sealedAt(Bench, 3));
+  CHECK(Bench.Closes == 2);
+}
+
+TEST_CASE("a seal in the hole that deleted segments left does not count") {
+  bench Bench(1);
+  bool Moved = false;
+  Bench.Before = [&](const takeover_command &Command) {
+    if (!std::holds_alternative<close_standby>(Command) || Moved)
+      return;
+    // The writer goes on, makes a snapshot and deletes what it covers.
+    Moved = true;
+    Bench.addSegment(3);
+    state_rows Rows;
+    program_started_record Started;
+    for (const char *Name : {"p1", "p2"}) {
+      Started.Program = Name;
+      Rows.apply(Started, oneShard);
+    }
+    snapshot_manifest Known;
+    Known.Number = 1;
+    snapshot_maker Maker(0, 1, Known);
+    Bench.keep(Maker.make(Rows, {Dead, 3, 2}, false));
+    Bench.Objects.erase(segmentName(Dead, 1));
+  };
+  CHECK(Bench.run() == 3);
+  CHECK(sealedAt(Bench, 4));
+}
+
+TEST_CASE("without any standby a takeover ends and tells of the loss") {
+  bench Bench(1);
+  Bench.StandbyLives = false;
+  CHECK(Bench.run() == 1);
+  CHECK(Bench.Takeover.tailMissing());
+}
+
+TEST_CASE("a manifest's number that another host took is lost") {
+  snapshot_writer Writer(0, {{"000000.000000000001.manifest", "mine"}}, true);
+  Writer.start();
+  Writer.takeCommands();
+  Writer.created(create_result::Exists, {});
+  REQUIRE(std::holds_alternative<read_manifest>(Writer.takeCommands().at(0)));
+  Writer.read(read_result::Found, "theirs", {});
+  CHECK(std::holds_alternative<snapshot_lost>(Writer.takeCommands().at(0)));
+}
+
+TEST_CASE("a first manifest below a newer one is lost") {
+  std::string Name = manifestName(0, 1);
+  snapshot_writer Writer(0, {{Name, "mine"}}, true);
+  Writer.start();
+  Writer.takeCommands();
+  Writer.created(create_result::Created, {});
+  REQUIRE(std::holds_alternative<list_manifests>(Writer.takeCommands().at(0)));
+  std::vector<std::string> Names = {Name, manifestName(0, 4)};
+  Writer.listed(true, Names, {});
+  CHECK(std::holds_alternative<snapshot_lost>(Writer.takeCommands().at(0)));
+}
+
+TEST_CASE("the latest segment is never deleted") {
+  std::vector<std::string> Names = {segmentName(Dead, 1), segmentName(Dead, 2),
+                                    tailName(Dead, Successor, 0)};
+  std::vector<journal_position> Positions = {{Dead, 9, 0}};
+  auto Covered = coveredSegments(Dead, Names, Positions);
+  REQUIRE(Covered.size() == 1);
+  CHECK(Covered[0] == segmentName(Dead, 1));
+}
+
+TEST_CASE("what is no record, segment or manifest is told, not thrown") {
+  std::string Good = encodeRecord(intent_record{"p", 1, {}});
+  for (std::size_t Size = 0; Size < Good.size(); ++Size)
+    CHECK_FALSE(decodeRecord(Good.substr(0, Size)));
+  CHECK_FALSE(decodeRecord(Good + "x"));
+  CHECK_FALSE(decodeSegment("\xdd\xff\xff\xff\xff"));
+  CHECK_FALSE(decodeManifest("\xc1"));
+  CHECK_FALSE(decodeRecord(std::string(1000, '\x91')));
+}
