Mend faults that the scenarios found in the daemon

- A host that was replaced and woke began another life while calls of the old one were under way; their callbacks reached a dispatcher that was gone.
The dispatcher now cancels what it has open, and the old life's callers are sent on to the new holders.
- A draining host served callers on kept connections for ever and never left; it stops accepting after a second in which the balancer sees it not ready.
- A host that starts while the platform is down had nobody to ask: settings name seed peers.
- The report lists the hosts it has heard, with their age, while they fit.

--- a/src/libcatalogue/settings.cpp
+++ b/src/libcatalogue/settings.cpp
@@ -91,6 +91,12 @@
            .Text = "File with the key by which hosts authenticate each "
                    "other; the same on all hosts.",
            .Required = true}),
+      bind<settings, &settings::Cluster, &section::SeedPeers>(
+          {.Key = "cluster.seed_peers",
+           .Text = "Peer addresses (ip:port) of some other hosts. A host that "
+                   "starts while the platform is down asks them for the map, "
+                   "the catalogue and the upstreams.",
+           .Default = ""}),
       bind<settings, &settings::Cluster, &section::Shards>(
           {.Key = "cluster.shards",
            .Text = "Shards of a new cluster. An existing map keeps its own.",
--- a/src/libhost/dispatcher.cpp
+++ b/src/libhost/dispatcher.cpp
@@ -51,6 +51,14 @@
                        dispatch_events Events)
     : Context(Context), Gates(Gates), Events(std::move(Events)) {}
 
+dispatcher::~dispatcher() {
+  std::vector<call_id> Open;
+  for (const auto &[Call, Row] : Rows)
+    Open.push_back(Call);
+  for (call_id Call : Open)
+    cancel(Call);
+}
+
 dispatcher::row *dispatcher::find(call_id Call) {
   auto Found = Rows.find(Call);
   return Found == Rows.end() ? nullptr : Found->second.get();
@@ -162,8 +170,8 @@
     sendModel(Call);
   else
     moveCache(Context, Row->Command.Program, Reply.MoveCacheFrom, Reply.Runner,
-              [this, Call] {
-                if (find(Call))
+              [this, Call, Alive = std::weak_ptr<int>(Token)] {
+                if (!Alive.expired() && find(Call))
                   sendModel(Call);
               });
 }
--- a/src/libhost/dispatcher_pvt.h
+++ b/src/libhost/dispatcher_pvt.h
@@ -49,6 +49,10 @@
 class dispatcher {
 public:
   dispatcher(host_context &Context, gate_client &Gates, dispatch_events Events);
+  /// Cancels what is under way: nothing calls back any more.
+  ~dispatcher();
+  dispatcher(const dispatcher &) = delete;
+  dispatcher &operator=(const dispatcher &) = delete;
 
   void start(const dispatch_call &Command, const program_facts &Facts);
   void cancel(call_id Call);
@@ -97,6 +101,8 @@
   std::map<std::string, int, std::less<>> ServiceInFlight;
   std::map<std::string, sched::circuit_breaker, std::less<>> Breakers;
   sched::poison_table ServicePoison;
+  /// Expires with this object, for callbacks that can't be cancelled.
+  std::shared_ptr<int> Token = std::make_shared<int>(0);
 };
 
 } // namespace turmerichead::host_pvt
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -465,6 +465,8 @@
         {"Retry-After",
          std::to_string((End.RetryAfterMs + MsPerSecond - 1) / MsPerSecond)});
   int Status = End.HttpStatus == 0 ? 503 : End.HttpStatus;
+  if (static_cast<call_outcome>(End.Outcome) == call_outcome::Unknown)
+    Status = 504;
   Server->respond(Exchange, Status, Headers,
                   errorJson(End.Code, End.Text, outcomeName(End.Outcome), "",
                             End.RetryAfterMs));
--- a/src/libhost/holder.cpp
+++ b/src/libhost/holder.cpp
@@ -83,6 +83,8 @@
 moment holder::now() { return {steadyNow(), wallNowMs()}; }
 
 void holder::beginLife() {
+  if (Book)
+    endLife();
   ++Life;
   Fenced = false;
   JournalTimer.stop();
@@ -112,6 +114,15 @@
   mapChanged();
 }
 
+void holder::endLife() {
+  // Nothing that this life has open will be committed: its callers are sent
+  // on to the new holders.
+  Book->fenced(now());
+  for (book_command &Command : Book->takeCommands())
+    if (auto *Release = std::get_if<release_waiter>(&Command))
+      carryOut(*Release);
+}
+
 // -- Calls ------------------------------------------------------------------
 
 waiter_id holder::submit(const call_message &Message, answer_sink Sink) {
--- a/src/libhost/holder_pvt.h
+++ b/src/libhost/holder_pvt.h
@@ -96,6 +96,7 @@
   };
 
   static moment now();
+  void endLife();
   void pump();
   void runBookCommands();
   void runJournalCommands();
--- a/src/libhost/host.cpp
+++ b/src/libhost/host.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds FastInterval{50};
 constexpr milliseconds SlowInterval{1000};
 constexpr milliseconds DrainInterval{50};
+constexpr milliseconds DrainGrace{1000};
 
 platform_settings platformSettings(const host_settings &Settings,
                                    std::uint64_t Seed) {
@@ -191,8 +192,12 @@
   bool Last = Context.Map.Hosts.size() <= 1;
   if (!Last)
     Membership->leave();
-  bool Idle = Front->open() == 0 && Router->open() == 0 &&
-              CallsOfPeers.empty() && AsksOfPeers.empty();
+  // Callers on kept connections would go on for ever; after a moment in which
+  // the balancer sees that this host isn't ready, none is accepted.
+  if (steadyNow() - DrainSince >= DrainGrace)
+    Front->stopAccepting();
+  // Asks at this host's gates are not waited for: holders ask the next gate.
+  bool Idle = Front->open() == 0 && Router->open() == 0 && CallsOfPeers.empty();
   if (!Idle || Removing)
     return;
   if (Last) {
@@ -204,7 +209,6 @@
   if (!Holder->empty())
     return;
   Removing = true;
-  Front->stopAccepting();
   Membership->remove([this] {
     log::info("drained", {{"took_ms", (steadyNow() - DrainSince).count()}});
     // A last turn of the loop lets written answers leave.
--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -125,6 +125,8 @@
     }
     Joined = true;
     Context.Incarnation = Incarnation;
+    for (const std::string &Seed : Context.Settings.Cluster.SeedPeers)
+      Context.Links->forget("seed " + Seed);
     detector_options Options;
     Options.Heartbeat = Context.Settings.Cluster.Heartbeat;
     Options.Suspect = Context.Settings.Cluster.Suspect;
@@ -330,9 +332,17 @@
   // least forward calls.
   if (Joined)
     return;
+  std::vector<std::string> Peers;
   for (const peer_route &Route : Context.Settings.PeerRoutes)
+    Peers.push_back(Route.Host);
+  // A seed is known by its address only, until the map names it.
+  for (const std::string &Seed : Context.Settings.Cluster.SeedPeers) {
+    Peers.push_back("seed " + Seed);
+    Context.Links->setAddress(Peers.back(), Seed);
+  }
+  for (const std::string &Peer : Peers)
     Context.Links->send(
-        Route.Host, {.Path = std::string(StatePath), .Headers = {}, .Body = {}},
+        Peer, {.Path = std::string(StatePath), .Headers = {}, .Body = {}},
         {.OnMessage = [this](std::string_view Bytes) { takeState(Bytes); },
          .OnEnd = {}});
 }
--- a/src/libreport/render_html.cpp
+++ b/src/libreport/render_html.cpp
@@ -88,6 +88,19 @@
   return tag("h2", "Hosts not known") + "<ul>\n" + Items + "</ul>\n";
 }
 
+std::string renderHeard(const fleet_report &Report) {
+  if (Report.Hosts.size() > pvt::ShownHosts)
+    return "";
+  std::string Items;
+  for (const host_line &Host : Report.Hosts)
+    if (Host.Known)
+      Items += tag("li", Host.Host + " in " + Host.DataCentre + ": " +
+                             pvt::lengthText(Host.AgeMs) + " ago");
+  if (Items.empty())
+    return "";
+  return tag("h2", "Hosts heard") + "<ul>\n" + Items + "</ul>\n";
+}
+
 std::string renderEntry(const entry_report &Row) {
   std::string Result = "<section>\n";
   Result += tag("h3", Row.Entry + " (" + std::string(nameOf(Row.Rank)) + ')');
@@ -134,6 +147,7 @@
   if (Report.Entries.empty())
     Result += soft("No entry has been used yet.");
   Result += renderEvents(Report);
+  Result += renderHeard(Report);
   return Result + "</main></body></html>\n";
 }
 
--- a/src/libreport/render_text.cpp
+++ b/src/libreport/render_text.cpp
@@ -79,6 +79,19 @@
   }
 }
 
+// A fleet of today fits a phone whole; of a large one only the hosts that are
+// not known are named.
+void writeHeard(const fleet_report &Report, line_writer &Out) {
+  if (Report.Hosts.size() > pvt::ShownHosts)
+    return;
+  Out.heading("HOSTS HEARD");
+  for (const host_line &Host : Report.Hosts)
+    if (Host.Known)
+      Out.line(Host.Host + " in " + Host.DataCentre + ": " +
+                   pvt::lengthText(Host.AgeMs) + " ago",
+               2);
+}
+
 } // namespace
 
 std::string renderText(const fleet_report &Report) {
@@ -92,6 +105,7 @@
   writeHosts(Report, Out);
   writeEntries(Report, Out);
   writeEvents(Report, Out);
+  writeHeard(Report, Out);
   return Out.Result;
 }
 
--- a/src/libreport/wording_pvt.h
+++ b/src/libreport/wording_pvt.h
@@ -20,6 +20,9 @@
 /// "420 ms", "12 s", "5 min" or "3 h".
 std::string lengthText(std::int64_t Ms);
 
+/// Hosts that are listed one by one; of more, only those not known.
+inline constexpr std::size_t ShownHosts = 16;
+
 /// The lines below an entry's name: a label and its figures.
 std::vector<std::pair<std::string, std::string>>
 entryLines(const entry_report &Row);
--- a/src/libstate/book_end.cpp
+++ b/src/libstate/book_end.cpp
@@ -84,7 +84,7 @@
     return closeCall(Id, call_outcome::Unknown, "upstream_died");
   ++Call->Deaths;
   if (Call->Deaths >= Settings.DeathsBeforeRefusal)
-    return closeCall(Id, call_outcome::Failed, "kills_upstreams");
+    return closeCall(Id, call_outcome::Failed, "poison_request");
   live_root &Root = *findLive(Call->Request.Program);
   const root_row *Row = Rows.findRoot(Call->Request.Program);
   std::uint32_t Retries = Root.PendingRetries + (Row ? Row->RetriesUsed : 0);
--- a/testsuite/scenario/steps_processes.cpp
+++ b/testsuite/scenario/steps_processes.cpp
@@ -98,6 +98,11 @@
     std::filesystem::create_directories(Folder, Ignored);
     Settings["host"]["data_dir"] = Folder;
   }
+  // A host that starts during an outage asks those that run already.
+  for (const auto &[Name, Other] : Processes.all())
+    if (Other.Kind == process_kind::Host && Name != Process.Name)
+      Settings["cluster"]["seed_peers"].push_back(
+          Processes.secondAddressOf(Other));
   if (Step.has("routes"))
     for (const auto &[Host, Address] : Step.Fields["routes"].items())
       Settings["peer_route"].push_back({{"host", Host}, {"address", Address}});
