--- a/src/libreport/report_test.cpp
+++ b/src/libreport/report_test.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -289,8 +290,9 @@
     };
     for (std::uint32_t Count : Counts)
       Forward.add(One(Count));
-    for (auto Count = Counts.rbegin(); Count != Counts.rend(); ++Count)
-      Backward.add(One(*Count));
+    std::reverse(Counts.begin(), Counts.end());
+    for (std::uint32_t Count : Counts)
+      Backward.add(One(Count));
     RC_ASSERT(Forward == Backward);
 
     report_recorder Host("a", "a", 1, {});
