--- a/src/benches/policy_bench/engine.cpp
+++ b/src/benches/policy_bench/engine.cpp
@@ -149,8 +149,7 @@
   return true;
 }
 
-// ---- Cache
-// -------------------------------------------------------------------
+// ---- Cache ----------------------------------------------------------------
 
 void engine::resize(cached_prefix &Prefix, token_count Tokens) {
   Used += Tokens - Prefix.Tokens;
--- a/src/benches/policy_bench/engine.h
+++ b/src/benches/policy_bench/engine.h
@@ -88,7 +88,7 @@
   /// Drops a request. Returns false if it is not there.
   bool abort(std::uint64_t Id, double NowMs);
 
-  // ---- Cache ---------------------------------------------------------------
+  // ---- Cache --------------------------------------------------------------
 
   /// Tokens of the program's own that are cached, its shared prefix aside.
   token_count cachedOf(const std::string &Program) const;
--- a/src/benches/policy_bench/main.cpp
+++ b/src/benches/policy_bench/main.cpp
@@ -35,8 +35,7 @@
   return Wanted.empty() || Name.find(Wanted) != std::string::npos;
 }
 
-// ---- Tables
-// ------------------------------------------------------------------
+// ---- Tables ---------------------------------------------------------------
 
 constexpr const char *RowFormat = "%-24s %-22s %-24s %-18s %-18s %-18s "
                                   "%-18s %-18s %-18s %-10s\n";
@@ -82,8 +81,7 @@
                F.LongestWaitS, F.Moves);
 }
 
-// ---- Targets
-// -------------------------------------------------------------------
+// ---- Targets --------------------------------------------------------------
 
 bool verdict(const char *What, double Value, double Bound, bool AtMost) {
   bool Reached = AtMost ? Value <= Bound : Value >= Bound;
@@ -172,8 +170,7 @@
   }
 }
 
-// ---- Runs
-// ------------------------------------------------------------------------
+// ---- Runs -----------------------------------------------------------------
 
 void printHerd() {
   std::printf("\nfour groups, nine holders, summaries 1 to 2 s old, load 0.85 "
--- a/src/include/turmerichead/sched_gate.h
+++ b/src/include/turmerichead/sched_gate.h
@@ -197,7 +197,7 @@
   basic_gate &operator=(basic_gate &&) noexcept;
   ~basic_gate();
 
-  // ---- Runners -----------------------------------------------------------
+  // ---- Runners ------------------------------------------------------------
 
   /// Adds a runner or changes what is known of it. A leaving runner gets no
   /// further grant.
@@ -211,7 +211,7 @@
   void cacheEvent(std::string_view Name, const cache_event &Event,
                   time_point Now);
 
-  // ---- Requests ----------------------------------------------------------
+  // ---- Requests -----------------------------------------------------------
 
   /// Queues a request, or refuses it at once and for good.
   enqueue_result enqueue(const gate_request &Request, time_point Now);
@@ -229,7 +229,7 @@
   bool finished(request_id Id, outcome Outcome, const usage &Usage,
                 time_point Now);
 
-  // ---- Memory ------------------------------------------------------------
+  // ---- Memory -------------------------------------------------------------
 
   /// The program waits for a tool or a person; its next call is expected
   /// after \p ExpectedPause.
@@ -253,7 +253,7 @@
     sweepDead(Runner, Listed, Dead, Now);
   }
 
-  // ---- Poison requests and figures ---------------------------------------
+  // ---- Poison requests and figures ----------------------------------------
 
   /// The table of fingerprints, to exchange its entries with other hosts.
   poison_table &poison();
--- a/src/include/turmerichead/sched_place.h
+++ b/src/include/turmerichead/sched_place.h
@@ -12,7 +12,7 @@
 
 namespace turmerichead::sched {
 
-// ---- The runner within a group ---------------------------------------------
+// ---- The runner within a group --------------------------------------------
 
 /// What a runner's engine costs. Times are of the engine with a batch as full
 /// as its slots allow.
@@ -110,7 +110,7 @@
                                   std::span<const runner_view> Runners);
 };
 
-// ---- The group of a model ---------------------------------------------------
+// ---- The group of a model -------------------------------------------------
 
 /// What a holder knows of a group, as old as the last heartbeat.
 struct group_summary {
--- a/src/libsched/admission.cpp
+++ b/src/libsched/admission.cpp
@@ -57,7 +57,7 @@
   return Left;
 }
 
-// ---- Programs under way ----------------------------------------------------
+// ---- Programs under way ---------------------------------------------------
 
 void admission::setEntry(std::string_view Entry, const entry_limits &Limits) {
   auto [Found, IsNew] = Entries.try_emplace(std::string(Entry));
@@ -123,8 +123,7 @@
   return Found == Entries.end() ? 0 : Found->second.Programs;
 }
 
-// ---- Retries
-// -----------------------------------------------------------------
+// ---- Retries --------------------------------------------------------------
 
 void admission::countAttempt(std::string_view Entry) {
   auto Found = Entries.find(Entry);
--- a/src/libsched/gate_core.cpp
+++ b/src/libsched/gate_core.cpp
@@ -29,8 +29,7 @@
     : Poison(Settings.Poison), Settings(Settings),
       Floor(Settings.OrdinaryFloor) {}
 
-// ---- Requests: admission and the queue
-// ---------------------------------------
+// ---- Requests: admission and the queue ------------------------------------
 
 std::size_t gate_core::liveRunners() const {
   std::size_t Count = 0;
@@ -202,8 +201,7 @@
   return true;
 }
 
-// ---- Requests: the end
-// ---------------------------------------------------------
+// ---- Requests: the end ----------------------------------------------------
 
 void gate_core::runnerDied(request_row &Row, runner_row &Runner,
                            time_point Now) {
--- a/src/libsched/gate_core_pvt.h
+++ b/src/libsched/gate_core_pvt.h
@@ -68,7 +68,7 @@
 public:
   explicit gate_core(const gate_settings &Settings);
 
-  // ---- Runners -------------------------------------------------------------
+  // ---- Runners ------------------------------------------------------------
   void upsertRunner(const runner_info &Info);
   void removeRunner(std::string_view Name);
   void reportLoad(std::string_view Name, const load_report &Load,
@@ -76,7 +76,7 @@
   void cacheEvent(std::string_view Name, const cache_event &Event,
                   time_point Now);
 
-  // ---- Requests ------------------------------------------------------------
+  // ---- Requests -----------------------------------------------------------
 
   /// A reason to refuse \p Request now, before it is queued.
   std::optional<refusal> check(const gate_request &Request,
@@ -89,8 +89,7 @@
   bool finished(request_id Id, outcome Outcome, const usage &Usage,
                 time_point Now);
 
-  // ---- The systems of a tick
-  // -------------------------------------------------
+  // ---- The systems of a tick ----------------------------------------------
   void beginTick(time_point Now);
   bool hasFreeSlot() const;
   /// The queues in the order in which they may take the next slot.
@@ -105,8 +104,7 @@
   void endTick(time_point Now);
   gate_output output() const { return {Grants, Refusals, Releases, Moves}; }
 
-  // ---- Memory
-  // ----------------------------------------------------------------
+  // ---- Memory -------------------------------------------------------------
   void programPaused(std::string_view Program, milliseconds ExpectedPause,
                      time_point Now);
   void programEnded(std::string_view Program);
--- a/src/libsched/gate_memory.cpp
+++ b/src/libsched/gate_memory.cpp
@@ -14,8 +14,7 @@
 constexpr double ScaleWeight = 0.1;
 } // namespace
 
-// ---- Runners
-// -------------------------------------------------------------------
+// ---- Runners --------------------------------------------------------------
 
 runner_row *gate_core::findRunner(std::string_view Name) {
   auto Found = RunnerNames.find(Name);
@@ -96,8 +95,7 @@
   Caches.forgetIfIdle(*Program);
 }
 
-// ---- Memory
-// --------------------------------------------------------------------
+// ---- Memory ---------------------------------------------------------------
 
 void gate_core::release(program_id Program, runner_id Runner) {
   const runner_row *Row = Runners.find(Runner);
@@ -225,8 +223,7 @@
     Caches.store(Program, Runner, Row.LongestComputed, Now);
 }
 
-// ---- Figures
-// -------------------------------------------------------------------
+// ---- Figures --------------------------------------------------------------
 
 gate_snapshot gate_core::snapshot(time_point Now) const {
   gate_snapshot Figures = Totals;
