--- a/src/libsched/gate_core_pvt.h
+++ b/src/libsched/gate_core_pvt.h
@@ -71,7 +71,7 @@
   /// Runners that are known already keep their breakers' settings.
   void configure(const gate_settings &Changed);
 
-  // ---- Runners -------------------------------------------------------------
+  // ---- Runners ------------------------------------------------------------
   void upsertRunner(const runner_info &Info);
   void removeRunner(std::string_view Name);
   void reportLoad(std::string_view Name, const load_report &Load,
@@ -79,7 +79,7 @@
   void cacheEvent(std::string_view Name, const cache_event &Event,
                   time_point Now);
 
-  // ---- Requests ------------------------------------------------------------
+  // ---- Requests -----------------------------------------------------------
 
   /// A reason to refuse \p Request now, before it is queued.
   std::optional<refusal> check(const gate_request &Request,
@@ -92,8 +92,7 @@
   bool finished(request_id Id, outcome Outcome, const usage &Usage,
                 time_point Now);
 
-  // ---- The systems of a tick
-  // -------------------------------------------------
+  // ---- The systems of a tick ----------------------------------------------
   void beginTick(time_point Now);
   bool hasFreeSlot() const;
   /// The queues in the order in which they may take the next slot.
@@ -108,8 +107,7 @@
   void endTick(time_point Now);
   gate_output output() const { return {Grants, Refusals, Releases, Moves}; }
 
-  // ---- Memory
-  // ----------------------------------------------------------------
+  // ---- Memory -------------------------------------------------------------
   void programPaused(std::string_view Program, milliseconds ExpectedPause,
                      time_point Now);
   void programEnded(std::string_view Program);
