--- a/src/benches/path_bench/load.cpp
+++ b/src/benches/path_bench/load.cpp
@@ -42,6 +42,8 @@
 
 std::shared_ptr<load::program> load::newProgram(int Turns) {
   auto Program = std::make_shared<program>();
+  // Unique over all loads of this process, and over its runs.
+  static std::uint64_t Serial = 0;
   Program->Id =
       "bench-" + std::to_string(getpid()) + "-" + std::to_string(++Serial);
   Program->Turns = Turns;
@@ -124,7 +126,15 @@
                              const std::vector<std::string> &Runners) {
   Result = {};
   std::int64_t Begun = nowUs();
+  // Programs that all began at one moment would keep step and measure a burst.
+  constexpr double SpreadSeconds = 2;
   for (int I = 0; I < Programs; ++I) {
+    turnUntil(
+        [&] {
+          double Seconds = msBetween(Begun, nowUs()) / 1000;
+          return Seconds >= SpreadSeconds * I / Programs;
+        },
+        milliseconds(10000));
     auto Program = newProgram(Turns);
     if (!Runners.empty()) {
       Program->Direct = true;
--- a/src/benches/path_bench/load.h
+++ b/src/benches/path_bench/load.h
@@ -69,7 +69,6 @@
   load_settings Settings;
   load_result Result;
   int Running = 0;
-  std::uint64_t Serial = 0;
 };
 
 } // namespace turmerichead::bench
--- a/src/libnet/peer_transport.cpp
+++ b/src/libnet/peer_transport.cpp
@@ -12,6 +12,14 @@
 
 constexpr std::size_t ReadBytes = 256U << 10U;
 constexpr std::size_t WriteBytes = 256U << 10U;
+constexpr std::size_t KeptOutputBytes = 16U << 10U;
+
+/// What a read fills. All links share it, because there is one loop on one
+/// thread and the session takes the bytes at once.
+std::string &inputBuffer() {
+  static std::string Buffer(ReadBytes, '\0');
+  return Buffer;
+}
 
 std::uint8_t *bytesOf(std::string_view Text) {
   return reinterpret_cast<std::uint8_t *>(const_cast<char *>(Text.data()));
@@ -100,7 +108,7 @@
 
 /// Reads what has arrived. Returns false if nothing had.
 bool peer_transport::readSome() {
-  Input.resize(ReadBytes);
+  std::string &Input = inputBuffer();
   GError *Error = nullptr;
   gssize Count = g_socket_receive(Socket.get(), Input.data(), Input.size(),
                                   nullptr, &Error);
@@ -128,6 +136,8 @@
 bool peer_transport::fillOutput() {
   Output.clear();
   OutputSent = 0;
+  if (Output.capacity() > KeptOutputBytes)
+    Output.shrink_to_fit();
   while (Output.size() < WriteBytes) {
     const std::uint8_t *Bytes = nullptr;
     ssize_t Count = nghttp2_session_mem_send(Session.get(), &Bytes);
--- a/src/libnet/peer_transport_pvt.h
+++ b/src/libnet/peer_transport_pvt.h
@@ -92,7 +92,6 @@
   peer_counters &Counters;
   events Events;
 
-  std::string Input;
   std::string Output;
   std::size_t OutputSent = 0;
   time_point LastHeard;
