--- a/testsuite/scenario/scenario_file.cpp
+++ b/testsuite/scenario/scenario_file.cpp
@@ -68,7 +68,7 @@
       {"idle", {"process", "count"}},
       {"send",
        {"process", "bytes", "repeat", "times", "end", "contains", "lacks",
-        "within_ms"}},
+        "within_ms", "closes"}},
       {"pause", {"ms"}},
       {"reserve", {"names"}},
       {"remember", {"name", "value", "process", "path", "pointer"}},
--- a/testsuite/scenario/steps_tools.cpp
+++ b/testsuite/scenario/steps_tools.cpp
@@ -81,6 +81,8 @@
       [&] {
         readAvailable(Connection.get(), Text, Ended);
         Finding = judge(Step, json(Text));
+        if (!Finding && Step.flag("closes") && !Ended)
+          Finding = "the connection stays open";
         return !Finding || Ended;
       },
       bound(Step));
