--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -6,7 +6,7 @@
 #include <libsoup/soup.h>
 
 #include <algorithm>
-#include <sys/socket.h>
+#include <gio/gunixsocketaddress.h>
 
 namespace turmerichead {
 
@@ -23,8 +23,10 @@
 
 /// A caller's connection.
 struct connection_row {
-  GSocketConnection *Stream = nullptr; ///< Owned by the SoupServer.
+  /// Owned by the SoupServer; nullptr until the first bytes have come.
+  GSocketConnection *Stream = nullptr;
   handle<GSocket> Socket;
+  http_exchange_id Exchange; ///< Stale between exchanges.
   time_point LastActive;
   std::optional<time_point> ReadingSince; ///< Set while a body is read.
   std::size_t BodyBytes = 0;
@@ -56,7 +58,6 @@
 struct http_exchange_row {
   handle<SoupServerMessage> Message;
   connection_id Connection;
-  loop_source CallerClosed;
   std::size_t Buffered = 0;
   time_point LastTaken;
   bool Streaming = false;
@@ -68,6 +69,7 @@
   http_server_events Events;
   handle<SoupServer> Server;
   handle<GSocket> Listener;
+  std::optional<poll_set> Callers;
   loop_source Accepting;
   loop_source Sweep;
   bool Stopped = false;
@@ -78,12 +80,13 @@
 
   ~state();
   void accept();
-  void adopt(handle<GSocket> Socket);
+  void waitForRequest(handle<GSocket> Socket);
+  void adopt(connection_id Id);
   connection_id connectionOf(SoupServerMessage *Message) const;
   void checkHeaders(SoupServerMessage *Message);
   void reject(SoupServerMessage *Message, int Status, std::string_view Text);
   void begin(SoupServerMessage *Message, const char *Path);
-  bool watchCaller(http_exchange_id Id);
+  void callerReady(connection_id Id);
   void finished(http_exchange_id Id);
   void cutOff(http_exchange_id Id);
   void sweep();
@@ -106,23 +109,35 @@
 void http_server::state::accept() {
   while (auto Socket = acceptFrom(Listener.get()))
     if (Connections.size() < Settings.MaxConnections)
-      adopt(std::move(*Socket));
+      waitForRequest(std::move(*Socket));
 }
 
-void http_server::state::adopt(handle<GSocket> Socket) {
+/// libsoup keeps a source of the loop for each connection, which each turn of
+/// the loop visits. So it gets a connection only with its first bytes.
+void http_server::state::waitForRequest(handle<GSocket> Socket) {
+  int Descriptor = g_socket_get_fd(Socket.get());
+  connection_row Row;
+  Row.Socket = std::move(Socket);
+  Row.LastActive = steadyNow();
+  connection_id Id = Connections.insert(std::move(Row));
+  Callers->add(Descriptor, poll_set::interest::Readable, keyOf(Id));
+}
+
+void http_server::state::adopt(connection_id Id) {
+  connection_row &Row = *Connections.find(Id);
+  Callers->remove(g_socket_get_fd(Row.Socket.get()));
   auto Stream = handle<GSocketConnection>::adopt(
-      g_socket_connection_factory_create_connection(Socket.get()));
+      g_socket_connection_factory_create_connection(Row.Socket.get()));
   auto Local = handle<GSocketAddress>::adopt(
       g_socket_connection_get_local_address(Stream.get(), nullptr));
   auto Remote = handle<GSocketAddress>::adopt(
       g_socket_connection_get_remote_address(Stream.get(), nullptr));
-  if (!Local || !Remote)
-    return; // The caller has gone already.
-  connection_row Row;
+  if (!Local || !Remote) {
+    Connections.erase(Id); // The caller has gone already.
+    return;
+  }
   Row.Stream = Stream.get();
-  Row.Socket = std::move(Socket);
   Row.LastActive = steadyNow();
-  connection_id Id = Connections.insert(std::move(Row));
   // A message of libsoup gives no access to its connection, but hands back
   // the very address object that its connection was accepted with.
   g_object_set_data_full(
@@ -151,6 +166,29 @@
   return Context ? Context->Row : connection_id{};
 }
 
+namespace {
+
+/// libsoup keeps a connection after a response only while its server listens
+/// itself. This socket is for that alone: it has a random name, in the
+/// abstract namespace of Unix sockets, and nobody connects to it.
+bool listenForKeepAlive(SoupServer *Server) {
+  gchar *Name = g_uuid_string_random();
+  auto Address =
+      handle<GSocketAddress>::adopt(g_unix_socket_address_new_with_type(
+          Name, -1, G_UNIX_SOCKET_ADDRESS_ABSTRACT));
+  g_free(Name);
+  auto Socket = handle<GSocket>::adopt(
+      g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_DEFAULT, nullptr));
+  return Socket && g_socket_bind(Socket.get(), Address.get(), FALSE, nullptr) &&
+         g_socket_listen(Socket.get(), nullptr) &&
+         soup_server_listen_socket(Server, Socket.get(),
+                                   static_cast<SoupServerListenOptions>(0),
+                                   nullptr);
+}
+
+} // namespace
+
 // -- Reading a request -------------------------------------------------------
 
 namespace {
@@ -268,9 +306,13 @@
                         new exchange_context{Self, Id},
                         freeContext<exchange_context>,
                         static_cast<GConnectFlags>(0));
-  if (connection_row *Row = Connections.find(Connection))
-    Exchanges.find(Id)->CallerClosed = loop_source::onSocket(
-        Row->Socket.get(), G_IO_IN, [this, Id] { return watchCaller(Id); });
+  // While a response is awaited nobody reads the connection, so a caller that
+  // closes it would go unnoticed.
+  if (connection_row *Row = Connections.find(Connection)) {
+    Row->Exchange = Id;
+    Callers->add(g_socket_get_fd(Row->Socket.get()),
+                 poll_set::interest::ClosedByPeer, keyOf(Connection));
+  }
   soup_server_message_pause(Message);
   SoupMessageBody *Body = soup_server_message_get_request_body(Message);
   auto Bytes = soup_message_body_flatten(Body);
@@ -288,23 +330,13 @@
 
 // -- The end of an exchange --------------------------------------------------
 
-/// While a response is awaited nobody reads the connection, so a caller that
-/// closes it would go unnoticed. Returns false to stop watching.
-bool http_server::state::watchCaller(http_exchange_id Id) {
-  http_exchange_row *Exchange = Exchanges.find(Id);
-  connection_row *Connection =
-      Exchange ? Connections.find(Exchange->Connection) : nullptr;
-  if (!Connection)
-    return false;
-  char Byte = 0;
-  ssize_t Count = recv(g_socket_get_fd(Connection->Socket.get()), &Byte, 1,
-                       MSG_PEEK | MSG_DONTWAIT);
-  if (Count > 0)
-    return false; // A further request; it waits for this one to end.
-  if (Count < 0 && (errno == EAGAIN || errno == EINTR))
-    return true;
-  cutOff(Id);
-  return false;
+/// A connection has its first bytes, or its caller has closed it.
+void http_server::state::callerReady(connection_id Id) {
+  connection_row *Connection = Connections.find(Id);
+  if (Connection && !Connection->Stream)
+    adopt(Id);
+  else if (Connection && Exchanges.find(Connection->Exchange))
+    cutOff(Connection->Exchange);
 }
 
 /// Shuts the connection, so that libsoup finds it broken with the next write
@@ -339,11 +371,8 @@
   if (!Exchange)
     return;
   bool Ended = Exchange->Ended;
-  if (connection_row *Row = Connections.find(Exchange->Connection)) {
+  if (connection_row *Row = Connections.find(Exchange->Connection))
     Row->LastActive = steadyNow();
-    if (Stopped)
-      g_socket_shutdown(Row->Socket.get(), TRUE, FALSE, nullptr);
-  }
   Exchanges.erase(Id);
   if (!Ended && Events.OnClientGone)
     Events.OnClientGone(Id);
@@ -374,13 +403,20 @@
       Row->LastActive = Now;
   for (http_exchange_id Id : Slow)
     cutOff(Id);
-  Connections.forEach([&](connection_id, connection_row &Row) {
+  std::vector<connection_id> Unused;
+  Connections.forEach([&](connection_id Id, connection_row &Row) {
     bool SlowRequest =
         Row.ReadingSince && Now - *Row.ReadingSince >= Settings.RequestTimeout;
-    bool Idle = Now - Row.LastActive >= Settings.IdleTimeout;
-    if (SlowRequest || Idle)
+    // A stopped server keeps connections only for streams in progress.
+    bool Idle = Now - Row.LastActive >=
+                (Stopped ? SweepInterval : Settings.IdleTimeout);
+    if (Idle && !Row.Stream)
+      Unused.push_back(Id);
+    else if (SlowRequest || Idle)
       g_socket_shutdown(Row.Socket.get(), TRUE, TRUE, nullptr);
   });
+  for (connection_id Id : Unused)
+    Connections.erase(Id);
 }
 
 http_server::state::~state() {
@@ -409,8 +445,15 @@
   Raw->Events = std::move(Events);
   Raw->Listener = std::move(*Listener);
   Raw->Port = localPort(Raw->Listener.get());
+  Raw->Callers = poll_set::create([Raw](std::uint64_t Key) {
+    Raw->callerReady(idOf<connection_row>(Key));
+  });
+  if (!Raw->Callers)
+    return std::nullopt;
   Raw->Server = handle<SoupServer>::adopt(
       soup_server_new("server-header", nullptr, nullptr));
+  if (!listenForKeepAlive(Raw->Server.get()))
+    return fail(error_code::Unavailable, "no socket for kept connections");
   soup_server_add_early_handler(Raw->Server.get(), nullptr, state::onEarly, Raw,
                                 nullptr);
   soup_server_add_handler(Raw->Server.get(), nullptr, state::onRequest, Raw,
@@ -445,9 +488,11 @@
 namespace {
 
 void setHead(SoupServerMessage *Message, int Status,
-             const std::vector<http_header> &Headers) {
+             const std::vector<http_header> &Headers, bool Last) {
   soup_server_message_set_status(Message, static_cast<guint>(Status), nullptr);
   SoupMessageHeaders *Rows = soup_server_message_get_response_headers(Message);
+  if (Last)
+    soup_message_headers_replace(Rows, "Connection", "close");
   for (const http_header &Header : Headers)
     soup_message_headers_replace(Rows, Header.Name.c_str(),
                                  Header.Value.c_str());
@@ -473,7 +518,7 @@
   if (!Row)
     return false;
   SoupServerMessage *Message = Row->Message.get();
-  setHead(Message, Status, Headers);
+  setHead(Message, Status, Headers, State->Stopped);
   soup_message_headers_set_content_length(
       soup_server_message_get_response_headers(Message),
       static_cast<goffset>(Body.size()));
@@ -490,7 +535,7 @@
   if (!Row)
     return false;
   SoupServerMessage *Message = Row->Message.get();
-  setHead(Message, Status, Headers);
+  setHead(Message, Status, Headers, State->Stopped);
   soup_message_headers_set_encoding(
       soup_server_message_get_response_headers(Message), SOUP_ENCODING_CHUNKED);
   soup_message_body_set_accumulate(
