--- a/src/libstate/book_test.cpp
+++ b/src/libstate/book_test.cpp
@@ -104,6 +104,22 @@
   CHECK(Bench.submit(modelCall("p", 2), 2) == submit_decision::Running);
 }
 
+TEST_CASE("a call beyond the reservation waits for a larger one") {
+  bench Bench;
+  Bench.submit(modelCall("p", 1), 1);
+  Bench.commit();
+  Bench.answer(0);
+  Bench.commit();
+  std::string Large = R"({"model":"m","messages":[{"role":"user","content":")" +
+                      std::string(9000, 'x') + R"("}]})";
+  CHECK(Bench.submit(modelCall("p", 2, Large), 2) == submit_decision::Waiting);
+  CHECK(Bench.Dispatched.size() == 1);
+  Bench.commit();
+  REQUIRE(Bench.Dispatched.size() == 2);
+  std::uint64_t Reserved = Bench.Book.rows().findRoot("p")->ReservedUpTo;
+  CHECK(Reserved >= 50 + Large.size() + 100);
+}
+
 TEST_CASE("calls that arrive crossed run in the program's order") {
   bench Bench;
   CHECK(Bench.submit(modelCall("p", 2), 2) == submit_decision::Waiting);
--- a/src/libstate/fuzz_oracle_test.cpp
+++ b/src/libstate/fuzz_oracle_test.cpp
@@ -177,7 +177,9 @@
 
 world::answer world::execute(const dispatch_call &Command,
                              std::uint64_t Cause) {
-  auto [Path, Number] = identified(Command.Body);
+  auto Identity = identified(Command.Body);
+  const std::string &Path = Identity.first;
+  std::uint32_t Number = Identity.second;
   auto Program = std::find_if(Programs.begin(), Programs.end(),
                               [&](const auto &P) { return P.Path == Path; });
   known_call &Call = Program->Calls[Number - 1];
--- /dev/null
+++ b/src/libstate/fuzz_shards_test.cpp
@@ -0,0 +1,330 @@
+#include "fuzz_world_test.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmerichead::fuzz {
+
+// -- Shards move --
+
+void world::replace(int A, int B) {
+  host_life Victim = Holder[A % ShardCount];
+  node *Successor = Nodes[B % HostCount].get();
+  if (!Successor || Successor->Frozen || Successor->Life == Victim ||
+      Successor->Journal.fenced())
+    return;
+  ++MapVersion;
+  for (std::uint32_t Shard = 0; Shard < ShardCount; ++Shard) {
+    if (Holder[Shard] != Victim)
+      continue;
+    Holder[Shard] = Successor->Life;
+    if (Successor->Makers.contains(Shard) &&
+        Successor->Snapshots.contains(Shard))
+      continue; // It is about to tell the end of an earlier tenure.
+    seek(*Successor, Shard);
+  }
+  run(*Successor);
+}
+
+void world::handOver(int A, int B) {
+  std::uint32_t Shard = A % ShardCount;
+  node *Node = holderOf(Shard);
+  if (!Node || Node->Frozen || !Node->Book.holdsShard(Shard) ||
+      Node->Snapshots.contains(Shard))
+    return;
+  Node->Releasing[Shard] = B % HostCount;
+  run(*Node);
+}
+
+void world::runReleases(node &Node) {
+  for (auto Row = Node.Releasing.begin(); Row != Node.Releasing.end();) {
+    std::uint32_t Shard = Row->first;
+    bool Drained = Node.Book.holdsShard(Shard) &&
+                   !Node.Snapshots.contains(Shard) &&
+                   Node.Book.drainShard(Shard, now());
+    runBook(Node);
+    if (!Drained) {
+      ++Row;
+      continue;
+    }
+    ++Row;
+    startSnapshot(Node, Shard, Node.Book.releaseShard(Shard), false, true);
+  }
+}
+
+void world::startTakeover(node &Node, const host_life &Victim,
+                          std::map<std::uint32_t, std::uint64_t> Fences) {
+  std::vector<std::uint32_t> Shards;
+  for (auto [Shard, Version] : Fences) {
+    Shards.push_back(Shard);
+    Node.Fences[Shard] = std::max(Node.Fences[Shard], Version);
+  }
+  auto Row = std::make_shared<node::pending_takeover>(node::pending_takeover{
+      takeover(Node.Life, Victim, Shards, shardOf), std::move(Fences)});
+  Node.Takeovers.push_back(Row);
+  Row->Takeover.start(Now);
+}
+
+void world::runTakeover(node &Node,
+                        std::shared_ptr<node::pending_takeover> Row) {
+  std::vector<takeover_command> Commands = Row->Takeover.takeCommands();
+  auto Listed = [this, Row](bool Ok, std::vector<std::string> Names) -> answer {
+    return [=, this](node &) { Row->Takeover.listed(Ok, Names, Now); };
+  };
+  auto List = [=, this, &Node](std::string Prefix) {
+    post(
+        Node, true,
+        [=, this] {
+          std::vector<std::string> Names;
+          for (const auto &[Name, Bytes] : Objects)
+            if (Name.starts_with(Prefix))
+              Names.push_back(Name);
+          return Listed(true, Names);
+        },
+        Listed(false, {}));
+  };
+  auto Done = [this, Row](read_result Result, std::string Bytes) -> answer {
+    return [=, this](node &) { Row->Takeover.readObject(Result, Bytes, Now); };
+  };
+  auto Read = [=, this, &Node](std::string Name) {
+    post(
+        Node, true,
+        [=, this] {
+          auto Found = Objects.find(Name);
+          return Found == Objects.end()
+                     ? Done(read_result::Absent, "")
+                     : Done(read_result::Found, Found->second);
+        },
+        Done(read_result::Failed, ""));
+  };
+  for (takeover_command &Command : Commands) {
+    if (auto *Snapshots = std::get_if<list_snapshots>(&Command))
+      List(snapshotPrefix(Snapshots->Shard));
+    if (auto *Segments = std::get_if<list_segments>(&Command))
+      List(segmentName(Segments->Journal, 0)
+               .substr(0, segmentName(Segments->Journal, 0).size() - 1));
+    if (auto *Snapshot = std::get_if<read_snapshot>(&Command))
+      Read(Snapshot->Name);
+    if (auto *Segment = std::get_if<read_segment>(&Command))
+      Read(Segment->Name);
+    if (auto *Create = std::get_if<create_segment>(&Command)) {
+      auto Result = [this, Row](create_result Value) -> answer {
+        return [=, this](node &) { Row->Takeover.created(Value, Now); };
+      };
+      post(
+          Node, true,
+          [=, this, C = *Create] { return Result(create(C.Name, C.Bytes)); },
+          Result(create_result::Failed));
+    }
+    if (auto *Close = std::get_if<close_standby>(&Command)) {
+      auto Result = [this, Row](bool Valid,
+                                std::vector<journal_entry> Tail) -> answer {
+        return [=, this](node &) { Row->Takeover.tail(Valid, Tail, Now); };
+      };
+      post(
+          Node, false,
+          [=, this, C = *Close] {
+            node *Standby = find(C.Standby);
+            return Standby ? Result(true, Standby->Standby.close(C.Journal))
+                           : Result(false, {});
+          },
+          Result(false, {}));
+    }
+    if (auto *Drop = std::get_if<standby_may_drop>(&Command))
+      post(
+          Node, false,
+          [this, D = *Drop] {
+            if (node *Standby = find(D.Standby))
+              Standby->Standby.sealed(D.Journal);
+            return answer();
+          },
+          answer());
+    if (std::holds_alternative<takeover_done>(Command))
+      finishTakeover(Node, *Row);
+  }
+  if (Row->Takeover.done())
+    Node.Takeovers.remove(Row);
+}
+
+void world::finishTakeover(node &Node, node::pending_takeover &Row) {
+  if (Row.Takeover.hasGap())
+    violate("the replayed journal has a gap");
+  if (Row.Takeover.tailMissing())
+    violate("a takeover went on without a tail");
+  for (shard_takeover &Result : Row.Takeover.takeResult()) {
+    std::uint64_t Version = Row.Fences[Result.Shard];
+    // The shard has gone and come back since this takeover was begun.
+    if (Version < Node.Fences[Result.Shard] ||
+        Node.Book.holdsShard(Result.Shard))
+      continue;
+    if (Result.Elsewhere) {
+      startTakeover(Node, *Result.Elsewhere, {{Result.Shard, Version}});
+      continue;
+    }
+    if (Result.Rows.rejected() > 0)
+      violate("a replayed record does not fit the rows");
+    Node.Releasing.erase(Result.Shard);
+    Node.Makers.insert_or_assign(
+        Result.Shard,
+        snapshot_maker(Result.Shard, Version, std::move(Result.Manifest)));
+    startSnapshot(Node, Result.Shard, std::move(Result.Rows), true, false);
+  }
+}
+
+// -- Snapshots --
+
+void world::snapshot(int A) {
+  std::uint32_t Shard = A % ShardCount;
+  for (auto &Node : Nodes)
+    if (Node && !Node->Frozen && Node->Book.holdsShard(Shard) &&
+        !Node->Snapshots.contains(Shard))
+      startSnapshot(*Node, Shard, Node->Book.rows(), false, false);
+}
+
+void world::startSnapshot(node &Node, std::uint32_t Shard, state_rows Rows,
+                          bool Acquire, bool Release) {
+  std::uint64_t Sequence =
+      Acquire ? Node.Journal.lastSequence() : Node.Journal.committedRecord();
+  journal_position Position{Node.Life, Node.Journal.segmentAfter(Sequence),
+                            Sequence};
+  auto Row = std::make_shared<node::pending_snapshot>(node::pending_snapshot{
+      snapshot_writer(
+          Shard, Node.Makers.at(Shard).make(Rows, Position, Release), Acquire),
+      Acquire, Release, std::move(Rows)});
+  Node.Snapshots[Shard] = Row;
+  Row->Writer.start();
+  runSnapshot(Node, Shard);
+}
+
+void world::runSnapshot(node &Node, std::uint32_t Shard) {
+  auto Found = Node.Snapshots.find(Shard);
+  if (Found == Node.Snapshots.end())
+    return;
+  auto Row = Found->second;
+  for (snapshot_command &Command : Row->Writer.takeCommands()) {
+    if (auto *Create = std::get_if<create_snapshot>(&Command)) {
+      auto Result = [this, Row](create_result Value) -> answer {
+        return [=, this](node &) { Row->Writer.created(Value, Now); };
+      };
+      post(
+          Node, true,
+          [=, this, C = *Create] { return Result(create(C.Name, C.Bytes)); },
+          Result(create_result::Failed));
+    }
+    if (auto *Read = std::get_if<read_manifest>(&Command)) {
+      auto Result = [this, Row](read_result Value,
+                                std::string Bytes) -> answer {
+        return [=, this](node &) { Row->Writer.read(Value, Bytes, Now); };
+      };
+      post(
+          Node, true,
+          [=, this, Name = Read->Name] {
+            auto Object = Objects.find(Name);
+            return Object == Objects.end()
+                       ? Result(read_result::Absent, "")
+                       : Result(read_result::Found, Object->second);
+          },
+          Result(read_result::Failed, ""));
+    }
+    if (std::holds_alternative<list_manifests>(Command)) {
+      auto Result = [this, Row](bool Ok,
+                                std::vector<std::string> Names) -> answer {
+        return [=, this](node &) { Row->Writer.listed(Ok, Names, Now); };
+      };
+      post(
+          Node, true,
+          [=, this] {
+            std::vector<std::string> Names;
+            for (const auto &[Name, Bytes] : Objects)
+              Names.push_back(Name);
+            return Result(true, Names);
+          },
+          Result(false, {}));
+    }
+    if (std::holds_alternative<snapshot_kept>(Command))
+      snapshotKept(Node, Shard);
+    if (std::holds_alternative<snapshot_lost>(Command))
+      snapshotLost(Node, Shard);
+  }
+}
+
+// Another host holds the shard, unless the map has given it to this one.
+void world::snapshotLost(node &Node, std::uint32_t Shard) {
+  Node.Snapshots.erase(Shard);
+  Node.Releasing.erase(Shard);
+  Node.Book.loseShard(Shard, now());
+  if (Holder[Shard] == Node.Life)
+    seek(Node, Shard);
+}
+
+std::optional<snapshot_manifest> world::newest(std::uint32_t Shard) const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Bytes] : Objects)
+    Names.push_back(Name);
+  auto Name = newestManifest(Names, Shard);
+  return Name ? decodeManifest(Objects.at(*Name)) : std::nullopt;
+}
+
+// Starts to acquire a shard from whom its newest manifest names.
+void world::seek(node &Node, std::uint32_t Shard) {
+  auto Manifest = newest(Shard);
+  if (!Manifest || Node.Journal.fenced() || Node.Book.holdsShard(Shard))
+    return;
+  startTakeover(Node, Manifest->Position.Journal, {{Shard, MapVersion}});
+}
+
+void world::snapshotKept(node &Node, std::uint32_t Shard) {
+  auto Row = Node.Snapshots[Shard];
+  Node.Snapshots.erase(Shard);
+  snapshot_maker &Maker = Node.Makers.at(Shard);
+  Maker.kept();
+  std::vector<std::string> Garbage = Maker.takeGarbage();
+  post(
+      Node, true,
+      [this, Garbage] {
+        for (const std::string &Name : Garbage)
+          Objects.erase(Name);
+        return answer();
+      },
+      answer());
+  if (Row->Acquire && !Node.Journal.fenced())
+    Node.Book.acquireShard(Shard, std::move(Row->Rows));
+  if (Row->Release) {
+    node *Next = Nodes[Node.Releasing[Shard]].get();
+    Node.Releasing.erase(Shard);
+    if (Holder[Shard] == Node.Life && Next && !Next->Frozen) {
+      Holder[Shard] = Next->Life;
+      ++MapVersion;
+      seek(*Next, Shard);
+      if (Next != &Node)
+        run(*Next);
+    }
+    return;
+  }
+  collectSegments(Node);
+}
+
+void world::collectSegments(node &Node) {
+  std::vector<journal_position> Positions;
+  for (std::uint32_t Shard = 0; Shard < ShardCount; ++Shard)
+    if (Node.Book.holdsShard(Shard))
+      Positions.push_back(Node.Makers.at(Shard).latest()->Position);
+  // Shards that are about to be acquired have a position in this journal too.
+  if (Positions.empty() || !Node.Snapshots.empty() || !Node.Takeovers.empty())
+    return;
+  std::vector<std::string> Names;
+  for (const auto &[Name, Bytes] : Objects)
+    Names.push_back(Name);
+  std::vector<std::string> Covered =
+      coveredSegments(Node.Life, Names, Positions);
+  post(
+      Node, true,
+      [this, Covered] {
+        for (const std::string &Name : Covered)
+          Objects.erase(Name);
+        return answer();
+      },
+      answer());
+}
+
+} // namespace turmerichead::fuzz
