--- a/src/libstate/fuzz_shards_test.cpp
+++ b/src/libstate/fuzz_shards_test.cpp
@@ -66,12 +66,13 @@
 }
 
 void world::runTakeover(node &Node,
-                        std::shared_ptr<node::pending_takeover> Row) {
+                        const std::shared_ptr<node::pending_takeover> &Row) {
   std::vector<takeover_command> Commands = Row->Takeover.takeCommands();
-  auto Listed = [this, Row](bool Ok, std::vector<std::string> Names) -> answer {
+  auto Listed = [this, Row](bool Ok,
+                            const std::vector<std::string> &Names) -> answer {
     return [=, this](node &) { Row->Takeover.listed(Ok, Names, Now); };
   };
-  auto List = [=, this, &Node](std::string Prefix) {
+  auto List = [=, this, &Node](const std::string &Prefix) {
     post(
         Node, true,
         [=, this] {
@@ -83,10 +84,11 @@
         },
         Listed(false, {}));
   };
-  auto Done = [this, Row](read_result Result, std::string Bytes) -> answer {
+  auto Done = [this, Row](read_result Result,
+                          const std::string &Bytes) -> answer {
     return [=, this](node &) { Row->Takeover.readObject(Result, Bytes, Now); };
   };
-  auto Read = [=, this, &Node](std::string Name) {
+  auto Read = [=, this, &Node](const std::string &Name) {
     post(
         Node, true,
         [=, this] {
@@ -117,8 +119,9 @@
           Result(create_result::Failed));
     }
     if (auto *Close = std::get_if<close_standby>(&Command)) {
-      auto Result = [this, Row](bool Valid,
-                                std::vector<journal_entry> Tail) -> answer {
+      auto Result = [this,
+                     Row](bool Valid,
+                          const std::vector<journal_entry> &Tail) -> answer {
         return [=, this](node &) { Row->Takeover.tail(Valid, Tail, Now); };
       };
       post(
@@ -213,7 +216,7 @@
     }
     if (auto *Read = std::get_if<read_manifest>(&Command)) {
       auto Result = [this, Row](read_result Value,
-                                std::string Bytes) -> answer {
+                                const std::string &Bytes) -> answer {
         return [=, this](node &) { Row->Writer.read(Value, Bytes, Now); };
       };
       post(
@@ -227,8 +230,9 @@
           Result(read_result::Failed, ""));
     }
     if (std::holds_alternative<list_manifests>(Command)) {
-      auto Result = [this, Row](bool Ok,
-                                std::vector<std::string> Names) -> answer {
+      auto Result = [this,
+                     Row](bool Ok,
+                          const std::vector<std::string> &Names) -> answer {
         return [=, this](node &) { Row->Writer.listed(Ok, Names, Now); };
       };
       post(
--- a/src/libstate/fuzz_world_test.cpp
+++ b/src/libstate/fuzz_world_test.cpp
@@ -244,7 +244,8 @@
           Result(create_result::Failed));
     }
     if (auto *Read = std::get_if<read_segment>(&Command)) {
-      auto Result = [this](read_result Value, std::string Bytes) -> answer {
+      auto Result = [this](read_result Value,
+                           const std::string &Bytes) -> answer {
         return [=, this](node &To) { To.Journal.read(Value, Bytes, Now); };
       };
       post(
--- a/src/libstate/fuzz_world_test.h
+++ b/src/libstate/fuzz_world_test.h
@@ -123,7 +123,8 @@
   void run(node &Node);
   void runBook(node &Node);
   void runJournal(node &Node);
-  void runTakeover(node &Node, std::shared_ptr<node::pending_takeover> Row);
+  void runTakeover(node &Node,
+                   const std::shared_ptr<node::pending_takeover> &Row);
   void runReleases(node &Node);
   void finishTakeover(node &Node, node::pending_takeover &Row);
   void startTakeover(node &Node, const host_life &Victim,
