--- a/src/include/turmerichead/state_book.h
+++ b/src/include/turmerichead/state_book.h
@@ -193,7 +193,8 @@
 
   // -- Programs and entries --
 
-  /// Ends the root of \p Program; false with error NotFound if unknown.
+  /// Ends the root of \p Program; false with error NotFound if unknown, or
+  /// Unavailable if this host does not hold it or hands it over.
   bool endProgram(std::string_view Program, end_reason Reason, moment Now);
   /// New limits of an entry, in force for its living programs at once.
   void entryChanged(std::string_view Entry, const granted_limits &Limits,
--- a/src/libstate/book_end.cpp
+++ b/src/libstate/book_end.cpp
@@ -199,6 +199,12 @@
 bool program_book::endProgram(std::string_view Program, end_reason Reason,
                               moment Now) {
   std::string Root(rootOf(Program));
+  std::uint32_t Shard = State->ShardOf(Root);
+  // A shard that is being handed over may have made its last snapshot.
+  if (!State->Shards.contains(Shard) || State->Draining.contains(Shard)) {
+    fail(error_code::Unavailable, "the program has moved");
+    return false;
+  }
   const root_row *Row = State->Rows.findRoot(Root);
   if (!Row && !State->findLive(Root)) {
     fail(error_code::NotFound, "no such program");
--- a/src/libstate/book_test.cpp
+++ b/src/libstate/book_test.cpp
@@ -277,6 +277,22 @@
   CHECK(Bench.Over.size() == 1);
 }
 
+TEST_CASE("an operator's end cuts model calls and is final") {
+  bench Bench;
+  Bench.submit(modelCall("p", 1), 1);
+  Bench.commit();
+  CHECK(Bench.Book.endProgram("p/q", end_reason::Asked, Bench.Now));
+  Bench.commit();
+  CHECK(Bench.Cancelled.size() == 1);
+  CHECK(Bench.Over.size() == 1);
+  CHECK(Bench.submit(modelCall("p", 2), 2) == submit_decision::Refused);
+  Bench.commit();
+  CHECK(Bench.Released.back().Code == "program_ended");
+  CHECK_FALSE(Bench.Book.endProgram("x", end_reason::Asked, Bench.Now));
+  Bench.Book.drainShard(0, Bench.Now);
+  CHECK_FALSE(Bench.Book.endProgram("p", end_reason::Asked, Bench.Now));
+}
+
 TEST_CASE("what can't be kept is refused at once and does not run") {
   bench Bench;
   Bench.submit(booking("p", 1), 1);
--- a/src/libstate/book_tick.cpp
+++ b/src/libstate/book_tick.cpp
@@ -157,7 +157,8 @@
   std::vector<std::string> Overdue;
   for (const auto &[Name, Root] : Rows.roots()) {
     std::int64_t Limit = limitsOf(Name).WallTimeMs;
-    if (!Root.ended() && Limit != 0 && Now.WallMs - Root.WallStartMs > Limit)
+    if (!Root.ended() && !Draining.contains(Root.Shard) && Limit != 0 &&
+        Now.WallMs - Root.WallStartMs > Limit)
       Overdue.push_back(Name);
   }
   for (const std::string &Name : Overdue)
