--- a/src/libstate/takeover.cpp
+++ b/src/libstate/takeover.cpp
@@ -213,6 +213,9 @@
     return sealFound(Read);
   for (const journal_entry &Entry : Read.Entries)
     Entries.emplace(Entry.Sequence, Entry);
+  // Other standbys than those that did not answer are asked anew.
+  if (Standbys != Read.Standbys)
+    StandbyRounds = 0;
   Standbys = Read.Standbys;
   ++Segment;
   go(step::ReadSegment);
@@ -232,8 +235,10 @@
                     time_point Now) {
   if (Step != step::CloseStandby)
     return;
-  if (Valid)
+  if (Valid) {
+    TailMissing = false;
     return prepareTail(Given);
+  }
   if (++StandbyIndex < Standbys.size())
     return issue();
   StandbyIndex = 0;
--- a/src/libstate/takeover_test.cpp
+++ b/src/libstate/takeover_test.cpp
@@ -173,6 +173,20 @@
   CHECK(Bench.Takeover.tailMissing());
 }
 
+TEST_CASE("a tail that a later segment's standby gives is not missing") {
+  bench Bench(1);
+  Bench.StandbyLives = false;
+  Bench.Before = [&](const takeover_command &Command) {
+    const auto *Create = std::get_if<create_segment>(&Command);
+    if (!Create || Bench.StandbyLives)
+      return;
+    Bench.StandbyLives = true;
+    Bench.addSegment(2);
+  };
+  CHECK(Bench.run() == 2);
+  CHECK_FALSE(Bench.Takeover.tailMissing());
+}
+
 TEST_CASE("a manifest's number that another host took is lost") {
   snapshot_writer Writer(0, {{"000000.000000000001.manifest", "mine"}}, true);
   Writer.start();
