--- a/src/include/turmerichead/net_platform.h
+++ b/src/include/turmerichead/net_platform.h
@@ -93,6 +93,10 @@
 struct platform_watch_events {
   std::function<void(platform_change Change, const nlohmann::json &Object)>
       OnChange;
+  /// A whole list of version \p Version has been told, with Deleted for each
+  /// object that was gone. Called before the OnSynced of that list, and never
+  /// for a bookmark or a change.
+  std::function<void(std::uint64_t Version)> OnListed;
   /// All that the platform had at version \p Version has been told. Called
   /// after each list, and on each bookmark or change.
   std::function<void(std::uint64_t Version)> OnSynced;
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -172,11 +172,13 @@
       Server->respond(Exchange, 200, jsonHeaders(), toJson(Report).dump());
     else if (Accept.find("text/html") != std::string::npos)
       Server->respond(Exchange, 200,
-                      {{"Content-Type", "text/html; charset=utf-8"}},
+                      {{"Content-Type", "text/html; charset=utf-8"},
+                       {"Cache-Control", "no-store"}},
                       renderHtml(Report));
     else
       Server->respond(Exchange, 200,
-                      {{"Content-Type", "text/plain; charset=utf-8"}},
+                      {{"Content-Type", "text/plain; charset=utf-8"},
+                       {"Cache-Control", "no-store"}},
                       renderText(Report));
   });
 }
--- a/src/libhost/gates.cpp
+++ b/src/libhost/gates.cpp
@@ -84,6 +84,7 @@
   const auto &Gate = Context.Settings.Gate;
   fleet_entry Fleet = Context.Config.fleet();
   sched::gate_settings Settings;
+  Settings.Incarnation = Context.Random();
   Settings.OrdinaryFloor =
       static_cast<double>(Fleet.OrdinaryFloorPercent) / 100.0;
   Settings.MaxQueued =
@@ -155,6 +156,8 @@
     sched::runner_info Info;
     Info.Name = Name;
     Info.Slots = static_cast<int>(Upstream.Slots);
+    if (auto Known = CacheCapacity.find(Name); Known != CacheCapacity.end())
+      Info.CacheTokens = Known->second;
     Info.Phase = Upstream.Phase == upstream_phase::Leaving
                      ? sched::runner_phase::Leaving
                      : sched::runner_phase::Live;
@@ -338,6 +341,10 @@
 }
 
 void gate_service::sweepCaches() {
+  time_point Now = steadyNow();
+  Poison.expire(Now);
+  for (auto &[Group, Row] : Rows)
+    Row.Gate.poison().expire(Now);
   for (const auto &[Group, Row] : Rows)
     for (const runner_group &Candidate : groupsOf(Context, Row.Model))
       if (Candidate.Id == Group)
@@ -348,17 +355,26 @@
 void gate_service::sweepRunner(const std::string &Group,
                                const std::string &Runner) {
   const upstream_object &Upstream = Context.Upstreams.find(Runner)->second;
-  Context.Http->send(getRequest(urlOf(Upstream, "/cache")),
-                     collectJson([this, Group, Runner](const json &Value) {
-                       if (!Value.is_object() || !Value.contains("programs") ||
-                           !Value["programs"].is_object())
-                         return;
-                       std::vector<std::string> Listed;
-                       for (const auto &[Program, Tokens] :
-                            Value["programs"].items())
-                         Listed.push_back(Program);
-                       findDead(Group, Runner, Listed);
-                     }));
+  Context.Http->send(
+      getRequest(urlOf(Upstream, "/cache")),
+      collectJson([this, Group, Runner](const json &Value) {
+        if (!Value.is_object() || !Value.contains("programs") ||
+            !Value["programs"].is_object())
+          return;
+        noteCapacity(Runner, Value.value("max_tokens", std::int64_t{0}));
+        std::vector<std::string> Listed;
+        for (const auto &[Program, Tokens] : Value["programs"].items())
+          Listed.push_back(Program);
+        findDead(Group, Runner, Listed);
+      }));
+}
+
+void gate_service::noteCapacity(const std::string &Runner,
+                                std::int64_t Tokens) {
+  if (Tokens <= 0 || CacheCapacity[Runner] == Tokens)
+    return;
+  CacheCapacity[Runner] = Tokens;
+  refresh();
 }
 
 void gate_service::findDead(const std::string &Group, const std::string &Runner,
--- a/src/libhost/gates_pvt.h
+++ b/src/libhost/gates_pvt.h
@@ -74,6 +74,7 @@
   void pollLoad(const std::string &Group, const std::string &Runner);
   void pollEvents(const std::string &Group, const std::string &Runner);
   void sweepCaches();
+  void noteCapacity(const std::string &Runner, std::int64_t Tokens);
   void sweepRunner(const std::string &Group, const std::string &Runner);
   void findDead(const std::string &Group, const std::string &Runner,
                 const std::vector<std::string> &Listed);
@@ -82,6 +83,7 @@
   host_context &Context;
   std::map<std::string, group_row, std::less<>> Rows;
   std::map<std::string, std::uint64_t, std::less<>> EventCursor;
+  std::map<std::string, std::int64_t, std::less<>> CacheCapacity; ///< Tokens.
   sched::poison_table Poison; ///< Kept beside the gates, for new ones.
   timer LoadTimer;
   timer SweepTimer;
--- a/src/libhost/host.cpp
+++ b/src/libhost/host.cpp
@@ -189,9 +189,13 @@
       g_main_loop_quit(Loop);
     return;
   }
+  const host_record *Self = Context.Map.find(Context.self());
   bool Last = Context.Map.Hosts.size() <= 1;
-  if (!Last)
+  // One change of the map at a time: remove() would find leave() under way.
+  if (!Last && Self && Self->State != host_state::Leaving) {
     Membership->leave();
+    return;
+  }
   // Callers on kept connections would go on for ever; after a moment in which
   // the balancer sees that this host isn't ready, none is accepted.
   if (steadyNow() - DrainSince >= DrainGrace)
--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view MapName = "main";
 constexpr milliseconds JoinRetry{200};
 constexpr milliseconds AskPeersInterval{1000};
+/// Heartbeats for which two catalogues may differ before digests are sent.
+constexpr int BeatsBeforeDigest = 8;
 
 json mapObject(const shard_map &Map, std::uint64_t Revision) {
   json Object = {{"metadata", {{"name", MapName}}}, {"spec", toJson(Map)}};
@@ -266,9 +268,16 @@
   Message.Beat = encode(Context.Detector->compose(Now, Context.Map.Version,
                                                   Context.Config.summary()));
   Message.Groups = Events.Loads();
-  std::string Body = pack(Message);
+  std::string Plain = pack(Message);
   for (const std::string &Target : Context.Detector->targets(Now)) {
     ++BeatsSent;
+    std::string Body = Plain;
+    if (Differing[Target] >= BeatsBeforeDigest) {
+      Differing[Target] = 0;
+      beat_message Whole = Message;
+      Whole.Digest = encode(Context.Config.digest());
+      Body = pack(Whole);
+    }
     Context.Metrics.add("control_bytes_total", "kind=\"beat\"",
                         static_cast<double>(Body.size()));
     Context.Links->send(
@@ -289,7 +298,14 @@
                       Context.Config.summary().Root);
   for (const group_load &Load : Message.Groups)
     Context.GroupLoads[Load.Group] = Load;
-  for (const config_item &Item : Context.Config.deltaSince(Beat->Config))
+  // The versions tell what is new; a digest tells what a watch has missed.
+  bool Differs = Beat->Config.Root != Context.Config.summary().Root;
+  Differing[Beat->From] = Differs ? Differing[Beat->From] + 1 : 0;
+  std::vector<config_item> Lacking = Context.Config.deltaSince(Beat->Config);
+  if (!Message.Digest.empty())
+    if (auto Digest = decodeDigest(Message.Digest))
+      Lacking = Context.Config.deltaFor(*Digest);
+  for (const config_item &Item : Lacking)
     Reply.Config.push_back(rowOf(Item));
   if (Beat->MapVersion < Context.Map.Version) {
     Reply.Map = toJson(Context.Map).dump();
--- a/src/libhost/membership_pvt.h
+++ b/src/libhost/membership_pvt.h
@@ -7,6 +7,7 @@
 #include "loop_pvt.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -70,6 +71,8 @@
   bool Watching = false;
   bool Changing = false;
   std::uint64_t BeatsSent = 0;
+  /// Heartbeats in a row from a host whose catalogue differs from ours.
+  std::map<std::string, int, std::less<>> Differing;
   timer BeatTimer;
   timer AskTimer;
 };
--- a/src/libhost/watcher.cpp
+++ b/src/libhost/watcher.cpp
@@ -63,13 +63,17 @@
   Handlers.OnChange = [this](platform_change Change, const json &Object) {
     onEntry(Change, Object);
   };
-  Handlers.OnSynced = [this](std::uint64_t Version) {
-    Context.PlatformSeen = steadyNow();
+  Handlers.OnListed = [this](std::uint64_t Version) {
     for (config_item &Item : Deletions) {
       Item.Version = Version;
       apply(Item, config_source::Platform);
     }
     Deletions.clear();
+    Context.Config.noteListed(Version);
+    announce();
+  };
+  Handlers.OnSynced = [this](std::uint64_t Version) {
+    Context.PlatformSeen = steadyNow();
     Context.Config.noteWatched(Version);
     announce();
   };
@@ -128,7 +132,7 @@
   for (const config_change &Change : Changes) {
     log::audit("catalogue entry in force", toJson(Change));
     Context.Metrics.add("config_changes_total");
-    Context.Force.applied(Change.Name, Change.Version, Root, wallNowMs());
+    Context.Force.applied(Change, Root);
     Events.OnEntry(Change.Name);
   }
   if (!diskFile().empty())
@@ -146,6 +150,8 @@
 }
 
 void watcher::tick() {
+  // The detector is made anew with each life of this host.
+  hintGone();
   std::vector<std::string> Others;
   for (const host_record &Host : Context.Map.Hosts)
     if (Host.Id != Context.self())
@@ -164,8 +170,9 @@
     return;
   std::vector<change_report> Latest;
   for (const auto &Progress : Context.Force.latest())
-    Latest.push_back({Progress.Name, Progress.Version, "", "",
-                      Progress.AppliedAtMs, Progress.EverywhereAtMs});
+    Latest.push_back({Progress.Name, Progress.Version, Progress.Who,
+                      Progress.What, Progress.AppliedAtMs,
+                      Progress.EverywhereAtMs});
   Context.Recorder->setChanges(std::move(Latest));
   std::vector<std::string> Invalid;
   for (const auto &[Name, Text] : Context.Config.invalid())
@@ -240,6 +247,10 @@
   if (Change != platform_change::Deleted && Object.contains("status"))
     Phase = Object["status"].value("phase", "live");
   HostPhases[nameOfObject(Object)] = Phase;
+  hintGone();
+}
+
+void watcher::hintGone() {
   std::vector<std::string> Gone;
   for (const auto &[Name, Known] : HostPhases)
     if (Known == "gone")
--- a/src/libhost/watcher_pvt.h
+++ b/src/libhost/watcher_pvt.h
@@ -42,6 +42,7 @@
   void onEntry(platform_change Change, const nlohmann::json &Object);
   void onUpstream(platform_change Change, const nlohmann::json &Object);
   void onHost(platform_change Change, const nlohmann::json &Object);
+  void hintGone();
   void apply(const config_item &Item, config_source Source);
   void announce();
   void saveToDisk();
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -191,7 +191,10 @@
 struct beat_message {
   std::string Beat; ///< An encoded heartbeat of libcluster.
   std::vector<group_load> Groups;
-  MSGPACK_DEFINE(Beat, Groups)
+  /// Names and versions that the sender knows, as libcluster encodes them;
+  /// only while the two hosts' catalogues go on differing.
+  std::string Digest;
+  MSGPACK_DEFINE(Beat, Groups, Digest)
 };
 
 /// A catalogue item on its way between hosts.
--- a/src/libnet/platform_pvt.h
+++ b/src/libnet/platform_pvt.h
@@ -131,6 +131,7 @@
                  const nlohmann::json &Object);
   void tell(platform_watch_id Id, platform_change Change,
             const nlohmann::json &Object);
+  void listed(platform_watch_id Id);
   void synced(platform_watch_id Id);
   void streamEnded(platform_watch_id Id, const http_result &Result);
   void pauseThenRetry(platform_watch_id Id, const std::string &Reason);
--- a/src/libnet/platform_watch.cpp
+++ b/src/libnet/platform_watch.cpp
@@ -97,6 +97,7 @@
   if (!Row)
     return;
   Row->Version = Reply.Version;
+  listed(Id);
   synced(Id);
   if (Watches.find(Id))
     connect(Id);
@@ -130,6 +131,15 @@
     Events->OnChange(Change, Object);
 }
 
+void platform_client::state::listed(platform_watch_id Id) {
+  platform_watch_row *Row = Watches.find(Id);
+  if (!Row)
+    return;
+  auto Events = Row->Events;
+  if (Events->OnListed)
+    Events->OnListed(Row->Version);
+}
+
 void platform_client::state::synced(platform_watch_id Id) {
   platform_watch_row *Row = Watches.find(Id);
   if (!Row)
--- a/src/libstate/book.cpp
+++ b/src/libstate/book.cpp
@@ -261,7 +261,7 @@
                     (Open && Open->Entry != Request.Entry);
   if (Foreign || OtherEntry) {
     release(Waiter, 0,
-            {call_outcome::NotRun, 403, "not_yours",
+            {call_outcome::NotRun, 403, "wrong_owner",
              "the program belongs to another owner or entry", 0, false});
     return submit_decision::Conflict;
   }
--- a/src/libstate/fuzz_oracle_test.cpp
+++ b/src/libstate/fuzz_oracle_test.cpp
@@ -230,7 +230,7 @@
                    [&](const auto &P) { return P.Path == Sent.Program; });
   known_call &Call = Program->Calls[Sent.Number - 1];
   std::string Id = identity(Sent.Program, Sent.Number);
-  if (Release.Code == "call_reused" || Release.Code == "not_yours")
+  if (Release.Code == "call_reused" || Release.Code == "wrong_owner")
     violate("a conflict that is none: " + Id);
   switch (Release.Outcome) {
   case call_outcome::Answered:
