--- a/src/include/turmerichead/net_platform.h
+++ b/src/include/turmerichead/net_platform.h
@@ -96,7 +96,7 @@
   /// A whole list of version \p Version has been told, with Deleted for each
   /// object that was gone. Called before the OnSynced of that list, and never
   /// for a bookmark or a change.
-  std::function<void(std::uint64_t Version)> OnListed;
+  std::function<void(std::uint64_t Version)> OnListed{};
   /// All that the platform had at version \p Version has been told. Called
   /// after each list, and on each bookmark or change.
   std::function<void(std::uint64_t Version)> OnSynced;
