--- a/src/libnet/platform_watch.cpp
+++ b/src/libnet/platform_watch.cpp
@@ -172,27 +172,27 @@
   Request.FirstByteTimeout = Settings.Timeout;
   Request.MaxBodyBytes = std::numeric_limits<std::size_t>::max();
   std::weak_ptr<state *> Weak = Self;
-  Row.Call = Http->send(std::move(Request),
-                        {.OnHeaders =
-                             [Weak, Id](int Status, const auto &) {
-                               auto Owner = Weak.lock();
-                               platform_watch_row *Found =
-                                   Owner ? (*Owner)->Watches.find(Id) : nullptr;
-                               if (!Found || Status != 200)
-                                 return;
-                               Found->Phase = watch_phase::Following;
-                               (*Owner)->synced(Id);
-                             },
-                         .OnChunk =
-                             [Weak, Id](std::string_view Bytes) {
-                               if (auto Owner = Weak.lock())
-                                 (*Owner)->takeBytes(Id, Bytes);
-                             },
-                         .OnEnd =
-                             [Weak, Id](const http_result &Result) {
-                               if (auto Owner = Weak.lock())
-                                 (*Owner)->streamEnded(Id, Result);
-                             }});
+  Row.Call = Http->send(Request, {.OnHeaders =
+                                      [Weak, Id](int Status, const auto &) {
+                                        auto Owner = Weak.lock();
+                                        platform_watch_row *Found =
+                                            Owner ? (*Owner)->Watches.find(Id)
+                                                  : nullptr;
+                                        if (!Found || Status != 200)
+                                          return;
+                                        Found->Phase = watch_phase::Following;
+                                        (*Owner)->synced(Id);
+                                      },
+                                  .OnChunk =
+                                      [Weak, Id](std::string_view Bytes) {
+                                        if (auto Owner = Weak.lock())
+                                          (*Owner)->takeBytes(Id, Bytes);
+                                      },
+                                  .OnEnd =
+                                      [Weak, Id](const http_result &Result) {
+                                        if (auto Owner = Weak.lock())
+                                          (*Owner)->streamEnded(Id, Result);
+                                      }});
 }
 
 void platform_client::state::takeBytes(platform_watch_id Id,
