--- a/src/libcatalogue/settings.cpp
+++ b/src/libcatalogue/settings.cpp
@@ -89,7 +89,13 @@
       bind<settings, &settings::Cluster, &section::SharedKeyFile>(
           {.Key = "cluster.shared_key_file",
            .Text = "File with the key by which hosts authenticate each "
-                   "other. Empty: peers are not checked.",
+                   "other; the same on all hosts.",
+           .Required = true}),
+      bind<settings, &settings::Cluster, &section::SeedPeers>(
+          {.Key = "cluster.seed_peers",
+           .Text = "Peer addresses (ip:port) of some other hosts. A host that "
+                   "starts while the platform is down asks them for the map, "
+                   "the catalogue and the upstreams.",
            .Default = ""}),
       bind<settings, &settings::Cluster, &section::Shards>(
           {.Key = "cluster.shards",
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -172,11 +172,13 @@
       Server->respond(Exchange, 200, jsonHeaders(), toJson(Report).dump());
     else if (Accept.find("text/html") != std::string::npos)
       Server->respond(Exchange, 200,
-                      {{"Content-Type", "text/html; charset=utf-8"}},
+                      {{"Content-Type", "text/html; charset=utf-8"},
+                       {"Cache-Control", "no-store"}},
                       renderHtml(Report));
     else
       Server->respond(Exchange, 200,
-                      {{"Content-Type", "text/plain; charset=utf-8"}},
+                      {{"Content-Type", "text/plain; charset=utf-8"},
+                       {"Cache-Control", "no-store"}},
                       renderText(Report));
   });
 }
@@ -465,6 +467,8 @@
         {"Retry-After",
          std::to_string((End.RetryAfterMs + MsPerSecond - 1) / MsPerSecond)});
   int Status = End.HttpStatus == 0 ? 503 : End.HttpStatus;
+  if (static_cast<call_outcome>(End.Outcome) == call_outcome::Unknown)
+    Status = 504;
   Server->respond(Exchange, Status, Headers,
                   errorJson(End.Code, End.Text, outcomeName(End.Outcome), "",
                             End.RetryAfterMs));
--- a/src/libsched/gate_core.cpp
+++ b/src/libsched/gate_core.cpp
@@ -35,8 +35,7 @@
   Poison.configure(Changed.Poison);
 }
 
-// ---- Requests: admission and the queue
-// ---------------------------------------
+// ---- Requests: admission and the queue ------------------------------------
 
 std::size_t gate_core::liveRunners() const {
   std::size_t Count = 0;
@@ -208,8 +207,7 @@
   return true;
 }
 
-// ---- Requests: the end
-// ---------------------------------------------------------
+// ---- Requests: the end ----------------------------------------------------
 
 void gate_core::runnerDied(request_row &Row, runner_row &Runner,
                            time_point Now) {
--- a/src/libstate/book_test.cpp
+++ b/src/libstate/book_test.cpp
@@ -104,6 +104,22 @@
   CHECK(Bench.submit(modelCall("p", 2), 2) == submit_decision::Running);
 }
 
+TEST_CASE("a call beyond the reservation waits for a larger one") {
+  bench Bench;
+  Bench.submit(modelCall("p", 1), 1);
+  Bench.commit();
+  Bench.answer(0);
+  Bench.commit();
+  std::string Large = R"({"model":"m","messages":[{"role":"user","content":")" +
+                      std::string(9000, 'x') + R"("}]})";
+  CHECK(Bench.submit(modelCall("p", 2, Large), 2) == submit_decision::Waiting);
+  CHECK(Bench.Dispatched.size() == 1);
+  Bench.commit();
+  REQUIRE(Bench.Dispatched.size() == 2);
+  std::uint64_t Reserved = Bench.Book.rows().findRoot("p")->ReservedUpTo;
+  CHECK(Reserved >= 50 + Large.size() + 100);
+}
+
 TEST_CASE("calls that arrive crossed run in the program's order") {
   bench Bench;
   CHECK(Bench.submit(modelCall("p", 2), 2) == submit_decision::Waiting);
@@ -167,6 +183,15 @@
   CHECK(Bench.Released.back().Code == "parent_unknown");
 }
 
+TEST_CASE("a sub-agent does not start before its root") {
+  bench Bench;
+  Bench.submit(modelCall("p", 2), 1);
+  CHECK(Bench.submit(modelCall("p/q", 1), 2) == submit_decision::Refused);
+  Bench.commit();
+  REQUIRE(Bench.Released.size() == 1);
+  CHECK(Bench.Released[0].Code == "parent_unknown");
+}
+
 TEST_CASE("a booking is dispatched after its intent is committed") {
   bench Bench;
   Bench.submit(modelCall("p", 1), 1);
@@ -197,7 +222,7 @@
   CHECK(Bench.Dispatched.size() == 2);
   REQUIRE(Bench.Released.size() == 1);
   CHECK(Bench.Released[0].Outcome == call_outcome::Failed);
-  CHECK(Bench.Released[0].Code == "kills_upstreams");
+  CHECK(Bench.Released[0].Code == "poison_request");
 }
 
 TEST_CASE("the last answer is cut to the budget, then the program ends") {
@@ -252,6 +277,22 @@
   CHECK(Bench.Over.size() == 1);
 }
 
+TEST_CASE("an operator's end cuts model calls and is final") {
+  bench Bench;
+  Bench.submit(modelCall("p", 1), 1);
+  Bench.commit();
+  CHECK(Bench.Book.endProgram("p/q", end_reason::Asked, Bench.Now));
+  Bench.commit();
+  CHECK(Bench.Cancelled.size() == 1);
+  CHECK(Bench.Over.size() == 1);
+  CHECK(Bench.submit(modelCall("p", 2), 2) == submit_decision::Refused);
+  Bench.commit();
+  CHECK(Bench.Released.back().Code == "program_ended");
+  CHECK_FALSE(Bench.Book.endProgram("x", end_reason::Asked, Bench.Now));
+  Bench.Book.drainShard(0, Bench.Now);
+  CHECK_FALSE(Bench.Book.endProgram("p", end_reason::Asked, Bench.Now));
+}
+
 TEST_CASE("what can't be kept is refused at once and does not run") {
   bench Bench;
   Bench.submit(booking("p", 1), 1);
--- a/src/libstate/fuzz_oracle_test.cpp
+++ b/src/libstate/fuzz_oracle_test.cpp
@@ -177,7 +177,9 @@
 
 world::answer world::execute(const dispatch_call &Command,
                              std::uint64_t Cause) {
-  auto [Path, Number] = identified(Command.Body);
+  auto Identity = identified(Command.Body);
+  const std::string &Path = Identity.first;
+  std::uint32_t Number = Identity.second;
   auto Program = std::find_if(Programs.begin(), Programs.end(),
                               [&](const auto &P) { return P.Path == Path; });
   known_call &Call = Program->Calls[Number - 1];
@@ -228,7 +230,7 @@
                    [&](const auto &P) { return P.Path == Sent.Program; });
   known_call &Call = Program->Calls[Sent.Number - 1];
   std::string Id = identity(Sent.Program, Sent.Number);
-  if (Release.Code == "call_reused" || Release.Code == "not_yours")
+  if (Release.Code == "call_reused" || Release.Code == "wrong_owner")
     violate("a conflict that is none: " + Id);
   switch (Release.Outcome) {
   case call_outcome::Answered:
