--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -128,7 +128,7 @@
     Joined = true;
     Context.Incarnation = Incarnation;
     for (const std::string &Seed : Context.Settings.Cluster.SeedPeers)
-      Context.Links->forget("seed " + Seed);
+      Context.Links->forget("seed-" + Seed);
     detector_options Options;
     Options.Heartbeat = Context.Settings.Cluster.Heartbeat;
     Options.Suspect = Context.Settings.Cluster.Suspect;
@@ -351,9 +351,10 @@
   std::vector<std::string> Peers;
   for (const peer_route &Route : Context.Settings.PeerRoutes)
     Peers.push_back(Route.Host);
-  // A seed is known by its address only, until the map names it.
+  // A seed is known by its address only, until the map names it. Its name goes
+  // into a header, where spaces aren't allowed.
   for (const std::string &Seed : Context.Settings.Cluster.SeedPeers) {
-    Peers.push_back("seed " + Seed);
+    Peers.push_back("seed-" + Seed);
     Context.Links->setAddress(Peers.back(), Seed);
   }
   for (const std::string &Peer : Peers)
