--- a/src/include/turmerichead/settings.h
+++ b/src/include/turmerichead/settings.h
@@ -52,7 +52,7 @@
   };
   struct cluster_section {
     std::string SharedKeyFile;
-    std::vector<std::string> SeedPeers; ///< "ip:port" of other hosts.
+    std::vector<std::string> SeedPeers; ///< "host=ip:port"
     std::int64_t Shards = 0;
     milliseconds Heartbeat{0};
     milliseconds Suspect{0};
--- a/src/libcatalogue/settings.cpp
+++ b/src/libcatalogue/settings.cpp
@@ -93,9 +93,9 @@
            .Required = true}),
       bind<settings, &settings::Cluster, &section::SeedPeers>(
           {.Key = "cluster.seed_peers",
-           .Text = "Peer addresses (ip:port) of some other hosts. A host that "
-                   "starts while the platform is down asks them for the map, "
-                   "the catalogue and the upstreams.",
+           .Text = "Some other hosts, each as host=ip:port of its peer "
+                   "address. A host that starts while the platform is down "
+                   "asks them for the map, the catalogue and the upstreams.",
            .Default = ""}),
       bind<settings, &settings::Cluster, &section::Shards>(
           {.Key = "cluster.shards",
--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -127,8 +127,6 @@
     }
     Joined = true;
     Context.Incarnation = Incarnation;
-    for (const std::string &Seed : Context.Settings.Cluster.SeedPeers)
-      Context.Links->forget("seed-" + Seed);
     detector_options Options;
     Options.Heartbeat = Context.Settings.Cluster.Heartbeat;
     Options.Suspect = Context.Settings.Cluster.Suspect;
@@ -351,17 +349,23 @@
   std::vector<std::string> Peers;
   for (const peer_route &Route : Context.Settings.PeerRoutes)
     Peers.push_back(Route.Host);
-  // A seed is known by its address only, until the map names it. Its name goes
-  // into a header, where spaces aren't allowed.
   for (const std::string &Seed : Context.Settings.Cluster.SeedPeers) {
-    Peers.push_back("seed-" + Seed);
-    Context.Links->setAddress(Peers.back(), Seed);
+    // "host=ip:port": links check that the other side is the host meant.
+    std::string Host = Seed.substr(0, Seed.find('='));
+    Context.Links->setAddress(
+        Host, Seed.substr(std::min(Host.size() + 1, Seed.size())));
+    Peers.push_back(std::move(Host));
   }
   for (const std::string &Peer : Peers)
     Context.Links->send(
         Peer, {.Path = std::string(StatePath), .Headers = {}, .Body = {}},
         {.OnMessage = [this](std::string_view Bytes) { takeState(Bytes); },
-         .OnEnd = {}});
+         .OnEnd =
+             [Peer](const peer_result &Result) {
+               if (Result.Code != error_code::None)
+                 log::info("a peer does not tell its state",
+                           {{"peer", Peer}, {"reason", Result.Text}});
+             }});
 }
 
 } // namespace turmerichead::host_pvt
--- a/testsuite/scenario/steps_processes.cpp
+++ b/testsuite/scenario/steps_processes.cpp
@@ -102,7 +102,7 @@
   for (const auto &[Name, Other] : Processes.all())
     if (Other.Kind == process_kind::Host && Name != Process.Name)
       Settings["cluster"]["seed_peers"].push_back(
-          Processes.secondAddressOf(Other));
+          Name + "=" + Processes.secondAddressOf(Other));
   if (Step.has("routes"))
     for (const auto &[Host, Address] : Step.Fields["routes"].items())
       Settings["peer_route"].push_back({{"host", Host}, {"address", Address}});
