--- a/src/libcatalogue/entry.cpp
+++ b/src/libcatalogue/entry.cpp
@@ -90,7 +90,8 @@
            .Unit = "%"}),
       bind<entry, &entry::Limits, &limits::OwnerSharePercent>(
           {.Key = "limits.owner_share_percent",
-           .Text = "Share of the fleet's slots that the owner may hold.",
+           .Text = "Share of the fleet's slots that the owner may hold. "
+                   "Checked and kept; has no effect yet.",
            .Default = "100",
            .Min = 1,
            .Max = 100,
@@ -171,7 +172,8 @@
            .Unit = "ms"}),
       bind<entry, &entry::CacheHoldPercent>(
           {.Key = "cache_hold_percent",
-           .Text = "Cache memory of a runner that paused programs may hold.",
+           .Text = "Cache memory of a runner that paused programs may hold. "
+                   "Checked and kept; has no effect yet.",
            .Default = "50",
            .Min = 0,
            .Max = 100,
@@ -192,7 +194,8 @@
            .Unit = "ms"}),
       bind<entry, &entry::AgingStep>(
           {.Key = "aging_step_ms",
-           .Text = "Waiting time that lifts a program by one level.",
+           .Text = "Waiting time that lifts a program by one level. Checked "
+                   "and kept; has no effect yet.",
            .Default = "10000",
            .Min = 1,
            .Max = 86'400'000,
--- a/src/libhost/cache_move.cpp
+++ b/src/libhost/cache_move.cpp
@@ -46,7 +46,7 @@
 
 void moveCache(host_context &Context, const std::string &Program,
                const std::string &From, const std::string &To,
-               std::function<void()> Done) {
+               const std::function<void()> &Done) {
   auto Source = Context.Upstreams.find(From);
   if (Source == Context.Upstreams.end() || !Context.Upstreams.contains(To)) {
     Done();
--- a/src/libhost/cache_move_pvt.h
+++ b/src/libhost/cache_move_pvt.h
@@ -14,7 +14,7 @@
 /// prefill and nothing else, so \p Done isn't told how it ended.
 void moveCache(host_context &Context, const std::string &Program,
                const std::string &From, const std::string &To,
-               std::function<void()> Done);
+               const std::function<void()> &Done);
 
 /// Orders a runner to release the cache of \p Program, with the shard map's
 /// version as fencing token.
--- a/src/libhost/dispatcher.cpp
+++ b/src/libhost/dispatcher.cpp
@@ -192,7 +192,7 @@
   Request.Body = engineBody(Row->Body, Row->Command.MaxOutputTokens);
   Request.Timeout = timeLeft(Row->Command, Row->Facts.CallTimeout);
   Row->Http = Context.Http->send(
-      std::move(Request),
+      Request,
       {.OnHeaders =
            [this, Call](int Status, const auto &) {
              if (row *Row = find(Call))
@@ -356,27 +356,29 @@
                 std::string(pathOf(Command.Target));
   Request.Headers = callHeaders(Command);
   Request.Body = Command.Body;
+  // A kept connection that breaks as it is written to would leave the outcome
+  // of a call unknown that must not be repeated.
+  Request.FreshConnection = Command.NonIdempotent;
   Request.Timeout = timeLeft(Command, Row->Facts.CallTimeout);
   Row->Http = Context.Http->send(
-      std::move(Request),
-      {.OnHeaders =
-           [this, Call](int Status, const auto &Header) {
-             row *Row = find(Call);
-             if (!Row)
-               return;
-             Row->Status = Status;
-             Row->ContentType =
-                 Header("Content-Type").value_or("application/json");
-           },
-       .OnChunk =
-           [this, Call](std::string_view Bytes) {
-             if (row *Row = find(Call))
-               Row->Received += Bytes;
-           },
-       .OnEnd =
-           [this, Call](const http_result &Result) {
-             onServiceEnd(Call, Result);
-           }});
+      Request, {.OnHeaders =
+                    [this, Call](int Status, const auto &Header) {
+                      row *Row = find(Call);
+                      if (!Row)
+                        return;
+                      Row->Status = Status;
+                      Row->ContentType =
+                          Header("Content-Type").value_or("application/json");
+                    },
+                .OnChunk =
+                    [this, Call](std::string_view Bytes) {
+                      if (row *Row = find(Call))
+                        Row->Received += Bytes;
+                    },
+                .OnEnd =
+                    [this, Call](const http_result &Result) {
+                      onServiceEnd(Call, Result);
+                    }});
 }
 
 void dispatcher::onServiceEnd(call_id Call, const http_result &Result) {
--- a/src/libhost/holder_commands.cpp
+++ b/src/libhost/holder_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "holder_pvt.h"
 
+#include "platform_objects_pvt.h"
 #include "turmerichead/log.h"
 
 #include <algorithm>
@@ -9,15 +10,6 @@
 
 namespace turmerichead::host_pvt {
 
-namespace {
-
-nlohmann::json segmentObject(const create_segment &Command) {
-  return {{"metadata", {{"name", Command.Name}}},
-          {"spec", {{"data", encodeBase64(Command.Bytes)}}}};
-}
-
-} // namespace
-
 void holder::pump() {
   if (Pumping)
     return;
@@ -71,7 +63,9 @@
   const catalogue_entry *Entry = Context.Config.find(Command.Entry);
   if (const program_entry *Program = Entry ? Entry->program() : nullptr) {
     Facts.Owner = Program->Owner;
-    Facts.ExpectedPause = Program->ExpectedPause;
+    // A cache is held no longer than the fleet entry allows.
+    Facts.ExpectedPause =
+        std::min(Program->ExpectedPause, Context.Config.fleet().MaxCacheHold);
     Facts.CallTimeout = Program->Limits.Call;
   }
   const root_row *Root = Book->rows().findRoot(Command.Program);
@@ -222,40 +216,25 @@
   Context.Metrics.add("journal_bytes_total", "",
                       static_cast<double>(Command.Bytes.size()));
   Context.Platform->create(
-      "segments", segmentObject(Command),
+      SegmentsPlural, binaryObject(Command.Name, Command.Bytes),
       [this, Start, Now = Life](const platform_reply &Reply) {
         if (Now != Life)
           return;
-        create_result Result = create_result::Failed;
-        if (Reply.Outcome == platform_outcome::Ok)
-          Result = create_result::Created;
-        if (Reply.Outcome == platform_outcome::Conflict)
-          Result = create_result::Exists;
         Context.Metrics.observe(
             "journal_write_ms", "",
             static_cast<double>((steadyNow() - Start).count()));
-        Writer->created(Result, steadyNow());
+        Writer->created(createResultOf(Reply.Outcome), steadyNow());
         pump();
       });
 }
 
 void holder::carryOut(const read_segment &Command) {
-  Context.Platform->get("segments", Command.Name,
+  Context.Platform->get(SegmentsPlural, Command.Name,
                         [this, Now = Life](const platform_reply &Reply) {
                           if (Now != Life)
                             return;
-                          std::string Bytes;
-                          read_result Result = read_result::Failed;
-                          if (Reply.Outcome == platform_outcome::NotFound)
-                            Result = read_result::Absent;
-                          if (Reply.Outcome == platform_outcome::Ok &&
-                              Reply.Object.contains("spec")) {
-                            Result = read_result::Found;
-                            Bytes = decodeBase64(
-                                        Reply.Object["spec"].value("data", ""))
-                                        .value_or(std::string());
-                          }
-                          Writer->read(Result, Bytes, steadyNow());
+                          Writer->read(readResultOf(Reply.Outcome),
+                                       bytesOf(Reply.Object), steadyNow());
                           pump();
                         });
 }
--- a/src/libstate/rows.cpp
+++ b/src/libstate/rows.cpp
@@ -207,7 +207,8 @@
 
 void state_rows::merge(state_rows Other) {
   for (auto &[Name, Root] : Other.Roots)
-    Roots.insert_or_assign(Name, std::move(Root));
+    Roots.erase(Name);
+  Roots.merge(std::move(Other.Roots));
 }
 
 void state_rows::strip(std::string_view Root) {
--- a/src/turmericheadctl/session.cpp
+++ b/src/turmericheadctl/session.cpp
@@ -18,14 +18,14 @@
 
 } // namespace
 
-response fetch(http_request Request) {
+response fetch(const http_request &Request) {
   auto Client = http_client::create({});
   std::string Body;
   std::optional<http_result> Result;
   http_call_events Events;
   Events.OnChunk = [&Body](std::string_view Bytes) { Body += Bytes; };
   Events.OnEnd = [&Result](const http_result &Ended) { Result = Ended; };
-  Client->send(std::move(Request), std::move(Events));
+  Client->send(Request, std::move(Events));
   http_result Ended = waitFor(Result);
   return {Ended, std::move(Body)};
 }
@@ -65,16 +65,16 @@
   return waitFor(Result);
 }
 
-platform_reply platform_session::create(nlohmann::json Object) {
+platform_reply platform_session::create(const nlohmann::json &Object) {
   std::optional<platform_reply> Result;
-  Client->create(EntriesPlural, std::move(Object),
+  Client->create(EntriesPlural, Object,
                  [&Result](const platform_reply &Reply) { Result = Reply; });
   return waitFor(Result);
 }
 
-platform_reply platform_session::update(nlohmann::json Object) {
+platform_reply platform_session::update(const nlohmann::json &Object) {
   std::optional<platform_reply> Result;
-  Client->update(EntriesPlural, std::move(Object),
+  Client->update(EntriesPlural, Object,
                  [&Result](const platform_reply &Reply) { Result = Reply; });
   return waitFor(Result);
 }
--- a/src/turmericheadctl/session.h
+++ b/src/turmericheadctl/session.h
@@ -21,7 +21,7 @@
 };
 
 /// Sends one request and waits for its end.
-response fetch(http_request Request);
+response fetch(const http_request &Request);
 
 /// The platform, as the commands use it.
 class platform_session {
@@ -31,8 +31,8 @@
 
   platform_reply get(const std::string &Name);
   platform_list_reply list();
-  platform_reply create(nlohmann::json Object);
-  platform_reply update(nlohmann::json Object);
+  platform_reply create(const nlohmann::json &Object);
+  platform_reply update(const nlohmann::json &Object);
 
 private:
   platform_session() = default;
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -8,7 +8,7 @@
 build=${BUILD_DIR:-build}
 known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null || true)
 set +e
-ctest --test-dir "$build" --output-on-failure -j "${TEST_JOBS:-4}" \
+ctest --test-dir "$build" --output-on-failure -j "${TEST_JOBS:-8}" \
   --output-junit "$PWD/$build/ctest.xml"
 status=$?
 set -e
