--- a/src/turmericheadctl/entries.cpp
+++ b/src/turmericheadctl/entries.cpp
@@ -114,8 +114,8 @@
   }
 
   json Object = objectOf(Entry, Options, Version);
-  platform_reply Reply = Exists ? Platform.update(std::move(Object))
-                                : Platform.create(std::move(Object));
+  platform_reply Reply =
+      Exists ? Platform.update(Object) : Platform.create(Object);
   if (Reply.Outcome == platform_outcome::Conflict)
     return showWinner(Platform, Entry);
   if (Reply.Outcome == platform_outcome::Unknown)
--- a/src/turmericheadctl/hosts.cpp
+++ b/src/turmericheadctl/hosts.cpp
@@ -128,7 +128,7 @@
     Key->erase(Key->find_last_not_of('\n') + 1);
     Request.Headers = {{"Authorization", "Bearer " + *Key}};
   }
-  response Response = fetch(std::move(Request));
+  response Response = fetch(Request);
   if (!isGood(Response))
     return explain(Url, Response);
   std::cout << "the host drains: it takes no new work, hands its shards "
