Send on the callers of a host that was paused, instead of giving up on them

Ruled out: the new holder's part, which had the shards one second earlier.

Change: a host that learns from the map that it was replaced ends its life at once, and its callers are sent on to the new holders; and a process that was paused for longer than the suspicion time looks again after a second before it refuses. Looking at all programs and waiters is done once a second, no longer twenty times.

--- a/src/libhost/holder.cpp
+++ b/src/libhost/holder.cpp
@@ -20,6 +20,10 @@
 constexpr std::uint16_t StatusBadRequest = 400;
 constexpr std::uint16_t StatusTooMany = 429;
 constexpr std::int64_t MinRetries = 2;
+/// Between two looks at all programs and all waiters.
+constexpr milliseconds SlowInterval{1000};
+/// What a host that was paused gives itself to learn that it was replaced.
+constexpr milliseconds PauseGrace{1500};
 
 granted_limits grantedOf(const program_limits &Limits) {
   granted_limits Granted;
@@ -431,13 +435,25 @@
   Standbys.sealed(Message.Journal);
 }
 
+bool holder::wasPaused() const {
+  time_point Now = steadyNow();
+  return Now < PausedUntil || Now - LastTick > Context.Settings.Cluster.Suspect;
+}
+
 void holder::tick() {
+  time_point Begin = steadyNow();
+  if (LastTick.Ms != 0 && wasPaused() && Begin >= PausedUntil)
+    PausedUntil = Begin + PauseGrace;
+  LastTick = Begin;
   Book->tick(now());
   Shards->tick();
   pump();
+  time_point Now = steadyNow();
+  if (Now < SlowDue)
+    return;
+  SlowDue = Now + SlowInterval;
   countRunning();
   constexpr milliseconds LostAfter{30000};
-  time_point Now = steadyNow();
   for (auto &[Id, Row] : Waiters) {
     if (Now < Row.Deadline + LostAfter)
       continue;
--- a/src/libhost/holder_commands.cpp
+++ b/src/libhost/holder_commands.cpp
@@ -284,6 +284,19 @@
 }
 
 void holder::carryOut(const journal_keeping &Command) {
+  // A process that was paused sees its writes as late, and has perhaps been
+  // replaced meanwhile. Its callers would be told that their calls can't be
+  // kept, when the new holder may keep them; so it looks again first.
+  constexpr milliseconds LookAgain{1000};
+  if (!Command.CanKeep && wasPaused()) {
+    after(LookAgain, [this, Now = Life] {
+      if (Now != Life || Writer->keeping())
+        return;
+      Book->setKeeping(false, now());
+      pump();
+    });
+    return;
+  }
   log::info("journal keeping changed", {{"can_keep", Command.CanKeep}});
   Book->setKeeping(Command.CanKeep, now());
 }
--- a/src/libhost/holder_pvt.h
+++ b/src/libhost/holder_pvt.h
@@ -38,6 +38,8 @@
   /// Begins the life that Context.Incarnation names: an empty book and a new
   /// journal.
   void beginLife();
+  /// Ends the life: its callers are sent on to the new holders.
+  void endLife();
 
   // -- Calls
   // ----------------------------------------------------------------------
@@ -96,7 +98,7 @@
   };
 
   static moment now();
-  void endLife();
+  bool wasPaused() const;
   void pump();
   void runBookCommands();
   void runJournalCommands();
@@ -143,6 +145,9 @@
   waiter_id NextWaiter = 1;
   std::uint64_t Life = 0; ///< Counts beginLife(), so that old replies are lost.
   bool Pumping = false;
+  time_point SlowDue;
+  time_point LastTick;    ///< A long gap tells that the process was paused.
+  time_point PausedUntil; ///< After a pause, until it knows what it missed.
   bool Fenced = false;
   timer JournalTimer;
 };
--- a/src/libhost/host.cpp
+++ b/src/libhost/host.cpp
@@ -116,6 +116,7 @@
     Gates->refresh();
     Holder->beginLife();
   };
+  Members.OnReplaced = [this] { Holder->endLife(); };
   Members.OnMap = [this] {
     Gates->refresh();
     Holder->mapChanged();
--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -184,6 +184,7 @@
     log::warn("this host was replaced", {{"map", Context.Map.Version}});
     Context.Metrics.add("replaced_total");
     BeatTimer.stop();
+    Events.OnReplaced();
     join();
     return;
   }
--- a/src/libhost/membership_pvt.h
+++ b/src/libhost/membership_pvt.h
@@ -17,6 +17,8 @@
 struct membership_events {
   /// This host is in the map under a new incarnation.
   std::function<void()> OnJoined;
+  /// Another host has taken this one's place; it joins again next.
+  std::function<void()> OnReplaced;
   /// The map has changed, and this host is in it as before.
   std::function<void()> OnMap;
   /// A heartbeat or an answer to one brought catalogue items.
