--- a/src/libreport/wording.cpp
+++ b/src/libreport/wording.cpp
@@ -48,11 +48,11 @@
   std::vector<std::pair<std::string, std::string>> Lines;
   Lines.emplace_back("now", Text(Row.Running) + " running, " +
                                 Text(Row.Overdue) + " overdue");
-  Lines.emplace_back("10-20 min",
-                     Text(Recent.ProgramsAccepted) + " accepted, " +
-                         Text(Recent.ProgramsFinished) + " finished, " +
-                         Text(Recent.FinishedInTime) + " in time, " +
-                         Text(Recent.OverLimit) + " over limit");
+  Lines.emplace_back("recent", Text(Recent.ProgramsAccepted) + " accepted, " +
+                                   Text(Recent.ProgramsFinished) +
+                                   " finished, " + Text(Recent.FinishedInTime) +
+                                   " in time, " + Text(Recent.OverLimit) +
+                                   " over limit");
   std::vector<std::string> Refused;
   for (const auto &[Reason, Count] : Recent.RefusedBy)
     Refused.push_back(Reason + ' ' + Text(Count));
