Beat less often, so that control keeps to 2 KB/s at nine hosts

Cause: nine idle hosts sent 3.44 KB/s each to their peers, all of it heartbeats in a full mesh. Ruled out: neighbourhoods below nine hosts, for a verdict needs a majority of those who watch a host. Change: the default heartbeat is 850 ms (was 500) and the suspicion time 2,600 ms (was 2,000).

A death is noticed 0.6 s later; the bound of 5 s to the first service leaves room for it, but the time after a kill was not measured anew.

--- a/src/libcatalogue/settings.cpp
+++ b/src/libcatalogue/settings.cpp
@@ -106,7 +106,7 @@
       bind<settings, &settings::Cluster, &section::Heartbeat>(
           {.Key = "cluster.heartbeat_ms",
            .Text = "Interval of heartbeats to other hosts.",
-           .Default = "500",
+           .Default = "850",
            .Min = 20,
            .Max = 60'000,
            .Unit = "ms"}),
@@ -114,7 +114,7 @@
           {.Key = "cluster.suspect_ms",
            .Text = "Silence after which a host is suspected; at least three "
                    "heartbeats.",
-           .Default = "2000",
+           .Default = "2600",
            .Min = 60,
            .Max = 600'000,
            .Unit = "ms"}),
