Take out what nothing uses in the daemon, and say three things once

Read through once more. Dead since the parts were joined: a reply that gate_client made and never read, lifeOf(), the count of beats, a path between hosts that nobody serves, and the value of a map that was used as a set. The address of an upstream was put together in four places and is urlOf() now; the headers of a stream and the question whether a call was answered stood two and three times in the front.

--- a/src/libhost/cache_move.cpp
+++ b/src/libhost/cache_move.cpp
@@ -21,7 +21,7 @@
                      std::string Body) {
   http_request Request;
   Request.Method = "POST";
-  Request.Url = "http://" + Runner.Address.toText() + std::string(Path);
+  Request.Url = urlOf(Runner, Path);
   Request.Body = std::move(Body);
   Request.Timeout = OrderTimeout;
   return Request;
--- a/src/libhost/context.cpp
+++ b/src/libhost/context.cpp
@@ -16,9 +16,8 @@
   return Placement->Holder;
 }
 
-host_life host_context::lifeOf(std::string_view Host) const {
-  const host_record *Record = Map.find(Host);
-  return {std::string(Host), Record ? Record->Incarnation : 0};
+std::string urlOf(const upstream_object &Upstream, std::string_view Path) {
+  return "http://" + Upstream.Address.toText() + std::string(Path);
 }
 
 } // namespace turmerichead::host_pvt
--- a/src/libhost/context_pvt.h
+++ b/src/libhost/context_pvt.h
@@ -56,9 +56,9 @@
   /// The host that holds \p Program's shard by the map; empty if none.
   std::string_view holderOf(std::string_view Program) const;
   std::uint32_t shardOf(std::string_view Root) const;
-
-  /// The life of \p Host by the map; incarnation 0 if it is not in it.
-  host_life lifeOf(std::string_view Host) const;
 };
 
+/// The address of \p Path at an upstream.
+std::string urlOf(const upstream_object &Upstream, std::string_view Path);
+
 } // namespace turmerichead::host_pvt
--- a/src/libhost/dispatcher.cpp
+++ b/src/libhost/dispatcher.cpp
@@ -186,8 +186,7 @@
   }
   http_request Request;
   Request.Method = "POST";
-  Request.Url =
-      "http://" + Upstream->second.Address.toText() + "/v1/chat/completions";
+  Request.Url = urlOf(Upstream->second, "/v1/chat/completions");
   Request.Headers = callHeaders(Row->Command);
   Request.Body = engineBody(Row->Body, Row->Command.MaxOutputTokens);
   Request.Timeout = timeLeft(Row->Command, Row->Facts.CallTimeout);
@@ -352,8 +351,7 @@
       Context.Upstreams.find(Row->Upstream)->second;
   http_request Request;
   Request.Method = "POST";
-  Request.Url = "http://" + Upstream.Address.toText() +
-                std::string(pathOf(Command.Target));
+  Request.Url = urlOf(Upstream, pathOf(Command.Target));
   Request.Headers = callHeaders(Command);
   Request.Body = Command.Body;
   // A kept connection that breaks as it is written to would leave the outcome
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 namespace turmerichead::host_pvt {
@@ -67,6 +66,16 @@
   return Headers;
 }
 
+const std::vector<http_header> &streamHeaders() {
+  static const std::vector<http_header> Headers = {
+      {"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}};
+  return Headers;
+}
+
+bool wasAnswered(const call_end &End) {
+  return static_cast<call_outcome>(End.Outcome) == call_outcome::Answered;
+}
+
 std::string_view bearerToken(const http_request_view &Request) {
   constexpr std::string_view Prefix = "Bearer ";
   std::string_view Value = Request.header("Authorization").value_or("");
@@ -379,9 +388,7 @@
     return;
   if (!Found->second.Begun) {
     Found->second.Begun = true;
-    Server->beginStream(
-        Exchange, 200,
-        {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
+    Server->beginStream(Exchange, 200, streamHeaders());
   }
   if (Server->writeChunk(Exchange, Bytes))
     return;
@@ -409,23 +416,19 @@
   call_state State = std::move(Found->second);
   Calls.erase(Found);
   checkNumber(State, End);
-  bool Answered =
-      static_cast<call_outcome>(End.Outcome) == call_outcome::Answered;
+  bool Answered = wasAnswered(End);
   bool Good = Answered && End.HttpStatus == 200 && !End.StreamBroken;
   if (State.Begun)
     endStream(Exchange, End);
   else if (State.Stream && Good) {
-    Server->beginStream(
-        Exchange, 200,
-        {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
+    Server->beginStream(Exchange, 200, streamHeaders());
     endStream(Exchange, End);
   } else
     endWhole(Exchange, End);
 }
 
 void http_front::endStream(http_exchange_id Exchange, const call_end &End) {
-  bool Answered =
-      static_cast<call_outcome>(End.Outcome) == call_outcome::Answered;
+  bool Answered = wasAnswered(End);
   json Completion = json::parse(End.Body, nullptr, false);
   if (Answered && !End.StreamBroken && Completion.is_object()) {
     std::string Rest =
@@ -455,7 +458,7 @@
     Headers.push_back({"X-Turmerichead-Call", std::to_string(End.Number)});
   if (End.Replayed)
     Headers.push_back({"X-Turmerichead-Replayed", "true"});
-  if (static_cast<call_outcome>(End.Outcome) == call_outcome::Answered) {
+  if (wasAnswered(End)) {
     Headers.push_back({"Content-Type", End.ContentType});
     Server->respond(Exchange, End.HttpStatus, Headers, End.Body);
     return;
--- a/src/libhost/gate_client.cpp
+++ b/src/libhost/gate_client.cpp
@@ -99,7 +99,6 @@
       Found->second.Request = Request;
     return;
   }
-  auto Reply = std::make_shared<std::optional<ask_reply>>();
   Row.Stream = Context.Links->send(
       Row.Gate,
       {.Path = std::string(AskPath), .Headers = {}, .Body = pack(Row.Message)},
--- a/src/libhost/gate_runners.cpp
+++ b/src/libhost/gate_runners.cpp
@@ -19,10 +19,6 @@
 
 constexpr milliseconds RunnerCallTimeout{2000};
 
-std::string urlOf(const upstream_object &Upstream, std::string_view Path) {
-  return "http://" + Upstream.Address.toText() + std::string(Path);
-}
-
 /// A GET of a small JSON document; failures are left to the next poll.
 http_request getRequest(std::string Url) {
   http_request Request;
--- a/src/libhost/gates.cpp
+++ b/src/libhost/gates.cpp
@@ -234,7 +234,7 @@
     return;
   ask_callback Callback = std::move(Found->second);
   Row.Waiting.erase(Found);
-  Row.Running.emplace(Grant.Request, 0);
+  Row.Running.insert(Grant.Request);
   ask_reply Reply;
   Reply.Granted = true;
   Reply.Runner = Grant.Runner;
--- a/src/libhost/gates_pvt.h
+++ b/src/libhost/gates_pvt.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace turmerichead::host_pvt {
@@ -61,7 +62,7 @@
     std::string Model;
     sched::default_gate Gate;
     std::unordered_map<sched::request_id, ask_callback> Waiting;
-    std::unordered_map<sched::request_id, std::uint64_t> Running;
+    std::unordered_set<sched::request_id> Running;
   };
 
   group_row *rowOf(std::string_view Group);
--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -269,7 +269,6 @@
   Message.Groups = Events.Loads();
   std::string Plain = pack(Message);
   for (const std::string &Target : Context.Detector->targets(Now)) {
-    ++BeatsSent;
     std::string Body = Plain;
     if (Differing[Target] >= BeatsBeforeDigest) {
       Differing[Target] = 0;
--- a/src/libhost/membership_pvt.h
+++ b/src/libhost/membership_pvt.h
@@ -48,9 +48,6 @@
   /// All that a starting host needs to know.
   state_message everything() const;
 
-  /// Heartbeats sent to others and answered since the start.
-  std::uint64_t beatsSent() const { return BeatsSent; }
-
 private:
   /// Makes the next map; nullopt if there is nothing to change.
   using map_change = std::function<std::optional<shard_map>(const shard_map &)>;
@@ -72,7 +69,6 @@
   bool Joining = false;
   bool Watching = false;
   bool Changing = false;
-  std::uint64_t BeatsSent = 0;
   /// Heartbeats in a row from a host whose catalogue differs from ours.
   std::map<std::string, int, std::less<>> Differing;
   timer BeatTimer;
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -21,7 +21,6 @@
 inline constexpr std::string_view EndPath = "/end";
 inline constexpr std::string_view AskPath = "/ask";
 inline constexpr std::string_view DonePath = "/done";
-inline constexpr std::string_view PausedPath = "/paused";
 inline constexpr std::string_view EndedPath = "/ended";
 inline constexpr std::string_view LivingPath = "/living";
 inline constexpr std::string_view BeatPath = "/beat";
