--- a/src/include/turmerichead/clock.h
+++ b/src/include/turmerichead/clock.h
@@ -30,6 +30,10 @@
 /// The steady clock now. For the daemon's outer layer only.
 time_point steadyNow();
 
+/// A steady clock that also counts the time for which the machine was
+/// suspended. For the age of what others have said.
+time_point bootNow();
+
 /// Milliseconds since 1970 by the wall clock. For the daemon's outer layer
 /// only.
 std::int64_t wallNowMs();
--- /dev/null
+++ b/src/include/turmerichead/codec.h
@@ -0,0 +1,43 @@
+/// \file
+/// The encoding of messages between hosts, and of records on disk: msgpack.
+#pragma once
+
+#include "turmerichead/error.h"
+
+#include <cstddef>
+#include <exception>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace turmerichead {
+
+/// The msgpack bytes of \p Value.
+template <typename Message> std::string pack(const Message &Value) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Value);
+  return {Buffer.data(), Buffer.size()};
+}
+
+/// Reads a message back; std::nullopt with error Corrupt if it does not
+/// decode. msgpack throws, and its exceptions end here.
+template <typename Message>
+std::optional<Message> unpack(std::string_view Bytes) {
+  constexpr std::size_t MaxRows = 1U << 20U;
+  constexpr std::size_t MaxFields = 1U << 16U;
+  constexpr std::size_t MaxBytes = 64U << 20U;
+  constexpr std::size_t MaxDepth = 32;
+  try {
+    msgpack::unpack_limit Limit(MaxRows, MaxFields, MaxBytes, MaxBytes,
+                                MaxFields, MaxDepth);
+    msgpack::object_handle Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
+    return Handle.get().as<Message>();
+  } catch (const std::exception &Error) {
+    return fail(error_code::Corrupt,
+                std::string("message between hosts: ") + Error.what());
+  }
+}
+
+} // namespace turmerichead
--- a/src/libnet/loop_pvt.h
+++ b/src/include/turmerichead/net_loop.h
@@ -17,7 +17,7 @@
 #include <utility>
 #include <vector>
 
-namespace turmerichead::pvt {
+namespace turmerichead {
 
 /// Which type of function a GSource calls: GSourceFunc, GSocketSourceFunc or
 /// GUnixFDSourceFunc.
@@ -63,8 +63,11 @@
   create(std::function<void(std::uint64_t Key)> OnReady);
 
   enum class interest {
-    Readable,    ///< As long as there is something to read.
-    ClosedByPeer ///< Once, when the other side has ended its direction.
+    Readable,     ///< As long as there is something to read.
+    Writable,     ///< As long as there is room to write.
+    ReadWrite,    ///< Either of the two.
+    ClosedByPeer, ///< Once, when the other side has ended its direction.
+    Errors        ///< Only a failed connection.
   };
   bool add(int Descriptor, interest Interest, std::uint64_t Key);
   /// To be called before the descriptor is closed, unless its closing is not
@@ -145,9 +148,14 @@
 /// Sends small writes at once.
 void setNoDelay(GSocket *Socket);
 
+/// Lets the kernel notice a silent connection: keep-alive probes while it is
+/// idle, and a bound on how long written bytes stay unacknowledged. After
+/// about \p Silence the socket fails with a timeout.
+void setSilenceTimeout(GSocket *Socket, milliseconds Silence);
+
 std::uint16_t localPort(GSocket *Socket);
 
 /// Frees \p Error and returns its text.
 std::string takeText(GError *Error);
 
-} // namespace turmerichead::pvt
+} // namespace turmerichead
--- a/src/libbase/clock.cpp
+++ b/src/libbase/clock.cpp
@@ -1,5 +1,7 @@
 #include "turmerichead/clock.h"
 
+#include <ctime>
+
 namespace turmerichead {
 
 time_point steadyNow() {
@@ -7,6 +9,14 @@
   return {std::chrono::duration_cast<milliseconds>(Now).count()};
 }
 
+time_point bootNow() {
+  constexpr std::int64_t MsPerSecond = 1000;
+  constexpr std::int64_t NsPerMs = 1'000'000;
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return {Now.tv_sec * MsPerSecond + Now.tv_nsec / NsPerMs};
+}
+
 std::int64_t wallNowMs() {
   auto Now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<milliseconds>(Now).count();
--- a/src/libhost/host_pvt.h
+++ b/src/libhost/host_pvt.h
@@ -53,7 +53,7 @@
 
   template <typename Message>
   void answer(peer_reply_id Reply, const Message &Value) {
-    Peers->write(Reply, host_pvt::pack(Value));
+    Peers->write(Reply, pack(Value));
     Peers->end(Reply, {});
   }
   template <typename Message>
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -2,7 +2,7 @@
 /// The messages between hosts, encoded with msgpack.
 #pragma once
 
-#include "turmerichead/error.h"
+#include "turmerichead/codec.h"
 #include "turmerichead/state_journal.h"
 
 #include <cstdint>
@@ -247,29 +247,4 @@
   MSGPACK_DEFINE(Entries)
 };
 
-// -- Encoding ---------------------------------------------------------------
-
-/// The msgpack bytes of \p Message.
-template <typename Message> std::string pack(const Message &Value) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Value);
-  return {Buffer.data(), Buffer.size()};
-}
-
-/// Reads a message back; std::nullopt with error Corrupt if it does not
-/// decode. msgpack throws, and its exceptions end here.
-template <typename Message>
-std::optional<Message> unpack(std::string_view Bytes) {
-  try {
-    msgpack::unpack_limit Limit(1U << 20U, 1U << 16U, 64U << 20U, 64U << 20U,
-                                1U << 16U, 32);
-    msgpack::object_handle Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
-    return Handle.get().as<Message>();
-  } catch (const std::exception &Error) {
-    return fail(error_code::Corrupt,
-                std::string("message between hosts: ") + Error.what());
-  }
-}
-
 } // namespace turmerichead::host_pvt
--- /dev/null
+++ b/src/libhttp1/client.cpp
@@ -0,0 +1,488 @@
+#include "turmerichead/http1_client.h"
+
+#include "parser_pvt.h"
+#include "socket_pvt.h"
+#include "turmerichead/error.h"
+#include "turmerichead/table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <sys/socket.h>
+#include <utility>
+
+namespace turmerichead::http1 {
+
+namespace {
+
+constexpr milliseconds SweepInterval{1000};
+
+struct connection_row;
+using connection_id = typed_id<connection_row>;
+
+} // namespace
+
+struct call_row {
+  call_request Request;
+  call_events Events;
+  connection_id Connection;
+  std::string FailedAtOnce; ///< Why the call could not begin.
+};
+
+namespace {
+
+enum class phase : std::uint8_t { Connecting, Busy, Idle };
+
+struct connection_row {
+  pvt::buffered_socket Socket;
+  pvt::message_parser Parser{HTTP_RESPONSE, 0};
+  std::string Address;
+  std::string Input;
+  phase Phase = phase::Connecting;
+  call_id Call;
+  poll_set::interest Interest = poll_set::interest::Writable;
+  time_point IdleSince;
+  milliseconds IdleLimit{0};
+  std::uint64_t SentBefore = 0; ///< Bytes of earlier requests.
+  unsigned Uses = 0;
+  bool KeepAlive = false;
+  bool Skipping = false; ///< Reads an answer that isn't the call's.
+};
+
+/// What one read of a response has brought, told once the parser is done.
+struct response_sink {
+  connection_row &Row;
+  bool HasHead = false;
+  std::string Bytes;
+
+  void onHead() {
+    HasHead = true;
+    Row.KeepAlive = Row.Parser.keepsAlive();
+  }
+  void onBody(std::string_view Data) { Bytes += Data; }
+  void onMessage() {}
+};
+
+std::string serialize(const call_request &Request) {
+  std::string Text = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
+  for (const header &Row : Request.Headers.rows())
+    Text.append(Row.Name).append(": ").append(Row.Value).append("\r\n");
+  std::size_t Length = 0;
+  for (const std::string &Piece : Request.Body)
+    Length += Piece.size();
+  bool MayHaveBody = Request.Method != "GET" && Request.Method != "HEAD" &&
+                     Request.Method != "DELETE";
+  if (Length > 0 || MayHaveBody)
+    Text += "Content-Length: " + std::to_string(Length) + "\r\n";
+  Text += "\r\n";
+  return Text;
+}
+
+/// The value of "timeout=N" in a Keep-Alive header.
+std::optional<milliseconds> declaredIdleTime(const header_list &Headers) {
+  constexpr std::string_view Key = "timeout=";
+  std::string_view Value = Headers.get("Keep-Alive");
+  std::size_t At = Value.find(Key);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  int Seconds = 0;
+  const char *Begin = Value.data() + At + Key.size();
+  auto Result = std::from_chars(Begin, Value.data() + Value.size(), Seconds);
+  if (Result.ec != std::errc() || Seconds < 0)
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+bool isInformational(int Status) {
+  constexpr int FirstFinal = 200;
+  return Status < FirstFinal;
+}
+
+} // namespace
+
+struct client::state {
+  client_settings Settings;
+  std::optional<poll_set> Sockets;
+  std::optional<deadline_queue> Deadlines;
+  loop_source Sweep;
+  loop_source Deferred;
+  std::vector<call_id> Failed; ///< To be told in the next turn of the loop.
+  table<connection_row> Connections;
+  table<call_row> Calls;
+  std::map<std::string, std::vector<connection_id>, std::less<>> Idle;
+  client_counters Counters;
+
+  std::optional<connection_id> takeIdle(std::string_view Address);
+  std::optional<connection_id> connect(const call_request &Request);
+  void send(connection_id Id, call_id Call);
+  void onReady(std::uint64_t Key);
+  void onConnected(connection_id Id);
+  void onReadable(connection_id Id);
+  bool parse(connection_id Id);
+  bool onMessageEnd(connection_id Id);
+  bool takeHead(connection_row &Row);
+  void flush(connection_id Id);
+  void watch(connection_id Id, connection_row &Row);
+  void keep(connection_id Id, connection_row &Row);
+  void close(connection_id Id);
+  void fail(connection_id Id, std::string Reason);
+  void end(call_id Id, call_result Result);
+  void failLater(call_id Id, std::string Reason);
+  void sweep();
+};
+
+// -- Connections -------------------------------------------------------------
+
+std::optional<connection_id> client::state::takeIdle(std::string_view Address) {
+  auto Pool = Idle.find(Address);
+  while (Pool != Idle.end() && !Pool->second.empty()) {
+    connection_id Id = Pool->second.back();
+    Pool->second.pop_back();
+    connection_row *Row = Connections.find(Id);
+    if (!Row)
+      continue;
+    char Byte = 0;
+    ssize_t Count = recv(Row->Socket.descriptor(), &Byte, 1, MSG_PEEK);
+    bool Quiet = Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (Quiet && steadyNow() - Row->IdleSince < Row->IdleLimit)
+      return Id;
+    close(Id);
+  }
+  return std::nullopt;
+}
+
+std::optional<connection_id>
+client::state::connect(const call_request &Request) {
+  auto Address = parseAddress(Request.Address);
+  if (!Address)
+    return std::nullopt;
+  auto Socket = beginConnect(Address->get());
+  if (!Socket)
+    return std::nullopt;
+  ++Counters.Opened;
+  setSilenceTimeout(Socket->get(), Settings.SilenceTimeout);
+  connection_row Row;
+  Row.Socket = pvt::buffered_socket(std::move(*Socket));
+  Row.Parser.setMaxHeadBytes(Settings.MaxHeadBytes);
+  Row.Address = Request.Address;
+  auto Id = Connections.insert(std::move(Row));
+  connection_row *Stored = Connections.find(Id);
+  Sockets->add(Stored->Socket.descriptor(), Stored->Interest, keyOf(Id));
+  Deadlines->add(Request.ConnectTimeout, keyOf(Id), 0);
+  return Id;
+}
+
+void client::state::send(connection_id Id, call_id CallId) {
+  connection_row &Row = *Connections.find(Id);
+  call_row &Call = *Calls.find(CallId);
+  Call.Connection = Id;
+  Row.Call = CallId;
+  Row.SentBefore = Row.Socket.sent();
+  Row.Parser.restart();
+  Row.Parser.setNoBody(Call.Request.Method == "HEAD");
+  Row.Skipping = false;
+  ++Row.Uses;
+  Row.Socket.queue(serialize(Call.Request));
+  for (std::string &Piece : Call.Request.Body)
+    Row.Socket.queue(std::move(Piece));
+  Call.Request.Body.clear();
+  if (Row.Phase == phase::Connecting)
+    return;
+  Row.Phase = phase::Busy;
+  flush(Id);
+}
+
+void client::state::onReady(std::uint64_t Key) {
+  auto Id = idOf<connection_row>(Key);
+  connection_row *Row = Connections.find(Id);
+  if (!Row)
+    return;
+  if (Row->Phase == phase::Connecting) {
+    onConnected(Id);
+    return;
+  }
+  if (Row->Phase == phase::Idle) {
+    // The other side has closed, or has sent what nobody asked for.
+    close(Id);
+    return;
+  }
+  onReadable(Id);
+  Row = Connections.find(Id);
+  if (Row && Row->Phase == phase::Busy && Row->Socket.unsent() > 0)
+    flush(Id);
+}
+
+void client::state::onConnected(connection_id Id) {
+  connection_row &Row = *Connections.find(Id);
+  if (Row.Socket.connectFailed()) {
+    fail(Id, "the connection was refused");
+    return;
+  }
+  Row.Phase = phase::Busy;
+  flush(Id);
+}
+
+void client::state::flush(connection_id Id) {
+  connection_row *Row = Connections.find(Id);
+  if (Row->Socket.flush() == pvt::io_result::Failed) {
+    // An answer may have come before the other side closed.
+    onReadable(Id);
+    if (Connections.find(Id))
+      fail(Id, "the connection was lost while the request was written");
+    return;
+  }
+  watch(Id, *Row);
+}
+
+void client::state::watch(connection_id Id, connection_row &Row) {
+  auto Wanted = Row.Socket.unsent() > 0 ? poll_set::interest::ReadWrite
+                                        : poll_set::interest::Readable;
+  if (Row.Interest == Wanted)
+    return;
+  Row.Interest = Wanted;
+  Sockets->add(Row.Socket.descriptor(), Wanted, keyOf(Id));
+}
+
+void client::state::onReadable(connection_id Id) {
+  connection_row *Row = Connections.find(Id);
+  auto Result = Row->Socket.read(Row->Input);
+  if (Result == pvt::io_result::Blocked)
+    return;
+  if (Result == pvt::io_result::Failed) {
+    fail(Id, "the connection was reset");
+    return;
+  }
+  if (Result == pvt::io_result::Done) {
+    parse(Id);
+    return;
+  }
+  response_sink Sink{*Row, false, {}};
+  if (!Row->Skipping && Row->Parser.inMessage() &&
+      Row->Parser.feedEnd(Sink) == pvt::feed_result::Paused) {
+    Row->KeepAlive = false;
+    onMessageEnd(Id);
+    return;
+  }
+  fail(Id, "the connection ended before the answer was complete");
+}
+
+// Reads what has arrived. Returns false once the connection has changed
+// hands or gone.
+bool client::state::parse(connection_id Id) {
+  connection_row *Row = Connections.find(Id);
+  while (Row && Row->Phase == phase::Busy && !Row->Input.empty()) {
+    response_sink Sink{*Row, false, {}};
+    std::size_t Used = 0;
+    auto Result = Row->Parser.feed(Sink, Row->Input, Used);
+    Row->Input.erase(0, Used);
+    if (Result == pvt::feed_result::Bad ||
+        Result == pvt::feed_result::HeaderTooLarge) {
+      fail(Id, "the answer cannot be read: " +
+                   std::string(Row->Parser.errorText()));
+      return false;
+    }
+    call_id CallId = Row->Call;
+    if (Sink.HasHead && takeHead(*Row)) {
+      response_head Head{Row->Parser.status(),
+                         std::move(Row->Parser.head().Headers)};
+      Row->IdleLimit = Settings.IdleTimeout;
+      if (auto Declared = declaredIdleTime(Head.Headers))
+        Row->IdleLimit = *Declared - Settings.IdleMargin;
+      auto OnHead = Calls.find(CallId)->Events.OnHead;
+      OnHead(Head);
+      Row = Connections.find(Id);
+      if (!Row || Row->Call != CallId)
+        return false;
+    }
+    if (!Row->Skipping && !Sink.Bytes.empty()) {
+      auto OnBody = Calls.find(CallId)->Events.OnBody;
+      OnBody(Sink.Bytes);
+      Row = Connections.find(Id);
+      if (!Row || Row->Call != CallId)
+        return false;
+    }
+    if (Result == pvt::feed_result::Paused && !onMessageEnd(Id))
+      return false;
+    Row = Connections.find(Id);
+  }
+  return Row != nullptr;
+}
+
+// Decides whether the answer that begins is the call's own.
+bool client::state::takeHead(connection_row &Row) {
+  const header_list &Headers = Row.Parser.head().Headers;
+  const call_request &Request = Calls.find(Row.Call)->Request;
+  Row.Skipping = isInformational(Row.Parser.status());
+  if (Row.Skipping)
+    return false;
+  if (Settings.EchoHeader.empty() || Request.EchoValue.empty())
+    return true;
+  const std::string *Echo = Headers.find(Settings.EchoHeader);
+  bool Stray = Echo ? *Echo != Request.EchoValue : Row.Uses > 1;
+  if (!Stray)
+    return true;
+  ++Counters.Stray;
+  Row.Skipping = true;
+  return false;
+}
+
+bool client::state::onMessageEnd(connection_id Id) {
+  connection_row &Row = *Connections.find(Id);
+  if (Row.Skipping) {
+    if (!Row.KeepAlive) {
+      fail(Id, "the connection ended after an answer to another request");
+      return false;
+    }
+    Row.Parser.restart();
+    Row.Skipping = false;
+    return true;
+  }
+  call_id Call = Row.Call;
+  bool Reusable =
+      Row.KeepAlive && Row.Socket.unsent() == 0 && Row.Input.empty();
+  if (Reusable)
+    keep(Id, Row);
+  else
+    close(Id);
+  end(Call, {call_outcome::Complete, {}});
+  return false;
+}
+
+void client::state::keep(connection_id Id, connection_row &Row) {
+  Row.Phase = phase::Idle;
+  Row.Call = {};
+  Row.IdleSince = steadyNow();
+  watch(Id, Row);
+  Idle[Row.Address].push_back(Id);
+}
+
+void client::state::close(connection_id Id) {
+  connection_row *Row = Connections.find(Id);
+  Sockets->remove(Row->Socket.descriptor());
+  if (Row->Phase == phase::Idle) {
+    auto Pool = Idle.find(Row->Address);
+    if (Pool != Idle.end()) {
+      std::erase(Pool->second, Id);
+      if (Pool->second.empty())
+        Idle.erase(Pool);
+    }
+  }
+  Connections.erase(Id);
+}
+
+void client::state::fail(connection_id Id, std::string Reason) {
+  connection_row &Row = *Connections.find(Id);
+  call_id Call = Row.Call;
+  bool Sent =
+      Row.Phase != phase::Connecting && Row.Socket.sent() > Row.SentBefore;
+  close(Id);
+  end(Call,
+      {Sent ? call_outcome::Broken : call_outcome::NotSent, std::move(Reason)});
+}
+
+void client::state::end(call_id Id, call_result Result) {
+  call_row *Call = Calls.find(Id);
+  if (!Call)
+    return;
+  auto OnEnd = std::move(Call->Events.OnEnd);
+  Calls.erase(Id);
+  OnEnd(Result);
+}
+
+void client::state::failLater(call_id Id, std::string Reason) {
+  Calls.find(Id)->FailedAtOnce = std::move(Reason);
+  Failed.push_back(Id);
+  if (Deferred)
+    return;
+  Deferred = loop_source::soon([this] {
+    Deferred.reset();
+    for (call_id Next : std::exchange(Failed, {}))
+      if (call_row *Call = Calls.find(Next))
+        end(Next, {call_outcome::NotSent, Call->FailedAtOnce});
+    return false;
+  });
+}
+
+void client::state::sweep() {
+  time_point Now = steadyNow();
+  std::vector<connection_id> Old;
+  Connections.forEach([&](connection_id Id, connection_row &Row) {
+    if (Row.Phase == phase::Idle && Now - Row.IdleSince >= Row.IdleLimit)
+      Old.push_back(Id);
+  });
+  for (connection_id Id : Old)
+    close(Id);
+}
+
+// -- The client --------------------------------------------------------------
+
+std::optional<client> client::create(client_settings Settings) {
+  auto State = std::make_unique<state>();
+  state *Raw = State.get();
+  Raw->Settings = std::move(Settings);
+  Raw->Sockets =
+      poll_set::create([Raw](std::uint64_t Key) { Raw->onReady(Key); });
+  if (!Raw->Sockets)
+    return std::nullopt;
+  Raw->Deadlines.emplace([Raw](std::uint64_t Key, int /*Kind*/) {
+    auto Id = idOf<connection_row>(Key);
+    connection_row *Row = Raw->Connections.find(Id);
+    if (Row && Row->Phase == phase::Connecting)
+      Raw->fail(Id, "the connection was not established in time");
+  });
+  Raw->Sweep = loop_source::every(SweepInterval, [Raw] {
+    Raw->sweep();
+    return true;
+  });
+  return client(std::move(State));
+}
+
+call_id client::call(call_request Request, call_events Events) {
+  ++State->Counters.Calls;
+  call_id Id =
+      State->Calls.insert({std::move(Request), std::move(Events), {}, {}});
+  const call_request &Stored = State->Calls.find(Id)->Request;
+  auto Connection = State->takeIdle(Stored.Address);
+  if (!Connection)
+    Connection = State->connect(Stored);
+  if (!Connection) {
+    State->failLater(Id, lastError().Text);
+    return Id;
+  }
+  State->send(*Connection, Id);
+  return Id;
+}
+
+bool client::cancel(call_id Id) {
+  call_row *Call = State->Calls.find(Id);
+  if (!Call)
+    return false;
+  connection_id Connection = Call->Connection;
+  State->Calls.erase(Id);
+  if (State->Connections.find(Connection))
+    State->close(Connection);
+  return true;
+}
+
+void client::forget(std::string_view Address) {
+  auto Pool = State->Idle.find(Address);
+  if (Pool == State->Idle.end())
+    return;
+  std::vector<connection_id> Ids = Pool->second;
+  for (connection_id Id : Ids)
+    State->close(Id);
+}
+
+client_counters client::counters() const {
+  client_counters Counters = State->Counters;
+  Counters.OpenConnections = State->Connections.size();
+  Counters.OpenCalls = State->Calls.size();
+  return Counters;
+}
+
+client::client(std::unique_ptr<state> State) : State(std::move(State)) {}
+client::client(client &&Other) noexcept = default;
+client &client::operator=(client &&Other) noexcept = default;
+client::~client() = default;
+
+} // namespace turmerichead::http1
--- /dev/null
+++ b/src/libhttp1/message.cpp
@@ -0,0 +1,113 @@
+#include "turmerichead/http1_message.h"
+
+#include <algorithm>
+#include <array>
+#include <glib.h>
+#include <http_parser.h>
+
+namespace turmerichead::http1 {
+
+namespace {
+
+std::string_view trimmed(std::string_view Text) {
+  while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t'))
+    Text.remove_prefix(1);
+  while (!Text.empty() && (Text.back() == ' ' || Text.back() == '\t'))
+    Text.remove_suffix(1);
+  return Text;
+}
+
+template <typename Visitor>
+void forEachToken(std::string_view List, Visitor Visit) {
+  while (!List.empty()) {
+    std::size_t Comma = List.find(',');
+    Visit(trimmed(List.substr(0, Comma)));
+    if (Comma == std::string_view::npos)
+      return;
+    List.remove_prefix(Comma + 1);
+  }
+}
+
+} // namespace
+
+bool equalNames(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         g_ascii_strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+bool hasToken(std::string_view List, std::string_view Token) {
+  bool Found = false;
+  forEachToken(List, [&](std::string_view Word) {
+    Found = Found || equalNames(Word, Token);
+  });
+  return Found;
+}
+
+void header_list::add(std::string_view Name, std::string_view Value) {
+  Rows.push_back({std::string(Name), std::string(Value)});
+}
+
+void header_list::set(std::string_view Name, std::string_view Value) {
+  remove(Name);
+  add(Name, Value);
+}
+
+void header_list::remove(std::string_view Name) {
+  std::erase_if(Rows,
+                [&](const header &Row) { return equalNames(Row.Name, Name); });
+}
+
+const std::string *header_list::find(std::string_view Name) const {
+  auto Row = std::find_if(Rows.begin(), Rows.end(), [&](const header &Row) {
+    return equalNames(Row.Name, Name);
+  });
+  return Row == Rows.end() ? nullptr : &Row->Value;
+}
+
+std::string_view header_list::get(std::string_view Name) const {
+  const std::string *Value = find(Name);
+  return Value ? std::string_view(*Value) : std::string_view();
+}
+
+std::size_t header_list::count(std::string_view Name) const {
+  return static_cast<std::size_t>(
+      std::count_if(Rows.begin(), Rows.end(), [&](const header &Row) {
+        return equalNames(Row.Name, Name);
+      }));
+}
+
+void removeHopByHop(header_list &Headers) {
+  static constexpr std::array<std::string_view, 11> Names = {
+      "Connection",
+      "Keep-Alive",
+      "Transfer-Encoding",
+      "Content-Length",
+      "TE",
+      "Trailer",
+      "Upgrade",
+      "Expect",
+      "Proxy-Authenticate",
+      "Proxy-Authorization",
+      "Proxy-Connection",
+  };
+  std::vector<std::string> Named;
+  for (const header &Row : Headers.rows())
+    if (equalNames(Row.Name, "Connection"))
+      forEachToken(Row.Value,
+                   [&](std::string_view Word) { Named.emplace_back(Word); });
+  for (const std::string &Name : Named)
+    Headers.remove(Name);
+  for (std::string_view Name : Names)
+    Headers.remove(Name);
+}
+
+std::string_view reasonOf(int Status) {
+  constexpr int FirstStatus = 100;
+  constexpr int LastStatus = 599;
+  if (Status < FirstStatus || Status > LastStatus)
+    return "Status";
+  std::string_view Text = http_status_str(static_cast<http_status>(Status));
+  return Text.empty() || Text.front() == '<' ? "Status" : Text;
+}
+
+} // namespace turmerichead::http1
--- /dev/null
+++ b/src/libhttp1/server.cpp
@@ -0,0 +1,512 @@
+#include "turmerichead/http1_server.h"
+
+#include "parser_pvt.h"
+#include "socket_pvt.h"
+#include "turmerichead/error.h"
+#include "turmerichead/table.h"
+
+#include <charconv>
+#include <utility>
+
+namespace turmerichead::http1 {
+
+namespace {
+
+// How long the rest of a caller's bytes is read after the last answer, so
+// that the answer isn't lost to a reset.
+constexpr milliseconds LingerTime{1000};
+constexpr milliseconds SweepInterval{1000};
+constexpr milliseconds SilenceTimeout{5000};
+// Requests that a caller sends ahead are kept up to this size.
+constexpr std::size_t MaxReadAheadBytes = 256U << 10U;
+constexpr std::uint64_t ListenerKey = 0;
+
+enum class phase : std::uint8_t {
+  Receiving, ///< Waits for a request, or reads one.
+  Answering, ///< An exchange is open.
+  Closing    ///< The last answer is on its way out; input is discarded.
+};
+
+struct connection {
+  pvt::buffered_socket Socket;
+  pvt::message_parser Parser{HTTP_REQUEST, 0};
+  std::string Input;
+  std::string Body;
+  phase Phase = phase::Receiving;
+  exchange_id Exchange;
+  bool KeepAlive = true;
+  bool BodyTooLarge = false;
+  bool HeadSeen = false;
+  bool FinishedWriting = false;
+  poll_set::interest Interest = poll_set::interest::Readable;
+  time_point Since; ///< Start of the phase, or of the request being read.
+};
+
+using connection_table = table<connection>;
+using connection_id = connection_table::id;
+
+std::string serializeHead(int Status, const header_list &Headers,
+                          std::string_view Framing, bool Close) {
+  std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
+  Text += reasonOf(Status);
+  Text += "\r\n";
+  for (const header &Row : Headers.rows())
+    Text.append(Row.Name).append(": ").append(Row.Value).append("\r\n");
+  Text += Framing;
+  if (Close)
+    Text += "Connection: close\r\n";
+  Text += "\r\n";
+  return Text;
+}
+
+std::string chunkHead(std::size_t Size) {
+  constexpr int Hexadecimal = 16;
+  std::array<char, Hexadecimal + 2> Digits{};
+  auto End = std::to_chars(Digits.data(), Digits.data() + Hexadecimal, Size,
+                           Hexadecimal)
+                 .ptr;
+  return std::string(Digits.data(), End) + "\r\n";
+}
+
+bool hasNoBody(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Status == NoContent || Status == NotModified;
+}
+
+} // namespace
+
+struct exchange_row {
+  connection_id Connection;
+  bool Http10 = false;
+  bool HeadOnly = false; ///< The request's method is HEAD.
+  bool Begun = false;
+};
+
+struct server::state {
+  handle<GSocket> Listener;
+  server_limits Limits;
+  server_events Events;
+  std::optional<poll_set> Sockets;
+  loop_source Sweep;
+  loop_source Resume;
+  std::vector<connection_id> Ready;  ///< Have input left after an answer.
+  std::vector<connection_id> Broken; ///< A write failed; to be closed.
+  connection_table Connections;
+  table<exchange_row> Exchanges;
+  server_counters Counters;
+  bool Draining = false;
+
+  void onReady(std::uint64_t Key);
+  void acceptAll();
+  void process(connection_id Id);
+  bool feed(connection_id Id, connection &Row);
+  void dispatch(connection_id Id, connection &Row);
+  void refuse(connection_id Id, connection &Row, int Status,
+              std::string_view Why);
+  void watch(connection_id Id, connection &Row);
+  bool flush(connection_id Id, connection &Row);
+  void close(connection_id Id);
+  void endExchange(exchange_id Id, connection_id Connection, bool Close);
+  void sweep();
+  void resumeLater(connection_id Id);
+  void wakeLater();
+};
+
+namespace {
+
+/// Takes what the parser finds in a request.
+struct request_sink {
+  connection &Row;
+  std::size_t MaxBodyBytes;
+  bool WantsContinue = false;
+
+  void onHead() {
+    Row.HeadSeen = true;
+    Row.KeepAlive = Row.Parser.keepsAlive();
+    auto Length = Row.Parser.declaredLength();
+    Row.BodyTooLarge = Length && *Length > MaxBodyBytes;
+    WantsContinue =
+        hasToken(Row.Parser.head().Headers.get("Expect"), "100-continue");
+    if (Length && !Row.BodyTooLarge)
+      Row.Body.reserve(*Length);
+  }
+  void onBody(std::string_view Bytes) {
+    Row.BodyTooLarge =
+        Row.BodyTooLarge || Row.Body.size() + Bytes.size() > MaxBodyBytes;
+    if (!Row.BodyTooLarge)
+      Row.Body += Bytes;
+  }
+  void onMessage() {}
+};
+
+} // namespace
+
+// -- Connections -------------------------------------------------------------
+
+void server::state::onReady(std::uint64_t Key) {
+  if (Key == ListenerKey) {
+    acceptAll();
+    return;
+  }
+  auto Id = idOf<connection>(Key);
+  connection *Row = Connections.find(Id);
+  if (!Row || (Row->Socket.unsent() > 0 && !flush(Id, *Row)))
+    return;
+  Row = Connections.find(Id);
+  if (!Row)
+    return;
+  if (Row->Input.size() >= MaxReadAheadBytes && Row->Phase == phase::Answering)
+    return;
+  auto Result = Row->Socket.read(Row->Input);
+  if (Result == pvt::io_result::Blocked)
+    return;
+  if (Result != pvt::io_result::Done) {
+    close(Id);
+    return;
+  }
+  if (Row->Phase == phase::Closing) {
+    Row->Input.clear();
+    return;
+  }
+  process(Id);
+}
+
+void server::state::acceptAll() {
+  while (auto Socket = acceptFrom(Listener.get())) {
+    ++Counters.Accepted;
+    if (Connections.size() >= Limits.MaxConnections)
+      continue;
+    setSilenceTimeout(Socket->get(), SilenceTimeout);
+    connection Row;
+    Row.Socket = pvt::buffered_socket(std::move(*Socket));
+    Row.Parser.setMaxHeadBytes(Limits.HeaderBytes);
+    Row.Since = steadyNow();
+    auto Id = Connections.insert(std::move(Row));
+    connection *Stored = Connections.find(Id);
+    Sockets->add(Stored->Socket.descriptor(), Stored->Interest, keyOf(Id));
+  }
+}
+
+void server::state::process(connection_id Id) {
+  connection *Row = Connections.find(Id);
+  while (Row && Row->Phase == phase::Receiving && !Row->Input.empty()) {
+    if (!feed(Id, *Row))
+      return;
+    Row = Connections.find(Id);
+  }
+  if (Row)
+    watch(Id, *Row);
+}
+
+bool server::state::feed(connection_id Id, connection &Row) {
+  if (!Row.Parser.inMessage() && !Row.HeadSeen)
+    Row.Since = steadyNow();
+  request_sink Sink{Row, Limits.BodyBytes};
+  std::size_t Used = 0;
+  auto Result = Row.Parser.feed(Sink, Row.Input, Used);
+  Row.Input.erase(0, Used);
+  if (Row.BodyTooLarge) {
+    refuse(Id, Row, 413, "the body is over the limit");
+    return false;
+  }
+  switch (Result) {
+  case pvt::feed_result::HeaderTooLarge:
+    refuse(Id, Row, 431, "the headers are over the limit");
+    return false;
+  case pvt::feed_result::Bad:
+    refuse(Id, Row, 400, Row.Parser.errorText());
+    return false;
+  case pvt::feed_result::Paused:
+    dispatch(Id, Row);
+    return true;
+  case pvt::feed_result::Fine:
+    break;
+  }
+  if (Sink.WantsContinue && Row.Body.empty()) {
+    Row.Socket.queue("HTTP/1.1 100 Continue\r\n\r\n");
+    return flush(Id, Row);
+  }
+  return true;
+}
+
+void server::state::dispatch(connection_id Id, connection &Row) {
+  request Request;
+  Request.Method = Row.Parser.method();
+  Request.Target = std::move(Row.Parser.head().Target);
+  Request.Headers = std::move(Row.Parser.head().Headers);
+  Request.Body = std::exchange(Row.Body, {});
+  exchange_row Exchange;
+  Exchange.Connection = Id;
+  Exchange.Http10 = Row.Parser.isHttp10();
+  Exchange.HeadOnly = Request.Method == "HEAD";
+  if (Exchange.Http10)
+    Row.KeepAlive = false;
+  Row.Parser.restart();
+  Row.HeadSeen = false;
+  Row.Phase = phase::Answering;
+  Row.Exchange = Exchanges.insert(Exchange);
+  ++Counters.Requests;
+  Events.OnRequest(Row.Exchange, std::move(Request));
+}
+
+void server::state::refuse(connection_id Id, connection &Row, int Status,
+                           std::string_view Why) {
+  ++Counters.Refused;
+  std::string Body(Why);
+  Body += "\n";
+  Row.Socket.queue(serializeHead(
+      Status, {{"Content-Type", "text/plain"}},
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n", true));
+  Row.Socket.queue(std::move(Body));
+  Row.Phase = phase::Closing;
+  Row.Since = steadyNow();
+  Row.Input.clear();
+  flush(Id, Row);
+}
+
+// Keeps the kernel's interest in line with what the connection waits for.
+void server::state::watch(connection_id Id, connection &Row) {
+  bool Full =
+      Row.Phase == phase::Answering && Row.Input.size() >= MaxReadAheadBytes;
+  bool Unsent = Row.Socket.unsent() > 0;
+  auto Wanted = poll_set::interest::Readable;
+  if (Unsent)
+    Wanted =
+        Full ? poll_set::interest::Writable : poll_set::interest::ReadWrite;
+  else if (Full)
+    Wanted = poll_set::interest::Errors;
+  if (Wanted == Row.Interest)
+    return;
+  Row.Interest = Wanted;
+  Sockets->add(Row.Socket.descriptor(), Wanted, keyOf(Id));
+}
+
+// Sends what it can. Returns false if the connection is lost; it is closed in
+// the next turn of the loop, so that no caller is told inside its own call.
+bool server::state::flush(connection_id Id, connection &Row) {
+  auto Result = Row.Socket.flush();
+  if (Result == pvt::io_result::Failed ||
+      Row.Socket.unsent() > Limits.MaxUnsentBytes) {
+    Broken.push_back(Id);
+    wakeLater();
+    return false;
+  }
+  if (Result == pvt::io_result::Done && Row.Phase == phase::Closing &&
+      !Row.FinishedWriting) {
+    Row.Socket.shutdownWrite();
+    Row.FinishedWriting = true;
+  }
+  watch(Id, Row);
+  return true;
+}
+
+void server::state::close(connection_id Id) {
+  connection *Row = Connections.find(Id);
+  if (!Row)
+    return;
+  Sockets->remove(Row->Socket.descriptor());
+  exchange_id Exchange = Row->Exchange;
+  Connections.erase(Id);
+  if (Exchanges.erase(Exchange))
+    Events.OnGone(Exchange);
+}
+
+void server::state::sweep() {
+  time_point Now = steadyNow();
+  std::vector<connection_id> Late;
+  Connections.forEach([&](connection_id Id, connection &Row) {
+    milliseconds Age = Now - Row.Since;
+    bool Reading = Row.Parser.inMessage() || Row.HeadSeen;
+    if (Row.Phase == phase::Closing && Age > LingerTime)
+      Late.push_back(Id);
+    if (Row.Phase == phase::Receiving &&
+        Age > (Reading ? Limits.HeaderTimeout : Limits.IdleTimeout))
+      Late.push_back(Id);
+  });
+  for (connection_id Id : Late) {
+    connection *Row = Connections.find(Id);
+    bool Reading = Row->Parser.inMessage() || Row->HeadSeen;
+    if (Row->Phase == phase::Receiving && Reading)
+      refuse(Id, *Row, 408, "the request took too long to arrive");
+    else
+      close(Id);
+  }
+}
+
+void server::state::resumeLater(connection_id Id) {
+  connection *Row = Connections.find(Id);
+  if (!Row || Row->Input.empty())
+    return;
+  Ready.push_back(Id);
+  wakeLater();
+}
+
+void server::state::wakeLater() {
+  if (Resume)
+    return;
+  Resume = loop_source::soon([this] {
+    Resume.reset();
+    for (connection_id Lost : std::exchange(Broken, {}))
+      close(Lost);
+    for (connection_id Next : std::exchange(Ready, {}))
+      process(Next);
+    return false;
+  });
+}
+
+// -- Exchanges ---------------------------------------------------------------
+
+void server::state::endExchange(exchange_id Id, connection_id Connection,
+                                bool Close) {
+  Exchanges.erase(Id);
+  connection *Row = Connections.find(Connection);
+  if (!Row)
+    return;
+  Row->Exchange = {};
+  Row->Since = steadyNow();
+  Row->Phase = Close ? phase::Closing : phase::Receiving;
+  if (flush(Connection, *Row) && !Close)
+    resumeLater(Connection);
+}
+
+std::optional<server> server::create(std::string_view Address,
+                                     server_limits Limits,
+                                     server_events Events) {
+  auto Parsed = parseAddress(Address);
+  if (!Parsed)
+    return std::nullopt;
+  auto Listener = listenOn(Parsed->get());
+  if (!Listener)
+    return std::nullopt;
+  auto State = std::make_unique<state>();
+  state *Raw = State.get();
+  Raw->Listener = std::move(*Listener);
+  Raw->Limits = Limits;
+  Raw->Events = std::move(Events);
+  Raw->Sockets =
+      poll_set::create([Raw](std::uint64_t Key) { Raw->onReady(Key); });
+  if (!Raw->Sockets)
+    return std::nullopt;
+  Raw->Sockets->add(g_socket_get_fd(Raw->Listener.get()),
+                    poll_set::interest::Readable, ListenerKey);
+  Raw->Sweep = loop_source::every(SweepInterval, [Raw] {
+    Raw->sweep();
+    return true;
+  });
+  return server(std::move(State));
+}
+
+std::uint16_t server::port() const { return localPort(State->Listener.get()); }
+
+void server::setLimits(const server_limits &Limits) {
+  State->Limits = Limits;
+  State->Connections.forEach([&](connection_id, connection &Row) {
+    Row.Parser.setMaxHeadBytes(Limits.HeaderBytes);
+  });
+}
+
+bool server::respond(exchange_id Id, int Status, const header_list &Headers,
+                     std::string_view Body) {
+  exchange_row *Exchange = State->Exchanges.find(Id);
+  if (!Exchange || Exchange->Begun)
+    return false;
+  connection_id Connection = Exchange->Connection;
+  connection *Row = State->Connections.find(Connection);
+  bool Close = !Row->KeepAlive || State->Draining;
+  std::string Framing;
+  if (!hasNoBody(Status))
+    Framing = "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  Row->Socket.queue(serializeHead(Status, Headers, Framing, Close));
+  if (!Exchange->HeadOnly && !hasNoBody(Status))
+    Row->Socket.queue(std::string(Body));
+  State->endExchange(Id, Connection, Close);
+  return true;
+}
+
+bool server::begin(exchange_id Id, int Status, const header_list &Headers) {
+  exchange_row *Exchange = State->Exchanges.find(Id);
+  if (!Exchange || Exchange->Begun)
+    return false;
+  Exchange->Begun = true;
+  connection_id Connection = Exchange->Connection;
+  connection *Row = State->Connections.find(Connection);
+  bool Close = !Row->KeepAlive || State->Draining;
+  std::string_view Framing =
+      Exchange->Http10 ? "" : "Transfer-Encoding: chunked\r\n";
+  Row->Socket.queue(serializeHead(Status, Headers, Framing, Close));
+  Row->KeepAlive = !Close;
+  return State->flush(Connection, *Row);
+}
+
+bool server::write(exchange_id Id, std::string_view Bytes) {
+  exchange_row *Exchange = State->Exchanges.find(Id);
+  if (!Exchange || !Exchange->Begun)
+    return false;
+  if (Bytes.empty() || Exchange->HeadOnly)
+    return true;
+  connection_id Connection = Exchange->Connection;
+  connection *Row = State->Connections.find(Connection);
+  if (Exchange->Http10) {
+    Row->Socket.queue(std::string(Bytes));
+  } else {
+    std::string Chunk = chunkHead(Bytes.size());
+    Chunk.append(Bytes).append("\r\n");
+    Row->Socket.queue(std::move(Chunk));
+  }
+  return State->flush(Connection, *Row);
+}
+
+bool server::finish(exchange_id Id) {
+  exchange_row *Exchange = State->Exchanges.find(Id);
+  if (!Exchange || !Exchange->Begun)
+    return false;
+  connection_id Connection = Exchange->Connection;
+  connection *Row = State->Connections.find(Connection);
+  if (!Exchange->Http10 && !Exchange->HeadOnly)
+    Row->Socket.queue("0\r\n\r\n");
+  State->endExchange(Id, Connection, !Row->KeepAlive || Exchange->Http10);
+  return true;
+}
+
+void server::abort(exchange_id Id) {
+  exchange_row *Exchange = State->Exchanges.find(Id);
+  if (!Exchange)
+    return;
+  connection_id Connection = Exchange->Connection;
+  State->Exchanges.erase(Id);
+  if (connection *Row = State->Connections.find(Connection))
+    Row->Exchange = {};
+  State->close(Connection);
+}
+
+void server::drain() { State->Draining = true; }
+
+void server::closeIdle() {
+  std::vector<connection_id> Idle;
+  State->Connections.forEach([&](connection_id Id, connection &Row) {
+    if (Row.Phase == phase::Receiving && !Row.Parser.inMessage() &&
+        Row.Input.empty())
+      Idle.push_back(Id);
+  });
+  for (connection_id Id : Idle) {
+    connection *Row = State->Connections.find(Id);
+    Row->Phase = phase::Closing;
+    Row->Since = steadyNow();
+    State->flush(Id, *Row);
+  }
+}
+
+server_counters server::counters() const {
+  server_counters Counters = State->Counters;
+  Counters.OpenConnections = State->Connections.size();
+  Counters.OpenExchanges = State->Exchanges.size();
+  return Counters;
+}
+
+server::server(std::unique_ptr<state> State) : State(std::move(State)) {}
+server::server(server &&Other) noexcept = default;
+server &server::operator=(server &&Other) noexcept = default;
+server::~server() = default;
+
+} // namespace turmerichead::http1
--- /dev/null
+++ b/src/libhttp1/socket.cpp
@@ -0,0 +1,98 @@
+#include "socket_pvt.h"
+
+#include <array>
+#include <cerrno>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <utility>
+
+namespace turmerichead::http1::pvt {
+
+namespace {
+
+constexpr std::size_t ReadBytes = 65536;
+// Small pieces are joined, so that the head and the body of a short message
+// leave in one segment.
+constexpr std::size_t JoinBelowBytes = 4096;
+constexpr std::size_t MaxVectors = 16;
+
+bool wouldBlock(int Code) { return Code == EAGAIN || Code == EWOULDBLOCK; }
+
+} // namespace
+
+io_result buffered_socket::read(std::string &Input) {
+  static std::array<char, ReadBytes> Buffer;
+  ssize_t Count = recv(descriptor(), Buffer.data(), Buffer.size(), 0);
+  if (Count > 0) {
+    Input.append(Buffer.data(), static_cast<std::size_t>(Count));
+    return io_result::Done;
+  }
+  if (Count == 0)
+    return io_result::Ended;
+  if (wouldBlock(errno) || errno == EINTR)
+    return io_result::Blocked;
+  return io_result::Failed;
+}
+
+void buffered_socket::queue(std::string Bytes) {
+  if (Bytes.empty())
+    return;
+  Unsent += Bytes.size();
+  if (!Output.empty() && Output.back().size() + Bytes.size() < JoinBelowBytes) {
+    Output.back() += Bytes;
+    return;
+  }
+  Output.push_back(std::move(Bytes));
+}
+
+io_result buffered_socket::flush() {
+  while (Unsent > 0) {
+    std::array<iovec, MaxVectors> Vectors{};
+    std::size_t Count = 0;
+    std::size_t Offset = FrontOffset;
+    for (std::string &Piece : Output) {
+      if (Count == MaxVectors)
+        break;
+      Vectors.at(Count++) = {Piece.data() + Offset, Piece.size() - Offset};
+      Offset = 0;
+    }
+    msghdr Message{};
+    Message.msg_iov = Vectors.data();
+    Message.msg_iovlen = Count;
+    ssize_t Written = sendmsg(descriptor(), &Message, MSG_NOSIGNAL);
+    if (Written < 0)
+      return wouldBlock(errno) || errno == EINTR ? io_result::Blocked
+                                                 : io_result::Failed;
+    auto Left = static_cast<std::size_t>(Written);
+    Unsent -= Left;
+    Sent += Left;
+    while (Left > 0) {
+      std::size_t Rest = Output.front().size() - FrontOffset;
+      if (Left < Rest) {
+        FrontOffset += Left;
+        break;
+      }
+      Left -= Rest;
+      FrontOffset = 0;
+      Output.pop_front();
+    }
+  }
+  return io_result::Done;
+}
+
+bool buffered_socket::connectFailed() const {
+  return !g_socket_check_connect_result(Socket.get(), nullptr);
+}
+
+void buffered_socket::shutdownWrite() {
+  g_socket_shutdown(Socket.get(), FALSE, TRUE, nullptr);
+}
+
+void buffered_socket::close() {
+  if (!Socket)
+    return;
+  g_socket_close(Socket.get(), nullptr);
+  Socket.reset();
+}
+
+} // namespace turmerichead::http1::pvt
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -1,6 +1,6 @@
 #include "turmerichead/net_http.h"
 
-#include "loop_pvt.h"
+#include "turmerichead/net_loop.h"
 #include "turmerichead/table.h"
 
 #include <libsoup/soup.h>
@@ -11,8 +11,6 @@
 
 namespace turmerichead {
 
-using namespace pvt;
-
 namespace {
 
 constexpr std::size_t ReadBytes = 32U << 10U;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -1,6 +1,6 @@
 #include "turmerichead/net_http.h"
 
-#include "loop_pvt.h"
+#include "turmerichead/net_loop.h"
 #include "turmerichead/table.h"
 
 #include <libsoup/soup.h>
@@ -10,8 +10,6 @@
 
 namespace turmerichead {
 
-using namespace pvt;
-
 namespace {
 
 constexpr milliseconds SweepInterval{500};
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -1,4 +1,4 @@
-#include "loop_pvt.h"
+#include "turmerichead/net_loop.h"
 
 #include "turmerichead/error.h"
 
@@ -12,7 +12,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-namespace turmerichead::pvt {
+namespace turmerichead {
 
 namespace {
 
@@ -116,12 +116,30 @@
     close(Value);
 }
 
+namespace {
+
+std::uint32_t eventsOf(poll_set::interest Interest) {
+  switch (Interest) {
+  case poll_set::interest::Readable:
+    return EPOLLIN;
+  case poll_set::interest::Writable:
+    return EPOLLOUT;
+  case poll_set::interest::ReadWrite:
+    return EPOLLIN | EPOLLOUT;
+  case poll_set::interest::ClosedByPeer:
+    return EPOLLRDHUP | EPOLLONESHOT;
+  case poll_set::interest::Errors:
+    return 0;
+  }
+  return 0;
+}
+
+} // namespace
+
 bool poll_set::add(int Descriptor, interest Interest, std::uint64_t Key) {
   epoll_event Event{};
   Event.data.u64 = Key;
-  Event.events = EPOLLIN;
-  if (Interest == interest::ClosedByPeer)
-    Event.events = EPOLLRDHUP | EPOLLONESHOT;
+  Event.events = eventsOf(Interest);
   if (epoll_ctl(Epoll.Value, EPOLL_CTL_ADD, Descriptor, &Event) == 0)
     return true;
   return errno == EEXIST &&
@@ -228,6 +246,19 @@
   g_socket_set_option(Socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
 }
 
+void setSilenceTimeout(GSocket *Socket, milliseconds Silence) {
+  constexpr int Probes = 2;
+  constexpr int MsPerSecond = 1000;
+  int Seconds = std::max<int>(1, static_cast<int>(Silence.count()) /
+                                     (MsPerSecond * (Probes + 1)));
+  g_socket_set_keepalive(Socket, TRUE);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPIDLE, Seconds, nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPINTVL, Seconds, nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPCNT, Probes, nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      static_cast<gint>(Silence.count()), nullptr);
+}
+
 std::uint16_t localPort(GSocket *Socket) {
   GSocketAddress *Address = g_socket_get_local_address(Socket, nullptr);
   if (!Address)
@@ -246,4 +277,4 @@
   return Text;
 }
 
-} // namespace turmerichead::pvt
+} // namespace turmerichead
--- a/src/libnet/peer_links_pvt.h
+++ b/src/libnet/peer_links_pvt.h
@@ -81,8 +81,8 @@
   table<std::unique_ptr<pvt::connection_row>> Connections;
   table<peer_stream_row> Streams;
   std::vector<std::function<void()>> Deferred;
-  pvt::loop_source DeferredSource;
-  pvt::loop_source IdleSweep;
+  loop_source DeferredSource;
+  loop_source IdleSweep;
 
   pvt::connection_row *find(pvt::connection_id Id) {
     auto *Row = Connections.find(Id);
--- a/src/libnet/peer_transport_pvt.h
+++ b/src/libnet/peer_transport_pvt.h
@@ -3,7 +3,7 @@
 /// link; the session's callbacks belong to the end.
 #pragma once
 
-#include "loop_pvt.h"
+#include "turmerichead/net_loop.h"
 #include "turmerichead/net_peer.h"
 
 #include <nghttp2/nghttp2.h>
--- a/src/libnet/platform_pvt.h
+++ b/src/libnet/platform_pvt.h
@@ -2,7 +2,7 @@
 /// The state behind platform_client.
 #pragma once
 
-#include "loop_pvt.h"
+#include "turmerichead/net_loop.h"
 #include "turmerichead/net_platform.h"
 #include "turmerichead/table.h"
 
@@ -79,8 +79,8 @@
   time_point LastHeard;
   time_point OpenedAt;
   milliseconds Pause{0};
-  pvt::loop_source Retry;
-  pvt::loop_source Silence;
+  loop_source Retry;
+  loop_source Silence;
   bool Lost = false; ///< OnLost has been called, and no OnSynced since.
 };
 
@@ -91,9 +91,9 @@
   pvt::token_bucket Writes;
   std::deque<pvt::raw_call> WaitingReads;
   std::deque<pvt::raw_call> WaitingWrites;
-  pvt::loop_source Wake;
+  loop_source Wake;
   std::vector<std::function<void()>> Deferred;
-  pvt::loop_source DeferredSource;
+  loop_source DeferredSource;
   platform_counters Counters;
   table<platform_watch_row> Watches;
   std::mt19937_64 Random;
--- a/src/libnet/test_loop_pvt.h
+++ b/src/libnet/test_loop_pvt.h
@@ -2,7 +2,7 @@
 /// Helpers of libnet's tests: turning the main loop, and a raw TCP server.
 #pragma once
 
-#include "loop_pvt.h"
+#include "turmerichead/net_loop.h"
 
 #include <doctest/doctest.h>
 
--- /dev/null
+++ b/src/librelay/call.cpp
@@ -0,0 +1,86 @@
+#include "call_pvt.h"
+
+#include "turmerichead/error.h"
+
+#include <charconv>
+
+namespace turmerichead::relay {
+
+namespace {
+
+std::optional<std::uint64_t> readNumber(std::string_view Text) {
+  while (!Text.empty() && Text.front() == ' ')
+    Text.remove_prefix(1);
+  std::uint64_t Value = 0;
+  auto Result = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Result.ec != std::errc() || Result.ptr != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+/// Reads a header that holds a number, if it is there. Returns false if it
+/// holds something else.
+bool readHeader(const http1::header_list &Headers, const std::string &Name,
+                std::optional<std::uint64_t> &Value) {
+  const std::string *Text = Headers.find(Name);
+  if (!Text)
+    return true;
+  Value = readNumber(*Text);
+  if (Value)
+    return true;
+  fail(error_code::InvalidInput, Name + ": not a whole number");
+  return false;
+}
+
+} // namespace
+
+std::optional<call_facts> readFacts(const header_names &Names,
+                                    const http1::header_list &Headers) {
+  call_facts Facts;
+  Facts.Id = Headers.get(Names.CallId);
+  if (Facts.Id.empty() || Headers.count(Names.CallId) > 1)
+    return fail(error_code::InvalidInput,
+                Names.CallId + ": needed exactly once");
+  std::optional<std::uint64_t> TimeLeft;
+  std::optional<std::uint64_t> ProgramTimeLeft;
+  if (!readHeader(Headers, Names.TimeLeft, TimeLeft) ||
+      !readHeader(Headers, Names.ProgramTimeLeft, ProgramTimeLeft) ||
+      !readHeader(Headers, Names.Budget, Facts.Budget))
+    return std::nullopt;
+  if (TimeLeft)
+    Facts.TimeLeft = milliseconds(*TimeLeft);
+  if (ProgramTimeLeft)
+    Facts.ProgramTimeLeft = milliseconds(*ProgramTimeLeft);
+  Facts.Program = Headers.get(Names.Program);
+  Facts.PreviousTurn = Headers.get(Names.PreviousTurn);
+  if (const std::string *Tokens = Headers.find(Names.Tokens)) {
+    std::string_view Text = *Tokens;
+    std::size_t Comma = Text.find(',');
+    auto Prompt = readNumber(Text.substr(0, Comma));
+    auto Most = Comma == std::string_view::npos
+                    ? std::nullopt
+                    : readNumber(Text.substr(Comma + 1));
+    if (!Prompt || !Most)
+      return fail(error_code::InvalidInput,
+                  Names.Tokens + ": two whole numbers, with a comma");
+    Facts.PromptTokens = *Prompt;
+    Facts.MostTokens = *Most;
+  }
+  return Facts;
+}
+
+std::string_view nameOf(call_phase Phase) {
+  switch (Phase) {
+  case call_phase::Opening:
+    return "opening";
+  case call_phase::Sent:
+    return "sent";
+  case call_phase::Streaming:
+    return "streaming";
+  case call_phase::Keeping:
+    return "keeping";
+  }
+  return "unknown";
+}
+
+} // namespace turmerichead::relay
--- /dev/null
+++ b/src/librelay/call_pvt.h
@@ -0,0 +1,75 @@
+/// \file
+/// One call on its way, and what its headers say.
+#pragma once
+
+#include "turmerichead/net_http.h"
+#include "turmerichead/relay.h"
+#include "turmerichead/table.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmerichead::relay {
+
+/// What a caller's headers say, decoded once.
+struct call_facts {
+  std::string Id;
+  std::optional<milliseconds> TimeLeft;
+  std::string Program;
+  std::optional<milliseconds> ProgramTimeLeft;
+  std::optional<std::uint64_t> Budget; ///< Tokens
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t MostTokens = 0;
+  std::string PreviousTurn;
+};
+
+/// Reads the headers. On failure the text says which header is wrong.
+std::optional<call_facts> readFacts(const header_names &Names,
+                                    const http1::header_list &Headers);
+
+enum class call_phase : std::uint8_t {
+  Opening,   ///< The turn is being opened with the disk hosts.
+  Sent,      ///< An upstream has it.
+  Streaming, ///< The answer has begun.
+  Keeping    ///< The turn is being kept; then the answer ends.
+};
+std::string_view nameOf(call_phase Phase);
+
+struct relay_call {
+  http1::exchange_id Exchange;
+  http1::request Request;
+  call_facts Facts;
+  route Route; ///< As it was when the call came.
+  std::string Service;
+  call_phase Phase = call_phase::Opening;
+  time_point Arrived;
+  time_point Deadline; ///< Of its caller and its route, whichever is sooner.
+
+  turns::operation_id Operation; ///< At the disk hosts.
+  bool Reserved = false;         ///< Tokens may be reserved for it.
+  std::string Chain;
+
+  http1::call_id Upstream;
+  std::string UpstreamId;
+  std::vector<std::string> Tried;
+  std::uint32_t Attempts = 0; ///< Upstreams that it was sent to.
+  time_point SentAt;
+
+  http1::response_head Head;
+  std::string Body; ///< Of an answer that is not streamed.
+  bool NotRun = false;
+  sse_splitter Events;
+  std::uint64_t EventCount = 0;
+  std::string Output; ///< The data of the events, one a line.
+  time_point LastEvent;
+  time_point FirstEvent;
+
+  bool isTurn() const { return Route.KeepsTurns; }
+};
+
+using call_table = table<relay_call>;
+
+} // namespace turmerichead::relay
--- /dev/null
+++ b/src/librelay/relay.cpp
@@ -0,0 +1,244 @@
+#include "relay_pvt.h"
+
+#include "turmerichead/error.h"
+#include "turmerichead/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmerichead::relay {
+
+namespace {
+
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+constexpr int OverBudget = 402;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+// A caller that names no time of its own gets the route's.
+constexpr milliseconds NoLimit{3'600'000};
+
+std::string_view withoutPort(std::string_view Host) {
+  if (Host.starts_with('['))
+    return Host.substr(0, Host.find(']') + 1);
+  return Host.substr(0, Host.find(':'));
+}
+
+http1::server_limits serverLimits(const caller_limits &Limits) {
+  http1::server_limits Result;
+  Result.HeaderBytes = Limits.HeaderBytes;
+  Result.BodyBytes = Limits.BodyBytes;
+  Result.HeaderTimeout = Limits.HeaderTimeout;
+  Result.IdleTimeout = Limits.IdleTimeout;
+  return Result;
+}
+
+} // namespace
+
+// -- Arrival -----------------------------------------------------------------
+
+void relay::impl::onRequest(http1::exchange_id Exchange,
+                            http1::request &&Request) {
+  if (Routing.Version == 0) {
+    answerOwn(Exchange, Unavailable, "no configuration is known yet");
+    return;
+  }
+  std::string_view Target = Request.Target;
+  const route *Route = Routing.match(withoutPort(Request.Headers.get("Host")),
+                                     Target.substr(0, Target.find('?')));
+  if (!Route) {
+    log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
+                               {"reason", "no route"},
+                               {"config", Routing.Version}});
+    answerOwn(Exchange, NotFound, "no route matches");
+    return;
+  }
+  auto Facts = readFacts(Names, Request.Headers);
+  if (!Facts) {
+    answerOwn(Exchange, BadRequest, lastError().Text);
+    return;
+  }
+  relay_call Call;
+  Call.Exchange = Exchange;
+  Call.Request = std::move(Request);
+  Call.Facts = std::move(*Facts);
+  Call.Route = *Route;
+  const std::string &Key =
+      Call.Facts.Program.empty() ? Call.Facts.Id : Call.Facts.Program;
+  Call.Service = serviceFor(*Route, Key);
+  Call.Arrived = steadyNow();
+  milliseconds Wait =
+      std::min(Call.Facts.TimeLeft.value_or(NoLimit), Route->Timeout);
+  Call.Deadline = Call.Arrived + Wait;
+  bool Turn = Call.isTurn();
+  relay_call_id Id = Calls.insert(std::move(Call));
+  ByExchange[Exchange] = Id;
+  Deadlines->add(Wait, keyOf(Id), 0);
+  if (Turn)
+    openTurn(Id);
+  else
+    send(Id);
+}
+
+void relay::impl::openTurn(relay_call_id Id) {
+  relay_call &Call = *Calls.find(Id);
+  if (Turns.set().Epoch == 0) {
+    refuse(Id, "no disk hosts are known yet");
+    return;
+  }
+  if (!Upstreams.hasReady(Call.Service)) {
+    refuse(Id, "no upstream is ready");
+    return;
+  }
+  if (Call.Facts.PreviousTurn.empty() && !Call.Facts.Budget) {
+    send(Id);
+    return;
+  }
+  turns::open_call Open;
+  Open.Attempt = Call.Facts.Id;
+  Open.Program = Call.Facts.Program;
+  Open.Previous = Call.Facts.PreviousTurn;
+  Open.Tokens = Call.Facts.MostTokens;
+  Open.Budget = Call.Facts.Budget.value_or(0);
+  Open.Keep = Call.Route.Keep;
+  Call.Reserved = Call.Facts.Budget.has_value();
+  Call.Operation =
+      Turns.open(std::move(Open), [this, Id](const turns::open_result &Result) {
+        relay_call *Opened = Calls.find(Id);
+        if (!Opened)
+          return;
+        Opened->Operation = {};
+        Opened->Chain = Result.Chain;
+        switch (Result.Outcome) {
+        case turns::open_outcome::Granted:
+          send(Id);
+          return;
+        case turns::open_outcome::OverBudget:
+          failCall(Id, OverBudget, Result.Reason);
+          return;
+        case turns::open_outcome::NoSuchTurn:
+          failCall(Id, NotFound, "no such turn: " + Result.Reason);
+          return;
+        case turns::open_outcome::Unknown:
+          refuse(Id, Result.Reason);
+          return;
+        }
+      });
+}
+
+void relay::impl::onGone(http1::exchange_id Exchange) {
+  auto Row = ByExchange.find(Exchange);
+  if (Row == ByExchange.end())
+    return;
+  relay_call_id Id = Row->second;
+  relay_call &Call = *Calls.find(Id);
+  if (Call.Phase == call_phase::Keeping) {
+    // The whole answer has come; the turn is kept all the same.
+    return;
+  }
+  settle(Call);
+  finish(Id, 0, "the caller has left");
+}
+
+void relay::impl::onDeadline(relay_call_id Id) {
+  relay_call *Call = Calls.find(Id);
+  if (!Call)
+    return;
+  switch (Call->Phase) {
+  case call_phase::Opening:
+    refuse(Id, "the time is over before it was sent");
+    return;
+  case call_phase::Sent:
+    failCall(Id, GatewayTimeout, "no answer within the time");
+    return;
+  case call_phase::Streaming:
+    cut(Id, "the answer is not complete within the time");
+    return;
+  case call_phase::Keeping:
+    cut(Id, "the turn was not kept within the time");
+    return;
+  }
+}
+
+// -- The relay ---------------------------------------------------------------
+
+std::optional<relay> relay::create(relay_settings Settings, header_names Names,
+                                   turns::client &Turns, metrics &Metrics) {
+  auto Impl = std::make_unique<impl>(std::move(Settings), std::move(Names),
+                                     Turns, Metrics);
+  impl *Raw = Impl.get();
+  http1::client_settings ClientSettings;
+  ClientSettings.EchoHeader = Raw->Names.CallId;
+  Raw->Client = http1::client::create(ClientSettings);
+  Raw->Server = http1::server::create(
+      Raw->Settings.Listen, serverLimits({}),
+      {[Raw](http1::exchange_id Id, http1::request &&Request) {
+         Raw->onRequest(Id, std::move(Request));
+       },
+       [Raw](http1::exchange_id Id) { Raw->onGone(Id); }});
+  if (!Raw->Client || !Raw->Server)
+    return std::nullopt;
+  Raw->Deadlines.emplace([Raw](std::uint64_t Key, int /*Kind*/) {
+    Raw->onDeadline(idOf<relay_call>(Key));
+  });
+  return relay(std::move(Impl));
+}
+
+void relay::setRouting(routing Routing) {
+  if (Routing.Version <= Impl->Routing.Version)
+    return;
+  Impl->Routing = std::move(Routing);
+  Impl->Server->setLimits(serverLimits(Impl->Routing.Limits));
+  log::info("configuration in force",
+            {{"version", Impl->Routing.Version},
+             {"routes", Impl->Routing.Routes.size()},
+             {"services", Impl->Routing.Services.size()}});
+}
+
+const routing &relay::routingInForce() const { return Impl->Routing; }
+
+void relay::putUpstream(const upstream &Upstream) {
+  const upstream_row *Old = Impl->Upstreams.find(Upstream.Id);
+  if (Old && Old->Upstream == Upstream)
+    return;
+  log::info("upstream", {{"upstream", Upstream.Id},
+                         {"service", Upstream.Service},
+                         {"address", Upstream.Address},
+                         {"ready", Upstream.Ready}});
+  Impl->Upstreams.put(Upstream);
+}
+
+void relay::removeUpstream(std::string_view Id) {
+  const upstream_row *Row = Impl->Upstreams.find(Id);
+  if (!Row)
+    return;
+  log::info("upstream gone", {{"upstream", Id}});
+  Impl->Client->forget(Row->Upstream.Address);
+  Impl->Upstreams.remove(Id);
+}
+
+const upstream_table &relay::upstreams() const { return Impl->Upstreams; }
+void relay::drain() { Impl->Server->drain(); }
+void relay::closeIdle() { Impl->Server->closeIdle(); }
+std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
+
+void relay::publish() const {
+  http1::server_counters Server = Impl->Server->counters();
+  http1::client_counters Client = Impl->Client->counters();
+  Impl->Metrics.set("caller_connections", "",
+                    static_cast<double>(Server.OpenConnections));
+  Impl->Metrics.set("upstream_connections", "",
+                    static_cast<double>(Client.OpenConnections));
+  Impl->Metrics.set("upstream_connections_opened", "",
+                    static_cast<double>(Client.Opened));
+  Impl->Metrics.set("upstream_stray_answers", "",
+                    static_cast<double>(Client.Stray));
+  Impl->Metrics.set("calls_under_way", "",
+                    static_cast<double>(Impl->Calls.size()));
+}
+
+relay::relay(std::unique_ptr<impl> Impl) : Impl(std::move(Impl)) {}
+relay::relay(relay &&Other) noexcept = default;
+relay &relay::operator=(relay &&Other) noexcept = default;
+relay::~relay() = default;
+
+} // namespace turmerichead::relay
--- /dev/null
+++ b/src/librelay/relay_end.cpp
@@ -0,0 +1,112 @@
+// The ends of calls.
+
+#include "relay_pvt.h"
+
+#include "turmerichead/log.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace turmerichead::relay {
+
+namespace {
+
+constexpr int Unavailable = 503;
+constexpr double MsPerSecond = 1000.0;
+
+std::string secondsText(milliseconds Time) {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f",
+                static_cast<double>(Time.count()) / MsPerSecond);
+  return Text.data();
+}
+
+} // namespace
+
+void relay::impl::answerOwn(http1::exchange_id Exchange, int Status,
+                            std::string_view Reason) {
+  http1::header_list Headers = {{"Content-Type", "text/plain"}};
+  if (Status == Unavailable)
+    Headers.add(Names.RetryAfter, secondsText(Settings.RetryAfter));
+  std::string Body(Reason);
+  Body += "\n";
+  Server->respond(Exchange, Status, Headers, Body);
+}
+
+void relay::impl::refuse(relay_call_id Id, std::string_view Reason) {
+  failCall(Id, Unavailable, Reason);
+}
+
+void relay::impl::failCall(relay_call_id Id, int Status,
+                           std::string_view Reason) {
+  relay_call &Call = *Calls.find(Id);
+  settle(Call);
+  answerOwn(Call.Exchange, Status, Reason);
+  finish(Id, Status, Reason);
+}
+
+void relay::impl::cut(relay_call_id Id, std::string_view Reason) {
+  relay_call &Call = *Calls.find(Id);
+  settle(Call);
+  Server->abort(Call.Exchange);
+  finish(Id, 0, Reason);
+}
+
+void relay::impl::settle(const relay_call &Call) {
+  // While a turn is being kept its budget is settled with it.
+  if (!Call.Reserved || Call.Phase == call_phase::Keeping)
+    return;
+  const service *Service = Routing.findService(Call.Service);
+  std::uint64_t PerEvent =
+      Service && Service->Engine ? Service->Engine->TokensPerEvent : 1;
+  turns::close_call Close;
+  Close.Attempt = Call.Facts.Id;
+  Close.Program = Call.Facts.Program;
+  Close.HasBudget = true;
+  Close.Keep = Call.Route.Keep;
+  Close.Tokens = Call.EventCount * PerEvent;
+  Turns.close(std::move(Close), [Id = Call.Facts.Id](bool Kept) {
+    if (!Kept)
+      log::warn("budget not settled", {{"id", Id}});
+  });
+}
+
+void relay::impl::finish(relay_call_id Id, int Status,
+                         std::string_view Reason) {
+  relay_call &Call = *Calls.find(Id);
+  if (Call.Operation)
+    Turns.cancel(Call.Operation);
+  if (Call.Upstream)
+    Client->cancel(Call.Upstream);
+  time_point Now = steadyNow();
+  std::int64_t TookMs = (Now - Call.Arrived).count();
+  nlohmann::json Line = {
+      {"id", Call.Facts.Id},
+      {"route", Call.Route.Name},
+      {"config", Routing.Version},
+      {"program", Call.Facts.Program},
+      {"status", Status},
+      {"phase", nameOf(Call.Phase)},
+      {"upstream", Call.Tried.empty() ? std::string() : Call.Tried.back()},
+      {"sends", Call.Tried.size()},
+      {"took_ms", TookMs}};
+  if (!Reason.empty())
+    Line["reason"] = Reason;
+  if (Call.SentAt.Ms > 0)
+    Line["sent_ms"] = (Call.SentAt - Call.Arrived).count();
+  if (Call.EventCount > 0) {
+    Line["events"] = Call.EventCount;
+    Line["first_ms"] = (Call.FirstEvent - Call.Arrived).count();
+    Line["last_ms"] = (Call.LastEvent - Call.Arrived).count();
+  }
+  log::info("call ended", Line);
+  std::string Labels = "kind=\"" + std::string(nameOf(Call.Route.Kind)) +
+                       "\",status=\"" + std::to_string(Status) + "\"";
+  Metrics.add("calls_total", Labels);
+  Metrics.observe("call_ms", Labels, static_cast<double>(TookMs));
+  leaveUpstream(Call);
+  ByExchange.erase(Call.Exchange);
+  Calls.erase(Id);
+}
+
+} // namespace turmerichead::relay
--- /dev/null
+++ b/src/librelay/relay_pvt.h
@@ -0,0 +1,64 @@
+/// \file
+/// The relay's state and its steps.
+#pragma once
+
+#include "call_pvt.h"
+#include "turmerichead/net_loop.h"
+
+namespace turmerichead::relay {
+
+using relay_call_id = call_table::id;
+
+struct relay::impl {
+  relay_settings Settings;
+  header_names Names;
+  turns::client &Turns;
+  metrics &Metrics;
+  std::optional<http1::server> Server;
+  std::optional<http1::client> Client;
+  std::optional<deadline_queue> Deadlines;
+  routing Routing;
+  upstream_table Upstreams;
+  call_table Calls;
+  std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
+
+  impl(relay_settings Settings, header_names Names, turns::client &Turns,
+       metrics &Metrics)
+      : Settings(std::move(Settings)), Names(std::move(Names)), Turns(Turns),
+        Metrics(Metrics) {}
+
+  // -- Arrival (relay.cpp) --
+  void onRequest(http1::exchange_id Exchange, http1::request &&Request);
+  void onGone(http1::exchange_id Exchange);
+  void onDeadline(relay_call_id Id);
+  void openTurn(relay_call_id Id);
+
+  // -- Upstreams (relay_send.cpp) --
+  void send(relay_call_id Id);
+  http1::call_request requestFor(const relay_call &Call,
+                                 const upstream &Upstream) const;
+  void onHead(relay_call_id Id, const http1::response_head &Head);
+  void onBody(relay_call_id Id, std::string_view Bytes);
+  void onUpstreamEnd(relay_call_id Id, const http1::call_result &Result);
+  void onAnswered(relay_call_id Id);
+  void onStreamed(relay_call_id Id);
+  void onNotRun(relay_call_id Id);
+  void onBroken(relay_call_id Id, const http1::call_result &Result);
+  void leaveUpstream(relay_call &Call);
+
+  // -- Ends (relay_end.cpp) --
+  /// Tells the caller that the call has not run and will not.
+  void refuse(relay_call_id Id, std::string_view Reason);
+  /// Answers with a failure of our own that promises nothing.
+  void failCall(relay_call_id Id, int Status, std::string_view Reason);
+  /// Cuts an answer that has begun.
+  void cut(relay_call_id Id, std::string_view Reason);
+  /// Gives back what an attempt did not use of its budget.
+  void settle(const relay_call &Call);
+  /// Logs and forgets a call.
+  void finish(relay_call_id Id, int Status, std::string_view Reason);
+  void answerOwn(http1::exchange_id Exchange, int Status,
+                 std::string_view Reason);
+};
+
+} // namespace turmerichead::relay
--- /dev/null
+++ b/src/librelay/relay_send.cpp
@@ -0,0 +1,248 @@
+// Sending a call to upstreams and passing on what they answer.
+
+#include "relay_pvt.h"
+
+#include "turmerichead/error.h"
+#include "turmerichead/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmerichead::relay {
+
+namespace {
+
+constexpr int Success = 200;
+constexpr int Misdirected = 421;
+constexpr int BadGateway = 502;
+// Below it a call is not worth sending.
+constexpr milliseconds LeastTime{5};
+
+} // namespace
+
+void relay::impl::send(relay_call_id Id) {
+  relay_call &Call = *Calls.find(Id);
+  time_point Now = steadyNow();
+  if (Call.Deadline - Now < LeastTime) {
+    refuse(Id, "the time is over before it was sent");
+    return;
+  }
+  placement Placement;
+  Placement.Service = Call.Service;
+  Placement.DataCentre = Settings.DataCentre;
+  if (Call.isTurn())
+    Placement.AffinityKey = Call.Facts.Program;
+  Placement.SpreadKey = Call.Facts.Id;
+  Placement.Tried = Call.Tried;
+  upstream_row *Upstream = Upstreams.pick(Placement, Now);
+  if (!Upstream) {
+    refuse(Id, "no upstream is ready");
+    return;
+  }
+  ++Call.Attempts;
+  ++Upstream->InFlight;
+  Call.UpstreamId = Upstream->Upstream.Id;
+  Call.Tried.push_back(Call.UpstreamId);
+  Call.Phase = call_phase::Sent;
+  Call.SentAt = Now;
+  Call.NotRun = false;
+  http1::call_request Request = requestFor(Call, Upstream->Upstream);
+  Call.Upstream = Client->call(
+      std::move(Request),
+      {[this, Id](const http1::response_head &Head) { onHead(Id, Head); },
+       [this, Id](std::string_view Bytes) { onBody(Id, Bytes); },
+       [this, Id](const http1::call_result &Result) {
+         onUpstreamEnd(Id, Result);
+       }});
+}
+
+http1::call_request relay::impl::requestFor(const relay_call &Call,
+                                            const upstream &Upstream) const {
+  http1::call_request Request;
+  Request.Address = Upstream.Address;
+  Request.Method = Call.Request.Method;
+  Request.Target = Call.Request.Target;
+  Request.Headers = Call.Request.Headers;
+  http1::removeHopByHop(Request.Headers);
+  for (const std::string &Name : Names.SystemOnly)
+    Request.Headers.remove(Name);
+  milliseconds Left = Call.Deadline - steadyNow();
+  Request.Headers.set(Names.TimeLeft, std::to_string(Left.count()));
+  Request.Headers.set(Names.ExpectUpstream, Upstream.Id);
+  if (!Call.Chain.empty())
+    Request.Body.push_back(Call.Chain);
+  if (!Call.Request.Body.empty())
+    Request.Body.push_back(Call.Request.Body);
+  Request.EchoValue = Call.Facts.Id;
+  Request.ConnectTimeout = std::min(Settings.ConnectTimeout, Left);
+  return Request;
+}
+
+void relay::impl::leaveUpstream(relay_call &Call) {
+  if (Call.UpstreamId.empty())
+    return;
+  if (upstream_row *Row = Upstreams.find(Call.UpstreamId))
+    Row->InFlight -= Row->InFlight > 0 ? 1 : 0;
+  Call.UpstreamId.clear();
+  Call.Upstream = {};
+}
+
+void relay::impl::onHead(relay_call_id Id, const http1::response_head &Head) {
+  relay_call &Call = *Calls.find(Id);
+  Call.Head = Head;
+  Call.NotRun =
+      Head.Status == Misdirected || Head.Headers.find(Names.NotRun) != nullptr;
+  bool Streams = Call.Route.Kind == call_kind::Stream &&
+                 Head.Status == Success && !Call.NotRun &&
+                 !Head.Headers.find("Content-Encoding");
+  if (!Streams)
+    return;
+  http1::header_list Headers = Head.Headers;
+  http1::removeHopByHop(Headers);
+  Call.Phase = call_phase::Streaming;
+  Call.LastEvent = steadyNow();
+  Server->begin(Call.Exchange, Head.Status, Headers);
+}
+
+void relay::impl::onBody(relay_call_id Id, std::string_view Bytes) {
+  relay_call &Call = *Calls.find(Id);
+  if (Call.Phase != call_phase::Streaming) {
+    if (Call.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
+      Call.Body += Bytes;
+      return;
+    }
+    Client->cancel(Call.Upstream);
+    onBroken(Id, {http1::call_outcome::Broken, "the answer is too large"});
+    return;
+  }
+  Server->write(Call.Exchange, Bytes);
+  Call.Events.feed(Bytes, [&](std::string_view Data) {
+    time_point Now = steadyNow();
+    if (++Call.EventCount == 1)
+      Call.FirstEvent = Now;
+    else
+      Upstreams.noteEventGap(Call.UpstreamId, Now - Call.LastEvent);
+    Call.LastEvent = Now;
+    if (Call.isTurn())
+      Call.Output.append(Data).append("\n");
+  });
+}
+
+void relay::impl::onUpstreamEnd(relay_call_id Id,
+                                const http1::call_result &Result) {
+  relay_call &Call = *Calls.find(Id);
+  if (Result.Outcome != http1::call_outcome::Complete) {
+    onBroken(Id, Result);
+    return;
+  }
+  if (Call.NotRun) {
+    onNotRun(Id);
+    return;
+  }
+  if (Call.Phase == call_phase::Streaming) {
+    onStreamed(Id);
+    return;
+  }
+  if (Call.Head.Headers.find("Content-Encoding")) {
+    onBroken(Id, {http1::call_outcome::Broken, "the answer is encoded"});
+    return;
+  }
+  onAnswered(Id);
+}
+
+void relay::impl::onAnswered(relay_call_id Id) {
+  relay_call &Call = *Calls.find(Id);
+  http1::header_list Headers = Call.Head.Headers;
+  http1::removeHopByHop(Headers);
+  settle(Call);
+  Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body);
+  finish(Id, Call.Head.Status, {});
+}
+
+void relay::impl::onStreamed(relay_call_id Id) {
+  relay_call &Call = *Calls.find(Id);
+  leaveUpstream(Call);
+  if (!Call.isTurn()) {
+    Server->finish(Call.Exchange);
+    finish(Id, Call.Head.Status, {});
+    return;
+  }
+  Call.Phase = call_phase::Keeping;
+  const engine *Engine = nullptr;
+  if (const service *Service = Routing.findService(Call.Service))
+    Engine = Service->Engine ? &*Service->Engine : nullptr;
+  turns::close_call Close;
+  Close.Attempt = Call.Facts.Id;
+  Close.Program = Call.Facts.Program;
+  Close.Tokens = Call.EventCount * (Engine ? Engine->TokensPerEvent : 1);
+  Close.HasBudget = Call.Facts.Budget.has_value();
+  Close.Keep = Call.Route.Keep;
+  Close.Turn.emplace();
+  Close.Turn->Id = Call.Facts.Id;
+  Close.Turn->Previous = Call.Facts.PreviousTurn;
+  Close.Turn->Program = Call.Facts.Program;
+  Close.Turn->KeepMs = static_cast<std::uint64_t>(Call.Route.Keep.count());
+  Close.Turn->Input = std::move(Call.Request.Body);
+  Close.Turn->Output = std::move(Call.Output);
+  Turns.close(std::move(Close), [this, Id](bool Kept) {
+    relay_call *Ended = Calls.find(Id);
+    if (!Ended)
+      return;
+    if (!Kept) {
+      cut(Id, "the turn could not be kept");
+      return;
+    }
+    Server->finish(Ended->Exchange);
+    finish(Id, Ended->Head.Status, {});
+  });
+}
+
+void relay::impl::onNotRun(relay_call_id Id) {
+  relay_call &Call = *Calls.find(Id);
+  log::info("not run by upstream", {{"id", Call.Facts.Id},
+                                    {"upstream", Call.UpstreamId},
+                                    {"status", Call.Head.Status}});
+  if (Call.Head.Status == Misdirected)
+    Upstreams.noteFailure(Call.UpstreamId, steadyNow());
+  leaveUpstream(Call);
+  Call.Body.clear();
+  if (Call.Attempts < Call.Route.Attempts)
+    send(Id);
+  else
+    refuse(Id, "the upstreams that were tried did not run it");
+}
+
+void relay::impl::onBroken(relay_call_id Id, const http1::call_result &Result) {
+  relay_call &Call = *Calls.find(Id);
+  time_point Now = steadyNow();
+  log::info("upstream failed", {{"id", Call.Facts.Id},
+                                {"upstream", Call.UpstreamId},
+                                {"reason", Result.Reason},
+                                {"phase", nameOf(Call.Phase)},
+                                {"events", Call.EventCount},
+                                {"after_ms", (Now - Call.SentAt).count()}});
+  Upstreams.noteFailure(Call.UpstreamId, Now);
+  leaveUpstream(Call);
+  Call.Body.clear();
+  if (Call.Phase == call_phase::Streaming) {
+    cut(Id, Result.Reason);
+    return;
+  }
+  if (Result.Outcome == http1::call_outcome::NotSent) {
+    // The upstream has seen nothing of it.
+    --Call.Attempts;
+    constexpr std::size_t MaxTried = 6;
+    if (Call.Tried.size() < MaxTried)
+      send(Id);
+    else
+      refuse(Id, "no upstream could be reached");
+    return;
+  }
+  if (Call.Route.Kind == call_kind::Safe &&
+      Call.Attempts < Call.Route.Attempts) {
+    send(Id);
+    return;
+  }
+  failCall(Id, BadGateway, Result.Reason);
+}
+
+} // namespace turmerichead::relay
--- /dev/null
+++ b/src/librelay/routes.cpp
@@ -0,0 +1,48 @@
+#include "turmerichead/hash.h"
+#include "turmerichead/relay_routes.h"
+
+namespace turmerichead::relay {
+
+std::string_view nameOf(call_kind Kind) {
+  switch (Kind) {
+  case call_kind::Safe:
+    return "safe";
+  case call_kind::Unsafe:
+    return "unsafe";
+  case call_kind::Stream:
+    return "stream";
+  }
+  return "unknown";
+}
+
+const route *routing::match(std::string_view Host,
+                            std::string_view Path) const {
+  const route *Best = nullptr;
+  for (const route &Route : Routes) {
+    if (Route.Host != Host || !Path.starts_with(Route.PathPrefix))
+      continue;
+    if (!Best || Route.PathPrefix.size() > Best->PathPrefix.size())
+      Best = &Route;
+  }
+  return Best;
+}
+
+const service *routing::findService(std::string_view Name) const {
+  auto Row = Services.find(Name);
+  return Row == Services.end() ? nullptr : &Row->second;
+}
+
+const std::string &serviceFor(const route &Route, std::string_view Key) {
+  std::uint64_t Total = 0;
+  for (const traffic_share &Share : Route.Services)
+    Total += Share.Weight;
+  std::uint64_t At = Total > 0 ? hash64(Key) % Total : 0;
+  for (const traffic_share &Share : Route.Services) {
+    if (At < Share.Weight)
+      return Share.Service;
+    At -= Share.Weight;
+  }
+  return Route.Services.front().Service;
+}
+
+} // namespace turmerichead::relay
--- /dev/null
+++ b/src/librelay/upstreams.cpp
@@ -0,0 +1,100 @@
+#include "turmerichead/relay_upstreams.h"
+
+#include "turmerichead/hash.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace turmerichead::relay {
+
+namespace {
+
+// After a failure, others are preferred for so long.
+constexpr milliseconds AvoidTime{1500};
+// Weight of the newest pause between events in the smoothed one.
+constexpr double GapWeight = 0.15;
+// Times the median pause of its service at which a runner counts as slow.
+constexpr double SlowFactor = 2.5;
+
+} // namespace
+
+void upstream_table::put(const upstream &Upstream) {
+  auto [Row, New] = Rows.try_emplace(Upstream.Id);
+  bool Restarted = !New && Row->second.Upstream.StartedMs != Upstream.StartedMs;
+  Row->second.Upstream = Upstream;
+  if (Restarted) {
+    Row->second.AvoidUntil = {};
+    Row->second.EventGapMs = 0;
+  }
+}
+
+void upstream_table::remove(std::string_view Id) {
+  auto Row = Rows.find(Id);
+  if (Row != Rows.end())
+    Rows.erase(Row);
+}
+
+upstream_row *upstream_table::find(std::string_view Id) {
+  auto Row = Rows.find(Id);
+  return Row == Rows.end() ? nullptr : &Row->second;
+}
+
+bool upstream_table::isSlow(const upstream_row &Row) const {
+  if (Row.EventGapMs <= 0)
+    return false;
+  std::vector<double> Gaps;
+  for (const auto &[Id, Other] : Rows)
+    if (Other.Upstream.Service == Row.Upstream.Service && Other.EventGapMs > 0)
+      Gaps.push_back(Other.EventGapMs);
+  auto Middle = Gaps.begin() + static_cast<std::ptrdiff_t>(Gaps.size() / 2);
+  std::nth_element(Gaps.begin(), Middle, Gaps.end());
+  return Gaps.size() > 2 && Row.EventGapMs > SlowFactor * *Middle;
+}
+
+upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
+  upstream_row *Best = nullptr;
+  std::tuple<int, std::uint32_t, int, std::uint64_t> BestRank;
+  for (auto &[Id, Row] : Rows) {
+    if (Row.Upstream.Service != Placement.Service || !Row.Upstream.Ready)
+      continue;
+    bool Tried = std::find(Placement.Tried.begin(), Placement.Tried.end(),
+                           Id) != Placement.Tried.end();
+    bool Full = Row.InFlight >= Row.Upstream.Slots;
+    int Trouble = (Tried ? 8 : 0) + (Row.AvoidUntil > Now ? 4 : 0) +
+                  (Full ? 2 : 0) + (isSlow(Row) ? 1 : 0);
+    bool Sticky = !Placement.AffinityKey.empty();
+    std::uint32_t Load = Sticky ? 0 : Row.InFlight;
+    int Away =
+        Sticky || Row.Upstream.DataCentre == Placement.DataCentre ? 0 : 1;
+    std::string_view Key = Sticky ? Placement.AffinityKey : Placement.SpreadKey;
+    std::tuple Rank{Trouble, Load, Away, hash64(Id, hash64(Key))};
+    if (Best && BestRank <= Rank)
+      continue;
+    Best = &Row;
+    BestRank = Rank;
+  }
+  return Best;
+}
+
+bool upstream_table::hasReady(std::string_view Service) const {
+  return std::any_of(Rows.begin(), Rows.end(), [&](const auto &Row) {
+    return Row.second.Upstream.Service == Service && Row.second.Upstream.Ready;
+  });
+}
+
+void upstream_table::noteFailure(std::string_view Id, time_point Now) {
+  if (upstream_row *Row = find(Id))
+    Row->AvoidUntil = Now + AvoidTime;
+}
+
+void upstream_table::noteEventGap(std::string_view Id, milliseconds Gap) {
+  upstream_row *Row = find(Id);
+  if (!Row)
+    return;
+  auto Ms = static_cast<double>(Gap.count());
+  Row->EventGapMs = Row->EventGapMs > 0
+                        ? Row->EventGapMs + GapWeight * (Ms - Row->EventGapMs)
+                        : std::max(Ms, 1.0);
+}
+
+} // namespace turmerichead::relay
--- /dev/null
+++ b/src/libturns/log.cpp
@@ -0,0 +1,336 @@
+#include "turmerichead/turns_log.h"
+
+#include "turmerichead/error.h"
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <utility>
+
+namespace turmerichead::turns {
+
+namespace {
+
+constexpr std::string_view Magic = "TURNLOG1"; // The last digit: the format.
+constexpr std::size_t FileHeadBytes = 8;
+constexpr std::size_t RecordHeadBytes = 12; // Length and checksum.
+constexpr std::uint32_t MaxRecordBytes = 64U << 20U;
+constexpr std::string_view Prefix = "segment-";
+constexpr std::string_view Suffix = ".log";
+
+std::string errnoText(std::string_view What) {
+  return std::string(What) + ": " + std::strerror(errno);
+}
+
+/// A record's head: the length, then the checksum of the bytes.
+std::string headOf(std::string_view Bytes) {
+  auto Size = static_cast<std::uint32_t>(Bytes.size());
+  std::uint64_t Sum = hash64(Bytes, Size);
+  std::string Head(RecordHeadBytes, '\0');
+  std::memcpy(Head.data(), &Size, sizeof(Size));
+  std::memcpy(Head.data() + sizeof(Size), &Sum, sizeof(Sum));
+  return Head;
+}
+
+/// The record at \p Offset of a segment's text; nullopt if none checks there.
+std::optional<std::string_view> recordAt(std::string_view Text,
+                                         std::size_t Offset) {
+  if (Text.size() < Offset + RecordHeadBytes)
+    return std::nullopt;
+  std::uint32_t Size = 0;
+  std::uint64_t Sum = 0;
+  std::memcpy(&Size, Text.data() + Offset, sizeof(Size));
+  std::memcpy(&Sum, Text.data() + Offset + sizeof(Size), sizeof(Sum));
+  if (Size > MaxRecordBytes || Text.size() - Offset - RecordHeadBytes < Size)
+    return std::nullopt;
+  std::string_view Bytes = Text.substr(Offset + RecordHeadBytes, Size);
+  if (hash64(Bytes, Size) != Sum)
+    return std::nullopt;
+  return Bytes;
+}
+
+bool readAt(int Descriptor, std::uint64_t Offset, char *Data,
+            std::size_t Size) {
+  while (Size > 0) {
+    ssize_t Count = pread(Descriptor, Data, Size, static_cast<off_t>(Offset));
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count <= 0)
+      return false;
+    Data += Count;
+    Offset += static_cast<std::uint64_t>(Count);
+    Size -= static_cast<std::size_t>(Count);
+  }
+  return true;
+}
+
+bool writeAt(int Descriptor, std::uint64_t Offset, std::string_view Bytes) {
+  while (!Bytes.empty()) {
+    ssize_t Count = pwrite(Descriptor, Bytes.data(), Bytes.size(),
+                           static_cast<off_t>(Offset));
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count <= 0)
+      return false;
+    Bytes.remove_prefix(static_cast<std::size_t>(Count));
+    Offset += static_cast<std::uint64_t>(Count);
+  }
+  return true;
+}
+
+bool syncFolder(const std::string &Folder) {
+  int Descriptor = open(Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (Descriptor < 0)
+    return false;
+  bool Synced = fsync(Descriptor) == 0;
+  close(Descriptor);
+  return Synced;
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view Name) {
+  if (!Name.starts_with(Prefix) || !Name.ends_with(Suffix))
+    return std::nullopt;
+  Name.remove_prefix(Prefix.size());
+  Name.remove_suffix(Suffix.size());
+  std::uint64_t Number = 0;
+  auto Result = std::from_chars(Name.data(), Name.data() + Name.size(), Number);
+  if (Result.ec != std::errc() || Result.ptr != Name.data() + Name.size())
+    return std::nullopt;
+  return Number;
+}
+
+} // namespace
+
+std::string record_log::pathOf(std::uint64_t Segment) const {
+  constexpr std::size_t Digits = 10;
+  std::string Number = std::to_string(Segment);
+  Number.insert(0, Digits - std::min(Digits, Number.size()), '0');
+  return Settings.Folder + "/" + std::string(Prefix) + Number +
+         std::string(Suffix);
+}
+
+std::optional<record_log> record_log::open(log_settings Settings,
+                                           const visitor &Visit,
+                                           log_findings &Findings) {
+  record_log Log;
+  Log.Settings = std::move(Settings);
+  std::error_code Error;
+  std::filesystem::create_directories(Log.Settings.Folder, Error);
+  std::vector<std::uint64_t> Numbers;
+  std::filesystem::directory_iterator Entries(Log.Settings.Folder, Error);
+  if (Error)
+    return fail(error_code::Unavailable,
+                Log.Settings.Folder + ": " + Error.message());
+  for (const auto &Entry : Entries)
+    if (auto Number = numberOf(Entry.path().filename().string()))
+      Numbers.push_back(*Number);
+  std::sort(Numbers.begin(), Numbers.end());
+  for (std::uint64_t Number : Numbers)
+    if (!Log.load(Number, Number == Numbers.back(), Visit, Findings))
+      return std::nullopt;
+  // A new segment each time: what was torn is never written over.
+  std::uint64_t Next = Numbers.empty() ? 1 : Numbers.back() + 1;
+  if (!Log.startSegment(Next))
+    return std::nullopt;
+  return Log;
+}
+
+bool record_log::load(std::uint64_t Number, bool Newest, const visitor &Visit,
+                      log_findings &Findings) {
+  int Descriptor = ::open(pathOf(Number).c_str(), O_RDWR | O_CLOEXEC);
+  struct stat Status {};
+  if (Descriptor < 0 || fstat(Descriptor, &Status) != 0) {
+    fail(error_code::Unavailable, errnoText(pathOf(Number)));
+    return false;
+  }
+  std::string Text(static_cast<std::size_t>(Status.st_size), '\0');
+  if (!readAt(Descriptor, 0, Text.data(), Text.size())) {
+    close(Descriptor);
+    fail(error_code::Unavailable, errnoText(pathOf(Number)));
+    return false;
+  }
+  std::size_t Offset = FileHeadBytes;
+  bool HasHead = Text.starts_with(Magic);
+  while (HasHead) {
+    auto Bytes = recordAt(Text, Offset);
+    if (!Bytes)
+      break;
+    ++Findings.Records;
+    Visit({Number, Offset, static_cast<std::uint32_t>(Bytes->size())}, *Bytes);
+    Offset += RecordHeadBytes + Bytes->size();
+  }
+  std::size_t Good = HasHead ? Offset : 0;
+  if (Good < Text.size()) {
+    Findings.TornBytes += Text.size() - Good;
+    if (!Newest) {
+      Findings.Damaged = true;
+      Findings.Text =
+          pathOf(Number) + ": no record checks at byte " + std::to_string(Good);
+    }
+    // Cut off, so that the next start does not take the tear for damage.
+    if (Newest && (ftruncate(Descriptor, static_cast<off_t>(Good)) != 0 ||
+                   fsync(Descriptor) != 0)) {
+      close(Descriptor);
+      fail(error_code::Unavailable, errnoText(pathOf(Number)));
+      return false;
+    }
+  }
+  Segments[Number] = {Descriptor, Good};
+  TotalBytes += Good;
+  return true;
+}
+
+bool record_log::startSegment(std::uint64_t Number) {
+  int Descriptor = ::open(pathOf(Number).c_str(),
+                          O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0640);
+  if (Descriptor < 0 || !writeAt(Descriptor, 0, Magic) ||
+      fsync(Descriptor) != 0 || !syncFolder(Settings.Folder)) {
+    fail(error_code::Unavailable, errnoText(pathOf(Number)));
+    if (Descriptor >= 0)
+      close(Descriptor);
+    return false;
+  }
+  Segments[Number] = {Descriptor, FileHeadBytes};
+  SyncedSize = FileHeadBytes;
+  TotalBytes += FileHeadBytes;
+  return true;
+}
+
+std::optional<log_place> record_log::append(std::string_view Bytes) {
+  std::uint64_t Size = RecordHeadBytes + Bytes.size();
+  if (Settings.MaxBytes > 0 && TotalBytes + Size > Settings.MaxBytes)
+    return fail(error_code::Refused, "the log is full");
+  auto &[Number, Segment] = *Segments.rbegin();
+  log_place Place{Number, Segment.Size,
+                  static_cast<std::uint32_t>(Bytes.size())};
+  Buffer += headOf(Bytes);
+  Buffer += Bytes;
+  Segment.Size += Size;
+  TotalBytes += Size;
+  return Place;
+}
+
+bool record_log::writeBuffer() {
+  if (Buffer.empty())
+    return true;
+  segment &Newest = Segments.rbegin()->second;
+  if (!writeAt(Newest.Descriptor, Newest.Size - Buffer.size(), Buffer))
+    return false;
+  Buffer.clear();
+  return true;
+}
+
+void record_log::takeBack() {
+  segment &Newest = Segments.rbegin()->second;
+  TotalBytes -= Newest.Size - SyncedSize;
+  Newest.Size = SyncedSize;
+  Buffer.clear();
+  // If this fails too, the rest does not check or was never acknowledged.
+  [[maybe_unused]] int Ignored =
+      ftruncate(Newest.Descriptor, static_cast<off_t>(SyncedSize));
+}
+
+bool record_log::sync() {
+  segment &Newest = Segments.rbegin()->second;
+  if (Newest.Size == SyncedSize)
+    return true;
+  if (!writeBuffer() || fdatasync(Newest.Descriptor) != 0) {
+    fail(error_code::Unavailable, errnoText("the disk"));
+    takeBack();
+    return false;
+  }
+  SyncedSize = Newest.Size;
+  if (Newest.Size >= Settings.SegmentBytes)
+    startSegment(Segments.rbegin()->first + 1);
+  return true;
+}
+
+std::optional<std::string> record_log::read(const log_place &Place) {
+  auto Segment = Segments.find(Place.Segment);
+  if (Segment == Segments.end())
+    return fail(error_code::NotFound, "the segment was removed");
+  if (!writeBuffer())
+    return fail(error_code::Unavailable, errnoText("the disk"));
+  std::string Text(RecordHeadBytes + Place.Size, '\0');
+  if (!readAt(Segment->second.Descriptor, Place.Offset, Text.data(),
+              Text.size()) ||
+      !recordAt(Text, 0))
+    return fail(error_code::Corrupt,
+                pathOf(Place.Segment) + ": the record at byte " +
+                    std::to_string(Place.Offset) + " does not check");
+  return Text.substr(RecordHeadBytes);
+}
+
+std::optional<log_place> record_log::scan(
+    log_place From,
+    const std::function<bool(const log_place &, std::string_view)> &Visit) {
+  if (!writeBuffer())
+    return fail(error_code::Unavailable, errnoText("the disk"));
+  auto Segment = Segments.lower_bound(From.Segment);
+  std::uint64_t Offset = FileHeadBytes;
+  if (Segment != Segments.end() && Segment->first == From.Segment)
+    Offset = std::max<std::uint64_t>(From.Offset, FileHeadBytes);
+  for (; Segment != Segments.end(); ++Segment, Offset = FileHeadBytes) {
+    while (Offset < Segment->second.Size) {
+      std::uint32_t Size = 0;
+      if (!readAt(Segment->second.Descriptor, Offset,
+                  reinterpret_cast<char *>(&Size), sizeof(Size)))
+        return fail(error_code::Corrupt, errnoText(pathOf(Segment->first)));
+      log_place Place{Segment->first, Offset, Size};
+      auto Bytes = read(Place);
+      if (!Bytes)
+        return std::nullopt;
+      if (!Visit(Place, *Bytes))
+        return Place;
+      Offset += RecordHeadBytes + Size;
+    }
+  }
+  return end();
+}
+
+log_place record_log::end() const {
+  const auto &[Number, Segment] = *Segments.rbegin();
+  return {Number, Segment.Size, 0};
+}
+
+std::vector<std::uint64_t> record_log::segments() const {
+  std::vector<std::uint64_t> Numbers;
+  for (const auto &[Number, Segment] : Segments)
+    Numbers.push_back(Number);
+  return Numbers;
+}
+
+bool record_log::remove(std::uint64_t Number) {
+  auto Segment = Segments.find(Number);
+  if (Segment == Segments.end() || Number == Segments.rbegin()->first)
+    return false;
+  close(Segment->second.Descriptor);
+  TotalBytes -= Segment->second.Size;
+  Segments.erase(Segment);
+  return unlink(pathOf(Number).c_str()) == 0;
+}
+
+record_log::record_log(record_log &&Other) noexcept {
+  *this = std::move(Other);
+}
+
+record_log &record_log::operator=(record_log &&Other) noexcept {
+  std::swap(Settings, Other.Settings);
+  std::swap(Segments, Other.Segments);
+  std::swap(Buffer, Other.Buffer);
+  std::swap(SyncedSize, Other.SyncedSize);
+  std::swap(TotalBytes, Other.TotalBytes);
+  return *this;
+}
+
+record_log::~record_log() {
+  for (auto &[Number, Segment] : Segments)
+    close(Segment.Descriptor);
+}
+
+} // namespace turmerichead::turns
--- /dev/null
+++ b/src/libturns/set.cpp
@@ -0,0 +1,119 @@
+#include "turmerichead/turns_set.h"
+
+namespace turmerichead::turns {
+
+namespace {
+
+bool contains(std::span<const std::string> Texts, std::string_view Text) {
+  return std::find(Texts.begin(), Texts.end(), Text) != Texts.end();
+}
+
+disk_set following(const disk_set &Set, std::vector<disk_host> Members,
+                   std::vector<disk_host> Next) {
+  return {Set.Epoch + 1, Set.Needed, std::move(Members), std::move(Next)};
+}
+
+// One member a data centre as far as possible, then by name.
+std::vector<disk_host> spread(std::vector<disk_host> Hosts,
+                              std::size_t Wanted) {
+  std::sort(Hosts.begin(), Hosts.end(),
+            [](const disk_host &Left, const disk_host &Right) {
+              return Left.Name < Right.Name;
+            });
+  std::vector<disk_host> Chosen;
+  auto Take = [&](bool OnlyNewDataCentres) {
+    for (const disk_host &Host : Hosts) {
+      bool Used = std::any_of(Chosen.begin(), Chosen.end(),
+                              [&](const disk_host &Other) {
+                                return Other.DataCentre == Host.DataCentre;
+                              });
+      if (Chosen.size() < Wanted && !hasAddress(Chosen, Host.Address) &&
+          !(OnlyNewDataCentres && Used))
+        Chosen.push_back(Host);
+    }
+  };
+  Take(true);
+  Take(false);
+  return Chosen;
+}
+
+std::optional<disk_set> firstSet(const set_view &View) {
+  std::size_t Wanted = 2 * static_cast<std::size_t>(View.Faults) + 1;
+  if (View.Registered.size() < Wanted)
+    return std::nullopt;
+  return disk_set{1, View.Faults + 1, spread(View.Registered, Wanted), {}};
+}
+
+const disk_host *newcomerOf(const disk_set &Set) {
+  for (const disk_host &Host : Set.Next)
+    if (!hasAddress(Set.Members, Host.Address))
+      return &Host;
+  return nullptr;
+}
+
+std::optional<disk_set> changeJointSet(const set_view &View) {
+  const disk_host *Newcomer = newcomerOf(View.Set);
+  if (!Newcomer)
+    return following(View.Set, View.Set.Next, {});
+  if (Newcomer->Address == View.Self.Address) {
+    if (View.SelfCaughtUp)
+      return following(View.Set, View.Set.Next, {});
+    return std::nullopt;
+  }
+  if (contains(View.Silent, Newcomer->Address))
+    return following(View.Set, View.Set.Members, {});
+  return std::nullopt;
+}
+
+// The member whose place a host outside the set should take.
+const disk_host *memberToReplace(const set_view &View) {
+  auto Find = [&](auto Matches) -> const disk_host * {
+    auto At =
+        std::find_if(View.Set.Members.begin(), View.Set.Members.end(), Matches);
+    return At == View.Set.Members.end() ? nullptr : &*At;
+  };
+  const disk_host *Silent = Find([&](const disk_host &Host) {
+    return contains(View.Silent, Host.Address);
+  });
+  if (Silent)
+    return Silent;
+  return Find([&](const disk_host &Host) {
+    return contains(View.Retiring, Host.Name);
+  });
+}
+
+} // namespace
+
+std::vector<disk_host> disk_set::everyone() const {
+  std::vector<disk_host> All = Members;
+  for (const disk_host &Host : Next)
+    if (!hasAddress(All, Host.Address))
+      All.push_back(Host);
+  return All;
+}
+
+bool hasAddress(std::span<const disk_host> Hosts, std::string_view Address) {
+  return std::any_of(Hosts.begin(), Hosts.end(), [&](const disk_host &Host) {
+    return Host.Address == Address;
+  });
+}
+
+std::optional<disk_set> proposeSet(const set_view &View) {
+  if (View.Set.Epoch == 0)
+    return firstSet(View);
+  if (View.Set.isJoint())
+    return changeJointSet(View);
+  if (hasAddress(View.Set.Members, View.Self.Address) ||
+      contains(View.Retiring, View.Self.Name))
+    return std::nullopt;
+  const disk_host *Leaving = memberToReplace(View);
+  if (!Leaving)
+    return std::nullopt;
+  std::vector<disk_host> Next = View.Set.Members;
+  for (disk_host &Host : Next)
+    if (Host.Address == Leaving->Address)
+      Host = View.Self;
+  return following(View.Set, View.Set.Members, std::move(Next));
+}
+
+} // namespace turmerichead::turns
--- a/src/turmerichead/main.cpp
+++ b/src/turmerichead/main.cpp
@@ -1,15 +1,19 @@
 // The daemon of an entry host.
 
+#include "host_process.h"
 #include "turmerichead/error.h"
 #include "turmerichead/host.h"
 #include "turmerichead/log.h"
 #include "turmerichead/settings.h"
 
+#include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
 DEFINE_string(settings, "", "the settings file of this host (TOML)");
+DEFINE_bool(platform, false,
+            "run on the platform: role and addresses come from its settings");
 DEFINE_bool(check, false, "check the settings file and stop");
 
 namespace {
@@ -24,11 +28,19 @@
   gflags::SetVersionString(TURMERICHEAD_VERSION);
   gflags::SetUsageMessage(
       "the daemon of an entry host\n\n"
-      "  turmerichead --settings FILE [--check]\n\n"
+      "  turmerichead --settings FILE [--check]\n"
+      "  turmerichead --platform [--settings FILE] [--check]\n\n"
       "Exit codes: 0 drained or checked, 1 cannot start, 2 bad settings.\n\n"
       "Settings:\n" +
       renderSettingsHelp());
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  if (FLAGS_platform) {
+    const char *Given = std::getenv(platform::SettingsVariable);
+    std::string Path = FLAGS_settings;
+    if (Path.empty() && Given)
+      Path = Given;
+    return platform::runHostProcess(Path, FLAGS_check);
+  }
   if (FLAGS_settings.empty()) {
     std::cerr << "--settings FILE is needed; --help shows the settings\n";
     return ExitBadInput;
