--- a/src/include/turmerichead/http1_server.h
+++ b/src/include/turmerichead/http1_server.h
@@ -86,6 +86,9 @@
   /// From now on each answer closes its connection.
   void drain();
 
+  /// Accepts no further connections; those that wait are refused.
+  void stopAccepting();
+
   /// Ends the connections on which no request is under way: what has been
   /// read is served, nothing further is read.
   void closeIdle();
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -67,8 +67,11 @@
   void removeUpstream(std::string_view Id);
   const upstream_table &upstreams() const;
 
-  /// From now on each answer closes its connection.
-  void drain();
+  /// The process will end after \p Left. From now on each answer closes its
+  /// connection, and a call that might not end in time is refused.
+  void drain(milliseconds Left);
+  /// Accepts no further connections.
+  void stopAccepting();
   /// Ends connections without a call under way.
   void closeIdle();
   std::size_t callsUnderWay() const;
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -126,7 +126,7 @@
   void keep(connection_id Id, connection_row &Row);
   void close(connection_id Id);
   void fail(connection_id Id, std::string Reason);
-  void end(call_id Id, call_result Result);
+  void end(call_id Id, const call_result &Result);
   void failLater(call_id Id, std::string Reason);
   void sweep();
 };
@@ -380,7 +380,7 @@
       {Sent ? call_outcome::Broken : call_outcome::NotSent, std::move(Reason)});
 }
 
-void client::state::end(call_id Id, call_result Result) {
+void client::state::end(call_id Id, const call_result &Result) {
   call_row *Call = Calls.find(Id);
   if (!Call)
     return;
--- a/src/libhttp1/server.cpp
+++ b/src/libhttp1/server.cpp
@@ -482,6 +482,14 @@
 
 void server::drain() { State->Draining = true; }
 
+void server::stopAccepting() {
+  if (!State->Listener)
+    return;
+  State->Sockets->remove(g_socket_get_fd(State->Listener.get()));
+  g_socket_close(State->Listener.get(), nullptr);
+  State->Listener.reset();
+}
+
 void server::closeIdle() {
   std::vector<connection_id> Idle;
   State->Connections.forEach([&](connection_id Id, connection &Row) {
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -73,6 +73,10 @@
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
   Deadlines->add(Wait, keyOf(Id), 0);
+  if (EndAt && *EndAt < Calls.find(Id)->Deadline) {
+    refuse(Id, "the host is stopping");
+    return;
+  }
   if (Turn)
     openTurn(Id);
   else
@@ -217,7 +221,13 @@
 }
 
 const upstream_table &relay::upstreams() const { return Impl->Upstreams; }
-void relay::drain() { Impl->Server->drain(); }
+
+void relay::drain(milliseconds Left) {
+  Impl->EndAt = steadyNow() + Left;
+  Impl->Server->drain();
+}
+
+void relay::stopAccepting() { Impl->Server->stopAccepting(); }
 void relay::closeIdle() { Impl->Server->closeIdle(); }
 std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
 
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -18,6 +18,7 @@
   std::optional<http1::client> Client;
   std::optional<deadline_queue> Deadlines;
   routing Routing;
+  std::optional<time_point> EndAt; ///< Of the process, once it is stopping.
   upstream_table Upstreams;
   call_table Calls;
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
