--- /dev/null
+++ b/src/librelay/place_test.cpp
@@ -0,0 +1,145 @@
+#include "turmerichead/relay_upstreams.h"
+
+#include "turmerichead/relay_routes.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace turmerichead;
+using namespace turmerichead::relay;
+
+namespace {
+
+upstream_table tableOf(int Count) {
+  upstream_table Table;
+  for (int I = 0; I < Count; ++I)
+    Table.put({"u" + std::to_string(I), "s", "10.0.0.1:" + std::to_string(I),
+               I % 2 == 0 ? "x" : "y", 2, true, 1});
+  return Table;
+}
+
+placement placementOf(std::string_view Program, std::string_view Call) {
+  placement Placement;
+  Placement.Service = "s";
+  Placement.DataCentre = "x";
+  Placement.AffinityKey = Program;
+  Placement.SpreadKey = Call;
+  return Placement;
+}
+
+} // namespace
+
+TEST_CASE("a program's turns go to one runner, from every host") {
+  upstream_table One = tableOf(9);
+  upstream_table Two = tableOf(9);
+  std::set<std::string> Used;
+  for (int I = 0; I < 200; ++I) {
+    std::string Program = "p" + std::to_string(I);
+    const upstream_row *Row = One.pick(placementOf(Program, "a"), {0});
+    REQUIRE(Row);
+    CHECK(Row->Upstream.Id ==
+          Two.pick(placementOf(Program, "b"), {50})->Upstream.Id);
+    Used.insert(Row->Upstream.Id);
+  }
+  CHECK(Used.size() == 9);
+}
+
+TEST_CASE("when a runner leaves, only its own programs move") {
+  upstream_table Table = tableOf(9);
+  std::map<std::string, std::string> Before;
+  for (int I = 0; I < 100; ++I) {
+    std::string Program = "p" + std::to_string(I);
+    Before[Program] = Table.pick(placementOf(Program, "a"), {0})->Upstream.Id;
+  }
+  upstream Leaving = Table.find("u3")->Upstream;
+  Leaving.Ready = false;
+  Table.put(Leaving);
+  for (const auto &[Program, Id] : Before) {
+    std::string Now = Table.pick(placementOf(Program, "a"), {0})->Upstream.Id;
+    CHECK(Now != "u3");
+    if (Id != "u3")
+      CHECK(Now == Id);
+  }
+}
+
+TEST_CASE("a runner that has failed is avoided for a while") {
+  upstream_table Table = tableOf(3);
+  std::string Home = Table.pick(placementOf("p", "a"), {0})->Upstream.Id;
+  Table.noteFailure(Home, {1000});
+  CHECK(Table.pick(placementOf("p", "a"), {1100})->Upstream.Id != Home);
+  CHECK(Table.pick(placementOf("p", "a"), {9000})->Upstream.Id == Home);
+}
+
+TEST_CASE("in a burst a full runner hands on to the next of the order") {
+  upstream_table Table = tableOf(3);
+  upstream_row *Home = Table.pick(placementOf("p", "a"), {0});
+  Home->InFlight = 2;
+  CHECK(Table.pick(placementOf("p", "a"), {0}) != Home);
+}
+
+TEST_CASE("a runner that has turned slow loses its programs") {
+  upstream_table Table = tableOf(5);
+  std::string Home = Table.pick(placementOf("p", "a"), {0})->Upstream.Id;
+  for (const auto &[Id, Row] : Table.rows())
+    for (int I = 0; I < 60; ++I)
+      Table.noteEventGap(Id, milliseconds(Id == Home ? 100 : 20));
+  CHECK(Table.pick(placementOf("p", "a"), {0})->Upstream.Id != Home);
+}
+
+TEST_CASE("calls without a program go to the least busy, near by if equal") {
+  upstream_table Table = tableOf(4);
+  upstream_row *First = Table.pick(placementOf({}, "a"), {0});
+  CHECK(First->Upstream.DataCentre == "x");
+  First->InFlight = 1;
+  upstream_row *Second = Table.pick(placementOf({}, "a"), {0});
+  CHECK(Second != First);
+  CHECK(Second->Upstream.DataCentre == "x");
+  Second->InFlight = 1;
+  CHECK(Table.pick(placementOf({}, "a"), {0})->Upstream.DataCentre == "y");
+}
+
+TEST_CASE("an upstream that was tried comes last, one that leaves never") {
+  upstream_table Table = tableOf(1);
+  placement Placement = placementOf({}, "a");
+  std::vector<std::string> Tried = {"u0"};
+  Placement.Tried = Tried;
+  CHECK(Table.pick(Placement, {0}) != nullptr);
+  upstream Leaving = Table.find("u0")->Upstream;
+  Leaving.Ready = false;
+  Table.put(Leaving);
+  CHECK(Table.pick(Placement, {0}) == nullptr);
+  CHECK(!Table.hasReady("s"));
+}
+
+TEST_CASE("the longest prefix of the host wins") {
+  routing Routing;
+  auto Add = [&](std::string Host, std::string Prefix) {
+    route Route;
+    Route.Host = std::move(Host);
+    Route.PathPrefix = std::move(Prefix);
+    Route.Services = {{"s", 1}};
+    Routing.Routes.push_back(Route);
+  };
+  Add("h", "/a/");
+  Add("h", "/a/b/");
+  Add("g", "/a/b/c/");
+  CHECK(Routing.match("h", "/a/b/c/d")->PathPrefix == "/a/b/");
+  CHECK(Routing.match("h", "/a/x")->PathPrefix == "/a/");
+  CHECK(Routing.match("h", "/a") == nullptr);
+  CHECK(Routing.match("k", "/a/b/") == nullptr);
+}
+
+TEST_CASE("a split sends each key to one service, in about its share") {
+  route Route;
+  Route.Services = {{"a", 90}, {"b", 10}, {"never", 0}};
+  int ToB = 0;
+  for (int I = 0; I < 2000; ++I) {
+    std::string Key = std::to_string(I);
+    const std::string &Service = serviceFor(Route, Key);
+    CHECK(Service == serviceFor(Route, Key));
+    CHECK(Service != "never");
+    ToB += Service == "b" ? 1 : 0;
+  }
+  CHECK(ToB > 140);
+  CHECK(ToB < 260);
+}
