--- a/src/include/turmerichead/turns_client.h
+++ b/src/include/turmerichead/turns_client.h
@@ -26,6 +26,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace turmerichead::turns {
 
@@ -34,8 +35,9 @@
   std::string DataCentre; ///< Hosts in it are asked first.
   std::string SharedKey;
   milliseconds OpenTimeout{1500};
-  /// How long a chain is awaited from one host before another is asked too.
-  milliseconds ChainPatience{60};
+  /// How long a reply is awaited from one host before another is asked, or
+  /// another way to the host is taken.
+  milliseconds ReplyPatience{60};
   /// How long the last replies are awaited once a majority has answered.
   milliseconds LastReplyPatience{12};
   /// After which a request that was not acknowledged is sent again.
@@ -81,6 +83,7 @@
 struct client_counters {
   std::uint64_t Opens = 0;
   std::uint64_t SecondRounds = 0; ///< Opens that had to look twice.
+  std::uint64_t Forwarded = 0;    ///< Requests sent by way of another host.
   std::uint64_t Unknown = 0;
   std::uint64_t NotKept = 0;
   std::size_t UnderWay = 0;
@@ -98,6 +101,10 @@
   void setSet(const disk_set &Set);
   const disk_set &set() const;
 
+  /// Tells of hosts that run a forwarder, the nearest first. A disk host that
+  /// does not answer is then reached by way of one of them.
+  void setForwarders(std::vector<std::string> Addresses);
+
   /// Called when a disk host has told of a newer set.
   void onNewSet(std::function<void(const disk_set &)> Action);
 
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -251,10 +251,8 @@
   REQUIRE(turnUntil([&] {
     return F.Tools.Connections.size() + F.OtherTools.Connections.size() == 1;
   }));
-  raw_server &First =
-      F.Tools.Connections.empty() ? F.OtherTools : F.Tools;
-  raw_server &Other =
-      F.Tools.Connections.empty() ? F.Tools : F.OtherTools;
+  raw_server &First = F.Tools.Connections.empty() ? F.OtherTools : F.Tools;
+  raw_server &Other = F.Tools.Connections.empty() ? F.Tools : F.OtherTools;
   REQUIRE(F.received(First, "X-Call: c1"));
   SUBCASE("broken off: nothing is promised") {
     First.close(0);
@@ -286,12 +284,11 @@
   REQUIRE(turnUntil([&] {
     return F.Tools.Connections.size() + F.OtherTools.Connections.size() == 1;
   }));
-  raw_server &First =
-      F.Tools.Connections.empty() ? F.OtherTools : F.Tools;
-  raw_server &Other =
-      F.Tools.Connections.empty() ? F.Tools : F.OtherTools;
+  raw_server &First = F.Tools.Connections.empty() ? F.OtherTools : F.Tools;
+  raw_server &Other = F.Tools.Connections.empty() ? F.Tools : F.OtherTools;
   REQUIRE(F.received(First, "X-Call: c1"));
-  First.send(0, "HTTP/1.1 200 OK\r\nX-Call: c1\r\nContent-Length: 9\r\n\r\nhalf");
+  First.send(0,
+             "HTTP/1.1 200 OK\r\nX-Call: c1\r\nContent-Length: 9\r\n\r\nhalf");
   First.close(0);
   REQUIRE(F.received(Other, "X-Call: c1"));
   Other.send(0, answerTo("c1", "whole"));
@@ -332,8 +329,8 @@
   REQUIRE(Caller.waitsFor("0\r\n\r\n"));
   Caller.Input.clear();
   F.Llm.Connections[0]->Input.clear();
-  Caller.send(F.request("POST", "/plan/1", "t2",
-                        More + "X-Previous: t1\r\n", "[in2]"));
+  Caller.send(
+      F.request("POST", "/plan/1", "t2", More + "X-Previous: t1\r\n", "[in2]"));
   REQUIRE(F.received(F.Llm, "[in2]"));
   CHECK(F.Llm.Connections[0]->Input.ends_with("\r\n\r\n[in1]a\nb\n[in2]"));
   CHECK(F.Llm.Connections[0]->Input.find("X-Previous: t1") !=
@@ -346,8 +343,8 @@
     REQUIRE(Caller.waitsFor("0\r\n\r\n"));
     Caller.Input.clear();
     F.Llm.Connections[0]->Input.clear();
-    Caller.send(F.request("POST", "/plan/1", "t3",
-                          More + "X-Previous: t2\r\n", "[in3]"));
+    Caller.send(F.request("POST", "/plan/1", "t3", More + "X-Previous: t2\r\n",
+                          "[in3]"));
     REQUIRE(F.received(F.Llm, "[in3]"));
     CHECK(F.Llm.Connections[0]->Input.ends_with("[in1]a\nb\n[in2]c\n[in3]"));
   }
@@ -358,8 +355,8 @@
     Caller.Input.clear();
     F.Disks.Replicas[0].reset();
     F.Disks.Replicas[1].reset();
-    Caller.send(F.request("POST", "/plan/1", "t3",
-                          More + "X-Previous: t2\r\n", "[in3]"));
+    Caller.send(F.request("POST", "/plan/1", "t3", More + "X-Previous: t2\r\n",
+                          "[in3]"));
     REQUIRE(Caller.waitsFor("HTTP/1.1"));
     CHECK(Caller.has("HTTP/1.1 503"));
   }
@@ -368,8 +365,8 @@
 TEST_CASE("a turn that does not exist is 404, and reaches no runner") {
   fixture F;
   caller Caller(F.Address);
-  Caller.send(F.request("POST", "/plan/1", "t1", "X-Previous: forged\r\n",
-                        "[in]"));
+  Caller.send(
+      F.request("POST", "/plan/1", "t1", "X-Previous: forged\r\n", "[in]"));
   REQUIRE(Caller.waitsFor("HTTP/1.1"));
   CHECK(Caller.has("HTTP/1.1 404"));
   CHECK(F.Llm.Connections.empty());
--- a/src/libturns/ballot.cpp
+++ b/src/libturns/ballot.cpp
@@ -28,6 +28,7 @@
                                  const open_reply &Reply) {
   if (!isOk(Reply) && !isOver(Reply))
     return;
+  Answered.emplace(Address);
   if (isOk(Reply))
     Kept.emplace(Address);
   if (Reply.CaughtUp)
--- a/src/libturns/ballot_pvt.h
+++ b/src/libturns/ballot_pvt.h
@@ -37,6 +37,11 @@
   /// \p PatienceOver: the last replies are not waited for any more.
   verdict decide(bool PatienceOver) const;
 
+  /// Whether a host has replied to the reservation.
+  bool hasAnswered(std::string_view Address) const {
+    return Answered.contains(Address);
+  }
+
   /// What other attempts have spent or reserved, as far as seen.
   std::uint64_t spent() const;
 
@@ -46,6 +51,7 @@
   disk_set Set;
   std::uint64_t Tokens;
   std::uint64_t Budget;
+  std::set<std::string, std::less<>> Answered;
   std::set<std::string, std::less<>> Kept;      ///< Have it on disk.
   std::set<std::string, std::less<>> Voters;    ///< Whose sums count.
   std::set<std::string, std::less<>> ReadTwice; ///< Second reading, counts.
--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -4,6 +4,7 @@
 #include "turmerichead/log.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/table.h"
+#include "turmerichead/turns_forwarder.h"
 
 #include <nlohmann/json.hpp>
 #include <variant>
@@ -12,13 +13,20 @@
 
 namespace {
 
-// A disk host that let a request time out is asked last for so long.
-constexpr milliseconds SuspectTime{2000};
+// While a host does not answer, it is asked whether it is back this often.
+constexpr milliseconds PingPause{400};
 constexpr milliseconds OldSetPause{20};
 
 /// What a deadline of an operation is for.
 enum class alarm : std::uint8_t { Timeout, Patience, LastReply, Resend };
 
+/// What is known of the way to a host.
+struct link_state {
+  std::optional<time_point> UnansweredSince; ///< The oldest request without a
+                                             ///< reply to it or a later one.
+  time_point PingedAt;
+};
+
 struct open_operation {
   open_call Call;
   std::function<void(const open_result &)> Done;
@@ -26,6 +34,7 @@
   chain_search Chain;
   bool PatienceOver = false;
   bool ReadingAgain = false;
+  bool SentAgain = false; ///< To the hosts that did not answer at once.
 };
 
 struct close_operation {
@@ -49,13 +58,21 @@
   std::function<void(const disk_set &)> NewSet;
   disk_set Set;
   table<operation_row> Operations;
-  std::map<std::string, time_point, std::less<>> SuspectSince;
+  std::map<std::string, link_state, std::less<>> LinkStates; ///< By address.
+  std::vector<std::string> Forwarders;
   client_counters Counters;
 
   void setAlarm(operation_id Id, milliseconds Delay, alarm Kind);
   void onAlarm(operation_id Id, alarm Kind);
   std::vector<disk_host> inOrder(const disk_set &Members) const;
-  void noteReply(const std::string &Address, bool Answered);
+  bool isSilent(std::string_view Address) const;
+  void transmit(const std::string &Address, peer_request Request,
+                std::function<void(std::string_view)> OnMessage);
+  void sendDirectly(const std::string &Address, peer_request Request,
+                    std::function<void(std::string_view)> OnMessage);
+  bool sendForwarded(const std::string &Address, const peer_request &Request,
+                     std::function<void(std::string_view)> OnMessage);
+  void pingIfDue(const std::string &Address);
   bool learnSet(operation_id Id, std::uint8_t Status, const disk_set &Newer);
 
   template <typename Reply>
@@ -65,6 +82,7 @@
                                  const Reply &));
 
   void startOpen(operation_id Id);
+  void sendOpen(operation_id Id);
   void askChain(operation_id Id);
   void readAgain(operation_id Id);
   void onOpenReply(operation_id Id, const std::string &Address,
@@ -89,15 +107,12 @@
   Deadlines->add(Delay, keyOf(Id), static_cast<int>(Kind));
 }
 
-// Members of this host's data centre first, those that did not answer last.
+// Members of this host's data centre first, those that do not answer last.
 std::vector<disk_host> client::impl::inOrder(const disk_set &Members) const {
   std::vector<disk_host> Hosts = Members.everyone();
-  time_point Now = steadyNow();
   auto Rank = [&](const disk_host &Host) {
-    auto Suspect = SuspectSince.find(Host.Address);
-    bool Silent =
-        Suspect != SuspectSince.end() && Now - Suspect->second < SuspectTime;
-    return (Silent ? 2 : 0) + (Host.DataCentre == Settings.DataCentre ? 0 : 1);
+    return (isSilent(Host.Address) ? 2 : 0) +
+           (Host.DataCentre == Settings.DataCentre ? 0 : 1);
   };
   std::stable_sort(Hosts.begin(), Hosts.end(),
                    [&](const disk_host &Left, const disk_host &Right) {
@@ -106,11 +121,62 @@
   return Hosts;
 }
 
-void client::impl::noteReply(const std::string &Address, bool Answered) {
-  if (Answered)
-    SuspectSince.erase(Address);
-  else
-    SuspectSince.try_emplace(Address, steadyNow());
+// -- Ways to a host ----------------------------------------------------------
+
+bool client::impl::isSilent(std::string_view Address) const {
+  auto State = LinkStates.find(Address);
+  return State != LinkStates.end() && State->second.UnansweredSince &&
+         steadyNow() - *State->second.UnansweredSince >= Settings.ReplyPatience;
+}
+
+// Sends a request to a disk host: directly, or by way of a forwarder while
+// the host does not answer.
+void client::impl::transmit(const std::string &Address, peer_request Request,
+                            std::function<void(std::string_view)> OnMessage) {
+  if (!isSilent(Address) || !sendForwarded(Address, Request, OnMessage)) {
+    sendDirectly(Address, std::move(Request), std::move(OnMessage));
+    return;
+  }
+  pingIfDue(Address);
+}
+
+void client::impl::sendDirectly(
+    const std::string &Address, peer_request Request,
+    std::function<void(std::string_view)> OnMessage) {
+  link_state &State = LinkStates[Address];
+  if (!State.UnansweredSince)
+    State.UnansweredSince = steadyNow();
+  Links->setAddress(Address, Address);
+  Links->send(Address, std::move(Request),
+              {[this, Address, OnMessage](std::string_view Bytes) {
+                 LinkStates[Address].UnansweredSince.reset();
+                 OnMessage(Bytes);
+               },
+               [](const peer_result &) {}});
+}
+
+bool client::impl::sendForwarded(
+    const std::string &Address, const peer_request &Request,
+    std::function<void(std::string_view)> OnMessage) {
+  auto Forwarder =
+      std::find_if(Forwarders.begin(), Forwarders.end(),
+                   [&](const std::string &Host) { return !isSilent(Host); });
+  if (Forwarder == Forwarders.end())
+    return false;
+  ++Counters.Forwarded;
+  sendDirectly(*Forwarder, forwardedRequest(Address, Request),
+               std::move(OnMessage));
+  return true;
+}
+
+void client::impl::pingIfDue(const std::string &Address) {
+  link_state &State = LinkStates[Address];
+  time_point Now = steadyNow();
+  if (State.PingedAt.Ms > 0 && Now - State.PingedAt < PingPause)
+    return;
+  State.PingedAt = Now;
+  sendDirectly(Address, {std::string(PingPath), {}, pack(ping_request{Set})},
+               [](std::string_view) {});
 }
 
 // Adopts a newer set that a disk host has told of. Returns true if the
@@ -136,23 +202,16 @@
                         void (impl::*Handle)(operation_id, const std::string &,
                                              const Reply &)) {
   std::string Address = Host.Address;
-  Links->setAddress(Address, Address);
-  Links->send(Address, {std::string(Path), {}, std::move(Body)},
-              {[this, Id, Address, Handle](std::string_view Bytes) {
-                 noteReply(Address, true);
-                 if (!Operations.find(Id))
-                   return;
-                 if (auto Message = unpack<Reply>(Bytes))
-                   (this->*Handle)(Id, Address, *Message);
-                 else
-                   log::warn(
-                       "reply of a disk host does not decode",
-                       {{"address", Address}, {"reason", lastError().Text}});
-               },
-               [this, Address](const peer_result &Result) {
-                 if (Result.Code != error_code::None)
-                   noteReply(Address, false);
-               }});
+  transmit(Address, {std::string(Path), {}, std::move(Body)},
+           [this, Id, Address, Handle](std::string_view Bytes) {
+             if (!Operations.find(Id))
+               return;
+             if (auto Message = unpack<Reply>(Bytes))
+               (this->*Handle)(Id, Address, *Message);
+             else
+               log::warn("reply of a disk host does not decode",
+                         {{"address", Address}, {"reason", lastError().Text}});
+           });
 }
 
 // -- Opening -----------------------------------------------------------------
@@ -165,6 +224,17 @@
   Open.PatienceOver = false;
   Open.ReadingAgain = false;
   Open.Chain.askAgain();
+  Open.SentAgain = false;
+  sendOpen(Id);
+  setAlarm(Id, Settings.ReplyPatience, alarm::Patience);
+  setAlarm(Id, Settings.ResendAfter, alarm::Resend);
+}
+
+// Sends the reservation to the hosts that have not answered, and asks the
+// first of them for the chain.
+void client::impl::sendOpen(operation_id Id) {
+  operation_row &Row = *Operations.find(Id);
+  auto &Open = std::get<open_operation>(Row.Kind);
   bool First = true;
   open_request Request;
   Request.Set = Row.Set;
@@ -172,19 +242,18 @@
                    false, static_cast<std::uint64_t>(Open.Call.Keep.count())};
   Request.Budget = Open.Call.Budget;
   for (const disk_host &Host : inOrder(Row.Set)) {
-    bool AsksChain = First && !Open.Chain.isWhole();
+    if (Open.Ballot.hasAnswered(Host.Address))
+      continue;
+    bool AsksChain =
+        First && !Open.Chain.isWhole() && !Open.Chain.wasAsked(Host.Address);
     Request.Previous = AsksChain ? Open.Chain.wanted() : std::string();
     if (Open.Call.Budget == 0 && !AsksChain)
       break;
     if (AsksChain)
       Open.Chain.noteAsked(Host.Address);
-    std::string Asked = Request.Previous;
-    std::string Address = Host.Address;
     send<open_reply>(Id, Host, OpenPath, pack(Request), &impl::onOpenReply);
     First = false;
   }
-  setAlarm(Id, Settings.ChainPatience, alarm::Patience);
-  setAlarm(Id, Settings.ResendAfter, alarm::Resend);
 }
 
 void client::impl::askChain(operation_id Id) {
@@ -199,19 +268,13 @@
     std::string Asked = Open.Chain.wanted();
     std::string Address = Host.Address;
     lookup_request Request{Row.Set, {}, {}, Asked};
-    Links->setAddress(Address, Address);
-    Links->send(Address, {std::string(ChainPath), {}, pack(Request)},
-                {[this, Id, Address, Asked](std::string_view Bytes) {
-                   noteReply(Address, true);
-                   auto Reply = unpack<open_reply>(Bytes);
-                   if (Reply && Operations.find(Id))
-                     onChainReply(Id, Address, Asked, *Reply);
-                 },
-                 [this, Address](const peer_result &Result) {
-                   if (Result.Code != error_code::None)
-                     noteReply(Address, false);
-                 }});
-    setAlarm(Id, Settings.ChainPatience, alarm::Patience);
+    transmit(Address, {std::string(ChainPath), {}, pack(Request)},
+             [this, Id, Address, Asked](std::string_view Bytes) {
+               auto Reply = unpack<open_reply>(Bytes);
+               if (Reply && Operations.find(Id))
+                 onChainReply(Id, Address, Asked, *Reply);
+             });
+    setAlarm(Id, Settings.ReplyPatience, alarm::Patience);
     return;
   }
 }
@@ -341,11 +404,10 @@
       send<close_reply>(Id, Host, ClosePath, pack(Request),
                         &impl::onCloseReply);
     else
-      Links->send((Links->setAddress(Host.Address, Host.Address), Host.Address),
-                  {std::string(ClosePath), {}, pack(Request)},
-                  {[](std::string_view) {}, [](const peer_result &) {}});
+      transmit(Host.Address, {std::string(ClosePath), {}, pack(Request)},
+               [](std::string_view) {});
   }
-  setAlarm(Id, Settings.ChainPatience, alarm::Patience);
+  setAlarm(Id, Settings.ReplyPatience, alarm::Patience);
   setAlarm(Id, Settings.ResendAfter, alarm::Resend);
 }
 
@@ -399,6 +461,8 @@
     return;
   case alarm::Patience:
     if (Open) {
+      if (!std::exchange(Open->SentAgain, true))
+        sendOpen(Id);
       askChain(Id);
       return;
     }
@@ -446,6 +510,10 @@
 
 const disk_set &client::set() const { return Impl->Set; }
 
+void client::setForwarders(std::vector<std::string> Addresses) {
+  Impl->Forwarders = std::move(Addresses);
+}
+
 void client::onNewSet(std::function<void(const disk_set &)> Action) {
   Impl->NewSet = std::move(Action);
 }
