--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -71,7 +71,7 @@
   void sendDirectly(const std::string &Address, peer_request Request,
                     std::function<void(std::string_view)> OnMessage);
   bool sendForwarded(const std::string &Address, const peer_request &Request,
-                     std::function<void(std::string_view)> OnMessage);
+                     const std::function<void(std::string_view)> &OnMessage);
   void pingIfDue(const std::string &Address);
   bool learnSet(operation_id Id, std::uint8_t Status, const disk_set &Newer);
 
@@ -157,15 +157,14 @@
 
 bool client::impl::sendForwarded(
     const std::string &Address, const peer_request &Request,
-    std::function<void(std::string_view)> OnMessage) {
+    const std::function<void(std::string_view)> &OnMessage) {
   auto Forwarder =
       std::find_if(Forwarders.begin(), Forwarders.end(),
                    [&](const std::string &Host) { return !isSilent(Host); });
   if (Forwarder == Forwarders.end())
     return false;
   ++Counters.Forwarded;
-  sendDirectly(*Forwarder, forwardedRequest(Address, Request),
-               std::move(OnMessage));
+  sendDirectly(*Forwarder, forwardedRequest(Address, Request), OnMessage);
   return true;
 }
 
--- a/src/libturns/keeper_fuzz_test.cpp
+++ b/src/libturns/keeper_fuzz_test.cpp
@@ -407,7 +407,7 @@
 
   // The chain before a turn from hosts in some order; nullopt if unknown.
   std::optional<std::string> lookup(const std::string &Id,
-                                    std::vector<std::size_t> Order) {
+                                    const std::vector<std::size_t> &Order) {
     chain_search Search(Id);
     disk_set Set = Seen.Epoch > 0 && chance(30) ? Seen : Stored;
     for (int Round = 0; Round < 4 && !Search.isWhole(); ++Round)
@@ -457,12 +457,12 @@
       if (!Machine.Removed && !Machine.Keeper)
         start(Machine, false);
     for (int Round = 0; Round < 60; ++Round)
-      for (std::size_t I = 0; I < Machines.size(); ++I) {
-        if (!Machines[I].Keeper)
+      for (disk_machine &Machine : Machines) {
+        if (!Machine.Keeper)
           continue;
-        tell(Machines[I]);
-        copyFrom(Machines[I]);
-        auto Proposal = proposeSet(viewOf(Machines[I]));
+        tell(Machine);
+        copyFrom(Machine);
+        auto Proposal = proposeSet(viewOf(Machine));
         if (Proposal && Proposal->Epoch == Stored.Epoch + 1)
           Stored = *Proposal;
       }
--- a/src/libturns/set_test.cpp
+++ b/src/libturns/set_test.cpp
@@ -87,7 +87,7 @@
 }
 
 TEST_CASE("a joint write needs a majority of both sides") {
-  auto Has = [](std::vector<disk_host> Hosts) {
+  auto Has = [](const std::vector<disk_host> &Hosts) {
     return [Hosts](std::string_view Address) {
       return hasAddress(Hosts, Address);
     };
