--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -67,9 +67,9 @@
   std::vector<disk_host> inOrder(const disk_set &Members) const;
   bool isSilent(std::string_view Address) const;
   void transmit(const std::string &Address, peer_request Request,
-                std::function<void(std::string_view)> OnMessage);
+                const std::function<void(std::string_view)> &OnMessage);
   void sendDirectly(const std::string &Address, peer_request Request,
-                    std::function<void(std::string_view)> OnMessage);
+                    const std::function<void(std::string_view)> &OnMessage);
   bool sendForwarded(const std::string &Address, const peer_request &Request,
                      const std::function<void(std::string_view)> &OnMessage);
   void pingIfDue(const std::string &Address);
@@ -131,10 +131,11 @@
 
 // Sends a request to a disk host: directly, or by way of a forwarder while
 // the host does not answer.
-void client::impl::transmit(const std::string &Address, peer_request Request,
-                            std::function<void(std::string_view)> OnMessage) {
+void client::impl::transmit(
+    const std::string &Address, peer_request Request,
+    const std::function<void(std::string_view)> &OnMessage) {
   if (!isSilent(Address) || !sendForwarded(Address, Request, OnMessage)) {
-    sendDirectly(Address, std::move(Request), std::move(OnMessage));
+    sendDirectly(Address, std::move(Request), OnMessage);
     return;
   }
   pingIfDue(Address);
@@ -142,7 +143,7 @@
 
 void client::impl::sendDirectly(
     const std::string &Address, peer_request Request,
-    std::function<void(std::string_view)> OnMessage) {
+    const std::function<void(std::string_view)> &OnMessage) {
   link_state &State = LinkStates[Address];
   if (!State.UnansweredSince)
     State.UnansweredSince = steadyNow();
