Go on with upstreams whose entries lapse while the store comes back

The store had been away, all twelve entries had lapsed, and came back one by one within 1.2 s. Test: 'entries that lapse all at once ...' replays it.

--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -31,7 +31,9 @@
   upstream Upstream;
   std::uint32_t InFlight = 0; ///< Calls of this host.
   time_point AvoidUntil;      ///< It failed a moment ago.
-  double EventGapMs = 0;      ///< Smoothed pause between events; 0: unknown.
+  /// When it is to be forgotten, unless it is listed again before.
+  std::optional<time_point> GoneAt;
+  double EventGapMs = 0; ///< Smoothed pause between events; 0: unknown.
 };
 
 /// How a call is placed.
@@ -50,6 +52,10 @@
   /// Adds or changes an upstream.
   void put(const upstream &Upstream);
   void remove(std::string_view Id);
+  /// Forgets an upstream at \p At unless it is put again before. The load
+  /// pattern that it answers: after an outage of the platform all entries
+  /// have lapsed at once and come back within seconds.
+  void removeAt(std::string_view Id, time_point At);
   upstream_row *find(std::string_view Id);
   const std::map<std::string, upstream_row, std::less<>> &rows() const {
     return Rows;
@@ -63,7 +69,7 @@
   upstream_row *pick(const placement &Placement, time_point Now);
 
   /// Whether any upstream of the service is ready.
-  bool hasReady(std::string_view Service) const;
+  bool hasReady(std::string_view Service, time_point Now) const;
 
   void noteFailure(std::string_view Id, time_point Now);
   void noteEventGap(std::string_view Id, milliseconds Gap);
--- a/src/librelay/place_test.cpp
+++ b/src/librelay/place_test.cpp
@@ -108,7 +108,7 @@
   Leaving.Ready = false;
   Table.put(Leaving);
   CHECK(Table.pick(Placement, {0}) == nullptr);
-  CHECK(!Table.hasReady("s"));
+  CHECK(!Table.hasReady("s", {0}));
 }
 
 TEST_CASE("the longest prefix of the host wins") {
@@ -143,3 +143,23 @@
   CHECK(ToB > 140);
   CHECK(ToB < 260);
 }
+
+TEST_CASE("entries that lapse all at once go on being used for a while") {
+  // When the platform came back from an outage, all entries had lapsed; for
+  // 1.2 s calls were refused though every upstream was well.
+  upstream_table Table = tableOf(3);
+  for (const char *Id : {"u0", "u1", "u2"})
+    Table.removeAt(Id, {1900});
+  CHECK(Table.hasReady("s", {1000}));
+  CHECK(Table.pick(placementOf("p", "a"), {1000}) != nullptr);
+  SUBCASE("one that is listed again is preferred") {
+    Table.put(Table.find("u1")->Upstream);
+    CHECK(Table.pick(placementOf("p", "a"), {1100})->Upstream.Id == "u1");
+    CHECK(Table.pick(placementOf("p", "a"), {9000})->Upstream.Id == "u1");
+  }
+  SUBCASE("one that is not is gone after that") {
+    CHECK(!Table.hasReady("s", {1900}));
+    CHECK(Table.pick(placementOf("p", "a"), {1900}) == nullptr);
+    CHECK(Table.rows().empty());
+  }
+}
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -89,7 +89,7 @@
     refuse(Id, "no disk hosts are known yet");
     return;
   }
-  if (!Upstreams.hasReady(Call.Service)) {
+  if (!Upstreams.hasReady(Call.Service, steadyNow())) {
     refuse(Id, "no upstream is ready");
     return;
   }
@@ -202,7 +202,7 @@
 
 void relay::putUpstream(const upstream &Upstream) {
   const upstream_row *Old = Impl->Upstreams.find(Upstream.Id);
-  if (Old && Old->Upstream == Upstream)
+  if (Old && Old->Upstream == Upstream && !Old->GoneAt)
     return;
   log::info("upstream", {{"upstream", Upstream.Id},
                          {"service", Upstream.Service},
@@ -211,11 +211,15 @@
   Impl->Upstreams.put(Upstream);
 }
 
-void relay::removeUpstream(std::string_view Id) {
+void relay::removeUpstream(std::string_view Id, milliseconds After) {
   const upstream_row *Row = Impl->Upstreams.find(Id);
   if (!Row)
     return;
-  log::info("upstream gone", {{"upstream", Id}});
+  log::info("upstream gone", {{"upstream", Id}, {"after_ms", After.count()}});
+  if (After.count() > 0) {
+    Impl->Upstreams.removeAt(Id, steadyNow() + After);
+    return;
+  }
   Impl->Client->forget(Row->Upstream.Address);
   Impl->Upstreams.remove(Id);
 }
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -22,6 +22,7 @@
   auto [Row, New] = Rows.try_emplace(Upstream.Id);
   bool Restarted = !New && Row->second.Upstream.StartedMs != Upstream.StartedMs;
   Row->second.Upstream = Upstream;
+  Row->second.GoneAt.reset();
   if (Restarted) {
     Row->second.AvoidUntil = {};
     Row->second.EventGapMs = 0;
@@ -34,6 +35,11 @@
     Rows.erase(Row);
 }
 
+void upstream_table::removeAt(std::string_view Id, time_point At) {
+  if (upstream_row *Row = find(Id))
+    Row->GoneAt = At;
+}
+
 upstream_row *upstream_table::find(std::string_view Id) {
   auto Row = Rows.find(Id);
   return Row == Rows.end() ? nullptr : &Row->second;
@@ -52,6 +58,9 @@
 }
 
 upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
+  std::erase_if(Rows, [&](const auto &Row) {
+    return Row.second.GoneAt && *Row.second.GoneAt <= Now;
+  });
   upstream_row *Best = nullptr;
   std::tuple<int, std::uint32_t, int, std::uint64_t> BestRank;
   for (auto &[Id, Row] : Rows) {
@@ -60,8 +69,8 @@
     bool Tried = std::find(Placement.Tried.begin(), Placement.Tried.end(),
                            Id) != Placement.Tried.end();
     bool Full = Row.InFlight >= Row.Upstream.Slots;
-    int Trouble = (Tried ? 8 : 0) + (Row.AvoidUntil > Now ? 4 : 0) +
-                  (Full ? 2 : 0) + (isSlow(Row) ? 1 : 0);
+    int Trouble = (Tried ? 16 : 0) + (Row.AvoidUntil > Now ? 8 : 0) +
+                  (Row.GoneAt ? 4 : 0) + (Full ? 2 : 0) + (isSlow(Row) ? 1 : 0);
     bool Sticky = !Placement.AffinityKey.empty();
     std::uint32_t Load = Sticky ? 0 : Row.InFlight;
     int Away =
@@ -76,9 +85,11 @@
   return Best;
 }
 
-bool upstream_table::hasReady(std::string_view Service) const {
-  return std::any_of(Rows.begin(), Rows.end(), [&](const auto &Row) {
-    return Row.second.Upstream.Service == Service && Row.second.Upstream.Ready;
+bool upstream_table::hasReady(std::string_view Service, time_point Now) const {
+  return std::any_of(Rows.begin(), Rows.end(), [&](const auto &Entry) {
+    const upstream_row &Row = Entry.second;
+    bool Gone = Row.GoneAt && *Row.GoneAt <= Now;
+    return Row.Upstream.Service == Service && Row.Upstream.Ready && !Gone;
   });
 }
 
