--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -64,9 +64,9 @@
   const routing &routingInForce() const;
 
   void putUpstream(const upstream &Upstream);
-  /// \p After: how long it is still used unless it is put again before.
-  void removeUpstream(std::string_view Id,
-                      milliseconds After = milliseconds(0));
+  /// \p After: how long it is still used where no other is well, unless it
+  /// is put again before.
+  void removeUpstream(std::string_view Id, milliseconds After);
   const upstream_table &upstreams() const;
 
   /// The process will end after \p Left. From now on each answer closes its
