Begin chains in the caller's data centre and keep them with their runner

Change: a turn's record names its runner; the next turn prefers it, from any host; the first turn takes a runner of its own data centre by rendezvous hashing. Ruled out: hashing within the data centre alone (lines that move between data centres would lose their cache).

--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -40,6 +40,9 @@
 struct placement {
   std::string_view Service;
   std::string_view DataCentre; ///< Of this host.
+  /// The upstream that ran the turn before, whose cache has the chain; empty:
+  /// none, or not known.
+  std::string_view Home;
   /// Calls with the same key go to the same upstream while it is well, so
   /// that what it has cached of them is used. Empty: to the least busy.
   std::string_view AffinityKey;
@@ -62,10 +65,11 @@
   }
 
   /// The upstream for a call; nullptr if none is ready. The load patterns
-  /// that it answers: chains of calls that share a growing prefix (affinity
-  /// by rendezvous hashing, the same on every host without a message), a
-  /// runner that is slow or has failed (avoided while others are well), and
-  /// bursts (the next in the hash order once its slots are taken).
+  /// that it answers: chains of calls that share a growing prefix (the runner
+  /// of the turn before, also from another data centre; a chain begins in
+  /// this one, by rendezvous hashing of its program), a runner that is slow or
+  /// has failed (avoided while others are well), and bursts (the next in the
+  /// hash order once its slots are taken).
   upstream_row *pick(const placement &Placement, time_point Now);
 
   /// Whether any upstream of the service is ready.
--- a/src/include/turmerichead/turns_client.h
+++ b/src/include/turmerichead/turns_client.h
@@ -66,6 +66,7 @@
 struct open_result {
   open_outcome Outcome = open_outcome::Unknown;
   std::string Chain;       ///< Inputs and outputs, oldest first.
+  std::string Upstream;    ///< The runner of the previous turn, if known.
   std::uint64_t Spent = 0; ///< By other attempts, as far as seen.
   std::string Reason;      ///< For people.
 };
--- a/src/include/turmerichead/turns_records.h
+++ b/src/include/turmerichead/turns_records.h
@@ -22,7 +22,8 @@
   std::uint64_t KeepMs = 0; ///< From its end, and from that of successors.
   std::string Input;        ///< What the caller sent in this turn alone.
   std::string Output;       ///< The data of each event and a line feed.
-  MSGPACK_DEFINE(Id, Previous, Program, KeepMs, Input, Output)
+  std::string Upstream;     ///< Id of the runner that ran it.
+  MSGPACK_DEFINE(Id, Previous, Program, KeepMs, Input, Output, Upstream)
 };
 
 /// What one attempt takes of its program's budget. First reserved at the most
@@ -73,10 +74,11 @@
 
 /// The chain that ends with a turn, as far as the host has it.
 struct chain_part {
-  bool Found = false;  ///< Whether the turn asked for is there.
-  std::string Missing; ///< Where the walk back ended; empty: at the start.
-  std::string Bytes;   ///< Inputs and outputs, oldest first.
-  MSGPACK_DEFINE(Found, Missing, Bytes)
+  bool Found = false;   ///< Whether the turn asked for is there.
+  std::string Missing;  ///< Where the walk back ended; empty: at the start.
+  std::string Bytes;    ///< Inputs and outputs, oldest first.
+  std::string Upstream; ///< The runner of the turn asked for.
+  MSGPACK_DEFINE(Found, Missing, Bytes, Upstream)
 };
 
 enum class reply_status : std::uint8_t {
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -51,6 +51,7 @@
   turns::operation_id Operation; ///< At the disk hosts.
   bool Reserved = false;         ///< Tokens may be reserved for it.
   std::string Chain;
+  std::string Home; ///< The upstream that ran the previous turn.
 
   http1::call_id Upstream;
   std::string UpstreamId;
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -112,6 +112,7 @@
           return;
         Opened->Operation = {};
         Opened->Chain = Result.Chain;
+        Opened->Home = Result.Upstream;
         switch (Result.Outcome) {
         case turns::open_outcome::Granted:
           send(Id);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -31,6 +31,7 @@
   Placement.DataCentre = Settings.DataCentre;
   if (Call.isTurn())
     Placement.AffinityKey = Call.Facts.Program;
+  Placement.Home = Call.Home;
   Placement.SpreadKey = Call.Facts.Id;
   Placement.Tried = Call.Tried;
   upstream_row *Upstream = Upstreams.pick(Placement, Now);
@@ -160,6 +161,7 @@
 
 void relay::impl::onStreamed(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
+  std::string Upstream = Call.UpstreamId;
   leaveUpstream(Call);
   if (!Call.isTurn()) {
     Server->finish(Call.Exchange);
@@ -183,6 +185,7 @@
   Close.Turn->KeepMs = static_cast<std::uint64_t>(Call.Route.Keep.count());
   Close.Turn->Input = std::move(Call.Request.Body);
   Close.Turn->Output = std::move(Call.Output);
+  Close.Turn->Upstream = std::move(Upstream);
   Turns.close(std::move(Close), [this, Id](bool Kept) {
     relay_call *Ended = Calls.find(Id);
     if (!Ended)
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -73,10 +73,11 @@
                   (Row.GoneAt ? 4 : 0) + (Full ? 2 : 0) + (isSlow(Row) ? 1 : 0);
     bool Sticky = !Placement.AffinityKey.empty();
     std::uint32_t Load = Sticky ? 0 : Row.InFlight;
-    int Away =
-        Sticky || Row.Upstream.DataCentre == Placement.DataCentre ? 0 : 1;
+    int Far = Id == Placement.Home                              ? 0
+              : Row.Upstream.DataCentre == Placement.DataCentre ? 1
+                                                                : 2;
     std::string_view Key = Sticky ? Placement.AffinityKey : Placement.SpreadKey;
-    std::tuple Rank{Trouble, Load, Away, hash64(Id, hash64(Key))};
+    std::tuple Rank{Trouble, Load, Far, hash64(Id, hash64(Key))};
     if (Best && BestRank <= Rank)
       continue;
     Best = &Row;
--- a/src/libturns/ballot.cpp
+++ b/src/libturns/ballot.cpp
@@ -90,6 +90,8 @@
     return false;
   }
   Bytes.insert(0, Part.Bytes);
+  if (AskedFor == First)
+    Upstream = Part.Upstream;
   Wanted = Part.Missing;
   Asked.clear();
   Lacks.clear();
--- a/src/libturns/ballot_pvt.h
+++ b/src/libturns/ballot_pvt.h
@@ -69,6 +69,8 @@
   const std::string &wanted() const { return Wanted; }
   bool isWhole() const { return Wanted.empty(); }
   std::string takeBytes() { return std::move(Bytes); }
+  /// The runner of the newest turn; empty if that is not known.
+  const std::string &upstream() const { return Upstream; }
 
   /// A host's answer for the turn \p Asked. Returns true if it has brought
   /// the search on.
@@ -90,6 +92,7 @@
   std::string First;
   std::string Wanted;
   std::string Bytes;
+  std::string Upstream;
   std::set<std::string, std::less<>> Asked; ///< For Wanted.
   std::set<std::string, std::less<>> Lacks; ///< Wanted, and that counts.
 };
--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -370,8 +370,8 @@
   auto &Open = std::get<open_operation>(Operations.find(Id)->Kind);
   if (Outcome == open_outcome::Unknown)
     ++Counters.Unknown;
-  open_result Result{Outcome, Open.Chain.takeBytes(), Open.Ballot.spent(),
-                     std::move(Reason)};
+  open_result Result{Outcome, Open.Chain.takeBytes(), Open.Chain.upstream(),
+                     Open.Ballot.spent(), std::move(Reason)};
   auto Done = std::move(Open.Done);
   Operations.erase(Id);
   Done(Result);
--- a/src/libturns/shelf.cpp
+++ b/src/libturns/shelf.cpp
@@ -106,6 +106,7 @@
       return std::nullopt;
     Part.Bytes += Turn->Input;
     Part.Bytes += Turn->Output;
+    Part.Upstream = Turn->Upstream;
   }
   return Part;
 }
