--- a/src/libturns/ballot_test.cpp
+++ b/src/libturns/ballot_test.cpp
@@ -148,28 +148,28 @@
 TEST_CASE("a chain is put together from hosts that each have a part") {
   chain_search Search("t3");
   CHECK(!Search.isWhole());
-  CHECK(!Search.onReply("a:1", "t3", true, {false, "t3", ""}));
+  CHECK(!Search.onReply("a:1", "t3", true, {false, "t3", "", ""}));
   CHECK(!Search.isAbsent(Set));
-  CHECK(Search.onReply("b:1", "t3", true, {true, "t1", "[2][3]"}));
+  CHECK(Search.onReply("b:1", "t3", true, {true, "t1", "[2][3]", ""}));
   CHECK(Search.wanted() == "t1");
-  CHECK(Search.onReply("a:1", "t1", true, {true, "", "[1]"}));
+  CHECK(Search.onReply("a:1", "t1", true, {true, "", "[1]", ""}));
   CHECK(Search.isWhole());
   CHECK(Search.takeBytes() == "[1][2][3]");
 }
 
 TEST_CASE("a turn is absent only if a majority that has a say lacks it") {
   chain_search Search("t");
-  Search.onReply("a:1", "t", true, {false, "t", ""});
-  Search.onReply("b:1", "t", false, {false, "t", ""});
+  Search.onReply("a:1", "t", true, {false, "t", "", ""});
+  Search.onReply("b:1", "t", false, {false, "t", "", ""});
   CHECK(!Search.isAbsent(Set));
-  Search.onReply("c:1", "t", true, {false, "t", ""});
+  Search.onReply("c:1", "t", true, {false, "t", "", ""});
   CHECK(Search.isAbsent(Set));
   CHECK(!Search.isBroken(Set));
 }
 
 TEST_CASE("an answer for an earlier step of the search is passed over") {
   chain_search Search("t2");
-  Search.onReply("a:1", "t2", true, {true, "t1", "[2]"});
-  CHECK(!Search.onReply("b:1", "t2", true, {true, "", "[1][2]"}));
+  Search.onReply("a:1", "t2", true, {true, "t1", "[2]", ""});
+  CHECK(!Search.onReply("b:1", "t2", true, {true, "", "[1][2]", ""}));
   CHECK(Search.wanted() == "t1");
 }
