--- a/src/include/turmerichead/log.h
+++ b/src/include/turmerichead/log.h
@@ -13,11 +13,14 @@
 
 namespace turmerichead::log {
 
-/// Opens the logs. \p Host is written on every line. Logs go to standard
-/// error, and the audit trail to \p AuditFile, or to the log where that is
-/// empty. \p Level is "debug", "info", "warn" or "error".
+/// Opens the logs. \p Host is written on every line. Logs go to
+/// \p Descriptor, and the audit trail to \p AuditFile, or to the log where
+/// that is empty. \p Level is "debug", "info", "warn" or "error".
+///
+/// A log never waits for its reader: lines that can't be written at once, and
+/// lines below "warn" beyond some hundred a second, are left out and counted.
 void open(std::string_view Host, std::string_view Level,
-          std::string_view AuditFile);
+          std::string_view AuditFile, int Descriptor = 1);
 
 void debug(std::string_view Event, const nlohmann::json &Fields);
 void info(std::string_view Event, const nlohmann::json &Fields);
--- a/src/include/turmerichead/metrics.h
+++ b/src/include/turmerichead/metrics.h
@@ -1,5 +1,5 @@
 /// \file
-/// Counters, gauges and latency summaries, exposed in the Prometheus text
+/// Counters, gauges and latency histograms, exposed in the Prometheus text
 /// format.
 #pragma once
 
@@ -29,8 +29,7 @@
   /// Sets a gauge.
   void set(std::string_view Name, std::string_view Labels, double Value);
 
-  /// Adds a sample to a summary (count, sum, and the 50th, 95th and 99th
-  /// percentile by extended P-square).
+  /// Adds a sample, in milliseconds, to a histogram of latencies.
   void observe(std::string_view Name, std::string_view Labels, double Value);
 
   /// The value of a counter or gauge; 0 if it was never named.
--- a/src/include/turmerichead/turns_client.h
+++ b/src/include/turmerichead/turns_client.h
@@ -54,6 +54,8 @@
   Unknown     ///< Too few disk hosts answered.
 };
 
+std::string_view nameOf(open_outcome Outcome);
+
 struct open_call {
   std::string Attempt;
   std::string Program;
--- a/src/libbase/base_test.cpp
+++ b/src/libbase/base_test.cpp
@@ -1,14 +1,18 @@
 #include "turmerichead/error.h"
 #include "turmerichead/findings.h"
 #include "turmerichead/hash.h"
+#include "turmerichead/log.h"
 #include "turmerichead/metrics.h"
 #include "turmerichead/table.h"
 
 #include <doctest/doctest.h>
+#include <fcntl.h>
 #include <rapidcheck.h>
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 using namespace turmerichead;
@@ -76,4 +80,48 @@
         std::string::npos);
   CHECK(Text.find("# TYPE turmerichead_hosts gauge\n") != std::string::npos);
   CHECK(Text.find("turmerichead_call_ms_count 100\n") != std::string::npos);
+  CHECK(Text.find("# TYPE turmerichead_call_ms histogram\n") !=
+        std::string::npos);
+  CHECK(Text.find("turmerichead_call_ms_bucket{le=\"20\"} 20\n") !=
+        std::string::npos);
+  CHECK(Text.find("turmerichead_call_ms_bucket{le=\"+Inf\"} 100\n") !=
+        std::string::npos);
+}
+
+TEST_CASE("a log never waits for its reader, and counts what it left out") {
+  int Ends[2] = {-1, -1};
+  REQUIRE(pipe(Ends) == 0);
+  REQUIRE(fcntl(Ends[0], F_SETFL, O_NONBLOCK) == 0);
+  log::open("h", "info", "", Ends[1]);
+  auto Read = [&] {
+    std::string Text(1U << 20U, '\0');
+    ssize_t Count = read(Ends[0], Text.data(), Text.size());
+    Text.resize(Count > 0 ? static_cast<std::size_t>(Count) : 0);
+    return Text;
+  };
+  // Nobody reads: the pipe takes some and the rest is left out.
+  std::string Long(1000, 'x');
+  for (int I = 0; I < 500; ++I)
+    log::warn("flood", {{"text", Long}});
+  std::string First = Read();
+  CHECK(First.find("flood") != std::string::npos);
+  CHECK(First.find("left out") == std::string::npos);
+  log::warn("after", {{"n", 1}});
+  std::string Second = Read();
+  CHECK(Second.find("\"event\":\"log lines left out\",\"count\":") !=
+        std::string::npos);
+  CHECK(Second.find("\"event\":\"after\"") != std::string::npos);
+  // Ordinary lines are bounded in their number, urgent ones are not.
+  int Written = 0;
+  for (int I = 0; I < 5000; ++I) {
+    log::info("many", {{"n", I}});
+    std::string Text = I % 100 == 99 ? Read() : std::string();
+    for (std::size_t At = Text.find("many"); At != std::string::npos;
+         At = Text.find("many", At + 1))
+      ++Written;
+  }
+  CHECK(Written >= 1900);
+  CHECK(Written < 4000);
+  close(Ends[0]);
+  close(Ends[1]);
 }
--- a/src/libbase/log.cpp
+++ b/src/libbase/log.cpp
@@ -3,7 +3,6 @@
 #include "turmerichead/clock.h"
 
 #include <log4cplus/appender.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -11,14 +10,17 @@
 #include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <memory>
+#include <poll.h>
+#include <unistd.h>
 
 namespace turmerichead::log {
 
 namespace {
 
 // log4cplus ships no JSON layout. The message is a JSON object already, so
-// this layout writes it as it stands, one a line.
+// this layout writes it as it stands, one a line, to the audit file.
 class line_layout : public log4cplus::Layout {
 public:
   void
@@ -28,6 +30,71 @@
   }
 };
 
+/// Writes lines to standard output without ever waiting for its reader. What
+/// can't be written at once, and what comes too fast, is left out; a line
+/// tells how much, as soon as there is room again.
+class bounded_appender : public log4cplus::Appender {
+public:
+  explicit bounded_appender(int Descriptor) : Descriptor(Descriptor) {}
+  ~bounded_appender() override { destructorImpl(); }
+
+  void close() override {}
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    bool Urgent = Event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL;
+    if ((!Urgent && !takeToken()) || !hasRoom()) {
+      ++LeftOut;
+      return;
+    }
+    if (LeftOut > 0) {
+      writeLine(leftOutLine(LeftOut));
+      LeftOut = 0;
+    }
+    writeLine(Event.getMessage());
+  }
+
+private:
+  // A pipe that has room for this many bytes takes a write of them whole.
+  static constexpr std::size_t MaxLineBytes = 4096;
+  static constexpr double LinesPerSecond = 400;
+  static constexpr double LinesAtOnce = 2000;
+
+  bool hasRoom() const {
+    pollfd Poll{Descriptor, POLLOUT, 0};
+    return poll(&Poll, 1, 0) == 1 && (Poll.revents & POLLOUT) != 0;
+  }
+
+  bool takeToken() {
+    constexpr double MsPerSecond = 1000;
+    time_point Now = steadyNow();
+    double Seconds =
+        static_cast<double>((Now - FilledAt).count()) / MsPerSecond;
+    Tokens = std::min(LinesAtOnce, Tokens + Seconds * LinesPerSecond);
+    FilledAt = Now;
+    if (Tokens < 1)
+      return false;
+    Tokens -= 1;
+    return true;
+  }
+
+  void writeLine(std::string Line) {
+    // A line that is cut stays one line.
+    if (Line.size() >= MaxLineBytes)
+      Line.resize(MaxLineBytes - 1);
+    Line += '\n';
+    if (write(Descriptor, Line.data(), Line.size()) < 0)
+      ++LeftOut;
+  }
+
+  static std::string leftOutLine(std::uint64_t Count);
+
+  int Descriptor;
+  std::uint64_t LeftOut = 0;
+  double Tokens = LinesAtOnce;
+  time_point FilledAt = steadyNow();
+};
+
 std::string &hostName() {
   static std::string Name;
   return Name;
@@ -60,15 +127,24 @@
   Logger.forcedLog(Level, Text, nullptr, -1, nullptr);
 }
 
+std::string bounded_appender::leftOutLine(std::uint64_t Count) {
+  nlohmann::ordered_json Line;
+  Line["time_ms"] = wallNowMs();
+  Line["level"] = "warn";
+  Line["host"] = hostName();
+  Line["event"] = "log lines left out";
+  Line["count"] = Count;
+  return Line.dump();
+}
+
 } // namespace
 
 void open(std::string_view Host, std::string_view Level,
-          std::string_view AuditFile) {
+          std::string_view AuditFile, int Descriptor) {
   static log4cplus::Initializer Initializer;
   hostName() = Host;
-  log4cplus::SharedAppenderPtr Console(
-      new log4cplus::ConsoleAppender(true, true));
-  Console->setLayout(std::make_unique<line_layout>());
+  log4cplus::SharedAppenderPtr Console(new bounded_appender(Descriptor));
+  mainLogger().removeAllAppenders();
   mainLogger().addAppender(Console);
   mainLogger().setAdditivity(false);
   auditLogger().setAdditivity(false);
--- a/src/libbase/metrics.cpp
+++ b/src/libbase/metrics.cpp
@@ -1,13 +1,8 @@
 #include "turmerichead/metrics.h"
 
-#include <array>
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
 #include <cmath>
 #include <map>
+#include <prometheus/histogram.h>
 #include <sstream>
 #include <utility>
 
@@ -15,13 +10,9 @@
 
 namespace {
 
-namespace acc = boost::accumulators;
-
-using summary =
-    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
-                                            acc::tag::extended_p_square>>;
-
-constexpr std::array<double, 3> Quantiles = {0.5, 0.95, 0.99};
+/// Upper bounds of a histogram's buckets, in milliseconds.
+const prometheus::Histogram::BucketBoundaries BucketBoundsMs = {
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000};
 
 struct series_key {
   std::string Name;
@@ -44,11 +35,33 @@
   return '{' + Labels + '}';
 }
 
+std::string boundText(double Bound) {
+  if (std::isinf(Bound))
+    return "+Inf";
+  std::ostringstream Text;
+  Text << Bound;
+  return Text.str();
+}
+
+void writeHistogram(std::ostream &Output, const series_key &Key,
+                    const prometheus::ClientMetric::Histogram &Histogram) {
+  const std::string Name = "turmerichead_" + Key.Name;
+  for (const auto &Bucket : Histogram.bucket) {
+    std::string Bound = "le=\"" + boundText(Bucket.upper_bound) + "\"";
+    Output << Name << "_bucket" << withLabels(Key, Bound) << ' '
+           << Bucket.cumulative_count << '\n';
+  }
+  Output << Name << "_sum" << withLabels(Key, "") << ' ' << Histogram.sample_sum
+         << '\n';
+  Output << Name << "_count" << withLabels(Key, "") << ' '
+         << Histogram.sample_count << '\n';
+}
+
 } // namespace
 
 struct metrics::state {
   std::map<series_key, simple_series> Simple;
-  std::map<series_key, summary> Summaries;
+  std::map<series_key, prometheus::Histogram> Histograms;
 };
 
 metrics::metrics() : State(std::make_unique<state>()) {}
@@ -69,15 +82,9 @@
 
 void metrics::observe(std::string_view Name, std::string_view Labels,
                       double Value) {
-  series_key Key{std::string(Name), std::string(Labels)};
-  auto Found = State->Summaries.find(Key);
-  if (Found == State->Summaries.end())
-    Found =
-        State->Summaries
-            .emplace(std::move(Key),
-                     summary(acc::extended_p_square_probabilities = Quantiles))
-            .first;
-  Found->second(Value);
+  State->Histograms
+      .try_emplace({std::string(Name), std::string(Labels)}, BucketBoundsMs)
+      .first->second.Observe(Value);
 }
 
 double metrics::value(std::string_view Name, std::string_view Labels) const {
@@ -98,20 +105,11 @@
            << Series.Value << '\n';
   }
   LastName.clear();
-  for (const auto &[Key, Summary] : State->Summaries) {
+  for (const auto &[Key, Histogram] : State->Histograms) {
     if (Key.Name != LastName)
-      Output << "# TYPE turmerichead_" << Key.Name << " summary\n";
+      Output << "# TYPE turmerichead_" << Key.Name << " histogram\n";
     LastName = Key.Name;
-    for (std::size_t I = 0; I < Quantiles.size(); ++I) {
-      std::ostringstream Label;
-      Label << "quantile=\"" << Quantiles[I] << '"';
-      Output << "turmerichead_" << Key.Name << withLabels(Key, Label.str())
-             << ' ' << acc::extended_p_square(Summary)[I] << '\n';
-    }
-    Output << "turmerichead_" << Key.Name << "_sum" << withLabels(Key, "")
-           << ' ' << acc::sum(Summary) << '\n';
-    Output << "turmerichead_" << Key.Name << "_count" << withLabels(Key, "")
-           << ' ' << acc::count(Summary) << '\n';
+    writeHistogram(Output, Key, Histogram.Collect().histogram);
   }
   return Output.str();
 }
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -113,6 +113,16 @@
         Opened->Operation = {};
         Opened->Chain = Result.Chain;
         Opened->Home = Result.Upstream;
+        if (Result.Outcome != turns::open_outcome::Granted)
+          log::info("turn not opened",
+                    {{"id", Opened->Facts.Id},
+                     {"outcome", turns::nameOf(Result.Outcome)},
+                     {"reason", Result.Reason},
+                     {"previous", Opened->Facts.PreviousTurn},
+                     {"spent", Result.Spent},
+                     {"most", Opened->Facts.MostTokens},
+                     {"budget", Opened->Facts.Budget.value_or(0)},
+                     {"set_epoch", Turns.set().Epoch}});
         switch (Result.Outcome) {
         case turns::open_outcome::Granted:
           send(Id);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -46,6 +46,15 @@
   Call.Phase = call_phase::Sent;
   Call.SentAt = Now;
   Call.NotRun = false;
+  log::info("call sent", {{"id", Call.Facts.Id},
+                          {"upstream", Call.UpstreamId},
+                          {"home", Call.Home},
+                          {"in_flight", Upstream->InFlight},
+                          {"avoided", Upstream->AvoidUntil > Now},
+                          {"vanished", Upstream->GoneAt.has_value()},
+                          {"attempt", Call.Attempts},
+                          {"left_ms", (Call.Deadline - Now).count()},
+                          {"chain_bytes", Call.Chain.size()}});
   http1::call_request Request = requestFor(Call, Upstream->Upstream);
   Call.Upstream = Client->call(
       std::move(Request),
--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -101,6 +101,20 @@
   void finishClose(operation_id Id, bool Kept);
 };
 
+std::string_view nameOf(open_outcome Outcome) {
+  switch (Outcome) {
+  case open_outcome::Granted:
+    return "granted";
+  case open_outcome::OverBudget:
+    return "over_budget";
+  case open_outcome::NoSuchTurn:
+    return "no_such_turn";
+  case open_outcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
 // -- Common ------------------------------------------------------------------
 
 void client::impl::setAlarm(operation_id Id, milliseconds Delay, alarm Kind) {
--- a/src/turmericheadctl/commands.h
+++ b/src/turmericheadctl/commands.h
@@ -54,4 +54,8 @@
 /// audit FILE: the latest records of an audit trail, for people.
 int audit(const options &Options, arguments Files);
 
+/// explain ID [LOG...]: what the logs of hosts tell of a call or a program, in
+/// order of time; without a file, of standard input.
+int explain(const options &Options, arguments Rest);
+
 } // namespace turmerichead::ctl
--- a/src/turmericheadctl/main.cpp
+++ b/src/turmericheadctl/main.cpp
@@ -41,7 +41,7 @@
     command{"apply", &apply},   command{"status", &status},
     command{"report", &report}, command{"audit", &audit},
     command{"drain", &drain},   command{"settings", &settings},
-    command{"fields", &fields},
+    command{"fields", &fields}, command{"explain", &explain},
 };
 
 constexpr const char *Usage = R"(the operator's command line of turmerichead
@@ -52,6 +52,7 @@
   turmericheadctl status               hosts, shards and upstreams
   turmericheadctl report [--json]      the report on all programs
   turmericheadctl audit FILE [-n 20]   the latest records of an audit trail
+  turmericheadctl explain ID [LOG...]  what logs tell of a call or program
   turmericheadctl drain [ADDRESS]      stop a host gracefully
   turmericheadctl settings | fields    tables of settings and entry fields
 
--- a/src/turmericheadctl/turmericheadctl_test.sh
+++ b/src/turmericheadctl/turmericheadctl_test.sh
@@ -89,4 +89,18 @@
 expect 0 'limits.tokens: 60000 -> 70000' audit "$folder/audit.jsonl"
 expect 0 'after 420 ms' audit "$folder/audit.jsonl" -n 1
 [ $failures -eq 0 ] && echo "all good"
+cat >"$folder/a.log" <<'LOG'
+  7.31 host-a {"time_ms":2000,"level":"info","host":"host-a","event":"call ended","id":"c1","status":503}
+{"time_ms":2500,"level":"info","host":"host-a","event":"call ended","id":"c2","program":"p1","status":200}
+LOG
+cat >"$folder/b.log" <<'LOG'
+{"time_ms":1990,"level":"info","host":"host-b","event":"call sent","id":"c1","upstream":"u1"}
+not a line of ours that names c1
+LOG
+expect 0 '+10 ms  host-a  call ended  id=c1  status=503' explain c1 "$folder/a.log" "$folder/b.log"
+expect 0 '+0 ms  host-b  call sent  id=c1  upstream=u1' explain c1 "$folder/a.log" "$folder/b.log"
+expect 0 'status=200' explain p1 "$folder/a.log"
+expect 1 'no line tells of c9' explain c9 "$folder/a.log"
+expect 2 'cannot be read' explain c1 "$folder/none.log"
+
 exit $((failures > 0))
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -2,9 +2,9 @@
 # Installs what the build and the tests need on a fresh Debian 12 machine.
 set -euo pipefail
 packages="g++ cmake ninja-build pkg-config ccache git clang-14 clang-format-14
-  clang-tidy-14 libglib2.0-dev libsoup-3.0-dev libhttp-parser-dev libnghttp2-dev liblog4cplus-dev
+  clang-tidy-14 libglib2.0-dev libsoup-3.0-dev libhttp-parser-dev prometheus-cpp-dev libnghttp2-dev liblog4cplus-dev
   libgflags-dev libtomlplusplus-dev nlohmann-json3-dev libmsgpack-cxx-dev
-  libxxhash-dev libboost-dev doctest-dev librapidcheck-dev glib-networking
+  libxxhash-dev doctest-dev librapidcheck-dev glib-networking
   gnuplot-nox curl"
 missing=""
 for package in $packages; do
