--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -19,6 +19,7 @@
 #include "turmerichead/relay_upstreams.h"
 #include "turmerichead/turns_client.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,12 @@
   void removeUpstream(std::string_view Id, milliseconds After);
   const upstream_table &upstreams() const;
 
+  /// Called with what this host knows of requests that take down upstreams,
+  /// when that has changed; other hosts take it in by mergeSuspects().
+  void onSuspects(std::function<void(std::string Bytes)> Action);
+  /// Fails with Corrupt.
+  bool mergeSuspects(std::string_view Bytes);
+
   /// The process will end after \p Left. From now on each answer closes its
   /// connection, and a call that might not end in time is refused.
   void drain(milliseconds Left);
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -50,6 +50,7 @@
 
   turns::operation_id Operation; ///< At the disk hosts.
   bool Reserved = false;         ///< Tokens may be reserved for it.
+  std::uint64_t Fingerprint = 0; ///< See relay_suspects.h.
   std::string Chain;
   std::string Home; ///< The upstream that ran the previous turn.
 
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -69,10 +69,17 @@
   milliseconds Wait =
       std::min(Call.Facts.TimeLeft.value_or(NoLimit), Route->Timeout);
   Call.Deadline = Call.Arrived + Wait;
+  Call.Fingerprint = suspects::fingerprintOf(
+      Call.Facts.Program, Call.Request.Target, Call.Request.Body);
+  bool Condemned = Suspects.isCondemned(Call.Fingerprint, Call.Arrived);
   bool Turn = Call.isTurn();
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
   Deadlines->add(Wait, keyOf(Id), 0);
+  if (Condemned) {
+    refuse(Id, "it was under way when several upstreams died");
+    return;
+  }
   if (EndAt && *EndAt < Calls.find(Id)->Deadline) {
     refuse(Id, "the host is stopping");
     return;
@@ -237,6 +244,14 @@
 
 const upstream_table &relay::upstreams() const { return Impl->Upstreams; }
 
+void relay::onSuspects(std::function<void(std::string Bytes)> Action) {
+  Impl->TellSuspects = std::move(Action);
+}
+
+bool relay::mergeSuspects(std::string_view Bytes) {
+  return Impl->Suspects.merge(Bytes, steadyNow());
+}
+
 void relay::drain(milliseconds Left) {
   Impl->EndAt = steadyNow() + Left;
   Impl->Server->drain();
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -4,6 +4,7 @@
 
 #include "call_pvt.h"
 #include "turmerichead/net_loop.h"
+#include "turmerichead/relay_suspects.h"
 
 namespace turmerichead::relay {
 
@@ -20,6 +21,8 @@
   routing Routing;
   std::optional<time_point> EndAt; ///< Of the process, once it is stopping.
   upstream_table Upstreams;
+  suspects Suspects;
+  std::function<void(std::string)> TellSuspects;
   call_table Calls;
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
 
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -164,6 +164,7 @@
   http1::header_list Headers = Call.Head.Headers;
   http1::removeHopByHop(Headers);
   settle(Call);
+  Suspects.noteSuccess(Call.Fingerprint, steadyNow());
   Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body);
   finish(Id, Call.Head.Status, {});
 }
@@ -177,6 +178,7 @@
     finish(Id, Call.Head.Status, {});
     return;
   }
+  Suspects.noteSuccess(Call.Fingerprint, steadyNow());
   Call.Phase = call_phase::Keeping;
   const engine *Engine = nullptr;
   if (const service *Service = Routing.findService(Call.Service))
@@ -233,6 +235,10 @@
                                 {"events", Call.EventCount},
                                 {"after_ms", (Now - Call.SentAt).count()}});
   Upstreams.noteFailure(Call.UpstreamId, Now);
+  if (Result.Outcome != http1::call_outcome::NotSent)
+    Suspects.noteBroken(Call.UpstreamId, Call.Fingerprint, Now);
+  else if (Suspects.noteUnreachable(Call.UpstreamId, Now) && TellSuspects)
+    TellSuspects(Suspects.encode(Now));
   leaveUpstream(Call);
   Call.Body.clear();
   if (Call.Phase == call_phase::Streaming) {
