--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -5,6 +5,7 @@
 #include "turmerichead/net_loop.h"
 #include "turmerichead/table.h"
 #include "turmerichead/turns_forwarder.h"
+#include "turmerichead/turns_links.h"
 
 #include <nlohmann/json.hpp>
 #include <variant>
@@ -506,9 +507,8 @@
   auto Impl = std::make_unique<impl>();
   impl *Raw = Impl.get();
   Raw->Settings = std::move(Settings);
-  peer_settings Peer;
-  Peer.Host = Raw->Settings.Host;
-  Raw->Links = peer_links::create(Peer, Raw->Settings.SharedKey);
+  Raw->Links = peer_links::create(linkSettings(Raw->Settings.Host),
+                                  Raw->Settings.SharedKey);
   if (!Raw->Links)
     return std::nullopt;
   Raw->Deadlines.emplace([Raw](std::uint64_t Key, int Kind) {
--- a/src/libturns/forwarder.cpp
+++ b/src/libturns/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "turmerichead/turns_forwarder.h"
 
 #include "turmerichead/error.h"
+#include "turmerichead/turns_links.h"
 
 namespace turmerichead::turns {
 
@@ -47,10 +48,8 @@
     std::function<void(const peer_request_view &Request)> OnOther) {
   auto Impl = std::make_unique<impl>(impl{Links, std::move(OnOther), {}});
   impl *Raw = Impl.get();
-  peer_settings Settings;
-  Settings.Host = Address;
   Raw->Server = peer_server::create(
-      Address, Settings, std::move(SharedKey),
+      Address, linkSettings(std::string(Address)), std::move(SharedKey),
       {[Raw](const peer_request_view &Request) { Raw->onRequest(Request); },
        [](peer_reply_id) {}});
   if (!Raw->Server)
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -1,6 +1,7 @@
 #include "replica_pvt.h"
 
 #include "turmerichead/log.h"
+#include "turmerichead/turns_links.h"
 
 #include <nlohmann/json.hpp>
 
@@ -143,8 +144,7 @@
                           {"damage", Findings.Text},
                           {"epoch", Raw->Keeper->set().Epoch},
                           {"caught_up", Raw->Keeper->caughtUp()}});
-  peer_settings Peer;
-  Peer.Host = Raw->Settings.Self.Address;
+  peer_settings Peer = linkSettings(Raw->Settings.Self.Address);
   Raw->Links = peer_links::create(Peer, Raw->Settings.SharedKey);
   Raw->Server = peer_server::create(
       Raw->Settings.Self.Address, Peer, Raw->Settings.SharedKey,
