Split the turns client by its jobs; refuse a budget of nothing; test the way by another host

Change: client_open and client_close; 402 for a budget of 0; two tests, one of which shows the refusal without a forwarder.

--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -104,6 +104,10 @@
     send(Id);
     return;
   }
+  if (Call.Facts.Budget == 0U) {
+    failCall(Id, OverBudget, "the budget is nothing");
+    return;
+  }
   turns::open_call Open;
   Open.Attempt = Call.Facts.Id;
   Open.Program = Call.Facts.Program;
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -3,6 +3,7 @@
 
 #include "../libnet/test_loop_pvt.h"
 #include "turmerichead/relay.h"
+#include "turmerichead/turns_forwarder.h"
 #include "turmerichead/turns_replica.h"
 
 #include <filesystem>
@@ -391,6 +392,50 @@
   REQUIRE(F.received(F.Llm, "X-Call: t3"));
 }
 
+TEST_CASE("a budget of nothing has no room for a turn") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/plan/1", "t1",
+                        "X-Program: p\r\nX-Budget: 0\r\nX-Tokens: 5,60\r\n",
+                        "[in]"));
+  REQUIRE(Caller.waitsFor("HTTP/1.1"));
+  CHECK(Caller.has("HTTP/1.1 402"));
+  CHECK(F.Llm.Connections.empty());
+}
+
+TEST_CASE("disk hosts out of reach are reached by way of another host") {
+  // Three entry hosts were cut off from all disk hosts for twelve seconds and
+  // refused every turn, though they reached the other entry hosts.
+  fixture F;
+  raw_server Silence;
+  for (const turns::disk_host &Host : F.Disks.Set.Members)
+    F.Turns->links().setRoute(Host.Address, addressOf(Silence.port()));
+  peer_settings Other;
+  Other.Host = "other";
+  auto Links = peer_links::create(Other, Key);
+  std::string Way = addressOf(freePort());
+  auto Forwarder =
+      turns::forwarder::create(Way, Key, *Links, [](const auto &) {});
+  REQUIRE(Forwarder);
+  caller Caller(F.Address);
+  std::string More = "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,40\r\n";
+  SUBCASE("with a forwarder the turn is served") {
+    F.Turns->setForwarders({Way});
+    Caller.send(F.request("POST", "/plan/1", "t1", More, "[in1]"));
+    REQUIRE(F.received(F.Llm, "[in1]"));
+    F.Llm.send(0, streamHead("t1") + chunk("data: a\n\n") +
+                      std::string(StreamEnd));
+    REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+    CHECK(F.Turns->counters().Forwarded > 0);
+  }
+  SUBCASE("without one it is refused as not run") {
+    Caller.send(F.request("POST", "/plan/1", "t1", More, "[in1]"));
+    REQUIRE(Caller.waitsFor("HTTP/1.1"));
+    CHECK(Caller.has("HTTP/1.1 503"));
+    CHECK(F.Llm.Connections.empty());
+  }
+}
+
 TEST_CASE("a stream whose runner breaks off is cut and does not look whole") {
   fixture F;
   caller Caller(F.Address);
--- a/src/librelay/suspects_test.cpp
+++ b/src/librelay/suspects_test.cpp
@@ -21,7 +21,7 @@
   std::uint64_t Crasher = suspects::fingerprintOf("p", "/plan/1", "body");
   CHECK(Crasher == suspects::fingerprintOf("p", "/plan/1", "body"));
   CHECK(Crasher != suspects::fingerprintOf("p", "/plan/1", "other"));
-  for (int I = 0; I < 3; ++I) {
+  for (std::int64_t I = 0; I < 3; ++I) {
     CHECK(!Suspects.isCondemned(Crasher, {I * 10'000}));
     CHECK(die(Suspects, Crasher, "u" + std::to_string(I), I * 10'000));
   }
@@ -30,7 +30,7 @@
 
 TEST_CASE("a lost answer at an upstream that lives is no death") {
   suspects Suspects;
-  for (int I = 0; I < 5; ++I)
+  for (std::int64_t I = 0; I < 5; ++I)
     Suspects.noteBroken("u", 7, {I * 1000});
   CHECK(!Suspects.noteUnreachable("other", {5000}));
   CHECK(!Suspects.noteUnreachable("u", {20'000}));
@@ -39,7 +39,7 @@
 
 TEST_CASE("what was under way beside a crasher is cleared by its success") {
   suspects Suspects;
-  for (int I = 0; I < 2; ++I) {
+  for (std::int64_t I = 0; I < 2; ++I) {
     std::string Upstream = "u" + std::to_string(I);
     Suspects.noteBroken(Upstream, 1, {I * 10'000});
     die(Suspects, 2, Upstream, I * 10'000);
--- /dev/null
+++ b/src/libturns/client_close.cpp
@@ -0,0 +1,73 @@
+// Closing a turn: the budget is settled and the turn is kept.
+
+#include "client_pvt.h"
+
+namespace turmerichead::turns {
+
+void client::impl::startClose(operation_id Id) {
+  operation_row &Row = *Operations.find(Id);
+  Row.Set = Set;
+  auto &Close = std::get<close_operation>(Row.Kind);
+  close_request Request;
+  Request.Set = Row.Set;
+  auto KeepMs = static_cast<std::uint64_t>(Close.Call.Keep.count());
+  if (Close.Call.HasBudget)
+    Request.Spend = {Close.Call.Program, Close.Call.Attempt, Close.Call.Tokens,
+                     true, KeepMs};
+  std::size_t Copies = 0;
+  bool Everyone = Close.Wide || Row.Set.isJoint();
+  for (const disk_host &Host : inOrder(Row.Set)) {
+    if (Close.Kept.contains(Host.Address))
+      continue;
+    Request.HasTurn = Close.Call.Turn && (Everyone || Copies < Row.Set.Needed);
+    Request.Turn = Request.HasTurn ? *Close.Call.Turn : turn_record();
+    if (!Request.HasTurn && !Close.Call.HasBudget)
+      continue;
+    ++Copies;
+    bool Counts = Request.HasTurn || !Close.Call.Turn;
+    if (Counts)
+      send<close_reply>(Id, Host, ClosePath, pack(Request),
+                        &impl::onCloseReply);
+    else
+      transmit(Host.Address, {std::string(ClosePath), {}, pack(Request)},
+               [](std::string_view) {});
+  }
+  setAlarm(Id, Settings.ReplyPatience, alarm::Patience);
+  setAlarm(Id, Settings.ResendAfter, alarm::Resend);
+}
+
+void client::impl::onCloseReply(operation_id Id, const std::string &Address,
+                                const close_reply &Reply) {
+  if (learnSet(Id, Reply.Status, Reply.Set))
+    return;
+  if (Reply.Status != static_cast<std::uint8_t>(reply_status::Ok))
+    return;
+  std::get<close_operation>(Operations.find(Id)->Kind).Kept[Address] =
+      bootNow();
+  decideClose(Id);
+}
+
+void client::impl::decideClose(operation_id Id) {
+  operation_row &Row = *Operations.find(Id);
+  auto &Close = std::get<close_operation>(Row.Kind);
+  time_point Now = bootNow();
+  std::erase_if(Close.Kept, [&](const auto &Entry) {
+    return Now - Entry.second > Settings.AckWindow;
+  });
+  bool Kept = isWriteQuorum(Row.Set, [&](std::string_view Address) {
+    return Close.Kept.contains(Address);
+  });
+  if (Kept)
+    finishClose(Id, true);
+}
+
+void client::impl::finishClose(operation_id Id, bool Kept) {
+  auto &Close = std::get<close_operation>(Operations.find(Id)->Kind);
+  if (!Kept)
+    ++Counters.NotKept;
+  auto Done = std::move(Close.Done);
+  Operations.erase(Id);
+  Done(Kept);
+}
+
+} // namespace turmerichead::turns
--- /dev/null
+++ b/src/libturns/client_open.cpp
@@ -0,0 +1,168 @@
+// Opening a turn: the reservation and the chain before it.
+
+#include "client_pvt.h"
+
+namespace turmerichead::turns {
+
+void client::impl::startOpen(operation_id Id) {
+  operation_row &Row = *Operations.find(Id);
+  Row.Set = Set;
+  auto &Open = std::get<open_operation>(Row.Kind);
+  Open.Ballot = reservation_ballot(Row.Set, Open.Call.Tokens, Open.Call.Budget);
+  Open.PatienceOver = false;
+  Open.ReadingAgain = false;
+  Open.Chain.askAgain();
+  Open.SentAgain = false;
+  sendOpen(Id);
+  setAlarm(Id, Settings.ReplyPatience, alarm::Patience);
+  setAlarm(Id, Settings.ResendAfter, alarm::Resend);
+}
+
+// Sends the reservation to the hosts that have not answered, and asks the
+// first of them for the chain.
+void client::impl::sendOpen(operation_id Id) {
+  operation_row &Row = *Operations.find(Id);
+  auto &Open = std::get<open_operation>(Row.Kind);
+  bool First = true;
+  open_request Request;
+  Request.Set = Row.Set;
+  Request.Spend = {Open.Call.Program, Open.Call.Attempt, Open.Call.Tokens,
+                   false, static_cast<std::uint64_t>(Open.Call.Keep.count())};
+  Request.Budget = Open.Call.Budget;
+  for (const disk_host &Host : inOrder(Row.Set)) {
+    if (Open.Ballot.hasAnswered(Host.Address))
+      continue;
+    bool AsksChain =
+        First && !Open.Chain.isWhole() && !Open.Chain.wasAsked(Host.Address);
+    Request.Previous = AsksChain ? Open.Chain.wanted() : std::string();
+    if (Open.Call.Budget == 0 && !AsksChain)
+      break;
+    if (AsksChain)
+      Open.Chain.noteAsked(Host.Address);
+    send<open_reply>(Id, Host, OpenPath, pack(Request), &impl::onOpenReply);
+    First = false;
+  }
+}
+
+void client::impl::askChain(operation_id Id) {
+  operation_row &Row = *Operations.find(Id);
+  auto &Open = std::get<open_operation>(Row.Kind);
+  if (Open.Chain.isWhole())
+    return;
+  for (const disk_host &Host : inOrder(Row.Set)) {
+    if (Open.Chain.wasAsked(Host.Address))
+      continue;
+    Open.Chain.noteAsked(Host.Address);
+    std::string Asked = Open.Chain.wanted();
+    std::string Address = Host.Address;
+    lookup_request Request{Row.Set, {}, {}, Asked};
+    transmit(Address, {std::string(ChainPath), {}, pack(Request)},
+             [this, Id, Address, Asked](std::string_view Bytes) {
+               auto Reply = unpack<open_reply>(Bytes);
+               if (Reply && Operations.find(Id))
+                 onChainReply(Id, Address, Asked, *Reply);
+             });
+    setAlarm(Id, Settings.ReplyPatience, alarm::Patience);
+    return;
+  }
+}
+
+void client::impl::onOpenReply(operation_id Id, const std::string &Address,
+                               const open_reply &Reply) {
+  if (learnSet(Id, Reply.Status, Reply.Set))
+    return;
+  operation_row &Row = *Operations.find(Id);
+  auto &Open = std::get<open_operation>(Row.Kind);
+  Open.Ballot.onReply(Address, Reply);
+  bool HasChain = Reply.Chain.Found || !Reply.Chain.Missing.empty();
+  if (HasChain)
+    onChainReply(Id, Address, Open.Call.Previous, Reply);
+  else
+    decideOpen(Id);
+}
+
+void client::impl::onChainReply(operation_id Id, const std::string &Address,
+                                const std::string &Asked,
+                                const open_reply &Reply) {
+  if (learnSet(Id, Reply.Status, Reply.Set))
+    return;
+  operation_row &Row = *Operations.find(Id);
+  auto &Open = std::get<open_operation>(Row.Kind);
+  bool Readable =
+      Reply.Status != static_cast<std::uint8_t>(reply_status::Failed);
+  if (Readable)
+    Open.Chain.onReply(Address, Asked, Reply.CaughtUp, Reply.Chain);
+  if (!Open.Chain.isWhole() && !Open.Chain.isAbsent(Row.Set))
+    askChain(Id);
+  decideOpen(Id);
+}
+
+void client::impl::readAgain(operation_id Id) {
+  operation_row &Row = *Operations.find(Id);
+  auto &Open = std::get<open_operation>(Row.Kind);
+  if (Open.ReadingAgain)
+    return;
+  Open.ReadingAgain = true;
+  ++Counters.SecondRounds;
+  lookup_request Request{Row.Set, Open.Call.Program, Open.Call.Attempt, {}};
+  for (const disk_host &Host : Row.Set.everyone())
+    send<open_reply>(Id, Host, SpentPath, pack(Request), &impl::onSpentReply);
+}
+
+void client::impl::onSpentReply(operation_id Id, const std::string &Address,
+                                const open_reply &Reply) {
+  if (learnSet(Id, Reply.Status, Reply.Set))
+    return;
+  std::get<open_operation>(Operations.find(Id)->Kind)
+      .Ballot.onReadAgain(Address, Reply);
+  decideOpen(Id);
+}
+
+void client::impl::decideOpen(operation_id Id) {
+  operation_row &Row = *Operations.find(Id);
+  auto &Open = std::get<open_operation>(Row.Kind);
+  if (Open.Chain.isAbsent(Row.Set)) {
+    finishOpen(Id, open_outcome::NoSuchTurn, "no majority member has it");
+    return;
+  }
+  if (Open.Chain.isBroken(Row.Set)) {
+    finishOpen(Id, open_outcome::Unknown,
+               "turn " + Open.Chain.wanted() + " of its chain is missing");
+    return;
+  }
+  using verdict = reservation_ballot::verdict;
+  verdict Verdict = verdict::Granted;
+  if (Open.Call.Budget > 0)
+    Verdict = Open.Ballot.decide(Open.PatienceOver);
+  switch (Verdict) {
+  case verdict::Wait:
+    return;
+  case verdict::Patience:
+    setAlarm(Id, Settings.LastReplyPatience, alarm::LastReply);
+    return;
+  case verdict::ReadAgain:
+    readAgain(Id);
+    return;
+  case verdict::OverBudget:
+    finishOpen(Id, open_outcome::OverBudget, "the budget is spent");
+    return;
+  case verdict::Granted:
+    break;
+  }
+  if (Open.Chain.isWhole())
+    finishOpen(Id, open_outcome::Granted, {});
+}
+
+void client::impl::finishOpen(operation_id Id, open_outcome Outcome,
+                              std::string Reason) {
+  auto &Open = std::get<open_operation>(Operations.find(Id)->Kind);
+  if (Outcome == open_outcome::Unknown)
+    ++Counters.Unknown;
+  open_result Result{Outcome, Open.Chain.takeBytes(), Open.Chain.upstream(),
+                     Open.Ballot.spent(), std::move(Reason)};
+  auto Done = std::move(Open.Done);
+  Operations.erase(Id);
+  Done(Result);
+}
+
+} // namespace turmerichead::turns
--- /dev/null
+++ b/src/libturns/client_pvt.h
@@ -0,0 +1,118 @@
+/// \file
+/// The parts of the turns client: ways to hosts, opening and closing.
+#pragma once
+
+#include "ballot_pvt.h"
+#include "turmerichead/log.h"
+#include "turmerichead/net_loop.h"
+#include "turmerichead/table.h"
+#include "turmerichead/turns_client.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <variant>
+
+namespace turmerichead::turns {
+
+/// What a deadline of an operation is for.
+enum class alarm : std::uint8_t { Timeout, Patience, LastReply, Resend };
+
+/// What is known of the way to a host.
+struct link_state {
+  std::optional<time_point> UnansweredSince; ///< The oldest request without a
+                                             ///< reply to it or a later one.
+  time_point PingedAt;
+};
+
+struct open_operation {
+  open_call Call;
+  std::function<void(const open_result &)> Done;
+  reservation_ballot Ballot;
+  chain_search Chain;
+  bool PatienceOver = false;
+  bool ReadingAgain = false;
+  bool SentAgain = false; ///< To the hosts that did not answer at once.
+};
+
+struct close_operation {
+  close_call Call;
+  std::function<void(bool)> Done;
+  std::map<std::string, time_point, std::less<>> Kept; ///< When, by address.
+  bool Wide = false; ///< The turn goes to every member, not to a majority.
+};
+
+struct operation_row {
+  disk_set Set;
+  std::variant<open_operation, close_operation> Kind;
+};
+
+struct client::impl {
+  client_settings Settings;
+  std::optional<peer_links> Links;
+  std::optional<deadline_queue> Deadlines;
+  std::function<void(const disk_set &)> NewSet;
+  disk_set Set;
+  table<operation_row> Operations;
+  std::map<std::string, link_state, std::less<>> LinkStates; ///< By address.
+  std::vector<std::string> Forwarders;
+  client_counters Counters;
+
+  void setAlarm(operation_id Id, milliseconds Delay, alarm Kind);
+  void onAlarm(operation_id Id, alarm Kind);
+  std::vector<disk_host> inOrder(const disk_set &Members) const;
+  bool isSilent(std::string_view Address) const;
+  void transmit(const std::string &Address, peer_request Request,
+                const std::function<void(std::string_view)> &OnMessage);
+  void sendDirectly(const std::string &Address, peer_request Request,
+                    const std::function<void(std::string_view)> &OnMessage);
+  bool sendForwarded(const std::string &Address, const peer_request &Request,
+                     const std::function<void(std::string_view)> &OnMessage);
+  void pingIfDue(const std::string &Address);
+  bool learnSet(operation_id Id, std::uint8_t Status, const disk_set &Newer);
+
+  template <typename Reply>
+  void send(operation_id Id, const disk_host &Host, std::string_view Path,
+            std::string Body,
+            void (impl::*Handle)(operation_id, const std::string &,
+                                 const Reply &));
+
+  void startOpen(operation_id Id);
+  void sendOpen(operation_id Id);
+  void askChain(operation_id Id);
+  void readAgain(operation_id Id);
+  void onOpenReply(operation_id Id, const std::string &Address,
+                   const open_reply &Reply);
+  void onChainReply(operation_id Id, const std::string &Address,
+                    const std::string &Asked, const open_reply &Reply);
+  void onSpentReply(operation_id Id, const std::string &Address,
+                    const open_reply &Reply);
+  void decideOpen(operation_id Id);
+  void finishOpen(operation_id Id, open_outcome Outcome, std::string Reason);
+
+  void startClose(operation_id Id);
+  void onCloseReply(operation_id Id, const std::string &Address,
+                    const close_reply &Reply);
+  void decideClose(operation_id Id);
+  void finishClose(operation_id Id, bool Kept);
+};
+
+template <typename Reply>
+void client::impl::send(operation_id Id, const disk_host &Host,
+                        std::string_view Path, std::string Body,
+                        void (impl::*Handle)(operation_id, const std::string &,
+                                             const Reply &)) {
+  std::string Address = Host.Address;
+  transmit(Address, {std::string(Path), {}, std::move(Body)},
+           [this, Id, Address, Handle](std::string_view Bytes) {
+             if (!Operations.find(Id))
+               return;
+             if (auto Message = unpack<Reply>(Bytes))
+               (this->*Handle)(Id, Address, *Message);
+             else
+               log::warn("reply of a disk host does not decode",
+                         {{"address", Address}, {"reason", lastError().Text}});
+           });
+}
+
+} // namespace turmerichead::turns
