--- a/src/include/turmerichead/turns_client.h
+++ b/src/include/turmerichead/turns_client.h
@@ -108,9 +108,6 @@
   /// does not answer is then reached by way of one of them.
   void setForwarders(std::vector<std::string> Addresses);
 
-  /// Called when a disk host has told of a newer set.
-  void onNewSet(std::function<void(const disk_set &)> Action);
-
   /// \p Done is called once, never inside this call.
   operation_id open(open_call Call,
                     std::function<void(const open_result &)> Done);
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -65,10 +65,13 @@
   bool NotRun = false;
   sse_splitter Events;
   std::uint64_t EventCount = 0;
-  std::string Output; ///< The data of the events, one a line.
+  std::uint64_t TokensPerEvent = 1; ///< Of its service, as the call came.
+  std::string Output;               ///< The data of the events, one a line.
   time_point LastEvent;
   time_point FirstEvent;
 
+  /// Tokens that its caller was handed.
+  std::uint64_t tokens() const { return EventCount * TokensPerEvent; }
   bool isTurn() const { return Route.KeepsTurns; }
 };
 
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -52,20 +52,21 @@
   finish(Id, 0, Reason);
 }
 
-void relay::impl::settle(const relay_call &Call) {
-  // While a turn is being kept its budget is settled with it.
-  if (!Call.Reserved || Call.Phase == call_phase::Keeping)
-    return;
-  const service *Service = Routing.findService(Call.Service);
-  std::uint64_t PerEvent =
-      Service && Service->Engine ? Service->Engine->TokensPerEvent : 1;
+turns::close_call relay::impl::closeOf(const relay_call &Call) {
   turns::close_call Close;
   Close.Attempt = Call.Facts.Id;
   Close.Program = Call.Facts.Program;
-  Close.HasBudget = true;
+  Close.Tokens = Call.tokens();
+  Close.HasBudget = Call.Facts.Budget.has_value();
   Close.Keep = Call.Route.Keep;
-  Close.Tokens = Call.EventCount * PerEvent;
-  Turns.close(std::move(Close), [Id = Call.Facts.Id](bool Kept) {
+  return Close;
+}
+
+void relay::impl::settle(const relay_call &Call) {
+  // While a turn is being kept its budget is settled with it.
+  if (!Call.Reserved || Call.Phase == call_phase::Keeping)
+    return;
+  Turns.close(closeOf(Call), [Id = Call.Facts.Id](bool Kept) {
     if (!Kept)
       log::warn("budget not settled", {{"id", Id}});
   });
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -57,6 +57,8 @@
   void failCall(relay_call_id Id, int Status, std::string_view Reason);
   /// Cuts an answer that has begun.
   void cut(relay_call_id Id, std::string_view Reason);
+  /// What an attempt took of its budget, for the disk hosts.
+  static turns::close_call closeOf(const relay_call &Call);
   /// Gives back what an attempt did not use of its budget.
   void settle(const relay_call &Call);
   /// Logs and forgets a call.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -180,15 +180,7 @@
   }
   Suspects.noteSuccess(Call.Fingerprint, steadyNow());
   Call.Phase = call_phase::Keeping;
-  const engine *Engine = nullptr;
-  if (const service *Service = Routing.findService(Call.Service))
-    Engine = Service->Engine ? &*Service->Engine : nullptr;
-  turns::close_call Close;
-  Close.Attempt = Call.Facts.Id;
-  Close.Program = Call.Facts.Program;
-  Close.Tokens = Call.EventCount * (Engine ? Engine->TokensPerEvent : 1);
-  Close.HasBudget = Call.Facts.Budget.has_value();
-  Close.Keep = Call.Route.Keep;
+  turns::close_call Close = closeOf(Call);
   Close.Turn.emplace();
   Close.Turn->Id = Call.Facts.Id;
   Close.Turn->Previous = Call.Facts.PreviousTurn;
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -392,6 +392,28 @@
   REQUIRE(F.received(F.Llm, "X-Call: t3"));
 }
 
+TEST_CASE("tokens are counted as when the call came, whatever changes since") {
+  fixture F;
+  caller First(F.Address);
+  First.send(F.request("POST", "/plan/1", "t1",
+                       "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,60\r\n",
+                       "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  relay::routing Without = routingOf(2);
+  Without.Services.clear();
+  F.Relay->setRouting(Without);
+  F.Llm.send(0, streamHead("t1") + chunk("data: a\n\ndata: b\n\ndata: c\n\n") +
+                    std::string(StreamEnd));
+  REQUIRE(First.waitsFor("0\r\n\r\n"));
+  F.Relay->setRouting(routingOf(3));
+  caller Second(F.Address);
+  Second.send(F.request("POST", "/plan/1", "t2",
+                        "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,75\r\n",
+                        "[in]"));
+  REQUIRE(Second.waitsFor("HTTP/1.1"));
+  CHECK(Second.has("HTTP/1.1 402"));
+}
+
 TEST_CASE("a budget of nothing has no room for a turn") {
   fixture F;
   caller Caller(F.Address);
--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -113,11 +113,8 @@
                             const disk_set &Newer) {
   if (Status != static_cast<std::uint8_t>(reply_status::OldSet))
     return false;
-  if (Newer.Epoch > Set.Epoch) {
+  if (Newer.Epoch > Set.Epoch)
     Set = Newer;
-    if (NewSet)
-      NewSet(Set);
-  }
   operation_row *Row = Operations.find(Id);
   if (Row && Row->Set.Epoch < Set.Epoch)
     setAlarm(Id, OldSetPause, alarm::Resend);
@@ -192,10 +189,6 @@
   Impl->Forwarders = std::move(Addresses);
 }
 
-void client::onNewSet(std::function<void(const disk_set &)> Action) {
-  Impl->NewSet = std::move(Action);
-}
-
 operation_id client::open(open_call Call,
                           std::function<void(const open_result &)> Done) {
   ++Impl->Counters.Opens;
--- a/src/libturns/client_pvt.h
+++ b/src/libturns/client_pvt.h
@@ -51,7 +51,6 @@
   client_settings Settings;
   std::optional<peer_links> Links;
   std::optional<deadline_queue> Deadlines;
-  std::function<void(const disk_set &)> NewSet;
   disk_set Set;
   table<operation_row> Operations;
   std::map<std::string, link_state, std::less<>> LinkStates; ///< By address.
