Take a refused connection as a runner's death at the gate

The gate grants the same runner within milliseconds, each connect is refused, and after MaxConnects of them the call ends with 502. The gate counted a refused connection as one of the five errors that open its breaker.

Ruled out: waiting in the dispatcher (every other call would still be sent there), telling the call as not run (its first attempt did run).

A new outcome, Unreachable, opens the runner's breaker at once, so that the second try goes elsewhere, or waits for its turn.

--- a/src/include/turmerichead/sched_types.h
+++ b/src/include/turmerichead/sched_types.h
@@ -71,7 +71,8 @@
   Ok,
   RunnerDied, ///< The runner went away under the request.
   Error,      ///< The runner answered with an error of its own.
-  Cancelled   ///< The caller or the holder gave it up.
+  Cancelled,  ///< The caller or the holder gave it up.
+  Unreachable ///< No connection was made: the request was not sent.
 };
 
 /// What a request used, as far as the runner told.
--- a/src/libhost/dispatcher.cpp
+++ b/src/libhost/dispatcher.cpp
@@ -266,7 +266,8 @@
   }
   bool Busy = Result.Status == HttpTooMany || Result.Status == HttpUnavailable;
   if (!Result.Sent || Busy) {
-    finishModel(Call, sched::outcome::Error);
+    finishModel(Call, Result.Sent ? sched::outcome::Error
+                                  : sched::outcome::Unreachable);
     Context.Metrics.add("upstream_unreachable_total");
     if (++Row->Connects < MaxConnects)
       askGate(Call);
--- a/src/libsched/gate_core.cpp
+++ b/src/libsched/gate_core.cpp
@@ -244,6 +244,13 @@
   case outcome::Cancelled:
     Runner->Breaker.abandoned();
     break;
+  case outcome::Unreachable:
+    // A refused connection is certain, where an error may be the request's
+    // own. Without this, every retry of a call that a killed runner dropped
+    // could be granted that same runner, within milliseconds, until the
+    // call has no tries left.
+    Runner->Breaker.trip(Now);
+    break;
   }
   if (Runner->Gone && Runner->inFlight() == 0) {
     RunnerNames.erase(Runner->Info.Name);
--- a/src/libsched/gate_fuzz_test.cpp
+++ b/src/libsched/gate_fuzz_test.cpp
@@ -212,7 +212,7 @@
 struct finish_command : command {
   int Pick = *rc::gen::inRange(0, 100);
   outcome Outcome = *rc::gen::element(outcome::Ok, outcome::Ok, outcome::Error,
-                                      outcome::Cancelled);
+                                      outcome::Unreachable, outcome::Cancelled);
 
   void run(const model &, world &World) const override {
     World.finish(Pick, Outcome);
--- a/src/libsched/gate_test.cpp
+++ b/src/libsched/gate_test.cpp
@@ -318,6 +318,22 @@
     CHECK(Grant.Runner == "r1");
 }
 
+// The load of two_hosts_killed: a gate that has just moved to another host has
+// not heard of the runner that dropped the call.
+TEST_CASE("gate: a retry is not granted a runner that refused to connect") {
+  auto Gate = gateWith(2, 4);
+  time_point Now{0};
+  put(Gate, requestOf("p", rank::Urgent), Now);
+  auto First = grantsOf(Gate, Now);
+  REQUIRE(First.size() == 1);
+  Gate.finished(First[0].Request, outcome::Unreachable, {}, Now);
+  CHECK(Gate.snapshot(Now).OpenBreakers == 1);
+  put(Gate, requestOf("p", rank::Urgent), Now);
+  auto Second = grantsOf(Gate, Now);
+  REQUIRE(Second.size() == 1);
+  CHECK(Second[0].Runner != First[0].Runner);
+}
+
 TEST_CASE("gate: a poison request takes down two runners at most") {
   gate_settings Settings;
   Settings.BreakerOpenFor = milliseconds(1'000);
