Let a host stop only once nothing can reach it any more

Besides, closing a listener resets the connections that wait in its backlog; that holds for all three servers, also the platform's.

Ruled out: the holder's handover of shards (no answer was lost, and all programs finish); the grace's length (a longer one keeps the same gap).

The listener is closed before the host leaves the map; the host ends when it is idle after the removal; the three servers accept what waits before they close their listener.

--- a/src/libhost/host.cpp
+++ b/src/libhost/host.cpp
@@ -184,7 +184,18 @@
   DrainTimer = timer::every(DrainInterval, [this] { drainTick(); });
 }
 
+// Asks at this host's gates are not waited for: holders ask the next gate.
+bool host::state::isIdle() const {
+  return Front->open() == 0 && Router->open() == 0 && CallsOfPeers.empty();
+}
+
 void host::state::drainTick() {
+  if (Removed) {
+    // Other hosts may have sent calls before they heard of the removal.
+    if (isIdle())
+      g_main_loop_quit(Loop);
+    return;
+  }
   if (!Membership->joined()) {
     if (Front->open() == 0)
       g_main_loop_quit(Loop);
@@ -199,11 +210,10 @@
   }
   // Callers on kept connections would go on for ever; after a moment in which
   // the balancer sees that this host isn't ready, none is accepted.
-  if (steadyNow() - DrainSince >= DrainGrace)
-    Front->stopAccepting();
-  // Asks at this host's gates are not waited for: holders ask the next gate.
-  bool Idle = Front->open() == 0 && Router->open() == 0 && CallsOfPeers.empty();
-  if (!Idle || Removing)
+  if (steadyNow() - DrainSince < DrainGrace)
+    return;
+  Front->stopAccepting();
+  if (!isIdle() || Removing)
     return;
   if (Last) {
     // Nobody is left to take the shards; their snapshots and journal are on
@@ -216,8 +226,7 @@
   Removing = true;
   Membership->remove([this] {
     log::info("drained", {{"took_ms", (steadyNow() - DrainSince).count()}});
-    // A last turn of the loop lets written answers leave.
-    after(FastInterval, [this] { g_main_loop_quit(Loop); });
+    Removed = true; // The next tick is late enough for written answers.
   });
   after(SlowInterval, [this] { Removing = false; });
 }
--- a/src/libhost/host_pvt.h
+++ b/src/libhost/host_pvt.h
@@ -62,6 +62,7 @@
   void tickFast();
   void tickSlow();
   void drainTick();
+  bool isIdle() const;
   bool readKey();
   bool openLinks();
 
@@ -76,6 +77,7 @@
   host_pvt::timer DrainTimer;
   time_point DrainSince;
   bool Removing = false;
+  bool Removed = false; ///< From the map; no other host sends work here.
 };
 
 } // namespace turmerichead
--- a/src/libhttp1/server.cpp
+++ b/src/libhttp1/server.cpp
@@ -485,6 +485,8 @@
 void server::stopAccepting() {
   if (!State->Listener)
     return;
+  // Closing the listener resets the connections that wait in its backlog.
+  State->acceptAll();
   State->Sockets->remove(g_socket_get_fd(State->Listener.get()));
   g_socket_close(State->Listener.get(), nullptr);
   State->Listener.reset();
--- a/src/libhttp1/server_test.cpp
+++ b/src/libhttp1/server_test.cpp
@@ -210,6 +210,18 @@
   REQUIRE(turnUntil([&] { return Idle.Closed; }));
 }
 
+// A balancer that has not seen the stop yet connects until the last moment.
+TEST_CASE("a stopped server answers a connection that waits to be accepted") {
+  fixture F;
+  raw_caller Waiting(F.Server->port());
+  Waiting.send(Get);
+  F.Server->stopAccepting();
+  REQUIRE(turnUntil([&] { return F.Ids.size() == 1 || Waiting.Closed; }));
+  REQUIRE(F.Ids.size() == 1);
+  CHECK(F.Server->respond(F.Ids[0], 200, {}, "taken"));
+  CHECK(turnUntil([&] { return Waiting.has("taken"); }));
+}
+
 TEST_CASE("a server that stops accepting still serves open connections") {
   fixture F;
   std::uint16_t Port = F.Server->port();
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -583,6 +583,10 @@
 }
 
 void http_server::stopAccepting() {
+  if (State->Stopped)
+    return;
+  // Closing the listener resets the connections that wait in its backlog.
+  State->accept();
   State->Stopped = true;
   State->Accepting.reset();
   g_socket_close(State->Listener.get(), nullptr);
--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -414,6 +414,30 @@
   CHECK(turnUntil([&] { return Pair.Server->openConnections() == 0; }));
 }
 
+// A balancer that has not seen the stop yet connects until the last moment.
+TEST_CASE("a stopped server answers a connection that waits to be accepted") {
+  http_pair Pair;
+  Pair.OnRequest = [&](const http_request_view &Request) {
+    Pair.Server->respond(Request.Exchange, 200, {}, "taken");
+  };
+  auto Socket =
+      beginConnect(parseAddress(addressOf(Pair.Server->port()))->get());
+  REQUIRE(Socket);
+  std::string Bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  REQUIRE(g_socket_send(Socket->get(), Bytes.data(), Bytes.size(), nullptr,
+                        nullptr) == static_cast<gssize>(Bytes.size()));
+  Pair.Server->stopAccepting();
+  std::string Input(4096, '\0');
+  gssize Count = 0;
+  REQUIRE(turnUntil([&] {
+    Count = g_socket_receive(Socket->get(), Input.data(), Input.size(), nullptr,
+                             nullptr);
+    return Count >= 0;
+  }));
+  Input.resize(static_cast<std::size_t>(Count));
+  CHECK(Input.find("taken") != std::string::npos);
+}
+
 TEST_CASE("a request on a connection that breaks is sent once") {
   for (const std::string Method : {"POST", "PUT", "DELETE"}) {
     CAPTURE(Method);
--- a/src/libnet/peer_server.cpp
+++ b/src/libnet/peer_server.cpp
@@ -500,6 +500,10 @@
 }
 
 void peer_server::stopAccepting() {
+  if (State->Stopped)
+    return;
+  // Closing the listener resets the connections that wait in its backlog.
+  State->accept();
   State->Stopped = true;
   State->Accepting.reset();
   g_socket_close(State->Listener.get(), nullptr);
