Refuse new programs while the runners can't carry those under way

Cause: nothing on the platform kept programs from beginning.

Each entry host measures from its own turns how much longer they take than at their calmest: the wait for the first event, with those still waiting, and the pauses between events. Above 1.5, and with half of its share of the slots in use, it refuses turns that begin a chain, not run, before anything is asked of disk hosts. Turns of programs under way are not asked about. Callers are told to come back after as long as it has lasted so far, 0.2 to 3 s.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -70,6 +70,9 @@
   void removeUpstream(std::string_view Id, milliseconds After);
   const upstream_table &upstreams() const;
 
+  /// How many entry hosts there are, this one among them.
+  void setEntryHosts(std::size_t Count);
+
   /// Called with what this host knows of requests that take down upstreams,
   /// when that has changed; other hosts take it in by mergeSuspects().
   void onSuspects(std::function<void(std::string Bytes)> Action);
--- /dev/null
+++ b/src/include/turmerichead/relay_admission.h
@@ -0,0 +1,72 @@
+/// \file
+/// Whether a host lets a new program begin. Nothing here does I/O or reads a
+/// clock.
+#pragma once
+
+#include "turmerichead/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace turmerichead::relay {
+
+/// How much longer turns at a service take than they do while it is calm, as
+/// one host sees it from its own turns. No runner is asked, and nothing about
+/// their speed is configured.
+class load_gauge {
+public:
+  /// A turn was sent to an upstream at \p Now.
+  void sent(time_point Now);
+  /// The first event of a turn that was sent at \p SentAt.
+  void firstEvent(time_point SentAt, time_point Now);
+  /// A pause between two events of one turn.
+  void eventGap(milliseconds Gap);
+  /// A turn with \p Events events left its upstream, whatever its outcome.
+  void ended(time_point SentAt, std::uint64_t Events);
+
+  /// Turns at the service's upstreams, of this host.
+  std::size_t inFlight() const { return InFlight; }
+
+  /// 1 for a service that is as quick as it has been at its calmest, 2 for
+  /// one at which a turn takes twice as long; 1 while too little is known.
+  double stretch(time_point Now) const;
+
+private:
+  /// A smoothed mean and the least value that it has had.
+  struct series {
+    double Mean = 0;
+    double Least = 0;
+    std::uint64_t Count = 0;
+    void add(double Value, double Weight, std::uint64_t Needed);
+  };
+
+  series FirstWaitMs;
+  series GapMs;
+  double EventsOfTurn = 0;
+  std::size_t InFlight = 0;
+  std::size_t Waiting = 0;         ///< Without a first event yet.
+  std::int64_t WaitingSinceMs = 0; ///< Sum of the times they were sent.
+};
+
+/// What admission knows of a service besides its gauge.
+struct service_room {
+  std::uint32_t Slots = 0; ///< Of all upstreams that are ready.
+  std::size_t Hosts = 1;   ///< Entry hosts that share them.
+};
+
+/// Decides for one service. The load pattern that it answers: a flood of new
+/// programs, several times what the runners can carry. Without it every
+/// program is slowed until none ends in time.
+class admission {
+public:
+  /// Nothing if a new program may begin at \p Now; else how long its caller
+  /// should wait. Turns of programs under way are never asked about.
+  std::optional<milliseconds> refusal(const load_gauge &Gauge,
+                                      const service_room &Room, time_point Now);
+
+private:
+  std::optional<time_point> FullSince;
+};
+
+} // namespace turmerichead::relay
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -75,6 +75,9 @@
   /// Whether any upstream of the service is ready.
   bool hasReady(std::string_view Service, time_point Now) const;
 
+  /// Calls that the service's ready upstreams serve at once.
+  std::uint32_t readySlots(std::string_view Service, time_point Now) const;
+
   void noteFailure(std::string_view Id, time_point Now);
   void noteEventGap(std::string_view Id, milliseconds Gap);
 
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -39,7 +39,8 @@
 void relay::impl::onRequest(http1::exchange_id Exchange,
                             http1::request &&Request) {
   if (Routing.Version == 0) {
-    answerOwn(Exchange, Unavailable, "no configuration is known yet");
+    answerOwn(Exchange, Unavailable, "no configuration is known yet",
+              Settings.RetryAfter);
     return;
   }
   std::string_view Target = Request.Target;
@@ -49,12 +50,12 @@
     log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
                                {"reason", "no route"},
                                {"config", Routing.Version}});
-    answerOwn(Exchange, NotFound, "no route matches");
+    answerOwn(Exchange, NotFound, "no route matches", {});
     return;
   }
   auto Facts = readFacts(Names, Request.Headers);
   if (!Facts) {
-    answerOwn(Exchange, BadRequest, lastError().Text);
+    answerOwn(Exchange, BadRequest, lastError().Text, {});
     return;
   }
   relay_call Call;
@@ -76,6 +77,7 @@
       Call.Facts.Program, Call.Request.Target, Call.Request.Body);
   bool Condemned = Suspects.isCondemned(Call.Fingerprint, Call.Arrived);
   bool Turn = Call.isTurn();
+  auto ComeBack = startRefusal(Call, Call.Arrived);
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
   Deadlines->add(Wait, keyOf(Id), 0);
@@ -87,12 +89,27 @@
     refuse(Id, "the host is stopping");
     return;
   }
+  if (ComeBack) {
+    refuse(Id, "no room for a new program", *ComeBack);
+    return;
+  }
   if (Turn)
     openTurn(Id);
   else
     send(Id);
 }
 
+std::optional<milliseconds> relay::impl::startRefusal(const relay_call &Call,
+                                                      time_point Now) {
+  bool Begins =
+      Call.Route.Kind == call_kind::Stream && Call.Facts.PreviousTurn.empty();
+  if (!Begins)
+    return std::nullopt;
+  service_load &Load = Loads[Call.Service];
+  service_room Room{Upstreams.readySlots(Call.Service, Now), EntryHosts};
+  return Load.Admission.refusal(Load.Gauge, Room, Now);
+}
+
 void relay::impl::openTurn(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
   if (Turns.set().Epoch == 0) {
@@ -108,7 +125,7 @@
     return;
   }
   if (Call.Facts.Budget == 0U) {
-    failCall(Id, OverBudget, "the budget is nothing");
+    failCall(Id, OverBudget, "the budget is nothing", {});
     return;
   }
   turns::open_call Open;
@@ -142,10 +159,10 @@
           send(Id);
           return;
         case turns::open_outcome::OverBudget:
-          failCall(Id, OverBudget, Result.Reason);
+          failCall(Id, OverBudget, Result.Reason, {});
           return;
         case turns::open_outcome::NoSuchTurn:
-          failCall(Id, NotFound, "no such turn: " + Result.Reason);
+          failCall(Id, NotFound, "no such turn: " + Result.Reason, {});
           return;
         case turns::open_outcome::Unknown:
           refuse(Id, Result.Reason);
@@ -177,7 +194,7 @@
     refuse(Id, "the time is over before it was sent");
     return;
   case call_phase::Sent:
-    failCall(Id, GatewayTimeout, "no answer within the time");
+    failCall(Id, GatewayTimeout, "no answer within the time", {});
     return;
   case call_phase::Streaming:
     cut(Id, "the answer is not complete within the time");
@@ -249,6 +266,8 @@
   Impl->Upstreams.remove(Id);
 }
 
+void relay::setEntryHosts(std::size_t Count) { Impl->EntryHosts = Count; }
+
 const upstream_table &relay::upstreams() const { return Impl->Upstreams; }
 
 void relay::onSuspects(std::function<void(std::string Bytes)> Action) {
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -24,24 +24,29 @@
 } // namespace
 
 void relay::impl::answerOwn(http1::exchange_id Exchange, int Status,
-                            std::string_view Reason) {
+                            std::string_view Reason, milliseconds RetryAfter) {
   http1::header_list Headers = {{"Content-Type", "text/plain"}};
   if (Status == Unavailable)
-    Headers.add(Names.RetryAfter, secondsText(Settings.RetryAfter));
+    Headers.add(Names.RetryAfter, secondsText(RetryAfter));
   std::string Body(Reason);
   Body += "\n";
   Server->respond(Exchange, Status, Headers, Body);
 }
 
 void relay::impl::refuse(relay_call_id Id, std::string_view Reason) {
-  failCall(Id, Unavailable, Reason);
+  refuse(Id, Reason, Settings.RetryAfter);
+}
+
+void relay::impl::refuse(relay_call_id Id, std::string_view Reason,
+                         milliseconds RetryAfter) {
+  failCall(Id, Unavailable, Reason, RetryAfter);
 }
 
 void relay::impl::failCall(relay_call_id Id, int Status,
-                           std::string_view Reason) {
+                           std::string_view Reason, milliseconds RetryAfter) {
   relay_call &Call = *Calls.find(Id);
   settle(Call);
-  answerOwn(Call.Exchange, Status, Reason);
+  answerOwn(Call.Exchange, Status, Reason, RetryAfter);
   finish(Id, Status, Reason);
 }
 
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -4,12 +4,19 @@
 
 #include "call_pvt.h"
 #include "turmerichead/net_loop.h"
+#include "turmerichead/relay_admission.h"
 #include "turmerichead/relay_suspects.h"
 
 namespace turmerichead::relay {
 
 using relay_call_id = call_table::id;
 
+/// How busy a service is, and what follows for new programs.
+struct service_load {
+  load_gauge Gauge;
+  admission Admission;
+};
+
 struct relay::impl {
   relay_settings Settings;
   header_names Names;
@@ -21,6 +28,8 @@
   routing Routing;
   std::optional<time_point> EndAt; ///< Of the process, once it is stopping.
   upstream_table Upstreams;
+  std::map<std::string, service_load, std::less<>> Loads; ///< By service.
+  std::size_t EntryHosts = 1; ///< This one among them.
   suspects Suspects;
   std::function<void(std::string)> TellSuspects;
   call_table Calls;
@@ -36,6 +45,9 @@
   void onGone(http1::exchange_id Exchange);
   void onDeadline(relay_call_id Id);
   void openTurn(relay_call_id Id);
+  /// How long the caller should wait, if its program may not begin now.
+  std::optional<milliseconds> startRefusal(const relay_call &Call,
+                                           time_point Now);
 
   // -- Upstreams (relay_send.cpp) --
   void send(relay_call_id Id);
@@ -53,8 +65,11 @@
   // -- Ends (relay_end.cpp) --
   /// Tells the caller that the call has not run and will not.
   void refuse(relay_call_id Id, std::string_view Reason);
+  void refuse(relay_call_id Id, std::string_view Reason,
+              milliseconds RetryAfter);
   /// Answers with a failure of our own that promises nothing.
-  void failCall(relay_call_id Id, int Status, std::string_view Reason);
+  void failCall(relay_call_id Id, int Status, std::string_view Reason,
+                milliseconds RetryAfter);
   /// Cuts an answer that has begun.
   void cut(relay_call_id Id, std::string_view Reason);
   /// What an attempt took of its budget, for the disk hosts.
@@ -64,7 +79,7 @@
   /// Logs and forgets a call.
   void finish(relay_call_id Id, int Status, std::string_view Reason);
   void answerOwn(http1::exchange_id Exchange, int Status,
-                 std::string_view Reason);
+                 std::string_view Reason, milliseconds RetryAfter);
 };
 
 } // namespace turmerichead::relay
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -45,6 +45,8 @@
   Call.Tried.push_back(Call.UpstreamId);
   Call.Phase = call_phase::Sent;
   Call.SentAt = Now;
+  if (Call.Route.Kind == call_kind::Stream)
+    Loads[Call.Service].Gauge.sent(Now);
   Call.NotRun = false;
   log::info("call sent", {{"id", Call.Facts.Id},
                           {"upstream", Call.UpstreamId},
@@ -92,6 +94,8 @@
     return;
   if (upstream_row *Row = Upstreams.find(Call.UpstreamId))
     Row->InFlight -= Row->InFlight > 0 ? 1 : 0;
+  if (Call.Route.Kind == call_kind::Stream)
+    Loads[Call.Service].Gauge.ended(Call.SentAt, Call.EventCount);
   Call.UpstreamId.clear();
   Call.Upstream = {};
 }
@@ -125,12 +129,16 @@
     return;
   }
   Server->write(Call.Exchange, Bytes);
+  load_gauge &Gauge = Loads[Call.Service].Gauge;
   Call.Events.feed(Bytes, [&](std::string_view Data) {
     time_point Now = steadyNow();
-    if (++Call.EventCount == 1)
+    if (++Call.EventCount == 1) {
       Call.FirstEvent = Now;
-    else
+      Gauge.firstEvent(Call.SentAt, Now);
+    } else {
       Upstreams.noteEventGap(Call.UpstreamId, Now - Call.LastEvent);
+      Gauge.eventGap(Now - Call.LastEvent);
+    }
     Call.LastEvent = Now;
     if (Call.isTurn())
       Call.Output.append(Data).append("\n");
@@ -252,7 +260,7 @@
     send(Id);
     return;
   }
-  failCall(Id, BadGateway, Result.Reason);
+  failCall(Id, BadGateway, Result.Reason, {});
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -16,6 +16,12 @@
 // Times the median pause of its service at which a runner counts as slow.
 constexpr double SlowFactor = 2.5;
 
+bool isReady(const upstream_row &Row, std::string_view Service,
+             time_point Now) {
+  bool Gone = Row.GoneAt && *Row.GoneAt <= Now;
+  return Row.Upstream.Service == Service && Row.Upstream.Ready && !Gone;
+}
+
 } // namespace
 
 void upstream_table::put(const upstream &Upstream) {
@@ -88,12 +94,18 @@
 
 bool upstream_table::hasReady(std::string_view Service, time_point Now) const {
   return std::any_of(Rows.begin(), Rows.end(), [&](const auto &Entry) {
-    const upstream_row &Row = Entry.second;
-    bool Gone = Row.GoneAt && *Row.GoneAt <= Now;
-    return Row.Upstream.Service == Service && Row.Upstream.Ready && !Gone;
+    return isReady(Entry.second, Service, Now);
   });
 }
 
+std::uint32_t upstream_table::readySlots(std::string_view Service,
+                                         time_point Now) const {
+  std::uint32_t Slots = 0;
+  for (const auto &[Id, Row] : Rows)
+    Slots += isReady(Row, Service, Now) ? Row.Upstream.Slots : 0;
+  return Slots;
+}
+
 void upstream_table::noteFailure(std::string_view Id, time_point Now) {
   if (upstream_row *Row = find(Id))
     Row->AvoidUntil = Now + AvoidTime;
