turmericheadctl losses: where calls' time goes and what ends badly, from logs

Refusals of new programs are logged with the inputs that decided them (stretch, streams under way, slots, hosts) and counted; the gauges are on the metrics address.

--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -55,15 +55,21 @@
   std::size_t Hosts = 1;   ///< Entry hosts that share them.
 };
 
+/// Why a program may not begin.
+struct start_refusal {
+  milliseconds RetryAfter{0}; ///< When its caller should come back.
+  double Stretch = 1;         ///< See load_gauge::stretch().
+};
+
 /// Decides for one service. The load pattern that it answers: a flood of new
 /// programs, several times what the runners can carry. Without it every
 /// program is slowed until none ends in time.
 class admission {
 public:
-  /// Nothing if a new program may begin at \p Now; else how long its caller
-  /// should wait. Turns of programs under way are never asked about.
-  std::optional<milliseconds> refusal(const load_gauge &Gauge,
-                                      const service_room &Room, time_point Now);
+  /// Nothing if a new program may begin at \p Now. Turns of programs under way
+  /// are never asked about.
+  std::optional<start_refusal>
+  refusal(const load_gauge &Gauge, const service_room &Room, time_point Now);
 
 private:
   std::optional<time_point> FullSince;
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -76,20 +76,23 @@
   return (Wait + Gaps * GapMs.Mean) / (FirstWaitMs.Least + Gaps * GapMs.Least);
 }
 
-std::optional<milliseconds> admission::refusal(const load_gauge &Gauge,
-                                               const service_room &Room,
-                                               time_point Now) {
+std::optional<start_refusal> admission::refusal(const load_gauge &Gauge,
+                                                const service_room &Room,
+                                                time_point Now) {
   double Share = static_cast<double>(Room.Slots) /
                  static_cast<double>(std::max<std::size_t>(Room.Hosts, 1));
   bool Busy = static_cast<double>(Gauge.inFlight()) >= BusyShare * Share;
-  if (!Busy || Gauge.stretch(Now) <= MaxStretch) {
+  double Stretch = Gauge.stretch(Now);
+  if (!Busy || Stretch <= MaxStretch) {
     FullSince.reset();
     return std::nullopt;
   }
   if (!FullSince)
     FullSince = Now;
   // As long as it has lasted so far is the best guess for how long it will.
-  return std::clamp(Now - *FullSince, LeastRetryAfter, MostRetryAfter);
+  milliseconds RetryAfter =
+      std::clamp(Now - *FullSince, LeastRetryAfter, MostRetryAfter);
+  return start_refusal{RetryAfter, Stretch};
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/admission_test.cpp
+++ b/src/librelay/admission_test.cpp
@@ -73,19 +73,20 @@
     Gauge.sent(Now);
   auto First = Admission.refusal(Gauge, Room, Now);
   REQUIRE(First);
-  CHECK(*First == milliseconds(200));
+  CHECK(First->RetryAfter == milliseconds(200));
+  CHECK(First->Stretch > 1.5);
   SUBCASE("the longer it lasts, the later callers are asked to come back") {
     auto Later = Admission.refusal(Gauge, Room, Now + milliseconds(900));
-    CHECK(Later == milliseconds(900));
-    CHECK(Admission.refusal(Gauge, Room, Now + milliseconds(9000)) ==
-          milliseconds(3000));
+    CHECK(Later->RetryAfter == milliseconds(900));
+    auto Last = Admission.refusal(Gauge, Room, Now + milliseconds(9000));
+    CHECK(Last->RetryAfter == milliseconds(3000));
   }
   SUBCASE("as soon as there is room, a program may begin") {
     Gauge.ended(Now, 10);
     CHECK_FALSE(Admission.refusal(Gauge, Room, Now));
     Gauge.sent(Now);
     auto Again = Admission.refusal(Gauge, Room, Now + milliseconds(900));
-    CHECK(Again == milliseconds(200));
+    CHECK(Again->RetryAfter == milliseconds(200));
   }
 }
 
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -77,7 +77,7 @@
       Call.Facts.Program, Call.Request.Target, Call.Request.Body);
   bool Condemned = Suspects.isCondemned(Call.Fingerprint, Call.Arrived);
   bool Turn = Call.isTurn();
-  auto ComeBack = startRefusal(Call, Call.Arrived);
+  auto Refusal = startRefusal(Call, Call.Arrived);
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
   Deadlines->add(Wait, keyOf(Id), 0);
@@ -89,8 +89,8 @@
     refuse(Id, "the host is stopping");
     return;
   }
-  if (ComeBack) {
-    refuse(Id, "no room for a new program", *ComeBack);
+  if (Refusal) {
+    refuse(Id, "no room for a new program", Refusal->RetryAfter);
     return;
   }
   if (Turn)
@@ -99,15 +99,28 @@
     send(Id);
 }
 
-std::optional<milliseconds> relay::impl::startRefusal(const relay_call &Call,
-                                                      time_point Now) {
+std::optional<start_refusal> relay::impl::startRefusal(const relay_call &Call,
+                                                       time_point Now) {
   bool Begins =
       Call.Route.Kind == call_kind::Stream && Call.Facts.PreviousTurn.empty();
   if (!Begins)
     return std::nullopt;
   service_load &Load = Loads[Call.Service];
   service_room Room{Upstreams.readySlots(Call.Service, Now), EntryHosts};
-  return Load.Admission.refusal(Load.Gauge, Room, Now);
+  auto Refusal = Load.Admission.refusal(Load.Gauge, Room, Now);
+  if (!Refusal)
+    return std::nullopt;
+  log::info("program may not begin",
+            {{"id", Call.Facts.Id},
+             {"program", Call.Facts.Program},
+             {"service", Call.Service},
+             {"stretch", Refusal->Stretch},
+             {"in_flight", Load.Gauge.inFlight()},
+             {"slots", Room.Slots},
+             {"hosts", Room.Hosts},
+             {"retry_after_ms", Refusal->RetryAfter.count()}});
+  Metrics.add("programs_refused_total", "service=\"" + Call.Service + "\"");
+  return Refusal;
 }
 
 void relay::impl::openTurn(relay_call_id Id) {
@@ -300,6 +313,13 @@
                     static_cast<double>(Client.Stray));
   Impl->Metrics.set("calls_under_way", "",
                     static_cast<double>(Impl->Calls.size()));
+  for (const auto &[Service, Load] : Impl->Loads) {
+    std::string Labels = "service=\"" + Service + "\"";
+    Impl->Metrics.set("service_streams", Labels,
+                      static_cast<double>(Load.Gauge.inFlight()));
+    Impl->Metrics.set("service_stretch", Labels,
+                      Load.Gauge.stretch(steadyNow()));
+  }
 }
 
 relay::relay(std::unique_ptr<impl> Impl) : Impl(std::move(Impl)) {}
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -45,9 +45,9 @@
   void onGone(http1::exchange_id Exchange);
   void onDeadline(relay_call_id Id);
   void openTurn(relay_call_id Id);
-  /// How long the caller should wait, if its program may not begin now.
-  std::optional<milliseconds> startRefusal(const relay_call &Call,
-                                           time_point Now);
+  /// Why the call's program may not begin now, if it is one that begins.
+  std::optional<start_refusal> startRefusal(const relay_call &Call,
+                                            time_point Now);
 
   // -- Upstreams (relay_send.cpp) --
   void send(relay_call_id Id);
--- a/src/turmericheadctl/commands.h
+++ b/src/turmericheadctl/commands.h
@@ -58,4 +58,8 @@
 /// order of time; without a file, of standard input.
 int explain(const options &Options, arguments Rest);
 
+/// losses [LOG...]: how calls ended, by route and by reason, and where their
+/// time went; without a file, of standard input.
+int losses(const options &Options, arguments Rest);
+
 } // namespace turmerichead::ctl
--- a/src/turmericheadctl/explain.cpp
+++ b/src/turmericheadctl/explain.cpp
@@ -1,11 +1,8 @@
 #include "commands.h"
-#include "files.h"
+#include "log_lines.h"
 
 #include <algorithm>
 #include <iostream>
-#include <iterator>
-#include <nlohmann/json.hpp>
-#include <sstream>
 #include <vector>
 
 namespace turmerichead::ctl {
@@ -26,28 +23,15 @@
   });
 }
 
-/// Adds the lines of a log that tell of \p Id. What stands before the JSON
-/// object, such as a collector's time, is passed over.
-void collect(std::istream &Log, const std::string &Id,
-             std::vector<story_line> &Story) {
-  std::string Text;
-  while (std::getline(Log, Text)) {
-    std::size_t Begin = Text.find('{');
-    if (Begin == std::string::npos || Text.find(Id) == std::string::npos)
-      continue;
-    auto Line =
-        nlohmann::ordered_json::parse(Text.substr(Begin), nullptr, false);
-    if (!Line.is_object() || !tellsOf(Line, Id))
-      continue;
-    story_line Row;
-    Row.TimeMs = Line.value("time_ms", std::int64_t(0));
-    Row.Host = Line.value("host", std::string("?"));
-    Row.Event = Line.value("event", std::string("?"));
-    for (const char *Key : {"time_ms", "host", "event", "level"})
-      Line.erase(Key);
-    Row.Fields = std::move(Line);
-    Story.push_back(std::move(Row));
-  }
+story_line storyLine(nlohmann::ordered_json Line) {
+  story_line Row;
+  Row.TimeMs = Line.value("time_ms", std::int64_t(0));
+  Row.Host = Line.value("host", std::string("?"));
+  Row.Event = Line.value("event", std::string("?"));
+  for (const char *Key : {"time_ms", "host", "event", "level"})
+    Line.erase(Key);
+  Row.Fields = std::move(Line);
+  return Row;
 }
 
 void print(const std::vector<story_line> &Story) {
@@ -72,17 +56,12 @@
   }
   const std::string &Id = Rest.front();
   std::vector<story_line> Story;
-  for (const std::string &File : Rest.subspan(1)) {
-    auto Text = readFile(File);
-    if (!Text) {
-      std::cerr << File << ": cannot be read\n";
-      return BadInput;
-    }
-    std::istringstream Log(*Text);
-    collect(Log, Id, Story);
-  }
-  if (Rest.size() == 1)
-    collect(std::cin, Id, Story);
+  bool Read = readLogs(Rest.subspan(1), Id, [&](const auto &Line) {
+    if (tellsOf(Line, Id))
+      Story.push_back(storyLine(Line));
+  });
+  if (!Read)
+    return BadInput;
   if (Story.empty()) {
     std::cerr << "no line tells of " << Id
               << "; lines may have been left out under load\n";
--- /dev/null
+++ b/src/turmericheadctl/losses.cpp
@@ -0,0 +1,158 @@
+#include "commands.h"
+#include "log_lines.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace turmerichead::ctl {
+
+namespace {
+
+constexpr int Answered = 200;
+constexpr int FirstClientError = 400;
+constexpr int FirstServerError = 500;
+constexpr int Refused = 503;
+
+/// Where the time of a call went, in milliseconds.
+struct legs {
+  std::int64_t BeforeSend = 0; ///< Disk hosts, and upstreams tried before.
+  std::int64_t FirstEvent = 0; ///< From the last send to the first event.
+  std::int64_t Stream = 0;     ///< From the first event to the last.
+  std::int64_t Rest = 0;       ///< Keeping the turn, or a plain answer.
+};
+
+/// What is known of all calls of a route.
+struct route_row {
+  std::vector<std::int64_t> TookMs;
+  std::size_t Good = 0;
+  std::size_t Refused = 0; ///< Not run; the caller may come back.
+  std::size_t ClientErrors = 0;
+  std::size_t Failed = 0;
+  std::size_t Cut = 0; ///< Broken off, by us or by the caller.
+  std::size_t Sent = 0;
+  legs Legs; ///< Sums over the calls that were sent.
+};
+
+/// All that the lines tell.
+struct summary {
+  std::map<std::string, route_row> Routes;
+  std::map<std::pair<int, std::string>, std::size_t> Reasons;
+  std::map<std::string, bool> Programs; ///< Whether a call was answered.
+};
+
+void countStatus(route_row &Row, int Status) {
+  if (Status == 0)
+    ++Row.Cut;
+  else if (Status == Refused)
+    ++Row.Refused;
+  else if (Status >= FirstServerError)
+    ++Row.Failed;
+  else if (Status >= FirstClientError)
+    ++Row.ClientErrors;
+  else
+    ++Row.Good;
+}
+
+void addLegs(route_row &Row, const nlohmann::ordered_json &Line) {
+  if (!Line.contains("sent_ms"))
+    return;
+  auto At = [&](const char *Key, std::int64_t Default) {
+    return Line.value(Key, Default);
+  };
+  std::int64_t SentMs = At("sent_ms", 0);
+  std::int64_t FirstMs = At("first_ms", SentMs);
+  std::int64_t LastMs = At("last_ms", FirstMs);
+  ++Row.Sent;
+  Row.Legs.BeforeSend += SentMs;
+  Row.Legs.FirstEvent += FirstMs - SentMs;
+  Row.Legs.Stream += LastMs - FirstMs;
+  Row.Legs.Rest += At("took_ms", 0) - LastMs;
+}
+
+void addCall(summary &Summary, const nlohmann::ordered_json &Line) {
+  int Status = Line.value("status", 0);
+  route_row &Row = Summary.Routes[Line.value("route", std::string("?"))];
+  Row.TookMs.push_back(Line.value("took_ms", std::int64_t(0)));
+  countStatus(Row, Status);
+  addLegs(Row, Line);
+  std::string Reason = Line.value("reason", std::string());
+  if (Status != Answered)
+    ++Summary
+          .Reasons[{Status, Reason.empty() ? "the upstream's answer" : Reason}];
+  std::string Program = Line.value("program", std::string());
+  if (!Program.empty())
+    Summary.Programs[Program] |= Status == Answered;
+}
+
+std::int64_t percentile(const std::vector<std::int64_t> &Sorted, double Part) {
+  auto Last = static_cast<double>(Sorted.size() - 1);
+  return Sorted[static_cast<std::size_t>(Part * Last + 0.5)];
+}
+
+void printRoutes(std::map<std::string, route_row> &Routes) {
+  constexpr double Median = 0.5;
+  constexpr double Slowest = 0.99;
+  constexpr int RouteWidth = 24;
+  constexpr int Width = 8;
+  auto Print = [](const auto &...Values) {
+    ((std::cout << std::setw(Width) << Values), ...);
+    std::cout << '\n';
+  };
+  std::cout << std::left << std::setw(RouteWidth) << "route" << std::right;
+  Print("calls", "good", "refused", "4xx", "failed", "cut", "p50", "p99",
+        "before", "first", "stream", "rest");
+  for (auto &[Route, Row] : Routes) {
+    std::sort(Row.TookMs.begin(), Row.TookMs.end());
+    auto Sent = static_cast<std::int64_t>(std::max<std::size_t>(Row.Sent, 1));
+    std::cout << std::left << std::setw(RouteWidth) << Route << std::right;
+    Print(Row.TookMs.size(), Row.Good, Row.Refused, Row.ClientErrors,
+          Row.Failed, Row.Cut, percentile(Row.TookMs, Median),
+          percentile(Row.TookMs, Slowest), Row.Legs.BeforeSend / Sent,
+          Row.Legs.FirstEvent / Sent, Row.Legs.Stream / Sent,
+          Row.Legs.Rest / Sent);
+  }
+}
+
+void printReasons(const summary &Summary) {
+  constexpr int Width = 8;
+  std::vector<std::pair<std::size_t, std::pair<int, std::string>>> Rows;
+  for (const auto &[Reason, Count] : Summary.Reasons)
+    Rows.emplace_back(Count, Reason);
+  std::sort(Rows.rbegin(), Rows.rend());
+  for (const auto &[Count, Reason] : Rows)
+    std::cout << std::setw(Width) << Count << std::setw(Width) << Reason.first
+              << "  " << Reason.second << '\n';
+}
+
+} // namespace
+
+int losses(const options &, arguments Rest) {
+  summary Summary;
+  bool Read = readLogs(Rest, "call ended", [&](const auto &Line) {
+    if (Line.value("event", std::string()) == "call ended")
+      addCall(Summary, Line);
+  });
+  if (!Read)
+    return BadInput;
+  if (Summary.Routes.empty()) {
+    std::cerr << "no call has ended in these lines\n";
+    return Failed;
+  }
+  auto Without = std::count_if(Summary.Programs.begin(), Summary.Programs.end(),
+                               [](const auto &Row) { return !Row.second; });
+  std::cout << "calls by route; p50, p99 and mean times of each leg in ms\n";
+  printRoutes(Summary.Routes);
+  std::cout << "\nwhat did not end well, by status (0: broken off)\n";
+  printReasons(Summary);
+  std::cout << '\n'
+            << Summary.Programs.size() << " programs, " << Without
+            << " without an answered call\n";
+  return Good;
+}
+
+} // namespace turmerichead::ctl
--- a/src/turmericheadctl/main.cpp
+++ b/src/turmericheadctl/main.cpp
@@ -42,6 +42,7 @@
     command{"report", &report}, command{"audit", &audit},
     command{"drain", &drain},   command{"settings", &settings},
     command{"fields", &fields}, command{"explain", &explain},
+    command{"losses", &losses},
 };
 
 constexpr const char *Usage = R"(the operator's command line of turmerichead
@@ -53,6 +54,7 @@
   turmericheadctl report [--json]      the report on all programs
   turmericheadctl audit FILE [-n 20]   the latest records of an audit trail
   turmericheadctl explain ID [LOG...]  what logs tell of a call or program
+  turmericheadctl losses [LOG...]      what logs tell of all calls' losses
   turmericheadctl drain [ADDRESS]      stop a host gracefully
   turmericheadctl settings | fields    tables of settings and entry fields
 
