Keep idle connections within this host's share of an upstream's limit

Upstreams accept a number of connections from all callers together and reset those above it, with calls on them that may not be repeated. Every entry host kept as many idle connections as it ever had calls at once. Now it keeps its share of half of the limit; the other half is for calls under way. The limit was decoded before and not used.

Also a test that a relay refuses a program that begins and sends a turn that goes on, with runners that are slow and busy.

--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -51,6 +51,9 @@
   std::vector<std::string> Body; ///< Pieces, sent one after the other.
   std::string EchoValue;         ///< The id that the answer must repeat.
   milliseconds ConnectTimeout{1000};
+  /// Connections to this address that may wait for further calls. Above it
+  /// the call's own is closed after its answer.
+  std::size_t MaxIdle = 1024;
 };
 
 enum class call_outcome : std::uint8_t {
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -43,6 +43,7 @@
   poll_set::interest Interest = poll_set::interest::Writable;
   time_point IdleSince;
   milliseconds IdleLimit{0};
+  std::size_t MaxIdle = 0;      ///< As its last call wants it.
   std::uint64_t SentBefore = 0; ///< Bytes of earlier requests.
   unsigned Uses = 0;
   bool KeepAlive = false;
@@ -178,6 +179,7 @@
   Call.Connection = Id;
   Row.Call = CallId;
   Row.SentBefore = Row.Socket.sent();
+  Row.MaxIdle = Call.Request.MaxIdle;
   Row.Parser.restart();
   Row.Parser.setNoBody(Call.Request.Method == "HEAD");
   Row.Skipping = false;
@@ -349,6 +351,11 @@
 }
 
 void client::state::keep(connection_id Id, connection_row &Row) {
+  auto Pool = Idle.find(Row.Address);
+  if ((Pool == Idle.end() ? 0 : Pool->second.size()) >= Row.MaxIdle) {
+    close(Id);
+    return;
+  }
   Row.Phase = phase::Idle;
   Row.Call = {};
   Row.IdleSince = steadyNow();
--- a/src/libhttp1/client_test.cpp
+++ b/src/libhttp1/client_test.cpp
@@ -29,6 +29,7 @@
 
 struct fixture {
   raw_server Server;
+  std::size_t MaxIdle = call_request().MaxIdle;
   std::optional<client> Client = client::create({"X-Id", 65536});
 
   call_id call(outcome &Outcome, std::string Id, std::string Method = "GET",
@@ -41,6 +42,7 @@
     if (!Body.empty())
       Request.Body.push_back(std::move(Body));
     Request.EchoValue = std::move(Id);
+    Request.MaxIdle = MaxIdle;
     return Client->call(std::move(Request), Outcome.events());
   }
   bool received(std::size_t Connection, std::string_view Text) {
@@ -74,6 +76,23 @@
   CHECK(F.Client->counters().Opened == 1);
 }
 
+TEST_CASE("no more connections wait idle than the call allows") {
+  fixture F;
+  constexpr std::size_t Calls = 4;
+  F.MaxIdle = 2;
+  std::array<outcome, Calls> Outcomes;
+  for (std::size_t I = 0; I < Calls; ++I) {
+    F.call(Outcomes[I], std::to_string(I));
+    REQUIRE(F.received(I, "X-Id: " + std::to_string(I)));
+  }
+  for (std::size_t I = 0; I < Calls; ++I) {
+    F.Server.send(I, answerTo(std::to_string(I), "a"));
+    REQUIRE(turnUntil([&] { return Outcomes[I].Result.has_value(); }));
+    CHECK(Outcomes[I].isComplete());
+  }
+  CHECK(F.Client->counters().OpenConnections == 2);
+}
+
 TEST_CASE("a request is never sent again when its kept connection closes") {
   fixture F;
   outcome First;
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -86,6 +86,12 @@
     Request.Body.push_back(Call.Request.Body);
   Request.EchoValue = Call.Facts.Id;
   Request.ConnectTimeout = std::min(Settings.ConnectTimeout, Left);
+  // An upstream resets connections above its limit. Half of it is shared out
+  // to idle ones, so that as many calls under way find room.
+  const service *Service = Routing.findService(Call.Service);
+  if (Service && Service->ConnectionLimit > 0)
+    Request.MaxIdle =
+        std::max<std::size_t>(1, Service->ConnectionLimit / 2 / EntryHosts);
   return Request;
 }
 
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -486,3 +486,70 @@
   CHECK(Caller.has("Connection: close"));
   CHECK(F.Tools.Connections.empty());
 }
+
+TEST_CASE("idle connections stay within this host's share of the limit") {
+  // Upstreams reset connections above their limit, with calls on them.
+  fixture F;
+  relay::routing Routing = routingOf(2);
+  Routing.Services["tools"].ConnectionLimit = 4;
+  F.Relay->setRouting(Routing);
+  F.Relay->setEntryHosts(2);
+  caller First(F.Address);
+  caller Second(F.Address);
+  First.send(F.request("POST", "/book/1", "c1", {}, "b"));
+  REQUIRE(F.received(F.Tools, "X-Call: c1"));
+  Second.send(F.request("POST", "/book/2", "c2", {}, "b"));
+  REQUIRE(F.received(F.Tools, "X-Call: c2"));
+  F.Tools.send(0, answerTo("c1", "one"));
+  F.Tools.send(1, answerTo("c2", "two"));
+  REQUIRE(First.waitsFor("one"));
+  REQUIRE(Second.waitsFor("two"));
+  F.Relay->publish();
+  CHECK(F.Metrics.value("upstream_connections", "") == 1);
+}
+
+namespace {
+
+/// Serves one turn with some events, two milliseconds apart.
+void serveTurn(fixture &F, const std::string &Id, std::size_t &Answered) {
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/plan/1", Id, {}, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: " + Id));
+  F.Llm.send(0, streamHead(Id));
+  for (int Event = 0; Event < 7; ++Event) {
+    std::string Text = "e" + std::to_string(Event);
+    F.Llm.send(0, chunk("data: " + Text + "\n\n"));
+    REQUIRE(Caller.waitsFor(Text));
+    g_usleep(2000);
+  }
+  F.Llm.send(0, StreamEnd);
+  REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+  ++Answered;
+}
+
+} // namespace
+
+TEST_CASE("while runners are slow and busy no program begins, others go on") {
+  fixture F;
+  std::size_t Answered = 0;
+  while (Answered < 25)
+    serveTurn(F, "t" + std::to_string(Answered), Answered);
+  std::vector<std::unique_ptr<caller>> Waiting;
+  for (std::string Id : {"w1", "w2", "w3"}) {
+    Waiting.push_back(std::make_unique<caller>(F.Address));
+    Waiting.back()->send(F.request("POST", "/plan/1", Id, {}, "[in]"));
+    REQUIRE(F.received(F.Llm, "X-Call: " + Id));
+  }
+  g_usleep(300'000);
+  caller Begins(F.Address);
+  Begins.send(F.request("POST", "/plan/1", "new", {}, "[in]"));
+  REQUIRE(Begins.waitsFor("HTTP/1.1"));
+  CHECK(Begins.has("HTTP/1.1 503"));
+  CHECK(Begins.has("Retry-After: "));
+  caller GoesOn(F.Address);
+  GoesOn.send(
+      F.request("POST", "/plan/1", "next", "X-Previous: t3\r\n", "[x]"));
+  CHECK(F.received(F.Llm, "X-Call: next"));
+  for (const auto &Row : F.Llm.Connections)
+    CHECK(Row->Input.find("X-Call: new") == std::string::npos);
+}
