Let urgent programs begin a little longer than others in a flood

Cause: with one limit for all ranks, less urgent programs kept more of their worth in a flood than urgent ones, whose aims leave less room.

Ruled out: a strict order of ranks, which leaves the less urgent nothing; a limit per route from its aim, which the configuration does not tell for whole programs.

Programs that are not of the most urgent rank stop to begin at a stretch of 1.35, urgent ones at 1.5 as before.

--- a/src/benches/relay_bench/programs.cpp
+++ b/src/benches/relay_bench/programs.cpp
@@ -55,7 +55,7 @@
   Request.Headers.add(TokensHeader, "100,500");
   if (!Row.LastTurn.empty())
     Request.Headers.add(PreviousHeader, Row.LastTurn);
-  Request.Body.push_back(std::string(Settings.PromptBytes, 'q'));
+  Request.Body.emplace_back(Settings.PromptBytes, 'q');
   Row.LastTurn = "call-" + std::to_string(Calls + 1);
   send(Index, std::move(Request));
 }
--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -5,6 +5,7 @@
 
 #include "turmerichead/clock.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -66,13 +67,15 @@
 /// program is slowed until none ends in time.
 class admission {
 public:
-  /// Nothing if a new program may begin at \p Now. Turns of programs under way
-  /// are never asked about.
-  std::optional<start_refusal>
-  refusal(const load_gauge &Gauge, const service_room &Room, time_point Now);
+  /// Nothing if a new program of a rank (0: the most urgent) may begin at
+  /// \p Now. Turns of programs under way are never asked about.
+  std::optional<start_refusal> refusal(const load_gauge &Gauge,
+                                       const service_room &Room,
+                                       std::uint32_t Rank, time_point Now);
 
 private:
-  std::optional<time_point> FullSince;
+  /// Since when none may begin: urgent ones, all others.
+  std::array<std::optional<time_point>, 2> FullSince;
 };
 
 } // namespace turmerichead::relay
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -14,8 +14,11 @@
 constexpr std::uint64_t FirstWaitsNeeded = 20;
 constexpr std::uint64_t GapsNeeded = 100;
 
-// A program that is slowed by more has little chance to end in time.
+// A program that is slowed by more has little chance to end in time. Less
+// urgent ones stop to begin a little sooner, and so leave room for urgent ones
+// without giving way to them altogether.
 constexpr double MaxStretch = 1.5;
+constexpr double MaxStretchLessUrgent = 1.35;
 // Below this part of a host's share of the slots, slowness is not load.
 constexpr double BusyShare = 0.5;
 
@@ -78,20 +81,23 @@
 
 std::optional<start_refusal> admission::refusal(const load_gauge &Gauge,
                                                 const service_room &Room,
+                                                std::uint32_t Rank,
                                                 time_point Now) {
+  bool Urgent = Rank == 0;
+  std::optional<time_point> &Since = FullSince[Urgent ? 0 : 1];
   double Share = static_cast<double>(Room.Slots) /
                  static_cast<double>(std::max<std::size_t>(Room.Hosts, 1));
   bool Busy = static_cast<double>(Gauge.inFlight()) >= BusyShare * Share;
   double Stretch = Gauge.stretch(Now);
-  if (!Busy || Stretch <= MaxStretch) {
-    FullSince.reset();
+  if (!Busy || Stretch <= (Urgent ? MaxStretch : MaxStretchLessUrgent)) {
+    Since.reset();
     return std::nullopt;
   }
-  if (!FullSince)
-    FullSince = Now;
+  if (!Since)
+    Since = Now;
   // As long as it has lasted so far is the best guess for how long it will.
   milliseconds RetryAfter =
-      std::clamp(Now - *FullSince, LeastRetryAfter, MostRetryAfter);
+      std::clamp(Now - *Since, LeastRetryAfter, MostRetryAfter);
   return start_refusal{RetryAfter, Stretch};
 }
 
--- a/src/librelay/admission_test.cpp
+++ b/src/librelay/admission_test.cpp
@@ -68,24 +68,24 @@
   seeTurns(Gauge, 40, CalmWait, CalmGap * 3, Now);
   admission Admission;
   service_room Room{16, 2};
-  CHECK_FALSE(Admission.refusal(Gauge, Room, Now));
+  CHECK_FALSE(Admission.refusal(Gauge, Room, 0, Now));
   for (int I = 0; I < 4; ++I)
     Gauge.sent(Now);
-  auto First = Admission.refusal(Gauge, Room, Now);
+  auto First = Admission.refusal(Gauge, Room, 0, Now);
   REQUIRE(First);
   CHECK(First->RetryAfter == milliseconds(200));
   CHECK(First->Stretch > 1.5);
   SUBCASE("the longer it lasts, the later callers are asked to come back") {
-    auto Later = Admission.refusal(Gauge, Room, Now + milliseconds(900));
+    auto Later = Admission.refusal(Gauge, Room, 0, Now + milliseconds(900));
     CHECK(Later->RetryAfter == milliseconds(900));
-    auto Last = Admission.refusal(Gauge, Room, Now + milliseconds(9000));
+    auto Last = Admission.refusal(Gauge, Room, 0, Now + milliseconds(9000));
     CHECK(Last->RetryAfter == milliseconds(3000));
   }
   SUBCASE("as soon as there is room, a program may begin") {
     Gauge.ended(Now, 10);
-    CHECK_FALSE(Admission.refusal(Gauge, Room, Now));
+    CHECK_FALSE(Admission.refusal(Gauge, Room, 0, Now));
     Gauge.sent(Now);
-    auto Again = Admission.refusal(Gauge, Room, Now + milliseconds(900));
+    auto Again = Admission.refusal(Gauge, Room, 0, Now + milliseconds(900));
     CHECK(Again->RetryAfter == milliseconds(200));
   }
 }
@@ -135,7 +135,7 @@
   };
 
   void arrive() {
-    if (Admits && Admission.refusal(Gauge, {Slots, 1}, Now))
+    if (Admits && Admission.refusal(Gauge, {Slots, 1}, 0, Now))
       return;
     send({Now, TurnsOfProgram, {}, {}, 0, 0});
   }
@@ -218,3 +218,24 @@
   std::vector<int> Calm(20, 12);
   CHECK(flood_model(true).play(Calm) == flood_model(false).play(Calm));
 }
+
+TEST_CASE("admission: less urgent programs stop to begin first") {
+  load_gauge Gauge;
+  time_point Now{0};
+  seeTurns(Gauge, 40, CalmWait, CalmGap, Now);
+  // Between the two limits.
+  seeTurns(Gauge, 200, CalmWait, milliseconds(15), Now);
+  for (int I = 0; I < 8; ++I)
+    Gauge.sent(Now);
+  service_room Room{16, 1};
+  admission Admission;
+  CHECK_FALSE(Admission.refusal(Gauge, Room, 0, Now));
+  REQUIRE(Admission.refusal(Gauge, Room, 2, Now));
+  SUBCASE("each rank has its own time to come back") {
+    seeTurns(Gauge, 200, CalmWait * 2, milliseconds(18), Now);
+    CHECK(Admission.refusal(Gauge, Room, 0, Now)->RetryAfter ==
+          milliseconds(200));
+    CHECK(Admission.refusal(Gauge, Room, 2, Now)->RetryAfter ==
+          milliseconds(3000));
+  }
+}
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -107,7 +107,7 @@
     return std::nullopt;
   service_load &Load = Loads[Call.Service];
   service_room Room{Upstreams.readySlots(Call.Service, Now), EntryHosts};
-  auto Refusal = Load.Admission.refusal(Load.Gauge, Room, Now);
+  auto Refusal = Load.Admission.refusal(Load.Gauge, Room, Call.Route.Rank, Now);
   if (!Refusal)
     return std::nullopt;
   log::info("program may not begin",
