--- a/src/benches/relay_bench/main.cpp
+++ b/src/benches/relay_bench/main.cpp
@@ -69,7 +69,6 @@
   Names.NotRun = "X-Not-Run";
   Names.RetryAfter = "Retry-After";
   Names.Program = ProgramHeader;
-  Names.ProgramTimeLeft = "X-Program-Left";
   Names.Budget = BudgetHeader;
   Names.Tokens = TokensHeader;
   Names.PreviousTurn = PreviousHeader;
@@ -100,7 +99,7 @@
   Routing.Routes[1].Keep = Keep;
   Routing.Services["tools"].Name = "tools";
   Routing.Services["models"].Name = "models";
-  Routing.Services["models"].Engine = relay::engine{32, 8, 1'000'000};
+  Routing.Services["models"].TokensPerEvent = 8;
   return Routing;
 }
 
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -30,16 +30,15 @@
 /// The headers that carry a call's data. The adapter of a platform fills in
 /// the names that its callers and upstreams use.
 struct header_names {
-  std::string CallId;          ///< Id of one attempt of a caller.
-  std::string TimeLeft;        ///< Milliseconds that the caller will wait.
-  std::string ExpectUpstream;  ///< Id that the upstream must have.
-  std::string NotRun;          ///< In an answer: the upstream did not run it.
-  std::string RetryAfter;      ///< Seconds, with fractions.
-  std::string Program;         ///< Id of the program.
-  std::string ProgramTimeLeft; ///< Until the program should have ended.
-  std::string Budget;          ///< Tokens of all turns of the program.
-  std::string Tokens;          ///< "PROMPT,MOST" of a turn.
-  std::string PreviousTurn;    ///< Call id of the turn that it continues.
+  std::string CallId;         ///< Id of one attempt of a caller.
+  std::string TimeLeft;       ///< Milliseconds that the caller will wait.
+  std::string ExpectUpstream; ///< Id that the upstream must have.
+  std::string NotRun;         ///< In an answer: the upstream did not run it.
+  std::string RetryAfter;     ///< Seconds, with fractions.
+  std::string Program;        ///< Id of the program.
+  std::string Budget;         ///< Tokens of all turns of the program.
+  std::string Tokens;         ///< "PROMPT,MOST" of a turn.
+  std::string PreviousTurn;   ///< Call id of the turn that it continues.
   /// Headers that only the system may set; taken out of a caller's request.
   std::vector<std::string> SystemOnly;
 };
--- a/src/include/turmerichead/relay_routes.h
+++ b/src/include/turmerichead/relay_routes.h
@@ -34,8 +34,6 @@
   std::string PathPrefix; ///< Begins and ends with a slash.
   call_kind Kind = call_kind::Unsafe;
   milliseconds Timeout{0};    ///< After which the caller has a final answer.
-  milliseconds Target{0};     ///< Latency objective, to the first event.
-  milliseconds GapTarget{0};  ///< Longest pause between events; 0: none.
   std::uint32_t Rank = 0;     ///< 0 is the most urgent.
   std::uint32_t Attempts = 1; ///< Upstreams that one call may be sent to.
   std::vector<traffic_share> Services;
@@ -43,18 +41,10 @@
   milliseconds Keep{0};    ///< How long a turn is kept.
 };
 
-/// What a model runner of a service can do.
-struct engine {
-  std::uint32_t Slots = 0;
-  std::uint32_t TokensPerEvent = 1;
-  std::uint64_t MemoryTokens = 0;
-};
-
 struct service {
   std::string Name;
-  std::string HealthPath;
   std::uint32_t ConnectionLimit = 0; ///< Of each upstream, all callers.
-  std::optional<engine> Engine;      ///< Nothing for a plain service.
+  std::uint32_t TokensPerEvent = 1;  ///< Of a model runner's streams.
 };
 
 /// Limits on what callers may send.
--- a/src/librelay/call.cpp
+++ b/src/librelay/call.cpp
@@ -42,15 +42,11 @@
     return fail(error_code::InvalidInput,
                 Names.CallId + ": needed exactly once");
   std::optional<std::uint64_t> TimeLeft;
-  std::optional<std::uint64_t> ProgramTimeLeft;
   if (!readHeader(Headers, Names.TimeLeft, TimeLeft) ||
-      !readHeader(Headers, Names.ProgramTimeLeft, ProgramTimeLeft) ||
       !readHeader(Headers, Names.Budget, Facts.Budget))
     return std::nullopt;
   if (TimeLeft)
     Facts.TimeLeft = milliseconds(*TimeLeft);
-  if (ProgramTimeLeft)
-    Facts.ProgramTimeLeft = milliseconds(*ProgramTimeLeft);
   Facts.Program = Headers.get(Names.Program);
   Facts.PreviousTurn = Headers.get(Names.PreviousTurn);
   if (const std::string *Tokens = Headers.find(Names.Tokens)) {
@@ -63,7 +59,6 @@
     if (!Prompt || !Most)
       return fail(error_code::InvalidInput,
                   Names.Tokens + ": two whole numbers, with a comma");
-    Facts.PromptTokens = *Prompt;
     Facts.MostTokens = *Most;
   }
   return Facts;
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -19,9 +19,7 @@
   std::string Id;
   std::optional<milliseconds> TimeLeft;
   std::string Program;
-  std::optional<milliseconds> ProgramTimeLeft;
   std::optional<std::uint64_t> Budget; ///< Tokens
-  std::uint64_t PromptTokens = 0;
   std::uint64_t MostTokens = 0;
   std::string PreviousTurn;
 };
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -67,8 +67,8 @@
       Call.Facts.Program.empty() ? Call.Facts.Id : Call.Facts.Program;
   Call.Service = serviceFor(*Route, Key);
   const service *Service = Routing.findService(Call.Service);
-  if (Service && Service->Engine)
-    Call.TokensPerEvent = Service->Engine->TokensPerEvent;
+  if (Service)
+    Call.TokensPerEvent = Service->TokensPerEvent;
   Call.Arrived = steadyNow();
   milliseconds Wait =
       std::min(Call.Facts.TimeLeft.value_or(NoLimit), Route->Timeout);
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -26,7 +26,6 @@
   Names.NotRun = "X-Not-Run";
   Names.RetryAfter = "Retry-After";
   Names.Program = "X-Program";
-  Names.ProgramTimeLeft = "X-Program-Left";
   Names.Budget = "X-Budget";
   Names.Tokens = "X-Tokens";
   Names.PreviousTurn = "X-Previous";
@@ -58,7 +57,7 @@
   Routing.Services["tools"].Name = "tools";
   relay::service &Llm = Routing.Services["llm"];
   Llm.Name = "llm";
-  Llm.Engine = relay::engine{8, 10, 100000};
+  Llm.TokensPerEvent = 10;
   return Routing;
 }
 
--- a/src/turmericheadctl/losses.cpp
+++ b/src/turmericheadctl/losses.cpp
@@ -2,6 +2,7 @@
 #include "log_lines.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <iostream>
 #include <map>
@@ -91,7 +92,7 @@
 
 std::int64_t percentile(const std::vector<std::int64_t> &Sorted, double Part) {
   auto Last = static_cast<double>(Sorted.size() - 1);
-  return Sorted[static_cast<std::size_t>(Part * Last + 0.5)];
+  return Sorted[static_cast<std::size_t>(std::llround(Part * Last))];
 }
 
 void printRoutes(std::map<std::string, route_row> &Routes) {
