--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -37,7 +37,7 @@
   /// A smoothed mean and the least value that it has had.
   struct series {
     double Mean = 0;
-    double Least = 0;
+    std::optional<double> Least; ///< Nothing until there are enough values.
     std::uint64_t Count = 0;
     void add(double Value, double Weight, std::uint64_t Needed);
   };
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -34,7 +34,7 @@
   double Share = std::max(Weight, 1.0 / static_cast<double>(Count));
   Mean += Share * (Value - Mean);
   if (Count >= Needed)
-    Least = Least > 0 ? std::min(Least, Mean) : Mean;
+    Least = std::min(Least.value_or(Mean), Mean);
 }
 
 void load_gauge::sent(time_point Now) {
@@ -65,7 +65,7 @@
 }
 
 double load_gauge::stretch(time_point Now) const {
-  if (FirstWaitMs.Least <= 0 || GapMs.Least <= 0)
+  if (!FirstWaitMs.Least || !GapMs.Least)
     return 1;
   // Turns that still wait count as if their first events came now: those come
   // too late to tell of a flood.
@@ -76,7 +76,9 @@
   double WithAges = (MeanOf * FirstWaitMs.Mean + Ages) / (MeanOf + Count);
   double Wait = std::max(FirstWaitMs.Mean, WithAges);
   double Gaps = std::max(0.0, EventsOfTurn - 1);
-  return (Wait + Gaps * GapMs.Mean) / (FirstWaitMs.Least + Gaps * GapMs.Least);
+  // Times are whole milliseconds, so that short ones may come out as nothing.
+  double CalmMs = std::max(*FirstWaitMs.Least + Gaps * *GapMs.Least, 1.0);
+  return std::max(Wait + Gaps * GapMs.Mean, CalmMs) / CalmMs;
 }
 
 std::optional<start_refusal> admission::refusal(const load_gauge &Gauge,
--- a/src/librelay/admission_test.cpp
+++ b/src/librelay/admission_test.cpp
@@ -61,6 +61,16 @@
   CHECK(Gauge.stretch(Now + milliseconds(400)) > 2);
 }
 
+TEST_CASE("admission: first events within a millisecond are known as such") {
+  load_gauge Gauge;
+  time_point Now{0};
+  seeTurns(Gauge, 40, milliseconds(0), CalmGap, Now);
+  CHECK(Gauge.stretch(Now) == doctest::Approx(1));
+  for (int I = 0; I < 20; ++I)
+    Gauge.sent(Now);
+  CHECK(Gauge.stretch(Now + milliseconds(400)) > 2);
+}
+
 TEST_CASE("admission: refuses only where it is both slow and busy") {
   load_gauge Gauge;
   time_point Now{0};
