--- a/src/include/turmerichead/http1_server.h
+++ b/src/include/turmerichead/http1_server.h
@@ -86,7 +86,7 @@
   /// From now on each answer closes its connection.
   void drain();
 
-  /// Accepts no further connections; those that wait are refused.
+  /// Accepts no further connections; those that wait to be accepted are.
   void stopAccepting();
 
   /// Ends the connections on which no request is under way: what has been
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -92,8 +92,9 @@
     friend auto operator<=>(const rank &, const rank &) = default;
   };
   rank rankOf(const upstream_row &Row, const placement &Placement,
-              time_point Now) const;
-  bool isSlow(const upstream_row &Row) const;
+              double SlowGapMs, time_point Now) const;
+  /// The smoothed pause above which an upstream of the service counts as slow.
+  double slowGapMs(std::string_view Service) const;
 
   std::map<std::string, upstream_row, std::less<>> Rows;
 };
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -3,6 +3,7 @@
 #include "turmerichead/hash.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace turmerichead::relay {
@@ -51,27 +52,30 @@
   return Row == Rows.end() ? nullptr : &Row->second;
 }
 
-bool upstream_table::isSlow(const upstream_row &Row) const {
-  if (Row.EventGapMs <= 0)
-    return false;
+double upstream_table::slowGapMs(std::string_view Service) const {
   std::vector<double> Gaps;
-  for (const auto &[Id, Other] : Rows)
-    if (Other.Upstream.Service == Row.Upstream.Service && Other.EventGapMs > 0)
-      Gaps.push_back(Other.EventGapMs);
+  for (const auto &[Id, Row] : Rows)
+    if (Row.Upstream.Service == Service && Row.EventGapMs > 0)
+      Gaps.push_back(Row.EventGapMs);
+  constexpr std::size_t FewestCompared = 3;
+  if (Gaps.size() < FewestCompared)
+    return std::numeric_limits<double>::infinity();
   auto Middle = Gaps.begin() + static_cast<std::ptrdiff_t>(Gaps.size() / 2);
   std::nth_element(Gaps.begin(), Middle, Gaps.end());
-  return Gaps.size() > 2 && Row.EventGapMs > SlowFactor * *Middle;
+  return SlowFactor * *Middle;
 }
 
 upstream_table::rank upstream_table::rankOf(const upstream_row &Row,
                                             const placement &Placement,
+                                            double SlowGapMs,
                                             time_point Now) const {
   const std::string &Id = Row.Upstream.Id;
   bool Tried = std::find(Placement.Tried.begin(), Placement.Tried.end(), Id) !=
                Placement.Tried.end();
   bool Full = Row.InFlight >= Row.Upstream.Slots;
   int Trouble = (Tried ? 16 : 0) + (Row.AvoidUntil > Now ? 8 : 0) +
-                (Row.GoneAt ? 4 : 0) + (Full ? 2 : 0) + (isSlow(Row) ? 1 : 0);
+                (Row.GoneAt ? 4 : 0) + (Full ? 2 : 0) +
+                (Row.EventGapMs > SlowGapMs ? 1 : 0);
   bool Sticky = !Placement.AffinityKey.empty();
   std::uint32_t Load = Sticky ? 0 : Row.InFlight;
   int Far = Id == Placement.Home                              ? 0
@@ -85,6 +89,7 @@
   std::erase_if(Rows, [&](const auto &Row) {
     return Row.second.GoneAt && *Row.second.GoneAt <= Now;
   });
+  double SlowGapMs = slowGapMs(Placement.Service);
   upstream_row *Best = nullptr;
   upstream_row *Second = nullptr;
   rank BestRank;
@@ -92,7 +97,7 @@
   for (auto &[Id, Row] : Rows) {
     if (Row.Upstream.Service != Placement.Service || !Row.Upstream.Ready)
       continue;
-    rank Rank = rankOf(Row, Placement, Now);
+    rank Rank = rankOf(Row, Placement, SlowGapMs, Now);
     if (!Best || Rank < BestRank) {
       Second = std::exchange(Best, &Row);
       SecondRank = std::exchange(BestRank, Rank);
