Name status codes once; refuse in one way; ask about a start once

Whether a program may begin is asked only of a call that nothing else has refused, so that no line or count tells of a decision that was not taken; it was asked of every stream before. pick() asks the same question as hasReady() whether an upstream is ready.

The tests of libhttp1, the relay and the platform pass unchanged.

--- a/src/include/turmerichead/http1_message.h
+++ b/src/include/turmerichead/http1_message.h
@@ -67,6 +67,26 @@
   header_list Headers;
 };
 
+/// The status codes that the project answers with or decides by.
+namespace status {
+inline constexpr int Ok = 200;
+inline constexpr int NoContent = 204;
+inline constexpr int NotModified = 304;
+inline constexpr int BadRequest = 400;
+inline constexpr int PaymentRequired = 402;
+inline constexpr int NotFound = 404;
+inline constexpr int RequestTimeout = 408;
+inline constexpr int Conflict = 409;
+inline constexpr int Gone = 410;
+inline constexpr int ContentTooLarge = 413;
+inline constexpr int Misdirected = 421;
+inline constexpr int TooManyRequests = 429;
+inline constexpr int HeadersTooLarge = 431;
+inline constexpr int BadGateway = 502;
+inline constexpr int Unavailable = 503;
+inline constexpr int GatewayTimeout = 504;
+} // namespace status
+
 /// The standard phrase of a status code; "Status" if it has none.
 std::string_view reasonOf(int Status);
 
--- a/src/libhttp1/server.cpp
+++ b/src/libhttp1/server.cpp
@@ -69,9 +69,7 @@
 }
 
 bool hasNoBody(int Status) {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  return Status == NoContent || Status == NotModified;
+  return Status == status::NoContent || Status == status::NotModified;
 }
 
 } // namespace
@@ -206,15 +204,15 @@
   auto Result = Row.Parser.feed(Sink, Row.Input, Used);
   Row.Input.erase(0, Used);
   if (Row.BodyTooLarge) {
-    refuse(Id, Row, 413, "the body is over the limit");
+    refuse(Id, Row, status::ContentTooLarge, "the body is over the limit");
     return false;
   }
   switch (Result) {
   case pvt::feed_result::HeaderTooLarge:
-    refuse(Id, Row, 431, "the headers are over the limit");
+    refuse(Id, Row, status::HeadersTooLarge, "the headers are over the limit");
     return false;
   case pvt::feed_result::Bad:
-    refuse(Id, Row, 400, Row.Parser.errorText());
+    refuse(Id, Row, status::BadRequest, Row.Parser.errorText());
     return false;
   case pvt::feed_result::Paused:
     dispatch(Id, Row);
@@ -327,7 +325,8 @@
     connection *Row = Connections.find(Id);
     bool Reading = Row->Parser.inMessage() || Row->HeadSeen;
     if (Row->Phase == phase::Receiving && Reading)
-      refuse(Id, *Row, 408, "the request took too long to arrive");
+      refuse(Id, *Row, status::RequestTimeout,
+             "the request took too long to arrive");
     else
       close(Id);
   }
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-constexpr int BadRequest = 400;
-constexpr int NotFound = 404;
-constexpr int OverBudget = 402;
-constexpr int Unavailable = 503;
-constexpr int GatewayTimeout = 504;
 // A caller that names no time of its own gets the route's.
 constexpr milliseconds NoLimit{3'600'000};
 
@@ -39,8 +34,8 @@
 void relay::impl::onRequest(http1::exchange_id Exchange,
                             http1::request &&Request) {
   if (Routing.Version == 0) {
-    answerOwn(Exchange, Unavailable, "no configuration is known yet",
-              Settings.RetryAfter);
+    answerRefused(Exchange, "no configuration is known yet",
+                  Settings.RetryAfter);
     return;
   }
   std::string_view Target = Request.Target;
@@ -50,12 +45,12 @@
     log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
                                {"reason", "no route"},
                                {"config", Routing.Version}});
-    answerOwn(Exchange, NotFound, "no route matches", {});
+    answerOwn(Exchange, http1::status::NotFound, "no route matches");
     return;
   }
   auto Facts = readFacts(Names, Request.Headers);
   if (!Facts) {
-    answerOwn(Exchange, BadRequest, lastError().Text, {});
+    answerOwn(Exchange, http1::status::BadRequest, lastError().Text);
     return;
   }
   relay_call Call;
@@ -77,7 +72,6 @@
       Call.Facts.Program, Call.Request.Target, Call.Request.Body);
   bool Condemned = Suspects.isCondemned(Call.Fingerprint, Call.Arrived);
   bool Turn = Call.isTurn();
-  auto Refusal = startRefusal(Call, Call.Arrived);
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
   Deadlines->add(Wait, keyOf(Id), 0);
@@ -89,7 +83,7 @@
     refuse(Id, "the host is stopping");
     return;
   }
-  if (Refusal) {
+  if (auto Refusal = startRefusal(*Calls.find(Id))) {
     refuse(Id, "no room for a new program", Refusal->RetryAfter);
     return;
   }
@@ -99,8 +93,8 @@
     send(Id);
 }
 
-std::optional<start_refusal> relay::impl::startRefusal(const relay_call &Call,
-                                                       time_point Now) {
+std::optional<start_refusal> relay::impl::startRefusal(const relay_call &Call) {
+  time_point Now = Call.Arrived;
   bool Begins =
       Call.Route.Kind == call_kind::Stream && Call.Facts.PreviousTurn.empty();
   if (!Begins)
@@ -138,7 +132,7 @@
     return;
   }
   if (Call.Facts.Budget == 0U) {
-    failCall(Id, OverBudget, "the budget is nothing", {});
+    failCall(Id, http1::status::PaymentRequired, "the budget is nothing");
     return;
   }
   turns::open_call Open;
@@ -172,10 +166,11 @@
           send(Id);
           return;
         case turns::open_outcome::OverBudget:
-          failCall(Id, OverBudget, Result.Reason, {});
+          failCall(Id, http1::status::PaymentRequired, Result.Reason);
           return;
         case turns::open_outcome::NoSuchTurn:
-          failCall(Id, NotFound, "no such turn: " + Result.Reason, {});
+          failCall(Id, http1::status::NotFound,
+                   "no such turn: " + Result.Reason);
           return;
         case turns::open_outcome::Unknown:
           refuse(Id, Result.Reason);
@@ -207,7 +202,7 @@
     refuse(Id, "the time is over before it was sent");
     return;
   case call_phase::Sent:
-    failCall(Id, GatewayTimeout, "no answer within the time", {});
+    failCall(Id, http1::status::GatewayTimeout, "no answer within the time");
     return;
   case call_phase::Streaming:
     cut(Id, "the answer is not complete within the time");
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr int Unavailable = 503;
 constexpr double MsPerSecond = 1000.0;
 
 std::string secondsText(milliseconds Time) {
@@ -24,29 +23,38 @@
 } // namespace
 
 void relay::impl::answerOwn(http1::exchange_id Exchange, int Status,
-                            std::string_view Reason, milliseconds RetryAfter) {
-  http1::header_list Headers = {{"Content-Type", "text/plain"}};
-  if (Status == Unavailable)
-    Headers.add(Names.RetryAfter, secondsText(RetryAfter));
+                            std::string_view Reason,
+                            http1::header_list Headers) {
+  Headers.add("Content-Type", "text/plain");
   std::string Body(Reason);
   Body += "\n";
   Server->respond(Exchange, Status, Headers, Body);
 }
 
+void relay::impl::answerRefused(http1::exchange_id Exchange,
+                                std::string_view Reason,
+                                milliseconds RetryAfter) {
+  answerOwn(Exchange, http1::status::Unavailable, Reason,
+            {{Names.RetryAfter, secondsText(RetryAfter)}});
+}
+
 void relay::impl::refuse(relay_call_id Id, std::string_view Reason) {
   refuse(Id, Reason, Settings.RetryAfter);
 }
 
 void relay::impl::refuse(relay_call_id Id, std::string_view Reason,
                          milliseconds RetryAfter) {
-  failCall(Id, Unavailable, Reason, RetryAfter);
+  relay_call &Call = *Calls.find(Id);
+  settle(Call);
+  answerRefused(Call.Exchange, Reason, RetryAfter);
+  finish(Id, http1::status::Unavailable, Reason);
 }
 
 void relay::impl::failCall(relay_call_id Id, int Status,
-                           std::string_view Reason, milliseconds RetryAfter) {
+                           std::string_view Reason) {
   relay_call &Call = *Calls.find(Id);
   settle(Call);
-  answerOwn(Call.Exchange, Status, Reason, RetryAfter);
+  answerOwn(Call.Exchange, Status, Reason);
   finish(Id, Status, Reason);
 }
 
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -46,8 +46,7 @@
   void onDeadline(relay_call_id Id);
   void openTurn(relay_call_id Id);
   /// Why the call's program may not begin now, if it is one that begins.
-  std::optional<start_refusal> startRefusal(const relay_call &Call,
-                                            time_point Now);
+  std::optional<start_refusal> startRefusal(const relay_call &Call);
 
   // -- Upstreams (relay_send.cpp) --
   void send(relay_call_id Id);
@@ -68,8 +67,7 @@
   void refuse(relay_call_id Id, std::string_view Reason,
               milliseconds RetryAfter);
   /// Answers with a failure of our own that promises nothing.
-  void failCall(relay_call_id Id, int Status, std::string_view Reason,
-                milliseconds RetryAfter);
+  void failCall(relay_call_id Id, int Status, std::string_view Reason);
   /// Cuts an answer that has begun.
   void cut(relay_call_id Id, std::string_view Reason);
   /// What an attempt took of its budget, for the disk hosts.
@@ -79,7 +77,9 @@
   /// Logs and forgets a call.
   void finish(relay_call_id Id, int Status, std::string_view Reason);
   void answerOwn(http1::exchange_id Exchange, int Status,
-                 std::string_view Reason, milliseconds RetryAfter);
+                 std::string_view Reason, http1::header_list Headers = {});
+  void answerRefused(http1::exchange_id Exchange, std::string_view Reason,
+                     milliseconds RetryAfter);
 };
 
 } // namespace turmerichead::relay
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-constexpr int Success = 200;
-constexpr int Misdirected = 421;
-constexpr int BadGateway = 502;
 // Below it a call is not worth sending.
 constexpr milliseconds LeastTime{5};
 
@@ -109,10 +106,10 @@
 void relay::impl::onHead(relay_call_id Id, const http1::response_head &Head) {
   relay_call &Call = *Calls.find(Id);
   Call.Head = Head;
-  Call.NotRun =
-      Head.Status == Misdirected || Head.Headers.find(Names.NotRun) != nullptr;
+  Call.NotRun = Head.Status == http1::status::Misdirected ||
+                Head.Headers.find(Names.NotRun) != nullptr;
   bool Streams = Call.Route.Kind == call_kind::Stream &&
-                 Head.Status == Success && !Call.NotRun &&
+                 Head.Status == http1::status::Ok && !Call.NotRun &&
                  !Head.Headers.find("Content-Encoding");
   if (!Streams)
     return;
@@ -221,7 +218,7 @@
   log::info("not run by upstream", {{"id", Call.Facts.Id},
                                     {"upstream", Call.UpstreamId},
                                     {"status", Call.Head.Status}});
-  if (Call.Head.Status == Misdirected)
+  if (Call.Head.Status == http1::status::Misdirected)
     Upstreams.noteFailure(Call.UpstreamId, steadyNow());
   leaveUpstream(Call);
   Call.Body.clear();
@@ -266,7 +263,7 @@
     send(Id);
     return;
   }
-  failCall(Id, BadGateway, Result.Reason, {});
+  failCall(Id, http1::status::BadGateway, Result.Reason);
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -95,7 +95,7 @@
   rank BestRank;
   rank SecondRank;
   for (auto &[Id, Row] : Rows) {
-    if (Row.Upstream.Service != Placement.Service || !Row.Upstream.Ready)
+    if (!isReady(Row, Placement.Service, Now))
       continue;
     rank Rank = rankOf(Row, Placement, SlowGapMs, Now);
     if (!Best || Rank < BestRank) {
