--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -76,6 +76,9 @@
   ByExchange[Exchange] = Id;
   Deadlines->add(Wait, keyOf(Id), 0);
   if (Condemned) {
+    log::warn("request is refused for good",
+              {{"id", Calls.find(Id)->Facts.Id},
+               {"fingerprint", Calls.find(Id)->Fingerprint}});
     refuse(Id, "it was under way when several upstreams died");
     return;
   }
@@ -283,7 +286,10 @@
 }
 
 bool relay::mergeSuspects(std::string_view Bytes) {
-  return Impl->Suspects.merge(Bytes, steadyNow());
+  bool Merged = Impl->Suspects.merge(Bytes, steadyNow());
+  log::info("ends of upstreams heard of",
+            {{"bytes", Bytes.size()}, {"merged", Merged}});
+  return Merged;
 }
 
 void relay::drain(milliseconds Left) {
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -233,6 +233,7 @@
   time_point Now = steadyNow();
   log::info("upstream failed", {{"id", Call.Facts.Id},
                                 {"upstream", Call.UpstreamId},
+                                {"fingerprint", Call.Fingerprint},
                                 {"reason", Result.Reason},
                                 {"phase", nameOf(Call.Phase)},
                                 {"events", Call.EventCount},
@@ -240,8 +241,12 @@
   Upstreams.noteFailure(Call.UpstreamId, Now);
   if (Result.Outcome != http1::call_outcome::NotSent)
     Suspects.noteBroken(Call.UpstreamId, Call.Fingerprint, Now);
-  else if (Suspects.noteUnreachable(Call.UpstreamId, Now) && TellSuspects)
-    TellSuspects(Suspects.encode(Now));
+  else if (Suspects.noteUnreachable(Call.UpstreamId, Now)) {
+    log::warn("upstream has ended under calls",
+              {{"upstream", Call.UpstreamId}, {"evidence", Result.Reason}});
+    if (TellSuspects)
+      TellSuspects(Suspects.encode(Now));
+  }
   leaveUpstream(Call);
   Call.Body.clear();
   if (Call.Phase == call_phase::Streaming) {
