--- /dev/null
+++ b/testsuite/fleet/callers.h
@@ -0,0 +1,89 @@
+/// \file
+/// Callers of a fleet: single requests, and programs whose turns follow each
+/// other through any entry host.
+#pragma once
+
+#include "fleet.h"
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace turmerichead::fleet {
+
+struct caller_request {
+  std::string Method = "POST";
+  std::string Host;
+  std::string Path;
+  std::string Body;
+  std::string Program;
+  std::string PreviousTurn;
+  std::uint64_t Budget = 0; ///< Tokens; 0: none.
+  std::uint64_t MostTokens = 0;
+  milliseconds TimeLeft{3000};
+};
+
+struct caller_answer {
+  std::string Attempt;
+  int Status = 0; ///< 0: no head came.
+  std::string Body;
+  std::string Signature;
+  std::string RetryAfter;
+  bool Complete = false;
+  milliseconds Took{0};
+};
+
+/// Sends \p Request through \p Entry; \p Done is called once. An answer that
+/// has not ended some time after the request's own is given up.
+void send(fleet &Fleet, const std::string &Entry, const caller_request &Request,
+          std::function<void(const caller_answer &)> Done);
+
+/// Sends and waits.
+caller_answer ask(fleet &Fleet, const std::string &Entry,
+                  const caller_request &Request);
+
+/// What programs have met.
+struct sound_counts {
+  std::uint64_t Turns = 0;
+  std::uint64_t Answered = 0;
+  std::uint64_t Refused = 0;   ///< 503
+  std::uint64_t Condemned = 0; ///< Refused for what it did to upstreams.
+  std::uint64_t Broken = 0;
+  std::uint64_t Wrong = 0; ///< Complete, but not its own answer.
+};
+
+/// Programs of a few turns and calls, one after the other, until stopped.
+class sound_traffic {
+public:
+  sound_traffic(fleet &Fleet, int Programs, std::uint64_t Seed);
+  void stop() { Stopping = true; }
+  bool ended() const { return Live == 0; }
+  const sound_counts &counts() const { return Counts; }
+
+private:
+  struct program {
+    std::string Name;
+    std::string Chain; ///< What the runner was given and has said.
+    std::string Previous;
+    int Turn = 0;
+    int Failures = 0;
+  };
+  void next(std::size_t Index);
+  void turn(std::size_t Index);
+  void call(std::size_t Index);
+  void judge(const caller_answer &Answer);
+  void later(std::size_t Index);
+  std::string anyEntry();
+
+  fleet &Fleet;
+  std::mt19937_64 Random;
+  std::vector<program> Programs;
+  std::vector<loop_source> Timers;
+  sound_counts Counts;
+  int Live = 0;
+  std::uint64_t Serial = 0;
+  bool Stopping = false;
+};
+
+} // namespace turmerichead::fleet
--- /dev/null
+++ b/testsuite/fleet/fleet.cpp
@@ -0,0 +1,374 @@
+#include "fleet.h"
+
+#include "turmerichead/error.h"
+
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace turmerichead::fleet {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int StorePort = 8142;
+constexpr int StoreControlPort = 8143;
+constexpr int CallerPort = 8149;
+constexpr int ReadyPort = 8141;
+constexpr int ControlPort = 8144;
+constexpr int FirstPeerPort = 7380;
+constexpr int LastPeerPort = 7395;
+constexpr int UpstreamPort = 8500;
+constexpr milliseconds StartBound{20000};
+constexpr milliseconds ReviveInterval{50};
+
+void dieWithParent(gpointer /*Data*/) { prctl(PR_SET_PDEATHSIG, SIGKILL); }
+
+std::string numbered(const char *Prefix, int Number) {
+  return std::string(Prefix) + "-" + std::to_string(Number);
+}
+
+json routeOf(const char *Name, const char *Host, const char *Path,
+             const char *Kind, const char *Service, int Attempts) {
+  constexpr int TimeoutMs = 4000;
+  return {{"name", Name},
+          {"host", Host},
+          {"path_prefix", Path},
+          {"kind", Kind},
+          {"service", Service},
+          {"attempts", Attempts},
+          {"priority", 0},
+          {"timeout_ms", TimeoutMs},
+          {"target_latency_ms", 500}};
+}
+
+} // namespace
+
+fleet::fleet(fleet_settings Given)
+    : Settings(std::move(Given)), Http(http1::client::create({})) {
+  std::error_code Ignored;
+  std::filesystem::remove_all(Settings.Scratch, Ignored);
+  std::filesystem::create_directories(Settings.Scratch, Ignored);
+}
+
+fleet::~fleet() {
+  Reviver.reset();
+  for (auto &[Name, Member] : Members)
+    if (Member.Process)
+      g_subprocess_force_exit(Member.Process.get());
+}
+
+// -- Members -----------------------------------------------------------------
+
+member &fleet::place(const std::string &Name, role Role) {
+  auto [Row, New] = Members.try_emplace(Name);
+  member &Member = Row->second;
+  if (New) {
+    auto Pid = static_cast<unsigned>(getpid());
+    constexpr unsigned FirstNet = 16;
+    Member.Name = Name;
+    Member.Role = Role;
+    Member.Ip = "127." + std::to_string(FirstNet + (Pid >> 8U) % 200) + "." +
+                std::to_string(Pid & 0xffU) + "." + std::to_string(NextIp++);
+  }
+  return Member;
+}
+
+member *fleet::find(const std::string &Name) {
+  auto Row = Members.find(Name);
+  return Row == Members.end() ? nullptr : &Row->second;
+}
+
+std::vector<std::string> fleet::names(role Role) const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Member] : Members)
+    if (Member.Role == Role)
+      Names.push_back(Name);
+  return Names;
+}
+
+bool fleet::isRunning(const std::string &Name) {
+  member *Member = find(Name);
+  return Member && Member->Process &&
+         g_subprocess_get_identifier(Member->Process.get()) != nullptr;
+}
+
+std::string fleet::dataCentreOf(const std::string &Name) const {
+  int Number = std::stoi(Name.substr(Name.rfind('-') + 1));
+  return numbered("dc", Number % Settings.DataCentres);
+}
+
+std::string fleet::callerAddress(const std::string &Entry) {
+  return find(Entry)->Ip + ":" + std::to_string(CallerPort);
+}
+
+std::string fleet::logFile(const std::string &Name) const {
+  return Settings.Scratch + "/" + Name + ".log";
+}
+
+// -- Processes ---------------------------------------------------------------
+
+std::string fleet::writeSettings(const member &Member, bool Fresh) const {
+  bool Disk = Member.Role == role::Disk;
+  json Seeds = json::array();
+  for (const auto &[Name, Other] : Members)
+    if (Other.Role == role::Entry && Seeds.size() < 3)
+      Seeds.push_back(Other.Ip + ":" + std::to_string(ControlPort));
+  auto At = [&](int Port) { return Member.Ip + ":" + std::to_string(Port); };
+  std::string Folder = Settings.Scratch + "/" + Member.Name + ".disk";
+  std::error_code Ignored;
+  if (Disk)
+    std::filesystem::create_directories(Folder, Ignored);
+  json Root = {
+      {"node_name", Member.Name},
+      {"serves", {Disk ? "storage" : "front"}},
+      {"ip_address", Member.Ip},
+      {"zone", dataCentreOf(Member.Name)},
+      {"listen", {{"front", At(CallerPort)}, {"ready", At(ReadyPort)}}},
+      {"internal_port_range", {FirstPeerPort, LastPeerPort}},
+      {"seeds", Seeds},
+      {"bootstrap", Fresh},
+      {"limits", {{"disk_mb", Disk ? 200 : 0}}},
+      {"data_directory", Disk ? json(Folder) : json()},
+      {"fault_tolerance", {{"machines", Settings.DiskFaults}}},
+      {"bounds", {{"grace_s", 8}}},
+      {"platform",
+       {{"address",
+         Members.at("store").Ip + ":" + std::to_string(StorePort)}}}};
+  std::string File = Settings.Scratch + "/" + Member.Name + ".json";
+  std::ofstream(File) << Root.dump(2);
+  return File;
+}
+
+std::vector<std::string> fleet::commandOf(member &Member) {
+  std::string Store = Members.at("store").Ip + ":" + std::to_string(StorePort);
+  switch (Member.Role) {
+  case role::Store:
+    return {Settings.Bin + "/standin_store", "--address=" + Store,
+            "--control=" + Member.Ip + ":" + std::to_string(StoreControlPort)};
+  case role::Entry:
+  case role::Disk:
+    return {Settings.Bin + "/turmerichead", "--platform"};
+  case role::Runner:
+  case role::Tool:
+    break;
+  }
+  bool Runner = Member.Role == role::Runner;
+  return {Settings.Bin + "/standin_upstream",
+          "--id=i-" + Member.Name + "-" + std::to_string(Member.Starts),
+          "--address=" + Member.Ip + ":" + std::to_string(UpstreamPort),
+          "--store=" + Store,
+          std::string("--service=") + (Runner ? "llm" : "book"),
+          "--data_centre=" + dataCentreOf(Member.Name),
+          "--runs=" + Settings.Scratch + "/runs.jsonl",
+          std::string("--streams=") + (Runner ? "true" : "false"),
+          "--events=" + std::to_string(Settings.RunnerEvents),
+          "--gap_ms=" + std::to_string(Settings.EventGap.count()),
+          "--seed=" + std::to_string(Settings.Seed + NextIp)};
+}
+
+bool fleet::spawn(member &Member, bool Fresh) {
+  std::vector<std::string> Command = commandOf(Member);
+  ++Member.Starts;
+  Member.EndedAt = {};
+  Member.Stopped = false;
+  Member.Restarts = Member.Role == role::Runner || Member.Role == role::Tool;
+  auto Launcher = handle<GSubprocessLauncher>::adopt(
+      g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDERR_MERGE));
+  // One file for each start, so that what a killed process said is kept.
+  std::string Log = Settings.Scratch + "/" + Member.Name + "." +
+                    std::to_string(Member.Starts) + ".log";
+  g_subprocess_launcher_set_stdout_file_path(Launcher.get(), Log.c_str());
+  g_subprocess_launcher_set_child_setup(Launcher.get(), dieWithParent, nullptr,
+                                        nullptr);
+  if (Member.Role == role::Entry || Member.Role == role::Disk)
+    g_subprocess_launcher_setenv(Launcher.get(), "TURMERICHEAD_CONFIG",
+                                 writeSettings(Member, Fresh).c_str(), TRUE);
+  std::vector<const char *> Arguments;
+  for (const std::string &Argument : Command)
+    Arguments.push_back(Argument.c_str());
+  Arguments.push_back(nullptr);
+  GError *Reason = nullptr;
+  Member.Process = handle<GSubprocess>::adopt(
+      g_subprocess_launcher_spawnv(Launcher.get(), Arguments.data(), &Reason));
+  if (!Member.Process) {
+    fail(error_code::Unavailable, takeText(Reason));
+    return false;
+  }
+  return true;
+}
+
+bool fleet::startMember(const std::string &Name, bool Fresh) {
+  member *Member = find(Name);
+  return Member && !isRunning(Name) && spawn(*Member, Fresh);
+}
+
+std::string fleet::addEntry() {
+  std::string Name =
+      numbered("entry", static_cast<int>(names(role::Entry).size()));
+  spawn(place(Name, role::Entry), false);
+  return Name;
+}
+
+void fleet::signal(const std::string &Name, int Number) {
+  member *Member = find(Name);
+  if (!isRunning(Name))
+    return;
+  g_subprocess_send_signal(Member->Process.get(), Number);
+  if (Number == SIGSTOP || Number == SIGCONT)
+    Member->Stopped = Number == SIGSTOP;
+}
+
+void fleet::kill(const std::string &Name) {
+  signal(Name, SIGKILL);
+  wait(StartBound, [&] { return !isRunning(Name); });
+}
+
+void fleet::wipe(const std::string &Name) {
+  kill(Name);
+  std::error_code Ignored;
+  std::filesystem::remove_all(Settings.Scratch + "/" + Name + ".disk", Ignored);
+}
+
+// Upstreams that have ended by themselves come back under a new id.
+void fleet::reviveUpstreams() {
+  time_point Now = steadyNow();
+  for (auto &[Name, Member] : Members) {
+    if (!Member.Restarts || isRunning(Name))
+      continue;
+    if (Member.EndedAt.Ms == 0)
+      Member.EndedAt = Now;
+    else if (Now - Member.EndedAt >= Settings.UpstreamBack)
+      spawn(Member, false);
+  }
+}
+
+// -- The whole ---------------------------------------------------------------
+
+bool fleet::start() {
+  place("store", role::Store);
+  for (int I = 0; I < Settings.Entries; ++I)
+    place(numbered("entry", I), role::Entry);
+  for (int I = 0; I < Settings.Disks; ++I)
+    place(numbered("disk", I), role::Disk);
+  for (int I = 0; I < Settings.Runners; ++I)
+    place(numbered("runner", I), role::Runner);
+  for (int I = 0; I < Settings.Tools; ++I)
+    place(numbered("tool", I), role::Tool);
+  if (!spawn(Members.at("store"), true))
+    return false;
+  pause(milliseconds(100));
+  configure(1);
+  for (auto &[Name, Member] : Members)
+    if (Member.Role != role::Store && !spawn(Member, true))
+      return false;
+  Reviver = loop_source::every(ReviveInterval, [this] {
+    reviveUpstreams();
+    return true;
+  });
+  for (const std::string &Name : names(role::Entry))
+    if (!waitReady(Name, StartBound)) {
+      fail(error_code::Timeout, Name + " does not get ready");
+      return false;
+    }
+  // Ready means that some upstreams are known; the rest come in a moment.
+  pause(milliseconds(500));
+  return true;
+}
+
+bool fleet::waitReady(const std::string &Entry, milliseconds Bound) {
+  std::string Address = find(Entry)->Ip + ":" + std::to_string(ReadyPort);
+  int Status = 0;
+  bool Waiting = false;
+  return wait(Bound, [&] {
+    if (Status == http1::status::Ok || Waiting)
+      return Status == http1::status::Ok;
+    Waiting = true;
+    http1::call_request Request;
+    Request.Address = Address;
+    Request.Method = "GET";
+    Request.Target = "/readiness";
+    http().call(
+        std::move(Request),
+        {[&](const http1::response_head &Head) { Status = Head.Status; },
+         [](std::string_view) {},
+         [&](const http1::call_result &) { Waiting = false; }});
+    return false;
+  });
+}
+
+void fleet::order(const std::string &Name, const json &Order) {
+  member *Member = find(Name);
+  http1::call_request Request;
+  int Port = Member->Role == role::Store ? StoreControlPort : UpstreamPort;
+  Request.Address = Member->Ip + ":" + std::to_string(Port);
+  Request.Method = "POST";
+  Request.Target = "/control";
+  Request.Body.push_back(Order.dump());
+  bool Done = false;
+  auto Id =
+      http().call(std::move(Request),
+                  {[](const http1::response_head &) {}, [](std::string_view) {},
+                   [&](const http1::call_result &) { Done = true; }});
+  if (!wait(milliseconds(3000), [&] { return Done; }))
+    http().cancel(Id);
+}
+
+void fleet::configure(std::uint64_t Version) {
+  constexpr int RetentionS = 30;
+  json Plan = routeOf("plan", PlanHost, "/", "streaming", "llm", 2);
+  Plan["retain_context"] = true;
+  Plan["retention_s"] = RetentionS;
+  json Spec = {{"version", Version},
+               {"routes",
+                {Plan, routeOf("look", ToolHost, "/look/", "safe", "book", 2),
+                 routeOf("book", ToolHost, "/book/", "unsafe", "book", 2)}},
+               {"services",
+                {{{"name", "llm"},
+                  {"connection_limit", 200},
+                  {"engine", {{"tokens_per_event", 1}}}},
+                 {{"name", "book"}, {"connection_limit", 200}}}},
+               {"limits",
+                {{"header_bytes", 16384},
+                 {"body_bytes", 1048576},
+                 {"header_timeout_ms", 5000},
+                 {"idle_timeout_ms", 30000}}}};
+  order("store",
+        {{"put", {{"kind", "config"}, {"name", "main"}, {"spec", Spec}}}});
+}
+
+std::vector<run_line> fleet::runs() const {
+  std::vector<run_line> Lines;
+  std::ifstream File(Settings.Scratch + "/runs.jsonl");
+  for (std::string Text; std::getline(File, Text);) {
+    json Line = json::parse(Text, nullptr, false);
+    if (!Line.is_object())
+      continue;
+    Lines.push_back({Line.value("at", std::int64_t(0)),
+                     Line.value("upstream", ""), Line.value("service", ""),
+                     Line.value("what", ""), Line.value("attempt", ""),
+                     Line.value("crash", ""), Line.value("input", "")});
+  }
+  return Lines;
+}
+
+bool fleet::wait(milliseconds Bound, const std::function<bool()> &Reached) {
+  time_point End = steadyNow() + Bound;
+  auto Tick = loop_source::every(milliseconds(5), [] { return true; });
+  while (!Reached()) {
+    if (steadyNow() >= End)
+      return false;
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  return true;
+}
+
+void fleet::pause(milliseconds Time) {
+  wait(Time, [] { return false; });
+}
+
+} // namespace turmerichead::fleet
--- /dev/null
+++ b/testsuite/fleet/fleet.h
@@ -0,0 +1,131 @@
+/// \file
+/// A deployment of the platform on this machine: the daemon in both roles,
+/// a store and upstreams, each as a process of its own on a loopback address.
+///
+///     fleet Fleet({.Entries = 3, .Disks = 3});
+///     REQUIRE(Fleet.start());
+///     Fleet.kill("entry-0");
+///
+/// All processes end with the fleet.
+#pragma once
+
+#include "turmerichead/handle.h"
+#include "turmerichead/http1_client.h"
+#include "turmerichead/net_loop.h"
+
+#include <gio/gio.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmerichead::fleet {
+
+struct fleet_settings {
+  std::string Scratch; ///< Emptied at the start.
+  std::string Bin;     ///< Where the programs are.
+  int Entries = 3;
+  int Disks = 3;
+  int DiskFaults = 1;
+  int Runners = 6;
+  int Tools = 3; ///< Plain services.
+  int DataCentres = 3;
+  int RunnerEvents = 6;
+  milliseconds EventGap{20};
+  /// An upstream that ends by itself is started again after this time.
+  milliseconds UpstreamBack{1500};
+  std::uint64_t Seed = 1;
+};
+
+enum class role { Store, Entry, Disk, Runner, Tool };
+
+/// One process, or the place of one that has ended.
+struct member {
+  std::string Name;
+  role Role = role::Entry;
+  std::string Ip;
+  int Starts = 0;
+  handle<GSubprocess> Process;
+  bool Stopped = false; ///< By SIGSTOP.
+  time_point EndedAt;   ///< Zero while it runs, or was ended by the test.
+  bool Restarts = false;
+};
+
+/// A request that an upstream has told of.
+struct run_line {
+  std::int64_t AtMs = 0; ///< Time of day
+  std::string Upstream;
+  std::string Service;
+  std::string What; ///< run, end, crash, lost, left
+  std::string Attempt;
+  std::string Crash; ///< The mark of a request that ends its upstream.
+  std::string Input; ///< Hash of what it was given.
+};
+
+class fleet {
+public:
+  static constexpr const char *PlanHost = "plans.example";
+  static constexpr const char *ToolHost = "tools.example";
+
+  explicit fleet(fleet_settings Settings);
+  ~fleet();
+  fleet(const fleet &) = delete;
+  fleet &operator=(const fleet &) = delete;
+
+  /// Starts everything and waits until each entry host is ready. Returns
+  /// false, with lastError(), if that does not come about.
+  bool start();
+
+  const fleet_settings &settings() const { return Settings; }
+  member *find(const std::string &Name);
+  std::vector<std::string> names(role Role) const;
+  bool isRunning(const std::string &Name);
+  std::string callerAddress(const std::string &Entry);
+
+  /// Starts a process that has ended, or a new one of the role.
+  bool startMember(const std::string &Name, bool Fresh = false);
+  std::string addEntry();
+
+  void kill(const std::string &Name);
+  void signal(const std::string &Name, int Number);
+  /// Kills a disk host and empties its disk.
+  void wipe(const std::string &Name);
+
+  /// Orders to the store's stand-in, or to an upstream's.
+  void order(const std::string &Name, const nlohmann::json &Order);
+
+  /// Puts a configuration in force.
+  void configure(std::uint64_t Version);
+
+  bool waitReady(const std::string &Entry, milliseconds Bound);
+
+  /// What all upstreams have told so far.
+  std::vector<run_line> runs() const;
+
+  http1::client &http() { return *Http; }
+
+  /// Turns the loop until \p Reached; false after \p Bound.
+  bool wait(milliseconds Bound, const std::function<bool()> &Reached);
+  void pause(milliseconds Time);
+
+  std::string logFile(const std::string &Name) const;
+
+private:
+  member &place(const std::string &Name, role Role);
+  std::vector<std::string> commandOf(member &Member);
+  std::string writeSettings(const member &Member, bool Fresh) const;
+  bool spawn(member &Member, bool Fresh);
+  void reviveUpstreams();
+  std::string dataCentreOf(const std::string &Name) const;
+
+  fleet_settings Settings;
+  std::map<std::string, member> Members;
+  std::optional<http1::client> Http;
+  std::uint8_t NextIp = 1;
+  int NextPort = 9000;
+  loop_source Reviver;
+};
+
+} // namespace turmerichead::fleet
--- a/testsuite/standins/object_store.h
+++ b/testsuite/standins/object_store.h
@@ -1,29 +1,33 @@
 /// \file
-/// A small store that speaks the platform's protocol, for tests.
+/// A small object store that speaks the platform's protocol, for tests: in
+/// the same process, or as a process of its own (store_main.cpp).
 #pragma once
 
-#include "../src/libnet/test_loop_pvt.h"
 #include "turmerichead/http1_server.h"
+#include "turmerichead/net_loop.h"
 
-#include <charconv>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace turmerichead::platform {
+namespace turmerichead::standin {
 
 /// Holds objects in memory and can be told to misbehave.
-class store_stand_in {
+class object_store {
 public:
-  enum class mood { Fine, Busy, Silent };
+  /// Busy: 503. Silent: no answer. Reset: the connection ends. Lossy: every
+  /// third write is done and not answered.
+  enum class mood { Fine, Busy, Silent, Reset, Lossy };
 
-  store_stand_in() {
+  explicit object_store(const std::string &Address = "127.0.0.1:0") {
     Server = http1::server::create(
-        "127.0.0.1:0", {},
+        Address, {},
         {[this](http1::exchange_id Id, http1::request &&Request) {
-           Requests.push_back(Request.Method + " " + Request.Target);
+           if (OnRequest)
+             OnRequest(Request);
            serve(Id, Request);
          },
          [](http1::exchange_id) {}});
@@ -33,21 +37,29 @@
     return "127.0.0.1:" + std::to_string(Server->port());
   }
 
-  /// Writes an object as the operator would.
+  /// Writes an object as the operator would. A write that changes nothing
+  /// is no event.
   void put(const std::string &Kind, const std::string &Name,
            nlohmann::json Spec) {
+    nlohmann::json &Object = Objects[{Kind, Name}];
+    if (Object.is_object() && Object["specification"] == Spec)
+      return;
+    nlohmann::json Status =
+        Object.is_object() ? Object["status"] : nlohmann::json();
     ++Revision;
-    Objects[{Kind, Name}] = {
-        {"metadata", {{"name", Name}, {"revision", Revision}}},
-        {"specification", std::move(Spec)},
-        {"status", nullptr}};
-    note(Kind, Objects[{Kind, Name}], false);
+    Object = {{"metadata", {{"name", Name}, {"revision", Revision}}},
+              {"specification", std::move(Spec)},
+              {"status", std::move(Status)}};
+    note(Kind, Object, false);
   }
   void remove(const std::string &Kind, const std::string &Name) {
     auto Row = Objects.find({Kind, Name});
+    if (Row == Objects.end())
+      return;
     ++Revision;
     nlohmann::json Object = Row->second;
     Objects.erase(Row);
+    WrittenAt.erase({Kind, Name});
     note(Kind, Object, true);
   }
   /// Forgets which changes led here and cuts all watches.
@@ -62,9 +74,31 @@
     return Row == Objects.end() ? nlohmann::json()
                                 : Row->second["specification"];
   }
+  /// Removes the objects of a kind that nobody has written for \p Silence.
+  void lapse(const std::string &Kind, milliseconds Silence) {
+    time_point Now = steadyNow();
+    std::vector<std::string> Names;
+    for (const auto &[Key, At] : WrittenAt)
+      if (Key.first == Kind && Now - At >= Silence)
+        Names.push_back(Key.second);
+    for (const std::string &Name : Names)
+      remove(Kind, Name);
+  }
+  /// Cuts the watches that wait, as an outage does.
+  void cutWatches() {
+    for (watcher &Row : std::exchange(Watchers, {}))
+      Server->abort(Row.Id);
+  }
+
+  /// Answers the watches that have something to tell or have waited enough.
+  /// Called at each change; to be called at times besides.
+  void answerWatches() {
+    for (watcher &Row : std::exchange(Watchers, {}))
+      watch(Row);
+  }
 
   mood Mood = mood::Fine;
-  std::vector<std::string> Requests;
+  std::function<void(const http1::request &)> OnRequest;
   std::optional<http1::server> Server;
 
 private:
@@ -72,6 +106,7 @@
     http1::exchange_id Id;
     std::string Kind;
     std::uint64_t Since = 0;
+    time_point End; ///< When it is answered without a change.
   };
   struct change {
     std::string Kind;
@@ -87,20 +122,29 @@
     return std::stoull(Target.substr(At + Name.size() + 1));
   }
 
+  void putStatus(const std::string &Kind, const std::string &Name,
+                 nlohmann::json Status) {
+    nlohmann::json &Object = Objects[{Kind, Name}];
+    if (Object["status"] == Status)
+      return;
+    Object["status"] = std::move(Status);
+    Object["metadata"]["revision"] = ++Revision;
+    note(Kind, Object, false);
+  }
+
   void note(const std::string &Kind, const nlohmann::json &Object,
             bool Deleted) {
     History.push_back(
         {Kind, Revision, {{"deleted", Deleted}, {"object", Object}}});
-    for (watcher &Row : std::exchange(Watchers, {}))
-      watch(Row, milliseconds(30000));
+    answerWatches();
   }
 
-  void watch(const watcher &Row, milliseconds Wait) {
+  void watch(const watcher &Row) {
     nlohmann::json Events = nlohmann::json::array();
     for (const change &Change : History)
       if (Change.Kind == Row.Kind && Change.Revision > Row.Since)
         Events.push_back(Change.Event);
-    if (!Events.empty() || Wait.count() < 1000) {
+    if (!Events.empty() || Row.End <= steadyNow()) {
       reply(Row.Id, 200, {{"events", Events}, {"current_rev", Revision}});
       return;
     }
@@ -115,6 +159,10 @@
   void serve(http1::exchange_id Id, const http1::request &Request) {
     if (Mood == mood::Silent)
       return;
+    if (Mood == mood::Reset) {
+      Server->abort(Id);
+      return;
+    }
     if (Mood == mood::Busy) {
       reply(Id, 503, nullptr);
       return;
@@ -129,8 +177,9 @@
       if (Since < HistoryFrom)
         reply(Id, 410, nullptr);
       else
-        watch({Id, Kind, Since},
-              milliseconds(*parameter(Request.Target, "wait_ms")));
+        watch({Id, Kind, Since,
+               steadyNow() +
+                   milliseconds(*parameter(Request.Target, "wait_ms"))});
       return;
     }
     if (Request.Method == "GET") {
@@ -147,20 +196,41 @@
 
   void write(http1::exchange_id Id, const http1::request &Request,
              const std::string &Kind, std::string Name) {
+    constexpr std::string_view StatusEnd = "/status";
+    bool StatusOnly = Name.ends_with(StatusEnd);
+    if (StatusOnly)
+      Name.resize(Name.size() - StatusEnd.size());
     auto Body = nlohmann::json::parse(Request.Body, nullptr, false);
     bool Creates = Request.Method == "POST";
     if (Creates)
       Name = Body["metadata"]["name"].get<std::string>();
     auto Row = Objects.find({Kind, Name});
-    bool Conflict =
-        Creates ? Row != Objects.end()
-                : Row == Objects.end() || Row->second["metadata"]["revision"] !=
-                                              Body["metadata"]["revision"];
+    if (Request.Method == "DELETE") {
+      remove(Kind, Name);
+      reply(Id, 200, nlohmann::json::object());
+      return;
+    }
+    if (!Creates && Row == Objects.end()) {
+      reply(Id, 404, nullptr);
+      return;
+    }
+    auto Metadata = Body.value("metadata", nlohmann::json::object());
+    bool Named = Metadata.contains("revision");
+    bool Conflict = Creates ? Row != Objects.end()
+                            : Named && Row->second["metadata"]["revision"] !=
+                                           Metadata["revision"];
     if (Conflict) {
       reply(Id, 409, Row == Objects.end() ? nlohmann::json() : Row->second);
       return;
     }
-    put(Kind, Name, Body["specification"]);
+    WrittenAt[{Kind, Name}] = steadyNow();
+    if (StatusOnly)
+      putStatus(Kind, Name, Body["status"]);
+    else
+      put(Kind, Name, Body["specification"]);
+    constexpr unsigned LostOneIn = 3;
+    if (Mood == mood::Lossy && ++Writes % LostOneIn == 0)
+      return;
     reply(Id, 200, Objects[{Kind, Name}]);
   }
 
@@ -169,6 +239,8 @@
   std::vector<watcher> Watchers;
   std::uint64_t Revision = 100;
   std::uint64_t HistoryFrom = 0;
+  unsigned Writes = 0;
+  std::map<std::pair<std::string, std::string>, time_point> WrittenAt;
 };
 
-} // namespace turmerichead::platform
+} // namespace turmerichead::standin
