--- a/src/include/turmerichead/codec.h
+++ b/src/include/turmerichead/codec.h
@@ -20,24 +20,32 @@
   return {Buffer.data(), Buffer.size()};
 }
 
-/// Reads a message back; std::nullopt with error Corrupt if it does not
-/// decode. msgpack throws, and its exceptions end here.
+/// Reads \p Bytes back within \p Limit; std::nullopt with error Corrupt, whose
+/// text begins with \p What, if they do not decode. msgpack throws, and its
+/// exceptions end here.
 template <typename Message>
-std::optional<Message> unpack(std::string_view Bytes) {
-  constexpr std::size_t MaxRows = 1U << 20U;
-  constexpr std::size_t MaxFields = 1U << 16U;
-  constexpr std::size_t MaxBytes = 64U << 20U;
-  constexpr std::size_t MaxDepth = 32;
+std::optional<Message> unpackWithin(std::string_view Bytes,
+                                    const msgpack::unpack_limit &Limit,
+                                    std::string_view What) {
   try {
-    msgpack::unpack_limit Limit(MaxRows, MaxFields, MaxBytes, MaxBytes,
-                                MaxFields, MaxDepth);
     msgpack::object_handle Handle =
         msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
     return Handle.get().as<Message>();
   } catch (const std::exception &Error) {
-    return fail(error_code::Corrupt,
-                std::string("message between hosts: ") + Error.what());
+    return fail(error_code::Corrupt, std::string(What) + ": " + Error.what());
   }
 }
 
+/// Reads a message back, as unpackWithin() does.
+template <typename Message>
+std::optional<Message> unpack(std::string_view Bytes) {
+  constexpr std::size_t MaxRows = 1U << 20U;
+  constexpr std::size_t MaxFields = 1U << 16U;
+  constexpr std::size_t MaxBytes = 64U << 20U;
+  constexpr std::size_t MaxDepth = 32;
+  return unpackWithin<Message>(
+      Bytes, {MaxRows, MaxFields, MaxBytes, MaxBytes, MaxFields, MaxDepth},
+      "message between hosts");
+}
+
 } // namespace turmerichead
--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -65,6 +65,15 @@
 struct call_result {
   call_outcome Outcome = call_outcome::Broken;
   std::string Reason; ///< For people; empty if complete.
+  /// Nobody listens at the address; goes with NotSent.
+  bool Refused = false;
+};
+
+/// What an attempt to connect came to.
+enum class probe_result : std::uint8_t {
+  Listening,
+  Refused, ///< Nobody listens at the address.
+  Unknown  ///< Nothing came back in time.
 };
 
 struct call_events {
@@ -95,6 +104,11 @@
   /// Returns false if the call has ended before.
   bool cancel(call_id Id);
 
+  /// Connects to \p Address without a call; the connection is kept for later
+  /// ones. \p Done is called once, never inside this call.
+  void probe(std::string Address, milliseconds Timeout,
+             std::function<void(probe_result)> Done);
+
   /// Closes the kept connections to an address that is not used any more.
   void forget(std::string_view Address);
 
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -16,6 +16,7 @@
 #include "turmerichead/http1_server.h"
 #include "turmerichead/metrics.h"
 #include "turmerichead/relay_routes.h"
+#include "turmerichead/relay_suspects.h"
 #include "turmerichead/relay_upstreams.h"
 #include "turmerichead/turns_client.h"
 
@@ -44,6 +45,7 @@
 };
 
 struct relay_settings {
+  std::string Host;   ///< This host's name.
   std::string Listen; ///< "ip:port" for callers.
   std::string DataCentre;
   milliseconds ConnectTimeout{300};
@@ -72,11 +74,11 @@
   /// How many entry hosts there are, this one among them.
   void setEntryHosts(std::size_t Count);
 
-  /// Called with what this host knows of requests that take down upstreams,
-  /// when that has changed; other hosts take it in by mergeSuspects().
-  void onSuspects(std::function<void(std::string Bytes)> Action);
-  /// Fails with Corrupt.
-  bool mergeSuspects(std::string_view Bytes);
+  /// The requests that end their upstreams. What this host has seen itself
+  /// is told to \p Action, which other hosts are to hear of.
+  suspects &suspectTable();
+  void onSuspects(
+      std::function<void(std::span<const std::uint64_t> Changed)> Action);
 
   /// The process will end after \p Left. From now on each answer closes its
   /// connection, and a call that might not end in time is refused.
--- /dev/null
+++ b/src/include/turmerichead/relay_news.h
@@ -0,0 +1,90 @@
+/// \file
+/// How hosts tell each other of requests that end their upstreams.
+///
+/// Every end is told to the disk hosts, which all entry hosts talk to anyway;
+/// a request with more than one end, to all hosts. A disk host passes on what
+/// it has put together from several hosts. Whoever tells something tells it
+/// again until it has been heard, so that a host that was away hears of it
+/// when it is back; a host that starts asks the disk hosts once. Nothing is
+/// sent while nothing changes.
+///
+///     suspect_news News(Relay->suspectTable(), Links, {.Self = Address});
+///     Relay->onSuspects([&](auto Changed) { News.tell(Changed); });
+#pragma once
+
+#include "turmerichead/net_loop.h"
+#include "turmerichead/net_peer.h"
+#include "turmerichead/relay_suspects.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace turmerichead::relay {
+
+struct news_settings {
+  std::string Self;       ///< This host's peer address.
+  bool KeepsData = false; ///< A disk host: it passes news on.
+  /// Between attempts to tell a host that did not hear.
+  milliseconds RetryInterval{500};
+};
+
+class suspect_news {
+public:
+  /// Where a host takes requests of this module.
+  static constexpr std::string_view TellPath = "/relay/suspects";
+  static constexpr std::string_view AskPath = "/relay/suspects/all";
+
+  /// \p Table and \p Links must outlive it.
+  suspect_news(suspects &Table, peer_links &Links, news_settings Settings);
+
+  /// Peer addresses of the other hosts.
+  void setPeers(std::vector<std::string> DiskHosts,
+                std::vector<std::string> EntryHosts);
+
+  /// Something about these fingerprints was seen here.
+  void tell(std::span<const std::uint64_t> Prints);
+
+  /// Whether a request of another host is this module's.
+  static bool takes(std::string_view Path);
+  /// Answers such a request.
+  void serve(peer_server &Server, const peer_request_view &Request);
+
+  /// Called when a record worth keeping has changed.
+  void onChanged(std::function<void()> Action);
+
+  /// The records that are worth keeping over a restart, and back. load()
+  /// fails with Corrupt.
+  std::string save(time_point Now) const;
+  bool load(std::string_view Bytes, time_point Now);
+
+private:
+  struct peer {
+    std::set<std::uint64_t> Owed; ///< Not heard yet.
+    bool InFlight = false;
+  };
+  void owe(std::span<const std::uint64_t> Prints, std::string_view Except);
+  bool isWide(std::uint64_t Print, time_point Now) const;
+  void flush();
+  void send(const std::string &Address, peer &Peer);
+  void askAll();
+  bool take(std::string_view Bytes, std::string_view From);
+  void schedule();
+
+  suspects &Table;
+  peer_links &Links;
+  news_settings Settings;
+  std::vector<std::string> DiskHosts;
+  std::vector<std::string> EntryHosts;
+  std::map<std::string, peer, std::less<>> Peers;
+  bool Asked = false; ///< A disk host has told all it knows.
+  bool Asking = false;
+  std::size_t NextAsked = 0;
+  std::function<void()> OnChanged;
+  loop_source Retry;
+};
+
+} // namespace turmerichead::relay
--- a/src/include/turmerichead/relay_suspects.h
+++ b/src/include/turmerichead/relay_suspects.h
@@ -1,56 +1,130 @@
 /// \file
-/// Which calls were under way when an upstream died.
+/// Requests that end the upstreams that run them.
 ///
-/// A connection that breaks may mean a lost answer or a dead upstream. It is
-/// taken for a death once the upstream can't be connected to soon after. A
-/// call that was under way at several deaths is refused: it would take down
-/// every upstream that runs it. The load pattern that it answers: one request
-/// that crashes its runner and is sent again and again, through any host.
+/// A call that an upstream breaks off may mean a lost answer or the end of the
+/// upstream's process. It counts as an end once there is evidence that this
+/// very process is gone: nobody listens at its address, another process is
+/// there, or its entry has vanished. A request that was under way at three
+/// ends is refused: it would end every upstream that runs it. The load pattern
+/// that it answers: one request that crashes its runner and comes again and
+/// again through any host, beside sound requests that are under way at the
+/// same runners.
+///
+/// It decides alone; suspect_news (relay_news.h) tells other hosts.
 #pragma once
 
+#include "turmerichead/relay_upstreams.h"
 #include "turmerichead/sched_poison.h"
 
 #include <deque>
+#include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace turmerichead::relay {
 
+/// What a request is known by when it comes again.
+struct call_prints {
+  std::uint64_t Exact = 0; ///< Of program, target and body.
+  /// Of target and body, for a caller that comes under another program; 0 if
+  /// there is no body.
+  std::uint64_t Content = 0;
+};
+
+/// How a call ended without a complete answer.
+enum class unfinished : std::uint8_t {
+  Broken, ///< The upstream's side broke it off.
+  Left    ///< This side gave it up, or its caller did.
+};
+
+/// Why the process of an upstream is known to have ended.
+enum class end_evidence : std::uint8_t {
+  Refused, ///< Nobody listens at its address.
+  Vanished ///< Its entry is gone. It may be leaving in order, too.
+};
+std::string_view nameOf(end_evidence Evidence);
+
+/// Why a request is refused.
+struct condemnation {
+  milliseconds LapsesIn{0};
+  std::vector<sched::known_death> Deaths;
+};
+
 class suspects {
 public:
-  suspects();
+  /// \p Self is this host's name, for the records.
+  explicit suspects(std::string Self);
 
-  /// A call is known by what its caller sends again: program, target, body.
-  static std::uint64_t fingerprintOf(std::string_view Program,
-                                     std::string_view Target,
-                                     std::string_view Body);
+  static call_prints printsOf(std::string_view Program, std::string_view Target,
+                              std::string_view Body);
 
-  /// Whether a call has been under way at too many deaths.
-  bool isCondemned(std::uint64_t Fingerprint, time_point Now) const;
+  /// Why a request must not be sent to an upstream now; nullopt if it may.
+  std::optional<condemnation> verdict(const call_prints &Prints,
+                                      time_point Now) const;
 
-  /// A call's connection to an upstream broke before its answer was whole.
-  void noteBroken(std::string_view Upstream, std::uint64_t Fingerprint,
-                  time_point Now);
+  /// A call to \p Upstream ended without its whole answer. Like all that
+  /// follow, it returns the fingerprints whose records have changed.
+  std::vector<std::uint64_t> noteUnfinished(const upstream &Upstream,
+                                            const call_prints &Prints,
+                                            unfinished How, time_point SentAt,
+                                            time_point Now);
 
-  /// An upstream could not be connected to. Returns true if that makes a
-  /// death known, which other hosts are to be told of.
-  bool noteUnreachable(std::string_view Upstream, time_point Now);
+  /// \p Upstream has begun to answer a call that was sent at \p SentAt: it
+  /// outlived what broke before.
+  void noteAnswer(const upstream &Upstream, time_point SentAt);
 
-  void noteSuccess(std::uint64_t Fingerprint, time_point Now);
+  /// The process of \p Upstream has ended.
+  std::vector<std::uint64_t> noteEnded(const upstream &Upstream,
+                                       end_evidence Evidence, time_point Now);
 
-  /// The records for other hosts, and theirs. Bytes that do not decode fail
-  /// with Corrupt.
-  std::string encode(time_point Now) const;
-  bool merge(std::string_view Bytes, time_point Now);
+  /// A process has started at its address, in the place of what was there.
+  std::vector<std::uint64_t> noteStarted(const upstream &Upstream,
+                                         time_point Now);
+
+  /// A run went well from its first to its last byte.
+  std::vector<std::uint64_t> noteSuccess(const call_prints &Prints,
+                                         time_point Now);
+
+  /// Whether calls broke at \p Upstream of which it isn't known whether it
+  /// ended.
+  bool isUnclear(const upstream &Upstream) const;
+
+  /// Ends that are on record for a fingerprint.
+  std::size_t endsOf(std::uint64_t Fingerprint, time_point Now) const;
+
+  // -- Other hosts --
+  /// Records of the fingerprints, or all with so many ends.
+  std::vector<sched::poison_entry>
+  entriesOf(std::span<const std::uint64_t> Prints, time_point Now) const;
+  std::vector<sched::poison_entry> entriesWith(std::size_t LeastEnds,
+                                               time_point Now) const;
+  std::vector<std::uint64_t> merge(std::span<const sched::poison_entry> Entries,
+                                   time_point Now);
+
+  void expire(time_point Now);
+  std::size_t size() const { return Table.size(); }
 
 private:
-  struct broken_call {
-    std::string Upstream;
-    std::uint64_t Fingerprint = 0;
+  struct unfinished_call {
+    std::uint64_t Life = 0;
+    call_prints Prints;
+    unfinished How = unfinished::Broken;
+    time_point SentAt;
     time_point At;
+    std::string Upstream;
+    std::string Address;
+    std::int64_t StartedMs = 0; ///< Of the upstream.
   };
+  void count(const unfinished_call &Call, time_point Now,
+             std::vector<std::uint64_t> &Changed);
+
+  std::string Self;
   sched::poison_table Table;
-  std::deque<broken_call> Broken; ///< The newest last.
+  std::deque<unfinished_call> Calls;         ///< The newest last.
+  std::map<std::uint64_t, time_point> Ended; ///< By life.
 };
 
 } // namespace turmerichead::relay
--- a/src/include/turmerichead/sched_poison.h
+++ b/src/include/turmerichead/sched_poison.h
@@ -14,6 +14,8 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -22,7 +24,7 @@
 struct poison_settings {
   int MaxDeaths = 2; ///< Upstreams that one fingerprint may take down.
   milliseconds KeepFor{3'600'000}; ///< A death is forgotten after this.
-  std::size_t MaxEntries = 10'000; ///< The oldest go first.
+  std::size_t MaxEntries = 10'000; ///< Those with the fewest deaths go first.
   bool Enabled = true;
 };
 
@@ -30,6 +32,14 @@
 struct poison_death {
   std::uint64_t Incident = 0; ///< Same for all requests of one death.
   milliseconds Age{0};
+  std::string Upstream{}; ///< Which died, for people; may be empty.
+  std::string SeenBy{};   ///< The host that saw it; may be empty.
+};
+
+/// A death as a host knows it.
+struct known_death {
+  poison_death Death;
+  milliseconds LearnedAge{0}; ///< Since this host has known of it.
 };
 
 /// A fingerprint's record, as hosts exchange it.
@@ -40,6 +50,12 @@
   std::optional<milliseconds> ClearedAge{};
 };
 
+/// The bytes in which hosts tell each other of records.
+std::string encodePoison(std::span<const poison_entry> Entries);
+
+/// Reads them back. Fails with Corrupt.
+std::optional<std::vector<poison_entry>> decodePoison(std::string_view Bytes);
+
 enum class poison_state : std::uint8_t { Clean, Suspect, Condemned };
 
 /// The fingerprints that were in flight when an upstream died.
@@ -53,19 +69,32 @@
   poison_state stateOf(std::uint64_t Fingerprint, time_point Now) const;
 
   /// Records that an upstream died under \p Fingerprint. Reporting the same
-  /// \p Incident again changes nothing.
-  void recordDeath(std::uint64_t Fingerprint, std::uint64_t Incident,
+  /// incident again changes nothing. Returns whether it was news.
+  bool recordDeath(std::uint64_t Fingerprint, const poison_death &Death,
                    time_point Now);
+  bool recordDeath(std::uint64_t Fingerprint, std::uint64_t Incident,
+                   time_point Now) {
+    return recordDeath(Fingerprint, poison_death{Incident}, Now);
+  }
 
   /// Records that a run of \p Fingerprint went well, which clears suspicion.
-  void recordSuccess(std::uint64_t Fingerprint, time_point Now);
+  /// Returns whether there was one.
+  bool recordSuccess(std::uint64_t Fingerprint, time_point Now);
+
+  /// The deaths that have not expired, the oldest first.
+  std::vector<known_death> deaths(std::uint64_t Fingerprint,
+                                  time_point Now) const;
 
   /// All records that have not expired, for other hosts.
   std::vector<poison_entry> entries(time_point Now) const;
+  /// One record; nullopt if there is none, or it has expired.
+  std::optional<poison_entry> entry(std::uint64_t Fingerprint,
+                                    time_point Now) const;
 
   /// Takes in another host's records. Merging is commutative and may be
-  /// repeated.
-  void merge(std::span<const poison_entry> Entries, time_point Now);
+  /// repeated. Returns the fingerprints of which something was news.
+  std::vector<std::uint64_t> merge(std::span<const poison_entry> Entries,
+                                   time_point Now);
 
   /// Drops what has expired.
   void expire(time_point Now);
@@ -76,12 +105,17 @@
   struct death {
     std::uint64_t Incident;
     time_point At;
+    time_point LearnedAt;
+    std::string Upstream;
+    std::string SeenBy;
   };
   struct row {
     std::vector<death> Deaths;
     std::optional<time_point> ClearedAt;
   };
-  void addDeath(row &Row, std::uint64_t Incident, time_point At);
+  bool addDeath(row &Row, const poison_death &Death, time_point Now);
+  std::optional<poison_entry> entryOf(std::uint64_t Fingerprint, const row &Row,
+                                      time_point Now) const;
   void makeRoom();
 
   poison_settings Settings;
--- a/src/libhost/gates.cpp
+++ b/src/libhost/gates.cpp
@@ -256,37 +256,14 @@
 
 // -- Poison requests --------------------------------------------------------
 
-poison_message gate_service::poisonRows() {
+std::vector<sched::poison_entry> gate_service::poisonEntries() {
   time_point Now = steadyNow();
   for (auto &[Id, Row] : Rows)
     Poison.merge(Row.Gate.poison().entries(Now), Now);
-  poison_message Message;
-  for (const sched::poison_entry &Entry : Poison.entries(Now)) {
-    poison_row Row;
-    Row.Fingerprint = Entry.Fingerprint;
-    for (const sched::poison_death &Death : Entry.Deaths) {
-      Row.Incidents.push_back(Death.Incident);
-      Row.AgesMs.push_back(Death.Age.count());
-    }
-    if (Entry.ClearedAge)
-      Row.ClearedAgeMs = Entry.ClearedAge->count();
-    Message.Rows.push_back(std::move(Row));
-  }
-  return Message;
+  return Poison.entries(Now);
 }
 
-void gate_service::mergePoison(const poison_message &Message) {
-  std::vector<sched::poison_entry> Entries;
-  for (const poison_row &Row : Message.Rows) {
-    sched::poison_entry Entry;
-    Entry.Fingerprint = Row.Fingerprint;
-    for (std::size_t I = 0;
-         I < std::min(Row.Incidents.size(), Row.AgesMs.size()); ++I)
-      Entry.Deaths.push_back({Row.Incidents[I], milliseconds(Row.AgesMs[I])});
-    if (Row.ClearedAgeMs >= 0)
-      Entry.ClearedAge = milliseconds(Row.ClearedAgeMs);
-    Entries.push_back(std::move(Entry));
-  }
+void gate_service::mergePoison(std::span<const sched::poison_entry> Entries) {
   time_point Now = steadyNow();
   Poison.merge(Entries, Now);
   for (auto &[Id, Row] : Rows)
@@ -294,7 +271,7 @@
 }
 
 void gate_service::broadcastPoison() {
-  std::string Body = pack(poisonRows());
+  std::string Body = sched::encodePoison(poisonEntries());
   for (const host_record &Host : Context.Map.Hosts)
     if (Host.Id != Context.self())
       Context.Links->send(
--- a/src/libhost/gates_pvt.h
+++ b/src/libhost/gates_pvt.h
@@ -38,8 +38,9 @@
   void ended(std::string_view Program);
 
   /// Takes in other hosts' deaths of upstreams.
-  void mergePoison(const poison_message &Message);
-  poison_message poisonRows();
+  void mergePoison(std::span<const sched::poison_entry> Entries);
+  /// What all groups know.
+  std::vector<sched::poison_entry> poisonEntries();
 
   /// The fleet entry has changed: its values reach every gate.
   void fleetChanged();
--- a/src/libhost/host.cpp
+++ b/src/libhost/host.cpp
@@ -360,10 +360,11 @@
       answer(Reply, Holder->living(Value));
     });
   } else if (Path == PoisonPath) {
-    Take(unpack<poison_message>(Body), [&](const poison_message &Value) {
-      Gates->mergePoison(Value);
-      Peers->end(Reply, {});
-    });
+    Take(sched::decodePoison(Body),
+         [&](const std::vector<sched::poison_entry> &Value) {
+           Gates->mergePoison(Value);
+           Peers->end(Reply, {});
+         });
   } else if (Path == KeepPath) {
     Take(unpack<keep_message>(Body), [&](const keep_message &Value) {
       answerOptional(Reply, Holder->keep(Value));
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -162,19 +162,6 @@
   MSGPACK_DEFINE(Programs)
 };
 
-/// Deaths of upstreams under a fingerprint, as ages.
-struct poison_row {
-  std::uint64_t Fingerprint = 0;
-  std::vector<std::uint64_t> Incidents;
-  std::vector<std::int64_t> AgesMs;
-  std::int64_t ClearedAgeMs = -1; ///< -1: never.
-  MSGPACK_DEFINE(Fingerprint, Incidents, AgesMs, ClearedAgeMs)
-};
-struct poison_message {
-  std::vector<poison_row> Rows;
-  MSGPACK_DEFINE(Rows)
-};
-
 // -- Membership -------------------------------------------------------------
 
 /// Load of a group, as its gate sees it.
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -26,7 +26,6 @@
   call_request Request;
   call_events Events;
   connection_id Connection;
-  std::string FailedAtOnce; ///< Why the call could not begin.
 };
 
 namespace {
@@ -48,6 +47,8 @@
   unsigned Uses = 0;
   bool KeepAlive = false;
   bool Skipping = false; ///< Reads an answer that isn't the call's.
+  /// Set while it is a probe that has not ended.
+  std::function<void(probe_result)> Probed;
 };
 
 /// What one read of a response has brought, told once the parser is done.
@@ -106,15 +107,17 @@
   std::optional<poll_set> Sockets;
   std::optional<deadline_queue> Deadlines;
   loop_source Sweep;
-  loop_source Deferred;
-  std::vector<call_id> Failed; ///< To be told in the next turn of the loop.
+  loop_source DeferredSource;
+  /// To be done in the next turn of the loop.
+  std::vector<std::function<void()>> Deferred;
   table<connection_row> Connections;
   table<call_row> Calls;
   std::map<std::string, std::vector<connection_id>, std::less<>> Idle;
   client_counters Counters;
 
   std::optional<connection_id> takeIdle(std::string_view Address);
-  std::optional<connection_id> connect(const call_request &Request);
+  std::optional<connection_id> connect(const std::string &Target,
+                                       milliseconds Timeout);
   void send(connection_id Id, call_id Call);
   void onReady(std::uint64_t Key);
   void onConnected(connection_id Id);
@@ -127,8 +130,10 @@
   void keep(connection_id Id, connection_row &Row);
   void close(connection_id Id);
   void fail(connection_id Id, std::string Reason);
+  void failConnect(connection_id Id, std::string Reason, bool Refused);
   void end(call_id Id, const call_result &Result);
   void failLater(call_id Id, std::string Reason);
+  void runDeferred();
   void sweep();
 };
 
@@ -152,9 +157,9 @@
   return std::nullopt;
 }
 
-std::optional<connection_id>
-client::state::connect(const call_request &Request) {
-  auto Address = parseAddress(Request.Address);
+std::optional<connection_id> client::state::connect(const std::string &Target,
+                                                    milliseconds Timeout) {
+  auto Address = parseAddress(Target);
   if (!Address)
     return std::nullopt;
   auto Socket = beginConnect(Address->get());
@@ -165,11 +170,11 @@
   connection_row Row;
   Row.Socket = pvt::buffered_socket(std::move(*Socket));
   Row.Parser.setMaxHeadBytes(Settings.MaxHeadBytes);
-  Row.Address = Request.Address;
+  Row.Address = Target;
   auto Id = Connections.insert(std::move(Row));
   connection_row *Stored = Connections.find(Id);
   Sockets->add(Stored->Socket.descriptor(), Stored->Interest, keyOf(Id));
-  Deadlines->add(Request.ConnectTimeout, keyOf(Id), 0);
+  Deadlines->add(Timeout, keyOf(Id), 0);
   return Id;
 }
 
@@ -215,13 +220,33 @@
 }
 
 void client::state::onConnected(connection_id Id) {
+  using connect_result = pvt::buffered_socket::connect_result;
   connection_row &Row = *Connections.find(Id);
-  if (Row.Socket.connectFailed()) {
-    fail(Id, "the connection was refused");
-    return;
+  connect_result Result = Row.Socket.connectResult();
+  if (Result == connect_result::Refused) {
+    failConnect(Id, "the connection was refused", true);
+  } else if (Result == connect_result::Failed) {
+    failConnect(Id, "the connection could not be established", false);
+  } else if (Row.Probed) {
+    auto Probed = std::exchange(Row.Probed, {});
+    keep(Id, Row);
+    Probed(probe_result::Listening);
+  } else {
+    Row.Phase = phase::Busy;
+    flush(Id);
   }
-  Row.Phase = phase::Busy;
-  flush(Id);
+}
+
+void client::state::failConnect(connection_id Id, std::string Reason,
+                                bool Refused) {
+  connection_row &Row = *Connections.find(Id);
+  call_id Call = Row.Call;
+  auto Probed = std::move(Row.Probed);
+  close(Id);
+  if (Probed)
+    Probed(Refused ? probe_result::Refused : probe_result::Unknown);
+  else
+    end(Call, {call_outcome::NotSent, std::move(Reason), Refused});
 }
 
 void client::state::flush(connection_id Id) {
@@ -380,8 +405,7 @@
 void client::state::fail(connection_id Id, std::string Reason) {
   connection_row &Row = *Connections.find(Id);
   call_id Call = Row.Call;
-  bool Sent =
-      Row.Phase != phase::Connecting && Row.Socket.sent() > Row.SentBefore;
+  bool Sent = Row.Socket.sent() > Row.SentBefore;
   close(Id);
   end(Call,
       {Sent ? call_outcome::Broken : call_outcome::NotSent, std::move(Reason)});
@@ -397,15 +421,19 @@
 }
 
 void client::state::failLater(call_id Id, std::string Reason) {
-  Calls.find(Id)->FailedAtOnce = std::move(Reason);
-  Failed.push_back(Id);
-  if (Deferred)
+  Deferred.push_back([this, Id, Reason = std::move(Reason)] {
+    end(Id, {call_outcome::NotSent, Reason});
+  });
+  runDeferred();
+}
+
+void client::state::runDeferred() {
+  if (DeferredSource)
     return;
-  Deferred = loop_source::soon([this] {
-    Deferred.reset();
-    for (call_id Next : std::exchange(Failed, {}))
-      if (call_row *Call = Calls.find(Next))
-        end(Next, {call_outcome::NotSent, Call->FailedAtOnce});
+  DeferredSource = loop_source::soon([this] {
+    DeferredSource.reset();
+    for (const auto &Action : std::exchange(Deferred, {}))
+      Action();
     return false;
   });
 }
@@ -435,7 +463,7 @@
     auto Id = idOf<connection_row>(Key);
     connection_row *Row = Raw->Connections.find(Id);
     if (Row && Row->Phase == phase::Connecting)
-      Raw->fail(Id, "the connection was not established in time");
+      Raw->failConnect(Id, "the connection was not established in time", false);
   });
   Raw->Sweep = loop_source::every(SweepInterval, [Raw] {
     Raw->sweep();
@@ -446,12 +474,11 @@
 
 call_id client::call(call_request Request, call_events Events) {
   ++State->Counters.Calls;
-  call_id Id =
-      State->Calls.insert({std::move(Request), std::move(Events), {}, {}});
+  call_id Id = State->Calls.insert({std::move(Request), std::move(Events), {}});
   const call_request &Stored = State->Calls.find(Id)->Request;
   auto Connection = State->takeIdle(Stored.Address);
   if (!Connection)
-    Connection = State->connect(Stored);
+    Connection = State->connect(Stored.Address, Stored.ConnectTimeout);
   if (!Connection) {
     State->failLater(Id, lastError().Text);
     return Id;
@@ -460,6 +487,21 @@
   return Id;
 }
 
+void client::probe(std::string Address, milliseconds Timeout,
+                   std::function<void(probe_result)> Done) {
+  auto Id = State->connect(Address, Timeout);
+  if (!Id) {
+    State->Deferred.push_back(
+        [Done = std::move(Done)] { Done(probe_result::Unknown); });
+    State->runDeferred();
+    return;
+  }
+  connection_row &Row = *State->Connections.find(*Id);
+  Row.Probed = std::move(Done);
+  Row.MaxIdle = 1;
+  Row.IdleLimit = State->Settings.IdleTimeout;
+}
+
 bool client::cancel(call_id Id) {
   call_row *Call = State->Calls.find(Id);
   if (!Call)
--- a/src/libhttp1/socket.cpp
+++ b/src/libhttp1/socket.cpp
@@ -80,8 +80,14 @@
   return io_result::Done;
 }
 
-bool buffered_socket::connectFailed() const {
-  return !g_socket_check_connect_result(Socket.get(), nullptr);
+buffered_socket::connect_result buffered_socket::connectResult() const {
+  GError *Reason = nullptr;
+  if (g_socket_check_connect_result(Socket.get(), &Reason))
+    return connect_result::Connected;
+  bool Refused =
+      g_error_matches(Reason, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+  g_error_free(Reason);
+  return Refused ? connect_result::Refused : connect_result::Failed;
 }
 
 void buffered_socket::shutdownWrite() {
--- a/src/libhttp1/socket_pvt.h
+++ b/src/libhttp1/socket_pvt.h
@@ -43,8 +43,9 @@
   /// Bytes that the kernel has taken since the socket was opened.
   std::uint64_t sent() const { return Sent; }
 
-  /// Whether a connect has succeeded; false also if it is under way.
-  bool connectFailed() const;
+  /// How a connect that is not under way any more has ended.
+  enum class connect_result : std::uint8_t { Connected, Refused, Failed };
+  connect_result connectResult() const;
 
   /// Ends the outgoing direction.
   void shutdownWrite();
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -48,12 +48,13 @@
 
   turns::operation_id Operation; ///< At the disk hosts.
   bool Reserved = false;         ///< Tokens may be reserved for it.
-  std::uint64_t Fingerprint = 0; ///< See relay_suspects.h.
+  call_prints Prints;            ///< See relay_suspects.h.
   std::string Chain;
   std::string Home; ///< The upstream that ran the previous turn.
 
   http1::call_id Upstream;
   std::string UpstreamId;
+  upstream SentTo; ///< The upstream as it was when the call was sent.
   std::vector<std::string> Tried;
   std::uint32_t Attempts = 0; ///< Upstreams that it was sent to.
   time_point SentAt;
--- /dev/null
+++ b/src/librelay/news.cpp
@@ -0,0 +1,191 @@
+#include "turmerichead/relay_news.h"
+
+#include "turmerichead/error.h"
+#include "turmerichead/hash.h"
+#include "turmerichead/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace turmerichead::relay {
+
+namespace {
+
+// Ends from which on all hosts are told, and records are kept on disk.
+constexpr std::size_t WideEnds = 2;
+
+} // namespace
+
+suspect_news::suspect_news(suspects &Table, peer_links &Links,
+                           news_settings Settings)
+    : Table(Table), Links(Links), Settings(std::move(Settings)) {}
+
+void suspect_news::onChanged(std::function<void()> Action) {
+  OnChanged = std::move(Action);
+}
+
+bool suspect_news::takes(std::string_view Path) {
+  return Path == TellPath || Path == AskPath;
+}
+
+// -- Telling -----------------------------------------------------------------
+
+void suspect_news::setPeers(std::vector<std::string> Disks,
+                            std::vector<std::string> Entries) {
+  DiskHosts = std::move(Disks);
+  EntryHosts = std::move(Entries);
+  std::erase_if(Peers, [&](const auto &Row) {
+    auto Has = [&](const std::vector<std::string> &Hosts) {
+      return std::find(Hosts.begin(), Hosts.end(), Row.first) != Hosts.end();
+    };
+    return !Row.second.InFlight && !Has(DiskHosts) && !Has(EntryHosts);
+  });
+  if (!Asked)
+    askAll();
+}
+
+// A cleared record is told to all as well: it takes a verdict back.
+bool suspect_news::isWide(std::uint64_t Print, time_point Now) const {
+  std::size_t Ends = Table.endsOf(Print, Now);
+  return Ends == 0 || Ends >= WideEnds;
+}
+
+void suspect_news::owe(std::span<const std::uint64_t> Prints,
+                       std::string_view Except) {
+  time_point Now = steadyNow();
+  auto Add = [&](const std::vector<std::string> &Hosts, bool Wide) {
+    for (const std::string &Address : Hosts) {
+      if (Address == Settings.Self || Address == Except)
+        continue;
+      for (std::uint64_t Print : Prints)
+        if (!Wide || isWide(Print, Now))
+          Peers[Address].Owed.insert(Print);
+    }
+  };
+  Add(DiskHosts, false);
+  Add(EntryHosts, true);
+  flush();
+}
+
+void suspect_news::tell(std::span<const std::uint64_t> Prints) {
+  owe(Prints, {});
+  bool Kept = std::any_of(Prints.begin(), Prints.end(), [&](auto Print) {
+    return isWide(Print, steadyNow());
+  });
+  if (Kept && OnChanged)
+    OnChanged();
+}
+
+void suspect_news::flush() {
+  for (auto &[Address, Peer] : Peers)
+    if (!Peer.InFlight && !Peer.Owed.empty())
+      send(Address, Peer);
+}
+
+void suspect_news::send(const std::string &Address, peer &Peer) {
+  std::vector<std::uint64_t> Prints(Peer.Owed.begin(), Peer.Owed.end());
+  auto Entries = Table.entriesOf(Prints, steadyNow());
+  if (Entries.empty()) {
+    // All of it has expired.
+    Peer.Owed.clear();
+    return;
+  }
+  Peer.InFlight = true;
+  Links.setAddress(Address, Address);
+  Links.send(Address, {std::string(TellPath), {}, sched::encodePoison(Entries)},
+             {[](std::string_view) {},
+              [this, Address, Prints](const peer_result &Result) {
+                peer &Told = Peers[Address];
+                Told.InFlight = false;
+                if (Result.Code == error_code::None)
+                  for (std::uint64_t Print : Prints)
+                    Told.Owed.erase(Print);
+                if (!Told.Owed.empty())
+                  schedule();
+              }});
+}
+
+void suspect_news::schedule() {
+  if (Retry)
+    return;
+  Retry = loop_source::every(Settings.RetryInterval, [this] {
+    Retry.reset();
+    flush();
+    if (!Asked)
+      askAll();
+    return false;
+  });
+}
+
+// -- Hearing -----------------------------------------------------------------
+
+void suspect_news::askAll() {
+  std::vector<std::string> Others = DiskHosts;
+  std::erase(Others, Settings.Self);
+  if (Asking || Others.empty())
+    return;
+  Asking = true;
+  const std::string &Address = Others[NextAsked++ % Others.size()];
+  Links.setAddress(Address, Address);
+  Links.send(Address, {std::string(AskPath), {}, {}},
+             {[this, Address](std::string_view Bytes) {
+                Asked = take(Bytes, Address);
+              },
+              [this](const peer_result &) {
+                Asking = false;
+                if (!Asked)
+                  schedule();
+              }});
+}
+
+bool suspect_news::take(std::string_view Bytes, std::string_view From) {
+  auto Entries = sched::decodePoison(Bytes);
+  if (!Entries) {
+    log::warn("ends of upstreams do not decode",
+              {{"from", From}, {"reason", lastError().Text}});
+    return false;
+  }
+  time_point Now = steadyNow();
+  std::vector<std::uint64_t> Changed = Table.merge(*Entries, Now);
+  for (std::uint64_t Print : Changed)
+    log::info("end of an upstream heard of",
+              {{"fingerprint", toHex(Print)},
+               {"ends", Table.endsOf(Print, Now)},
+               {"from", From}});
+  if (Changed.empty())
+    return true;
+  if (Settings.KeepsData)
+    owe(Changed, From);
+  if (OnChanged)
+    OnChanged();
+  return true;
+}
+
+void suspect_news::serve(peer_server &Server,
+                         const peer_request_view &Request) {
+  if (Request.Path == AskPath) {
+    Server.write(Request.Reply,
+                 sched::encodePoison(Table.entriesWith(1, steadyNow())));
+    Server.end(Request.Reply, {});
+    return;
+  }
+  bool Taken = take(Request.Body, Request.Host);
+  Server.end(Request.Reply,
+             {Taken ? error_code::None : error_code::Corrupt, {}});
+}
+
+// -- On disk -----------------------------------------------------------------
+
+std::string suspect_news::save(time_point Now) const {
+  return sched::encodePoison(Table.entriesWith(WideEnds, Now));
+}
+
+bool suspect_news::load(std::string_view Bytes, time_point Now) {
+  auto Entries = sched::decodePoison(Bytes);
+  if (!Entries)
+    return false;
+  Table.merge(*Entries, Now);
+  return true;
+}
+
+} // namespace turmerichead::relay
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -68,20 +68,14 @@
   milliseconds Wait =
       std::min(Call.Facts.TimeLeft.value_or(NoLimit), Route->Timeout);
   Call.Deadline = Call.Arrived + Wait;
-  Call.Fingerprint = suspects::fingerprintOf(
-      Call.Facts.Program, Call.Request.Target, Call.Request.Body);
-  bool Condemned = Suspects.isCondemned(Call.Fingerprint, Call.Arrived);
+  Call.Prints = suspects::printsOf(Call.Facts.Program, Call.Request.Target,
+                                   Call.Request.Body);
   bool Turn = Call.isTurn();
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
   Deadlines->add(Wait, keyOf(Id), 0);
-  if (Condemned) {
-    log::warn("request is refused for good",
-              {{"id", Calls.find(Id)->Facts.Id},
-               {"fingerprint", Calls.find(Id)->Fingerprint}});
-    refuse(Id, "it was under way when several upstreams died");
+  if (refuseCondemned(Id))
     return;
-  }
   if (EndAt && *EndAt < Calls.find(Id)->Deadline) {
     refuse(Id, "the host is stopping");
     return;
@@ -262,6 +256,7 @@
                          {"address", Upstream.Address},
                          {"ready", Upstream.Ready}});
   Impl->Upstreams.put(Upstream);
+  Impl->tellSuspects(Impl->Suspects.noteStarted(Upstream, steadyNow()));
 }
 
 void relay::removeUpstream(std::string_view Id, milliseconds After) {
@@ -269,6 +264,7 @@
   if (!Row)
     return;
   log::info("upstream gone", {{"upstream", Id}, {"after_ms", After.count()}});
+  Impl->noteEnded(Row->Upstream, end_evidence::Vanished);
   if (After.count() > 0) {
     Impl->Upstreams.removeAt(Id, steadyNow() + After);
     return;
@@ -281,15 +277,11 @@
 
 const upstream_table &relay::upstreams() const { return Impl->Upstreams; }
 
-void relay::onSuspects(std::function<void(std::string Bytes)> Action) {
-  Impl->TellSuspects = std::move(Action);
-}
+suspects &relay::suspectTable() { return Impl->Suspects; }
 
-bool relay::mergeSuspects(std::string_view Bytes) {
-  bool Merged = Impl->Suspects.merge(Bytes, steadyNow());
-  log::info("ends of upstreams heard of",
-            {{"bytes", Bytes.size()}, {"merged", Merged}});
-  return Merged;
+void relay::onSuspects(
+    std::function<void(std::span<const std::uint64_t>)> Action) {
+  Impl->OnSuspects = std::move(Action);
 }
 
 void relay::drain(milliseconds Left) {
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -90,8 +90,8 @@
   relay_call &Call = *Calls.find(Id);
   if (Call.Operation)
     Turns.cancel(Call.Operation);
-  if (Call.Upstream)
-    Client->cancel(Call.Upstream);
+  if (Call.Upstream && Client->cancel(Call.Upstream))
+    noteUnfinished(Call, unfinished::Left);
   time_point Now = steadyNow();
   std::int64_t TookMs = (Now - Call.Arrived).count();
   nlohmann::json Line = {
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -7,10 +7,16 @@
 #include "turmerichead/relay_admission.h"
 #include "turmerichead/relay_suspects.h"
 
+#include <set>
+
 namespace turmerichead::relay {
 
 using relay_call_id = call_table::id;
 
+/// What the caller of a request that ends its upstreams is told.
+inline constexpr std::string_view CondemnedReason =
+    "it was under way when several upstreams ended";
+
 /// How busy a service is, and what follows for new programs.
 struct service_load {
   load_gauge Gauge;
@@ -31,14 +37,15 @@
   std::map<std::string, service_load, std::less<>> Loads; ///< By service.
   std::size_t EntryHosts = 1; ///< This one among them.
   suspects Suspects;
-  std::function<void(std::string)> TellSuspects;
+  std::function<void(std::span<const std::uint64_t>)> OnSuspects;
+  std::set<std::string, std::less<>> Probed; ///< Addresses, under way.
   call_table Calls;
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
 
   impl(relay_settings Settings, header_names Names, turns::client &Turns,
        metrics &Metrics)
       : Settings(std::move(Settings)), Names(std::move(Names)), Turns(Turns),
-        Metrics(Metrics) {}
+        Metrics(Metrics), Suspects(this->Settings.Host) {}
 
   // -- Arrival (relay.cpp) --
   void onRequest(http1::exchange_id Exchange, http1::request &&Request);
@@ -61,6 +68,17 @@
   void onBroken(relay_call_id Id, const http1::call_result &Result);
   void leaveUpstream(relay_call &Call);
 
+  // -- Ends of upstreams (relay_suspects.cpp) --
+  /// Refuses the call if it has ended too many upstreams.
+  bool refuseCondemned(relay_call_id Id);
+  /// A call came back, or was given up, without its whole answer.
+  void noteUnfinished(const relay_call &Call, unfinished How);
+  void noteEnded(const upstream &Upstream, end_evidence Evidence);
+  void noteSuccess(const relay_call &Call);
+  void tellSuspects(std::span<const std::uint64_t> Changed);
+  /// Finds out whether anybody listens where a call broke.
+  void probe(const upstream &Upstream);
+
   // -- Ends (relay_end.cpp) --
   /// Tells the caller that the call has not run and will not.
   void refuse(relay_call_id Id, std::string_view Reason);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -3,6 +3,7 @@
 #include "relay_pvt.h"
 
 #include "turmerichead/error.h"
+#include "turmerichead/hash.h"
 #include "turmerichead/log.h"
 
 #include <nlohmann/json.hpp>
@@ -14,11 +15,19 @@
 // Below it a call is not worth sending.
 constexpr milliseconds LeastTime{5};
 
+bool isSuccess(int Status) {
+  constexpr int FirstSuccess = 200;
+  constexpr int FirstRedirect = 300;
+  return Status >= FirstSuccess && Status < FirstRedirect;
+}
+
 } // namespace
 
 void relay::impl::send(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
   time_point Now = steadyNow();
+  if (refuseCondemned(Id))
+    return;
   if (Call.Deadline - Now < LeastTime) {
     refuse(Id, "the time is over before it was sent");
     return;
@@ -39,6 +48,7 @@
   ++Call.Attempts;
   ++Upstream->InFlight;
   Call.UpstreamId = Upstream->Upstream.Id;
+  Call.SentTo = Upstream->Upstream;
   Call.Tried.push_back(Call.UpstreamId);
   Call.Phase = call_phase::Sent;
   Call.SentAt = Now;
@@ -105,6 +115,7 @@
 
 void relay::impl::onHead(relay_call_id Id, const http1::response_head &Head) {
   relay_call &Call = *Calls.find(Id);
+  Suspects.noteAnswer(Call.SentTo, Call.SentAt);
   Call.Head = Head;
   Call.NotRun = Head.Status == http1::status::Misdirected ||
                 Head.Headers.find(Names.NotRun) != nullptr;
@@ -175,7 +186,8 @@
   http1::header_list Headers = Call.Head.Headers;
   http1::removeHopByHop(Headers);
   settle(Call);
-  Suspects.noteSuccess(Call.Fingerprint, steadyNow());
+  if (isSuccess(Call.Head.Status))
+    noteSuccess(Call);
   Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body);
   finish(Id, Call.Head.Status, {});
 }
@@ -184,12 +196,12 @@
   relay_call &Call = *Calls.find(Id);
   std::string Upstream = Call.UpstreamId;
   leaveUpstream(Call);
+  noteSuccess(Call);
   if (!Call.isTurn()) {
     Server->finish(Call.Exchange);
     finish(Id, Call.Head.Status, {});
     return;
   }
-  Suspects.noteSuccess(Call.Fingerprint, steadyNow());
   Call.Phase = call_phase::Keeping;
   turns::close_call Close = closeOf(Call);
   Close.Turn.emplace();
@@ -233,19 +245,16 @@
   time_point Now = steadyNow();
   log::info("upstream failed", {{"id", Call.Facts.Id},
                                 {"upstream", Call.UpstreamId},
-                                {"fingerprint", Call.Fingerprint},
+                                {"fingerprint", toHex(Call.Prints.Exact)},
                                 {"reason", Result.Reason},
                                 {"phase", nameOf(Call.Phase)},
                                 {"events", Call.EventCount},
                                 {"after_ms", (Now - Call.SentAt).count()}});
   Upstreams.noteFailure(Call.UpstreamId, Now);
-  if (Result.Outcome != http1::call_outcome::NotSent)
-    Suspects.noteBroken(Call.UpstreamId, Call.Fingerprint, Now);
-  else if (Suspects.noteUnreachable(Call.UpstreamId, Now)) {
-    log::warn("upstream has ended under calls",
-              {{"upstream", Call.UpstreamId}, {"evidence", Result.Reason}});
-    if (TellSuspects)
-      TellSuspects(Suspects.encode(Now));
+  if (Result.Outcome != http1::call_outcome::NotSent) {
+    noteUnfinished(Call, unfinished::Broken);
+  } else if (Result.Refused) {
+    noteEnded(Call.SentTo, end_evidence::Refused);
   }
   leaveUpstream(Call);
   Call.Body.clear();
--- /dev/null
+++ b/src/librelay/relay_suspects.cpp
@@ -0,0 +1,92 @@
+// What calls tell of the ends of upstreams, and what follows for calls.
+
+#include "relay_pvt.h"
+
+#include "turmerichead/hash.h"
+#include "turmerichead/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmerichead::relay {
+
+namespace {
+
+nlohmann::json rowsOf(const condemnation &Verdict) {
+  nlohmann::json Rows = nlohmann::json::array();
+  for (const sched::known_death &Row : Verdict.Deaths)
+    Rows.push_back({{"upstream", Row.Death.Upstream},
+                    {"seen_by", Row.Death.SeenBy},
+                    {"ms_ago", Row.Death.Age.count()},
+                    {"known_here_for_ms", Row.LearnedAge.count()}});
+  return Rows;
+}
+
+} // namespace
+
+bool relay::impl::refuseCondemned(relay_call_id Id) {
+  const relay_call &Call = *Calls.find(Id);
+  auto Verdict = Suspects.verdict(Call.Prints, steadyNow());
+  if (!Verdict)
+    return false;
+  log::warn("request ends its upstreams",
+            {{"id", Call.Facts.Id},
+             {"program", Call.Facts.Program},
+             {"fingerprint", toHex(Call.Prints.Exact)},
+             {"content", toHex(Call.Prints.Content)},
+             {"lapses_in_ms", Verdict->LapsesIn.count()},
+             {"ends", rowsOf(*Verdict)}});
+  Metrics.add("requests_condemned_total");
+  refuse(Id, CondemnedReason, Verdict->LapsesIn);
+  return true;
+}
+
+void relay::impl::noteUnfinished(const relay_call &Call, unfinished How) {
+  tellSuspects(Suspects.noteUnfinished(Call.SentTo, Call.Prints, How,
+                                       Call.SentAt, steadyNow()));
+  if (How == unfinished::Broken && Suspects.isUnclear(Call.SentTo))
+    probe(Call.SentTo);
+}
+
+void relay::impl::noteEnded(const upstream &Upstream, end_evidence Evidence) {
+  auto Changed = Suspects.noteEnded(Upstream, Evidence, steadyNow());
+  if (Changed.empty())
+    return;
+  log::warn("upstream has ended under calls", {{"upstream", Upstream.Id},
+                                               {"evidence", nameOf(Evidence)},
+                                               {"requests", Changed.size()}});
+  tellSuspects(Changed);
+}
+
+void relay::impl::noteSuccess(const relay_call &Call) {
+  auto Cleared = Suspects.noteSuccess(Call.Prints, steadyNow());
+  for (std::uint64_t Print : Cleared)
+    log::info("request is cleared by a run",
+              {{"id", Call.Facts.Id}, {"fingerprint", toHex(Print)}});
+  tellSuspects(Cleared);
+}
+
+void relay::impl::tellSuspects(std::span<const std::uint64_t> Changed) {
+  if (Changed.empty())
+    return;
+  time_point Now = steadyNow();
+  for (std::uint64_t Print : Changed)
+    log::info(
+        "end of an upstream counted",
+        {{"fingerprint", toHex(Print)}, {"ends", Suspects.endsOf(Print, Now)}});
+  Metrics.set("suspect_requests", "", static_cast<double>(Suspects.size()));
+  if (OnSuspects)
+    OnSuspects(Changed);
+}
+
+void relay::impl::probe(const upstream &Upstream) {
+  if (!Probed.insert(Upstream.Address).second)
+    return;
+  Client->probe(Upstream.Address, Settings.ConnectTimeout,
+                [this, Upstream](http1::probe_result Result) {
+                  Probed.erase(Upstream.Address);
+                  if (Result == http1::probe_result::Refused)
+                    noteEnded(Upstream, end_evidence::Refused);
+                });
+}
+
+} // namespace turmerichead::relay
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -293,6 +293,36 @@
   CHECK(!Caller.has("half"));
 }
 
+TEST_CASE("budget_request_is_asked_about_again_before_each_send") {
+  // It was judged once, as it came: a call that was to be repeated, or had
+  // waited, went to an upstream although it was condemned by then.
+  fixture F;
+  F.put("tool-2", "tools", F.OtherTools);
+  caller Caller(F.Address);
+  Caller.send(F.request("GET", "/safe/x", "r1"));
+  REQUIRE(turnUntil([&] {
+    return !F.Tools.Connections.empty() || !F.OtherTools.Connections.empty();
+  }));
+  bool First = !F.Tools.Connections.empty();
+  raw_server &Had = First ? F.Tools : F.OtherTools;
+  raw_server &Free = First ? F.OtherTools : F.Tools;
+  REQUIRE(F.received(Had, "X-Call: r1"));
+  // Other hosts have seen three ends under it meanwhile.
+  sched::poison_entry Entry;
+  Entry.Fingerprint = relay::suspects::printsOf("", "/safe/x", "").Exact;
+  for (std::uint64_t I = 1; I <= 3; ++I)
+    Entry.Deaths.push_back({I, milliseconds(10), "u", "h"});
+  F.Relay->suspectTable().merge(std::span(&Entry, 1), steadyNow());
+  Had.close(0);
+  REQUIRE(Caller.waitsFor("\r\n\r\n"));
+  CHECK(Free.Connections.empty());
+  // When it comes again it is refused at once, not run.
+  Caller.send(F.request("GET", "/safe/x", "r2"));
+  REQUIRE(Caller.waitsFor("503"));
+  CHECK(Caller.has("several upstreams ended"));
+  CHECK(Free.Connections.empty());
+}
+
 TEST_CASE("a caller that leaves takes its call off the upstream") {
   fixture F;
   caller Caller(F.Address);
--- a/src/librelay/suspects.cpp
+++ b/src/librelay/suspects.cpp
@@ -1,6 +1,5 @@
 #include "turmerichead/relay_suspects.h"
 
-#include "turmerichead/codec.h"
 #include "turmerichead/hash.h"
 
 #include <algorithm>
@@ -9,109 +8,212 @@
 
 namespace {
 
-// A crashed upstream is found unreachable within this time, if it is called.
-constexpr milliseconds DeathWindow{5000};
-// Connections that broke by one death, as all hosts see it.
-constexpr milliseconds SameDeath{3000};
-constexpr std::size_t MaxBroken = 1000;
-constexpr int MaxDeaths = 3;
-constexpr milliseconds KeepDeaths{600'000};
-
-struct death_message {
-  std::uint64_t Incident = 0;
-  std::int64_t AgeMs = 0;
-  MSGPACK_DEFINE(Incident, AgeMs)
-};
-
-struct suspect_message {
-  std::uint64_t Fingerprint = 0;
-  std::vector<death_message> Deaths;
-  std::int64_t ClearedAgeMs = -1; ///< Negative: never.
-  MSGPACK_DEFINE(Fingerprint, Deaths, ClearedAgeMs)
-};
+// Ends after which a request is refused.
+constexpr int MaxEnds = 3;
+constexpr milliseconds KeepEnds{600'000};
+// Requests of many programs may share a body. While it is refused it can't
+// show that it runs well, so a verdict on the body alone lapses soon.
+constexpr milliseconds KeepContent{60'000};
+constexpr std::size_t MaxRows = 4096;
+
+// From a call's break to the evidence that its upstream has ended: entries
+// lapse, and processes come back, within seconds.
+constexpr milliseconds EvidenceWindow{15'000};
+constexpr std::size_t MaxUnfinished = 2000;
+// A break may be noticed after the evidence of the end.
+constexpr milliseconds KeepLives{30'000};
+constexpr std::size_t MaxLives = 1000;
 
 sched::poison_settings settings() {
   sched::poison_settings Settings;
-  Settings.MaxDeaths = MaxDeaths;
-  Settings.KeepFor = KeepDeaths;
+  Settings.MaxDeaths = MaxEnds;
+  Settings.KeepFor = KeepEnds;
+  Settings.MaxEntries = MaxRows;
   return Settings;
 }
 
+/// One start of a process, as every host names it.
+std::uint64_t lifeOf(const upstream &Upstream) {
+  return hash64(Upstream.Id, static_cast<std::uint64_t>(Upstream.StartedMs));
+}
+
 } // namespace
 
-suspects::suspects() : Table(settings()) {}
+std::string_view nameOf(end_evidence Evidence) {
+  switch (Evidence) {
+  case end_evidence::Refused:
+    return "nobody listens at its address";
+  case end_evidence::Vanished:
+    return "its entry has vanished";
+  }
+  return "unknown";
+}
 
-std::uint64_t suspects::fingerprintOf(std::string_view Program,
-                                      std::string_view Target,
-                                      std::string_view Body) {
-  return hash64(Body, hash64(Target, hash64(Program)));
+suspects::suspects(std::string Self)
+    : Self(std::move(Self)), Table(settings()) {}
+
+call_prints suspects::printsOf(std::string_view Program,
+                               std::string_view Target, std::string_view Body) {
+  constexpr std::uint64_t ContentSeed = 1; // Apart from an empty program.
+  call_prints Prints;
+  Prints.Exact = hash64(Body, hash64(Target, hash64(Program)));
+  if (!Body.empty())
+    Prints.Content = hash64(Body, hash64(Target, ContentSeed));
+  return Prints;
 }
 
-bool suspects::isCondemned(std::uint64_t Fingerprint, time_point Now) const {
-  return Table.stateOf(Fingerprint, Now) == sched::poison_state::Condemned;
+std::optional<condemnation> suspects::verdict(const call_prints &Prints,
+                                              time_point Now) const {
+  if (Table.size() == 0)
+    return std::nullopt;
+  auto Judge = [&](std::uint64_t Print,
+                   milliseconds Keep) -> std::optional<condemnation> {
+    auto Deaths = Table.deaths(Print, Now);
+    std::erase_if(Deaths, [&](const sched::known_death &Row) {
+      return Row.Death.Age >= Keep;
+    });
+    if (Deaths.size() < static_cast<std::size_t>(MaxEnds))
+      return std::nullopt;
+    // It lapses when the oldest of the last few does.
+    const auto &Decisive = Deaths[Deaths.size() - MaxEnds];
+    return condemnation{Keep - Decisive.Death.Age, std::move(Deaths)};
+  };
+  if (auto Verdict = Judge(Prints.Exact, KeepEnds))
+    return Verdict;
+  return Judge(Prints.Content, KeepContent);
 }
 
-void suspects::noteBroken(std::string_view Upstream, std::uint64_t Fingerprint,
-                          time_point Now) {
-  if (Broken.size() >= MaxBroken)
-    Broken.pop_front();
-  Broken.push_back({std::string(Upstream), Fingerprint, Now});
+void suspects::count(const unfinished_call &Call, time_point Now,
+                     std::vector<std::uint64_t> &Changed) {
+  sched::poison_death Death{Call.Life, milliseconds(0), Call.Upstream, Self};
+  if (Table.recordDeath(Call.Prints.Exact, Death, Now))
+    Changed.push_back(Call.Prints.Exact);
+  // Many requests with one body may be under way when several upstreams end
+  // together. Only one that was sent after the last end is new evidence.
+  auto Known = Table.deaths(Call.Prints.Content, Now);
+  bool After = Known.empty() || Now - Known.back().Death.Age < Call.SentAt;
+  if (After && Table.recordDeath(Call.Prints.Content, Death, Now))
+    Changed.push_back(Call.Prints.Content);
 }
 
-bool suspects::noteUnreachable(std::string_view Upstream, time_point Now) {
-  std::erase_if(Broken, [&](const broken_call &Call) {
-    return Now - Call.At > DeathWindow;
+std::vector<std::uint64_t>
+suspects::noteUnfinished(const upstream &Upstream, const call_prints &Prints,
+                         unfinished How, time_point SentAt, time_point Now) {
+  std::vector<std::uint64_t> Changed;
+  std::erase_if(Calls, [&](const unfinished_call &Call) {
+    return Now - Call.At >= EvidenceWindow;
   });
-  bool Known = false;
-  for (const broken_call &Call : Broken) {
-    if (Call.Upstream != Upstream)
-      continue;
-    // Breaks that lie close together are one death.
-    auto Slot = static_cast<std::uint64_t>(Call.At.Ms / SameDeath.count());
-    Table.recordDeath(Call.Fingerprint, hash64(Upstream, Slot), Now);
-    Known = true;
+  unfinished_call Call{lifeOf(Upstream),
+                       Prints,
+                       How,
+                       SentAt,
+                       Now,
+                       Upstream.Id,
+                       Upstream.Address,
+                       Upstream.StartedMs};
+  if (Ended.count(Call.Life) > 0) {
+    count(Call, Now, Changed);
+    return Changed;
   }
-  std::erase_if(Broken, [&](const broken_call &Call) {
-    return Call.Upstream == Upstream;
-  });
-  return Known;
+  if (Calls.size() >= MaxUnfinished)
+    Calls.pop_front();
+  Calls.push_back(std::move(Call));
+  return Changed;
 }
 
-void suspects::noteSuccess(std::uint64_t Fingerprint, time_point Now) {
-  if (Table.size() > 0)
-    Table.recordSuccess(Fingerprint, Now);
+void suspects::noteAnswer(const upstream &Upstream, time_point SentAt) {
+  if (Calls.empty())
+    return;
+  std::uint64_t Life = lifeOf(Upstream);
+  std::erase_if(Calls, [&](const unfinished_call &Call) {
+    return Call.Life == Life && Call.At < SentAt;
+  });
 }
 
-std::string suspects::encode(time_point Now) const {
-  std::vector<suspect_message> Messages;
-  for (const sched::poison_entry &Entry : Table.entries(Now)) {
-    suspect_message Message;
-    Message.Fingerprint = Entry.Fingerprint;
-    for (const sched::poison_death &Death : Entry.Deaths)
-      Message.Deaths.push_back({Death.Incident, Death.Age.count()});
-    if (Entry.ClearedAge)
-      Message.ClearedAgeMs = Entry.ClearedAge->count();
-    Messages.push_back(std::move(Message));
+std::vector<std::uint64_t> suspects::noteEnded(const upstream &Upstream,
+                                               end_evidence Evidence,
+                                               time_point Now) {
+  std::vector<std::uint64_t> Changed;
+  std::uint64_t Life = lifeOf(Upstream);
+  bool Certain = Evidence != end_evidence::Vanished;
+  if (Certain) {
+    std::erase_if(
+        Ended, [&](const auto &Row) { return Now - Row.second >= KeepLives; });
+    if (Ended.size() < MaxLives)
+      Ended.try_emplace(Life, Now);
   }
-  return pack(Messages);
+  std::erase_if(Calls, [&](const unfinished_call &Call) {
+    if (Call.Life != Life)
+      return false;
+    bool InTime = Now - Call.At < EvidenceWindow;
+    if (!Certain && Call.How == unfinished::Left)
+      return false;
+    if (InTime)
+      count(Call, Now, Changed);
+    return true;
+  });
+  return Changed;
+}
+
+std::vector<std::uint64_t> suspects::noteStarted(const upstream &Upstream,
+                                                 time_point Now) {
+  std::vector<std::uint64_t> Changed;
+  std::erase_if(Calls, [&](const unfinished_call &Call) {
+    bool Replaced =
+        Call.Address == Upstream.Address && Call.StartedMs < Upstream.StartedMs;
+    if (Replaced && Now - Call.At < EvidenceWindow)
+      count(Call, Now, Changed);
+    return Replaced;
+  });
+  return Changed;
+}
+
+std::vector<std::uint64_t> suspects::noteSuccess(const call_prints &Prints,
+                                                 time_point Now) {
+  std::vector<std::uint64_t> Changed;
+  if (Table.size() == 0)
+    return Changed;
+  for (std::uint64_t Print : {Prints.Exact, Prints.Content})
+    if (Table.recordSuccess(Print, Now))
+      Changed.push_back(Print);
+  return Changed;
 }
 
-bool suspects::merge(std::string_view Bytes, time_point Now) {
-  auto Messages = unpack<std::vector<suspect_message>>(Bytes);
-  if (!Messages)
-    return false;
+bool suspects::isUnclear(const upstream &Upstream) const {
+  std::uint64_t Life = lifeOf(Upstream);
+  return std::any_of(Calls.begin(), Calls.end(), [&](const auto &Call) {
+    return Call.Life == Life && Call.How == unfinished::Broken;
+  });
+}
+
+std::size_t suspects::endsOf(std::uint64_t Fingerprint, time_point Now) const {
+  return Table.deaths(Fingerprint, Now).size();
+}
+
+std::vector<sched::poison_entry>
+suspects::entriesOf(std::span<const std::uint64_t> Prints,
+                    time_point Now) const {
   std::vector<sched::poison_entry> Entries;
-  for (const suspect_message &Message : *Messages) {
-    sched::poison_entry Entry;
-    Entry.Fingerprint = Message.Fingerprint;
-    for (const death_message &Death : Message.Deaths)
-      Entry.Deaths.push_back({Death.Incident, milliseconds(Death.AgeMs)});
-    if (Message.ClearedAgeMs >= 0)
-      Entry.ClearedAge = milliseconds(Message.ClearedAgeMs);
-    Entries.push_back(std::move(Entry));
-  }
-  Table.merge(Entries, Now);
-  return true;
+  for (std::uint64_t Print : Prints)
+    if (auto Entry = Table.entry(Print, Now))
+      Entries.push_back(std::move(*Entry));
+  return Entries;
 }
 
+std::vector<sched::poison_entry> suspects::entriesWith(std::size_t LeastEnds,
+                                                       time_point Now) const {
+  std::vector<sched::poison_entry> Entries = Table.entries(Now);
+  std::erase_if(Entries, [&](const sched::poison_entry &Entry) {
+    return Entry.Deaths.size() < LeastEnds;
+  });
+  return Entries;
+}
+
+std::vector<std::uint64_t>
+suspects::merge(std::span<const sched::poison_entry> Entries, time_point Now) {
+  return Table.merge(Entries, Now);
+}
+
+void suspects::expire(time_point Now) { Table.expire(Now); }
+
 } // namespace turmerichead::relay
--- a/src/libstate/journal.cpp
+++ b/src/libstate/journal.cpp
@@ -1,5 +1,6 @@
 #include "turmerichead/state_journal.h"
 
+#include "turmerichead/codec.h"
 #include "turmerichead/error.h"
 
 #include <algorithm>
@@ -46,21 +47,15 @@
 }
 
 std::string encodeSegment(const journal_segment &Segment) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Segment);
-  return {Buffer.data(), Buffer.size()};
+  return pack(Segment);
 }
 
 std::optional<journal_segment> decodeSegment(std::string_view Bytes) {
-  try {
-    msgpack::unpack_limit Limit(MaxEntriesPerSegment, MaxEntriesPerSegment,
-                                Bytes.size(), Bytes.size(), 0, MaxSegmentDepth);
-    auto Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
-    return Handle.get().as<journal_segment>();
-  } catch (const std::exception &Reason) {
-    return fail(error_code::Corrupt, std::string("segment: ") + Reason.what());
-  }
+  return unpackWithin<journal_segment>(Bytes,
+                                       {MaxEntriesPerSegment,
+                                        MaxEntriesPerSegment, Bytes.size(),
+                                        Bytes.size(), 0, MaxSegmentDepth},
+                                       "segment");
 }
 
 // -- Records in --
--- a/src/libstate/snapshot.cpp
+++ b/src/libstate/snapshot.cpp
@@ -1,5 +1,6 @@
 #include "turmerichead/state_snapshot.h"
 
+#include "turmerichead/codec.h"
 #include "turmerichead/error.h"
 
 #include <algorithm>
@@ -28,23 +29,11 @@
   MSGPACK_DEFINE(Program, WallStartMs, Number, Delta, Body)
 };
 
-template <typename Content> std::string packed(const Content &Value) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Value);
-  return {Buffer.data(), Buffer.size()};
-}
-
 template <typename Content>
 std::optional<Content> unpacked(std::string_view Bytes) {
-  try {
-    msgpack::unpack_limit Limit(MaxItems, MaxItems, Bytes.size(), Bytes.size(),
-                                0, MaxDepth);
-    auto Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
-    return Handle.get().as<Content>();
-  } catch (const std::exception &Reason) {
-    return fail(error_code::Corrupt, std::string("snapshot: ") + Reason.what());
-  }
+  return unpackWithin<Content>(
+      Bytes, {MaxItems, MaxItems, Bytes.size(), Bytes.size(), 0, MaxDepth},
+      "snapshot");
 }
 
 std::string lifeOf(const root_row &Root, const std::string &Program) {
@@ -176,15 +165,15 @@
                         [&](const auto &R) { return LiveRoots.contains(R); });
   });
   if (!Entries.empty()) {
-    Batch.Objects = addPieces(Objects, Stem + ".h", packed(Entries));
+    Batch.Objects = addPieces(Objects, Stem + ".h", pack(Entries));
     Manifest.Histories.push_back(std::move(Batch));
   }
-  std::string RowBytes = packed(Roots);
+  std::string RowBytes = pack(Roots);
   if (RowBytes.size() <= MaxInlineBytes)
     Manifest.InlineRows = std::move(RowBytes);
   else
     Manifest.RowObjects = addPieces(Objects, Stem + ".r", RowBytes);
-  Objects.push_back({manifestName(Shard, Manifest.Number), packed(Manifest)});
+  Objects.push_back({manifestName(Shard, Manifest.Number), pack(Manifest)});
   Making = std::move(Manifest);
   return Objects;
 }
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -1,6 +1,7 @@
 #include "turmerichead/turns_log.h"
 
 #include "turmerichead/error.h"
+#include "turmerichead/file.h"
 
 #include <array>
 #include <cerrno>
@@ -83,15 +84,6 @@
   return true;
 }
 
-bool syncFolder(const std::string &Folder) {
-  int Descriptor = open(Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (Descriptor < 0)
-    return false;
-  bool Synced = fsync(Descriptor) == 0;
-  close(Descriptor);
-  return Synced;
-}
-
 std::optional<std::uint64_t> numberOf(std::string_view Name) {
   if (!Name.starts_with(Prefix) || !Name.ends_with(Suffix))
     return std::nullopt;
--- a/src/turmericheadctl/audit.cpp
+++ b/src/turmericheadctl/audit.cpp
@@ -1,7 +1,7 @@
 // Shows the latest records of an audit trail.
 
 #include "commands.h"
-#include "files.h"
+#include "turmerichead/file.h"
 
 #include "turmerichead/error.h"
 
@@ -68,7 +68,7 @@
     std::cerr << "usage: turmericheadctl audit FILE [-n RECORDS]\n";
     return BadInput;
   }
-  auto Text = readFile(Files[0]);
+  auto Text = readWholeFile(Files[0]);
   if (!Text) {
     std::cerr << lastError().Text << '\n';
     return BadInput;
--- a/src/turmericheadctl/check.cpp
+++ b/src/turmericheadctl/check.cpp
@@ -1,5 +1,5 @@
 #include "commands.h"
-#include "files.h"
+#include "turmerichead/file.h"
 
 #include "turmerichead/catalogue.h"
 #include "turmerichead/error.h"
@@ -16,7 +16,7 @@
   }
   findings Findings;
   for (const std::string &File : Files) {
-    auto Text = readFile(File);
+    auto Text = readWholeFile(File);
     if (!Text) {
       Findings.add({File, 0, 0, ""}, "cannot be read");
       continue;
--- a/src/turmericheadctl/entries.cpp
+++ b/src/turmericheadctl/entries.cpp
@@ -1,8 +1,8 @@
 // Commands that read and write catalogue entries on the platform.
 
 #include "commands.h"
-#include "files.h"
 #include "session.h"
+#include "turmerichead/file.h"
 
 #include "turmerichead/catalogue.h"
 #include "turmerichead/error.h"
@@ -169,7 +169,7 @@
     return BadInput;
   }
   findings Findings;
-  auto Text = readFile(Files[0]);
+  auto Text = readWholeFile(Files[0]);
   if (!Text) {
     std::cerr << lastError().Text << '\n';
     return BadInput;
--- a/src/turmericheadctl/hosts.cpp
+++ b/src/turmericheadctl/hosts.cpp
@@ -1,8 +1,8 @@
 // Commands that ask a host.
 
 #include "commands.h"
-#include "files.h"
 #include "session.h"
+#include "turmerichead/file.h"
 
 #include "turmerichead/endpoint.h"
 #include "turmerichead/error.h"
@@ -119,7 +119,7 @@
   Request.Url = Url + "/admin/drain";
   Request.Timeout = CallTimeout;
   if (!Options.KeyFile.empty()) {
-    auto Key = readFile(Options.KeyFile);
+    auto Key = readWholeFile(Options.KeyFile);
     if (!Key) {
       std::cerr << lastError().Text << '\n';
       return BadInput;
--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -154,7 +154,8 @@
   ++Counts.Turns;
   if (Answer.Status == http1::status::Unavailable) {
     ++Counts.Refused;
-    Counts.Condemned += Answer.Body.find("upstreams died") != std::string::npos;
+    Counts.Condemned +=
+        Answer.Body.find("several upstreams ended") != std::string::npos;
   } else if (Answer.Status == http1::status::Ok && Answer.Complete) {
     ++Counts.Answered;
   } else {
--- a/testsuite/fleet/crashing_request_test.cpp
+++ b/testsuite/fleet/crashing_request_test.cpp
@@ -185,6 +185,14 @@
     case 18:
       Fleet.addEntry();
       break;
+    case 20: // Only what is on disks is left.
+      for (role Role : {role::Entry, role::Disk})
+        for (const std::string &Name : Fleet.names(Role))
+          Fleet.kill(Name);
+      for (role Role : {role::Disk, role::Entry})
+        for (const std::string &Name : Fleet.names(Role))
+          Fleet.startMember(Name);
+      break;
     default:
       break;
     }
