Never tell "not run" of a call that an upstream may have run

What callers saw: a safe call that an upstream had broken off and that then found no other upstream was answered 503, which promises that it has not run.

--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -57,6 +57,7 @@
   upstream SentTo; ///< The upstream as it was when the call was sent.
   std::vector<std::string> Tried;
   std::uint32_t Attempts = 0; ///< Upstreams that it was sent to.
+  bool MayHaveRun = false;    ///< An upstream had it and broke off.
   time_point SentAt;
 
   http1::response_head Head;
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -80,7 +80,8 @@
   void probe(const upstream &Upstream);
 
   // -- Ends (relay_end.cpp) --
-  /// Tells the caller that the call has not run and will not.
+  /// Tells the caller that the call has not run and will not; if an upstream
+  /// may have run it, that it has failed.
   void refuse(relay_call_id Id, std::string_view Reason);
   void refuse(relay_call_id Id, std::string_view Reason,
               milliseconds RetryAfter);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -252,6 +252,7 @@
                                 {"after_ms", (Now - Call.SentAt).count()}});
   Upstreams.noteFailure(Call.UpstreamId, Now);
   if (Result.Outcome != http1::call_outcome::NotSent) {
+    Call.MayHaveRun = true;
     noteUnfinished(Call, unfinished::Broken);
   } else if (Result.Refused) {
     noteEnded(Call.SentTo, end_evidence::Refused);
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -293,6 +293,17 @@
   CHECK(!Caller.has("half"));
 }
 
+TEST_CASE("what an upstream may have run is never told not to have run") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("GET", "/safe/x", "r1"));
+  REQUIRE(F.received(F.Tools, "X-Call: r1"));
+  F.Relay->removeUpstream("tool-1", milliseconds(0));
+  F.Tools.close(0);
+  REQUIRE(Caller.waitsFor("\r\n\r\n"));
+  CHECK(Caller.has("502 Bad Gateway"));
+}
+
 TEST_CASE("budget_request_is_asked_about_again_before_each_send") {
   // It was judged once, as it came: a call that was to be repeated, or had
   // waited, went to an upstream although it was condemned by then.
@@ -315,6 +326,7 @@
   F.Relay->suspectTable().merge(std::span(&Entry, 1), steadyNow());
   Had.close(0);
   REQUIRE(Caller.waitsFor("\r\n\r\n"));
+  CHECK(Caller.has("502 Bad Gateway"));
   CHECK(Free.Connections.empty());
   // When it comes again it is refused at once, not run.
   Caller.send(F.request("GET", "/safe/x", "r2"));
