End connections that bring bytes without end which are no answer

What a host saw: an upstream that goes on sending until its caller closes was read until the call's time was over, and in a stream its bytes went on to the caller: after an event of more than a megabyte the splitter took nothing more, its error was dropped, and later events were passed on without being counted.

Now the client bounds, for each message, what is framing against what is content (status line, empty lines, headers, chunk heads, trailers) and, for each call, what is no part of its answer (interim answers, answers to others). A stream is cut if it brings a megabyte without an event, or more events than the call may generate. Dropped bytes and ended connections are counted.

--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -35,6 +35,9 @@
   /// does not.
   std::string EchoHeader;
   std::size_t MaxHeadBytes = 64U << 10U;
+  /// Bytes that are no part of the call's answer: answers to others, and
+  /// interim ones. Above it the connection has failed.
+  std::size_t MaxDroppedBytes = 1U << 20U;
   /// For a kept connection whose other side declares no idle time.
   milliseconds IdleTimeout{5000};
   /// Taken off the idle time that the other side declares.
@@ -54,6 +57,8 @@
   /// Connections to this address that may wait for further calls. Above it
   /// the call's own is closed after its answer.
   std::size_t MaxIdle = 1024;
+  /// Above it the answer is broken off.
+  std::size_t MaxBodyBytes = SIZE_MAX;
 };
 
 enum class call_outcome : std::uint8_t {
@@ -89,7 +94,9 @@
 struct client_counters {
   std::uint64_t Opened = 0; ///< Connections.
   std::uint64_t Calls = 0;
-  std::uint64_t Stray = 0; ///< Answers that belonged to no request.
+  std::uint64_t Stray = 0;        ///< Answers that belonged to no request.
+  std::uint64_t DroppedBytes = 0; ///< That were no part of a call's answer.
+  std::uint64_t Endless = 0;      ///< Connections ended for what they brought.
   std::size_t OpenConnections = 0;
   std::size_t OpenCalls = 0;
 };
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -46,7 +46,10 @@
   std::uint64_t SentBefore = 0; ///< Bytes of earlier requests.
   unsigned Uses = 0;
   bool KeepAlive = false;
-  bool Skipping = false; ///< Reads an answer that isn't the call's.
+  bool Skipping = false;        ///< Reads an answer that isn't the call's.
+  std::size_t MessageBytes = 0; ///< Of the message that is being read.
+  std::size_t BodyBytes = 0;    ///< Of them, without framing.
+  std::size_t DroppedBytes = 0; ///< For the call, see MaxDroppedBytes.
   /// Set while it is a probe that has not ended.
   std::function<void(probe_result)> Probed;
 };
@@ -95,6 +98,13 @@
   return std::chrono::seconds(Seconds);
 }
 
+void beginMessage(connection_row &Row) {
+  Row.Parser.restart();
+  Row.Skipping = false;
+  Row.MessageBytes = 0;
+  Row.BodyBytes = 0;
+}
+
 bool isInformational(int Status) {
   constexpr int FirstFinal = 200;
   return Status < FirstFinal;
@@ -123,6 +133,7 @@
   void onConnected(connection_id Id);
   void onReadable(connection_id Id);
   bool parse(connection_id Id);
+  std::string_view excessOf(const connection_row &Row) const;
   bool onMessageEnd(connection_id Id);
   bool takeHead(connection_row &Row);
   void flush(connection_id Id);
@@ -185,9 +196,9 @@
   Row.Call = CallId;
   Row.SentBefore = Row.Socket.sent();
   Row.MaxIdle = Call.Request.MaxIdle;
-  Row.Parser.restart();
+  beginMessage(Row);
   Row.Parser.setNoBody(Call.Request.Method == "HEAD");
-  Row.Skipping = false;
+  Row.DroppedBytes = 0;
   ++Row.Uses;
   Row.Socket.queue(serialize(Call.Request));
   for (std::string &Piece : Call.Request.Body)
@@ -302,6 +313,8 @@
     std::size_t Used = 0;
     auto Result = Row->Parser.feed(Sink, Row->Input, Used);
     Row->Input.erase(0, Used);
+    Row->MessageBytes += Used;
+    Row->BodyBytes += Sink.Bytes.size();
     if (Result == pvt::feed_result::Bad ||
         Result == pvt::feed_result::HeaderTooLarge) {
       fail(Id, "the answer cannot be read: " +
@@ -321,6 +334,15 @@
       if (!Row || Row->Call != CallId)
         return false;
     }
+    if (Row->Skipping) {
+      Row->DroppedBytes += Used;
+      Counters.DroppedBytes += Used;
+    }
+    if (std::string_view Excess = excessOf(*Row); !Excess.empty()) {
+      ++Counters.Endless;
+      fail(Id, std::string(Excess));
+      return false;
+    }
     if (!Row->Skipping && !Sink.Bytes.empty()) {
       auto OnBody = Calls.find(CallId)->Events.OnBody;
       OnBody(Sink.Bytes);
@@ -335,6 +357,22 @@
   return Row != nullptr;
 }
 
+// What is wrong with the number of bytes that a connection has brought; empty
+// if nothing is. An upstream may send without end, and in any part of a
+// message.
+std::string_view client::state::excessOf(const connection_row &Row) const {
+  constexpr std::size_t FramingPerBodyByte = 16;
+  std::size_t Framing = Row.MessageBytes - Row.BodyBytes;
+  if (Framing > Settings.MaxHeadBytes + Row.BodyBytes * FramingPerBodyByte)
+    return "the answer is more framing than content";
+  if (Row.DroppedBytes > Settings.MaxDroppedBytes)
+    return "too much came that is no answer to the call";
+  const call_row *Call = Calls.find(Row.Call);
+  if (Call && !Row.Skipping && Row.BodyBytes > Call->Request.MaxBodyBytes)
+    return "the answer is too large";
+  return {};
+}
+
 // Decides whether the answer that begins is the call's own.
 bool client::state::takeHead(connection_row &Row) {
   const header_list &Headers = Row.Parser.head().Headers;
@@ -360,8 +398,7 @@
       fail(Id, "the connection ended after an answer to another request");
       return false;
     }
-    Row.Parser.restart();
-    Row.Skipping = false;
+    beginMessage(Row);
     return true;
   }
   call_id Call = Row.Call;
--- a/src/libhttp1/client_test.cpp
+++ b/src/libhttp1/client_test.cpp
@@ -251,3 +251,115 @@
   REQUIRE(turnUntil([&] { return F.Server.Connections[0]->Closed; }));
   CHECK(!Outcome.Result);
 }
+
+TEST_CASE("bytes_without_end_that_are_no_answer_end_the_connection") {
+  // An upstream goes on until its caller closes, in any part of a message.
+  constexpr std::size_t MostTaken = 8U << 20U;
+  std::string Begin = "HTTP/1.1 200 OK\r\n";
+  std::string Again;
+  SUBCASE("a status line") {
+    Begin = "HTTP/1.1 200 ";
+    Again = std::string(1000, 'x');
+  }
+  SUBCASE("headers") { Again = "X-More: " + std::string(1000, 'x') + "\r\n"; }
+  SUBCASE("one header") {
+    Begin += "X-More: ";
+    Again = std::string(1000, 'x');
+  }
+  SUBCASE("empty lines") {
+    Begin = "";
+    Again = "\r\n\r\n\r\n\r\n";
+  }
+  SUBCASE("interim answers") {
+    Begin = "";
+    Again = "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  SUBCASE("answers to others") {
+    Begin = "";
+    Again = answerTo("another", std::string(1000, 'x'));
+  }
+  SUBCASE("one answer to another") {
+    Begin += "X-Id: another\r\nContent-Length: 99999999999\r\n\r\n";
+    Again = std::string(1000, 'x');
+  }
+  SUBCASE("a chunk's head") {
+    Begin += "X-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\n5;a=";
+    Again = std::string(1000, 'x');
+  }
+  SUBCASE("chunks with long heads") {
+    Begin += "X-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Again = "1;" + std::string(1000, 'x') + "\r\ny\r\n";
+  }
+  SUBCASE("trailers") {
+    Begin += "X-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    Again = "X-More: " + std::string(1000, 'x') + "\r\n";
+  }
+  for (bool Kept : {false, true}) {
+    CAPTURE(Kept);
+    fixture F;
+    if (Kept) {
+      outcome First;
+      F.call(First, "r1");
+      REQUIRE(F.received(0, "X-Id: r1"));
+      F.Server.send(0, answerTo("r1", "one"));
+      REQUIRE(turnUntil([&] { return First.isComplete(); }));
+    }
+    outcome Second;
+    F.call(Second, "r2");
+    REQUIRE(F.received(0, "X-Id: r2"));
+    F.Server.send(0, Begin);
+    std::size_t Sent = 0;
+    auto Flood = loop_source::every(milliseconds(1), [&] {
+      std::string Piece;
+      while (Piece.size() < 50'000)
+        Piece += Again;
+      // A part of it may not fit: whatever arrives must not matter.
+      F.Server.send(0, Piece);
+      Sent += Piece.size();
+      return true;
+    });
+    REQUIRE(turnUntil([&] { return Second.Result || Sent > MostTaken; }));
+    REQUIRE(Second.Result);
+    CHECK(Second.Result->Outcome == call_outcome::Broken);
+    CHECK(F.Client->counters().OpenConnections == 0);
+  }
+}
+
+TEST_CASE("an answer over the call's limit is broken off") {
+  fixture F;
+  call_request Request;
+  Request.Address = addressOf(F.Server.port());
+  Request.Method = "GET";
+  Request.Target = "/t";
+  Request.MaxBodyBytes = 100;
+  outcome Outcome;
+  F.Client->call(std::move(Request), Outcome.events());
+  REQUIRE(F.received(0, "GET /t"));
+  F.Server.send(0, answerTo("", std::string(101, 'x')));
+  REQUIRE(turnUntil([&] { return Outcome.Result.has_value(); }));
+  CHECK(Outcome.Result->Outcome == call_outcome::Broken);
+  CHECK(Outcome.Result->Reason == "the answer is too large");
+}
+
+TEST_CASE("a probe tells whether anybody listens, and its connection is kept") {
+  fixture F;
+  std::optional<probe_result> Result;
+  auto Note = [&](probe_result Value) { Result = Value; };
+  F.Client->probe(addressOf(F.Server.port()), milliseconds(1000), Note);
+  REQUIRE(turnUntil([&] { return Result.has_value(); }));
+  CHECK(*Result == probe_result::Listening);
+  outcome Outcome;
+  F.call(Outcome, "r1");
+  REQUIRE(F.received(0, "X-Id: r1"));
+  CHECK(F.Client->counters().Opened == 1);
+  Result.reset();
+  std::string Gone = addressOf(listener::open("127.0.0.1:0")->port());
+  F.Client->probe(Gone, milliseconds(1000), Note);
+  REQUIRE(turnUntil([&] { return Result.has_value(); }));
+  CHECK(*Result == probe_result::Refused);
+  Result.reset();
+  F.Client->probe("no address", milliseconds(1000), Note);
+  CHECK(!Result);
+  REQUIRE(turnUntil([&] { return Result.has_value(); }));
+  CHECK(*Result == probe_result::Unknown);
+}
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -67,11 +67,18 @@
   std::uint64_t EventCount = 0;
   std::uint64_t TokensPerEvent = 1; ///< Of its service, as the call came.
   std::string Output;               ///< The data of the events, one a line.
+  std::size_t BytesSinceEvent = 0;
   time_point LastEvent;
   time_point FirstEvent;
 
   /// Tokens that its caller was handed.
   std::uint64_t tokens() const { return EventCount * TokensPerEvent; }
+  /// More than one event beyond the most that its caller has asked for.
+  bool isOverlong() const {
+    constexpr std::uint64_t Spare = 2;
+    return Facts.MostTokens > 0 && EventCount >= Spare &&
+           (EventCount - Spare) * TokensPerEvent >= Facts.MostTokens;
+  }
   bool isTurn() const { return Route.KeepsTurns; }
 };
 
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -304,6 +304,10 @@
                     static_cast<double>(Client.Opened));
   Impl->Metrics.set("upstream_stray_answers", "",
                     static_cast<double>(Client.Stray));
+  Impl->Metrics.set("upstream_dropped_bytes", "",
+                    static_cast<double>(Client.DroppedBytes));
+  Impl->Metrics.set("upstream_connections_ended_for_excess", "",
+                    static_cast<double>(Client.Endless));
   Impl->Metrics.set("calls_under_way", "",
                     static_cast<double>(Impl->Calls.size()));
   for (const auto &[Service, Load] : Impl->Loads) {
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -61,6 +61,8 @@
                                  const upstream &Upstream) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
   void onBody(relay_call_id Id, std::string_view Bytes);
+  /// Ends an answer that an upstream would go on with.
+  void breakOff(relay_call_id Id, std::string_view Reason);
   void onUpstreamEnd(relay_call_id Id, const http1::call_result &Result);
   void onAnswered(relay_call_id Id);
   void onStreamed(relay_call_id Id);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -14,6 +14,8 @@
 
 // Below it a call is not worth sending.
 constexpr milliseconds LeastTime{5};
+// Of a stream: comments, fields without data, and an event's own size.
+constexpr std::size_t MaxBytesBetweenEvents = 1U << 20U;
 
 bool isSuccess(int Status) {
   constexpr int FirstSuccess = 200;
@@ -138,14 +140,14 @@
       Call.Body += Bytes;
       return;
     }
-    Client->cancel(Call.Upstream);
-    onBroken(Id, {http1::call_outcome::Broken, "the answer is too large"});
+    breakOff(Id, "the answer is too large");
     return;
   }
-  Server->write(Call.Exchange, Bytes);
+  Call.BytesSinceEvent += Bytes.size();
   load_gauge &Gauge = Loads[Call.Service].Gauge;
-  Call.Events.feed(Bytes, [&](std::string_view Data) {
+  bool Sound = Call.Events.feed(Bytes, [&](std::string_view Data) {
     time_point Now = steadyNow();
+    Call.BytesSinceEvent = 0;
     if (++Call.EventCount == 1) {
       Call.FirstEvent = Now;
       Gauge.firstEvent(Call.SentAt, Now);
@@ -157,6 +159,20 @@
     if (Call.isTurn())
       Call.Output.append(Data).append("\n");
   });
+  // A stream may bring bytes without end that are no events, or events beyond
+  // what the call may generate.
+  if (!Sound || Call.BytesSinceEvent > MaxBytesBetweenEvents)
+    breakOff(Id, "the stream brings no events");
+  else if (Call.isOverlong())
+    breakOff(Id, "the stream is longer than the call may generate");
+  else
+    Server->write(Call.Exchange, Bytes);
+}
+
+void relay::impl::breakOff(relay_call_id Id, std::string_view Reason) {
+  Client->cancel(Calls.find(Id)->Upstream);
+  Metrics.add("upstream_answers_broken_off_total");
+  onBroken(Id, {http1::call_outcome::Broken, std::string(Reason)});
 }
 
 void relay::impl::onUpstreamEnd(relay_call_id Id,
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -512,6 +512,52 @@
   CHECK(Next.has("HTTP/1.1 404"));
 }
 
+TEST_CASE("bytes_without_end_in_a_body_are_cut_off") {
+  constexpr std::size_t MostTaken = 16U << 20U;
+  fixture F;
+  caller Caller(F.Address);
+  std::string Begin;
+  std::string Again;
+  raw_server *Server = &F.Llm;
+  SUBCASE("a stream of bytes that are no events") {
+    Again = chunk(std::string(1000, 'x'));
+  }
+  SUBCASE("a stream of comments") {
+    Again = chunk(": " + std::string(1000, 'x') + "\n\n");
+  }
+  SUBCASE("a stream of ever more events") { Again = chunk("data: x\n\n"); }
+  SUBCASE("a plain answer that ends with its connection") {
+    Server = &F.Tools;
+    Begin = "HTTP/1.1 200 OK\r\nX-Call: t1\r\n\r\n";
+    Again = std::string(1000, 'x');
+  }
+  if (Server == &F.Llm) {
+    Begin = streamHead("t1");
+    Caller.send(F.request("POST", "/plan/1", "t1",
+                          "X-Program: p\r\nX-Budget: 1000\r\n"
+                          "X-Tokens: 5,40\r\n",
+                          "hello\n"));
+  } else {
+    Caller.send(F.request("GET", "/book/x", "t1"));
+  }
+  REQUIRE(F.received(*Server, "X-Call: t1"));
+  Server->send(0, Begin);
+  std::size_t Sent = 0;
+  auto Flood = loop_source::every(milliseconds(1), [&] {
+    std::string Piece;
+    while (Piece.size() < 50'000)
+      Piece += Again;
+    Server->send(0, Piece);
+    Sent += Piece.size();
+    return true;
+  });
+  REQUIRE(turnUntil(
+      [&] { return Server->Connections[0]->Closed || Sent > MostTaken; }));
+  CHECK(Server->Connections[0]->Closed);
+  REQUIRE(turnUntil([&] { return Caller.Closed || Caller.has("502"); }));
+  CHECK(!Caller.has("\r\n0\r\n\r\n")); // It never looks complete.
+}
+
 TEST_CASE("a stopping host refuses what can't end before it does") {
   // A zone with too few hosts in rotation still sends callers to one that
   // stops; a stream that it took late was cut with the process.
