--- a/src/include/turmerichead/relay_news.h
+++ b/src/include/turmerichead/relay_news.h
@@ -18,6 +18,7 @@
 
 #include <functional>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <span>
 #include <string>
@@ -25,6 +26,9 @@
 
 namespace turmerichead::relay {
 
+/// Ends on record, for logs.
+nlohmann::json describeEnds(std::span<const sched::known_death> Ends);
+
 struct news_settings {
   std::string Self;       ///< This host's peer address.
   bool KeepsData = false; ///< A disk host: it passes news on.
--- a/src/include/turmerichead/relay_suspects.h
+++ b/src/include/turmerichead/relay_suspects.h
@@ -92,8 +92,9 @@
   /// ended.
   bool isUnclear(const upstream &Upstream) const;
 
-  /// Ends that are on record for a fingerprint.
-  std::size_t endsOf(std::uint64_t Fingerprint, time_point Now) const;
+  /// Ends that are on record for a fingerprint, the oldest first.
+  std::vector<sched::known_death> endsOf(std::uint64_t Fingerprint,
+                                         time_point Now) const;
 
   // -- Other hosts --
   /// Records of the fingerprints, or all with so many ends.
--- a/src/librelay/news.cpp
+++ b/src/librelay/news.cpp
@@ -16,6 +16,16 @@
 
 } // namespace
 
+nlohmann::json describeEnds(std::span<const sched::known_death> Ends) {
+  nlohmann::json Rows = nlohmann::json::array();
+  for (const sched::known_death &Row : Ends)
+    Rows.push_back({{"upstream", Row.Death.Upstream},
+                    {"seen_by", Row.Death.SeenBy},
+                    {"ms_ago", Row.Death.Age.count()},
+                    {"known_here_for_ms", Row.LearnedAge.count()}});
+  return Rows;
+}
+
 suspect_news::suspect_news(suspects &Table, peer_links &Links,
                            news_settings Settings)
     : Table(Table), Links(Links), Settings(std::move(Settings)) {}
@@ -46,7 +56,7 @@
 
 // A cleared record is told to all as well: it takes a verdict back.
 bool suspect_news::isWide(std::uint64_t Print, time_point Now) const {
-  std::size_t Ends = Table.endsOf(Print, Now);
+  std::size_t Ends = Table.endsOf(Print, Now).size();
   return Ends == 0 || Ends >= WideEnds;
 }
 
@@ -148,9 +158,9 @@
   time_point Now = steadyNow();
   std::vector<std::uint64_t> Changed = Table.merge(*Entries, Now);
   for (std::uint64_t Print : Changed)
-    log::info("end of an upstream heard of",
+    log::info("suspect request heard of",
               {{"fingerprint", toHex(Print)},
-               {"ends", Table.endsOf(Print, Now)},
+               {"ends", describeEnds(Table.endsOf(Print, Now))},
                {"from", From}});
   if (Changed.empty())
     return true;
--- a/src/librelay/relay_suspects.cpp
+++ b/src/librelay/relay_suspects.cpp
@@ -4,25 +4,12 @@
 
 #include "turmerichead/hash.h"
 #include "turmerichead/log.h"
+#include "turmerichead/relay_news.h"
 
 #include <nlohmann/json.hpp>
 
 namespace turmerichead::relay {
 
-namespace {
-
-nlohmann::json rowsOf(const condemnation &Verdict) {
-  nlohmann::json Rows = nlohmann::json::array();
-  for (const sched::known_death &Row : Verdict.Deaths)
-    Rows.push_back({{"upstream", Row.Death.Upstream},
-                    {"seen_by", Row.Death.SeenBy},
-                    {"ms_ago", Row.Death.Age.count()},
-                    {"known_here_for_ms", Row.LearnedAge.count()}});
-  return Rows;
-}
-
-} // namespace
-
 bool relay::impl::refuseCondemned(relay_call_id Id) {
   const relay_call &Call = *Calls.find(Id);
   auto Verdict = Suspects.verdict(Call.Prints, steadyNow());
@@ -34,7 +21,7 @@
              {"fingerprint", toHex(Call.Prints.Exact)},
              {"content", toHex(Call.Prints.Content)},
              {"lapses_in_ms", Verdict->LapsesIn.count()},
-             {"ends", rowsOf(*Verdict)}});
+             {"ends", describeEnds(Verdict->Deaths)}});
   Metrics.add("requests_condemned_total");
   refuse(Id, CondemnedReason, Verdict->LapsesIn);
   return true;
@@ -70,9 +57,9 @@
     return;
   time_point Now = steadyNow();
   for (std::uint64_t Print : Changed)
-    log::info(
-        "end of an upstream counted",
-        {{"fingerprint", toHex(Print)}, {"ends", Suspects.endsOf(Print, Now)}});
+    log::info("suspect request",
+              {{"fingerprint", toHex(Print)},
+               {"ends", describeEnds(Suspects.endsOf(Print, Now))}});
   Metrics.set("suspect_requests", "", static_cast<double>(Suspects.size()));
   if (OnSuspects)
     OnSuspects(Changed);
--- a/src/librelay/suspects.cpp
+++ b/src/librelay/suspects.cpp
@@ -186,8 +186,9 @@
   });
 }
 
-std::size_t suspects::endsOf(std::uint64_t Fingerprint, time_point Now) const {
-  return Table.deaths(Fingerprint, Now).size();
+std::vector<sched::known_death> suspects::endsOf(std::uint64_t Fingerprint,
+                                                 time_point Now) const {
+  return Table.deaths(Fingerprint, Now);
 }
 
 std::vector<sched::poison_entry>
--- a/src/librelay/suspects_test.cpp
+++ b/src/librelay/suspects_test.cpp
@@ -115,11 +115,11 @@
   for (int I = 0; I < 2; ++I)
     end(Suspects, Neighbour, "u" + std::to_string(I), 1000 * (I + 1));
   Other.merge(Suspects.entriesWith(2, {2500}), {2500});
-  CHECK(Other.endsOf(Neighbour.Exact, {2500}) == 2);
+  CHECK(Other.endsOf(Neighbour.Exact, {2500}).size() == 2);
   auto Cleared = Suspects.noteSuccess(Neighbour, {3000});
   CHECK(Cleared.size() == 2);
   Other.merge(Suspects.entriesOf(Cleared, {3100}), {3100});
-  CHECK(Other.endsOf(Neighbour.Exact, {3100}) == 0);
+  CHECK(Other.endsOf(Neighbour.Exact, {3100}).size() == 0);
   end(Suspects, Neighbour, "u3", 4000);
   CHECK(!refused(Suspects, Neighbour, 5000));
 }
@@ -140,7 +140,7 @@
   SUBCASE("and leaves in order") {
     Suspects.noteEnded(Upstream, end_evidence::Vanished, {6000});
   }
-  CHECK(Suspects.endsOf(crasher().Exact, {7000}) == 0);
+  CHECK(Suspects.endsOf(crasher().Exact, {7000}).size() == 0);
 }
 
 TEST_CASE("a call that was given up is no end when its upstream leaves") {
@@ -148,7 +148,7 @@
   upstream Upstream = upstreamAt("u");
   Suspects.noteUnfinished(Upstream, crasher(), unfinished::Left, {0}, {100});
   Suspects.noteEnded(Upstream, end_evidence::Vanished, {1000});
-  CHECK(Suspects.endsOf(crasher().Exact, {1000}) == 0);
+  CHECK(Suspects.endsOf(crasher().Exact, {1000}).size() == 0);
 }
 
 TEST_CASE("budget_one_end_counts_once_whoever_saw_it") {
@@ -160,7 +160,7 @@
     end(There, crasher(), "u" + std::to_string(I), 9'000'000 + 1000 * (I + 1));
   }
   Here.merge(There.entriesWith(1, {9'003'000}), {3000});
-  CHECK(Here.endsOf(crasher().Exact, {3000}) == 2);
+  CHECK(Here.endsOf(crasher().Exact, {3000}).size() == 2);
   end(There, crasher(), "u3", 9'004'000);
   Here.merge(There.entriesWith(1, {9'004'100}), {4100});
   CHECK(refused(Here, crasher(), 4200));
@@ -197,7 +197,7 @@
         upstreamAt("u" + std::to_string(I), "a:" + std::to_string(I)),
         end_evidence::Refused, {1010 + I});
   CHECK(!refused(Suspects, Call(9), 1100));
-  CHECK(Suspects.endsOf(Call(9).Content, {1100}) == 1);
+  CHECK(Suspects.endsOf(Call(9).Content, {1100}).size() == 1);
 }
 
 TEST_CASE("a day of crashes and one crasher: it is stopped, no other is") {
--- a/src/turmericheadctl/explain.cpp
+++ b/src/turmericheadctl/explain.cpp
@@ -2,7 +2,9 @@
 #include "log_lines.h"
 
 #include <algorithm>
+#include <array>
 #include <iostream>
+#include <set>
 #include <vector>
 
 namespace turmerichead::ctl {
@@ -23,6 +25,15 @@
   });
 }
 
+/// The fingerprints that a line names.
+std::vector<std::string> printsOn(const nlohmann::ordered_json &Line) {
+  std::vector<std::string> Prints;
+  for (const char *Key : {"fingerprint", "content"})
+    if (auto Print = Line.find(Key); Print != Line.end() && Print->is_string())
+      Prints.push_back(Print->get<std::string>());
+  return Prints;
+}
+
 story_line storyLine(nlohmann::ordered_json Line) {
   story_line Row;
   Row.TimeMs = Line.value("time_ms", std::int64_t(0));
@@ -55,13 +66,27 @@
     return BadInput;
   }
   const std::string &Id = Rest.front();
-  std::vector<story_line> Story;
-  bool Read = readLogs(Rest.subspan(1), Id, [&](const auto &Line) {
+  std::vector<nlohmann::ordered_json> Lines;
+  // What became known of a request under other ids is told by its fingerprint.
+  std::set<std::string> Prints;
+  const std::array<std::string_view, 2> Words = {Id, "\"fingerprint\""};
+  bool Read = readLogs(Rest.subspan(1), Words, [&](const auto &Line) {
+    Lines.push_back(Line);
     if (tellsOf(Line, Id))
-      Story.push_back(storyLine(Line));
+      for (std::string &Print : printsOn(Line))
+        Prints.insert(std::move(Print));
   });
   if (!Read)
     return BadInput;
+  std::vector<story_line> Story;
+  for (nlohmann::ordered_json &Line : Lines) {
+    auto OnLine = printsOn(Line);
+    bool Same = std::any_of(
+        OnLine.begin(), OnLine.end(),
+        [&](const std::string &Print) { return Prints.count(Print) > 0; });
+    if (Same || tellsOf(Line, Id))
+      Story.push_back(storyLine(std::move(Line)));
+  }
   if (Story.empty()) {
     std::cerr << "no line tells of " << Id
               << "; lines may have been left out under load\n";
--- a/src/turmericheadctl/log_lines.cpp
+++ b/src/turmericheadctl/log_lines.cpp
@@ -1,5 +1,6 @@
 #include "log_lines.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 
@@ -7,12 +8,15 @@
 
 namespace {
 
-void readLog(std::istream &Log, std::string_view Word,
+void readLog(std::istream &Log, std::span<const std::string_view> Words,
              const std::function<void(const nlohmann::ordered_json &)> &Take) {
   std::string Text;
   while (std::getline(Log, Text)) {
     std::size_t Begin = Text.find('{');
-    if (Begin == std::string::npos || Text.find(Word) == std::string::npos)
+    bool Wanted = std::any_of(Words.begin(), Words.end(), [&](auto Word) {
+      return Text.find(Word) != std::string::npos;
+    });
+    if (Begin == std::string::npos || !Wanted)
       continue;
     auto Line =
         nlohmann::ordered_json::parse(Text.substr(Begin), nullptr, false);
@@ -24,7 +28,7 @@
 } // namespace
 
 bool readLogs(
-    arguments Files, std::string_view Word,
+    arguments Files, std::span<const std::string_view> Words,
     const std::function<void(const nlohmann::ordered_json &Line)> &Take) {
   for (const std::string &File : Files) {
     std::ifstream Log(File);
@@ -32,10 +36,10 @@
       std::cerr << File << ": cannot be read\n";
       return false;
     }
-    readLog(Log, Word, Take);
+    readLog(Log, Words, Take);
   }
   if (Files.empty())
-    readLog(std::cin, Word, Take);
+    readLog(std::cin, Words, Take);
   return true;
 }
 
--- a/src/turmericheadctl/log_lines.h
+++ b/src/turmericheadctl/log_lines.h
@@ -6,16 +6,17 @@
 
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <span>
 #include <string_view>
 
 namespace turmerichead::ctl {
 
 /// Calls \p Take with each log line of the files, or of standard input if
-/// there are none. Lines without \p Word are passed over, and so is what
+/// there are none. Lines with none of \p Words are passed over, and so is what
 /// stands before the JSON object, such as a collector's time. Returns false,
 /// with a message, if a file can't be read.
 bool readLogs(
-    arguments Files, std::string_view Word,
+    arguments Files, std::span<const std::string_view> Words,
     const std::function<void(const nlohmann::ordered_json &Line)> &Take);
 
 } // namespace turmerichead::ctl
--- a/src/turmericheadctl/losses.cpp
+++ b/src/turmericheadctl/losses.cpp
@@ -2,6 +2,7 @@
 #include "log_lines.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <iomanip>
 #include <iostream>
@@ -134,7 +135,8 @@
 
 int losses(const options &, arguments Rest) {
   summary Summary;
-  bool Read = readLogs(Rest, "call ended", [&](const auto &Line) {
+  constexpr std::array<std::string_view, 1> Words = {"call ended"};
+  bool Read = readLogs(Rest, Words, [&](const auto &Line) {
     if (Line.value("event", std::string()) == "call ended")
       addCall(Summary, Line);
   });
