--- a/src/include/turmerichead/relay_news.h
+++ b/src/include/turmerichead/relay_news.h
@@ -77,12 +77,15 @@
   void askAll();
   bool take(std::string_view Bytes, std::string_view From);
   void schedule();
+  void noteHeard(std::string_view Address);
 
   suspects &Table;
   peer_links &Links;
   news_settings Settings;
   std::vector<std::string> DiskHosts;
   std::vector<std::string> EntryHosts;
+  /// Hosts that have asked or told something and are not listed.
+  std::set<std::string, std::less<>> Heard;
   std::map<std::string, peer, std::less<>> Peers;
   bool Asked = false; ///< A disk host has told all it knows.
   bool Asking = false;
--- a/src/librelay/news.cpp
+++ b/src/librelay/news.cpp
@@ -13,6 +13,7 @@
 
 // Ends from which on all hosts are told, and records are kept on disk.
 constexpr std::size_t WideEnds = 2;
+constexpr std::size_t MaxHeard = 1000;
 
 } // namespace
 
@@ -44,11 +45,14 @@
                             std::vector<std::string> Entries) {
   DiskHosts = std::move(Disks);
   EntryHosts = std::move(Entries);
+  for (const std::string &Address : EntryHosts)
+    Heard.erase(Address);
   std::erase_if(Peers, [&](const auto &Row) {
     auto Has = [&](const std::vector<std::string> &Hosts) {
       return std::find(Hosts.begin(), Hosts.end(), Row.first) != Hosts.end();
     };
-    return !Row.second.InFlight && !Has(DiskHosts) && !Has(EntryHosts);
+    return !Row.second.InFlight && !Has(DiskHosts) && !Has(EntryHosts) &&
+           Heard.count(Row.first) == 0;
   });
   if (!Asked)
     askAll();
@@ -63,7 +67,7 @@
 void suspect_news::owe(std::span<const std::uint64_t> Prints,
                        std::string_view Except) {
   time_point Now = steadyNow();
-  auto Add = [&](const std::vector<std::string> &Hosts, bool Wide) {
+  auto Add = [&](const auto &Hosts, bool Wide) {
     for (const std::string &Address : Hosts) {
       if (Address == Settings.Self || Address == Except)
         continue;
@@ -74,6 +78,7 @@
   };
   Add(DiskHosts, false);
   Add(EntryHosts, true);
+  Add(Heard, true);
   flush();
 }
 
@@ -173,6 +178,7 @@
 
 void suspect_news::serve(peer_server &Server,
                          const peer_request_view &Request) {
+  noteHeard(Request.Host);
   if (Request.Path == AskPath) {
     Server.write(Request.Reply,
                  sched::encodePoison(Table.entriesWith(1, steadyNow())));
@@ -184,6 +190,16 @@
              {Taken ? error_code::None : error_code::Corrupt, {}});
 }
 
+// A host that could not register yet is known by what it asks or tells.
+void suspect_news::noteHeard(std::string_view Address) {
+  bool Listed =
+      std::find(EntryHosts.begin(), EntryHosts.end(), Address) !=
+          EntryHosts.end() ||
+      std::find(DiskHosts.begin(), DiskHosts.end(), Address) != DiskHosts.end();
+  if (!Listed && Heard.size() < MaxHeard)
+    Heard.emplace(Address);
+}
+
 // -- On disk -----------------------------------------------------------------
 
 std::string suspect_news::save(time_point Now) const {
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -7,7 +7,7 @@
 #include "turmerichead/relay_admission.h"
 #include "turmerichead/relay_suspects.h"
 
-#include <set>
+#include <map>
 
 namespace turmerichead::relay {
 
@@ -38,7 +38,13 @@
   std::size_t EntryHosts = 1; ///< This one among them.
   suspects Suspects;
   std::function<void(std::span<const std::uint64_t>)> OnSuspects;
-  std::set<std::string, std::less<>> Probed; ///< Addresses, under way.
+  /// Looks at the addresses where calls broke, and how often it has looked.
+  struct probing {
+    upstream Upstream;
+    std::size_t Looks = 0;
+    loop_source Again;
+  };
+  std::map<std::string, probing, std::less<>> Probes; ///< By address.
   call_table Calls;
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
 
@@ -78,8 +84,11 @@
   void noteEnded(const upstream &Upstream, end_evidence Evidence);
   void noteSuccess(const relay_call &Call);
   void tellSuspects(std::span<const std::uint64_t> Changed);
-  /// Finds out whether anybody listens where a call broke.
+  /// Finds out whether anybody listens where a call broke. A process that
+  /// ends may close its connections first, so that it looks a few times.
   void probe(const upstream &Upstream);
+  void look(const std::string &Address);
+  void onProbed(const std::string &Address, http1::probe_result Result);
 
   // -- Ends (relay_end.cpp) --
   /// Tells the caller that the call has not run and will not; if an upstream
--- a/src/librelay/relay_suspects.cpp
+++ b/src/librelay/relay_suspects.cpp
@@ -6,10 +6,19 @@
 #include "turmerichead/log.h"
 #include "turmerichead/relay_news.h"
 
+#include <array>
 #include <nlohmann/json.hpp>
 
 namespace turmerichead::relay {
 
+namespace {
+
+// From one look at an upstream that may have ended to the next.
+constexpr std::array<milliseconds, 2> LookPauses = {milliseconds(150),
+                                                    milliseconds(700)};
+
+} // namespace
+
 bool relay::impl::refuseCondemned(relay_call_id Id) {
   const relay_call &Call = *Calls.find(Id);
   auto Verdict = Suspects.verdict(Call.Prints, steadyNow());
@@ -66,14 +75,33 @@
 }
 
 void relay::impl::probe(const upstream &Upstream) {
-  if (!Probed.insert(Upstream.Address).second)
-    return;
-  Client->probe(Upstream.Address, Settings.ConnectTimeout,
-                [this, Upstream](http1::probe_result Result) {
-                  Probed.erase(Upstream.Address);
-                  if (Result == http1::probe_result::Refused)
-                    noteEnded(Upstream, end_evidence::Refused);
+  auto [Row, New] = Probes.try_emplace(Upstream.Address);
+  Row->second.Upstream = Upstream;
+  if (New)
+    look(Upstream.Address);
+}
+
+void relay::impl::look(const std::string &Address) {
+  ++Probes[Address].Looks;
+  Client->probe(Address, Settings.ConnectTimeout,
+                [this, Address](http1::probe_result Result) {
+                  onProbed(Address, Result);
                 });
 }
 
+void relay::impl::onProbed(const std::string &Address,
+                           http1::probe_result Result) {
+  probing &Row = Probes[Address];
+  if (Result == http1::probe_result::Refused)
+    noteEnded(Row.Upstream, end_evidence::Refused);
+  if (Row.Looks > LookPauses.size() || !Suspects.isUnclear(Row.Upstream)) {
+    Probes.erase(Address);
+    return;
+  }
+  Row.Again = loop_source::every(LookPauses[Row.Looks - 1], [this, Address] {
+    look(Address);
+    return false;
+  });
+}
+
 } // namespace turmerichead::relay
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -335,6 +335,25 @@
   CHECK(Free.Connections.empty());
 }
 
+TEST_CASE("budget_end_of_an_upstream_that_closes_its_listener_last") {
+  // The first look found the listener, and the end was not counted (soak,
+  // seed 5): a process that ends closes its descriptors in any order.
+  fixture F;
+  auto Dying = std::make_unique<raw_server>();
+  F.Relay->removeUpstream("tool-1", milliseconds(0));
+  F.put("tool-9", "tools", *Dying);
+  caller Caller(F.Address);
+  Caller.send(F.request("GET", "/book/x", "b1"));
+  REQUIRE(F.received(*Dying, "X-Call: b1"));
+  Dying->close(0);
+  REQUIRE(turnUntil([&] { return Dying->Connections.size() == 2; }));
+  Dying.reset();
+  auto Print = relay::suspects::printsOf("", "/book/x", "").Exact;
+  CHECK(turnUntil([&] {
+    return F.Relay->suspectTable().endsOf(Print, steadyNow()).size() == 1;
+  }));
+}
+
 TEST_CASE("a caller that leaves takes its call off the upstream") {
   fixture F;
   caller Caller(F.Address);
--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -12,6 +12,9 @@
 constexpr milliseconds Pause{40};
 constexpr int TurnsOfAProgram = 4;
 constexpr int MaxFailures = 3;
+// Tokens: enough for two turns and a half, and for all.
+constexpr std::uint64_t SmallBudget = 15;
+constexpr std::uint64_t AmpleBudget = 1000;
 
 std::string newAttempt() {
   static std::uint64_t Next = 0;
@@ -46,7 +49,8 @@
   return Call;
 }
 
-/// The data of the events of a stream, one a line.
+} // namespace
+
 std::string dataOf(const std::string &Stream) {
   std::string Lines;
   constexpr std::string_view Key = "data: ";
@@ -58,8 +62,6 @@
   return Lines;
 }
 
-} // namespace
-
 void send(fleet &Fleet, const std::string &Entry, const caller_request &Request,
           std::function<void(const caller_answer &)> Done) {
   struct under_way {
@@ -90,12 +92,14 @@
        [End](const http1::call_result &Result) {
          End(Result.Outcome == http1::call_outcome::Complete);
        }});
-  Row->GiveUp =
-      loop_source::every(Request.TimeLeft + PatienceOver, [Row, End, &Fleet] {
-        Fleet.http().cancel(Row->Call);
-        End(false);
-        return false;
-      });
+  Row->GiveUp = loop_source::every(Request.TimeLeft + PatienceOver,
+                                   [Row, End, &Fleet, Alive = Fleet.alive()] {
+                                     if (Alive.expired())
+                                       return false;
+                                     Fleet.http().cancel(Row->Call);
+                                     End(false);
+                                     return false;
+                                   });
 }
 
 caller_answer ask(fleet &Fleet, const std::string &Entry,
@@ -110,9 +114,11 @@
 
 // -- Programs ----------------------------------------------------------------
 
-sound_traffic::sound_traffic(fleet &Fleet, int Count, std::uint64_t Seed)
+sound_traffic::sound_traffic(fleet &Fleet, int Count, std::uint64_t Seed,
+                             caller_observer Observer)
     : Fleet(Fleet), Random(Seed), Programs(static_cast<std::size_t>(Count)),
-      Timers(static_cast<std::size_t>(Count)), Live(Count) {
+      Timers(static_cast<std::size_t>(Count)), Observer(std::move(Observer)),
+      Live(Count) {
   for (std::size_t I = 0; I < Programs.size(); ++I)
     later(I);
 }
@@ -135,13 +141,15 @@
 void sound_traffic::next(std::size_t Index) {
   program &Program = Programs[Index];
   if (Program.Turn >= TurnsOfAProgram || Program.Failures >= MaxFailures ||
-      Program.Name.empty()) {
+      Program.Spent || Program.Name.empty()) {
     if (Stopping) {
       --Live;
       return;
     }
     Program = {};
     Program.Name = "p" + std::to_string(++Serial);
+    constexpr unsigned PoorOneIn = 5;
+    Program.Budget = Random() % PoorOneIn == 0 ? SmallBudget : AmpleBudget;
   }
   constexpr unsigned CallsOneIn = 3;
   if (Random() % CallsOneIn == 0)
@@ -150,12 +158,18 @@
     turn(Index);
 }
 
-void sound_traffic::judge(const caller_answer &Answer) {
+void sound_traffic::judge(const std::string &Entry,
+                          const caller_request &Request,
+                          const caller_answer &Answer) {
   ++Counts.Turns;
+  if (Observer)
+    Observer(Entry, Request, Answer);
   if (Answer.Status == http1::status::Unavailable) {
     ++Counts.Refused;
     Counts.Condemned +=
         Answer.Body.find("several upstreams ended") != std::string::npos;
+  } else if (Answer.Status == http1::status::PaymentRequired) {
+    ++Counts.Spent;
   } else if (Answer.Status == http1::status::Ok && Answer.Complete) {
     ++Counts.Answered;
   } else {
@@ -172,14 +186,14 @@
   Request.PreviousTurn = Program.Previous;
   Request.Body =
       "input " + std::to_string(Program.Turn) + " of " + Program.Name + "\n";
-  constexpr std::uint64_t Plenty = 1000;
-  Request.Budget = Plenty;
+  Request.Budget = Program.Budget;
   Request.MostTokens =
       static_cast<std::uint64_t>(Fleet.settings().RunnerEvents);
   std::string Given = Program.Chain + Request.Body;
-  send(Fleet, anyEntry(), Request,
-       [this, Index, Given](const caller_answer &Answer) {
-         judge(Answer);
+  std::string Entry = anyEntry();
+  send(Fleet, Entry, Request,
+       [this, Index, Given, Entry, Request](const caller_answer &Answer) {
+         judge(Entry, Request, Answer);
          program &Program = Programs[Index];
          bool Good = Answer.Status == http1::status::Ok && Answer.Complete;
          if (Good && Answer.Signature != markOf(Given))
@@ -191,6 +205,7 @@
            Program.Failures = 0;
          } else {
            ++Program.Failures;
+           Program.Spent = Answer.Status == http1::status::PaymentRequired;
          }
          later(Index);
        });
@@ -207,9 +222,10 @@
   if (!Look)
     Request.Body = "book " + std::to_string(++Serial);
   std::string Wanted = markOf(Request.Body);
-  send(Fleet, anyEntry(), Request,
-       [this, Index, Wanted](const caller_answer &Answer) {
-         judge(Answer);
+  std::string Entry = anyEntry();
+  send(Fleet, Entry, Request,
+       [this, Index, Wanted, Entry, Request](const caller_answer &Answer) {
+         judge(Entry, Request, Answer);
          if (Answer.Status == http1::status::Ok && Answer.Complete &&
              Answer.Body != Wanted)
            ++Counts.Wrong;
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -34,6 +34,9 @@
   milliseconds Took{0};
 };
 
+/// The data of the events of a stream, one a line.
+std::string dataOf(const std::string &Stream);
+
 /// Sends \p Request through \p Entry; \p Done is called once. An answer that
 /// has not ended some time after the request's own is given up.
 void send(fleet &Fleet, const std::string &Entry, const caller_request &Request,
@@ -43,11 +46,17 @@
 caller_answer ask(fleet &Fleet, const std::string &Entry,
                   const caller_request &Request);
 
+/// Sees each request of programs and what became of it.
+using caller_observer =
+    std::function<void(const std::string &Entry, const caller_request &Request,
+                       const caller_answer &Answer)>;
+
 /// What programs have met.
 struct sound_counts {
   std::uint64_t Turns = 0;
   std::uint64_t Answered = 0;
   std::uint64_t Refused = 0;   ///< 503
+  std::uint64_t Spent = 0;     ///< 402
   std::uint64_t Condemned = 0; ///< Refused for what it did to upstreams.
   std::uint64_t Broken = 0;
   std::uint64_t Wrong = 0; ///< Complete, but not its own answer.
@@ -56,7 +65,8 @@
 /// Programs of a few turns and calls, one after the other, until stopped.
 class sound_traffic {
 public:
-  sound_traffic(fleet &Fleet, int Programs, std::uint64_t Seed);
+  sound_traffic(fleet &Fleet, int Programs, std::uint64_t Seed,
+                caller_observer Observer = {});
   void stop() { Stopping = true; }
   bool ended() const { return Live == 0; }
   const sound_counts &counts() const { return Counts; }
@@ -66,13 +76,16 @@
     std::string Name;
     std::string Chain; ///< What the runner was given and has said.
     std::string Previous;
+    std::uint64_t Budget = 0;
     int Turn = 0;
     int Failures = 0;
+    bool Spent = false; ///< Told 402.
   };
   void next(std::size_t Index);
   void turn(std::size_t Index);
   void call(std::size_t Index);
-  void judge(const caller_answer &Answer);
+  void judge(const std::string &Entry, const caller_request &Request,
+             const caller_answer &Answer);
   void later(std::size_t Index);
   std::string anyEntry();
 
@@ -80,6 +93,7 @@
   std::mt19937_64 Random;
   std::vector<program> Programs;
   std::vector<loop_source> Timers;
+  caller_observer Observer;
   sound_counts Counts;
   int Live = 0;
   std::uint64_t Serial = 0;
--- a/testsuite/fleet/crashing_request_test.cpp
+++ b/testsuite/fleet/crashing_request_test.cpp
@@ -183,7 +183,7 @@
       Fleet.order("store", {{"mood", "fine"}});
       break;
     case 18:
-      Fleet.addEntry();
+      Fleet.addHost(role::Entry);
       break;
     case 20: // Only what is on disks is left.
       for (role Role : {role::Entry, role::Disk})
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -18,6 +18,8 @@
 constexpr int StorePort = 8142;
 constexpr int StoreControlPort = 8143;
 constexpr int CallerPort = 8149;
+constexpr int CallerLinkPort = 8150;
+constexpr int StoreLinkPort = 8151;
 constexpr int ReadyPort = 8141;
 constexpr int ControlPort = 8144;
 constexpr int FirstPeerPort = 7380;
@@ -28,6 +30,17 @@
 
 void dieWithParent(gpointer /*Data*/) { prctl(PR_SET_PDEATHSIG, SIGKILL); }
 
+/// Takes relays out of use. Operations of theirs may still be under way, so
+/// that they are kept until the process ends.
+void retire(member &Member) {
+  static std::vector<std::unique_ptr<standin::tcp_link>> Retired;
+  for (auto *Link : {&Member.CallerLink, &Member.StoreLink})
+    if (*Link) {
+      (*Link)->closeAll();
+      Retired.push_back(std::move(*Link));
+    }
+}
+
 std::string numbered(const char *Prefix, int Number) {
   return std::string(Prefix) + "-" + std::to_string(Number);
 }
@@ -50,6 +63,8 @@
 
 fleet::fleet(fleet_settings Given)
     : Settings(std::move(Given)), Http(http1::client::create({})) {
+  static unsigned Fleets = 0;
+  Number = Fleets++;
   std::error_code Ignored;
   std::filesystem::remove_all(Settings.Scratch, Ignored);
   std::filesystem::create_directories(Settings.Scratch, Ignored);
@@ -57,9 +72,11 @@
 
 fleet::~fleet() {
   Reviver.reset();
-  for (auto &[Name, Member] : Members)
+  for (auto &[Name, Member] : Members) {
     if (Member.Process)
       g_subprocess_force_exit(Member.Process.get());
+    retire(Member);
+  }
 }
 
 // -- Members -----------------------------------------------------------------
@@ -68,11 +85,16 @@
   auto [Row, New] = Members.try_emplace(Name);
   member &Member = Row->second;
   if (New) {
+    // Apart for each run, and for each fleet of a run: what a relay of an
+    // earlier one holds open stays open.
     auto Pid = static_cast<unsigned>(getpid());
     constexpr unsigned FirstNet = 16;
+    constexpr unsigned Nets = 200;
+    constexpr unsigned Step = 37;
+    unsigned Net = FirstNet + ((Pid >> 8U) + Number * Step) % Nets;
     Member.Name = Name;
     Member.Role = Role;
-    Member.Ip = "127." + std::to_string(FirstNet + (Pid >> 8U) % 200) + "." +
+    Member.Ip = "127." + std::to_string(Net) + "." +
                 std::to_string(Pid & 0xffU) + "." + std::to_string(NextIp++);
   }
   return Member;
@@ -103,7 +125,26 @@
 }
 
 std::string fleet::callerAddress(const std::string &Entry) {
-  return find(Entry)->Ip + ":" + std::to_string(CallerPort);
+  int Port = Settings.Links ? CallerLinkPort : CallerPort;
+  return find(Entry)->Ip + ":" + std::to_string(Port);
+}
+
+std::string fleet::storeAddress(const member &Member) const {
+  if (Member.StoreLink)
+    return Member.Ip + ":" + std::to_string(StoreLinkPort);
+  return Members.at("store").Ip + ":" + std::to_string(StorePort);
+}
+
+bool fleet::openLinks(member &Member) {
+  bool Host = Member.Role == role::Entry || Member.Role == role::Disk;
+  if (!Settings.Links || !Host || Member.StoreLink)
+    return true;
+  Member.StoreLink = standin::tcp_link::create(
+      {Member.Ip, StoreLinkPort, Members.at("store").Ip, StorePort});
+  if (Member.Role == role::Entry)
+    Member.CallerLink = standin::tcp_link::create(
+        {Member.Ip, CallerLinkPort, Member.Ip, CallerPort});
+  return Member.StoreLink && (Member.Role == role::Disk || Member.CallerLink);
 }
 
 std::string fleet::logFile(const std::string &Name) const {
@@ -136,9 +177,7 @@
       {"data_directory", Disk ? json(Folder) : json()},
       {"fault_tolerance", {{"machines", Settings.DiskFaults}}},
       {"bounds", {{"grace_s", 8}}},
-      {"platform",
-       {{"address",
-         Members.at("store").Ip + ":" + std::to_string(StorePort)}}}};
+      {"platform", {{"address", storeAddress(Member)}}}};
   std::string File = Settings.Scratch + "/" + Member.Name + ".json";
   std::ofstream(File) << Root.dump(2);
   return File;
@@ -172,8 +211,11 @@
 }
 
 bool fleet::spawn(member &Member, bool Fresh) {
+  if (!openLinks(Member))
+    return false;
   std::vector<std::string> Command = commandOf(Member);
   ++Member.Starts;
+  Member.StartedAt = steadyNow();
   Member.EndedAt = {};
   Member.Stopped = false;
   Member.Restarts = Member.Role == role::Runner || Member.Role == role::Tool;
@@ -207,13 +249,19 @@
   return Member && !isRunning(Name) && spawn(*Member, Fresh);
 }
 
-std::string fleet::addEntry() {
+std::string fleet::addHost(role Role) {
   std::string Name =
-      numbered("entry", static_cast<int>(names(role::Entry).size()));
-  spawn(place(Name, role::Entry), false);
+      numbered(Role == role::Entry ? "entry" : "disk", NextNumber[Role]++);
+  spawn(place(Name, Role), false);
   return Name;
 }
 
+void fleet::remove(const std::string &Name) {
+  kill(Name);
+  retire(Members.at(Name));
+  Members.erase(Name);
+}
+
 void fleet::signal(const std::string &Name, int Number) {
   member *Member = find(Name);
   if (!isRunning(Name))
@@ -255,6 +303,8 @@
     place(numbered("entry", I), role::Entry);
   for (int I = 0; I < Settings.Disks; ++I)
     place(numbered("disk", I), role::Disk);
+  NextNumber[role::Entry] = Settings.Entries;
+  NextNumber[role::Disk] = Settings.Disks;
   for (int I = 0; I < Settings.Runners; ++I)
     place(numbered("runner", I), role::Runner);
   for (int I = 0; I < Settings.Tools; ++I)
@@ -282,21 +332,28 @@
 
 bool fleet::waitReady(const std::string &Entry, milliseconds Bound) {
   std::string Address = find(Entry)->Ip + ":" + std::to_string(ReadyPort);
-  int Status = 0;
-  bool Waiting = false;
+  struct question {
+    int Status = 0;
+    bool Waiting = false;
+  };
+  // An answer's end may come after this function's.
+  auto Question = std::make_shared<question>();
   return wait(Bound, [&] {
-    if (Status == http1::status::Ok || Waiting)
-      return Status == http1::status::Ok;
-    Waiting = true;
+    if (Question->Status == http1::status::Ok || Question->Waiting)
+      return Question->Status == http1::status::Ok;
+    Question->Waiting = true;
     http1::call_request Request;
     Request.Address = Address;
     Request.Method = "GET";
     Request.Target = "/readiness";
-    http().call(
-        std::move(Request),
-        {[&](const http1::response_head &Head) { Status = Head.Status; },
-         [](std::string_view) {},
-         [&](const http1::call_result &) { Waiting = false; }});
+    http().call(std::move(Request),
+                {[Question](const http1::response_head &Head) {
+                   Question->Status = Head.Status;
+                 },
+                 [](std::string_view) {},
+                 [Question](const http1::call_result &) {
+                   Question->Waiting = false;
+                 }});
     return false;
   });
 }
@@ -318,14 +375,20 @@
     http().cancel(Id);
 }
 
+std::string fleet::versionHost(std::uint64_t Version) {
+  return "v" + std::to_string(Version) + ".example";
+}
+
 void fleet::configure(std::uint64_t Version) {
+  std::string Own = versionHost(Version);
   constexpr int RetentionS = 30;
   json Plan = routeOf("plan", PlanHost, "/", "streaming", "llm", 2);
   Plan["retain_context"] = true;
   Plan["retention_s"] = RetentionS;
   json Spec = {{"version", Version},
                {"routes",
-                {Plan, routeOf("look", ToolHost, "/look/", "safe", "book", 2),
+                {Plan, routeOf("own", Own.c_str(), "/look/", "safe", "book", 2),
+                 routeOf("look", ToolHost, "/look/", "safe", "book", 2),
                  routeOf("book", ToolHost, "/book/", "unsafe", "book", 2)}},
                {"services",
                 {{{"name", "llm"},
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -9,6 +9,7 @@
 /// All processes end with the fleet.
 #pragma once
 
+#include "tcp_link.h"
 #include "turmerichead/handle.h"
 #include "turmerichead/http1_client.h"
 #include "turmerichead/net_loop.h"
@@ -16,6 +17,7 @@
 #include <gio/gio.h>
 
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -37,6 +39,7 @@
   /// An upstream that ends by itself is started again after this time.
   milliseconds UpstreamBack{1500};
   std::uint64_t Seed = 1;
+  bool Links = false; ///< Relays before callers' ports and before the store.
 };
 
 enum class role { Store, Entry, Disk, Runner, Tool };
@@ -49,8 +52,11 @@
   int Starts = 0;
   handle<GSubprocess> Process;
   bool Stopped = false; ///< By SIGSTOP.
-  time_point EndedAt;   ///< Zero while it runs, or was ended by the test.
+  time_point StartedAt;
+  time_point EndedAt; ///< Zero while it runs, or was ended by the test.
   bool Restarts = false;
+  std::unique_ptr<standin::tcp_link> CallerLink; ///< If the fleet has links.
+  std::unique_ptr<standin::tcp_link> StoreLink;
 };
 
 /// A request that an upstream has told of.
@@ -86,7 +92,10 @@
 
   /// Starts a process that has ended, or a new one of the role.
   bool startMember(const std::string &Name, bool Fresh = false);
-  std::string addEntry();
+  /// A new host of the role, an entry or a disk host.
+  std::string addHost(role Role);
+  /// Takes a member away for good.
+  void remove(const std::string &Name);
 
   void kill(const std::string &Name);
   void signal(const std::string &Name, int Number);
@@ -96,8 +105,10 @@
   /// Orders to the store's stand-in, or to an upstream's.
   void order(const std::string &Name, const nlohmann::json &Order);
 
-  /// Puts a configuration in force.
+  /// Puts a configuration in force. Each version has a route that the others
+  /// have not, under versionHost().
   void configure(std::uint64_t Version);
+  static std::string versionHost(std::uint64_t Version);
 
   bool waitReady(const std::string &Entry, milliseconds Bound);
 
@@ -105,6 +116,8 @@
   std::vector<run_line> runs() const;
 
   http1::client &http() { return *Http; }
+  /// Expires with the fleet, for timers that may outlive it.
+  std::weak_ptr<const bool> alive() const { return Alive; }
 
   /// Turns the loop until \p Reached; false after \p Bound.
   bool wait(milliseconds Bound, const std::function<bool()> &Reached);
@@ -114,6 +127,8 @@
 
 private:
   member &place(const std::string &Name, role Role);
+  bool openLinks(member &Member);
+  std::string storeAddress(const member &Member) const;
   std::vector<std::string> commandOf(member &Member);
   std::string writeSettings(const member &Member, bool Fresh) const;
   bool spawn(member &Member, bool Fresh);
@@ -123,8 +138,10 @@
   fleet_settings Settings;
   std::map<std::string, member> Members;
   std::optional<http1::client> Http;
+  std::shared_ptr<const bool> Alive = std::make_shared<bool>(true);
+  unsigned Number = 0; ///< Of the fleets of this process.
   std::uint8_t NextIp = 1;
-  int NextPort = 9000;
+  std::map<role, int> NextNumber;
   loop_source Reviver;
 };
 
--- /dev/null
+++ b/testsuite/soak/main.cpp
@@ -0,0 +1,152 @@
+/// \file
+/// The fault soak: real processes, callers and faults, all from one seed.
+///
+///     soak --seed 7                  # one run
+///     soak --seed 1 --runs 50        # seeds 1 to 50
+///     soak --seed 7 --minimize       # the fewest faults that still fail
+///     soak --seed 7 --only 3,8       # these faults of the plan alone
+///
+/// Exit codes: 0 no promise was broken, 1 one was, 2 bad flags or no fleet.
+
+#include "soak.h"
+
+#include "turmerichead/error.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+#include <sstream>
+
+DEFINE_uint64(seed, 1, "Seed of everything");
+DEFINE_uint64(runs, 1, "Runs, with this seed and those that follow");
+DEFINE_uint64(seconds, 20, "Time in which faults begin");
+DEFINE_uint64(pause_ms, 900, "Mean time between the beginnings of faults");
+DEFINE_int32(entries, 4, "Entry hosts");
+DEFINE_int32(disks, 4, "Disk hosts");
+DEFINE_int32(disk_faults, 1, "Disks that may be lost at once");
+DEFINE_int32(runners, 6, "Runners");
+DEFINE_int32(tools, 3, "Plain services");
+DEFINE_int32(programs, 16, "Programs at once");
+DEFINE_string(only, "", "Numbers of faults to play, with commas");
+DEFINE_bool(minimize, false, "Look for the fewest faults that still fail");
+DEFINE_string(report, "", "File for a picture and a table of the last run");
+DEFINE_string(bin, "", "Folder of the programs");
+DEFINE_string(scratch, "/tmp/turmerichead-soak", "Folder for logs");
+
+namespace {
+
+using namespace turmerichead;
+using namespace turmerichead::soak;
+
+soak_settings settingsFor(std::uint64_t Seed) {
+  soak_settings Settings;
+  Settings.Fleet.Bin = FLAGS_bin;
+  Settings.Fleet.Scratch = FLAGS_scratch + "/" + std::to_string(Seed);
+  Settings.Fleet.Entries = FLAGS_entries;
+  Settings.Fleet.Disks = FLAGS_disks;
+  Settings.Fleet.DiskFaults = FLAGS_disk_faults;
+  Settings.Fleet.Runners = FLAGS_runners;
+  Settings.Fleet.Tools = FLAGS_tools;
+  Settings.Fleet.Seed = Seed;
+  Settings.Fleet.Links = true;
+  Settings.Programs = FLAGS_programs;
+  constexpr std::int64_t MsPerSecond = 1000;
+  Settings.Plan.Seed = Seed;
+  Settings.Plan.LengthMs =
+      static_cast<std::int64_t>(FLAGS_seconds) * MsPerSecond;
+  Settings.Plan.MeanPauseMs = static_cast<std::int64_t>(FLAGS_pause_ms);
+  std::stringstream Numbers(FLAGS_only);
+  for (std::string Number; std::getline(Numbers, Number, ',');)
+    Settings.Only.insert(std::stoul(Number));
+  return Settings;
+}
+
+std::string commandOf(const soak_settings &Settings) {
+  std::string Only;
+  for (std::size_t Number : Settings.Only)
+    Only += (Only.empty() ? "" : ",") + std::to_string(Number);
+  return "soak --seed " + std::to_string(Settings.Plan.Seed) + " --seconds " +
+         std::to_string(FLAGS_seconds) + " --pause_ms " +
+         std::to_string(FLAGS_pause_ms) + " --entries " +
+         std::to_string(FLAGS_entries) + " --disks " +
+         std::to_string(FLAGS_disks) + " --disk_faults " +
+         std::to_string(FLAGS_disk_faults) + " --runners " +
+         std::to_string(FLAGS_runners) + " --tools " +
+         std::to_string(FLAGS_tools) + " --programs " +
+         std::to_string(FLAGS_programs) +
+         (Only.empty() ? "" : " --only " + Only);
+}
+
+enum class verdict { Good, Broken, NoFleet };
+
+verdict playOne(const soak_settings &Settings) {
+  soak_run Run(Settings);
+  if (!Run.play()) {
+    std::cerr << "no fleet: " << lastError().Text << "\n";
+    return verdict::NoFleet;
+  }
+  slice Sum;
+  for (const auto &[Number, Slice] : Run.seen().slices()) {
+    Sum.Answered += Slice.Answered;
+    Sum.Refused += Slice.Refused;
+    Sum.Broken += Slice.Broken;
+  }
+  const auto &Violations = Run.seen().violations();
+  std::cout << "seed " << Settings.Plan.Seed << ": " << Run.plan().size()
+            << " faults, " << Sum.Answered << " answered, " << Sum.Refused
+            << " refused, " << Sum.Broken << " broken; "
+            << (Violations.empty() ? "no promise broken" : "BROKEN")
+            << std::endl;
+  for (const violation &Row : Violations)
+    std::cout << "  " << Row.Rule << ": " << Row.Text << "\n";
+  if (!Violations.empty())
+    std::cout << "  again: " << commandOf(Settings)
+              << "\n  timeline: " << Run.timelineFile() << std::endl;
+  if (!FLAGS_report.empty() && !writeReport(FLAGS_report, Run, Settings))
+    std::cerr << FLAGS_report << ": cannot be written\n";
+  return Violations.empty() ? verdict::Good : verdict::Broken;
+}
+
+// Takes faults out one by one, as long as the rest still fails.
+int minimize(soak_settings Settings) {
+  if (Settings.Only.empty())
+    for (std::size_t I = 0; I < makePlan(Settings.Plan).size(); ++I)
+      Settings.Only.insert(I);
+  std::set<std::size_t> Kept = Settings.Only;
+  for (std::size_t Number : Settings.Only) {
+    if (Kept.size() == 1)
+      break;
+    soak_settings Fewer = Settings;
+    Fewer.Only = Kept;
+    Fewer.Only.erase(Number);
+    if (playOne(Fewer) == verdict::Broken)
+      Kept = Fewer.Only;
+  }
+  Settings.Only = Kept;
+  std::cout << "fewest faults: " << commandOf(Settings) << "\n";
+  for (std::size_t Number : Kept)
+    std::cout << "  " << describe(makePlan(Settings.Plan)[Number]) << "\n";
+  return 0;
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  gflags::SetUsageMessage("fault soak over real processes");
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  if (FLAGS_bin.empty()) {
+    std::string Self = Arguments[0];
+    FLAGS_bin = Self.substr(0, Self.rfind('/'));
+  }
+  if (FLAGS_minimize)
+    return minimize(settingsFor(FLAGS_seed));
+  int Code = 0;
+  for (std::uint64_t I = 0; I < FLAGS_runs; ++I) {
+    verdict Verdict = playOne(settingsFor(FLAGS_seed + I));
+    if (Verdict != verdict::Good)
+      Code = Verdict == verdict::NoFleet ? 2 : std::max(Code, 1);
+  }
+  return Code;
+}
--- /dev/null
+++ b/testsuite/soak/oracle.cpp
@@ -0,0 +1,123 @@
+#include "oracle.h"
+
+#include <algorithm>
+
+namespace turmerichead::soak {
+
+namespace {
+
+// Hosts hear of each other within this time.
+constexpr std::int64_t ContactMs = 3000;
+constexpr std::size_t MaxEnds = 3;
+constexpr std::ptrdiff_t MaxLaterSends = 3;
+// A leaving upstream gets nothing new after this time.
+constexpr std::int64_t DrainMs = 2000;
+
+std::uint64_t eventsIn(const std::string &Stream) {
+  std::string Data = fleet::dataOf(Stream);
+  return static_cast<std::uint64_t>(std::count(Data.begin(), Data.end(), '\n'));
+}
+
+} // namespace
+
+void oracle::fail(std::string Rule, std::string Text) {
+  Violations.push_back({std::move(Rule), std::move(Text)});
+}
+
+void oracle::note(milliseconds At, const fleet::caller_request &Request,
+                  const fleet::caller_answer &Answer) {
+  slice &Slice = Slices[At / SliceTime];
+  bool Whole = Answer.Status == http1::status::Ok && Answer.Complete;
+  bool Refused = Answer.Status == http1::status::Unavailable;
+  bool Answered = Whole || Answer.Status == http1::status::PaymentRequired;
+  (Answered ? Slice.Answered : Refused ? Slice.Refused : Slice.Broken)++;
+  Attempts[Answer.Attempt] = {Request.Path, Answer.Status};
+  if (Request.Host == fleet::fleet::PlanHost)
+    judgeTurn(Request, Answer);
+  if (Answer.Status == http1::status::BadRequest)
+    fail("answers", Answer.Attempt + ": a proper request was answered 400");
+}
+
+void oracle::judgeTurn(const fleet::caller_request &Request,
+                       const fleet::caller_answer &Answer) {
+  if (Answer.Status == http1::status::Ok) {
+    std::uint64_t &Tokens = TokensOf[Request.Program];
+    Tokens += eventsIn(Answer.Body);
+    if (Request.Budget > 0 && Tokens > Request.Budget + Request.MostTokens)
+      fail("budget", Request.Program + " was handed " + std::to_string(Tokens) +
+                         " tokens of " + std::to_string(Request.Budget));
+    if (Answer.Complete)
+      WholeTurns.insert(Answer.Attempt);
+  }
+  bool Lost = Answer.Status == http1::status::NotFound &&
+              WholeTurns.count(Request.PreviousTurn) > 0;
+  if (Lost)
+    fail("kept turns", Answer.Attempt + ": the turn " + Request.PreviousTurn +
+                           " was answered whole and is not known");
+}
+
+void oracle::judge(const std::vector<fleet::run_line> &Runs) {
+  std::map<std::string, int> RunsOf;
+  for (const fleet::run_line &Line : Runs)
+    if (Line.What == "run")
+      ++RunsOf[Line.Attempt];
+  judgeAttempts(RunsOf);
+  judgeCrashers(Runs);
+  judgeLeaving(Runs);
+}
+
+void oracle::judgeAttempts(const std::map<std::string, int> &RunsOf) {
+  for (const auto &[Id, Times] : RunsOf) {
+    auto Attempt = Attempts.find(Id);
+    if (Attempt == Attempts.end())
+      continue;
+    bool Safe = Attempt->second.Path.starts_with("/look/");
+    if (Times > 1 && !Safe)
+      fail("at most once", Id + " ran " + std::to_string(Times) + " times");
+    if (Attempt->second.Status == http1::status::Unavailable)
+      fail("not run", Id + " was told 503 and has run");
+  }
+}
+
+void oracle::judgeCrashers(const std::vector<fleet::run_line> &Runs) {
+  struct crasher {
+    std::vector<std::int64_t> Ends;
+    std::vector<std::int64_t> Sends;
+  };
+  std::map<std::string, crasher> Crashers;
+  for (const fleet::run_line &Line : Runs) {
+    if (Line.Crash.empty())
+      continue;
+    crasher &Row = Crashers[Line.Service + " " + Line.Input];
+    if (Line.What == "crash")
+      Row.Ends.push_back(Line.AtMs);
+    if (Line.What == "run")
+      Row.Sends.push_back(Line.AtMs);
+  }
+  for (const auto &[Name, Row] : Crashers) {
+    if (Row.Ends.size() < MaxEnds)
+      continue;
+    std::int64_t Third = Row.Ends[MaxEnds - 1];
+    auto Later = std::count_if(Row.Sends.begin(), Row.Sends.end(),
+                               [&](auto At) { return At > Third + ContactMs; });
+    if (Later > MaxLaterSends)
+      fail("ends by one request",
+           Name + ": " + std::to_string(Later) + " sends later than allowed, " +
+               std::to_string(Row.Ends.size()) + " ends");
+  }
+}
+
+void oracle::judgeLeaving(const std::vector<fleet::run_line> &Runs) {
+  for (const leaving_upstream &Row : Leaving) {
+    auto Late = std::count_if(
+        Runs.begin(), Runs.end(), [&](const fleet::run_line &Line) {
+          return Line.What == "run" && Line.Upstream == Row.Id &&
+                 Line.AtMs > Row.SaidAtMs + DrainMs;
+        });
+    if (Row.Judged && Late > 0)
+      fail("leaving upstreams", Row.Id + " got " + std::to_string(Late) +
+                                    " requests after its time");
+  }
+}
+
+} // namespace turmerichead::soak
--- /dev/null
+++ b/testsuite/soak/soak.cpp
@@ -0,0 +1,430 @@
+#include "soak.h"
+
+#include "turmerichead/error.h"
+
+#include <algorithm>
+#include <csignal>
+#include <memory>
+
+namespace turmerichead::soak {
+
+using fleet::role;
+
+namespace {
+
+constexpr milliseconds Recovery{12'000};
+constexpr milliseconds Measured{3000};
+constexpr double LeastAnswered = 0.9;
+constexpr milliseconds ApplyTime{3000}; ///< Of a configuration, with contact.
+constexpr milliseconds VisitPause{250};
+constexpr milliseconds RestartPause{200};
+constexpr milliseconds LeaveTime{3500};
+
+std::int64_t wallMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+} // namespace
+
+soak_run::soak_run(soak_settings Given)
+    : Settings(std::move(Given)), Plan(makePlan(Settings.Plan)),
+      Fleet(Settings.Fleet) {
+  if (!Settings.Only.empty()) {
+    std::vector<fault> Kept;
+    for (std::size_t I = 0; I < Plan.size(); ++I)
+      if (Settings.Only.count(I) > 0)
+        Kept.push_back(Plan[I]);
+    Plan = std::move(Kept);
+  }
+  Timeline.open(timelineFile());
+}
+
+std::string soak_run::timelineFile() const {
+  return Settings.Fleet.Scratch + "/timeline.jsonl";
+}
+
+void soak_run::tell(std::string_view What, nlohmann::json Fields) {
+  Fields["at_ms"] = now().count();
+  Fields["what"] = What;
+  Timeline << Fields.dump() << std::endl;
+}
+
+void soak_run::after(milliseconds Delay, std::function<void()> Action) {
+  Timers.push_back(loop_source::every(std::max(Delay, milliseconds(1)),
+                                      [Action = std::move(Action)] {
+                                        Action();
+                                        return false;
+                                      }));
+}
+
+// -- The run -----------------------------------------------------------------
+
+bool soak_run::play() {
+  if (!Fleet.start())
+    return false;
+  Start = steadyNow();
+  fleet::sound_traffic Traffic(Fleet, Settings.Programs, Settings.Plan.Seed,
+                               [this](const std::string &,
+                                      const fleet::caller_request &Request,
+                                      const fleet::caller_answer &Answer) {
+                                 Oracle.note(now(), Request, Answer);
+                               });
+  milliseconds End{0};
+  for (const fault &Fault : Plan) {
+    ++UnderWay;
+    End = std::max(End, milliseconds(Fault.AtMs + Fault.ForMs));
+    after(milliseconds(Fault.AtMs), [this, Fault] {
+      tell("begins", {{"fault", describe(Fault)}});
+      after(milliseconds(Fault.ForMs), [this, Fault, Stop = begin(Fault)] {
+        if (Stop)
+          Stop();
+        tell("ends", {{"fault", describe(Fault)}});
+        --UnderWay;
+      });
+    });
+  }
+  Fleet.wait(End + Recovery, [this] { return UnderWay == 0; });
+  Crashers.clear();
+  Fleet.pause(Recovery);
+  judgeEnd();
+  Traffic.stop();
+  Fleet.wait(Recovery, [&] { return Traffic.ended(); });
+  if (Traffic.counts().Wrong > 0)
+    Oracle.fail("own answers", std::to_string(Traffic.counts().Wrong) +
+                                   " answers were not the request's own");
+  if (Traffic.counts().Condemned > 0)
+    Oracle.fail("sound requests",
+                std::to_string(Traffic.counts().Condemned) +
+                    " were refused for ends that they did not cause");
+  Oracle.judge(Fleet.runs());
+  for (const violation &Row : Oracle.violations())
+    tell("violation", {{"rule", Row.Rule}, {"text", Row.Text}});
+  return true;
+}
+
+// After all is over the fleet serves as before.
+void soak_run::judgeEnd() {
+  for (const std::string &Name : Fleet.names(role::Entry))
+    if (!Fleet.waitReady(Name, milliseconds(2000)))
+      Oracle.fail("recovery", Name + " is not ready");
+  milliseconds From = now();
+  Fleet.pause(Measured);
+  slice Sum;
+  for (const auto &[Number, Slice] : Oracle.slices())
+    if (Number * oracle::SliceTime >= From) {
+      Sum.Answered += Slice.Answered;
+      Sum.Refused += Slice.Refused;
+      Sum.Broken += Slice.Broken;
+    }
+  if (Sum.total() == 0 || Sum.Answered < LeastAnswered * Sum.total())
+    Oracle.fail("recovery", std::to_string(Sum.Answered) + " of " +
+                                std::to_string(Sum.total()) +
+                                " requests are answered after all is over");
+}
+
+std::vector<recovery> soak_run::recoveries() const {
+  constexpr int LeastSeen = 5;
+  std::vector<recovery> Result;
+  for (const fault &Fault : Plan) {
+    milliseconds Over(Fault.AtMs + Fault.ForMs);
+    recovery Row{Fault, Over, std::nullopt};
+    for (const auto &[Number, Slice] : Oracle.slices()) {
+      milliseconds At = Number * oracle::SliceTime;
+      bool Well = Slice.total() >= LeastSeen &&
+                  Slice.Answered >= LeastAnswered * Slice.total();
+      if (At < Over || !Well)
+        continue;
+      Row.After = At - Over;
+      break;
+    }
+    Result.push_back(Row);
+  }
+  return Result;
+}
+
+// -- Faults ------------------------------------------------------------------
+
+std::string soak_run::pick(role Role, std::uint32_t Target) {
+  std::vector<std::string> Names = Fleet.names(Role);
+  return Names[Target % Names.size()];
+}
+
+void soak_run::restart(const std::string &Name) {
+  if (Fleet.find(Name) && !Fleet.isRunning(Name))
+    Fleet.startMember(Name);
+}
+
+soak_run::ender soak_run::begin(const fault &Fault) {
+  if (Fault.Kind <= fault_kind::KillAllHosts)
+    return beginHostFault(Fault);
+  if (Fault.Kind <= fault_kind::ToolLoses)
+    return beginUpstreamFault(Fault);
+  if (Fault.Kind <= fault_kind::StoreRefusesOne)
+    return beginStoreFault(Fault);
+  return beginCallerFault(Fault);
+}
+
+void soak_run::killAll(std::initializer_list<role> Roles) {
+  for (role Role : Roles)
+    for (const std::string &Name : Fleet.names(Role))
+      Fleet.signal(Name, SIGKILL);
+}
+
+soak_run::ender soak_run::freeze(const std::string &Name) {
+  Fleet.signal(Name, SIGSTOP);
+  ++StoreTroubles;
+  return [this, Name] {
+    Fleet.signal(Name, SIGCONT);
+    --StoreTroubles;
+    StoreTroubleUntil = steadyNow() + ApplyTime;
+  };
+}
+
+soak_run::ender soak_run::stopEntry(const std::string &Name) {
+  Fleet.signal(Name, SIGTERM);
+  return [this, Name] { restartOnceEnded(Name); };
+}
+
+// It ends by itself within its grace.
+void soak_run::restartOnceEnded(const std::string &Name) {
+  if (!Fleet.isRunning(Name))
+    restart(Name);
+  else
+    after(RestartPause, [this, Name] { restartOnceEnded(Name); });
+}
+
+soak_run::ender soak_run::beginHostFault(const fault &Fault) {
+  std::string Entry = pick(role::Entry, Fault.Target);
+  std::string Disk = pick(role::Disk, Fault.Target);
+  switch (Fault.Kind) {
+  case fault_kind::KillEntry:
+    Fleet.signal(Entry, SIGKILL);
+    return [this, Entry] { restart(Entry); };
+  case fault_kind::FreezeEntry:
+    return freeze(Entry);
+  case fault_kind::StopEntry:
+    return stopEntry(Entry);
+  case fault_kind::ReplaceEntry:
+    if (Fleet.names(role::Entry).size() > 1)
+      Fleet.remove(Entry);
+    return [this] { Fleet.addHost(role::Entry); };
+  case fault_kind::KillDisk:
+    Fleet.signal(Disk, SIGKILL);
+    return [this, Disk] { restart(Disk); };
+  case fault_kind::FreezeDisk:
+    return freeze(Disk);
+  case fault_kind::WipeDisk:
+    Fleet.wipe(Disk);
+    return [this, Disk] { restart(Disk); };
+  default:
+    break;
+  }
+  bool All = Fault.Kind == fault_kind::KillAllHosts;
+  killAll({role::Entry});
+  if (All)
+    killAll({role::Disk});
+  return [this] {
+    for (role Role : {role::Disk, role::Entry})
+      for (const std::string &Name : Fleet.names(Role))
+        restart(Name);
+  };
+}
+
+soak_run::ender soak_run::misbehave(const std::string &Name, const char *What,
+                                    double Share) {
+  Fleet.order(Name, {{What, Share}});
+  bool Slow = std::string_view(What) == "slow_factor";
+  return [this, Name, What, Slow] {
+    if (Fleet.isRunning(Name))
+      Fleet.order(Name, {{What, Slow ? 1.0 : 0.0}});
+  };
+}
+
+// The upstream says that it leaves, serves on, and goes; another comes.
+soak_run::ender soak_run::leave(const std::string &Name) {
+  fleet::member *Member = Fleet.find(Name);
+  if (!Fleet.isRunning(Name) || Member->Stopped || !Member->Restarts)
+    return {};
+  std::string Id = "i-" + Name + "-" + std::to_string(Member->Starts - 1);
+  Member->Restarts = false;
+  Fleet.order(Name, {{"draining", true}});
+  std::int64_t SaidAt = wallMs();
+  bool Calm = StoreTroubles == 0 && steadyNow() >= StoreTroubleUntil;
+  after(LeaveTime, [this, Name, Id, SaidAt, Calm] {
+    bool Still = Calm && StoreTroubles == 0 &&
+                 steadyNow() - StoreTroubleUntil >= LeaveTime;
+    Oracle.noteLeaving({Id, SaidAt, Still});
+    Fleet.signal(Name, SIGKILL);
+    Fleet.order("store", {{"remove", {{"kind", "servers"}, {"name", Id}}}});
+    after(RestartPause, [this, Name] { restart(Name); });
+  });
+  return {};
+}
+
+soak_run::ender soak_run::beginUpstreamFault(const fault &Fault) {
+  constexpr double Some = 0.3;
+  constexpr double Slow = 6;
+  std::string Runner = pick(role::Runner, Fault.Target);
+  std::string Tool = pick(role::Tool, Fault.Target);
+  switch (Fault.Kind) {
+  case fault_kind::KillRunner:
+    Fleet.signal(Runner, SIGKILL);
+    return {};
+  case fault_kind::KillTool:
+    Fleet.signal(Tool, SIGKILL);
+    return {};
+  case fault_kind::FreezeRunner:
+    Fleet.signal(Runner, SIGSTOP);
+    return [this, Runner] { Fleet.signal(Runner, SIGCONT); };
+  case fault_kind::LeaveRunner:
+    return leave(Runner);
+  case fault_kind::RunnerErrors:
+    return misbehave(Runner, "errors", Some);
+  case fault_kind::RunnerLoses:
+    return misbehave(Runner, "lost", Some);
+  case fault_kind::RunnerHangs:
+    return misbehave(Runner, "hang", Some);
+  case fault_kind::RunnerEndless:
+    return misbehave(Runner, "endless", Some);
+  case fault_kind::RunnerSlow:
+    return misbehave(Runner, "slow_factor", Slow);
+  case fault_kind::RunnerLies:
+    Fleet.order(Runner, {{"sick", true}});
+    return [this, Runner] { Fleet.order(Runner, {{"sick", false}}); };
+  default:
+    return misbehave(Tool, "lost", Some);
+  }
+}
+
+soak_run::ender soak_run::beginStoreFault(const fault &Fault) {
+  if (Fault.Kind == fault_kind::StoreForgets) {
+    Fleet.order("store", {{"forget_history", true}});
+    return {};
+  }
+  ++StoreTroubles;
+  auto Over = [this] {
+    --StoreTroubles;
+    StoreTroubleUntil = steadyNow() + ApplyTime;
+  };
+  if (Fault.Kind == fault_kind::StoreRefusesOne) {
+    std::string Entry = pick(role::Entry, Fault.Target);
+    Fleet.find(Entry)->StoreLink->setCuts(true, true);
+    return [this, Entry, Over] {
+      if (fleet::member *Member = Fleet.find(Entry))
+        Member->StoreLink->setCuts(false, false);
+      Over();
+    };
+  }
+  const char *Mood = Fault.Kind == fault_kind::StoreBusy     ? "busy"
+                     : Fault.Kind == fault_kind::StoreSilent ? "silent"
+                     : Fault.Kind == fault_kind::StoreResets ? "reset"
+                                                             : "lossy";
+  Fleet.order("store", {{"mood", Mood}});
+  ++StoreMoods;
+  return [this, Over] {
+    Over();
+    if (--StoreMoods == 0)
+      Fleet.order("store", {{"mood", "fine"}});
+  };
+}
+
+soak_run::ender soak_run::beginCallerFault(const fault &Fault) {
+  if (Fault.Kind == fault_kind::Configure) {
+    configure();
+    return {};
+  }
+  if (Fault.Kind == fault_kind::Crasher)
+    return crasher();
+  std::string Entry = pick(role::Entry, Fault.Target);
+  standin::tcp_link &Link = *Fleet.find(Entry)->CallerLink;
+  constexpr std::int64_t SlowMs = 150;
+  if (Fault.Kind == fault_kind::CallersReset)
+    Link.closeAll();
+  else if (Fault.Kind == fault_kind::CallersSlow)
+    Link.setDelay(SlowMs);
+  else
+    Link.setCuts(Fault.Target % 2 == 0, true);
+  return [this, Entry] {
+    if (fleet::member *Member = Fleet.find(Entry)) {
+      Member->CallerLink->setDelay(0);
+      Member->CallerLink->setCuts(false, false);
+    }
+  };
+}
+
+// -- Configurations ----------------------------------------------------------
+
+void soak_run::configure() {
+  Fleet.configure(++Version);
+  std::uint64_t Mine = Version;
+  bool Calm = StoreTroubles == 0 && steadyNow() >= StoreTroubleUntil;
+  after(ApplyTime, [this, Mine, Calm] {
+    if (!Calm || StoreTroubles > 0 || steadyNow() < StoreTroubleUntil)
+      return;
+    if (Version == Mine) {
+      probeVersion(Mine, true);
+      probeVersion(Mine - 1, false);
+    }
+  });
+}
+
+// Asks each host that has run for a while for a version's own route.
+void soak_run::probeVersion(std::uint64_t Asked, bool Wanted) {
+  for (const std::string &Name : Fleet.names(role::Entry)) {
+    const fleet::member &Member = *Fleet.find(Name);
+    bool InTouch = Fleet.isRunning(Name) && !Member.Stopped &&
+                   steadyNow() - Member.StartedAt > ApplyTime + Recovery;
+    if (!InTouch)
+      continue;
+    fleet::caller_request Request;
+    Request.Method = "GET";
+    Request.Host = fleet::fleet::versionHost(Asked);
+    Request.Path = "/look/slot";
+    Request.TimeLeft = milliseconds(1000);
+    std::uint64_t Current = Version;
+    send(Fleet, Name, Request,
+         [this, Name, Asked, Wanted, Current](const fleet::caller_answer &A) {
+           if (A.Status == 0 || Current != Version)
+             return;
+           bool Known = A.Status != http1::status::NotFound;
+           if (Known != Wanted)
+             Oracle.fail("configuration",
+                         Name +
+                             (Wanted ? " does not know version "
+                                     : " still knows version ") +
+                             std::to_string(Asked));
+         });
+  }
+}
+
+// -- Crashers ----------------------------------------------------------------
+
+void soak_run::visit(const fleet::caller_request &Request) {
+  std::vector<std::string> Names = Fleet.names(role::Entry);
+  std::erase_if(Names, [&](const std::string &Name) {
+    return !Fleet.isRunning(Name) || Fleet.find(Name)->Stopped;
+  });
+  if (Names.empty())
+    return;
+  static std::size_t Next = 0;
+  send(Fleet, Names[++Next % Names.size()], Request,
+       [](const fleet::caller_answer &) {});
+}
+
+soak_run::ender soak_run::crasher() {
+  fleet::caller_request Request;
+  bool Stream = ++CrasherNumber % 2 == 0;
+  Request.Host = Stream ? fleet::fleet::PlanHost : fleet::fleet::ToolHost;
+  Request.Path = Stream ? "/turn/" : "/book/slot";
+  Request.Program = "crasher-" + std::to_string(CrasherNumber);
+  Request.Body = "crash-midway " + Request.Program + "\n";
+  Crashers.push_back(loop_source::every(VisitPause, [this, Request] {
+    visit(Request);
+    return true;
+  }));
+  return {}; // It comes until all else is over.
+}
+
+} // namespace turmerichead::soak
