--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -113,7 +113,7 @@
 
   /// Connects to \p Address without a call; the connection is kept for later
   /// ones. \p Done is called once, never inside this call.
-  void probe(std::string Address, milliseconds Timeout,
+  void probe(const std::string &Address, milliseconds Timeout,
              std::function<void(probe_result)> Done);
 
   /// Closes the kept connections to an address that is not used any more.
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -458,7 +458,7 @@
 }
 
 void client::state::failLater(call_id Id, std::string Reason) {
-  Deferred.push_back([this, Id, Reason = std::move(Reason)] {
+  Deferred.emplace_back([this, Id, Reason = std::move(Reason)] {
     end(Id, {call_outcome::NotSent, Reason});
   });
   runDeferred();
@@ -524,11 +524,11 @@
   return Id;
 }
 
-void client::probe(std::string Address, milliseconds Timeout,
+void client::probe(const std::string &Address, milliseconds Timeout,
                    std::function<void(probe_result)> Done) {
   auto Id = State->connect(Address, Timeout);
   if (!Id) {
-    State->Deferred.push_back(
+    State->Deferred.emplace_back(
         [Done = std::move(Done)] { Done(probe_result::Unknown); });
     State->runDeferred();
     return;
--- a/src/librelay/suspects_test.cpp
+++ b/src/librelay/suspects_test.cpp
@@ -56,11 +56,11 @@
   // upstream within five seconds.
   suspects Suspects("h");
   SUBCASE("nobody listens any more") {
-    for (int I = 0; I < 3; ++I)
+    for (std::int64_t I = 0; I < 3; ++I)
       end(Suspects, crasher(), "u" + std::to_string(I), 1000 * (I + 1));
   }
   SUBCASE("another process has started at the address") {
-    for (int I = 0; I < 3; ++I) {
+    for (std::int64_t I = 0; I < 3; ++I) {
       Suspects.noteUnfinished(upstreamAt("u" + std::to_string(I), "a:1", I),
                               crasher(), unfinished::Broken, {1000 * I},
                               {1000 * I + 20});
@@ -70,7 +70,7 @@
     }
   }
   SUBCASE("its entry has vanished") {
-    for (int I = 0; I < 3; ++I) {
+    for (std::int64_t I = 0; I < 3; ++I) {
       upstream Upstream = upstreamAt("u" + std::to_string(I));
       Suspects.noteUnfinished(Upstream, crasher(), unfinished::Broken,
                               {5000 * I}, {5000 * I + 20});
@@ -78,7 +78,7 @@
     }
   }
   SUBCASE("the end was known before the break was read") {
-    for (int I = 0; I < 3; ++I) {
+    for (std::int64_t I = 0; I < 3; ++I) {
       upstream Upstream = upstreamAt("u" + std::to_string(I));
       Suspects.noteEnded(Upstream, end_evidence::Refused, {5000 * I});
       Suspects.noteUnfinished(Upstream, crasher(), unfinished::Broken,
@@ -86,7 +86,7 @@
     }
   }
   SUBCASE("it fell silent, and its callers gave up before it was replaced") {
-    for (int I = 0; I < 3; ++I) {
+    for (std::int64_t I = 0; I < 3; ++I) {
       Suspects.noteUnfinished(upstreamAt("u" + std::to_string(I), "a:1", I),
                               crasher(), unfinished::Left, {5000 * I},
                               {5000 * I + 2000});
@@ -112,7 +112,7 @@
   suspects Suspects("h");
   suspects Other("i");
   call_prints Neighbour = suspects::printsOf("p", "/plan/1", "sound");
-  for (int I = 0; I < 2; ++I)
+  for (std::int64_t I = 0; I < 2; ++I)
     end(Suspects, Neighbour, "u" + std::to_string(I), 1000 * (I + 1));
   Other.merge(Suspects.entriesWith(2, {2500}), {2500});
   CHECK(Other.endsOf(Neighbour.Exact, {2500}).size() == 2);
@@ -155,7 +155,7 @@
   suspects Here("h");
   suspects There("i");
   // Clocks differ by hours; the ends are the same.
-  for (int I = 0; I < 2; ++I) {
+  for (std::int64_t I = 0; I < 2; ++I) {
     end(Here, crasher(), "u" + std::to_string(I), 1000 * (I + 1));
     end(There, crasher(), "u" + std::to_string(I), 9'000'000 + 1000 * (I + 1));
   }
@@ -168,10 +168,10 @@
 
 TEST_CASE("budget_caller_that_comes_under_ever_new_programs") {
   suspects Suspects("h");
-  auto Visit = [](int I) {
+  auto Visit = [](std::int64_t I) {
     return suspects::printsOf("p" + std::to_string(I), "/plan/1", "body");
   };
-  for (int I = 0; I < 3; ++I) {
+  for (std::int64_t I = 0; I < 3; ++I) {
     CHECK(!refused(Suspects, Visit(I), 1000 * I));
     end(Suspects, Visit(I), "u" + std::to_string(I), 1000 * (I + 1));
   }
@@ -185,14 +185,14 @@
 TEST_CASE("requests of many programs with one body outlive an outage") {
   // Every upstream of a service ends at once, with calls that look alike.
   suspects Suspects("h");
-  auto Call = [](int I) {
+  auto Call = [](std::int64_t I) {
     return suspects::printsOf("p" + std::to_string(I), "/look/", "the same");
   };
-  for (int I = 0; I < 6; ++I)
+  for (std::int64_t I = 0; I < 6; ++I)
     Suspects.noteUnfinished(
         upstreamAt("u" + std::to_string(I), "a:" + std::to_string(I)), Call(I),
         unfinished::Broken, {900}, {1000 + I});
-  for (int I = 0; I < 6; ++I)
+  for (std::int64_t I = 0; I < 6; ++I)
     Suspects.noteEnded(
         upstreamAt("u" + std::to_string(I), "a:" + std::to_string(I)),
         end_evidence::Refused, {1010 + I});
@@ -208,7 +208,8 @@
   constexpr int TriesOfATurn = 3;
   std::mt19937 Random(7);
   std::vector<suspects> Hosts;
-  for (int I = 0; I < 8; ++I)
+  Hosts.reserve(8);
+  for (std::int64_t I = 0; I < 8; ++I)
     Hosts.emplace_back("h" + std::to_string(I));
   std::map<std::uint64_t, int> TriesOf;
   std::vector<call_prints> Turns;
@@ -255,7 +256,7 @@
 
 TEST_CASE("records are bounded, and what does not decode is told") {
   suspects Suspects("h");
-  for (int I = 0; I < 10'000; ++I) {
+  for (std::int64_t I = 0; I < 10'000; ++I) {
     call_prints Prints = suspects::printsOf(std::to_string(I), "/", "");
     end(Suspects, Prints, "u" + std::to_string(I), 1000 + I);
   }
--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -128,7 +128,7 @@
   for (const std::string &Name : Fleet.names(role::Entry))
     if (Fleet.isRunning(Name) && !Fleet.find(Name)->Stopped)
       Names.push_back(Name);
-  return Names.empty() ? "entry-0" : Names[Random() % Names.size()];
+  return Names.empty() ? std::string() : Names[Random() % Names.size()];
 }
 
 void sound_traffic::later(std::size_t Index) {
@@ -151,11 +151,14 @@
     constexpr unsigned PoorOneIn = 5;
     Program.Budget = Random() % PoorOneIn == 0 ? SmallBudget : AmpleBudget;
   }
+  std::string Entry = anyEntry();
   constexpr unsigned CallsOneIn = 3;
-  if (Random() % CallsOneIn == 0)
-    call(Index);
+  if (Entry.empty())
+    later(Index);
+  else if (Random() % CallsOneIn == 0)
+    call(Index, Entry);
   else
-    turn(Index);
+    turn(Index, Entry);
 }
 
 void sound_traffic::judge(const std::string &Entry,
@@ -177,7 +180,7 @@
   }
 }
 
-void sound_traffic::turn(std::size_t Index) {
+void sound_traffic::turn(std::size_t Index, const std::string &Entry) {
   program &Program = Programs[Index];
   caller_request Request;
   Request.Host = fleet::PlanHost;
@@ -190,7 +193,6 @@
   Request.MostTokens =
       static_cast<std::uint64_t>(Fleet.settings().RunnerEvents);
   std::string Given = Program.Chain + Request.Body;
-  std::string Entry = anyEntry();
   send(Fleet, Entry, Request,
        [this, Index, Given, Entry, Request](const caller_answer &Answer) {
          judge(Entry, Request, Answer);
@@ -211,7 +213,7 @@
        });
 }
 
-void sound_traffic::call(std::size_t Index) {
+void sound_traffic::call(std::size_t Index, const std::string &Entry) {
   program &Program = Programs[Index];
   bool Look = Random() % 2 == 0;
   caller_request Request;
@@ -222,7 +224,6 @@
   if (!Look)
     Request.Body = "book " + std::to_string(++Serial);
   std::string Wanted = markOf(Request.Body);
-  std::string Entry = anyEntry();
   send(Fleet, Entry, Request,
        [this, Index, Wanted, Entry, Request](const caller_answer &Answer) {
          judge(Entry, Request, Answer);
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -82,11 +82,12 @@
     bool Spent = false; ///< Told 402.
   };
   void next(std::size_t Index);
-  void turn(std::size_t Index);
-  void call(std::size_t Index);
+  void turn(std::size_t Index, const std::string &Entry);
+  void call(std::size_t Index, const std::string &Entry);
   void judge(const std::string &Entry, const caller_request &Request,
              const caller_answer &Answer);
   void later(std::size_t Index);
+  /// A host that runs; empty if none does.
   std::string anyEntry();
 
   fleet &Fleet;
