--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-namespace turmerichead::fleet {
+namespace turmerichead::fleet_harness {
 
 namespace {
 
@@ -234,4 +234,4 @@
        });
 }
 
-} // namespace turmerichead::fleet
+} // namespace turmerichead::fleet_harness
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace turmerichead::fleet {
+namespace turmerichead::fleet_harness {
 
 struct caller_request {
   std::string Method = "POST";
@@ -101,4 +101,4 @@
   bool Stopping = false;
 };
 
-} // namespace turmerichead::fleet
+} // namespace turmerichead::fleet_harness
--- a/testsuite/fleet/crashing_request_test.cpp
+++ b/testsuite/fleet/crashing_request_test.cpp
@@ -11,7 +11,7 @@
 #include <set>
 
 using namespace turmerichead;
-using namespace turmerichead::fleet;
+using namespace turmerichead::fleet_harness;
 
 namespace {
 
@@ -32,7 +32,7 @@
   std::vector<caller_answer> Answers{};
 
   /// Sent once more, through \p Entry, by its caller.
-  void visit(fleet::fleet &Fleet, const std::string &Entry) {
+  void visit(fleet &Fleet, const std::string &Entry) {
     caller_request Sent = Request;
     if (NewProgramEachTime)
       Sent.Program += "-" + std::to_string(Visits);
@@ -47,7 +47,7 @@
 
 std::vector<crasher> crashers() {
   crasher Midway{"a stream, midway", "llm", "crash-midway"};
-  Midway.Request.Host = fleet::fleet::PlanHost;
+  Midway.Request.Host = fleet::PlanHost;
   Midway.Request.Path = "/turn/";
   Midway.Request.Program = "crasher";
   Midway.Request.Body = "please crash-midway now\n";
@@ -60,11 +60,11 @@
   AtOnce.NewProgramEachTime = true;
   crasher Look{"a safe call", "book", "crash-at-once"};
   Look.Request.Method = "GET";
-  Look.Request.Host = fleet::fleet::ToolHost;
+  Look.Request.Host = fleet::ToolHost;
   Look.Request.Path = "/look/crash-at-once";
   Look.Request.Program = "crasher-2";
   crasher Book{"an unsafe call", "book", "crash-midway"};
-  Book.Request.Host = fleet::fleet::ToolHost;
+  Book.Request.Host = fleet::ToolHost;
   Book.Request.Path = "/book/slot";
   Book.Request.Program = "crasher-3";
   Book.Request.Body = "crash-midway";
@@ -80,7 +80,7 @@
   return Settings;
 }
 
-std::vector<std::string> entriesInTouch(fleet::fleet &Fleet) {
+std::vector<std::string> entriesInTouch(fleet &Fleet) {
   std::vector<std::string> Names;
   for (const std::string &Name : Fleet.names(role::Entry))
     if (Fleet.isRunning(Name) && !Fleet.find(Name)->Stopped)
@@ -136,7 +136,7 @@
 } // namespace
 
 TEST_CASE("crashing_request_without_other_traffic") {
-  fleet::fleet Fleet(settingsFor("calm"));
+  fleet Fleet(settingsFor("calm"));
   REQUIRE(Fleet.start());
   std::vector<crasher> Crashers = crashers();
   constexpr int Rounds = 20;
@@ -153,7 +153,7 @@
 }
 
 TEST_CASE("crashing_request_while_hosts_end_and_come") {
-  fleet::fleet Fleet(settingsFor("trouble"));
+  fleet Fleet(settingsFor("trouble"));
   REQUIRE(Fleet.start());
   sound_traffic Traffic(Fleet, 12, 1);
   std::vector<crasher> Crashers = crashers();
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -9,7 +9,7 @@
 #include <filesystem>
 #include <fstream>
 
-namespace turmerichead::fleet {
+namespace turmerichead::fleet_harness {
 
 using nlohmann::json;
 
@@ -231,6 +231,7 @@
     g_subprocess_launcher_setenv(Launcher.get(), "TURMERICHEAD_CONFIG",
                                  writeSettings(Member, Fresh).c_str(), TRUE);
   std::vector<const char *> Arguments;
+  Arguments.reserve(Command.size() + 1);
   for (const std::string &Argument : Command)
     Arguments.push_back(Argument.c_str());
   Arguments.push_back(nullptr);
@@ -434,4 +435,4 @@
   wait(Time, [] { return false; });
 }
 
-} // namespace turmerichead::fleet
+} // namespace turmerichead::fleet_harness
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -23,7 +23,7 @@
 #include <string>
 #include <vector>
 
-namespace turmerichead::fleet {
+namespace turmerichead::fleet_harness {
 
 struct fleet_settings {
   std::string Scratch; ///< Emptied at the start.
@@ -145,4 +145,4 @@
   loop_source Reviver;
 };
 
-} // namespace turmerichead::fleet
+} // namespace turmerichead::fleet_harness
--- a/testsuite/soak/oracle.cpp
+++ b/testsuite/soak/oracle.cpp
@@ -14,7 +14,7 @@
 constexpr std::int64_t DrainMs = 2000;
 
 std::uint64_t eventsIn(const std::string &Stream) {
-  std::string Data = fleet::dataOf(Stream);
+  std::string Data = fleet_harness::dataOf(Stream);
   return static_cast<std::uint64_t>(std::count(Data.begin(), Data.end(), '\n'));
 }
 
@@ -24,22 +24,22 @@
   Violations.push_back({std::move(Rule), std::move(Text)});
 }
 
-void oracle::note(milliseconds At, const fleet::caller_request &Request,
-                  const fleet::caller_answer &Answer) {
+void oracle::note(milliseconds At, const fleet_harness::caller_request &Request,
+                  const fleet_harness::caller_answer &Answer) {
   slice &Slice = Slices[At / SliceTime];
   bool Whole = Answer.Status == http1::status::Ok && Answer.Complete;
   bool Refused = Answer.Status == http1::status::Unavailable;
   bool Answered = Whole || Answer.Status == http1::status::PaymentRequired;
   (Answered ? Slice.Answered : Refused ? Slice.Refused : Slice.Broken)++;
   Attempts[Answer.Attempt] = {Request.Path, Answer.Status};
-  if (Request.Host == fleet::fleet::PlanHost)
+  if (Request.Host == fleet_harness::fleet::PlanHost)
     judgeTurn(Request, Answer);
   if (Answer.Status == http1::status::BadRequest)
     fail("answers", Answer.Attempt + ": a proper request was answered 400");
 }
 
-void oracle::judgeTurn(const fleet::caller_request &Request,
-                       const fleet::caller_answer &Answer) {
+void oracle::judgeTurn(const fleet_harness::caller_request &Request,
+                       const fleet_harness::caller_answer &Answer) {
   if (Answer.Status == http1::status::Ok) {
     std::uint64_t &Tokens = TokensOf[Request.Program];
     Tokens += eventsIn(Answer.Body);
@@ -56,9 +56,9 @@
                            " was answered whole and is not known");
 }
 
-void oracle::judge(const std::vector<fleet::run_line> &Runs) {
+void oracle::judge(const std::vector<fleet_harness::run_line> &Runs) {
   std::map<std::string, int> RunsOf;
-  for (const fleet::run_line &Line : Runs)
+  for (const fleet_harness::run_line &Line : Runs)
     if (Line.What == "run")
       ++RunsOf[Line.Attempt];
   judgeAttempts(RunsOf);
@@ -79,13 +79,13 @@
   }
 }
 
-void oracle::judgeCrashers(const std::vector<fleet::run_line> &Runs) {
+void oracle::judgeCrashers(const std::vector<fleet_harness::run_line> &Runs) {
   struct crasher {
     std::vector<std::int64_t> Ends;
     std::vector<std::int64_t> Sends;
   };
   std::map<std::string, crasher> Crashers;
-  for (const fleet::run_line &Line : Runs) {
+  for (const fleet_harness::run_line &Line : Runs) {
     if (Line.Crash.empty())
       continue;
     crasher &Row = Crashers[Line.Service + " " + Line.Input];
@@ -107,10 +107,10 @@
   }
 }
 
-void oracle::judgeLeaving(const std::vector<fleet::run_line> &Runs) {
+void oracle::judgeLeaving(const std::vector<fleet_harness::run_line> &Runs) {
   for (const leaving_upstream &Row : Leaving) {
     auto Late = std::count_if(
-        Runs.begin(), Runs.end(), [&](const fleet::run_line &Line) {
+        Runs.begin(), Runs.end(), [&](const fleet_harness::run_line &Line) {
           return Line.What == "run" && Line.Upstream == Row.Id &&
                  Line.AtMs > Row.SaidAtMs + DrainMs;
         });
--- a/testsuite/soak/oracle.h
+++ b/testsuite/soak/oracle.h
@@ -37,15 +37,15 @@
   static constexpr milliseconds SliceTime{250};
 
   /// An answer that a caller got, \p At after the start of traffic.
-  void note(milliseconds At, const fleet::caller_request &Request,
-            const fleet::caller_answer &Answer);
+  void note(milliseconds At, const fleet_harness::caller_request &Request,
+            const fleet_harness::caller_answer &Answer);
   void noteLeaving(leaving_upstream Upstream) {
     Leaving.push_back(std::move(Upstream));
   }
   void fail(std::string Rule, std::string Text);
 
   /// Compares with what the upstreams have told.
-  void judge(const std::vector<fleet::run_line> &Runs);
+  void judge(const std::vector<fleet_harness::run_line> &Runs);
 
   const std::vector<violation> &violations() const { return Violations; }
   const std::map<std::int64_t, slice> &slices() const { return Slices; }
@@ -55,11 +55,11 @@
     std::string Path;
     int Status = 0;
   };
-  void judgeTurn(const fleet::caller_request &Request,
-                 const fleet::caller_answer &Answer);
+  void judgeTurn(const fleet_harness::caller_request &Request,
+                 const fleet_harness::caller_answer &Answer);
   void judgeAttempts(const std::map<std::string, int> &RunsOf);
-  void judgeCrashers(const std::vector<fleet::run_line> &Runs);
-  void judgeLeaving(const std::vector<fleet::run_line> &Runs);
+  void judgeCrashers(const std::vector<fleet_harness::run_line> &Runs);
+  void judgeLeaving(const std::vector<fleet_harness::run_line> &Runs);
 
   std::map<std::string, attempt> Attempts;
   std::set<std::string> WholeTurns;
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -8,7 +8,7 @@
 
 namespace turmerichead::soak {
 
-using fleet::role;
+using fleet_harness::role;
 
 namespace {
 
@@ -65,12 +65,12 @@
   if (!Fleet.start())
     return false;
   Start = steadyNow();
-  fleet::sound_traffic Traffic(Fleet, Settings.Programs, Settings.Plan.Seed,
-                               [this](const std::string &,
-                                      const fleet::caller_request &Request,
-                                      const fleet::caller_answer &Answer) {
-                                 Oracle.note(now(), Request, Answer);
-                               });
+  fleet_harness::sound_traffic Traffic(
+      Fleet, Settings.Programs, Settings.Plan.Seed,
+      [this](const std::string &, const fleet_harness::caller_request &Request,
+             const fleet_harness::caller_answer &Answer) {
+        Oracle.note(now(), Request, Answer);
+      });
   milliseconds End{0};
   for (const fault &Fault : Plan) {
     ++UnderWay;
@@ -244,7 +244,7 @@
 
 // The upstream says that it leaves, serves on, and goes; another comes.
 soak_run::ender soak_run::leave(const std::string &Name) {
-  fleet::member *Member = Fleet.find(Name);
+  fleet_harness::member *Member = Fleet.find(Name);
   if (!Fleet.isRunning(Name) || Member->Stopped || !Member->Restarts)
     return {};
   std::string Id = "i-" + Name + "-" + std::to_string(Member->Starts - 1);
@@ -312,7 +312,7 @@
     std::string Entry = pick(role::Entry, Fault.Target);
     Fleet.find(Entry)->StoreLink->setCuts(true, true);
     return [this, Entry, Over] {
-      if (fleet::member *Member = Fleet.find(Entry))
+      if (fleet_harness::member *Member = Fleet.find(Entry))
         Member->StoreLink->setCuts(false, false);
       Over();
     };
@@ -347,7 +347,7 @@
   else
     Link.setCuts(Fault.Target % 2 == 0, true);
   return [this, Entry] {
-    if (fleet::member *Member = Fleet.find(Entry)) {
+    if (fleet_harness::member *Member = Fleet.find(Entry)) {
       Member->CallerLink->setDelay(0);
       Member->CallerLink->setCuts(false, false);
     }
@@ -373,19 +373,20 @@
 // Asks each host that has run for a while for a version's own route.
 void soak_run::probeVersion(std::uint64_t Asked, bool Wanted) {
   for (const std::string &Name : Fleet.names(role::Entry)) {
-    const fleet::member &Member = *Fleet.find(Name);
+    const fleet_harness::member &Member = *Fleet.find(Name);
     bool InTouch = Fleet.isRunning(Name) && !Member.Stopped &&
                    steadyNow() - Member.StartedAt > ApplyTime + Recovery;
     if (!InTouch)
       continue;
-    fleet::caller_request Request;
+    fleet_harness::caller_request Request;
     Request.Method = "GET";
-    Request.Host = fleet::fleet::versionHost(Asked);
+    Request.Host = fleet_harness::fleet::versionHost(Asked);
     Request.Path = "/look/slot";
     Request.TimeLeft = milliseconds(1000);
     std::uint64_t Current = Version;
     send(Fleet, Name, Request,
-         [this, Name, Asked, Wanted, Current](const fleet::caller_answer &A) {
+         [this, Name, Asked, Wanted,
+          Current](const fleet_harness::caller_answer &A) {
            if (A.Status == 0 || Current != Version)
              return;
            bool Known = A.Status != http1::status::NotFound;
@@ -401,7 +402,7 @@
 
 // -- Crashers ----------------------------------------------------------------
 
-void soak_run::visit(const fleet::caller_request &Request) {
+void soak_run::visit(const fleet_harness::caller_request &Request) {
   std::vector<std::string> Names = Fleet.names(role::Entry);
   std::erase_if(Names, [&](const std::string &Name) {
     return !Fleet.isRunning(Name) || Fleet.find(Name)->Stopped;
@@ -410,13 +411,14 @@
     return;
   static std::size_t Next = 0;
   send(Fleet, Names[++Next % Names.size()], Request,
-       [](const fleet::caller_answer &) {});
+       [](const fleet_harness::caller_answer &) {});
 }
 
 soak_run::ender soak_run::crasher() {
-  fleet::caller_request Request;
+  fleet_harness::caller_request Request;
   bool Stream = ++CrasherNumber % 2 == 0;
-  Request.Host = Stream ? fleet::fleet::PlanHost : fleet::fleet::ToolHost;
+  Request.Host =
+      Stream ? fleet_harness::fleet::PlanHost : fleet_harness::fleet::ToolHost;
   Request.Path = Stream ? "/turn/" : "/book/slot";
   Request.Program = "crasher-" + std::to_string(CrasherNumber);
   Request.Body = "crash-midway " + Request.Program + "\n";
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -14,7 +14,7 @@
 namespace turmerichead::soak {
 
 struct soak_settings {
-  fleet::fleet_settings Fleet;
+  fleet_harness::fleet_settings Fleet;
   plan_settings Plan;
   int Programs = 16;
   std::set<std::size_t> Only; ///< Faults to play; all if empty.
@@ -51,13 +51,13 @@
   ender stopEntry(const std::string &Name);
   ender leave(const std::string &Name);
   ender crasher();
-  void visit(const fleet::caller_request &Request);
+  void visit(const fleet_harness::caller_request &Request);
   void configure();
   void probeVersion(std::uint64_t Version, bool Wanted);
   void restart(const std::string &Name);
   void restartOnceEnded(const std::string &Name);
-  std::string pick(fleet::role Role, std::uint32_t Target);
-  void killAll(std::initializer_list<fleet::role> Roles);
+  std::string pick(fleet_harness::role Role, std::uint32_t Target);
+  void killAll(std::initializer_list<fleet_harness::role> Roles);
   bool finish();
   void judgeEnd();
   void tell(std::string_view What, nlohmann::json Fields);
@@ -66,7 +66,7 @@
 
   soak_settings Settings;
   std::vector<fault> Plan;
-  fleet::fleet Fleet;
+  fleet_harness::fleet Fleet;
   oracle Oracle;
   std::ofstream Timeline;
   time_point Start;
