Read-through: one copy of what the fix wrote twice; drop expired records

- Ends by evidence and ends by a new start were counted by two copies of a loop (suspects::countWhere now).
- A call's body was hashed twice for its two fingerprints, on every call; the exact one is now made from the content's.
- Records that have expired were passed over but stayed in memory until others pushed them out, since nobody called expire().
- The harness had three lists of hosts in touch and two copies of the rule on late sends (fleet::entriesInTouch, crash_record); ask(), logFile() and a field that nothing read are gone.
Bounds and checks are the same.

--- a/src/include/turmerichead/relay_suspects.h
+++ b/src/include/turmerichead/relay_suspects.h
@@ -105,7 +105,6 @@
   std::vector<std::uint64_t> merge(std::span<const sched::poison_entry> Entries,
                                    time_point Now);
 
-  void expire(time_point Now);
   std::size_t size() const { return Table.size(); }
 
 private:
@@ -119,6 +118,9 @@
     std::string Address;
     std::int64_t StartedMs = 0; ///< Of the upstream.
   };
+  /// Counts the calls of upstreams that have ended and takes them off the list.
+  template <typename Predicate>
+  std::vector<std::uint64_t> countWhere(time_point Now, Predicate HasEnded);
   void count(const unfinished_call &Call, time_point Now,
              std::vector<std::uint64_t> &Changed);
 
--- a/src/librelay/suspects.cpp
+++ b/src/librelay/suspects.cpp
@@ -54,11 +54,11 @@
 
 call_prints suspects::printsOf(std::string_view Program,
                                std::string_view Target, std::string_view Body) {
-  constexpr std::uint64_t ContentSeed = 1; // Apart from an empty program.
+  std::uint64_t Content = hash64(Target, hash64(Body));
   call_prints Prints;
-  Prints.Exact = hash64(Body, hash64(Target, hash64(Program)));
+  Prints.Exact = hash64(Program, Content);
   if (!Body.empty())
-    Prints.Content = hash64(Body, hash64(Target, ContentSeed));
+    Prints.Content = Content;
   return Prints;
 }
 
@@ -100,6 +100,7 @@
 suspects::noteUnfinished(const upstream &Upstream, const call_prints &Prints,
                          unfinished How, time_point SentAt, time_point Now) {
   std::vector<std::uint64_t> Changed;
+  Table.expire(Now);
   std::erase_if(Calls, [&](const unfinished_call &Call) {
     return Now - Call.At >= EvidenceWindow;
   });
@@ -130,10 +131,23 @@
   });
 }
 
+template <typename Predicate>
+std::vector<std::uint64_t> suspects::countWhere(time_point Now,
+                                                Predicate HasEnded) {
+  std::vector<std::uint64_t> Changed;
+  std::erase_if(Calls, [&](const unfinished_call &Call) {
+    if (!HasEnded(Call))
+      return false;
+    if (Now - Call.At < EvidenceWindow)
+      count(Call, Now, Changed);
+    return true;
+  });
+  return Changed;
+}
+
 std::vector<std::uint64_t> suspects::noteEnded(const upstream &Upstream,
                                                end_evidence Evidence,
                                                time_point Now) {
-  std::vector<std::uint64_t> Changed;
   std::uint64_t Life = lifeOf(Upstream);
   bool Certain = Evidence != end_evidence::Vanished;
   if (Certain) {
@@ -142,30 +156,17 @@
     if (Ended.size() < MaxLives)
       Ended.try_emplace(Life, Now);
   }
-  std::erase_if(Calls, [&](const unfinished_call &Call) {
-    if (Call.Life != Life)
-      return false;
-    bool InTime = Now - Call.At < EvidenceWindow;
-    if (!Certain && Call.How == unfinished::Left)
-      return false;
-    if (InTime)
-      count(Call, Now, Changed);
-    return true;
+  return countWhere(Now, [&](const unfinished_call &Call) {
+    return Call.Life == Life && (Certain || Call.How == unfinished::Broken);
   });
-  return Changed;
 }
 
 std::vector<std::uint64_t> suspects::noteStarted(const upstream &Upstream,
                                                  time_point Now) {
-  std::vector<std::uint64_t> Changed;
-  std::erase_if(Calls, [&](const unfinished_call &Call) {
-    bool Replaced =
-        Call.Address == Upstream.Address && Call.StartedMs < Upstream.StartedMs;
-    if (Replaced && Now - Call.At < EvidenceWindow)
-      count(Call, Now, Changed);
-    return Replaced;
+  return countWhere(Now, [&](const unfinished_call &Call) {
+    return Call.Address == Upstream.Address &&
+           Call.StartedMs < Upstream.StartedMs;
   });
-  return Changed;
 }
 
 std::vector<std::uint64_t> suspects::noteSuccess(const call_prints &Prints,
@@ -212,9 +213,8 @@
 
 std::vector<std::uint64_t>
 suspects::merge(std::span<const sched::poison_entry> Entries, time_point Now) {
+  Table.expire(Now);
   return Table.merge(Entries, Now);
 }
 
-void suspects::expire(time_point Now) { Table.expire(Now); }
-
 } // namespace turmerichead::relay
--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -86,7 +86,6 @@
       {[Row](const http1::response_head &Head) {
          Row->Answer.Status = Head.Status;
          Row->Answer.Signature = Head.Headers.get("Response-Signature");
-         Row->Answer.RetryAfter = Head.Headers.get("Retry-After");
        },
        [Row](std::string_view Bytes) { Row->Answer.Body += Bytes; },
        [End](const http1::call_result &Result) {
@@ -102,16 +101,6 @@
                                    });
 }
 
-caller_answer ask(fleet &Fleet, const std::string &Entry,
-                  const caller_request &Request) {
-  std::optional<caller_answer> Result;
-  send(Fleet, Entry, Request,
-       [&](const caller_answer &Answer) { Result = Answer; });
-  constexpr milliseconds Bound{30000};
-  Fleet.wait(Bound, [&] { return Result.has_value(); });
-  return Result.value_or(caller_answer{});
-}
-
 // -- Programs ----------------------------------------------------------------
 
 sound_traffic::sound_traffic(fleet &Fleet, int Count, std::uint64_t Seed,
@@ -124,10 +113,7 @@
 }
 
 std::string sound_traffic::anyEntry() {
-  std::vector<std::string> Names;
-  for (const std::string &Name : Fleet.names(role::Entry))
-    if (Fleet.isRunning(Name) && !Fleet.find(Name)->Stopped)
-      Names.push_back(Name);
+  std::vector<std::string> Names = Fleet.entriesInTouch();
   return Names.empty() ? std::string() : Names[Random() % Names.size()];
 }
 
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -29,7 +29,6 @@
   int Status = 0; ///< 0: no head came.
   std::string Body;
   std::string Signature;
-  std::string RetryAfter;
   bool Complete = false;
   milliseconds Took{0};
 };
@@ -42,10 +41,6 @@
 void send(fleet &Fleet, const std::string &Entry, const caller_request &Request,
           std::function<void(const caller_answer &)> Done);
 
-/// Sends and waits.
-caller_answer ask(fleet &Fleet, const std::string &Entry,
-                  const caller_request &Request);
-
 /// Sees each request of programs and what became of it.
 using caller_observer =
     std::function<void(const std::string &Entry, const caller_request &Request,
--- a/testsuite/fleet/crashing_request_test.cpp
+++ b/testsuite/fleet/crashing_request_test.cpp
@@ -5,9 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <csignal>
-#include <filesystem>
 #include <set>
 
 using namespace turmerichead;
@@ -15,10 +13,6 @@
 
 namespace {
 
-// Hosts hear of each other within this time.
-constexpr std::int64_t ContactMs = 3000;
-constexpr int MaxEnds = 3;
-constexpr int MaxLaterSends = 3;
 constexpr milliseconds BetweenVisits{600};
 
 /// A request that crashes its upstream, and what became of its visits.
@@ -80,39 +74,23 @@
   return Settings;
 }
 
-std::vector<std::string> entriesInTouch(fleet &Fleet) {
-  std::vector<std::string> Names;
-  for (const std::string &Name : Fleet.names(role::Entry))
-    if (Fleet.isRunning(Name) && !Fleet.find(Name)->Stopped)
-      Names.push_back(Name);
-  return Names;
-}
-
 /// Checks the rule, and that what was told "not run" has not run.
 void judge(const crasher &Crasher, const std::vector<run_line> &Lines) {
   CAPTURE(Crasher.Name);
-  std::vector<std::int64_t> Ends;
-  std::vector<std::int64_t> Sends;
+  crash_record Record;
   std::set<std::string> Ran;
   for (const run_line &Line : Lines) {
     if (!Crasher.owns(Line))
       continue;
-    if (Line.What == "crash")
-      Ends.push_back(Line.AtMs);
-    if (Line.What == "run") {
-      Sends.push_back(Line.AtMs);
+    Record.add(Line);
+    if (Line.What == "run")
       Ran.insert(Line.Attempt);
-    }
-  }
-  MESSAGE(Crasher.Name << ": " << Crasher.Visits << " visits, " << Sends.size()
-                       << " sends, " << Ends.size() << " ends");
-  CHECK(Ends.size() >= 1);
-  if (Ends.size() >= MaxEnds) {
-    std::int64_t Third = Ends[MaxEnds - 1];
-    auto Later = std::count_if(Sends.begin(), Sends.end(),
-                               [&](auto At) { return At > Third + ContactMs; });
-    CHECK(Later <= MaxLaterSends);
   }
+  MESSAGE(Crasher.Name << ": " << Crasher.Visits << " visits, "
+                       << Record.Sends.size() << " sends, "
+                       << Record.Ends.size() << " ends");
+  CHECK(Record.Ends.size() >= 1);
+  CHECK(Record.lateSends() <= crash_record::MaxLateSends);
   for (const caller_answer &Answer : Crasher.Answers)
     if (Answer.Status == http1::status::Unavailable)
       CHECK(Ran.count(Answer.Attempt) == 0);
@@ -141,7 +119,7 @@
   std::vector<crasher> Crashers = crashers();
   constexpr int Rounds = 20;
   for (int Round = 0; Round < Rounds; ++Round) {
-    std::vector<std::string> Entries = entriesInTouch(Fleet);
+    std::vector<std::string> Entries = Fleet.entriesInTouch();
     for (std::size_t I = 0; I < Crashers.size(); ++I)
       Crashers[I].visit(Fleet, Entries[(Round + I) % Entries.size()]);
     Fleet.pause(BetweenVisits);
@@ -196,7 +174,7 @@
     default:
       break;
     }
-    std::vector<std::string> Entries = entriesInTouch(Fleet);
+    std::vector<std::string> Entries = Fleet.entriesInTouch();
     for (std::size_t I = 0; I < Crashers.size(); ++I)
       Crashers[I].visit(Fleet, Entries[(Round + I) % Entries.size()]);
     Fleet.pause(BetweenVisits);
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -5,6 +5,7 @@
 #include <sys/prctl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -61,6 +62,23 @@
 
 } // namespace
 
+void crash_record::add(const run_line &Line) {
+  if (Line.What == "crash")
+    Ends.push_back(Line.AtMs);
+  if (Line.What == "run")
+    Sends.push_back(Line.AtMs);
+}
+
+std::ptrdiff_t crash_record::lateSends() const {
+  constexpr std::size_t MaxEnds = 3;
+  constexpr std::int64_t ContactMs = 3000;
+  if (Ends.size() < MaxEnds)
+    return 0;
+  std::int64_t Third = Ends[MaxEnds - 1];
+  return std::count_if(Sends.begin(), Sends.end(),
+                       [&](std::int64_t At) { return At > Third + ContactMs; });
+}
+
 fleet::fleet(fleet_settings Given)
     : Settings(std::move(Given)), Http(http1::client::create({})) {
   static unsigned Fleets = 0;
@@ -147,8 +165,12 @@
   return Member.StoreLink && (Member.Role == role::Disk || Member.CallerLink);
 }
 
-std::string fleet::logFile(const std::string &Name) const {
-  return Settings.Scratch + "/" + Name + ".log";
+std::vector<std::string> fleet::entriesInTouch() {
+  std::vector<std::string> Names = names(role::Entry);
+  std::erase_if(Names, [&](const std::string &Name) {
+    return !isRunning(Name) || find(Name)->Stopped;
+  });
+  return Names;
 }
 
 // -- Processes ---------------------------------------------------------------
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -70,6 +70,17 @@
   std::string Input; ///< Hash of what it was given.
 };
 
+/// What one request did to its upstreams, from what they told.
+struct crash_record {
+  std::vector<std::int64_t> Ends;  ///< Time of day, ms
+  std::vector<std::int64_t> Sends; ///< Time of day, ms
+
+  static constexpr std::ptrdiff_t MaxLateSends = 3;
+  void add(const run_line &Line);
+  /// Sends later than hosts need to hear of its third end.
+  std::ptrdiff_t lateSends() const;
+};
+
 class fleet {
 public:
   static constexpr const char *PlanHost = "plans.example";
@@ -88,6 +99,8 @@
   member *find(const std::string &Name);
   std::vector<std::string> names(role Role) const;
   bool isRunning(const std::string &Name);
+  /// Entry hosts that run and are not stopped.
+  std::vector<std::string> entriesInTouch();
   std::string callerAddress(const std::string &Entry);
 
   /// Starts a process that has ended, or a new one of the role.
@@ -123,8 +136,6 @@
   bool wait(milliseconds Bound, const std::function<bool()> &Reached);
   void pause(milliseconds Time);
 
-  std::string logFile(const std::string &Name) const;
-
 private:
   member &place(const std::string &Name, role Role);
   bool openLinks(member &Member);
--- a/testsuite/soak/oracle.cpp
+++ b/testsuite/soak/oracle.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-// Hosts hear of each other within this time.
-constexpr std::int64_t ContactMs = 3000;
-constexpr std::size_t MaxEnds = 3;
-constexpr std::ptrdiff_t MaxLaterSends = 3;
 // A leaving upstream gets nothing new after this time.
 constexpr std::int64_t DrainMs = 2000;
 
@@ -80,31 +76,16 @@
 }
 
 void oracle::judgeCrashers(const std::vector<fleet_harness::run_line> &Runs) {
-  struct crasher {
-    std::vector<std::int64_t> Ends;
-    std::vector<std::int64_t> Sends;
-  };
-  std::map<std::string, crasher> Crashers;
-  for (const fleet_harness::run_line &Line : Runs) {
-    if (Line.Crash.empty())
-      continue;
-    crasher &Row = Crashers[Line.Service + " " + Line.Input];
-    if (Line.What == "crash")
-      Row.Ends.push_back(Line.AtMs);
-    if (Line.What == "run")
-      Row.Sends.push_back(Line.AtMs);
-  }
-  for (const auto &[Name, Row] : Crashers) {
-    if (Row.Ends.size() < MaxEnds)
-      continue;
-    std::int64_t Third = Row.Ends[MaxEnds - 1];
-    auto Later = std::count_if(Row.Sends.begin(), Row.Sends.end(),
-                               [&](auto At) { return At > Third + ContactMs; });
-    if (Later > MaxLaterSends)
+  std::map<std::string, fleet_harness::crash_record> Records;
+  for (const fleet_harness::run_line &Line : Runs)
+    if (!Line.Crash.empty())
+      Records[Line.Service + " " + Line.Input].add(Line);
+  for (const auto &[Name, Row] : Records)
+    if (Row.lateSends() > fleet_harness::crash_record::MaxLateSends)
       fail("ends by one request",
-           Name + ": " + std::to_string(Later) + " sends later than allowed, " +
-               std::to_string(Row.Ends.size()) + " ends");
-  }
+           Name + ": " + std::to_string(Row.lateSends()) +
+               " sends later than allowed, " + std::to_string(Row.Ends.size()) +
+               " ends");
 }
 
 void oracle::judgeLeaving(const std::vector<fleet_harness::run_line> &Runs) {
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -403,10 +403,7 @@
 // -- Crashers ----------------------------------------------------------------
 
 void soak_run::visit(const fleet_harness::caller_request &Request) {
-  std::vector<std::string> Names = Fleet.names(role::Entry);
-  std::erase_if(Names, [&](const std::string &Name) {
-    return !Fleet.isRunning(Name) || Fleet.find(Name)->Stopped;
-  });
+  std::vector<std::string> Names = Fleet.entriesInTouch();
   if (Names.empty())
     return;
   static std::size_t Next = 0;
