librelay_test: addresses of the process's own; the test in two files

Seen: librelay_test failed once, with five assertions fewer than others have. Cause: the fixture asked the kernel for a free port of 127.0.0.1, closed it, and gave it to a disk host; another process could take it in between. Shown by two processes that take and give back ports of 127.0.0.1 meanwhile: 5 of 8 runs failed, each with REQUIRE(Replicas.back()), one to five assertions fewer. Change: free ports are taken at a loopback address made from the process id, as the scenarios do.

No check was changed.

--- /dev/null
+++ b/src/librelay/relay_turns_test.cpp
@@ -0,0 +1,256 @@
+// Turns, budgets and streams through the relay.
+
+#include "test_relay_pvt.h"
+
+using namespace turmerichead;
+using namespace turmerichead::pvt;
+
+TEST_CASE("a turn's chain goes to the runner, and is kept before its end") {
+  fixture F;
+  caller Caller(F.Address);
+  std::string More = "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,40\r\n";
+  Caller.send(F.request("POST", "/plan/1", "t1", More, "[in1]"));
+  REQUIRE(F.received(F.Llm, "[in1]"));
+  F.Llm.send(0, streamHead("t1") + chunk("id: 1\ndata: a\n\n") +
+                    chunk("id: 2\ndata: b\n\n"));
+  REQUIRE(Caller.waitsFor("data: b"));
+  CHECK(!Caller.has("0\r\n\r\n"));
+  F.Llm.send(0, StreamEnd);
+  REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+  Caller.Input.clear();
+  F.Llm.Connections[0]->Input.clear();
+  Caller.send(
+      F.request("POST", "/plan/1", "t2", More + "X-Previous: t1\r\n", "[in2]"));
+  REQUIRE(F.received(F.Llm, "[in2]"));
+  CHECK(F.Llm.Connections[0]->Input.ends_with("\r\n\r\n[in1]a\nb\n[in2]"));
+  CHECK(F.Llm.Connections[0]->Input.find("X-Previous: t1") !=
+        std::string::npos);
+
+  SUBCASE("with one disk host lost it goes on") {
+    F.Llm.send(0, streamHead("t2") + chunk("data: c\n\n"));
+    F.Disks.Replicas[0].reset();
+    F.Llm.send(0, StreamEnd);
+    REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+    Caller.Input.clear();
+    F.Llm.Connections[0]->Input.clear();
+    Caller.send(F.request("POST", "/plan/1", "t3", More + "X-Previous: t2\r\n",
+                          "[in3]"));
+    REQUIRE(F.received(F.Llm, "[in3]"));
+    CHECK(F.Llm.Connections[0]->Input.ends_with("[in1]a\nb\n[in2]c\n[in3]"));
+  }
+  SUBCASE("with two disk hosts lost nothing is denied") {
+    F.Llm.send(0, streamHead("t2") + chunk("data: c\n\n") +
+                      std::string(StreamEnd));
+    REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+    Caller.Input.clear();
+    F.Disks.Replicas[0].reset();
+    F.Disks.Replicas[1].reset();
+    Caller.send(F.request("POST", "/plan/1", "t3", More + "X-Previous: t2\r\n",
+                          "[in3]"));
+    REQUIRE(Caller.waitsFor("HTTP/1.1"));
+    CHECK(Caller.has("HTTP/1.1 503"));
+  }
+}
+
+TEST_CASE("a turn that does not exist is 404, and reaches no runner") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(
+      F.request("POST", "/plan/1", "t1", "X-Previous: forged\r\n", "[in]"));
+  REQUIRE(Caller.waitsFor("HTTP/1.1"));
+  CHECK(Caller.has("HTTP/1.1 404"));
+  CHECK(F.Llm.Connections.empty());
+}
+
+TEST_CASE("a budget is one sum, and a refused turn takes nothing of it") {
+  fixture F;
+  std::string More = "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,60\r\n";
+  caller First(F.Address);
+  First.send(F.request("POST", "/plan/1", "t1", More, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  caller Second(F.Address);
+  Second.send(F.request("POST", "/plan/1", "t2", More, "[in]"));
+  REQUIRE(Second.waitsFor("HTTP/1.1"));
+  CHECK(Second.has("HTTP/1.1 402"));
+  // The first took 2 events of 10 tokens, so that there is room again.
+  F.Llm.send(0, streamHead("t1") + chunk("data: a\n\ndata: b\n\n") +
+                    std::string(StreamEnd));
+  REQUIRE(First.waitsFor("0\r\n\r\n"));
+  caller Third(F.Address);
+  Third.send(F.request("POST", "/plan/1", "t3", More, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t3"));
+}
+
+TEST_CASE("tokens are counted as when the call came, whatever changes since") {
+  fixture F;
+  caller First(F.Address);
+  First.send(F.request("POST", "/plan/1", "t1",
+                       "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,60\r\n",
+                       "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  relay::routing Without = routingOf(2);
+  Without.Services.clear();
+  F.Relay->setRouting(Without);
+  F.Llm.send(0, streamHead("t1") + chunk("data: a\n\ndata: b\n\ndata: c\n\n") +
+                    std::string(StreamEnd));
+  REQUIRE(First.waitsFor("0\r\n\r\n"));
+  F.Relay->setRouting(routingOf(3));
+  caller Second(F.Address);
+  Second.send(F.request("POST", "/plan/1", "t2",
+                        "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,75\r\n",
+                        "[in]"));
+  REQUIRE(Second.waitsFor("HTTP/1.1"));
+  CHECK(Second.has("HTTP/1.1 402"));
+}
+
+TEST_CASE("a budget of nothing has no room for a turn") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/plan/1", "t1",
+                        "X-Program: p\r\nX-Budget: 0\r\nX-Tokens: 5,60\r\n",
+                        "[in]"));
+  REQUIRE(Caller.waitsFor("HTTP/1.1"));
+  CHECK(Caller.has("HTTP/1.1 402"));
+  CHECK(F.Llm.Connections.empty());
+}
+
+TEST_CASE("disk hosts out of reach are reached by way of another host") {
+  // Three entry hosts were cut off from all disk hosts for twelve seconds and
+  // refused every turn, though they reached the other entry hosts.
+  fixture F;
+  raw_server Silence;
+  for (const turns::disk_host &Host : F.Disks.Set.Members)
+    F.Turns->links().setRoute(Host.Address, addressOf(Silence.port()));
+  peer_settings Other;
+  Other.Host = "other";
+  auto Links = peer_links::create(Other, Key);
+  std::string Way = freeAddress();
+  auto Forwarder =
+      turns::forwarder::create(Way, Key, *Links, [](const auto &) {});
+  REQUIRE(Forwarder);
+  caller Caller(F.Address);
+  std::string More = "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,40\r\n";
+  SUBCASE("with a forwarder the turn is served") {
+    F.Turns->setForwarders({Way});
+    Caller.send(F.request("POST", "/plan/1", "t1", More, "[in1]"));
+    REQUIRE(F.received(F.Llm, "[in1]"));
+    F.Llm.send(0, streamHead("t1") + chunk("data: a\n\n") +
+                      std::string(StreamEnd));
+    REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+    CHECK(F.Turns->counters().Forwarded > 0);
+  }
+  SUBCASE("without one it is refused as not run") {
+    Caller.send(F.request("POST", "/plan/1", "t1", More, "[in1]"));
+    REQUIRE(Caller.waitsFor("HTTP/1.1"));
+    CHECK(Caller.has("HTTP/1.1 503"));
+    CHECK(F.Llm.Connections.empty());
+  }
+}
+
+TEST_CASE("a stream whose runner breaks off is cut and does not look whole") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/plan/1", "t1", {}, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  F.Llm.send(0, streamHead("t1") + chunk("data: a\n\n"));
+  REQUIRE(Caller.waitsFor("data: a"));
+  F.Llm.close(0);
+  REQUIRE(turnUntil([&] { return Caller.Closed; }));
+  CHECK(!Caller.has("0\r\n\r\n"));
+  caller Next(F.Address);
+  Next.send(F.request("POST", "/plan/1", "t2", "X-Previous: t1\r\n", "[in]"));
+  REQUIRE(Next.waitsFor("HTTP/1.1"));
+  CHECK(Next.has("HTTP/1.1 404"));
+}
+
+TEST_CASE("bytes_without_end_in_a_body_are_cut_off") {
+  constexpr std::size_t MostTaken = 16U << 20U;
+  fixture F;
+  caller Caller(F.Address);
+  std::string Begin;
+  std::string Again;
+  raw_server *Server = &F.Llm;
+  SUBCASE("a stream of bytes that are no events") {
+    Again = chunk(std::string(1000, 'x'));
+  }
+  SUBCASE("a stream of comments") {
+    Again = chunk(": " + std::string(1000, 'x') + "\n\n");
+  }
+  SUBCASE("a stream of ever more events") { Again = chunk("data: x\n\n"); }
+  SUBCASE("a plain answer that ends with its connection") {
+    Server = &F.Tools;
+    Begin = "HTTP/1.1 200 OK\r\nX-Call: t1\r\n\r\n";
+    Again = std::string(1000, 'x');
+  }
+  if (Server == &F.Llm) {
+    Begin = streamHead("t1");
+    Caller.send(F.request("POST", "/plan/1", "t1",
+                          "X-Program: p\r\nX-Budget: 1000\r\n"
+                          "X-Tokens: 5,40\r\n",
+                          "hello\n"));
+  } else {
+    Caller.send(F.request("GET", "/book/x", "t1"));
+  }
+  REQUIRE(F.received(*Server, "X-Call: t1"));
+  Server->send(0, Begin);
+  std::size_t Sent = 0;
+  auto Flood = loop_source::every(milliseconds(1), [&] {
+    std::string Piece;
+    while (Piece.size() < 50'000)
+      Piece += Again;
+    Server->send(0, Piece);
+    Sent += Piece.size();
+    return true;
+  });
+  REQUIRE(turnUntil(
+      [&] { return Server->Connections[0]->Closed || Sent > MostTaken; }));
+  CHECK(Server->Connections[0]->Closed);
+  REQUIRE(turnUntil([&] { return Caller.Closed || Caller.has("502"); }));
+  CHECK(!Caller.has("\r\n0\r\n\r\n")); // It never looks complete.
+}
+
+namespace {
+
+/// Serves one turn with some events, two milliseconds apart.
+void serveTurn(fixture &F, const std::string &Id, std::size_t &Answered) {
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/plan/1", Id, {}, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: " + Id));
+  F.Llm.send(0, streamHead(Id));
+  for (int Event = 0; Event < 7; ++Event) {
+    std::string Text = "e" + std::to_string(Event);
+    F.Llm.send(0, chunk("data: " + Text + "\n\n"));
+    REQUIRE(Caller.waitsFor(Text));
+    g_usleep(2000);
+  }
+  F.Llm.send(0, StreamEnd);
+  REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+  ++Answered;
+}
+
+} // namespace
+
+TEST_CASE("while runners are slow and busy no program begins, others go on") {
+  fixture F;
+  std::size_t Answered = 0;
+  while (Answered < 25)
+    serveTurn(F, "t" + std::to_string(Answered), Answered);
+  std::vector<std::unique_ptr<caller>> Waiting;
+  for (std::string Id : {"w1", "w2", "w3"}) {
+    Waiting.push_back(std::make_unique<caller>(F.Address));
+    Waiting.back()->send(F.request("POST", "/plan/1", Id, {}, "[in]"));
+    REQUIRE(F.received(F.Llm, "X-Call: " + Id));
+  }
+  g_usleep(300'000);
+  caller Begins(F.Address);
+  Begins.send(F.request("POST", "/plan/1", "new", {}, "[in]"));
+  REQUIRE(Begins.waitsFor("HTTP/1.1"));
+  CHECK(Begins.has("HTTP/1.1 503"));
+  CHECK(Begins.has("Retry-After: "));
+  caller GoesOn(F.Address);
+  GoesOn.send(
+      F.request("POST", "/plan/1", "next", "X-Previous: t3\r\n", "[x]"));
+  CHECK(F.received(F.Llm, "X-Call: next"));
+  for (const auto &Row : F.Llm.Connections)
+    CHECK(Row->Input.find("X-Call: new") == std::string::npos);
+}
--- /dev/null
+++ b/src/librelay/test_relay_pvt.h
@@ -0,0 +1,205 @@
+/// \file
+/// What the relay's tests share: a relay before upstreams that the test
+/// scripts, with disk hosts that are real, all on one loop.
+#pragma once
+
+#include "../libnet/test_loop_pvt.h"
+#include "turmerichead/relay.h"
+#include "turmerichead/turns_forwarder.h"
+#include "turmerichead/turns_replica.h"
+
+#include <filesystem>
+#include <unistd.h>
+
+namespace turmerichead::pvt {
+
+inline constexpr const char *Key = "test-key";
+
+inline relay::header_names names() {
+  relay::header_names Names;
+  Names.CallId = "X-Call";
+  Names.TimeLeft = "X-Left";
+  Names.ExpectUpstream = "X-Expect";
+  Names.NotRun = "X-Not-Run";
+  Names.RetryAfter = "Retry-After";
+  Names.Program = "X-Program";
+  Names.Budget = "X-Budget";
+  Names.Tokens = "X-Tokens";
+  Names.PreviousTurn = "X-Previous";
+  Names.SystemOnly = {"X-Expect", "X-Pin"};
+  return Names;
+}
+
+inline relay::route routeOf(std::string Prefix, relay::call_kind Kind,
+                            std::string Service, std::uint32_t Attempts) {
+  relay::route Route;
+  Route.Name = Prefix;
+  Route.Host = "h";
+  Route.PathPrefix = std::move(Prefix);
+  Route.Kind = Kind;
+  Route.Timeout = milliseconds(2000);
+  Route.Attempts = Attempts;
+  Route.Services = {{std::move(Service), 1}};
+  return Route;
+}
+
+inline relay::routing routingOf(std::uint64_t Version) {
+  relay::routing Routing;
+  Routing.Version = Version;
+  Routing.Routes = {routeOf("/safe/", relay::call_kind::Safe, "tools", 2),
+                    routeOf("/book/", relay::call_kind::Unsafe, "tools", 2),
+                    routeOf("/plan/", relay::call_kind::Stream, "llm", 2)};
+  Routing.Routes[2].KeepsTurns = true;
+  Routing.Routes[2].Keep = milliseconds(60000);
+  Routing.Services["tools"].Name = "tools";
+  relay::service &Llm = Routing.Services["llm"];
+  Llm.Name = "llm";
+  Llm.TokensPerEvent = 10;
+  return Routing;
+}
+
+/// An address at which nobody listens, on a loopback address of this process's
+/// own: on a shared one another process may take the port before it is used.
+inline std::string freeAddress() {
+  auto Pid = static_cast<unsigned>(getpid());
+  std::string Ip = "127." + std::to_string(1 + ((Pid >> 16U) & 0x7fU)) + "." +
+                   std::to_string((Pid >> 8U) & 0xffU) + "." +
+                   std::to_string(Pid & 0xffU);
+  return Ip + ":" + std::to_string(listener::open(Ip + ":0")->port());
+}
+
+struct disks {
+  std::string Root;
+  turns::disk_set Set{1, 2, {}, {}};
+  std::vector<std::optional<turns::replica>> Replicas;
+
+  disks() {
+    std::string Template =
+        (std::filesystem::temp_directory_path() / "relayXXXXXX").string();
+    Root = mkdtemp(Template.data());
+    for (int I = 0; I < 3; ++I)
+      Set.Members.push_back({"d" + std::to_string(I), freeAddress(), "dc"});
+    for (const turns::disk_host &Host : Set.Members) {
+      turns::replica_settings Settings;
+      Settings.Self = Host;
+      Settings.Shelf.Log.Folder = Root + "/" + Host.Name;
+      Settings.Shelf.FirstStart = true;
+      Settings.SharedKey = Key;
+      Replicas.push_back(turns::replica::create(
+          Settings, {[](const turns::disk_set &) {}, {}}));
+      REQUIRE(Replicas.back());
+      Replicas.back()->setKnown(Set);
+    }
+  }
+  ~disks() {
+    Replicas.clear();
+    std::filesystem::remove_all(Root);
+  }
+};
+
+/// A caller's connection.
+struct caller {
+  handle<GSocket> Socket;
+  loop_source Readable;
+  std::string Input;
+  bool Closed = false;
+
+  explicit caller(const std::string &Address) {
+    Socket = *beginConnect(parseAddress(Address)->get());
+    g_socket_condition_wait(Socket.get(), G_IO_OUT, nullptr, nullptr);
+    Readable = loop_source::onSocket(Socket.get(), G_IO_IN, [this] {
+      std::string Bytes(65536, '\0');
+      gssize Count = g_socket_receive(Socket.get(), Bytes.data(), Bytes.size(),
+                                      nullptr, nullptr);
+      Closed = Count <= 0;
+      if (!Closed)
+        Input.append(Bytes, 0, static_cast<std::size_t>(Count));
+      return !Closed;
+    });
+  }
+  void send(std::string_view Bytes) {
+    g_socket_send(Socket.get(), Bytes.data(), Bytes.size(), nullptr, nullptr);
+  }
+  bool waitsFor(std::string_view Text) {
+    return turnUntil(
+        [&] { return Closed || Input.find(Text) != std::string::npos; });
+  }
+  bool has(std::string_view Text) const {
+    return Input.find(Text) != std::string::npos;
+  }
+};
+
+struct fixture {
+  disks Disks;
+  metrics Metrics;
+  std::optional<turns::client> Turns;
+  std::optional<relay::relay> Relay;
+  raw_server Tools;
+  raw_server OtherTools;
+  raw_server Llm;
+  std::string Address = freeAddress();
+
+  fixture() {
+    turns::client_settings TurnSettings;
+    TurnSettings.Host = "entry";
+    TurnSettings.DataCentre = "dc";
+    TurnSettings.SharedKey = Key;
+    Turns = turns::client::create(TurnSettings);
+    relay::relay_settings Settings;
+    Settings.Listen = Address;
+    Settings.DataCentre = "dc";
+    Relay = relay::relay::create(Settings, names(), *Turns, Metrics);
+    REQUIRE(Relay);
+    Turns->setSet(Disks.Set);
+    Relay->setRouting(routingOf(1));
+    put("tool-1", "tools", Tools);
+    put("llm-1", "llm", Llm);
+  }
+  void put(std::string Id, std::string Service, const raw_server &Server) {
+    Relay->putUpstream({std::move(Id), std::move(Service),
+                        addressOf(Server.port()), "dc", 4, true, 1});
+  }
+  std::string request(std::string_view Method, std::string_view Path,
+                      std::string_view Id, std::string_view More = {},
+                      std::string_view Body = {}) {
+    std::string Text(Method);
+    Text.append(" ").append(Path).append(" HTTP/1.1\r\nHost: h\r\nX-Call: ");
+    Text.append(Id).append("\r\nX-Left: 1500\r\n").append(More);
+    Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n";
+    return Text.append(Body);
+  }
+  bool received(raw_server &Server, std::string_view Text) {
+    return turnUntil([&] {
+      for (auto &Row : Server.Connections)
+        if (Row->Input.find(Text) != std::string::npos)
+          return true;
+      return false;
+    });
+  }
+};
+
+inline std::string answerTo(std::string_view Id, std::string_view Body,
+                            std::string_view Status = "200 OK",
+                            std::string_view More = {}) {
+  std::string Text = "HTTP/1.1 ";
+  Text.append(Status).append("\r\nX-Call: ").append(Id).append("\r\n");
+  Text.append(More);
+  return Text + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         std::string(Body);
+}
+
+inline std::string streamHead(std::string_view Id) {
+  return "HTTP/1.1 200 OK\r\nX-Call: " + std::string(Id) +
+         "\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk(std::string_view Text) {
+  std::array<char, 32> Size{};
+  std::snprintf(Size.data(), Size.size(), "%zx\r\n", Text.size());
+  return std::string(Size.data()) + std::string(Text) + "\r\n";
+}
+
+inline constexpr std::string_view StreamEnd = "0\r\n\r\n";
+
+} // namespace turmerichead::pvt
