Hold budgets of turns whose chain the system does not keep

Cause: a turn was opened with the disk hosts only on routes whose turns are kept; where callers send the whole prompt each time, budgets were never asked about. Such calls also had no key of affinity, so that their prompts were read anew at ever other runners, and no time to wait at admission but as programs that begin. Change: a stream with a budget reserves and settles whether its chain is kept or not. Whether such a call begins its program only the disk hosts know (has anything been spent?), so that admission is asked after them. They go to the runner that the program's hash names; the quicker of two is chosen only for a chain that begins and whose runner is known afterwards. Ruled out: the retention time (the route has one, and the spending was not there at all, rather than forgotten). Tests: budget_of_turns_whose_chain_is_not_kept failed before in two of three cases; "a program whose turns are not kept stays with one runner".

--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -46,6 +46,8 @@
   /// Calls with the same key go to the same upstream while it is well, so
   /// that what it has cached of them is used. Empty: to the least busy.
   std::string_view AffinityKey;
+  /// Nothing is cached anywhere of what the key stands for.
+  bool Begins = false;
   std::string_view SpreadKey; ///< Breaks ties, for example the call's id.
   std::span<const std::string> Tried; ///< Ids that had the call before.
 };
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -79,7 +79,13 @@
     return Facts.MostTokens > 0 && EventCount >= Spare &&
            (EventCount - Spare) * TokensPerEvent >= Facts.MostTokens;
   }
-  bool isTurn() const { return Route.KeepsTurns; }
+  /// Whether its chain is read before it, and it is kept after its end.
+  bool isKept() const { return Route.KeepsTurns; }
+  /// Whether what it generates counts against its program's budget.
+  bool hasBudget() const {
+    return Route.Kind == call_kind::Stream && Facts.Budget &&
+           !Facts.Program.empty();
+  }
 };
 
 using call_table = table<relay_call>;
--- a/src/librelay/place_test.cpp
+++ b/src/librelay/place_test.cpp
@@ -23,6 +23,7 @@
   Placement.Service = "s";
   Placement.DataCentre = "x";
   Placement.AffinityKey = Program;
+  Placement.Begins = true;
   Placement.SpreadKey = Call;
   return Placement;
 }
@@ -125,6 +126,21 @@
   CHECK(Table.pick(placementOf("p", "a"), {0})->Upstream.Id != Home);
 }
 
+TEST_CASE("a program whose turns are not kept stays with one runner") {
+  // No host knows which runner had its turn before, so that the order of the
+  // runners alone decides, whatever their speed.
+  upstream_table Table = tableOf(6);
+  for (int I = 0; I < 50; ++I) {
+    std::string Program = "p" + std::to_string(I);
+    placement Placement = placementOf(Program, "a");
+    Placement.Begins = false;
+    std::string Runner = Table.pick(Placement, {0})->Upstream.Id;
+    for (const auto &[Id, Row] : Table.rows())
+      Table.noteEventGap(Id, milliseconds(Id == Runner ? 24 : 20));
+    CHECK(Table.pick(Placement, {0})->Upstream.Id == Runner);
+  }
+}
+
 TEST_CASE("calls without a program go to the least busy, near by if equal") {
   upstream_table Table = tableOf(4);
   upstream_row *First = Table.pick(placementOf({}, "a"), {0});
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -70,7 +70,7 @@
   Call.Deadline = Call.Arrived + Wait;
   Call.Prints = suspects::printsOf(Call.Facts.Program, Call.Request.Target,
                                    Call.Request.Body);
-  bool Turn = Call.isTurn();
+  bool NeedsOpening = Call.isKept() || Call.hasBudget();
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
   Deadlines->add(Wait, keyOf(Id), 0);
@@ -80,27 +80,29 @@
     refuse(Id, "the host is stopping");
     return;
   }
-  if (auto Refusal = startRefusal(*Calls.find(Id))) {
-    refuse(Id, "no room for a new program", Refusal->RetryAfter);
+  // Of a turn that is not kept only the disk hosts know whether others of its
+  // program came before it.
+  const relay_call &Row = *Calls.find(Id);
+  if ((Row.isKept() || !Row.hasBudget()) && refuseStart(Id))
     return;
-  }
-  if (Turn)
+  if (NeedsOpening)
     openTurn(Id);
   else
     send(Id);
 }
 
-std::optional<start_refusal> relay::impl::startRefusal(const relay_call &Call) {
-  time_point Now = Call.Arrived;
-  bool Begins =
-      Call.Route.Kind == call_kind::Stream && Call.Facts.PreviousTurn.empty();
+bool relay::impl::refuseStart(relay_call_id Id) {
+  const relay_call &Call = *Calls.find(Id);
+  bool Begins = Call.Route.Kind == call_kind::Stream &&
+                (!Call.isKept() || Call.Facts.PreviousTurn.empty());
   if (!Begins)
-    return std::nullopt;
+    return false;
+  time_point Now = steadyNow();
   service_load &Load = Loads[Call.Service];
   service_room Room{Upstreams.readySlots(Call.Service, Now), EntryHosts};
   auto Refusal = Load.Admission.refusal(Load.Gauge, Room, Call.Route.Rank, Now);
   if (!Refusal)
-    return std::nullopt;
+    return false;
   log::info("program may not begin",
             {{"id", Call.Facts.Id},
              {"program", Call.Facts.Program},
@@ -111,7 +113,8 @@
              {"hosts", Room.Hosts},
              {"retry_after_ms", Refusal->RetryAfter.count()}});
   Metrics.add("programs_refused_total", "service=\"" + Call.Service + "\"");
-  return Refusal;
+  refuse(Id, "no room for a new program", Refusal->RetryAfter);
+  return true;
 }
 
 void relay::impl::openTurn(relay_call_id Id) {
@@ -124,7 +127,8 @@
     refuse(Id, "no upstream is ready");
     return;
   }
-  if (Call.Facts.PreviousTurn.empty() && !Call.Facts.Budget) {
+  std::string Previous = Call.isKept() ? Call.Facts.PreviousTurn : "";
+  if (Previous.empty() && !Call.hasBudget()) {
     send(Id);
     return;
   }
@@ -135,11 +139,11 @@
   turns::open_call Open;
   Open.Attempt = Call.Facts.Id;
   Open.Program = Call.Facts.Program;
-  Open.Previous = Call.Facts.PreviousTurn;
+  Open.Previous = std::move(Previous);
   Open.Tokens = Call.Facts.MostTokens;
   Open.Budget = Call.Facts.Budget.value_or(0);
   Open.Keep = Call.Route.Keep;
-  Call.Reserved = Call.Facts.Budget.has_value();
+  Call.Reserved = Call.hasBudget();
   Call.Operation =
       Turns.open(std::move(Open), [this, Id](const turns::open_result &Result) {
         relay_call *Opened = Calls.find(Id);
@@ -160,7 +164,8 @@
                      {"set_epoch", Turns.set().Epoch}});
         switch (Result.Outcome) {
         case turns::open_outcome::Granted:
-          send(Id);
+          if (Opened->isKept() || Result.Spent > 0 || !refuseStart(Id))
+            send(Id);
           return;
         case turns::open_outcome::OverBudget:
           failCall(Id, http1::status::PaymentRequired, Result.Reason);
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -74,7 +74,7 @@
   Close.Attempt = Call.Facts.Id;
   Close.Program = Call.Facts.Program;
   Close.Tokens = Call.tokens();
-  Close.HasBudget = Call.Facts.Budget.has_value();
+  Close.HasBudget = Call.hasBudget();
   Close.Keep = Call.Route.Keep;
   return Close;
 }
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -58,8 +58,8 @@
   void onGone(http1::exchange_id Exchange);
   void onDeadline(relay_call_id Id);
   void openTurn(relay_call_id Id);
-  /// Why the call's program may not begin now, if it is one that begins.
-  std::optional<start_refusal> startRefusal(const relay_call &Call);
+  /// Refuses a call whose program begins with it and may not begin now.
+  bool refuseStart(relay_call_id Id);
 
   // -- Upstreams (relay_send.cpp) --
   void send(relay_call_id Id);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -37,8 +37,9 @@
   placement Placement;
   Placement.Service = Call.Service;
   Placement.DataCentre = Settings.DataCentre;
-  if (Call.isTurn())
+  if (Call.Route.Kind == call_kind::Stream)
     Placement.AffinityKey = Call.Facts.Program;
+  Placement.Begins = Call.isKept() && Call.Facts.PreviousTurn.empty();
   Placement.Home = Call.Home;
   Placement.SpreadKey = Call.Facts.Id;
   Placement.Tried = Call.Tried;
@@ -156,7 +157,7 @@
       Gauge.eventGap(Now - Call.LastEvent);
     }
     Call.LastEvent = Now;
-    if (Call.isTurn())
+    if (Call.isKept())
       Call.Output.append(Data).append("\n");
   });
   // A stream may bring bytes without end that are no events, or events beyond
@@ -213,7 +214,8 @@
   std::string Upstream = Call.UpstreamId;
   leaveUpstream(Call);
   noteSuccess(Call);
-  if (!Call.isTurn()) {
+  if (!Call.isKept()) {
+    settle(Call);
     Server->finish(Call.Exchange);
     finish(Id, Call.Head.Status, {});
     return;
--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -114,6 +114,48 @@
   CHECK(F.Llm.Connections.empty());
 }
 
+TEST_CASE("budget_of_turns_whose_chain_is_not_kept") {
+  // Budgets were held only on routes whose turns the system keeps; a program
+  // that sends its whole prompt each time could generate without end.
+  fixture F;
+  std::string More = "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,60\r\n";
+  caller First(F.Address);
+  First.send(F.request("POST", "/talk/1", "t1", More, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  SUBCASE("one that runs counts at its most") {
+    caller Second(F.Address);
+    Second.send(F.request("POST", "/talk/1", "t2", More, "[in]"));
+    REQUIRE(Second.waitsFor("HTTP/1.1"));
+    CHECK(Second.has("HTTP/1.1 402"));
+  }
+  SUBCASE("one that has ended counts at what it has generated") {
+    F.Llm.send(0, streamHead("t1") + chunk("data: a\n\ndata: b\n\n") +
+                      std::string(StreamEnd));
+    REQUIRE(First.waitsFor("0\r\n\r\n"));
+    caller Second(F.Address);
+    Second.send(F.request("POST", "/talk/1", "t2", More, "[in]"));
+    REQUIRE(F.received(F.Llm, "X-Call: t2"));
+    F.Llm.send(0, streamHead("t2") +
+                      chunk("data: a\n\ndata: b\n\ndata: c\n\n") +
+                      std::string(StreamEnd));
+    REQUIRE(Second.waitsFor("0\r\n\r\n"));
+    // 20 and 30 tokens are spent.
+    caller Third(F.Address);
+    Third.send(F.request("POST", "/talk/1", "t3", More, "[in]"));
+    REQUIRE(Third.waitsFor("HTTP/1.1"));
+    CHECK(Third.has("HTTP/1.1 402"));
+  }
+  SUBCASE("one that was cut off counts at what its caller was handed") {
+    F.Llm.send(0, streamHead("t1") + chunk("data: a\n\n"));
+    REQUIRE(First.waitsFor("data: a"));
+    F.Llm.close(0);
+    REQUIRE(turnUntil([&] { return First.Closed; }));
+    caller Second(F.Address);
+    Second.send(F.request("POST", "/talk/1", "t2", More, "[in]"));
+    CHECK(F.received(F.Llm, "X-Call: t2"));
+  }
+}
+
 TEST_CASE("disk hosts out of reach are reached by way of another host") {
   // Three entry hosts were cut off from all disk hosts for twelve seconds and
   // refused every turn, though they reached the other entry hosts.
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -48,9 +48,11 @@
   Routing.Version = Version;
   Routing.Routes = {routeOf("/safe/", relay::call_kind::Safe, "tools", 2),
                     routeOf("/book/", relay::call_kind::Unsafe, "tools", 2),
-                    routeOf("/plan/", relay::call_kind::Stream, "llm", 2)};
+                    routeOf("/plan/", relay::call_kind::Stream, "llm", 2),
+                    routeOf("/talk/", relay::call_kind::Stream, "llm", 2)};
   Routing.Routes[2].KeepsTurns = true;
   Routing.Routes[2].Keep = milliseconds(60000);
+  Routing.Routes[3].Keep = milliseconds(60000);
   Routing.Services["tools"].Name = "tools";
   relay::service &Llm = Routing.Services["llm"];
   Llm.Name = "llm";
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -106,10 +106,9 @@
       SecondRank = Rank;
     }
   }
-  bool Begins = !Placement.AffinityKey.empty() && Placement.Home.empty();
   bool Alike = Second && SecondRank.Trouble == BestRank.Trouble &&
                SecondRank.Far == BestRank.Far;
-  if (Begins && Alike && Second->EventGapMs > 0 &&
+  if (Placement.Begins && Alike && Second->EventGapMs > 0 &&
       Second->EventGapMs < Best->EventGapMs)
     return Second;
   return Best;
