Streams that may be resumed go on after a break

Callers saw: a stream whose runner broke it off was cut; they came again on a new connection, to another host, with the budget reserved anew. Tests: four cases of "a resumable stream that ..." and one of the splitter; before, the first upstream was never asked again and the stream was cut.

--- a/src/include/turmerichead/net_http.h
+++ b/src/include/turmerichead/net_http.h
@@ -232,6 +232,13 @@
   bool feed(std::string_view Bytes,
             const std::function<void(std::string_view Data)> &OnData);
 
+  /// The newest id of an event that is complete; empty if none had one.
+  const std::string &lastId() const { return LastId; }
+  /// How many of the bytes taken came after the last blank line.
+  std::size_t unfinished() const { return Unfinished; }
+  /// Drops what there is of an event that is not complete.
+  void dropUnfinished();
+
 private:
   void takeLine(std::string_view Line,
                 const std::function<void(std::string_view Data)> &OnData);
@@ -239,6 +246,9 @@
   std::size_t MaxEventBytes;
   std::string Line;
   std::string Data;
+  std::string Id; ///< Of the event that is not complete.
+  std::string LastId;
+  std::size_t Unfinished = 0;
   bool HasData = false;
   bool SkipLineFeed = false;
   bool Failed = false;
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -40,6 +40,7 @@
   std::string Budget;         ///< Tokens of all turns of the program.
   std::string Tokens;         ///< "PROMPT,MOST" of a turn.
   std::string PreviousTurn;   ///< Call id of the turn that it continues.
+  std::string LastEvent;      ///< Id of the event after which a stream goes on.
   /// Headers that only the system may set; taken out of a caller's request.
   std::vector<std::string> SystemOnly;
 };
--- a/src/include/turmerichead/relay_routes.h
+++ b/src/include/turmerichead/relay_routes.h
@@ -36,6 +36,9 @@
   milliseconds Timeout{0};    ///< After which the caller has a final answer.
   std::uint32_t Rank = 0;     ///< 0 is the most urgent.
   std::uint32_t Attempts = 1; ///< Upstreams that one call may be sent to.
+  /// A stream that broke may go on after the last event that its caller has;
+  /// it may run more than once.
+  bool Resumable = false;
   std::vector<traffic_share> Services;
   bool KeepsTurns = false; ///< Calls are turns whose chain the system keeps.
   milliseconds Keep{0};    ///< How long a turn is kept.
--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -608,6 +608,24 @@
         std::vector<std::string>{"a", "b", "c\nd", ""});
 }
 
+TEST_CASE("a stream that broke goes on after its last whole event") {
+  sse_splitter Splitter;
+  std::string Seen;
+  auto Take = [&](std::string_view Data) { Seen += Data; };
+  Splitter.feed("id: 1\ndata: a\n\nid: 2\nda", Take);
+  CHECK(Splitter.lastId() == "1");
+  CHECK(Splitter.unfinished() == 8);
+  Splitter.dropUnfinished();
+  CHECK(Splitter.unfinished() == 0);
+  Splitter.feed("id: 2\r\ndata: b\r\n\r", Take);
+  CHECK(Splitter.unfinished() == 0);
+  Splitter.feed("\n", Take);
+  CHECK(Splitter.unfinished() == 0);
+  Splitter.feed("data: c\n\n", Take);
+  CHECK(Splitter.lastId() == "2");
+  CHECK(Seen == "abc");
+}
+
 TEST_CASE("an event over the limit fails the splitter") {
   sse_splitter Splitter(10);
   auto Ignore = [](std::string_view) {};
--- a/src/libnet/sse_splitter.cpp
+++ b/src/libnet/sse_splitter.cpp
@@ -11,15 +11,20 @@
     const std::function<void(std::string_view Data)> &OnData) {
   for (std::size_t I = 0; I < Bytes.size() && !Failed;) {
     // A line ends with CR, LF or both; the LF of a pair may come later.
-    if (SkipLineFeed && Bytes[I] == '\n')
+    if (SkipLineFeed && Bytes[I] == '\n') {
+      Unfinished += Unfinished > 0 ? 1 : 0;
       ++I;
+    }
     SkipLineFeed = false;
     std::size_t End = Bytes.find_first_of("\r\n", I);
     Line += Bytes.substr(I, End == std::string_view::npos ? End : End - I);
     Failed = Line.size() + Data.size() > MaxEventBytes;
-    if (End == std::string_view::npos || Failed)
+    if (End == std::string_view::npos || Failed) {
+      Unfinished += Bytes.size() - I;
       break;
+    }
     SkipLineFeed = Bytes[End] == '\r';
+    Unfinished += End + 1 - I;
     I = End + 1;
     std::string Whole = std::exchange(Line, {});
     takeLine(Whole, OnData);
@@ -33,21 +38,36 @@
     std::string_view Line,
     const std::function<void(std::string_view Data)> &OnData) {
   if (Line.empty()) {
+    LastId = Id;
+    Unfinished = 0;
     if (HasData)
       OnData(std::exchange(Data, {}));
     HasData = false;
     Data.clear();
     return;
   }
-  if (!Line.starts_with("data") || (Line.size() > 4 && Line[4] != ':'))
-    return;
-  std::string_view Value = Line.substr(std::min<std::size_t>(Line.size(), 5));
+  std::size_t Colon = std::min(Line.find(':'), Line.size());
+  std::string_view Field = Line.substr(0, Colon);
+  std::string_view Value = Line.substr(std::min(Line.size(), Colon + 1));
   if (Value.starts_with(' '))
     Value.remove_prefix(1);
+  if (Field == "id")
+    Id = Value;
+  if (Field != "data")
+    return;
   if (HasData)
     Data += '\n';
   Data += Value;
   HasData = true;
 }
 
+void sse_splitter::dropUnfinished() {
+  Line.clear();
+  Data.clear();
+  Id = LastId;
+  HasData = false;
+  SkipLineFeed = false;
+  Unfinished = 0;
+}
+
 } // namespace turmerichead
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -37,6 +37,9 @@
 std::string_view nameOf(call_phase Phase);
 
 struct relay_call {
+  /// How often a stream goes on after a break.
+  static constexpr std::uint32_t MaxResumes = 3;
+
   http1::exchange_id Exchange;
   http1::request Request;
   call_facts Facts;
@@ -58,13 +61,19 @@
   std::vector<std::string> Tried;
   std::uint32_t Attempts = 0; ///< Upstreams that it was sent to.
   bool MayHaveRun = false;    ///< An upstream had it and broke off.
+  /// The upstream that broke it off, if that is to go on with it.
+  std::string GoesOnAt;
+  std::uint32_t ResumesLeft = MaxResumes;
   time_point SentAt;
 
   http1::response_head Head;
   std::string Body; ///< Of an answer that is not streamed.
   bool NotRun = false;
+  bool Streams = false; ///< The upstream answers with a stream.
   sse_splitter Events;
+  std::string PartOfEvent; ///< Not passed on before the rest has come.
   std::uint64_t EventCount = 0;
+  std::uint64_t EventsBefore = 0;   ///< Of upstreams before this one.
   std::uint64_t TokensPerEvent = 1; ///< Of its service, as the call came.
   std::string Output;               ///< The data of the events, one a line.
   std::size_t BytesSinceEvent = 0;
@@ -73,6 +82,9 @@
 
   /// Tokens that its caller was handed.
   std::uint64_t tokens() const { return EventCount * TokensPerEvent; }
+  bool hasResumed() const { return ResumesLeft < MaxResumes; }
+  /// Events of the upstream that has it now.
+  std::uint64_t eventsHere() const { return EventCount - EventsBefore; }
   /// More than one event beyond the most that its caller has asked for.
   bool isOverlong() const {
     constexpr std::uint64_t Spare = 2;
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -45,6 +45,10 @@
 void relay::impl::refuse(relay_call_id Id, std::string_view Reason,
                          milliseconds RetryAfter) {
   relay_call &Call = *Calls.find(Id);
+  if (Call.Phase == call_phase::Streaming) {
+    cut(Id, Reason);
+    return;
+  }
   if (Call.MayHaveRun) {
     failCall(Id, http1::status::BadGateway, Reason);
     return;
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -67,6 +67,8 @@
                                  const upstream &Upstream) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
   void onBody(relay_call_id Id, std::string_view Bytes);
+  /// Of a stream that may go on elsewhere only whole events.
+  void passOn(relay_call &Call, std::string_view Bytes);
   /// Ends an answer that an upstream would go on with.
   void breakOff(relay_call_id Id, std::string_view Reason);
   void onUpstreamEnd(relay_call_id Id, const http1::call_result &Result);
@@ -74,6 +76,7 @@
   void onStreamed(relay_call_id Id);
   void onNotRun(relay_call_id Id);
   void onBroken(relay_call_id Id, const http1::call_result &Result);
+  bool goOn(relay_call_id Id);
   void leaveUpstream(relay_call &Call);
 
   // -- Ends of upstreams (relay_suspects.cpp) --
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -43,7 +43,11 @@
   Placement.Home = Call.Home;
   Placement.SpreadKey = Call.Facts.Id;
   Placement.Tried = Call.Tried;
-  upstream_row *Upstream = Upstreams.pick(Placement, Now);
+  upstream_row *Upstream = nullptr;
+  if (!Call.GoesOnAt.empty())
+    Upstream = Upstreams.find(std::exchange(Call.GoesOnAt, {}));
+  if (!Upstream)
+    Upstream = Upstreams.pick(Placement, Now);
   if (!Upstream) {
     refuse(Id, "no upstream is ready");
     return;
@@ -53,7 +57,10 @@
   Call.UpstreamId = Upstream->Upstream.Id;
   Call.SentTo = Upstream->Upstream;
   Call.Tried.push_back(Call.UpstreamId);
-  Call.Phase = call_phase::Sent;
+  if (Call.Phase != call_phase::Streaming)
+    Call.Phase = call_phase::Sent;
+  Call.Streams = false;
+  Call.EventsBefore = Call.EventCount;
   Call.SentAt = Now;
   if (Call.Route.Kind == call_kind::Stream)
     Loads[Call.Service].Gauge.sent(Now);
@@ -65,6 +72,7 @@
                           {"avoided", Upstream->AvoidUntil > Now},
                           {"vanished", Upstream->GoneAt.has_value()},
                           {"attempt", Call.Attempts},
+                          {"after_event", Call.Events.lastId()},
                           {"left_ms", (Call.Deadline - Now).count()},
                           {"chain_bytes", Call.Chain.size()}});
   http1::call_request Request = requestFor(Call, Upstream->Upstream);
@@ -90,6 +98,8 @@
   milliseconds Left = Call.Deadline - steadyNow();
   Request.Headers.set(Names.TimeLeft, std::to_string(Left.count()));
   Request.Headers.set(Names.ExpectUpstream, Upstream.Id);
+  if (!Call.Events.lastId().empty())
+    Request.Headers.set(Names.LastEvent, Call.Events.lastId());
   if (!Call.Chain.empty())
     Request.Body.push_back(Call.Chain);
   if (!Call.Request.Body.empty())
@@ -111,7 +121,7 @@
   if (upstream_row *Row = Upstreams.find(Call.UpstreamId))
     Row->InFlight -= Row->InFlight > 0 ? 1 : 0;
   if (Call.Route.Kind == call_kind::Stream)
-    Loads[Call.Service].Gauge.ended(Call.SentAt, Call.EventCount);
+    Loads[Call.Service].Gauge.ended(Call.SentAt, Call.eventsHere());
   Call.UpstreamId.clear();
   Call.Upstream = {};
 }
@@ -125,7 +135,9 @@
   bool Streams = Call.Route.Kind == call_kind::Stream &&
                  Head.Status == http1::status::Ok && !Call.NotRun &&
                  !Head.Headers.find("Content-Encoding");
-  if (!Streams)
+  Call.Streams = Streams;
+  // A stream that goes on keeps the head that its caller has.
+  if (!Streams || Call.Phase == call_phase::Streaming)
     return;
   http1::header_list Headers = Head.Headers;
   http1::removeHopByHop(Headers);
@@ -136,7 +148,7 @@
 
 void relay::impl::onBody(relay_call_id Id, std::string_view Bytes) {
   relay_call &Call = *Calls.find(Id);
-  if (Call.Phase != call_phase::Streaming) {
+  if (!Call.Streams) {
     if (Call.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
       Call.Body += Bytes;
       return;
@@ -149,8 +161,9 @@
   bool Sound = Call.Events.feed(Bytes, [&](std::string_view Data) {
     time_point Now = steadyNow();
     Call.BytesSinceEvent = 0;
-    if (++Call.EventCount == 1) {
+    if (++Call.EventCount == 1)
       Call.FirstEvent = Now;
+    if (Call.eventsHere() == 1) {
       Gauge.firstEvent(Call.SentAt, Now);
     } else {
       Upstreams.noteEventGap(Call.UpstreamId, Now - Call.LastEvent);
@@ -167,11 +180,26 @@
   else if (Call.isOverlong())
     breakOff(Id, "the stream is longer than the call may generate");
   else
+    passOn(Call, Bytes);
+}
+
+void relay::impl::passOn(relay_call &Call, std::string_view Bytes) {
+  if (!Call.Route.Resumable) {
     Server->write(Call.Exchange, Bytes);
+    return;
+  }
+  // Another upstream would send an event anew of which the caller has a part.
+  Call.PartOfEvent += Bytes;
+  std::size_t Whole = Call.PartOfEvent.size() - Call.Events.unfinished();
+  if (Whole > 0)
+    Server->write(Call.Exchange, Call.PartOfEvent.substr(0, Whole));
+  Call.PartOfEvent.erase(0, Whole);
 }
 
 void relay::impl::breakOff(relay_call_id Id, std::string_view Reason) {
-  Client->cancel(Calls.find(Id)->Upstream);
+  relay_call &Call = *Calls.find(Id);
+  Client->cancel(Call.Upstream);
+  Call.ResumesLeft = 0;
   Metrics.add("upstream_answers_broken_off_total");
   onBroken(Id, {http1::call_outcome::Broken, std::string(Reason)});
 }
@@ -187,10 +215,14 @@
     onNotRun(Id);
     return;
   }
-  if (Call.Phase == call_phase::Streaming) {
+  if (Call.Streams) {
     onStreamed(Id);
     return;
   }
+  if (Call.Phase == call_phase::Streaming) {
+    cut(Id, "the stream does not go on");
+    return;
+  }
   if (Call.Head.Headers.find("Content-Encoding")) {
     onBroken(Id, {http1::call_outcome::Broken, "the answer is encoded"});
     return;
@@ -214,6 +246,8 @@
   std::string Upstream = Call.UpstreamId;
   leaveUpstream(Call);
   noteSuccess(Call);
+  if (!Call.PartOfEvent.empty())
+    Server->write(Call.Exchange, Call.PartOfEvent);
   if (!Call.isKept()) {
     settle(Call);
     Server->finish(Call.Exchange);
@@ -248,8 +282,11 @@
   log::info("not run by upstream", {{"id", Call.Facts.Id},
                                     {"upstream", Call.UpstreamId},
                                     {"status", Call.Head.Status}});
-  if (Call.Head.Status == http1::status::Misdirected)
+  if (Call.Head.Status == http1::status::Misdirected) {
     Upstreams.noteFailure(Call.UpstreamId, steadyNow());
+    // The upstream at which it was to go on has ended; this is another.
+    Call.Attempts -= Call.hasResumed() ? 1 : 0;
+  }
   leaveUpstream(Call);
   Call.Body.clear();
   if (Call.Attempts < Call.Route.Attempts)
@@ -258,6 +295,24 @@
     refuse(Id, "the upstreams that were tried did not run it");
 }
 
+// Sends a stream that broke to the upstream that had it, which has its prompt
+// in memory, or to another if that has ended. Returns false if it may not.
+bool relay::impl::goOn(relay_call_id Id) {
+  relay_call &Call = *Calls.find(Id);
+  if (!Call.Route.Resumable || Call.ResumesLeft == 0)
+    return false;
+  --Call.ResumesLeft;
+  Call.Events.dropUnfinished();
+  Call.PartOfEvent.clear();
+  Call.BytesSinceEvent = 0;
+  Call.GoesOnAt = Call.SentTo.Id;
+  // It was counted as it was sent there first.
+  --Call.Attempts;
+  Metrics.add("streams_resumed_total");
+  send(Id);
+  return true;
+}
+
 void relay::impl::onBroken(relay_call_id Id, const http1::call_result &Result) {
   relay_call &Call = *Calls.find(Id);
   time_point Now = steadyNow();
@@ -277,10 +332,6 @@
   }
   leaveUpstream(Call);
   Call.Body.clear();
-  if (Call.Phase == call_phase::Streaming) {
-    cut(Id, Result.Reason);
-    return;
-  }
   if (Result.Outcome == http1::call_outcome::NotSent) {
     // The upstream has seen nothing of it.
     --Call.Attempts;
@@ -291,6 +342,12 @@
       refuse(Id, "no upstream could be reached");
     return;
   }
+  if (goOn(Id))
+    return;
+  if (Call.Phase == call_phase::Streaming) {
+    cut(Id, Result.Reason);
+    return;
+  }
   if (Call.Route.Kind == call_kind::Safe &&
       Call.Attempts < Call.Route.Attempts) {
     send(Id);
--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -205,6 +205,61 @@
   CHECK(Next.has("HTTP/1.1 404"));
 }
 
+TEST_CASE("a resumable stream that breaks off goes on after its last event") {
+  // Such streams were cut, and their callers came again with a new call.
+  fixture F;
+  auto First = std::make_unique<raw_server>();
+  F.Relay->removeUpstream("llm-1", milliseconds(0));
+  F.put("llm-2", "llm", *First);
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/chat/1", "t1",
+                        "X-Program: p\r\nX-Budget: 100\r\nX-Tokens: 5,60\r\n",
+                        "[in]"));
+  REQUIRE(F.received(*First, "X-Call: t1"));
+  First->send(0, streamHead("t1") + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+  REQUIRE(Caller.waitsFor("data: a"));
+  SUBCASE("at the upstream that had it") {
+    First->close(0);
+    REQUIRE(F.received(*First, "X-Last-Event: 1"));
+    std::size_t Index = First->Connections.size() - 1;
+    First->send(Index, streamHead("t1") + chunk("id: 2\ndata: b\n\n") +
+                           std::string(StreamEnd));
+  }
+  SUBCASE("at another if that has ended, though the route allows one") {
+    F.put("llm-1", "llm", F.Llm);
+    First.reset();
+    REQUIRE(F.received(F.Llm, "X-Last-Event: 1"));
+    F.Llm.send(0, streamHead("t1") + chunk("id: 2\ndata: b\n\n") +
+                      std::string(StreamEnd));
+  }
+  REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+  CHECK(Caller.has("id: 1\ndata: a\n\n"));
+  CHECK(Caller.has("id: 2\ndata: b\n\n"));
+  CHECK(!Caller.has("id: 2\nda\r\n"));
+  CHECK(Caller.Input.find("HTTP/1.1") == Caller.Input.rfind("HTTP/1.1"));
+}
+
+TEST_CASE("a resumable stream that can't go on is cut") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/chat/1", "t1", {}, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  F.Llm.send(0, streamHead("t1") + chunk("id: 1\ndata: a\n\n"));
+  REQUIRE(Caller.waitsFor("data: a"));
+  F.Llm.close(0);
+  REQUIRE(F.received(F.Llm, "X-Last-Event: 1"));
+  std::size_t Index = F.Llm.Connections.size() - 1;
+  SUBCASE("the upstream is full") {
+    F.Llm.send(Index, answerTo("t1", "", "503 Busy", "X-Not-Run: 1\r\n"));
+  }
+  SUBCASE("the upstream answers something else") {
+    F.Llm.send(Index, answerTo("t1", "what?", "500 No"));
+  }
+  REQUIRE(turnUntil([&] { return Caller.Closed; }));
+  CHECK(!Caller.has("0\r\n\r\n"));
+  CHECK(!Caller.has("what?"));
+}
+
 TEST_CASE("bytes_without_end_in_a_body_are_cut_off") {
   constexpr std::size_t MostTaken = 16U << 20U;
   fixture F;
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -26,6 +26,7 @@
   Names.Budget = "X-Budget";
   Names.Tokens = "X-Tokens";
   Names.PreviousTurn = "X-Previous";
+  Names.LastEvent = "X-Last-Event";
   Names.SystemOnly = {"X-Expect", "X-Pin"};
   return Names;
 }
@@ -49,10 +50,12 @@
   Routing.Routes = {routeOf("/safe/", relay::call_kind::Safe, "tools", 2),
                     routeOf("/book/", relay::call_kind::Unsafe, "tools", 2),
                     routeOf("/plan/", relay::call_kind::Stream, "llm", 2),
-                    routeOf("/talk/", relay::call_kind::Stream, "llm", 2)};
+                    routeOf("/talk/", relay::call_kind::Stream, "llm", 2),
+                    routeOf("/chat/", relay::call_kind::Stream, "llm", 1)};
   Routing.Routes[2].KeepsTurns = true;
   Routing.Routes[2].Keep = milliseconds(60000);
   Routing.Routes[3].Keep = milliseconds(60000);
+  Routing.Routes[4].Resumable = true;
   Routing.Services["tools"].Name = "tools";
   relay::service &Llm = Routing.Services["llm"];
   Llm.Name = "llm";
