--- a/src/libnet/test_loop_pvt.h
+++ b/src/libnet/test_loop_pvt.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace turmerichead::pvt {
@@ -31,6 +32,16 @@
   return "127.0.0.1:" + std::to_string(Port);
 }
 
+/// An address at which nobody listens, on a loopback address of this process's
+/// own: on a shared one another process may take the port before it is used.
+inline std::string freeAddress() {
+  auto Pid = static_cast<unsigned>(getpid());
+  std::string Ip = "127." + std::to_string(1 + ((Pid >> 16U) & 0x7fU)) + "." +
+                   std::to_string((Pid >> 8U) & 0xffU) + "." +
+                   std::to_string(Pid & 0xffU);
+  return Ip + ":" + std::to_string(listener::open(Ip + ":0")->port());
+}
+
 /// Accepts connections, keeps what was read of each, and leaves it to the
 /// test what to answer.
 class raw_server {
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -9,7 +9,6 @@
 #include "turmerichead/turns_replica.h"
 
 #include <filesystem>
-#include <unistd.h>
 
 namespace turmerichead::pvt {
 
@@ -63,16 +62,6 @@
   return Routing;
 }
 
-/// An address at which nobody listens, on a loopback address of this process's
-/// own: on a shared one another process may take the port before it is used.
-inline std::string freeAddress() {
-  auto Pid = static_cast<unsigned>(getpid());
-  std::string Ip = "127." + std::to_string(1 + ((Pid >> 16U) & 0x7fU)) + "." +
-                   std::to_string((Pid >> 8U) & 0xffU) + "." +
-                   std::to_string(Pid & 0xffU);
-  return Ip + ":" + std::to_string(listener::open(Ip + ":0")->port());
-}
-
 struct disks {
   std::string Root;
   turns::disk_set Set{1, 2, {}, {}};
