Sort disk hosts by ranks that do not change meanwhile

Cause: which disk hosts are silent was worked out in each comparison of std::stable_sort, from the clock. A host that falls silent within the sort makes the order contradict itself, and the sort reads and writes beyond its list. It needs the clock to pass 60 ms of silence within the microseconds of a sort: seen only where hosts have 0.12 of a core, since there a process loses its processor for milliseconds at any point. Evidence: the test with the old way of sorting, built with AddressSanitizer: heap-buffer-overflow in the comparison. Test: crash_while_hosts_are_sorted_and_one_falls_silent.

--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -1,5 +1,6 @@
 #include "client_pvt.h"
 
+#include "rank_pvt.h"
 #include "turmerichead/turns_forwarder.h"
 #include "turmerichead/turns_links.h"
 
@@ -37,16 +38,10 @@
 
 // Members of this host's data centre first, those that do not answer last.
 std::vector<disk_host> client::impl::inOrder(const disk_set &Members) const {
-  std::vector<disk_host> Hosts = Members.everyone();
-  auto Rank = [&](const disk_host &Host) {
+  return sortedByRank(Members.everyone(), [this](const disk_host &Host) {
     return (isSilent(Host.Address) ? 2 : 0) +
            (Host.DataCentre == Settings.DataCentre ? 0 : 1);
-  };
-  std::stable_sort(Hosts.begin(), Hosts.end(),
-                   [&](const disk_host &Left, const disk_host &Right) {
-                     return Rank(Left) < Rank(Right);
-                   });
-  return Hosts;
+  });
 }
 
 // -- Ways to a host ----------------------------------------------------------
--- /dev/null
+++ b/src/libturns/rank_pvt.h
@@ -0,0 +1,29 @@
+/// \file
+/// Sorting by a rank that may change while it is sorted by.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace turmerichead::turns {
+
+/// The values by rising rank, equal ones as they were. \p RankOf(value) is
+/// called once for each: a rank that depends on the time may change within a
+/// sort, which then reads and writes beyond the ends of the list.
+template <typename Value, typename Ranker>
+std::vector<Value> sortedByRank(std::vector<Value> Values, Ranker RankOf) {
+  std::vector<std::pair<int, std::size_t>> Ranked;
+  Ranked.reserve(Values.size());
+  for (std::size_t I = 0; I < Values.size(); ++I)
+    Ranked.emplace_back(RankOf(Values[I]), I);
+  std::sort(Ranked.begin(), Ranked.end());
+  std::vector<Value> Sorted;
+  Sorted.reserve(Values.size());
+  for (const auto &[Rank, Index] : Ranked)
+    Sorted.push_back(std::move(Values[Index]));
+  return Sorted;
+}
+
+} // namespace turmerichead::turns
--- /dev/null
+++ b/src/libturns/rank_test.cpp
@@ -0,0 +1,38 @@
+#include "rank_pvt.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace turmerichead::turns;
+
+TEST_CASE("values are sorted by rank, equal ones as they were") {
+  std::vector<std::string> Values = {"c2", "a1", "b2", "d1", "e3"};
+  auto RankOf = [](const std::string &Value) { return Value[1] - '0'; };
+  CHECK(sortedByRank(Values, RankOf) ==
+        std::vector<std::string>{"a1", "d1", "c2", "b2", "e3"});
+  CHECK(sortedByRank(std::vector<std::string>(), RankOf).empty());
+}
+
+TEST_CASE("crash_while_hosts_are_sorted_and_one_falls_silent") {
+  // Which disk hosts are silent was looked up in each comparison, by the time
+  // of day; entry hosts with little processor ended with a segmentation fault.
+  constexpr int Hosts = 24;
+  std::vector<std::string> Values;
+  for (int I = 0; I < Hosts; ++I)
+    Values.push_back("host-" + std::to_string(I));
+  for (int FallsSilentAt = 0; FallsSilentAt < 4 * Hosts; ++FallsSilentAt) {
+    int Asked = 0;
+    auto RankOf = [&](const std::string &Value) {
+      bool Silent = Value == "host-0" && Asked >= FallsSilentAt;
+      ++Asked;
+      return Silent ? 2 : 1;
+    };
+    auto Sorted = sortedByRank(Values, RankOf);
+    CHECK(Asked == Hosts);
+    std::sort(Sorted.begin(), Sorted.end());
+    auto Expected = Values;
+    std::sort(Expected.begin(), Expected.end());
+    CHECK(Sorted == Expected);
+  }
+}
