Do not read a pool of idle connections that has been dropped

Seen in review while the crashes of the large site were traced. Cause: takeIdle() closed an idle connection that its other side had closed; close() dropped the address's pool with the last one, and the loop went on with the iterator. Beside it: a write that failed at once told a call's end inside call(), against the header's promise, so that the relay then wrote to a call that had ended. It is told in the next turn of the loop now. Evidence: crash_when_the_only_idle_connection_has_been_closed under AddressSanitizer: heap-use-after-free in takeIdle before, clean after (29 tests). In a plain build the test passes either way, since freed memory is still there.

--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -137,6 +137,7 @@
   bool onMessageEnd(connection_id Id);
   bool takeHead(connection_row &Row);
   void flush(connection_id Id);
+  void onWriteFailed(connection_id Id);
   void watch(connection_id Id, connection_row &Row);
   void keep(connection_id Id, connection_row &Row);
   void close(connection_id Id);
@@ -151,8 +152,9 @@
 // -- Connections -------------------------------------------------------------
 
 std::optional<connection_id> client::state::takeIdle(std::string_view Address) {
-  auto Pool = Idle.find(Address);
-  while (Pool != Idle.end() && !Pool->second.empty()) {
+  // Closing the last one of a pool drops the pool.
+  for (auto Pool = Idle.find(Address);
+       Pool != Idle.end() && !Pool->second.empty(); Pool = Idle.find(Address)) {
     connection_id Id = Pool->second.back();
     Pool->second.pop_back();
     connection_row *Row = Connections.find(Id);
@@ -262,14 +264,21 @@
 
 void client::state::flush(connection_id Id) {
   connection_row *Row = Connections.find(Id);
-  if (Row->Socket.flush() == pvt::io_result::Failed) {
-    // An answer may have come before the other side closed.
-    onReadable(Id);
-    if (Connections.find(Id))
-      fail(Id, "the connection was lost while the request was written");
+  if (Row->Socket.flush() != pvt::io_result::Failed) {
+    watch(Id, *Row);
     return;
   }
-  watch(Id, *Row);
+  // A call's events are never told inside call().
+  Deferred.emplace_back([this, Id] { onWriteFailed(Id); });
+  runDeferred();
+}
+
+void client::state::onWriteFailed(connection_id Id) {
+  // An answer may have come before the other side closed.
+  if (Connections.find(Id))
+    onReadable(Id);
+  if (Connections.find(Id))
+    fail(Id, "the connection was lost while the request was written");
 }
 
 void client::state::watch(connection_id Id, connection_row &Row) {
--- a/src/libhttp1/client_test.cpp
+++ b/src/libhttp1/client_test.cpp
@@ -93,6 +93,25 @@
   CHECK(F.Client->counters().OpenConnections == 2);
 }
 
+TEST_CASE("crash_when_the_only_idle_connection_has_been_closed") {
+  // Its pool was dropped with it and then read (shown by a build with
+  // AddressSanitizer).
+  fixture F;
+  outcome First;
+  F.call(First, "1");
+  REQUIRE(F.received(0, "X-Id: 1"));
+  F.Server.send(0, answerTo("1", "one"));
+  REQUIRE(turnUntil([&] { return First.Result.has_value(); }));
+  F.Server.close(0);
+  g_usleep(20'000); // The loop has not seen the end yet.
+  outcome Second;
+  F.call(Second, "2");
+  REQUIRE(F.received(1, "X-Id: 2"));
+  F.Server.send(1, answerTo("2", "two"));
+  REQUIRE(turnUntil([&] { return Second.Result.has_value(); }));
+  CHECK(Second.Body == "two");
+}
+
 TEST_CASE("a request is never sent again when its kept connection closes") {
   fixture F;
   outcome First;
