--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -41,19 +41,10 @@
   std::string Tokens;         ///< "PROMPT,MOST" of a turn.
   std::string PreviousTurn;   ///< Call id of the turn that it continues.
   std::string LastEvent;      ///< Id of the event after which a stream goes on.
-  std::string Slot;           ///< Id of a slot that was reserved for the call.
   /// Headers that only the system may set; taken out of a caller's request.
   std::vector<std::string> SystemOnly;
 };
 
-/// How an upstream is asked to keep a slot free for a call that comes next.
-struct slot_protocol {
-  std::string Target; ///< Of the request, a POST.
-  std::function<std::string(std::uint64_t Tokens, milliseconds Time)> Body;
-  /// The id of the slot in an answer's body; empty if it holds none.
-  std::function<std::string(std::string_view Body)> ReadId;
-};
-
 struct relay_settings {
   std::string Host;   ///< This host's name.
   std::string Listen; ///< "ip:port" for callers.
@@ -61,7 +52,6 @@
   milliseconds ConnectTimeout{300};
   /// What a caller is told to wait when nothing better is known.
   milliseconds RetryAfter{200};
-  slot_protocol Slots;
 };
 
 class relay {
--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -29,9 +29,6 @@
   /// Turns at the service's upstreams, of this host.
   std::size_t inFlight() const { return InFlight; }
 
-  /// The same, smoothed over the last turns.
-  double meanInFlight() const { return MeanInFlight; }
-
   /// 1 for a service that is as quick as it has been at its calmest, 2 for
   /// one at which a turn takes twice as long; 1 while too little is known.
   double stretch(time_point Now) const;
@@ -49,7 +46,6 @@
   series GapMs;
   double EventsOfTurn = 0;
   std::size_t InFlight = 0;
-  double MeanInFlight = 0;
   std::size_t Waiting = 0;         ///< Without a first event yet.
   std::int64_t WaitingSinceMs = 0; ///< Sum of the times they were sent.
 };
@@ -60,12 +56,6 @@
   std::size_t Hosts = 1;   ///< Entry hosts that share them.
 };
 
-/// Whether a turn first asks for a free slot. The load pattern that it answers:
-/// bursts in which runners with few slots fill by chance, one with a queue
-/// beside one with room. No host knows what the others have sent there, so
-/// that the runner is asked; in calm that would cost more than it saves.
-bool asksForSlot(const load_gauge &Gauge, const service_room &Room);
-
 /// Why a program may not begin.
 struct start_refusal {
   milliseconds RetryAfter{0}; ///< When its caller should come back.
--- a/src/include/turmerichead/relay_routes.h
+++ b/src/include/turmerichead/relay_routes.h
@@ -48,8 +48,6 @@
   std::string Name;
   std::uint32_t ConnectionLimit = 0; ///< Of each upstream, all callers.
   std::uint32_t TokensPerEvent = 1;  ///< Of a model runner's streams.
-  /// How long an upstream keeps a slot free at most; 0: it does not.
-  milliseconds SlotTime{0};
 };
 
 /// Limits on what callers may send.
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -10,7 +10,6 @@
 constexpr double FirstWaitWeight = 0.1;
 constexpr double GapWeight = 0.02;
 constexpr double EventsWeight = 0.1;
-constexpr double InFlightWeight = 0.1;
 // Values after which a smoothed mean may count as the least.
 constexpr std::uint64_t FirstWaitsNeeded = 20;
 constexpr std::uint64_t GapsNeeded = 100;
@@ -23,14 +22,6 @@
 // Below this part of a host's share of the slots, slowness is not load.
 constexpr double BusyShare = 0.5;
 
-// Of a host's share of the slots, from which on some runners are full.
-constexpr double FillingShare = 0.4;
-
-double shareOf(const service_room &Room) {
-  return static_cast<double>(Room.Slots) /
-         static_cast<double>(std::max<std::size_t>(Room.Hosts, 1));
-}
-
 constexpr milliseconds LeastRetryAfter{200};
 constexpr milliseconds MostRetryAfter{3000};
 
@@ -48,8 +39,6 @@
 
 void load_gauge::sent(time_point Now) {
   ++InFlight;
-  MeanInFlight +=
-      InFlightWeight * (static_cast<double>(InFlight) - MeanInFlight);
   ++Waiting;
   WaitingSinceMs += Now.Ms;
 }
@@ -92,18 +81,15 @@
   return std::max(Wait + Gaps * GapMs.Mean, CalmMs) / CalmMs;
 }
 
-bool asksForSlot(const load_gauge &Gauge, const service_room &Room) {
-  return Gauge.meanInFlight() >= FillingShare * shareOf(Room);
-}
-
 std::optional<start_refusal> admission::refusal(const load_gauge &Gauge,
                                                 const service_room &Room,
                                                 std::uint32_t Rank,
                                                 time_point Now) {
   bool Urgent = Rank == 0;
   std::optional<time_point> &Since = FullSince[Urgent ? 0 : 1];
-  bool Busy =
-      static_cast<double>(Gauge.inFlight()) >= BusyShare * shareOf(Room);
+  double Share = static_cast<double>(Room.Slots) /
+                 static_cast<double>(std::max<std::size_t>(Room.Hosts, 1));
+  bool Busy = static_cast<double>(Gauge.inFlight()) >= BusyShare * Share;
   double Stretch = Gauge.stretch(Now);
   if (!Busy || Stretch <= (Urgent ? MaxStretch : MaxStretchLessUrgent)) {
     Since.reset();
--- a/src/librelay/call.cpp
+++ b/src/librelay/call.cpp
@@ -59,7 +59,6 @@
     if (!Prompt || !Most)
       return fail(error_code::InvalidInput,
                   Names.Tokens + ": two whole numbers, with a comma");
-    Facts.PromptTokens = *Prompt;
     Facts.MostTokens = *Most;
   }
   return Facts;
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -20,7 +20,6 @@
   std::optional<milliseconds> TimeLeft;
   std::string Program;
   std::optional<std::uint64_t> Budget; ///< Tokens
-  std::uint64_t PromptTokens = 0;
   std::uint64_t MostTokens = 0;
   std::string PreviousTurn;
 };
@@ -56,19 +55,14 @@
   std::string Chain;
   std::string Home; ///< The upstream that ran the previous turn.
 
-  http1::call_id SlotCall; ///< That asks for a free slot.
-  std::string SlotAnswer;
-  bool SlotsAsked = false;               ///< It does not ask again.
-  std::vector<std::string> AskedForSlot; ///< Ids, the best choice first.
-  std::string Slot;                      ///< Reserved for the next send.
-
   http1::call_id Upstream;
   std::string UpstreamId;
   upstream SentTo; ///< The upstream as it was when the call was sent.
   std::vector<std::string> Tried;
   std::uint32_t Attempts = 0; ///< Upstreams that it was sent to.
   bool MayHaveRun = false;    ///< An upstream had it and broke off.
-  std::string NextUpstream;   ///< Id; empty: it is chosen as it is sent.
+  /// The upstream that broke it off, if that is to go on with it.
+  std::string GoesOnAt;
   std::uint32_t ResumesLeft = MaxResumes;
   time_point SentAt;
 
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -233,12 +233,8 @@
        [Raw](http1::exchange_id Id) { Raw->onGone(Id); }});
   if (!Raw->Client || !Raw->Server)
     return std::nullopt;
-  Raw->Deadlines.emplace([Raw](std::uint64_t Key, int Ask) {
-    auto Id = idOf<relay_call>(Key);
-    if (Ask == 0)
-      Raw->onDeadline(Id);
-    else
-      Raw->onSlotLate(Id, static_cast<std::size_t>(Ask));
+  Raw->Deadlines.emplace([Raw](std::uint64_t Key, int /*Kind*/) {
+    Raw->onDeadline(idOf<relay_call>(Key));
   });
   return relay(std::move(Impl));
 }
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -98,8 +98,6 @@
   relay_call &Call = *Calls.find(Id);
   if (Call.Operation)
     Turns.cancel(Call.Operation);
-  if (Call.SlotCall)
-    Client->cancel(Call.SlotCall);
   if (Call.Upstream && Client->cancel(Call.Upstream))
     noteUnfinished(Call, unfinished::Left);
   time_point Now = steadyNow();
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -61,25 +61,10 @@
   /// Refuses a call whose program begins with it and may not begin now.
   bool refuseStart(relay_call_id Id);
 
-  // -- Free slots (relay_slots.cpp) --
-  /// Whether an upstream is to be asked for a free slot before it is sent.
-  bool wantsSlot(const relay_call &Call, time_point Now);
-  /// Asks upstreams in turn for a free slot, then sends the call.
-  void askForSlot(relay_call_id Id);
-  void onSlotAnswer(relay_call_id Id, int Status,
-                    const http1::call_result &Result);
-  /// The \p Ask th question has not been answered in time.
-  void onSlotLate(relay_call_id Id, std::size_t Ask);
-  void tryNextSlot(relay_call_id Id);
-
   // -- Upstreams (relay_send.cpp) --
   void send(relay_call_id Id);
-  placement placementOf(const relay_call &Call) const;
-  void sendTo(relay_call_id Id, upstream_row &Upstream);
   http1::call_request requestFor(const relay_call &Call,
                                  const upstream &Upstream) const;
-  /// Connections to one upstream that may wait for further calls.
-  std::size_t maxIdle(std::string_view ServiceName) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
   void onBody(relay_call_id Id, std::string_view Bytes);
   /// Of a stream that may go on elsewhere only whole events.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -34,23 +34,6 @@
     refuse(Id, "the time is over before it was sent");
     return;
   }
-  if (wantsSlot(Call, Now)) {
-    askForSlot(Id);
-    return;
-  }
-  upstream_row *Upstream = Upstreams.find(std::exchange(Call.NextUpstream, {}));
-  if (!Upstream || !Upstream->Upstream.Ready) {
-    Call.Slot.clear();
-    Upstream = Upstreams.pick(placementOf(Call), Now);
-  }
-  if (!Upstream) {
-    refuse(Id, "no upstream is ready");
-    return;
-  }
-  sendTo(Id, *Upstream);
-}
-
-placement relay::impl::placementOf(const relay_call &Call) const {
   placement Placement;
   Placement.Service = Call.Service;
   Placement.DataCentre = Settings.DataCentre;
@@ -60,16 +43,19 @@
   Placement.Home = Call.Home;
   Placement.SpreadKey = Call.Facts.Id;
   Placement.Tried = Call.Tried;
-  return Placement;
-}
-
-void relay::impl::sendTo(relay_call_id Id, upstream_row &Upstream) {
-  relay_call &Call = *Calls.find(Id);
-  time_point Now = steadyNow();
+  upstream_row *Upstream = nullptr;
+  if (!Call.GoesOnAt.empty())
+    Upstream = Upstreams.find(std::exchange(Call.GoesOnAt, {}));
+  if (!Upstream)
+    Upstream = Upstreams.pick(Placement, Now);
+  if (!Upstream) {
+    refuse(Id, "no upstream is ready");
+    return;
+  }
   ++Call.Attempts;
-  ++Upstream.InFlight;
-  Call.UpstreamId = Upstream.Upstream.Id;
-  Call.SentTo = Upstream.Upstream;
+  ++Upstream->InFlight;
+  Call.UpstreamId = Upstream->Upstream.Id;
+  Call.SentTo = Upstream->Upstream;
   Call.Tried.push_back(Call.UpstreamId);
   if (Call.Phase != call_phase::Streaming)
     Call.Phase = call_phase::Sent;
@@ -82,17 +68,14 @@
   log::info("call sent", {{"id", Call.Facts.Id},
                           {"upstream", Call.UpstreamId},
                           {"home", Call.Home},
-                          {"in_flight", Upstream.InFlight},
-                          {"avoided", Upstream.AvoidUntil > Now},
-                          {"vanished", Upstream.GoneAt.has_value()},
-                          {"slot", !Call.Slot.empty()},
-                          {"slots_asked", Call.AskedForSlot.size()},
+                          {"in_flight", Upstream->InFlight},
+                          {"avoided", Upstream->AvoidUntil > Now},
+                          {"vanished", Upstream->GoneAt.has_value()},
                           {"attempt", Call.Attempts},
                           {"after_event", Call.Events.lastId()},
                           {"left_ms", (Call.Deadline - Now).count()},
                           {"chain_bytes", Call.Chain.size()}});
-  http1::call_request Request = requestFor(Call, Upstream.Upstream);
-  Call.Slot.clear();
+  http1::call_request Request = requestFor(Call, Upstream->Upstream);
   Call.Upstream = Client->call(
       std::move(Request),
       {[this, Id](const http1::response_head &Head) { onHead(Id, Head); },
@@ -115,8 +98,6 @@
   milliseconds Left = Call.Deadline - steadyNow();
   Request.Headers.set(Names.TimeLeft, std::to_string(Left.count()));
   Request.Headers.set(Names.ExpectUpstream, Upstream.Id);
-  if (!Call.Slot.empty())
-    Request.Headers.set(Names.Slot, Call.Slot);
   if (!Call.Events.lastId().empty())
     Request.Headers.set(Names.LastEvent, Call.Events.lastId());
   if (!Call.Chain.empty())
@@ -125,19 +106,15 @@
     Request.Body.push_back(Call.Request.Body);
   Request.EchoValue = Call.Facts.Id;
   Request.ConnectTimeout = std::min(Settings.ConnectTimeout, Left);
-  Request.MaxIdle = maxIdle(Call.Service);
+  // An upstream resets connections above its limit. Half of it is shared out
+  // to idle ones, so that as many calls under way find room.
+  const service *Service = Routing.findService(Call.Service);
+  if (Service && Service->ConnectionLimit > 0)
+    Request.MaxIdle =
+        std::max<std::size_t>(1, Service->ConnectionLimit / 2 / EntryHosts);
   return Request;
 }
 
-// An upstream resets connections above its limit. Half of it is shared out to
-// idle ones, so that as many calls under way find room.
-std::size_t relay::impl::maxIdle(std::string_view ServiceName) const {
-  const service *Service = Routing.findService(ServiceName);
-  if (!Service || Service->ConnectionLimit == 0)
-    return http1::call_request().MaxIdle;
-  return std::max<std::size_t>(1, Service->ConnectionLimit / 2 / EntryHosts);
-}
-
 void relay::impl::leaveUpstream(relay_call &Call) {
   if (Call.UpstreamId.empty())
     return;
@@ -324,15 +301,11 @@
   relay_call &Call = *Calls.find(Id);
   if (!Call.Route.Resumable || Call.ResumesLeft == 0)
     return false;
-  // One that is leaving takes nothing new, but may still live.
-  const upstream_row *Had = Upstreams.find(Call.SentTo.Id);
-  if (Had && !Had->Upstream.Ready && Call.Attempts >= Call.Route.Attempts)
-    return false;
   --Call.ResumesLeft;
   Call.Events.dropUnfinished();
   Call.PartOfEvent.clear();
   Call.BytesSinceEvent = 0;
-  Call.NextUpstream = Call.SentTo.Id;
+  Call.GoesOnAt = Call.SentTo.Id;
   // It was counted as it was sent there first.
   --Call.Attempts;
   Metrics.add("streams_resumed_total");
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -26,19 +26,10 @@
   Names.Tokens = "X-Tokens";
   Names.PreviousTurn = "X-Previous";
   Names.LastEvent = "X-Last-Event";
-  Names.Slot = "X-Slot";
-  Names.SystemOnly = {"X-Expect", "X-Pin", "X-Slot"};
+  Names.SystemOnly = {"X-Expect", "X-Pin"};
   return Names;
 }
 
-inline relay::slot_protocol slotProtocol() {
-  return {"/slot",
-          [](std::uint64_t Tokens, milliseconds Time) {
-            return std::to_string(Tokens) + " " + std::to_string(Time.count());
-          },
-          [](std::string_view Body) { return std::string(Body); }};
-}
-
 inline relay::route routeOf(std::string Prefix, relay::call_kind Kind,
                             std::string Service, std::uint32_t Attempts) {
   relay::route Route;
@@ -151,7 +142,6 @@
     relay::relay_settings Settings;
     Settings.Listen = Address;
     Settings.DataCentre = "dc";
-    Settings.Slots = slotProtocol();
     Relay = relay::relay::create(Settings, names(), *Turns, Metrics);
     REQUIRE(Relay);
     Turns->setSet(Disks.Set);
