A stream does not go on at an upstream that is leaving

Cause: the upstream that broke a resumable stream off was asked again whether or not it had begun to drain; a request may reach it too late after that. Change: only a ready one is asked again; where the route allows no other, the stream is cut, since one that is leaving may still live. Test: a subcase of "a resumable stream that can't go on is cut", failing before.

--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -46,7 +46,7 @@
   upstream_row *Upstream = nullptr;
   if (!Call.GoesOnAt.empty())
     Upstream = Upstreams.find(std::exchange(Call.GoesOnAt, {}));
-  if (!Upstream)
+  if (!Upstream || !Upstream->Upstream.Ready)
     Upstream = Upstreams.pick(Placement, Now);
   if (!Upstream) {
     refuse(Id, "no upstream is ready");
@@ -301,6 +301,10 @@
   relay_call &Call = *Calls.find(Id);
   if (!Call.Route.Resumable || Call.ResumesLeft == 0)
     return false;
+  // One that is leaving takes nothing new, but may still live.
+  const upstream_row *Had = Upstreams.find(Call.SentTo.Id);
+  if (Had && !Had->Upstream.Ready && Call.Attempts >= Call.Route.Attempts)
+    return false;
   --Call.ResumesLeft;
   Call.Events.dropUnfinished();
   Call.PartOfEvent.clear();
--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -221,7 +221,7 @@
   SUBCASE("at the upstream that had it") {
     First->close(0);
     REQUIRE(F.received(*First, "X-Last-Event: 1"));
-    std::size_t Index = First->Connections.size() - 1;
+    std::size_t Index = F.connectionOf(*First, "X-Last-Event: 1");
     First->send(Index, streamHead("t1") + chunk("id: 2\ndata: b\n\n") +
                            std::string(StreamEnd));
   }
@@ -248,13 +248,24 @@
   REQUIRE(Caller.waitsFor("data: a"));
   F.Llm.close(0);
   REQUIRE(F.received(F.Llm, "X-Last-Event: 1"));
-  std::size_t Index = F.Llm.Connections.size() - 1;
+  std::size_t Index = F.connectionOf(F.Llm, "X-Last-Event: 1");
   SUBCASE("the upstream is full") {
     F.Llm.send(Index, answerTo("t1", "", "503 Busy", "X-Not-Run: 1\r\n"));
   }
   SUBCASE("the upstream answers something else") {
     F.Llm.send(Index, answerTo("t1", "what?", "500 No"));
   }
+  SUBCASE("it breaks off again and is leaving by then") {
+    F.Relay->putUpstream({"llm-1", "llm", addressOf(F.Llm.port()), "dc", 4,
+                          /*Ready=*/false, 1});
+    raw_server Other;
+    F.put("llm-2", "llm", Other);
+    F.Llm.close(Index);
+    REQUIRE(turnUntil([&] { return Caller.Closed; }));
+    CHECK(Other.Connections.empty());
+    for (std::size_t I = 0; I < F.Llm.Connections.size(); ++I)
+      CHECK((I == 0 || I == Index || F.Llm.Connections[I]->Input.empty()));
+  }
   REQUIRE(turnUntil([&] { return Caller.Closed; }));
   CHECK(!Caller.has("0\r\n\r\n"));
   CHECK(!Caller.has("what?"));
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -162,6 +162,15 @@
     Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n";
     return Text.append(Body);
   }
+  /// The first connection on which a text has come.
+  static std::size_t connectionOf(const raw_server &Server,
+                                  std::string_view Text) {
+    std::size_t Index = 0;
+    while (Index + 1 < Server.Connections.size() &&
+           Server.Connections[Index]->Input.find(Text) == std::string::npos)
+      ++Index;
+    return Index;
+  }
   bool received(raw_server &Server, std::string_view Text) {
     return turnUntil([&] {
       for (auto &Row : Server.Connections)
