A budget without a program counts against nobody; choosing apart from sending

Test: "a budget without a program counts against nobody", failing before on the second call. send() had grown to 70 lines; the choice of the upstream is choose() now.

--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -141,7 +141,7 @@
   Open.Program = Call.Facts.Program;
   Open.Previous = std::move(Previous);
   Open.Tokens = Call.Facts.MostTokens;
-  Open.Budget = Call.Facts.Budget.value_or(0);
+  Open.Budget = Call.hasBudget() ? *Call.Facts.Budget : 0;
   Open.Keep = Call.Route.Keep;
   Call.Reserved = Call.hasBudget();
   Call.Operation =
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -63,6 +63,8 @@
 
   // -- Upstreams (relay_send.cpp) --
   void send(relay_call_id Id);
+  /// The upstream for the next send; nullptr if none is ready.
+  upstream_row *choose(relay_call &Call, time_point Now);
   http1::call_request requestFor(const relay_call &Call,
                                  const upstream &Upstream) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -34,20 +34,7 @@
     refuse(Id, "the time is over before it was sent");
     return;
   }
-  placement Placement;
-  Placement.Service = Call.Service;
-  Placement.DataCentre = Settings.DataCentre;
-  if (Call.Route.Kind == call_kind::Stream)
-    Placement.AffinityKey = Call.Facts.Program;
-  Placement.Begins = Call.isKept() && Call.Facts.PreviousTurn.empty();
-  Placement.Home = Call.Home;
-  Placement.SpreadKey = Call.Facts.Id;
-  Placement.Tried = Call.Tried;
-  upstream_row *Upstream = nullptr;
-  if (!Call.GoesOnAt.empty())
-    Upstream = Upstreams.find(std::exchange(Call.GoesOnAt, {}));
-  if (!Upstream || !Upstream->Upstream.Ready)
-    Upstream = Upstreams.pick(Placement, Now);
+  upstream_row *Upstream = choose(Call, Now);
   if (!Upstream) {
     refuse(Id, "no upstream is ready");
     return;
@@ -85,6 +72,22 @@
        }});
 }
 
+upstream_row *relay::impl::choose(relay_call &Call, time_point Now) {
+  upstream_row *Had = Upstreams.find(std::exchange(Call.GoesOnAt, {}));
+  if (Had && Had->Upstream.Ready)
+    return Had;
+  placement Placement;
+  Placement.Service = Call.Service;
+  Placement.DataCentre = Settings.DataCentre;
+  if (Call.Route.Kind == call_kind::Stream)
+    Placement.AffinityKey = Call.Facts.Program;
+  Placement.Begins = Call.isKept() && Call.Facts.PreviousTurn.empty();
+  Placement.Home = Call.Home;
+  Placement.SpreadKey = Call.Facts.Id;
+  Placement.Tried = Call.Tried;
+  return Upstreams.pick(Placement, Now);
+}
+
 http1::call_request relay::impl::requestFor(const relay_call &Call,
                                             const upstream &Upstream) const {
   http1::call_request Request;
--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -103,6 +103,18 @@
   CHECK(Second.has("HTTP/1.1 402"));
 }
 
+TEST_CASE("a budget without a program counts against nobody") {
+  // All callers that name no program would share one.
+  fixture F;
+  std::string More = "X-Budget: 100\r\nX-Tokens: 5,60\r\n";
+  caller First(F.Address);
+  caller Second(F.Address);
+  First.send(F.request("POST", "/plan/1", "t1", More, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  Second.send(F.request("POST", "/plan/1", "t2", More, "[in]"));
+  CHECK(F.received(F.Llm, "X-Call: t2"));
+}
+
 TEST_CASE("a budget of nothing has no room for a turn") {
   fixture F;
   caller Caller(F.Address);
