--- a/src/libturns/rank_test.cpp
+++ b/src/libturns/rank_test.cpp
@@ -19,6 +19,7 @@
   // of day; entry hosts with little processor ended with a segmentation fault.
   constexpr int Hosts = 24;
   std::vector<std::string> Values;
+  Values.reserve(Hosts);
   for (int I = 0; I < Hosts; ++I)
     Values.push_back("host-" + std::to_string(I));
   for (int FallsSilentAt = 0; FallsSilentAt < 4 * Hosts; ++FallsSilentAt) {
