The test of a budget without a program reaches the fault that it guards against

It now has turns that continue another, and fails on the line before the fix (402 for the second), passes after. No check was taken away.

--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -2,6 +2,8 @@
 
 #include "test_relay_pvt.h"
 
+#include <algorithm>
+
 using namespace turmerichead;
 using namespace turmerichead::pvt;
 
@@ -113,6 +115,24 @@
   REQUIRE(F.received(F.Llm, "X-Call: t1"));
   Second.send(F.request("POST", "/plan/1", "t2", More, "[in]"));
   CHECK(F.received(F.Llm, "X-Call: t2"));
+  // One that goes on from a turn is opened with the disk hosts all the same.
+  F.Llm.send(0,
+             streamHead("t1") + chunk("data: a\n\n") + std::string(StreamEnd));
+  REQUIRE(First.waitsFor("0\r\n\r\n"));
+  More += "X-Previous: t1\r\n";
+  for (std::string Id : {"t3", "t4"}) {
+    caller Next(F.Address);
+    Next.send(F.request("POST", "/plan/1", Id, More, "[in]"));
+    CHECK(turnUntil([&] {
+      return Next.has("402") ||
+             std::any_of(F.Llm.Connections.begin(), F.Llm.Connections.end(),
+                         [&](const auto &Row) {
+                           return Row->Input.find("X-Call: " + Id) !=
+                                  std::string::npos;
+                         });
+    }));
+    CHECK(!Next.has("402"));
+  }
 }
 
 TEST_CASE("a budget of nothing has no room for a turn") {
