--- a/src/include/turmerichead/clock.h
+++ b/src/include/turmerichead/clock.h
@@ -1,6 +1,6 @@
 /// \file
-/// Time as the project counts it: milliseconds of a steady clock for
-/// decisions, and of the wall clock for people and for the platform.
+/// Times in milliseconds: of the steady clock for decisions, and of the wall
+/// clock for operators and for the platform.
 #pragma once
 
 #include <chrono>
@@ -10,8 +10,8 @@
 
 using milliseconds = std::chrono::milliseconds;
 
-/// A moment of the steady clock that a caller passes in. The decision core
-/// has no clock of its own; it sees only values of this type.
+/// A point in time of the steady clock. The decision core reads no clock; it is
+/// passed values of this type.
 struct time_point {
   std::int64_t Ms = 0;
 
@@ -27,15 +27,14 @@
   }
 };
 
-/// The steady clock now. For the daemon's outer layer only.
+/// Reads the steady clock. Not for the decision core.
 time_point steadyNow();
 
-/// A steady clock that also counts the time for which the machine was
-/// suspended. For the age of what others have said.
+/// Reads a steady clock that also counts the time for which the machine was
+/// suspended. Used for the age of data from other hosts.
 time_point bootNow();
 
-/// Milliseconds since 1970 by the wall clock. For the daemon's outer layer
-/// only.
+/// Reads the wall clock, in milliseconds since 1970. Not for the decision core.
 std::int64_t wallNowMs();
 
 } // namespace turmerichead
--- a/src/include/turmerichead/codec.h
+++ b/src/include/turmerichead/codec.h
@@ -13,16 +13,15 @@
 
 namespace turmerichead {
 
-/// The msgpack bytes of \p Value.
+/// Encodes \p Value with msgpack.
 template <typename Message> std::string pack(const Message &Value) {
   msgpack::sbuffer Buffer;
   msgpack::pack(Buffer, Value);
   return {Buffer.data(), Buffer.size()};
 }
 
-/// Reads \p Bytes back within \p Limit; std::nullopt with error Corrupt, whose
-/// text begins with \p What, if they do not decode. msgpack throws, and its
-/// exceptions end here.
+/// Decodes \p Bytes within \p Limit. Fails with Corrupt; the text of the error
+/// starts with \p What. Exceptions of msgpack are caught here.
 template <typename Message>
 std::optional<Message> unpackWithin(std::string_view Bytes,
                                     const msgpack::unpack_limit &Limit,
@@ -36,7 +35,7 @@
   }
 }
 
-/// Reads a message back, as unpackWithin() does.
+/// Decodes a message; see unpackWithin().
 template <typename Message>
 std::optional<Message> unpack(std::string_view Bytes) {
   constexpr std::size_t MaxRows = 1U << 20U;
--- a/src/include/turmerichead/endpoint.h
+++ b/src/include/turmerichead/endpoint.h
@@ -9,17 +9,17 @@
 
 namespace turmerichead {
 
-/// An address a process listens on or connects to. Names are not resolved:
-/// hosts talk by IP number.
+/// An address that a process listens on or connects to. Names are not resolved:
+/// hosts use IP addresses only.
 struct ip_endpoint {
   std::string Ip;
   std::uint16_t Port = 0;
 
-  /// Reads "10.0.0.5:8080" or "[fd00::5]:8080". Port 0 is refused. On failure
-  /// lastError() has the code InvalidInput.
+  /// Parses "10.0.0.5:8080" or "[fd00::5]:8080". Fails with InvalidInput, also
+  /// for port 0.
   static std::optional<ip_endpoint> parse(std::string_view Text);
 
-  /// The text that parse() reads; empty for a default endpoint.
+  /// Returns the text that parse() accepts; empty for a default endpoint.
   std::string toText() const;
 
   friend bool operator==(const ip_endpoint &, const ip_endpoint &) = default;
--- a/src/include/turmerichead/file.h
+++ b/src/include/turmerichead/file.h
@@ -1,5 +1,5 @@
 /// \file
-/// Small files that are read and written whole.
+/// Reads and writes small files as a whole.
 #pragma once
 
 #include <optional>
@@ -8,15 +8,17 @@
 
 namespace turmerichead {
 
-/// The bytes of the file at \p Path. Fails with NotFound or Unavailable.
+/// Returns the content of the file at \p Path. Fails with NotFound or
+/// Unavailable.
 std::optional<std::string> readWholeFile(const std::string &Path);
 
-/// Puts \p Bytes in the place of the file at \p Path. Once it returns true
-/// they outlast a loss of power; at no time is there a part of them. Waits
-/// for the disk. Fails with Unavailable.
+/// Atomically replaces the content of the file at \p Path. The content is
+/// durable once the function returns true. Blocks until it is synced. Fails
+/// with Unavailable.
 bool replaceFile(const std::string &Path, std::string_view Bytes);
 
-/// Syncs the names in a folder. Fails with Unavailable.
+/// Syncs a folder, which makes created, renamed and removed names durable.
+/// Fails with Unavailable.
 bool syncFolder(const std::string &Folder);
 
 } // namespace turmerichead
--- a/src/include/turmerichead/findings.h
+++ b/src/include/turmerichead/findings.h
@@ -1,5 +1,5 @@
 /// \file
-/// Findings of a check over a whole input, collected with their place.
+/// Findings of the validation of an input, with their locations.
 #pragma once
 
 #include <span>
@@ -9,8 +9,7 @@
 
 namespace turmerichead {
 
-/// Where in an input a finding lies. Line and column count from 1; 0 is
-/// "not known".
+/// The location of a finding. Lines and columns start at 1; 0 means unknown.
 struct source_place {
   std::string File;
   int Line = 0;
@@ -18,20 +17,20 @@
   std::string Key; ///< Dotted path, for example "limits.turns".
 };
 
-/// One thing wrong with an input.
+/// An error in an input.
 struct finding {
   source_place Place;
   std::string Text;
 };
 
-/// Collects every finding of a check, so that all are reported together.
+/// Collects all findings of a validation, so that they are reported together.
 class findings {
 public:
   void add(source_place Place, std::string Text);
   bool empty() const { return Rows.empty(); }
   std::span<const finding> rows() const { return Rows; }
 
-  /// One line a finding: "file:line:column: key: text".
+  /// Returns one line per finding: "file:line:column: key: text".
   std::string toText() const;
 
 private:
--- a/src/include/turmerichead/handle.h
+++ b/src/include/turmerichead/handle.h
@@ -1,5 +1,5 @@
 /// \file
-/// The one owner type for reference-counted GLib objects.
+/// Owns references to GLib objects.
 #pragma once
 
 #include <glib-object.h>
@@ -7,15 +7,15 @@
 
 namespace turmerichead {
 
-/// Holds one reference to a GObject and drops it at the end of its life.
+/// Owns one reference to a GObject, which the destructor releases.
 template <typename Object> class handle {
 public:
   handle() = default;
 
-  /// Takes over a reference that the caller owns (transfer full).
+  /// Takes ownership of a reference of the caller (transfer full).
   static handle adopt(Object *Pointer) { return handle(Pointer); }
 
-  /// Adds a reference to an object that somebody else owns.
+  /// Adds a reference to an object with another owner (transfer none).
   static handle share(Object *Pointer) {
     if (Pointer)
       g_object_ref(Pointer);
--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -1,11 +1,10 @@
 /// \file
-/// An HTTP/1.1 client on the GLib main loop that never repeats a request by
-/// itself.
+/// An HTTP/1.1 client on the GLib main loop that never retries a request.
 ///
-/// Connections are kept and used again. Each call is sent at most once, on
-/// one connection, and its end tells whether any byte of it may have reached
-/// the other side. An answer that carries another request's id, or none, on a
-/// connection that was used before, is not taken for the call's answer.
+/// Connections are reused. Each call is sent at most once, on one connection,
+/// and its result tells whether any byte of it may have reached the server. On
+/// a reused connection, an answer without an id or with the id of another
+/// request is not accepted as the answer of the call.
 ///
 ///     auto Client = http1::client::create({.EchoHeader = "X-Request-Id"});
 ///     auto Id = Client->call({.Address = "10.0.0.1:80", .Method = "GET",
@@ -31,18 +30,18 @@
 namespace turmerichead::http1 {
 
 struct client_settings {
-  /// Header in which the other side repeats the request's id; empty if it
-  /// does not.
+  /// Header in which the server repeats the id of the request; empty if it does
+  /// not.
   std::string EchoHeader;
   std::size_t MaxHeadBytes = 64U << 10U;
-  /// Bytes that are no part of the call's answer: answers to others, and
-  /// interim ones. Above it the connection has failed.
+  /// Limit for bytes that are not part of the answer: answers to other requests
+  /// and interim responses. Above it the connection counts as failed.
   std::size_t MaxDroppedBytes = 1U << 20U;
-  /// For a kept connection whose other side declares no idle time.
+  /// Idle timeout of connections for which the server declares none.
   milliseconds IdleTimeout{5000};
-  /// Taken off the idle time that the other side declares.
+  /// Subtracted from the idle timeout that the server declares.
   milliseconds IdleMargin{500};
-  /// After which a silent connection has failed.
+  /// Time after which a silent connection counts as failed.
   milliseconds SilenceTimeout{4000};
 };
 
@@ -50,35 +49,35 @@
   std::string Address; ///< "ip:port"
   std::string Method;
   std::string Target;
-  header_list Headers;           ///< Without those that frame the message.
-  std::vector<std::string> Body; ///< Pieces, sent one after the other.
-  std::string EchoValue;         ///< The id that the answer must repeat.
+  header_list Headers;           ///< Without framing headers.
+  std::vector<std::string> Body; ///< Pieces that are sent in order.
+  std::string EchoValue;         ///< Id that the answer must repeat.
   milliseconds ConnectTimeout{1000};
-  /// Connections to this address that may wait for further calls. Above it
-  /// the call's own is closed after its answer.
+  /// Limit for idle connections to this address. Above it, the connection of
+  /// the call is closed after its answer.
   std::size_t MaxIdle = 1024;
-  /// Above it the answer is broken off.
+  /// Limit for the answer, which is aborted above it.
   std::size_t MaxBodyBytes = SIZE_MAX;
 };
 
 enum class call_outcome : std::uint8_t {
-  Complete, ///< The whole answer has been told.
-  NotSent,  ///< Certain: no byte of the request has left.
-  Broken    ///< Sent at least in part; the answer is missing or was cut.
+  Complete, ///< The complete answer has been received.
+  NotSent,  ///< No byte of the request was sent; this is certain.
+  Broken    ///< Sent at least in part; the answer is missing or truncated.
 };
 
 struct call_result {
   call_outcome Outcome = call_outcome::Broken;
-  std::string Reason; ///< For people; empty if complete.
-  /// Nobody listens at the address; goes with NotSent.
+  std::string Reason; ///< Readable text; empty if complete.
+  /// The connection was refused; only with NotSent.
   bool Refused = false;
 };
 
-/// What an attempt to connect came to.
+/// Result of a probe.
 enum class probe_result : std::uint8_t {
   Listening,
-  Refused, ///< Nobody listens at the address.
-  Unknown  ///< Nothing came back in time.
+  Refused, ///< There is no listener at the address.
+  Unknown  ///< There was no response in time.
 };
 
 struct call_events {
@@ -92,11 +91,11 @@
 using call_id = typed_id<call_row>;
 
 struct client_counters {
-  std::uint64_t Opened = 0; ///< Connections.
+  std::uint64_t Opened = 0; ///< Connections opened since the start.
   std::uint64_t Calls = 0;
   std::uint64_t Stray = 0;        ///< Answers that belonged to no request.
-  std::uint64_t DroppedBytes = 0; ///< That were no part of a call's answer.
-  std::uint64_t Endless = 0;      ///< Connections ended for what they brought.
+  std::uint64_t DroppedBytes = 0; ///< Bytes outside of any answer.
+  std::uint64_t Endless = 0;      ///< Connections closed for excess bytes.
   std::size_t OpenConnections = 0;
   std::size_t OpenCalls = 0;
 };
@@ -107,16 +106,16 @@
 
   call_id call(call_request Request, call_events Events);
 
-  /// Closes the call's connection; none of its events is called any more.
-  /// Returns false if the call has ended before.
+  /// Cancels a call and closes its connection. None of its callbacks is called
+  /// afterwards. Returns false if the call has already ended.
   bool cancel(call_id Id);
 
   /// Connects to \p Address without a call; the connection is kept for later
-  /// ones. \p Done is called once, never inside this call.
+  /// calls. \p Done is called once, never inside this function.
   void probe(const std::string &Address, milliseconds Timeout,
              std::function<void(probe_result)> Done);
 
-  /// Closes the kept connections to an address that is not used any more.
+  /// Closes the idle connections to an address that is no longer used.
   void forget(std::string_view Address);
 
   client_counters counters() const;
--- a/src/include/turmerichead/http1_message.h
+++ b/src/include/turmerichead/http1_message.h
@@ -1,5 +1,5 @@
 /// \file
-/// HTTP/1.1 messages as values.
+/// Value types for HTTP/1.1 messages.
 #pragma once
 
 #include <cstddef>
@@ -14,13 +14,13 @@
   std::string Value;
 };
 
-/// Headers in the order of the message. Names compare without case.
+/// Headers in the order of the message. Names are case-insensitive.
 class header_list {
 public:
   header_list() = default;
   header_list(std::initializer_list<header> Rows) : Rows(Rows) {}
 
-  /// Appends a header, whether or not the name stands already.
+  /// Appends a header, even if there is one with this name.
   void add(std::string_view Name, std::string_view Value);
 
   /// Replaces all headers of this name by one.
@@ -28,13 +28,13 @@
 
   void remove(std::string_view Name);
 
-  /// The first value of this name, or nullptr.
+  /// Returns the first value of this name, or nullptr.
   const std::string *find(std::string_view Name) const;
 
-  /// The first value of this name, or an empty text.
+  /// Returns the first value of this name, or an empty string.
   std::string_view get(std::string_view Name) const;
 
-  /// How many headers have this name.
+  /// Returns the number of headers with this name.
   std::size_t count(std::string_view Name) const;
 
   const std::vector<header> &rows() const { return Rows; }
@@ -44,10 +44,11 @@
   std::vector<header> Rows;
 };
 
-/// Compares two header names.
+/// Compares two header names, case-insensitively.
 bool equalNames(std::string_view Left, std::string_view Right);
 
-/// True if \p List, a comma-separated list, has \p Token. Without case.
+/// Returns whether the comma-separated \p List contains \p Token,
+/// case-insensitively.
 bool hasToken(std::string_view List, std::string_view Token);
 
 /// Removes the headers that concern one connection only: Connection and
@@ -67,7 +68,7 @@
   header_list Headers;
 };
 
-/// The status codes that the project answers with or decides by.
+/// The status codes that this project uses.
 namespace status {
 inline constexpr int Ok = 200;
 inline constexpr int NoContent = 204;
@@ -87,7 +88,7 @@
 inline constexpr int GatewayTimeout = 504;
 } // namespace status
 
-/// The standard phrase of a status code; "Status" if it has none.
+/// Returns the reason phrase of a status code; "Status" if it has none.
 std::string_view reasonOf(int Status);
 
 } // namespace turmerichead::http1
--- a/src/include/turmerichead/http1_server.h
+++ b/src/include/turmerichead/http1_server.h
@@ -1,11 +1,10 @@
 /// \file
-/// An HTTP/1.1 server on the GLib main loop that leaves every end of a
-/// connection to its user.
+/// An HTTP/1.1 server on the GLib main loop whose user decides when an answer
+/// ends and when its connection is closed.
 ///
-/// A request is handed over once its body has arrived. Its answer is either
-/// whole or a stream of chunks whose end is written separately, so that an
-/// answer which is cut never looks complete. A caller that leaves is told at
-/// once.
+/// A request is passed on once its body is complete. The answer is sent in one
+/// call, or as chunks whose end is written separately, so that an aborted
+/// answer never looks complete. A caller that leaves is reported immediately.
 ///
 ///     auto Server = http1::server::create("10.0.0.1:8080", {}, {
 ///         .OnRequest = [&](exchange_id Id, request &&Request) {
@@ -32,52 +31,53 @@
 struct exchange_row;
 using exchange_id = typed_id<exchange_row>;
 
-/// What a caller may send, and how long it may take. Each limit has an answer
-/// of its own: 431, 413 and 408; an idle connection is closed without one.
+/// Limits for callers. The answers to violations are 431, 413 and 408; an idle
+/// connection is closed without an answer.
 struct server_limits {
   std::size_t HeaderBytes = 16U << 10U;
   std::size_t BodyBytes = 4U << 20U;
   milliseconds HeaderTimeout{5000};
   milliseconds IdleTimeout{60000};
-  /// Unsent bytes of an answer, above which its connection is closed.
+  /// Limit for unsent bytes of an answer; above it the connection is closed.
   std::size_t MaxUnsentBytes = 8U << 20U;
   std::size_t MaxConnections = 2048;
 };
 
 struct server_events {
   std::function<void(exchange_id Id, request &&Request)> OnRequest;
-  /// The caller has left before its answer was complete. \p Id is stale.
+  /// Called when the caller has left before the answer was complete. \p Id is
+  /// stale then.
   std::function<void(exchange_id Id)> OnGone;
 };
 
 struct server_counters {
   std::uint64_t Accepted = 0;
   std::uint64_t Requests = 0;
-  std::uint64_t Refused = 0; ///< Requests that did not check.
+  std::uint64_t Refused = 0; ///< Invalid requests.
   std::size_t OpenConnections = 0;
   std::size_t OpenExchanges = 0;
 };
 
 class server {
 public:
-  /// Listens on \p Address ("ip:port", port 0 takes a free one). Fails with
+  /// Listens on \p Address ("ip:port"; port 0 selects a free port). Fails with
   /// InvalidInput or Unavailable.
   static std::optional<server>
   create(std::string_view Address, server_limits Limits, server_events Events);
 
   std::uint16_t port() const;
 
-  /// Limits for what arrives from now on.
+  /// Sets the limits for requests that arrive from now on.
   void setLimits(const server_limits &Limits);
 
-  /// Answers whole. Returns false if the exchange has gone.
+  /// Sends a complete answer. Returns false if the exchange has ended.
   bool respond(exchange_id Id, int Status, const header_list &Headers,
                std::string_view Body);
 
-  /// Begins an answer whose length is not known.
+  /// Starts an answer of unknown length.
   bool begin(exchange_id Id, int Status, const header_list &Headers);
   bool write(exchange_id Id, std::string_view Bytes);
-  /// Completes an answer that was begun.
+  /// Completes an answer that was started.
   bool finish(exchange_id Id);
 
   /// Closes the connection of an exchange without completing its answer.
@@ -86,11 +86,11 @@
   /// From now on each answer closes its connection.
   void drain();
 
-  /// Accepts no further connections; those that wait to be accepted are.
+  /// Stops accepting connections, after those that are already pending.
   void stopAccepting();
 
-  /// Ends the connections on which no request is under way: what has been
-  /// read is served, nothing further is read.
+  /// Closes connections without a request in flight. Requests that were already
+  /// read are served.
   void closeIdle();
 
   server_counters counters() const;
--- a/src/include/turmerichead/id.h
+++ b/src/include/turmerichead/id.h
@@ -8,11 +8,11 @@
 
 namespace turmerichead {
 
-/// Addresses a row of a table. An id whose row has gone is detected by its
-/// generation. \p Tag keeps ids of different tables apart.
+/// Identifies a row of a table. The generation detects the id of an erased row.
+/// \p Tag makes ids of different tables distinct types.
 template <typename Tag> struct typed_id {
   std::uint32_t Index = 0;
-  std::uint32_t Generation = 0; ///< 0 is "no row".
+  std::uint32_t Generation = 0; ///< 0: no row.
 
   explicit operator bool() const { return Generation != 0; }
   friend auto operator<=>(const typed_id &, const typed_id &) = default;
--- a/src/include/turmerichead/log.h
+++ b/src/include/turmerichead/log.h
@@ -1,5 +1,5 @@
 /// \file
-/// Structured logs: one JSON object a line, through log4cplus.
+/// Structured logs: one JSON object per line, written with log4cplus.
 ///
 ///     log::info("shard moved", {{"shard", 17}, {"holder", "seoul-a-1"}});
 ///
@@ -17,8 +17,8 @@
 /// \p Descriptor, and the audit trail to \p AuditFile, or to the log where
 /// that is empty. \p Level is "debug", "info", "warn" or "error".
 ///
-/// A log never waits for its reader: lines that can't be written at once, and
-/// lines below "warn" beyond some hundred a second, are left out and counted.
+/// Logging never blocks: lines that cannot be written immediately, and lines
+/// below "warn" above some hundred per second, are dropped and counted.
 void open(std::string_view Host, std::string_view Level,
           std::string_view AuditFile, int Descriptor = 1);
 
--- a/src/include/turmerichead/metrics.h
+++ b/src/include/turmerichead/metrics.h
@@ -10,8 +10,8 @@
 
 namespace turmerichead {
 
-/// All metrics of one process. Series are created when first named. Labels
-/// are given as in the exposition format: `rank="urgent",entry="yard"`.
+/// All metrics of a process. A series is created by its first use. Labels have
+/// the syntax of the exposition format: `rank="urgent",entry="yard"`.
 ///
 ///     Metrics.add("calls_total", R"(rank="urgent")");
 ///     Metrics.observe("call_ms", "", 12.5);
@@ -32,10 +32,10 @@
   /// Adds a sample, in milliseconds, to a histogram of latencies.
   void observe(std::string_view Name, std::string_view Labels, double Value);
 
-  /// The value of a counter or gauge; 0 if it was never named.
+  /// Returns the value of a counter or gauge; 0 if it was never used.
   double value(std::string_view Name, std::string_view Labels = "") const;
 
-  /// All series, each name prefixed with "turmerichead_".
+  /// Returns all series; their names start with "turmerichead_".
   std::string toPrometheus() const;
 
 private:
--- a/src/include/turmerichead/net_loop.h
+++ b/src/include/turmerichead/net_loop.h
@@ -19,23 +19,23 @@
 
 namespace turmerichead {
 
-/// Which type of function a GSource calls: GSourceFunc, GSocketSourceFunc or
+/// The callback type of a GSource: GSourceFunc, GSocketSourceFunc or
 /// GUnixFDSourceFunc.
 enum class source_kind { Plain, Socket, Descriptor };
 
-/// A source of the main loop; destroyed with its owner. The action returns
-/// true to be called again. It may destroy the loop_source that runs it.
+/// An event source of the main loop, removed when the object is destroyed. The
+/// action returns true to be called again, and may destroy its loop_source.
 class loop_source {
 public:
   using action = std::function<bool()>;
 
   loop_source() = default;
   static loop_source every(milliseconds Interval, action Action);
-  /// Runs in the next turn of the loop, at the priority of I/O.
+  /// Runs in the next loop iteration, with the priority of I/O.
   static loop_source soon(action Action);
   static loop_source onSocket(GSocket *Socket, GIOCondition Condition,
                               action Action);
-  /// Takes over \p Source, whose callbacks have the type that \p Kind names.
+  /// Takes ownership of \p Source; \p Kind is the type of its callback.
   static loop_source adopt(GSource *Source, action Action, source_kind Kind);
 
   loop_source(loop_source &&Other) noexcept
@@ -53,25 +53,25 @@
   GSource *Source = nullptr;
 };
 
-/// Watches many sockets with one source. Each turn of a GLib loop costs time
-/// for every source, so a source for each call would make the cost of all
-/// calls grow with the square of their number.
+/// Polls many sockets with one event source. A GLib loop iteration takes time
+/// proportional to the number of sources, so with a source per call the total
+/// cost would grow with the square of the number of calls.
 class poll_set {
 public:
-  /// \p OnReady is given the key of a socket that is ready.
+  /// \p OnReady is called with the key of a socket that is ready.
   static std::optional<poll_set>
   create(std::function<void(std::uint64_t Key)> OnReady);
 
   enum class interest {
-    Readable,     ///< As long as there is something to read.
-    Writable,     ///< As long as there is room to write.
+    Readable,     ///< While there is something to read.
+    Writable,     ///< While there is space in the send buffer.
     ReadWrite,    ///< Either of the two.
-    ClosedByPeer, ///< Once, when the other side has ended its direction.
+    ClosedByPeer, ///< Once, when the peer has shut down its direction.
     Errors        ///< Only a failed connection.
   };
   bool add(int Descriptor, interest Interest, std::uint64_t Key);
-  /// To be called before the descriptor is closed, unless its closing is not
-  /// under the caller's control; the kernel forgets closed ones.
+  /// Call this before the descriptor is closed. If another library closes it,
+  /// the kernel removes it by itself.
   void remove(int Descriptor);
 
   poll_set(poll_set &&Other) noexcept = default;
@@ -96,8 +96,8 @@
   loop_source Source;
 };
 
-/// Calls back at deadlines, with one source for all of them. Deadlines that
-/// are no longer wanted may stay in it: the receiver checks.
+/// Calls a function at deadlines, with one event source for all of them.
+/// Deadlines cannot be removed: the receiver ignores obsolete ones.
 class deadline_queue {
 public:
   using action = std::function<void(std::uint64_t Key, int Kind)>;
@@ -121,7 +121,7 @@
   loop_source Timer;
 };
 
-/// An id as one number, and back.
+/// Converts an id to one number, and back.
 template <typename Tag> std::uint64_t keyOf(typed_id<Tag> Id) {
   constexpr unsigned Shift = 32;
   return (static_cast<std::uint64_t>(Id.Generation) << Shift) | Id.Index;
@@ -135,14 +135,14 @@
 /// Parses "ip:port" or "[ip6]:port". Fails with InvalidInput.
 std::optional<handle<GSocketAddress>> parseAddress(std::string_view Text);
 
-/// Begins to connect; the socket becomes writable when that has ended. Fails
-/// with Unavailable.
+/// Starts to connect; the socket becomes writable when it succeeds or fails.
+/// Fails with Unavailable.
 std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address);
 
-/// Accepts a connection; nullopt if none waits.
+/// Accepts a connection; nullopt if none is pending.
 std::optional<handle<GSocket>> acceptFrom(GSocket *Listener);
 
-/// A listening socket, without what watches it.
+/// Creates a listening socket, without an event source.
 class listener {
 public:
   /// Listens on \p Address ("ip:port", port 0 takes a free one). Fails with
--- a/src/include/turmerichead/net_peer.h
+++ b/src/include/turmerichead/net_peer.h
@@ -2,12 +2,12 @@
 /// Links between hosts: HTTP/2 streams (nghttp2) over TCP, driven by the GLib
 /// main loop.
 ///
-/// A host has one peer_server, which takes requests from other hosts, and one
-/// peer_links, which holds at most one connection to each of them. A request
-/// is a path, a few headers and one body; a response is a sequence of
-/// messages, each delivered whole, and an end. Hosts prove to each other that
-/// they know the shared key before anything is served. The key protects
-/// against wrong and foreign hosts; the bytes are not encrypted.
+/// A host has one peer_server, which receives requests from other hosts, and
+/// one peer_links, which has at most one connection to each of them. A request
+/// is a path, a few headers and one body; a response is a sequence of complete
+/// messages and an end record. Hosts authenticate each other with the shared
+/// key before any request is served. The key protects against misconfigured and
+/// foreign hosts; the bytes are not encrypted.
 ///
 ///     auto Server = peer_server::create("10.0.0.1:7100", Settings, Key,
 ///         {.OnRequest = [&](const peer_request_view &Request) {
@@ -48,7 +48,7 @@
 
 /// Limits and times of the links of one host.
 struct peer_settings {
-  std::string Host; ///< This host's own name, told to the other side.
+  std::string Host; ///< Name of this host, sent to the peer.
 
   std::size_t MaxMessageBytes = 32U << 20U;  ///< One message or request body.
   std::size_t MaxBufferedBytes = 64U << 20U; ///< Unsent bytes of one stream.
@@ -58,28 +58,28 @@
   std::uint32_t StreamWindowBytes = 1U << 20U;
   std::uint32_t LinkWindowBytes = 64U << 20U;
 
-  milliseconds HandshakeTimeout{3000}; ///< From connect to the proof.
+  milliseconds HandshakeTimeout{3000}; ///< From connect to authentication.
   milliseconds PingInterval{500};      ///< Idle time before a ping.
-  milliseconds PingTimeout{2000};      ///< Silence after which a link is lost.
-  milliseconds RetryMin{50};           ///< First pause before a reconnect.
-  milliseconds RetryMax{2000};         ///< Longest pause before a reconnect.
+  milliseconds PingTimeout{2000};      ///< Time until a silent link is lost.
+  milliseconds RetryMin{50};           ///< First delay before a reconnect.
+  milliseconds RetryMax{2000};         ///< Longest delay before a reconnect.
   milliseconds IdleTimeout{60000};     ///< A link without streams is closed.
 };
 
 /// How a stream ended.
 struct peer_result {
-  /// None if the other side ended the response and meant success. The code
-  /// given to peer_server::end otherwise, or
+  /// None if the peer ended the response with success. Otherwise the code
+  /// passed to peer_server::end, or
   ///   Unavailable   no link, or the link was lost;
-  ///   Unauthorized  the other side does not know the shared key;
-  ///   Refused       the other side's limits.
+  ///   Unauthorized  the peer does not know the shared key;
+  ///   Refused       a limit of the peer was exceeded.
   error_code Code = error_code::None;
   std::string Text;
-  /// True if the whole request may have reached the other side's handler.
-  /// False is certain: the handler has not seen it and never will.
+  /// True if the complete request may have reached the handler of the peer. If
+  /// false, the handler has not received it and never will.
   bool Sent = false;
-  /// True if \p Code comes from the other side's handler; false if it comes
-  /// from the link.
+  /// True if \p Code comes from the handler of the peer; false if it comes from
+  /// the link.
   bool Answered = false;
 };
 
@@ -89,8 +89,8 @@
   std::string Body;
 };
 
-/// What the sender of a request is told. OnEnd is called exactly once, unless
-/// the stream was cancelled.
+/// Callbacks of a request. OnEnd is called exactly once, unless the stream is
+/// cancelled.
 struct peer_stream_events {
   std::function<void(std::string_view Message)> OnMessage;
   std::function<void(const peer_result &Result)> OnEnd;
@@ -99,7 +99,7 @@
 struct peer_stream_row;
 using peer_stream_id = typed_id<peer_stream_row>;
 
-/// Counts since the start, for the metrics.
+/// Counters since the start of the process, for the metrics.
 struct peer_counters {
   std::uint64_t BytesIn = 0;
   std::uint64_t BytesOut = 0;
@@ -110,37 +110,36 @@
   std::size_t OpenStreams = 0;
 };
 
-/// The outgoing links of a host: one connection for each host written to,
-/// opened on demand and opened again, with back-off, after a loss.
+/// The outgoing links of a host: one connection to each other host, opened on
+/// demand and reopened with back-off after a loss.
 class peer_links {
 public:
   /// \p SharedKey must not be empty. Fails with InvalidInput.
   static std::optional<peer_links> create(peer_settings Settings,
                                           std::string SharedKey);
 
-  /// Tells where \p Host listens ("ip:port"). A changed address closes the
-  /// old connection once its streams have ended.
+  /// Sets the address of \p Host ("ip:port"). If it changes, the old connection
+  /// is closed once its streams have ended.
   bool setAddress(std::string_view Host, std::string_view Address);
 
-  /// Sends all traffic for \p Host to \p Address instead, whatever
-  /// setAddress says. An empty address takes the override away.
+  /// Overrides the address set by setAddress(). An empty \p Address removes the
+  /// override.
   bool setRoute(std::string_view Host, std::string_view Address);
 
-  /// Forgets a host. Its open streams end as Unavailable.
+  /// Removes a host. Its open streams end with Unavailable.
   void forget(std::string_view Host);
 
-  /// Starts a request. It waits for the link if there is none, for at most
-  /// the handshake timeout, and then ends as Unavailable and not sent. A host
-  /// that could not be reached is left alone for the back-off's pause, and
-  /// requests to it end at once meanwhile.
+  /// Starts a request. Without a link, it waits for one for at most the
+  /// handshake timeout, and then ends with Unavailable and not sent. During the
+  /// back-off after a failed connect, requests to the host fail immediately.
   peer_stream_id send(std::string_view Host, peer_request Request,
                       peer_stream_events Events);
 
-  /// Takes back a request. None of its events is called any more. Returns
-  /// false if the stream has ended before.
+  /// Cancels a request. None of its callbacks is called afterwards. Returns
+  /// false if the stream has already ended.
   bool cancel(peer_stream_id Id);
 
-  /// True while an authenticated link to \p Host stands.
+  /// Returns whether an authenticated link to \p Host is open.
   bool isUp(std::string_view Host) const;
 
   peer_counters counters() const;
@@ -160,16 +159,16 @@
 struct peer_reply_row;
 using peer_reply_id = typed_id<peer_reply_row>;
 
-/// A request as the server's handler sees it. The views are valid during the
-/// call of the handler.
+/// A request as passed to the handler. The views are valid during the call of
+/// the handler.
 struct peer_request_view {
   peer_reply_id Reply;
-  std::string_view Host; ///< Who asks, as proved with the shared key.
+  std::string_view Host; ///< The authenticated sender.
   std::string_view Path;
   std::string_view Body;
   const std::vector<peer_header> *Headers = nullptr;
 
-  /// The value of a header, or empty.
+  /// Returns the value of a header, or an empty string.
   std::string_view header(std::string_view Name) const;
 };
 
@@ -181,34 +180,34 @@
 
 struct peer_server_events {
   std::function<void(const peer_request_view &Request)> OnRequest;
-  /// The asker has cancelled, or its link was lost. The reply id is stale
-  /// afterwards. Not called for a reply that was ended.
+  /// Called when the client has cancelled or its link was lost. The reply id is
+  /// stale afterwards. Not called for a reply that was ended.
   std::function<void(peer_reply_id Reply)> OnGone;
 };
 
-/// Takes requests from other hosts.
+/// A server for requests from other hosts.
 class peer_server {
 public:
-  /// Listens on \p Address ("ip:port"; port 0 takes a free one). Fails with
+  /// Listens on \p Address ("ip:port"; port 0 selects a free port). Fails with
   /// InvalidInput or Unavailable.
   static std::optional<peer_server> create(std::string_view Address,
                                            peer_settings Settings,
                                            std::string SharedKey,
                                            peer_server_events Events);
 
-  /// The port that it listens on.
+  /// Returns the port that it listens on.
   std::uint16_t port() const;
 
-  /// Appends a message to a response. Returns false if the asker has gone
-  /// (NotFound), or reads too slowly and the buffer is full (Refused).
+  /// Appends a message to a response. Returns false if the client has left
+  /// (NotFound), or if it reads too slowly and the buffer is full (Refused).
   bool write(peer_reply_id Reply, std::string_view Message);
 
-  /// Ends a response; the reply id is stale afterwards. Messages written
-  /// before are still delivered.
+  /// Ends a response; the reply id is stale afterwards. Pending messages are
+  /// still delivered.
   bool end(peer_reply_id Reply, peer_status Status);
 
-  /// Accepts no further connections and refuses new requests on those that
-  /// stand, as not run; replies in progress are finished.
+  /// Stops accepting connections and rejects new requests on open ones as not
+  /// run. Replies in progress are completed.
   void stopAccepting();
 
   peer_counters counters() const;
--- a/src/include/turmerichead/table.h
+++ b/src/include/turmerichead/table.h
@@ -1,5 +1,5 @@
 /// \file
-/// A table of rows that are addressed by typed ids.
+/// A table whose rows are identified by typed ids.
 #pragma once
 
 #include "turmerichead/id.h"
@@ -11,8 +11,8 @@
 
 namespace turmerichead {
 
-/// Owns rows of type \p Row and hands out ids for them. Erasing a row makes
-/// its id stale; find() then returns nullptr. A pointer from find() is valid
+/// Owns rows of type \p Row and assigns ids to them. Erasing a row makes its id
+/// stale; find() then returns nullptr. A pointer from find() is valid
 /// until the next insert or erase.
 ///
 ///     table<call_row> Calls;
@@ -63,8 +63,8 @@
   std::size_t size() const { return Live; }
   bool empty() const { return Live == 0; }
 
-  /// Calls \p Visit(id, row) for each live row, by rising index. \p Visit may
-  /// erase the row it is given, and no other.
+  /// Calls \p Visit(id, row) for each row, by ascending index. \p Visit may
+  /// erase this row and no other.
   template <typename Visitor> void forEach(Visitor &&Visit) {
     for (std::size_t I = 0; I < Slots.size(); ++I)
       if (Slots[I].Value)
--- a/src/libbase/log.cpp
+++ b/src/libbase/log.cpp
@@ -19,8 +19,8 @@
 
 namespace {
 
-// log4cplus ships no JSON layout. The message is a JSON object already, so
-// this layout writes it as it stands, one a line, to the audit file.
+// log4cplus has no JSON layout. The message is already a JSON object, so this
+// layout writes it unchanged, one object per line, to the audit file.
 class line_layout : public log4cplus::Layout {
 public:
   void
@@ -30,9 +30,9 @@
   }
 };
 
-/// Writes lines to standard output without ever waiting for its reader. What
-/// can't be written at once, and what comes too fast, is left out; a line
-/// tells how much, as soon as there is room again.
+/// Writes lines to standard output without blocking. Lines that cannot be
+/// written immediately, or that exceed the rate limit, are dropped; a later
+/// line reports their number.
 class bounded_appender : public log4cplus::Appender {
 public:
   explicit bounded_appender(int Descriptor) : Descriptor(Descriptor) {}
@@ -55,7 +55,7 @@
   }
 
 private:
-  // A pipe that has room for this many bytes takes a write of them whole.
+  // Writes of at most this size to a pipe are atomic.
   static constexpr std::size_t MaxLineBytes = 4096;
   static constexpr double LinesPerSecond = 400;
   static constexpr double LinesAtOnce = 2000;
@@ -79,7 +79,7 @@
   }
 
   void writeLine(std::string Line) {
-    // A line that is cut stays one line.
+    // A truncated line still ends with a newline.
     if (Line.size() >= MaxLineBytes)
       Line.resize(MaxLineBytes - 1);
     Line += '\n';
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -42,19 +42,19 @@
   poll_set::interest Interest = poll_set::interest::Writable;
   time_point IdleSince;
   milliseconds IdleLimit{0};
-  std::size_t MaxIdle = 0;      ///< As its last call wants it.
+  std::size_t MaxIdle = 0;      ///< Limit set by its last call.
   std::uint64_t SentBefore = 0; ///< Bytes of earlier requests.
   unsigned Uses = 0;
   bool KeepAlive = false;
-  bool Skipping = false;        ///< Reads an answer that isn't the call's.
-  std::size_t MessageBytes = 0; ///< Of the message that is being read.
-  std::size_t BodyBytes = 0;    ///< Of them, without framing.
-  std::size_t DroppedBytes = 0; ///< For the call, see MaxDroppedBytes.
-  /// Set while it is a probe that has not ended.
+  bool Skipping = false;        ///< The current answer is not for this call.
+  std::size_t MessageBytes = 0; ///< Received of the current message.
+  std::size_t BodyBytes = 0;    ///< Of these, the body without framing.
+  std::size_t DroppedBytes = 0; ///< During the call; see MaxDroppedBytes.
+  /// Set during a probe.
   std::function<void(probe_result)> Probed;
 };
 
-/// What one read of a response has brought, told once the parser is done.
+/// Parser output of one read. It is reported after the parser has returned.
 struct response_sink {
   connection_row &Row;
   bool HasHead = false;
@@ -83,7 +83,7 @@
   return Text;
 }
 
-/// The value of "timeout=N" in a Keep-Alive header.
+/// Returns the value of "timeout=N" in a Keep-Alive header.
 std::optional<milliseconds> declaredIdleTime(const header_list &Headers) {
   constexpr std::string_view Key = "timeout=";
   std::string_view Value = Headers.get("Keep-Alive");
@@ -118,7 +118,7 @@
   std::optional<deadline_queue> Deadlines;
   loop_source Sweep;
   loop_source DeferredSource;
-  /// To be done in the next turn of the loop.
+  /// Actions for the next loop iteration.
   std::vector<std::function<void()>> Deferred;
   table<connection_row> Connections;
   table<call_row> Calls;
@@ -152,7 +152,7 @@
 // -- Connections -------------------------------------------------------------
 
 std::optional<connection_id> client::state::takeIdle(std::string_view Address) {
-  // Closing the last one of a pool drops the pool.
+  // Closing the last connection of a pool removes the pool.
   for (auto Pool = Idle.find(Address);
        Pool != Idle.end() && !Pool->second.empty(); Pool = Idle.find(Address)) {
     connection_id Id = Pool->second.back();
@@ -222,7 +222,7 @@
     return;
   }
   if (Row->Phase == phase::Idle) {
-    // The other side has closed, or has sent what nobody asked for.
+    // The server has closed the connection or sent unrequested bytes.
     close(Id);
     return;
   }
@@ -268,13 +268,13 @@
     watch(Id, *Row);
     return;
   }
-  // A call's events are never told inside call().
+  // Callbacks of a call are never called inside call().
   Deferred.emplace_back([this, Id] { onWriteFailed(Id); });
   runDeferred();
 }
 
 void client::state::onWriteFailed(connection_id Id) {
-  // An answer may have come before the other side closed.
+  // An answer may have arrived before the server closed the connection.
   if (Connections.find(Id))
     onReadable(Id);
   if (Connections.find(Id))
@@ -313,8 +313,8 @@
   fail(Id, "the connection ended before the answer was complete");
 }
 
-// Reads what has arrived. Returns false once the connection has changed
-// hands or gone.
+// Reads the available bytes. Returns false if the connection was closed or has
+// been returned to the pool.
 bool client::state::parse(connection_id Id) {
   connection_row *Row = Connections.find(Id);
   while (Row && Row->Phase == phase::Busy && !Row->Input.empty()) {
@@ -366,9 +366,8 @@
   return Row != nullptr;
 }
 
-// What is wrong with the number of bytes that a connection has brought; empty
-// if nothing is. An upstream may send without end, and in any part of a
-// message.
+// Returns why the connection has received too many bytes, or an empty string. A
+// faulty upstream may send endless bytes in any part of a message.
 std::string_view client::state::excessOf(const connection_row &Row) const {
   constexpr std::size_t FramingPerBodyByte = 16;
   std::size_t Framing = Row.MessageBytes - Row.BodyBytes;
@@ -382,7 +381,7 @@
   return {};
 }
 
-// Decides whether the answer that begins is the call's own.
+// Decides whether an answer belongs to the current call.
 bool client::state::takeHead(connection_row &Row) {
   const header_list &Headers = Row.Parser.head().Headers;
   const call_request &Request = Calls.find(Row.Call)->Request;
@@ -495,7 +494,8 @@
     close(Id);
 }
 
-// -- The client --------------------------------------------------------------
+// -- Public interface
+// --------------------------------------------------------------
 
 std::optional<client> client::create(client_settings Settings) {
   auto State = std::make_unique<state>();
--- a/src/libhttp1/parser.cpp
+++ b/src/libhttp1/parser.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-// What a header line has beside name and value: colon, space, CR and LF.
+// Bytes of a header line in addition to name and value: colon, space, CR, LF.
 constexpr std::size_t LineOverheadBytes = 4;
 
-// The library's own limit is one for the whole process; each parser here has
-// a limit of its own.
+// The limit of http_parser is global for the process. It is disabled, because
+// each parser has its own limit.
 constexpr std::uint32_t LibraryMaxHeadBytes = 16U << 20U;
 
 } // namespace
@@ -58,8 +58,8 @@
 int message_parser::onField(const char *Data, std::size_t Size) {
   if (HeadDone)
     return 0;
-  // The library takes names with spaces unless it is built strictly; other
-  // readers of such a line may see another header.
+  // Unless built in strict mode, http_parser accepts names with spaces, which
+  // other implementations may read as another header.
   if (std::string_view(Data, Size).find(' ') != std::string_view::npos)
     return 1;
   if (Head.Headers.rows().empty() || LastWasValue) {
--- a/src/libhttp1/parser_pvt.h
+++ b/src/libhttp1/parser_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// The push parser of http_parser, as a C++ value.
+/// A C++ wrapper of the push parser http_parser.
 #pragma once
 
 #include "turmerichead/http1_message.h"
@@ -13,7 +13,7 @@
 
 namespace turmerichead::http1::pvt {
 
-/// What a parser tells its owner while it is fed. Called inside feed().
+/// Callbacks of a parser, called inside feed().
 template <typename Sink>
 concept parser_sink = requires(Sink &S, std::string_view Bytes) {
   S.onHead();
@@ -23,20 +23,20 @@
 
 enum class feed_result : std::uint8_t {
   Fine,
-  Paused, ///< A message has ended; the rest of the bytes was not read.
+  Paused, ///< A message is complete; the remaining bytes were not read.
   HeaderTooLarge,
   Bad
 };
 
-/// The head of a message while it arrives.
+/// The head of a message that is being read.
 struct message_head {
   std::string Target;
   header_list Headers;
   std::size_t Bytes = 0;
 };
 
-/// Parses one direction of a connection, message by message. It stops after
-/// each message, so that bytes which follow are left to the owner.
+/// Parses one direction of a connection. It stops after each message, so that
+/// the owner decides about the bytes after it.
 class message_parser {
 public:
   message_parser(http_parser_type Type, std::size_t MaxHeadBytes);
@@ -44,12 +44,12 @@
   /// Prepares for the next message on the same connection.
   void restart();
 
-  /// Feeds bytes; \p Used is how many of them were read.
+  /// Parses bytes; \p Used is set to the number of bytes read.
   template <parser_sink Sink>
   feed_result feed(Sink &S, std::string_view Bytes, std::size_t &Used);
 
-  /// Tells that the connection has ended in order. Ends a message whose
-  /// length is not declared; Bad if a message was cut.
+  /// Signals the end of the connection, which completes a message without a
+  /// declared length. Returns Bad if a message was truncated.
   template <parser_sink Sink> feed_result feedEnd(Sink &S) {
     std::size_t Used = 0;
     return run(S, nullptr, 0, Used);
@@ -64,18 +64,18 @@
     return Parser->http_major < 1 ||
            (Parser->http_major == 1 && Parser->http_minor == 0);
   }
-  /// Whether the connection can be kept, as the head says. Valid in onHead
-  /// and onMessage.
+  /// Returns whether the head allows the connection to be reused. Valid in
+  /// onHead and onMessage.
   bool keepsAlive() const { return http_should_keep_alive(Parser.get()) != 0; }
-  /// The declared length; nullopt if there is none.
+  /// Returns the declared length, or nullopt.
   std::optional<std::uint64_t> declaredLength() const;
   bool isChunked() const { return (Parser->flags & F_CHUNKED) != 0; }
-  /// Why the last feed() failed.
+  /// Returns why the last feed() failed.
   std::string_view errorText() const;
   void setMaxHeadBytes(std::size_t Bytes) { MaxHeadBytes = Bytes; }
-  /// A response to HEAD has no body, whatever its head says.
+  /// Set for the response to a HEAD request, which has no body.
   void setNoBody(bool Value) { NoBody = Value; }
-  /// True once a byte of a message has arrived and until the message ends.
+  /// Returns whether a message has been received in part.
   bool inMessage() const { return InMessage; }
 
 private:
@@ -101,7 +101,7 @@
   template <typename Sink> friend struct callbacks;
 };
 
-/// What the C callbacks are given: the parser and its owner.
+/// User data of the C callbacks: the parser and its owner.
 template <typename Sink> struct callbacks {
   message_parser *Parser;
   Sink *Owner;
--- a/src/libhttp1/server.cpp
+++ b/src/libhttp1/server.cpp
@@ -12,19 +12,19 @@
 
 namespace {
 
-// How long the rest of a caller's bytes is read after the last answer, so
-// that the answer isn't lost to a reset.
+// Time for which input is still read after the last answer. Closing a socket
+// with unread input would reset it, and the answer could be lost.
 constexpr milliseconds LingerTime{1000};
 constexpr milliseconds SweepInterval{1000};
 constexpr milliseconds SilenceTimeout{5000};
-// Requests that a caller sends ahead are kept up to this size.
+// Limit for pipelined requests that are buffered.
 constexpr std::size_t MaxReadAheadBytes = 256U << 10U;
 constexpr std::uint64_t ListenerKey = 0;
 
 enum class phase : std::uint8_t {
-  Receiving, ///< Waits for a request, or reads one.
+  Receiving, ///< Idle, or a request is being read.
   Answering, ///< An exchange is open.
-  Closing    ///< The last answer is on its way out; input is discarded.
+  Closing    ///< The last answer is being sent; input is discarded.
 };
 
 struct connection {
@@ -39,7 +39,7 @@
   bool HeadSeen = false;
   bool FinishedWriting = false;
   poll_set::interest Interest = poll_set::interest::Readable;
-  time_point Since; ///< Start of the phase, or of the request being read.
+  time_point Since; ///< Start of the phase, or of the current request.
 };
 
 using connection_table = table<connection>;
@@ -77,7 +77,7 @@
 struct exchange_row {
   connection_id Connection;
   bool Http10 = false;
-  bool HeadOnly = false; ///< The request's method is HEAD.
+  bool HeadOnly = false; ///< Whether the method of the request is HEAD.
   bool Begun = false;
 };
 
@@ -88,8 +88,8 @@
   std::optional<poll_set> Sockets;
   loop_source Sweep;
   loop_source Resume;
-  std::vector<connection_id> Ready;  ///< Have input left after an answer.
-  std::vector<connection_id> Broken; ///< A write failed; to be closed.
+  std::vector<connection_id> Ready;  ///< With buffered input after an answer.
+  std::vector<connection_id> Broken; ///< To be closed after a failed write.
   connection_table Connections;
   table<exchange_row> Exchanges;
   server_counters Counters;
@@ -113,7 +113,7 @@
 
 namespace {
 
-/// Takes what the parser finds in a request.
+/// Receives the parser output of a request.
 struct request_sink {
   connection &Row;
   std::size_t MaxBodyBytes;
@@ -262,7 +262,7 @@
   flush(Id, Row);
 }
 
-// Keeps the kernel's interest in line with what the connection waits for.
+// Updates the polled events for the phase of the connection.
 void server::state::watch(connection_id Id, connection &Row) {
   bool Full =
       Row.Phase == phase::Answering && Row.Input.size() >= MaxReadAheadBytes;
@@ -279,8 +279,8 @@
   Sockets->add(Row.Socket.descriptor(), Wanted, keyOf(Id));
 }
 
-// Sends what it can. Returns false if the connection is lost; it is closed in
-// the next turn of the loop, so that no caller is told inside its own call.
+// Sends pending bytes. Returns false if the connection is lost; it is closed in
+// the next loop iteration, so that no callback runs inside a call of the user.
 bool server::state::flush(connection_id Id, connection &Row) {
   auto Result = Row.Socket.flush();
   if (Result == pvt::io_result::Failed ||
--- a/src/libhttp1/socket.cpp
+++ b/src/libhttp1/socket.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 65536;
-// Small pieces are joined, so that the head and the body of a short message
-// leave in one segment.
+// Small pieces are joined, so that the head and body of a short message are
+// sent in one segment.
 constexpr std::size_t JoinBelowBytes = 4096;
 constexpr std::size_t MaxVectors = 16;
 
--- a/src/libhttp1/socket_pvt.h
+++ b/src/libhttp1/socket_pvt.h
@@ -11,11 +11,11 @@
 
 namespace turmerichead::http1::pvt {
 
-/// What a read or a write came to.
+/// Result of a read or write.
 enum class io_result : std::uint8_t {
-  Done,    ///< Bytes were moved, or there was nothing to move.
+  Done,    ///< Bytes were transferred, or there were none.
   Blocked, ///< The socket is not ready.
-  Ended,   ///< The other side has ended its direction in order.
+  Ended,   ///< The peer has shut down its direction.
   Failed   ///< Reset, timed out or refused.
 };
 
@@ -32,22 +32,22 @@
   int descriptor() const { return g_socket_get_fd(Socket.get()); }
   bool isOpen() const { return static_cast<bool>(Socket); }
 
-  /// Appends what is there to \p Input, up to one buffer's size.
+  /// Appends available bytes to \p Input, at most one buffer.
   io_result read(std::string &Input);
 
-  /// Adds bytes to those that wait to be sent.
+  /// Appends bytes to the send buffer.
   void queue(std::string Bytes);
-  /// Sends what the socket takes. Done means that nothing is left.
+  /// Sends buffered bytes. Done means that the buffer is empty.
   io_result flush();
   std::size_t unsent() const { return Unsent; }
-  /// Bytes that the kernel has taken since the socket was opened.
+  /// Returns the number of bytes written since the socket was opened.
   std::uint64_t sent() const { return Sent; }
 
-  /// How a connect that is not under way any more has ended.
+  /// Returns the result of a connect that has ended.
   enum class connect_result : std::uint8_t { Connected, Refused, Failed };
   connect_result connectResult() const;
 
-  /// Ends the outgoing direction.
+  /// Shuts down the outgoing direction.
   void shutdownWrite();
   void close();
 
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -29,8 +29,8 @@
   /// Shared, because a receiver may erase the row that it was called from.
   std::shared_ptr<const http_call_events> Events;
   loop_source Failure;
-  loop_source Again;  ///< Set when bytes were left for the next turn.
-  bool Begun = false; ///< The response has.
+  loop_source Again;  ///< Pending when bytes remain after MaxReadsPerTurn.
+  bool Begun = false; ///< Whether the response headers have arrived.
   std::size_t BodyBytes = 0;
   std::size_t MaxBodyBytes = 0;
   int Status = 0;
@@ -39,8 +39,8 @@
 
 namespace {
 
-/// What an asynchronous step of libsoup needs to find its call. It outlives
-/// the client, because a cancelled step still ends.
+/// User data of an asynchronous libsoup operation. It outlives the client,
+/// because a cancelled operation still calls back.
 struct call_context {
   std::weak_ptr<http_client::state *> Owner;
   http_call_id Id;
@@ -74,7 +74,7 @@
 
 namespace {
 
-/// The client that \p Context belongs to, or nullptr if it has gone.
+/// Returns the client of \p Context, or nullptr if it has been destroyed.
 http_client::state *ownerOf(const call_context &Context) {
   auto Owner = Context.Owner.lock();
   return Owner ? *Owner : nullptr;
@@ -104,14 +104,14 @@
     end(Id, error_code::Timeout, "the response did not begin in time");
 }
 
-// -- The life of a call ------------------------------------------------------
+// -- Calls ------------------------------------------------------
 
 void http_client::state::start(http_call_id Id, const http_request &Request) {
   http_call_row &Call = *Calls.find(Id);
   SoupMessage *Message = Call.Message.get();
-  // libsoup opens a connection for each request that it does not take for
-  // idempotent. The flag only makes it use a kept one: onRestarted prevents
-  // that it sends a request twice.
+  // libsoup opens a new connection for every request without the idempotent
+  // flag. The flag is only set to reuse connections: onRestarted() prevents
+  // libsoup from sending a request twice.
   unsigned Flags = SOUP_MESSAGE_NO_REDIRECT;
   Flags |= Request.FreshConnection ? SOUP_MESSAGE_NEW_CONNECTION
                                    : SOUP_MESSAGE_IDEMPOTENT;
@@ -148,8 +148,9 @@
     Call->Sent = true;
 }
 
-/// libsoup is about to send an idempotent request again, because a kept
-/// connection broke. Whether that is right is for the caller to decide.
+/// Called when libsoup is about to retry an idempotent request because a reused
+/// connection was lost. Cancels the retry: only the caller knows whether it is
+/// safe.
 void http_client::state::onRestarted(SoupMessage * /*Message*/,
                                      call_context *Context) {
   state *Owner = ownerOf(*Context);
@@ -181,7 +182,7 @@
 
 namespace {
 
-/// The socket below the streams of a response, if there is one.
+/// Returns the socket that a response stream reads from, or an empty handle.
 handle<GSocket> socketBelow(GInputStream *Stream) {
   while (G_IS_FILTER_INPUT_STREAM(Stream))
     Stream =
@@ -198,9 +199,9 @@
              Message)) == SOUP_ENCODING_CHUNKED;
 }
 
-/// libsoup reports a connection that closes between two chunks as the end of
-/// the body. A whole body leaves the connection open, unless the response has
-/// announced that it closes it.
+/// Returns whether a chunked body was truncated. libsoup reports a connection
+/// that closes between two chunks as the end of the body. After a complete body
+/// the connection stays open, unless the response has "Connection: close".
 bool isCutChunked(const http_call_row &Call) {
   bool MayClose = soup_message_is_keepalive(Call.Message.get()) == FALSE;
   if (MayClose || !isChunked(Call.Message.get()))
@@ -234,13 +235,14 @@
   if (!Row)
     return;
   Row->Socket = socketBelow(Row->Body.get());
-  // Part of the body may lie in libsoup's buffer, where no poll sees it.
+  // libsoup may have buffered part of the body, which does not make the socket
+  // readable.
   if (read(Id) && (Row = Calls.find(Id)))
     Sockets->add(g_socket_get_fd(Row->Socket.get()),
                  poll_set::interest::Readable, keyOf(Id));
 }
 
-/// Passes on what has arrived. Returns false when the call has ended.
+/// Reads the available part of the body. Returns false if the call has ended.
 bool http_client::state::read(http_call_id Id) {
   for (int Round = 0; Round < MaxReadsPerTurn; ++Round) {
     http_call_row *Call = Calls.find(Id);
@@ -304,7 +306,7 @@
     Sockets->remove(g_socket_get_fd(Call.Socket.get()));
 }
 
-/// Forgets a call whose response was not read to its end, and closes its
+/// Removes a call whose response was not read completely, and closes its
 /// connection.
 void http_client::state::drop(http_call_id Id) {
   http_call_row *Call = Calls.find(Id);
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -13,15 +13,15 @@
 namespace {
 
 constexpr milliseconds SweepInterval{500};
-constexpr int StatusHeadersTooLarge = 431; ///< libsoup has no name for it.
+constexpr int StatusHeadersTooLarge = 431; ///< Not defined by libsoup.
 constexpr const char *ConnectionKey = "turmerichead-connection";
 
 struct connection_row;
 using connection_id = typed_id<connection_row>;
 
-/// A caller's connection.
+/// A connection from a caller.
 struct connection_row {
-  /// Owned by the SoupServer; nullptr until the first bytes have come.
+  /// Owned by the SoupServer; nullptr until the first bytes have arrived.
   GSocketConnection *Stream = nullptr;
   handle<GSocket> Socket;
   http_exchange_id Exchange; ///< Stale between exchanges.
@@ -30,13 +30,13 @@
   std::size_t BodyBytes = 0;
 };
 
-/// What a callback of GLib needs to find its row. It may outlive the server,
-/// because libsoup ends a message after its connection was shut.
+/// User data of a GLib callback: a row of the server. It may outlive the
+/// server, because libsoup finishes a message after its connection was closed.
 template <typename Id> struct row_context {
   std::weak_ptr<http_server::state *> Server;
   Id Row;
 
-  /// The server, or nullptr if it has gone.
+  /// Returns the server, or nullptr if it has been destroyed.
   http_server::state *owner() const {
     auto Locked = Server.lock();
     return Locked ? *Locked : nullptr;
@@ -51,15 +51,15 @@
 
 } // namespace
 
-/// A request that has been handed to the handler, until its response has been
-/// taken by the caller.
+/// A request that was passed to the handler. Its row exists until the response
+/// has been sent.
 struct http_exchange_row {
   handle<SoupServerMessage> Message;
   connection_id Connection;
   std::size_t Buffered = 0;
   time_point LastTaken;
   bool Streaming = false;
-  bool Ended = false; ///< The response is complete on our side.
+  bool Ended = false; ///< Whether the handler has completed the response.
 };
 
 struct http_server::state {
@@ -107,8 +107,9 @@
     waitForRequest(std::move(Socket));
 }
 
-/// libsoup keeps a source of the loop for each connection, which each turn of
-/// the loop visits. So it gets a connection only with its first bytes.
+/// libsoup has one event source per connection, and each loop iteration visits
+/// all sources. A connection is therefore passed to libsoup only when its first
+/// bytes have arrived.
 void http_server::state::waitForRequest(handle<GSocket> Socket) {
   int Descriptor = g_socket_get_fd(Socket.get());
   connection_row Row;
@@ -128,13 +129,13 @@
   auto Remote = handle<GSocketAddress>::adopt(
       g_socket_connection_get_remote_address(Stream.get(), nullptr));
   if (!Local || !Remote) {
-    Connections.erase(Id); // The caller has gone already.
+    Connections.erase(Id); // The caller has already closed it.
     return;
   }
   Row.Stream = Stream.get();
   Row.LastActive = steadyNow();
-  // A message of libsoup gives no access to its connection, but hands back
-  // the very address object that its connection was accepted with.
+  // A SoupServerMessage does not expose its connection, but it returns the same
+  // address object that the connection was accepted with.
   g_object_set_data_full(
       G_OBJECT(Remote.get()), ConnectionKey, new connection_context{Self, Id},
       [](gpointer Data) { delete static_cast<connection_context *>(Data); });
@@ -163,9 +164,9 @@
 
 namespace {
 
-/// libsoup keeps a connection after a response only while its server listens
-/// itself. This socket is for that alone: it has a random name, in the
-/// abstract namespace of Unix sockets, and nobody connects to it.
+/// libsoup keeps connections alive after a response only while its server has a
+/// listening socket of its own. This one serves no other purpose: it has a
+/// random name in the abstract namespace of Unix sockets, and is never used.
 bool listenForKeepAlive(SoupServer *Server) {
   gchar *Name = g_uuid_string_random();
   auto Address =
@@ -247,8 +248,8 @@
                   "the body is over the limit");
 }
 
-/// Answers without the handler. What is left of the body is read and dropped
-/// by libsoup, for at most the request timeout.
+/// Responds without calling the handler. libsoup reads and discards the rest of
+/// the body, for at most the request timeout.
 void http_server::state::reject(SoupServerMessage *Message, int Status,
                                 std::string_view Text) {
   soup_message_body_set_accumulate(
@@ -281,7 +282,7 @@
 
 void http_server::state::begin(SoupServerMessage *Message, const char *Path) {
   if (soup_server_message_get_status(Message) != 0)
-    return; // Rejected before.
+    return; // Already rejected.
   connection_id Connection = connectionOf(Message);
   std::string Remote;
   if (connection_row *Row = Connections.find(Connection)) {
@@ -301,8 +302,8 @@
                         new exchange_context{Self, Id},
                         freeContext<exchange_context>,
                         static_cast<GConnectFlags>(0));
-  // While a response is awaited nobody reads the connection, so a caller that
-  // closes it would go unnoticed.
+  // libsoup does not read the connection until the response is sent, so it does
+  // not detect that the caller closes it.
   if (connection_row *Row = Connections.find(Connection)) {
     Row->Exchange = Id;
     Callers->add(g_socket_get_fd(Row->Socket.get()),
@@ -323,9 +324,10 @@
   g_bytes_unref(Bytes);
 }
 
-// -- The end of an exchange --------------------------------------------------
+// -- End of an exchange --------------------------------------------------
 
-/// A connection has its first bytes, or its caller has closed it.
+/// Called when the first bytes of a connection have arrived, or when the caller
+/// has closed it.
 void http_server::state::callerReady(connection_id Id) {
   connection_row *Connection = Connections.find(Id);
   if (Connection && !Connection->Stream)
@@ -334,8 +336,8 @@
     cutOff(Connection->Exchange);
 }
 
-/// Shuts the connection, so that libsoup finds it broken with the next write
-/// and lets go of it.
+/// Shuts down the connection, so that the next write of libsoup fails and it
+/// releases the connection.
 void http_server::state::cutOff(http_exchange_id Id) {
   http_exchange_row *Exchange = Exchanges.find(Id);
   if (!Exchange)
@@ -402,7 +404,7 @@
   Connections.forEach([&](connection_id Id, connection_row &Row) {
     bool SlowRequest =
         Row.ReadingSince && Now - *Row.ReadingSince >= Settings.RequestTimeout;
-    // A stopped server keeps connections only for streams in progress.
+    // A stopped server keeps connections open only for streams in progress.
     bool Idle = Now - Row.LastActive >=
                 (Listener.isOpen() ? Settings.IdleTimeout : SweepInterval);
     if (Idle && !Row.Stream)
@@ -415,7 +417,7 @@
 }
 
 http_server::state::~state() {
-  Self.reset(); // From here on the callbacks do nothing.
+  Self.reset(); // Callbacks do nothing from here on.
   Exchanges.forEach([](http_exchange_id, http_exchange_row &Row) {
     soup_server_message_unpause(Row.Message.get());
   });
@@ -567,7 +569,7 @@
   http_exchange_row *Row = State->open(Exchange);
   if (!Row)
     return false;
-  Row->Ended = true; // The owner knows, so it is not told.
+  Row->Ended = true; // The owner aborts it, so OnGone is not called.
   State->cutOff(Exchange);
   return true;
 }
--- a/src/libnet/peer_links.cpp
+++ b/src/libnet/peer_links.cpp
@@ -110,8 +110,8 @@
   Connection.Transport->scheduleFlush();
 }
 
-/// Both answers of the handshake are headers alone, so the end of their
-/// stream is the moment to judge them.
+/// Both responses of the handshake consist of headers only, so they are checked
+/// when their stream ends.
 void peer_links::state::handshakeEnded(connection_id Id,
                                        connection_row &Connection) {
   bool Accepted = Connection.HandshakeStatus == 200;
@@ -128,7 +128,7 @@
     return;
   }
   ++Counters.HandshakesRefused;
-  // The session must not be destroyed inside its own callback.
+  // The session must not be destroyed inside one of its callbacks.
   defer([this, Id] {
     failConnection(Id, error_code::Unauthorized,
                    "the other side is another host or has another key");
@@ -151,7 +151,7 @@
   connection_row *Row = find(Id);
   if (!Row)
     return;
-  // Destroyed at the end, when nothing refers to it any more.
+  // Destroyed at the end of this function, after the last reference to it.
   std::unique_ptr<connection_row> Connection = std::move(*Connections.find(Id));
   Connections.erase(Id);
   if (Connection->Phase == link_phase::Up)
--- a/src/libnet/peer_links_pvt.h
+++ b/src/libnet/peer_links_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// The state behind peer_links.
+/// Implementation of peer_links.
 #pragma once
 
 #include "peer_transport_pvt.h"
@@ -20,17 +20,17 @@
 struct connection_row;
 using connection_id = typed_id<std::unique_ptr<connection_row>>;
 
-/// What the session's callbacks need to find their connection.
+/// User data of the session callbacks: identifies the connection.
 struct session_context {
   peer_links::state *Owner = nullptr;
   connection_id Connection;
 };
 
-/// One connection, from the first attempt to its loss.
+/// A connection, from the first attempt to connect until it is lost.
 struct connection_row {
   std::string Host;
   link_phase Phase = link_phase::Connecting;
-  bool Retired = false; ///< Takes no new streams; closed when empty.
+  bool Retired = false; ///< Accepts no new streams; closed after the last one.
   time_point LastUsed;
   session_context Context;
   handle<GSocket> Socket;
@@ -45,10 +45,10 @@
   int HandshakeStatus = 0;
 };
 
-/// A host that can be written to.
+/// A host that requests can be sent to.
 struct target_row {
   std::string Address;
-  std::string Route; ///< Takes the place of Address, unless empty.
+  std::string Route; ///< Overrides Address unless empty.
   connection_id Connection;
   milliseconds Pause{0};
   time_point RetryAt;
@@ -60,17 +60,17 @@
 
 } // namespace pvt
 
-/// A request that has not ended.
+/// A request in flight.
 struct peer_stream_row {
   pvt::connection_id Connection;
-  std::int32_t Http2Id = 0; ///< 0 until it is submitted.
+  std::int32_t Http2Id = 0; ///< 0 until the request is submitted.
   peer_request Request;
   std::size_t BodySent = 0;
   /// Shared, because a receiver may erase the row that it was called from.
   std::shared_ptr<const peer_stream_events> Events;
   std::unique_ptr<msgpack::unpacker> Unpacker;
   bool Sent = false;
-  std::optional<peer_result> Result; ///< The end record, once it is read.
+  std::optional<peer_result> Result; ///< Set when the end record is read.
 };
 
 struct peer_links::state {
@@ -116,7 +116,7 @@
   peer_stream_row *streamOf(pvt::connection_row &Connection,
                             std::int32_t Http2Id);
 
-  // Callbacks of the session, in the form that nghttp2 wants.
+  // Session callbacks with the signatures of nghttp2.
   static int onHeader(nghttp2_session *Session, const nghttp2_frame *Frame,
                       const std::uint8_t *Name, std::size_t NameLength,
                       const std::uint8_t *Value, std::size_t ValueLength,
--- a/src/libnet/peer_server.cpp
+++ b/src/libnet/peer_server.cpp
@@ -27,7 +27,7 @@
 
 /// One request and its response.
 struct server_stream {
-  peer_reply_id Reply; ///< Stale once the response has been ended.
+  peer_reply_id Reply; ///< Stale once the handler has ended the response.
   std::string Path;
   std::vector<peer_header> Headers;
   std::string Body;
@@ -40,7 +40,7 @@
 
 enum class proof_phase { Nothing, Greeted, Proved };
 
-/// A connection that another host has opened.
+/// A connection from another host.
 struct accepted_row {
   session_context Context;
   proof_phase Phase = proof_phase::Nothing;
@@ -50,7 +50,7 @@
   std::unique_ptr<peer_transport> Transport;
 };
 
-/// Lets msgpack write to a string.
+/// Adapts a string to the buffer interface of msgpack.
 struct string_sink {
   std::string &Text;
   void write(const char *Bytes, std::size_t Length) {
@@ -153,7 +153,7 @@
 
 void peer_server::state::take(handle<GSocket> Socket) {
   if (Connections.size() >= Settings.MaxConnections)
-    return; // Closed at once, with its handle.
+    return; // The handle closes the connection.
   accepted_id Id = Connections.insert(std::make_unique<accepted_row>());
   accepted_row &Connection = *find(Id);
   Connection.Context = {this, Id};
@@ -214,8 +214,8 @@
   respondEmpty(Connection, Http2Id, Headers);
 }
 
-/// Answers once and then ends the connection, so that every further guess at
-/// the key costs a connection.
+/// Responds and closes the connection, so that every guess of the key requires
+/// a new connection.
 void peer_server::state::refuse(accepted_row &Connection,
                                 std::int32_t Http2Id) {
   ++Counters.HandshakesRefused;
@@ -253,7 +253,7 @@
   ++Counters.Requests;
   server_stream &Stream = Connection.Streams.at(Http2Id);
   Stream.Reply = Replies.insert({Connection.Context.Connection, Http2Id});
-  // Moved out, so that the views outlive whatever the handler does.
+  // Moved out of the row, because the handler may erase it while it uses views.
   std::string Path = std::move(Stream.Path);
   std::string Body = std::move(Stream.Body);
   auto Headers = std::move(Stream.Headers);
--- a/src/libnet/peer_streams.cpp
+++ b/src/libnet/peer_streams.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// A row of a stream holds one of these only once bytes have arrived, and it
-/// begins small: most streams carry short messages.
+/// Created when the first bytes of a stream arrive. The initial buffer is
+/// small, because most streams carry short messages.
 std::unique_ptr<msgpack::unpacker> newUnpacker(std::size_t MaxMessageBytes) {
   constexpr std::size_t InitialBytes = 1024;
   constexpr std::size_t MaxTextBytes = 4096;
@@ -71,8 +71,8 @@
   peer_stream_row *Stream = Streams.find(Id);
   if (!Stream || Stream->Result)
     return;
-  // The unpacker is taken out of the row, because the receiver of a message
-  // may cancel the stream while it reads from the unpacker's buffer.
+  // The unpacker is moved out of the row, because the receiver of a message may
+  // cancel the stream while it reads from the buffer of the unpacker.
   auto Unpacker = std::exchange(Stream->Unpacker, nullptr);
   if (!Unpacker)
     Unpacker = newUnpacker(Settings.MaxMessageBytes);
@@ -100,7 +100,7 @@
   endStream(Id, {error_code::Corrupt, "a message does not decode"});
 }
 
-/// Takes a message (binary) or the end record (an array of code and text).
+/// Handles a message (binary) or the end record (an array of code and text).
 bool peer_links::state::takeObject(peer_stream_id Id,
                                    const msgpack::object &Object) {
   peer_stream_row *Stream = Streams.find(Id);
@@ -212,8 +212,8 @@
   return 0;
 }
 
-/// The other side acts on a request when it has all of it, so a request
-/// counts as sent with its last frame.
+/// The peer handles a request only when it is complete, so a request counts as
+/// sent when its last frame has been sent.
 int peer_links::state::onFrameSent(nghttp2_session * /*Session*/,
                                    const nghttp2_frame *Frame, void *User) {
   bool CanEnd =
--- a/src/libnet/peer_transport.cpp
+++ b/src/libnet/peer_transport.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t WriteBytes = 256U << 10U;
 constexpr std::size_t KeptOutputBytes = 16U << 10U;
 
-/// What a read fills. All links share it, because there is one loop on one
-/// thread and the session takes the bytes at once.
+/// Read buffer shared by all links: there is one loop thread, and the session
+/// consumes the bytes immediately.
 std::string &inputBuffer() {
   static std::string Buffer(ReadBytes, '\0');
   return Buffer;
@@ -91,7 +91,8 @@
   Flush.reset();
   Ping.reset();
   LostSource = loop_source::soon([this] {
-    // The owner destroys this object in the call, so nothing follows it.
+    // The owner may destroy this object in the callback; no member may be used
+    // after it.
     auto OnLost = Events.OnLost;
     std::string Text = LostReason;
     OnLost(Text);
@@ -106,7 +107,7 @@
   return !Lost;
 }
 
-/// Reads what has arrived. Returns false if nothing had.
+/// Reads the available bytes. Returns false if there were none.
 bool peer_transport::readSome() {
   std::string &Input = inputBuffer();
   GError *Error = nullptr;
@@ -184,8 +185,8 @@
     close("the session has ended");
 }
 
-/// Pings while streams are open. An idle link is silent, so that a large
-/// fleet does not pay for links that carry nothing.
+/// Sends pings while streams are open. Idle links send none, so that they cost
+/// nothing in a large deployment.
 bool peer_transport::checkAlive() {
   bool IsBusy = Events.IsBusy();
   time_point Now = steadyNow();
@@ -196,7 +197,8 @@
     return true;
   milliseconds Silent = Now - std::max(LastHeard, BusySince);
   if (Silent >= PingTimeout) {
-    // After a pause of this process the answer may lie unread.
+    // After this process was suspended, the response may still be unread in the
+    // socket.
     if (!readSome() && !Lost)
       close("no answer to a ping");
     return !Lost;
@@ -212,7 +214,7 @@
   std::array<std::uint64_t, 2> Words{};
   if (getrandom(Words.data(), sizeof(Words), 0) !=
       static_cast<ssize_t>(sizeof(Words)))
-    std::abort(); // Without randomness the handshake proves nothing.
+    std::abort(); // The handshake is not secure without random numbers.
   return toHex(Words[0]) + toHex(Words[1]);
 }
 
--- a/src/libnet/peer_transport_pvt.h
+++ b/src/libnet/peer_transport_pvt.h
@@ -1,6 +1,6 @@
 /// \file
-/// One TCP connection with an HTTP/2 session on it. Shared by both ends of a
-/// link; the session's callbacks belong to the end.
+/// A TCP connection with an HTTP/2 session, used by client and server. Each of
+/// them provides the session callbacks.
 #pragma once
 
 #include "turmerichead/net_loop.h"
@@ -33,13 +33,13 @@
 
 callbacks_handle newCallbacks();
 
-/// Submits the first settings of a session and widens its windows, so that
-/// one slow stream does not hold up the others.
+/// Submits the initial settings of a session and enlarges its flow-control
+/// windows, so that one slow stream does not block the others.
 bool submitLinkSettings(nghttp2_session *Session,
                         const peer_settings &Settings);
 
-/// Headers in the form that nghttp2 takes. It copies them when they are
-/// submitted, so the strings only have to live until then.
+/// Headers for nghttp2, which copies them when they are submitted. The strings
+/// must live until then.
 class header_list {
 public:
   void add(std::string_view Name, std::string_view Value);
@@ -50,15 +50,16 @@
   std::vector<nghttp2_nv> Rows;
 };
 
-/// Moves bytes between a socket and a session, and watches that the other
-/// side is alive.
+/// Transfers bytes between a socket and a session, and detects a dead peer by
+/// pings.
 class peer_transport {
 public:
   struct events {
-    /// Called once, from the main loop, when the connection is of no more
-    /// use. The owner may destroy the transport in it.
+    /// Called once, from the main loop, when the connection is lost. The owner
+    /// may destroy the transport in this call.
     std::function<void(const std::string &Reason)> OnLost;
-    /// True while streams are open: only then silence means a loss.
+    /// Returns whether streams are open. Only then the connection is lost if
+    /// the peer stays silent.
     std::function<bool()> IsBusy;
   };
 
@@ -71,11 +72,11 @@
 
   nghttp2_session *session() { return Session.get(); }
 
-  /// Sends what has been submitted, in the next turn of the loop, so that
-  /// the writes of one turn share a packet.
+  /// Sends submitted frames in the next loop iteration, so that the frames of
+  /// one iteration share a packet.
   void scheduleFlush();
 
-  /// Ends the connection; OnLost follows.
+  /// Closes the connection; OnLost is called afterwards.
   void close(std::string Reason);
 
 private:
@@ -107,11 +108,11 @@
   loop_source LostSource;
 };
 
-/// Sixteen random bytes in hexadecimal, from the operating system.
+/// Returns sixteen random bytes of the operating system, in hexadecimal.
 std::string newNonce();
 
-/// What one side of a link sends to prove that it knows the shared key. The
-/// proofs of both sides differ, so that none can be sent back.
+/// The values with which both sides prove that they know the shared key. The
+/// proofs of client and server differ, which prevents reflection attacks.
 struct handshake {
   std::string ClientHost;
   std::string ServerHost;
--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -12,7 +12,7 @@
 
 using nlohmann::json;
 
-// -- Names and small helpers -------------------------------------------------
+// -- Helpers -------------------------------------------------
 
 std::string_view nameOf(platform_outcome Outcome) {
   switch (Outcome) {
@@ -52,7 +52,7 @@
 
 namespace {
 
-/// A text field of metadata; empty if there is none.
+/// Returns a text field of the metadata, or an empty string.
 std::string metadataOf(const json &Object, const char *Field) {
   auto Metadata = Object.is_object() ? Object.find("metadata") : Object.end();
   if (!Object.is_object() || Metadata == Object.end() || !Metadata->is_object())
@@ -104,7 +104,7 @@
   return Result;
 }
 
-// -- The budget --------------------------------------------------------------
+// -- Call budget --------------------------------------------------------------
 
 namespace pvt {
 
@@ -242,7 +242,7 @@
   });
 }
 
-/// Sends a call now, or when the budget allows it.
+/// Sends a call as soon as the budget allows it.
 void platform_client::state::call(
     platform_verb Verb, http_request Request,
     std::function<void(const raw_answer &Answer)> Done) {
@@ -307,8 +307,8 @@
              if (!Owner)
                return;
              Answer->Result = Result;
-             // A kept connection may have been closed by the other
-             // side; a read can be sent again without harm.
+             // The server may have closed a reused connection. A read is
+             // idempotent and can be retried.
              bool Retry = Result.Code == error_code::Unavailable &&
                           Result.Sent && !isWrite(Shared->Verb) &&
                           !Shared->Retried;
--- a/src/libnet/platform_pvt.h
+++ b/src/libnet/platform_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// The state behind platform_client.
+/// Implementation of platform_client.
 #pragma once
 
 #include "turmerichead/net_loop.h"
@@ -14,7 +14,7 @@
 
 namespace pvt {
 
-/// Gives out a number of tokens a second, and keeps a burst of them.
+/// A token bucket: a constant rate, with bursts up to a limit.
 class token_bucket {
 public:
   token_bucket(double PerSecond, double Burst)
@@ -22,7 +22,7 @@
 
   void setRate(double Rate, time_point Now);
   bool take(time_point Now);
-  /// Time until a token is there.
+  /// Returns the time until a token is available.
   milliseconds delay(time_point Now);
 
 private:
@@ -34,7 +34,7 @@
   std::optional<time_point> Filled;
 };
 
-/// What came back from the platform, before it is judged.
+/// The raw response of the platform.
 struct raw_answer {
   http_result Result;
   std::string Body;
@@ -49,13 +49,13 @@
 
 bool isWrite(platform_verb Verb);
 
-/// The outcome of a call by its answer; see platform_outcome.
+/// Returns the outcome of a call for its response; see platform_outcome.
 platform_outcome judge(platform_verb Verb, const http_result &Result);
 
-/// A text for people on an answer that was not Ok.
+/// Returns a readable description of a response that is not Ok.
 std::string reasonOf(const raw_answer &Answer);
 
-/// A list that is being read, page by page.
+/// A list that is being read page by page.
 struct list_job {
   std::string Plural;
   platform_list_callback Done;
@@ -81,7 +81,7 @@
   milliseconds Pause{0};
   loop_source Retry;
   loop_source Silence;
-  bool Lost = false; ///< OnLost has been called, and no OnSynced since.
+  bool Lost = false; ///< OnLost was called, and OnSynced not since then.
 };
 
 struct platform_client::state {
--- a/src/libnet/platform_watch.cpp
+++ b/src/libnet/platform_watch.cpp
@@ -75,7 +75,8 @@
     pauseThenRetry(Id, Reply.Text);
     return;
   }
-  // Objects must not go back to an older state, nor seem to be deleted by it.
+  // An older list must neither overwrite newer objects nor make them appear
+  // deleted.
   for (const auto &[Name, Object] : Row->Known)
     if (versionOf(Object) > Reply.Version) {
       Row->Version = 0;
@@ -150,10 +151,10 @@
     Events->OnSynced(Row->Version);
 }
 
-// -- Following ---------------------------------------------------------------
+// -- Watching ---------------------------------------------------------------
 
-/// Opens the stream when the budget allows it. The stream itself does not go
-/// through call(), because it does not end.
+/// Opens the stream as soon as the budget allows it. call() is not used,
+/// because the stream does not end.
 void platform_client::state::connect(platform_watch_id Id) {
   platform_watch_row &Row = *Watches.find(Id);
   Row.Phase = watch_phase::Connecting;
@@ -236,7 +237,7 @@
     synced(Id);
 }
 
-/// Returns false if there is a gap: the list must be read again.
+/// Returns false if events are missing and the list must be read again.
 bool platform_client::state::takeLine(platform_watch_id Id,
                                       std::string_view Line) {
   json Event = json::parse(Line, nullptr, false);
@@ -266,7 +267,7 @@
   }
   if (Type != "ADDED" && Type != "MODIFIED")
     return false;
-  // An event that is told twice must not bring back a deleted object.
+  // A duplicate event must not restore a deleted object.
   bool IsNew = IsKnown ? Version > versionOf(Known->second) : Version > Before;
   if (IsNew)
     tell(Id, IsKnown ? platform_change::Modified : platform_change::Added,
@@ -281,8 +282,8 @@
     return;
   count(platform_verb::Watch, judge(platform_verb::Watch, Result));
   Row->Call = {};
-  // A platform that takes watches and drops them at once still gets the
-  // growing pauses.
+  // The back-off also applies if the platform accepts watches and closes them
+  // immediately.
   if (steadyNow() - Row->OpenedAt >= Settings.RetryMax)
     Row->Pause = milliseconds(0);
   if (Result.Code == error_code::None && Result.Status == Gone) {
@@ -294,8 +295,8 @@
                            : reasonOf(raw_answer{Result, std::string()}));
 }
 
-/// Reads the list again after a gap, with a pause so that a platform that
-/// reports gaps for each watch is not flooded with lists.
+/// Reads the list again after missing events. The delay limits the rate of
+/// lists if the platform reports missing events for every watch.
 void platform_client::state::relist(platform_watch_id Id) {
   platform_watch_row &Row = *Watches.find(Id);
   Http->cancel(std::exchange(Row.Call, {}));
@@ -303,14 +304,14 @@
   pauseThenRetry(Id, "the watch has a gap");
 }
 
-/// An empty \p Reason is the ordinary end of a stream.
+/// An empty \p Reason means that the stream ended without an error.
 void platform_client::state::pauseThenRetry(platform_watch_id Id,
                                             const std::string &Reason) {
   platform_watch_row &Row = *Watches.find(Id);
   Row.Phase = watch_phase::Pausing;
   Row.Pause = std::clamp(Row.Pause * 2, Settings.RetryMin, Settings.RetryMax);
-  // Between half and the whole of the pause, so that hosts which lost the
-  // platform together do not come back together.
+  // Between half and all of the back-off time, so that hosts which lost the
+  // platform at the same time do not reconnect at the same time.
   std::uniform_int_distribution<std::int64_t> Jitter(Row.Pause.count() / 2,
                                                      Row.Pause.count());
   Row.Retry = loop_source::every(milliseconds(Jitter(Random)), [this, Id] {
--- a/src/libnet/sse_splitter.cpp
+++ b/src/libnet/sse_splitter.cpp
@@ -10,7 +10,7 @@
     std::string_view Bytes,
     const std::function<void(std::string_view Data)> &OnData) {
   for (std::size_t I = 0; I < Bytes.size() && !Failed;) {
-    // A line ends with CR, LF or both; the LF of a pair may come later.
+    // A line ends with CR, LF or CR LF; the LF may arrive in a later chunk.
     if (SkipLineFeed && Bytes[I] == '\n') {
       Unfinished += Unfinished > 0 ? 1 : 0;
       ++I;
--- a/src/libnet/test_loop_pvt.h
+++ b/src/libnet/test_loop_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// Helpers of libnet's tests: turning the main loop, and a raw TCP server.
+/// Test helpers: running the main loop, and a raw TCP server.
 #pragma once
 
 #include "turmerichead/net_loop.h"
@@ -14,8 +14,8 @@
 
 namespace turmerichead::pvt {
 
-/// Turns the main loop until \p Reached. Returns false after a minute, which
-/// no healthy test needs.
+/// Runs the main loop until \p Reached returns true. Returns false after a
+/// minute, which no passing test needs.
 inline bool turnUntil(const std::function<bool()> &Reached) {
   constexpr milliseconds Bound{60000};
   time_point End = steadyNow() + Bound;
@@ -32,8 +32,9 @@
   return "127.0.0.1:" + std::to_string(Port);
 }
 
-/// An address at which nobody listens, on a loopback address of this process's
-/// own: on a shared one another process may take the port before it is used.
+/// Returns an address without a listener. It uses a loopback address of this
+/// process alone, because on a shared one another process may bind the port
+/// before the test does.
 inline std::string freeAddress() {
   auto Pid = static_cast<unsigned>(getpid());
   std::string Ip = "127." + std::to_string(1 + ((Pid >> 16U) & 0x7fU)) + "." +
@@ -42,8 +43,8 @@
   return Ip + ":" + std::to_string(listener::open(Ip + ":0")->port());
 }
 
-/// Accepts connections, keeps what was read of each, and leaves it to the
-/// test what to answer.
+/// A TCP server that accepts connections and stores the bytes received on each.
+/// The test decides what is sent back.
 class raw_server {
 public:
   struct connection {
