--- a/src/include/turmerichead/cluster_map.h
+++ b/src/include/turmerichead/cluster_map.h
@@ -1,8 +1,8 @@
 /// \file
-/// The shard map: which host holds which shard, and who stands by.
+/// The shard map: holder and standbys of each shard.
 ///
-/// The map is one object of the platform, changed by conditional updates
-/// only. Every function here is pure: it takes a map and returns the next
+/// The map is one object of the platform, changed only by conditional updates.
+/// All functions in this file are pure: they take a map and return the next
 /// one, whose version is higher by one.
 ///
 ///     auto Next = cluster::replaceDead(Map, "yard-a-2");
@@ -25,18 +25,18 @@
 
 namespace turmerichead {
 
-/// What the map says of a host.
+/// State of a host in the map.
 enum class host_state : std::uint8_t {
-  Joining, ///< Registered; may stand by, holds nothing yet.
+  Joining, ///< Registered; may be a standby, holds no shards yet.
   Live,
-  Leaving ///< Hands its shards over; gets nothing new.
+  Leaving ///< Hands its shards over and gets no new ones.
 };
 std::string_view nameOf(host_state State);
 
-/// One host of the map.
+/// A host in the map.
 struct host_record {
   std::string Id;
-  std::uint64_t Incarnation = 0; ///< Rises with each start of the process.
+  std::uint64_t Incarnation = 0; ///< Incremented by each process start.
   ip_endpoint Http;
   ip_endpoint Peer;
   std::string DataCentre;
@@ -46,36 +46,36 @@
   friend bool operator==(const host_record &, const host_record &) = default;
 };
 
-/// Who has a shard.
+/// Holder and standbys of a shard.
 struct shard_placement {
   std::string Holder; ///< Host id; empty while there is no live host.
-  /// Hosts that keep records during an outage of the platform, in other data
-  /// centres where there are enough. Empty: none could be found.
+  /// Hosts that store records during an outage of the platform, in other data
+  /// centres if there are enough. Empty if there is no candidate.
   std::array<std::string, 2> Standbys;
-  /// The map version at which Holder (or its incarnation) got the shard. The
-  /// fencing number of everything the holder does for this shard.
+  /// The map version at which Holder (or its incarnation) got the shard: the
+  /// fencing token of all operations of the holder for this shard.
   std::uint64_t HeldSince = 0;
 
   friend bool operator==(const shard_placement &,
                          const shard_placement &) = default;
 };
 
-/// The whole map. Hosts are sorted by id; a shard's number is its index.
+/// The shard map. Hosts are sorted by id; the number of a shard is its index.
 struct shard_map {
-  std::uint64_t Version = 0; ///< Fencing number; rises by one a change.
+  std::uint64_t Version = 0; ///< Fencing token; incremented by each change.
   std::vector<host_record> Hosts;
   std::vector<shard_placement> Shards;
 
   const host_record *find(std::string_view Host) const;
   const shard_placement *placement(std::uint32_t Shard) const;
-  /// Shards that \p Host holds.
+  /// Returns the shards of \p Host.
   std::vector<std::uint32_t> heldBy(std::string_view Host) const;
 
   friend bool operator==(const shard_map &, const shard_map &) = default;
 };
 
-/// The `spec` of the map's object, and back. A spec that breaks a rule of
-/// checkMap() is refused with findings.
+/// Encodes and decodes the `spec` of the map object. Decoding fails with
+/// findings if checkMap() does.
 nlohmann::json toJson(const shard_map &Map);
 std::optional<shard_map> shardMapFromJson(const nlohmann::json &Spec,
                                           std::string_view Source,
@@ -84,7 +84,7 @@
 /// A shard that has a new holder.
 struct shard_move {
   std::uint32_t Shard = 0;
-  std::string From; ///< Empty: it had none.
+  std::string From; ///< Empty if there was none.
   std::string To;
 
   friend bool operator==(const shard_move &, const shard_move &) = default;
@@ -98,53 +98,53 @@
 
 namespace cluster {
 
-/// The map of a new cluster: no hosts, \p Shards shards without holder.
-/// Fails for 0 shards or more than MaxShards.
+/// Returns the map of a new cluster: no hosts, and \p Shards shards without a
+/// holder. Fails for 0 shards or more than MaxShards.
 std::optional<shard_map> emptyMap(std::uint32_t Shards);
 inline constexpr std::uint32_t MaxShards = 16'384;
 
-/// The shard of a root program.
+/// Returns the shard of a root program.
 std::uint32_t shardOf(std::string_view RootProgram, std::uint32_t Shards);
 
-/// Adds a host, or brings back one under a new incarnation (its shards stay
-/// and their HeldSince rises, so that the old process is fenced). Fails with
-/// Conflict for the same or an older incarnation.
+/// Adds a host, or updates one with a new incarnation: its shards stay and
+/// their HeldSince increases, which fences the old process. Fails with Conflict
+/// for the same or an older incarnation.
 std::optional<shard_map> join(const shard_map &Map, host_record Host);
 
-/// A joining host has caught up and takes its part of the shards.
+/// Assigns shards to a joining host that has caught up.
 std::optional<shard_map> markLive(const shard_map &Map, std::string_view Host);
 
-/// A host is about to stop: its shards go to others; it stays in the map
-/// until remove(), so that callers' streams still find it.
+/// Moves the shards of a host that is about to stop to other hosts. It stays in
+/// the map until remove(), so that streams of callers still find it.
 std::optional<shard_map> markLeaving(const shard_map &Map,
                                      std::string_view Host);
 
-/// Takes out a host that holds no shard any more. Fails with Conflict if it
-/// holds one and another live host could.
+/// Removes a host without shards. Fails with Conflict if it holds one that
+/// another live host could hold.
 std::optional<shard_map> remove(const shard_map &Map, std::string_view Host);
 
-/// Takes out a dead host; its shards go to their standbys first.
+/// Removes a dead host. Its shards go to their standbys if possible.
 std::optional<shard_map> replaceDead(const shard_map &Map,
                                      std::string_view Host);
 
-/// Every rule the map must keep: each shard held by one live host if there is
-/// any, standbys distinct and not the holder, ids known and unique, the load
-/// within the balance bound.
+/// Checks the invariants of the map: each shard is held by one live host if
+/// there is any, standbys are distinct and not the holder, ids are known and
+/// unique, and the load is within the balance bound.
 bool checkMap(const shard_map &Map, std::string_view Source,
               findings &Findings);
 
-/// Shards with another holder or a newer HeldSince.
+/// Returns the shards with another holder or a newer HeldSince.
 std::vector<shard_move> movesBetween(const shard_map &Before,
                                      const shard_map &After);
 
-/// Divides the runners of a model into groups of at most \p GroupSize, evenly
-/// and so that few runners change group when one comes or goes.
+/// Divides the runners of a model into groups of at most \p GroupSize. Groups
+/// are even, and few runners change their group when one is added or removed.
 std::vector<runner_group> groupRunners(std::string_view Model,
                                        std::span<const std::string> Runners,
                                        std::size_t GroupSize);
 
-/// The gate host of a group: rendezvous over the live hosts of the map that
-/// are not in \p Suspected. Empty if there is none.
+/// Returns the gate host of a group, by rendezvous hashing over the live hosts
+/// that are not in \p Suspected. Empty if there is none.
 std::string gateHost(const shard_map &Map, std::string_view Group,
                      std::span<const std::string> Suspected = {});
 
--- a/src/libcluster/assignment.cpp
+++ b/src/libcluster/assignment.cpp
@@ -50,9 +50,9 @@
     return Found != Load.end() && Found->second < Limit;
   }
 
-  /// How many shards a host may have once \p Free more are placed. While
-  /// hosts below the even load need all that are free, only they get any;
-  /// that spares moves between the others.
+  /// Returns how many shards a host may have once \p Free more are placed.
+  /// While hosts below the even load need all free shards, only those hosts get
+  /// any, which avoids moves between the others.
   std::size_t limitFor(std::size_t Free) const {
     std::size_t Missing = 0;
     for (const auto &[Host, Count] : Load)
@@ -72,8 +72,8 @@
     Row.HeldSince = Map.Version;
   }
 
-  /// Takes shards from hosts above the even load, those first for which the
-  /// host has the least weight.
+  /// Takes shards from hosts above the even load, in ascending order of the
+  /// weight of the host.
   void releaseOverload() {
     for (auto &[Host, Count] : Load) {
       if (Count <= ceilLoad())
@@ -85,7 +85,7 @@
     }
   }
 
-  /// A standby goes first: it may have records of the shard.
+  /// Prefers a standby, which may have records of the shard.
   void placeFree() {
     std::vector<std::size_t> Free;
     for (std::size_t I = 0; I < Map.Shards.size(); ++I)
@@ -132,7 +132,8 @@
       }
   }
 
-  /// Shards that \p Holder holds, by rising weight of \p Host.
+  /// Returns the shards of \p Holder in ascending order of the weight of \p
+  /// Host.
   std::vector<std::size_t> shardsByWeight(const std::string &Holder,
                                           const std::string &Host) const {
     std::vector<std::pair<std::uint64_t, std::size_t>> Weighted;
@@ -151,7 +152,7 @@
   std::map<std::string, std::size_t, std::less<>> Load;
 };
 
-/// Chooses standbys: other data centres first, the holder's region first.
+/// Chooses standbys, preferably in other data centres of the holder's region.
 class standby_assignment {
 public:
   explicit standby_assignment(shard_map &Map) : Map(Map) {
@@ -166,12 +167,12 @@
   }
 
 private:
-  /// The lower the better.
+  /// Lower values are preferred.
   enum class tier : std::uint8_t {
     SameRegion,   ///< Another data centre of the region.
     OtherRegion,  ///< Another data centre.
-    SharedCentre, ///< Shares the other standby's data centre.
-    HolderCentre, ///< Shares the holder's.
+    SharedCentre, ///< In the data centre of the other standby.
+    HolderCentre, ///< In the data centre of the holder.
     Unusable
   };
 
@@ -195,7 +196,7 @@
       return;
     }
     const host_record *First = pick(Shard, *Holder, nullptr, Row.Standbys[0]);
-    // The second may keep its place as the first, which avoids a swap.
+    // The second standby may become the first, which avoids a swap.
     const host_record *Second = pick(Shard, *Holder, First, Row.Standbys[1]);
     Row.Standbys = {First ? First->Id : "", Second ? Second->Id : ""};
   }
@@ -205,7 +206,7 @@
                           const std::string &Current) const {
     const host_record *Kept = Map.find(Current);
     if (tierOf(Kept, Holder, Other) == tier::SameRegion)
-      return Kept; // Nothing is better: spares the look at every host.
+      return Kept; // No host is better, so the search can be skipped.
     const host_record *Best = nullptr;
     tier BestTier = tier::Unusable;
     std::uint64_t BestWeight = 0;
--- a/src/libcluster/config_store.cpp
+++ b/src/libcluster/config_store.cpp
@@ -59,7 +59,7 @@
                               std::optional<catalogue_entry> Entry,
                               config_source Source, std::int64_t NowMs) {
   auto Fields = diffEntries(Slot.Entry, Entry);
-  // A tombstone that replaces another changes nothing that is in force.
+  // A tombstone that replaces another one does not change what is in force.
   if (!Fields.empty()) {
     config_change Change;
     Change.Name = Item.Name;
@@ -82,9 +82,8 @@
 }
 
 bool config_store::buryIfDeleted(const config_item &Item, std::int64_t NowMs) {
-  // A complete list lacked this name although the item is older: it was
-  // deleted in between, and whoever sent it has missed that. The tombstone
-  // tells the sender so.
+  // A complete list that is newer than the item does not contain it, so it was
+  // deleted and the sender has missed the deletion. The tombstone informs it.
   if (Item.Deleted || Item.Version > Listed)
     return false;
   auto Found = Slots.find(Item.Name);
@@ -344,7 +343,7 @@
   std::vector<config_item> Items;
   resource_version FileComplete = 0;
   resource_version FileListed = 0;
-  // The library reports a wrong type by an exception; none leaves here.
+  // nlohmann::json throws on a wrong type; the exception is caught here.
   try {
     auto Root = nlohmann::json::parse(Text);
     Root.at("complete").get_to(FileComplete);
--- a/src/libcluster/detector.cpp
+++ b/src/libcluster/detector.cpp
@@ -134,7 +134,7 @@
 }
 
 void failure_detector::tick(time_point Now) {
-  // This process stood still: what it has not heard says nothing.
+  // This process was suspended, so missing heartbeats mean nothing.
   if (LastTick && Now - *LastTick > Options.Suspect / 2)
     GraceFrom = Now;
   LastTick = Now;
@@ -157,8 +157,8 @@
     const member &Member = *Watched[(SightingCursor + I) % Watched.size()];
     time_point HeardAt = Member.HeardAt.value_or(Member.KnownSince);
     milliseconds Age = Now - HeardAt;
-    // Never heard and new: there is nothing to say of it yet. The same goes
-    // for the time that this process stood still.
+    // Nothing is known yet of a new member without heartbeats. The same holds
+    // for the time during which this process was suspended.
     if (!Member.HeardAt && Age <= Options.Suspect)
       continue;
     if (HeardAt < GraceFrom && Now - GraceFrom <= Options.Suspect)
@@ -197,14 +197,14 @@
 
 bool failure_detector::majorityAgrees(const member &Member,
                                       time_point Now) const {
-  // The judged host counts as a voice for itself, so that of two hosts that
-  // no longer hear each other neither is the majority.
+  // The suspected host counts as a vote for itself, so that of two hosts
+  // without a connection to each other neither has a majority.
   std::size_t Voices = 1;
   std::size_t Agreeing = 0;
   for (const std::string &Watcher : Member.Watchers) {
     if (Watcher == Self) {
       ++Voices;
-      ++Agreeing; // The caller has found the member silent.
+      ++Agreeing; // The caller already considers the member silent.
       continue;
     }
     auto Row = Members.find(Watcher);
--- a/src/libcluster/force_tracker.cpp
+++ b/src/libcluster/force_tracker.cpp
@@ -23,8 +23,8 @@
 
 void force_tracker::heard(std::string_view Host, std::uint64_t Root,
                           std::uint64_t OwnRoot) {
-  // The store only goes forward, so a host whose hash matches a later state
-  // has the earlier changes too.
+  // Versions in the store only increase, so a host whose hash matches a later
+  // state also has the earlier changes.
   bool Has = Root == OwnRoot;
   for (row &Row : Rows) {
     Has = Has || Row.RootAfter == Root;
--- a/src/libcluster/gates.cpp
+++ b/src/libcluster/gates.cpp
@@ -7,7 +7,7 @@
 namespace turmerichead::cluster {
 namespace {
 
-/// Groups by falling weight for \p Runner.
+/// Returns the groups in descending order of their weight for \p Runner.
 std::vector<std::size_t> groupsByWeight(std::span<const runner_group> Groups,
                                         std::string_view Runner) {
   std::vector<std::pair<std::uint64_t, std::size_t>> Weighted;
--- a/src/libcluster/shard_map.cpp
+++ b/src/libcluster/shard_map.cpp
@@ -35,7 +35,7 @@
               "host " + std::string(Host) + " is not in the shard map");
 }
 
-/// The map with one version more, and the place of \p Host in it.
+/// The next version of the map, and the index of \p Host in it.
 struct next_map {
   shard_map Map;
   std::vector<host_record>::iterator Host;
--- a/src/libcluster/shard_map_json.cpp
+++ b/src/libcluster/shard_map_json.cpp
@@ -9,8 +9,8 @@
 namespace turmerichead {
 namespace {
 
-// A shard is written as [holder, standby, standby, held since], hosts by
-// their index, to keep a map of thousands of shards far below a megabyte.
+// A shard is encoded as [holder, standby, standby, held since] with indices of
+// hosts, so that a map of thousands of shards stays far below a megabyte.
 constexpr int NoHost = -1;
 constexpr std::size_t ShardFields = 4;
 
@@ -22,7 +22,7 @@
   return std::nullopt;
 }
 
-/// Reads one host; throws the library's exception on a wrong type.
+/// Decodes one host. Throws on a wrong type.
 std::optional<host_record> hostFromJson(const nlohmann::json &Value) {
   host_record Host;
   Value.at("id").get_to(Host.Id);
@@ -40,7 +40,7 @@
   return Host;
 }
 
-/// Reads the whole map without checking its rules.
+/// Decodes the map without checking its invariants.
 std::optional<shard_map> readMap(const nlohmann::json &Spec) {
   shard_map Map;
   Spec.at("version").get_to(Map.Version);
@@ -163,8 +163,7 @@
                                           std::string_view Source,
                                           findings &Findings) {
   std::optional<shard_map> Map;
-  // Wrong types and indices out of range are exceptions of the library and
-  // of the container; none leaves here.
+  // Exceptions for wrong types and indices out of range are caught here.
   try {
     Map = readMap(Spec);
   } catch (const std::exception &) {
--- a/src/libcluster/wire.cpp
+++ b/src/libcluster/wire.cpp
@@ -26,7 +26,7 @@
   return {MaxRows, MaxRows, MaxTextBytes, MaxTextBytes, MaxTextBytes, MaxDepth};
 }
 
-/// The elements of an array of exactly \p Count; throws otherwise.
+/// Returns the elements of an array. Throws unless there are \p Count.
 const msgpack::object *elements(const msgpack::object &Object,
                                 std::uint32_t Count) {
   if (Object.type != msgpack::type::ARRAY || Object.via.array.size != Count)
@@ -34,8 +34,7 @@
   return Object.via.array.ptr;
 }
 
-/// Unpacks \p Bytes and reads them by \p Read. The library throws on bytes
-/// that do not decode; no exception leaves here.
+/// Decodes \p Bytes with \p Read. Exceptions of msgpack are caught here.
 template <typename Result, typename Reader>
 std::optional<Result> decode(std::string_view Bytes, Reader &&Read) {
   try {
