--- a/src/include/turmerichead/host.h
+++ b/src/include/turmerichead/host.h
@@ -1,5 +1,5 @@
 /// \file
-/// The daemon of an entry host, joined on one GLib main loop.
+/// The daemon of an entry host, which runs on one GLib main loop.
 ///
 ///     findings Findings;
 ///     auto Settings = host_settings::load(Path, Findings);
@@ -18,8 +18,8 @@
 
 class host {
 public:
-  /// Opens the listening sockets and reads the shared key. On failure
-  /// lastError() has the reason.
+  /// Opens the listening sockets and reads the shared key. Fails with the error
+  /// of either step.
   static std::optional<host> create(host_settings Settings);
 
   /// Serves until the host has drained after SIGTERM, SIGINT or a drain
--- a/src/libhost/chat.cpp
+++ b/src/libhost/chat.cpp
@@ -180,7 +180,7 @@
   chat_request Request;
   Request.Body = json::parse(Body, nullptr, false);
   if (Request.Body.is_discarded()) {
-    // A second pass, on the error path only, finds the place for the caller.
+    // Parsed again to find the location of the error.
     try {
       Request.Body = json::parse(Body);
     } catch (const json::parse_error &Error) {
--- a/src/libhost/chat_pvt.h
+++ b/src/libhost/chat_pvt.h
@@ -1,6 +1,6 @@
 /// \file
-/// Chat completions as they stream: which events may go on at once, and the
-/// whole answer put together for the history.
+/// Streamed chat completions: which events may be forwarded immediately, and
+/// the complete answer for the history.
 #pragma once
 
 #include <cstdint>
@@ -12,38 +12,38 @@
 
 namespace turmerichead::host_pvt {
 
-/// Tokens that the engine counted for one call.
+/// Token counts of the engine for one call.
 struct chat_usage {
   std::uint64_t PromptTokens = 0;
   std::uint64_t CompletionTokens = 0;
   std::uint64_t CachedTokens = 0;
 };
 
-/// What the dispatcher does with one server-sent event of an engine.
+/// What the dispatcher does with a server-sent event of an engine.
 enum class chat_event {
-  Forward, ///< Goes to the caller at once.
-  Hold,    ///< Ends the answer; waits until the answer is committed.
+  Forward, ///< Is forwarded immediately.
+  Hold,    ///< Ends the answer; is held until the answer is committed.
   Done,    ///< The "[DONE]" marker.
-  Broken   ///< Does not parse; the stream is of no further use.
+  Broken   ///< Cannot be parsed; the stream has failed.
 };
 
-/// Puts the chunks of a streamed completion together.
+/// Assembles the chunks of a streamed completion.
 class chat_assembler {
 public:
-  /// Takes the payload of one `data:` line.
+  /// Handles the payload of one `data:` line.
   chat_event take(std::string_view Data);
 
-  /// True once a finish reason and the "[DONE]" marker were seen.
+  /// Returns whether a finish reason and the "[DONE]" marker were received.
   bool complete() const { return Finished && SawDone; }
 
   const chat_usage &usage() const { return Usage; }
   std::uint64_t chunks() const { return Chunks; }
 
-  /// Text of the answer so far.
+  /// Returns the text received so far.
   const std::string &content() const { return Content; }
   bool hasToolCalls() const { return !ToolCalls.empty(); }
 
-  /// The whole answer as a `chat.completion` object.
+  /// Returns the complete answer as a `chat.completion` object.
   nlohmann::json completion() const;
 
 private:
@@ -62,29 +62,27 @@
   bool SawDone = false;
 };
 
-/// Renders a kept `chat.completion` as the server-sent events of a stream:
-/// one chunk with the whole message, one with the finish reason and usage,
-/// and "[DONE]".
+/// Renders a stored `chat.completion` as server-sent events: one chunk with the
+/// complete message, one with the finish reason and usage, and "[DONE]".
 std::string completionAsEvents(const nlohmann::json &Completion);
 
-/// Renders what is left of a stream whose first \p SentBytes bytes of content
-/// the caller has: the rest of the content, the finish reason with usage, and
-/// "[DONE]".
+/// Renders the rest of a stream after \p SentBytes bytes of content: the
+/// remaining content, the finish reason with usage, and "[DONE]".
 std::string completionTailEvents(const nlohmann::json &Completion,
                                  std::size_t SentBytes);
 
-/// A request body checked for forwarding.
+/// A validated request body.
 struct chat_request {
   nlohmann::json Body;
   bool Stream = false;
-  std::optional<std::uint64_t> MaxTokens; ///< As the caller asked.
+  std::optional<std::uint64_t> MaxTokens; ///< As requested by the caller.
 };
 
-/// Parses a chat request. On failure lastError() says where and why.
+/// Parses a chat request. Fails with InvalidInput and the location.
 std::optional<chat_request> parseChatRequest(std::string_view Body);
 
-/// The body that is sent to an engine: always streamed with usage, and with
-/// at most \p MaxTokens output tokens.
+/// Returns the body for an engine: always streamed with usage, and with at most
+/// \p MaxTokens output tokens.
 std::string engineBody(const nlohmann::json &Request, std::uint64_t MaxTokens);
 
 } // namespace turmerichead::host_pvt
--- a/src/libhost/context_pvt.h
+++ b/src/libhost/context_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// What all parts of a host share.
+/// State shared by all parts of a host.
 #pragma once
 
 #include "turmerichead/cluster_config.h"
@@ -21,12 +21,12 @@
 
 namespace turmerichead::host_pvt {
 
-/// State that several parts read. Each member names the part that writes it.
+/// State that several parts read. The comments name the part that writes it.
 struct host_context {
   host_settings Settings;
   std::string SharedKey;
-  /// Rises with each start of the process and with each life after it was
-  /// replaced (written by the host).
+  /// Incremented by each start of the process, and by each rejoin after the
+  /// host was replaced (written by the host).
   std::uint64_t Incarnation = 0;
   std::mt19937_64 Random;
 
@@ -43,22 +43,22 @@
   shard_map Map; ///< Written by membership.
   std::uint64_t MapRevision = 0;
   std::optional<failure_detector> Detector; ///< Written by membership.
-  /// Loads of groups by the last heartbeats (written by membership).
+  /// Loads of groups from the last heartbeats (written by membership).
   std::map<std::string, group_load, std::less<>> GroupLoads;
 
   bool Draining = false;
-  /// The steady time at which the platform last answered.
+  /// Time of the last answer of the platform, by the steady clock.
   time_point PlatformSeen;
 
   const std::string &self() const { return Settings.Host.Id; }
   host_incarnation life() const { return {self(), Incarnation}; }
 
-  /// The host that holds \p Program's shard by the map; empty if none.
+  /// Returns the holder of the shard of \p Program; empty if there is none.
   std::string_view holderOf(std::string_view Program) const;
   std::uint32_t shardOf(std::string_view Root) const;
 };
 
-/// The address of \p Path at an upstream.
+/// Returns the URL of \p Path at an upstream.
 std::string urlOf(const upstream_object &Upstream, std::string_view Path);
 
 } // namespace turmerichead::host_pvt
--- a/src/libhost/dispatcher.cpp
+++ b/src/libhost/dispatcher.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// Upstreams tried for one attempt while none could even be reached.
+/// Limit for upstreams that are tried in one attempt and cannot be reached.
 constexpr int MaxConnects = 3;
 constexpr std::size_t BytesPerToken = 4;
 constexpr int HttpOk = 200;
@@ -276,7 +276,7 @@
     return;
   }
   if (Result.Code == error_code::None && Result.Status != HttpOk) {
-    // The engine's own verdict on the request is an answer like any other.
+    // An error status of the engine is an answer like any other.
     finishModel(Call, Result.Status >= 500 ? sched::outcome::Error
                                            : sched::outcome::Ok);
     row Done = take(Call);
@@ -355,8 +355,8 @@
   Request.Url = urlOf(Upstream, pathOf(Command.Target));
   Request.Headers = callHeaders(Command);
   Request.Body = Command.Body;
-  // A kept connection that breaks as it is written to would leave the outcome
-  // of a call unknown that must not be repeated.
+  // If a reused connection is lost while it is written to, the outcome is
+  // unknown, and a non-idempotent call could not be retried.
   Request.FreshConnection = Command.NonIdempotent;
   Request.Timeout = timeLeft(Command, Row->Facts.CallTimeout);
   Row->Http = Context.Http->send(
--- a/src/libhost/dispatcher_pvt.h
+++ b/src/libhost/dispatcher_pvt.h
@@ -1,6 +1,5 @@
 /// \file
-/// Carries calls from the holder to upstreams and brings back what became of
-/// them.
+/// Sends calls of the holder to upstreams and reports their outcomes.
 #pragma once
 
 #include "chat_pvt.h"
@@ -18,11 +17,11 @@
 
 namespace turmerichead::host_pvt {
 
-/// What the holder knows of a call's program, for the gate.
+/// Properties of the program of a call, for the gate.
 struct program_facts {
   std::string Owner;
   std::int64_t AttainedTokens = 0;
-  std::int64_t LastCallTokens = 0; ///< Left in a runner's cache, perhaps.
+  std::int64_t LastCallTokens = 0; ///< May still be in the cache of a runner.
   bool Started = false;
   bool ParentWaiting = false;
   std::int64_t AgeMs = 0;
@@ -30,17 +29,17 @@
   milliseconds CallTimeout{0};
 };
 
-/// What the dispatcher tells. After any but OnEvents the call is forgotten.
+/// Callbacks of the dispatcher. All but OnEvents end the call.
 struct dispatch_events {
-  /// Server-sent events that may go to the caller at once.
+  /// Server-sent events that may be forwarded immediately.
   std::function<void(call_id Call, std::string_view Events)> OnEvents;
   std::function<void(call_id Call, upstream_answer Answer)> OnAnswered;
-  /// Nothing was sent; final.
+  /// Final; nothing was sent.
   std::function<void(call_id Call, std::string Code, std::int64_t RetryAfterMs)>
       OnNotSent;
   std::function<void(call_id Call, std::string Code, bool MayHaveRun)> OnLost;
-  /// \p Partial is the content that was streamed before; nullopt if it can't
-  /// be continued by another attempt.
+  /// \p Partial is the content that was already streamed; nullopt if another
+  /// attempt cannot continue it.
   std::function<void(call_id Call, std::string Upstream,
                      std::optional<std::string> Partial)>
       OnDied;
@@ -49,7 +48,7 @@
 class dispatcher {
 public:
   dispatcher(host_context &Context, gate_client &Gates, dispatch_events Events);
-  /// Cancels what is under way: nothing calls back any more.
+  /// Cancels all calls. No callback is called afterwards.
   ~dispatcher();
   dispatcher(const dispatcher &) = delete;
   dispatcher &operator=(const dispatcher &) = delete;
@@ -69,14 +68,14 @@
     http_call_id Http;
     sse_splitter Splitter;
     chat_assembler Assembler;
-    std::string Received; ///< Body of a service's or an error's answer.
+    std::string Received; ///< Body of the answer of a service, or of an error.
     std::string ContentType;
     int Status = 0;
     int Connects = 0; ///< Upstreams that could not be reached.
     bool Broken = false;
   };
-  /// Rows are shared with the callbacks of calls under way, which hold the
-  /// id only; a stale id finds no row.
+  /// Callbacks of calls in flight only have the id of a row, which may be
+  /// stale.
   row *find(call_id Call);
 
   void startModel(call_id Call);
@@ -101,7 +100,7 @@
   std::map<std::string, int, std::less<>> ServiceInFlight;
   std::map<std::string, sched::circuit_breaker, std::less<>> Breakers;
   sched::poison_table ServicePoison;
-  /// Expires with this object, for callbacks that can't be cancelled.
+  /// Expires with this object; for callbacks that cannot be cancelled.
   std::shared_ptr<int> Token = std::make_shared<int>(0);
 };
 
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -23,8 +23,8 @@
 constexpr std::int64_t DefaultDeadlineMs = 600'000;
 constexpr std::int64_t MaxDeadlineMs = 3'600'000;
 
-/// A program's id: names of letters, digits, ".", "_" and "-", joined by
-/// slashes.
+/// A program id consists of names of letters, digits, ".", "_" and "-",
+/// separated by slashes.
 bool isProgramId(std::string_view Text) {
   if (Text.empty() || Text.size() > MaxProgramId || Text.front() == '/' ||
       Text.back() == '/' || Text.find("//") != std::string_view::npos)
@@ -201,8 +201,8 @@
   Caller.Entry = Request.header("X-Turmerichead-Entry").value_or("");
   const catalogue_entry *Entry = Context.Config.find(Caller.Entry);
   Caller.Rules = Entry ? Entry->program() : nullptr;
-  // An unknown entry and a wrong token get the same answer, so that entry
-  // names can't be probed without a token.
+  // The answer is the same for an unknown entry and a wrong token, so that
+  // names of entries cannot be probed without a token.
   if (!Caller.Rules || !tokenMatches(*Caller.Rules, bearerToken(Request))) {
     fail(Exchange, 401, "unauthorized",
          "unknown catalogue entry, or not its owner's token",
@@ -218,7 +218,7 @@
     return std::nullopt;
   }
   if (Program.empty() && !Key.empty())
-    // A single call is a program of its own, known by its key.
+    // A single call is a program whose id is its idempotency key.
     Program = "call-" + toHex(hash64(Key, hash64(Caller.Rules->Owner)));
   if (Program.empty())
     Program = "call-" + toHex(Context.Random()) + toHex(Context.Random());
@@ -260,8 +260,8 @@
     Message.DeadlineMs = *Deadline;
   }
   Message.IdempotencyKey = Request.header("Idempotency-Key").value_or("");
-  // Without number and key, this host could not repeat the call to a
-  // successor of its holder; so it gives it a key.
+  // Without a number or key, this host could not send the call again to the
+  // successor of its holder. So it generates a key.
   if (Message.Number == 0 && Message.IdempotencyKey.empty())
     Message.IdempotencyKey =
         "entry-" + toHex(Context.Random()) + toHex(Context.Random());
@@ -392,8 +392,8 @@
   }
   if (Server->writeChunk(Exchange, Bytes))
     return;
-  // A caller that reads too slowly is cut off; its answer is kept, and the
-  // same call sent again gets it.
+  // A caller that reads too slowly is disconnected. Its answer is stored, and a
+  // retry of the call gets it.
   Server->abortStream(Exchange);
   onGone(Exchange);
 }
--- a/src/libhost/front_pvt.h
+++ b/src/libhost/front_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// HTTP towards callers and operators.
+/// The HTTP interface for callers and operators.
 #pragma once
 
 #include "context_pvt.h"
@@ -16,26 +16,26 @@
 
 namespace turmerichead::host_pvt {
 
-/// What the front answers that is not a call.
+/// Sources of the answers to requests that are not calls.
 struct front_events {
   std::function<bool()> IsReady;
   std::function<void()> Drain;
   std::function<std::string()> Metrics;
-  /// Calls back with the fleet's report, once.
+  /// Calls back once with the report of the fleet.
   std::function<void(std::function<void(const fleet_report &)>)> Report;
   std::function<nlohmann::json()> Status;
 };
 
-/// Checks requests of callers, hands them to the router, and writes answers.
+/// Validates requests, passes calls to the router, and writes answers.
 class http_front {
 public:
   http_front(host_context &Context, call_router &Router, front_events Events);
 
-  /// Begins to listen; false with the reason in lastError().
+  /// Starts to listen. On failure returns false with the error of the server.
   bool listen();
-  /// Accepts no further connections.
+  /// Stops accepting connections.
   void stopAccepting();
-  /// Calls that are not answered yet.
+  /// Returns the number of calls without an answer.
   std::size_t open() const { return Calls.size(); }
 
 private:
@@ -46,7 +46,7 @@
     std::uint32_t Number = 0;
     std::string Entry;
   };
-  /// A caller's identity, checked.
+  /// The authenticated identity of a caller.
   struct caller {
     std::string Entry;
     std::string Program;
--- a/src/libhost/gate_client.cpp
+++ b/src/libhost/gate_client.cpp
@@ -12,7 +12,8 @@
 namespace {
 constexpr milliseconds AskRetryDelay{50};
 constexpr int MaxAskTries = 100;
-/// Load of a group, 1 is "all slots busy", above which its programs spill.
+/// Load of a group above which its programs use other groups; 1 means that all
+/// slots are busy.
 constexpr double GroupSpillLoad = 1.5;
 } // namespace
 
@@ -91,7 +92,7 @@
 
 void gate_client::sendTo(ask_id Id, row &Row) {
   if (Row.Gate == Context.self()) {
-    // The callback may run inside ask(), before the id is known here.
+    // The callback may be called inside ask(), before the id is known.
     auto Request = Local.ask(
         Row.Message, [this, Id](const ask_reply &Reply) { answer(Id, Reply); });
     auto Found = Rows.find(Id);
@@ -163,8 +164,8 @@
   if (Row.Gate == Context.self())
     Local.done(Message);
   else
-    // The done message carries the outcome; the ask's stream is left to end
-    // by itself, since its loss means "cancelled" to the gate.
+    // The done message carries the outcome. The stream of the ask is not
+    // cancelled, because the gate treats its loss as a cancellation.
     Context.Links->send(
         Row.Gate,
         {.Path = std::string(DonePath), .Headers = {}, .Body = pack(Message)},
--- a/src/libhost/gate_runners.cpp
+++ b/src/libhost/gate_runners.cpp
@@ -1,5 +1,5 @@
-// What a gate learns of its runners: load, cache events, and the caches that
-// nobody needs any more.
+// State of the runners of a gate: load, cache events, and caches that are no
+// longer needed.
 
 #include "gates_pvt.h"
 
@@ -19,7 +19,8 @@
 
 constexpr milliseconds RunnerCallTimeout{2000};
 
-/// A GET of a small JSON document; failures are left to the next poll.
+/// Sends a GET for a small JSON document. The next poll retries after a
+/// failure.
 http_request getRequest(std::string Url) {
   http_request Request;
   Request.Method = "GET";
@@ -139,8 +140,8 @@
 
 void gate_service::findDead(const std::string &Group, const std::string &Runner,
                             const std::vector<std::string> &Listed) {
-  // Each holder is asked for its own programs. One that does not answer
-  // leaves its programs alive until the next sweep.
+  // Each holder is asked for its own programs. If one does not answer, its
+  // programs count as live until the next sweep.
   std::map<std::string, std::vector<std::string>> ByHolder;
   for (const std::string &Program : Listed)
     if (std::string Holder(Context.holderOf(Program)); !Holder.empty())
--- a/src/libhost/gates.cpp
+++ b/src/libhost/gates.cpp
@@ -71,8 +71,8 @@
   auto Found = Rows.find(Group);
   if (Found != Rows.end())
     return &Found->second;
-  // Asked for a group that another host should gate: hosts disagree for a
-  // moment. Serving it costs latency at worst.
+  // Another host should be the gate of this group; hosts may disagree for a
+  // short time. Serving the ask costs latency at most.
   auto Mark = Group.rfind('#');
   std::string Model(Group.substr(0, Mark));
   for (const runner_group &Candidate : groupsOf(Context, Model))
@@ -135,7 +135,7 @@
                      : sched::runner_phase::Live;
     Found->second.Gate.upsertRunner(Info);
   }
-  // A runner that has gone from the platform's list takes no more work.
+  // A runner that is no longer registered gets no more work.
   for (const auto &[Name, Cursor] : EventCursor)
     if (std::find(Group.Runners.begin(), Group.Runners.end(), Name) ==
         Group.Runners.end())
@@ -210,7 +210,8 @@
 
 void gate_service::flush(group_row &Row) {
   sched::gate_output Output = Row.Gate.tick(steadyNow());
-  // The spans end with the gate's next call, which a callback may make.
+  // The spans are valid until the next call of the gate, which a callback may
+  // make.
   std::vector<sched::grant> Grants(Output.Grants.begin(), Output.Grants.end());
   std::vector<sched::refusal> Refusals(Output.Refusals.begin(),
                                        Output.Refusals.end());
--- a/src/libhost/gates_pvt.h
+++ b/src/libhost/gates_pvt.h
@@ -1,6 +1,6 @@
 /// \file
-/// The gates of the runner groups that this host serves, and the way from a
-/// holder to the gate of a group wherever it is.
+/// The gates of this host, and the client with which holders ask the gate of a
+/// group on any host.
 #pragma once
 
 #include "context_pvt.h"
@@ -18,41 +18,41 @@
 
 namespace turmerichead::host_pvt {
 
-/// Called once with the gate's answer.
+/// Called once with the answer of the gate.
 using ask_callback = std::function<void(const ask_reply &Reply)>;
 
-/// Runs a decision core for each group whose gate is this host. Soft state:
-/// everything in it is rebuilt from asks and from the runners themselves.
+/// Runs a decision core for each group whose gate is this host. All its state
+/// is soft: it is rebuilt from asks and from the runners.
 class gate_service {
 public:
   explicit gate_service(host_context &Context);
 
-  /// Queues an ask; \p Callback is called now or later, unless it is
-  /// cancelled. Returns the id that names it; an empty id was refused.
+  /// Queues an ask. \p Callback is called in this function or later, unless the
+  /// ask is cancelled. Returns its id; an empty id means that it was refused.
   sched::request_id ask(const ask_message &Message, ask_callback Callback);
 
-  /// Takes back an ask, granted or not.
+  /// Cancels an ask, whether it was granted or not.
   void cancel(std::string_view Group, sched::request_id Id);
 
   void done(const done_message &Message);
   void ended(std::string_view Program);
 
-  /// Takes in other hosts' deaths of upstreams.
+  /// Merges upstream crashes that other hosts have reported.
   void mergePoison(std::span<const sched::poison_entry> Entries);
-  /// What all groups know.
+  /// Returns the crashes known to all groups.
   std::vector<sched::poison_entry> poisonEntries();
 
-  /// The fleet entry has changed: its values reach every gate.
+  /// Applies a changed fleet entry to all gates.
   void fleetChanged();
 
-  /// Rebuilds groups after runners, map or catalogue changed.
+  /// Rebuilds the groups after a change of runners, map or catalogue.
   void refresh();
 
-  /// Grants, refuses and releases what is due. Call every few milliseconds
-  /// while asks wait, and at least every 100 ms.
+  /// Grants, refuses and releases asks that are due. Must be called every few
+  /// milliseconds while asks wait, and at least every 100 ms.
   void tick();
 
-  /// Loads for the next heartbeat.
+  /// Returns the loads for the next heartbeat.
   std::vector<group_load> loads() const;
 
   /// Sets the gate metrics.
@@ -86,32 +86,32 @@
   std::map<std::string, group_row, std::less<>> Rows;
   std::map<std::string, std::uint64_t, std::less<>> EventCursor;
   std::map<std::string, std::int64_t, std::less<>> CacheCapacity; ///< Tokens.
-  sched::poison_table Poison; ///< Kept beside the gates, for new ones.
+  sched::poison_table Poison; ///< Copied to new gates.
   timer LoadTimer;
   timer SweepTimer;
 };
 
-/// Asks the gate of a group, here or on another host, and finds the next gate
-/// if that host is gone.
+/// Asks the gate of a group on this or another host, and the next gate if that
+/// host has failed.
 class gate_client {
 public:
   gate_client(host_context &Context, gate_service &Local)
       : Context(Context), Local(Local) {}
 
-  /// Names one ask of this client.
+  /// Identifies an ask of this client.
   using ask_id = std::uint64_t;
 
-  /// Asks until there is an answer; \p Callback is called once.
+  /// Asks gates until one answers. \p Callback is called once.
   ask_id ask(ask_message Message, ask_callback Callback);
 
-  /// Tells how a granted call ended, and forgets the ask.
+  /// Reports the outcome of a granted call, and removes the ask.
   void done(ask_id Id, sched::outcome Outcome, const sched::usage &Usage,
             milliseconds ExpectedPause);
 
-  /// Takes back an ask that is not answered yet.
+  /// Cancels an ask without an answer.
   void cancel(ask_id Id);
 
-  /// Tells all gates that a program has ended.
+  /// Notifies all gates that a program has ended.
   void ended(const std::string &Program);
 
 private:
@@ -138,12 +138,12 @@
   ask_id NextId = 1;
 };
 
-/// The groups of the runners of \p Model, by the upstreams known now.
+/// Returns the groups of the known runners of \p Model.
 std::vector<runner_group> groupsOf(const host_context &Context,
                                    std::string_view Model);
 
-/// The group that a root program's call should ask; empty if no runner has
-/// the model.
+/// Returns the group that a call of a root program should ask; empty if no
+/// runner has the model.
 std::string chooseGroupFor(host_context &Context, std::string_view Model,
                            std::string_view Root);
 
--- a/src/libhost/holder.cpp
+++ b/src/libhost/holder.cpp
@@ -20,9 +20,9 @@
 constexpr std::uint16_t StatusBadRequest = 400;
 constexpr std::uint16_t StatusTooMany = 429;
 constexpr std::int64_t MinRetries = 2;
-/// Between two looks at all programs and all waiters.
+/// Interval between checks of all programs and waiters.
 constexpr milliseconds SlowInterval{1000};
-/// What a host that was paused gives itself to learn that it was replaced.
+/// Time for a host that was suspended to find out whether it was replaced.
 constexpr milliseconds PauseGrace{1500};
 
 granted_limits grantedOf(const program_limits &Limits) {
@@ -48,7 +48,7 @@
   return {Status, errorBody(Code, Text).dump(), false};
 }
 
-/// A record's request as JSON where it is JSON, as text otherwise.
+/// Returns the request of a record as JSON, or as text if it is not JSON.
 json contentOf(const std::string &Text) {
   json Value = json::parse(Text, nullptr, false);
   return Value.is_discarded() ? json(Text) : Value;
@@ -119,8 +119,8 @@
 }
 
 void holder::endLife() {
-  // Nothing that this life has open will be committed: its callers are sent
-  // on to the new holders.
+  // No open call of this incarnation will be committed. Its callers are
+  // redirected to the new holders.
   Book->fenced(now());
   for (book_command &Command : Book->takeCommands())
     if (auto *Release = std::get_if<release_waiter>(&Command))
@@ -208,8 +208,8 @@
 }
 
 void holder::restoreAdmissions() {
-  // Programs that came with a shard count as admitted; those that left with
-  // one do no more.
+  // Programs of an acquired shard count as admitted, those of a released shard
+  // no longer do.
   for (auto Row = Admitted.begin(); Row != Admitted.end();) {
     if (Book->holdsShard(Context.shardOf(Row->first))) {
       ++Row;
@@ -252,7 +252,7 @@
   waiter_row Row = std::move(Found->second);
   Waiters.erase(Found);
   countEnd(Row, End);
-  // The caller is told from the loop, never from inside submit().
+  // The result is reported from the loop, never inside submit().
   defer(
       [Sink = std::move(Row.Sink), End = std::move(End)] { Sink.OnEnd(End); });
 }
@@ -355,8 +355,8 @@
   if (!Program)
     return;
   Book->entryChanged(Entry.Name, grantedOf(Program->Limits), now());
-  // Programs of an entry are spread evenly over the shards, so that a host
-  // may admit its part of the limit.
+  // Programs of an entry are distributed evenly over the shards, so each host
+  // admits its share of the limit.
   sched::entry_limits Limits;
   std::size_t Hosts = std::max<std::size_t>(Context.Map.Hosts.size(), 1);
   if (Program->Limits.Concurrency > 0)
@@ -382,8 +382,8 @@
 }
 
 void holder::nameStandbys() {
-  // Two other hosts, in other data centres where there are any, by
-  // rendezvous, so that a change of the map changes few standbys.
+  // Two other hosts, preferably in other data centres, by rendezvous hashing,
+  // so that a change of the map changes few standbys.
   struct candidate {
     bool SameCentre = false;
     std::uint64_t Weight = 0;
--- a/src/libhost/holder_commands.cpp
+++ b/src/libhost/holder_commands.cpp
@@ -1,4 +1,4 @@
-// The holder's commands: what the book and the journal want done.
+// Executes the commands of the book and the journal.
 
 #include "holder_pvt.h"
 
@@ -19,8 +19,8 @@
   scheduleJournal();
   if (!Fenced)
     return;
-  // The host begins another life, which replaces this book and journal; not
-  // from inside one of their calls.
+  // The host starts a new incarnation, which replaces this book and journal.
+  // That must not happen inside one of their calls.
   Fenced = false;
   defer([this, Now = Life] {
     if (Now == Life)
@@ -63,7 +63,7 @@
   const catalogue_entry *Entry = Context.Config.find(Command.Entry);
   if (const program_entry *Program = Entry ? Entry->program() : nullptr) {
     Facts.Owner = Program->Owner;
-    // A cache is held no longer than the fleet entry allows.
+    // The fleet entry limits how long a cache is held.
     Facts.ExpectedPause =
         std::min(Program->ExpectedPause, Context.Config.fleet().MaxCacheHold);
     Facts.CallTimeout = Program->Limits.Call;
@@ -197,8 +197,8 @@
 
 void holder::onEvents(call_id Call, std::string_view Events) {
   auto Dispatch = Dispatches.find(Call);
-  // A later attempt may answer otherwise than the first, so that nothing of
-  // it is passed on before it is whole.
+  // A later attempt may give another answer than the first, so it is forwarded
+  // only when it is complete.
   if (Dispatch == Dispatches.end() || Dispatch->second.Attempt > 1)
     return;
   auto Waiter = Waiters.find(Dispatch->second.Waiter);
@@ -284,9 +284,9 @@
 }
 
 void holder::carryOut(const journal_availability &Command) {
-  // A process that was paused sees its writes as late, and has perhaps been
-  // replaced meanwhile. Its callers would be told that their calls can't be
-  // kept, when the new holder may keep them; so it looks again first.
+  // After this process was suspended, its writes appear late, and it may have
+  // been replaced. It checks that first: otherwise its callers would get an
+  // error although the new holder can store their calls.
   constexpr milliseconds LookAgain{1000};
   if (!Command.Available && wasPaused()) {
     after(LookAgain, [this, Now = Life] {
--- a/src/libhost/holder_pvt.h
+++ b/src/libhost/holder_pvt.h
@@ -1,6 +1,6 @@
 /// \file
-/// The holder: joins the state machine of programs, the journal and the
-/// dispatcher, for the shards that the map gives this host.
+/// The holder: connects the state machine of programs, the journal and the
+/// dispatcher, for the shards that the map assigns to this host.
 #pragma once
 
 #include "context_pvt.h"
@@ -21,8 +21,8 @@
 
 namespace turmerichead::host_pvt {
 
-/// Where the answer to a call goes: a caller here, or a stream to the entry
-/// host. Exactly one OnEnd is called, unless callerGone() came first.
+/// Receiver of the answer to a call: a caller of this host, or a stream to the
+/// entry host. OnEnd is called once, unless callerGone() is called before.
 struct answer_sink {
   std::function<void(std::string_view Events)> OnEvents;
   std::function<void(const call_end &End)> OnEnd;
@@ -30,15 +30,15 @@
 
 class holder {
 public:
-  /// \p OnFenced is told, after all waiters were released, that this host was
-  /// replaced and must join again under a new incarnation.
+  /// \p OnFenced is called, after all waiters were released, when this host was
+  /// replaced and must join again with a new incarnation.
   holder(host_context &Context, gate_client &Gates,
          std::function<void()> OnFenced);
 
-  /// Begins the life that Context.Incarnation names: an empty book and a new
+  /// Starts the incarnation in Context.Incarnation with an empty book and a new
   /// journal.
   void beginLife();
-  /// Ends the life: its callers are sent on to the new holders.
+  /// Ends the incarnation. Its callers are redirected to the new holders.
   void endLife();
 
   // -- Calls
@@ -49,19 +49,19 @@
   program_reply history(const program_message &Message);
   program_reply endProgram(const program_message &Message);
 
-  /// Those of \p Programs that live, or that this host does not hold.
+  /// Returns those of \p Programs that are live or not held by this host.
   living_message living(const living_message &Message) const;
 
-  /// The catalogue has changed: limits of living programs follow.
+  /// Applies a changed catalogue to the limits of live programs.
   void entryChanged(const catalogue_entry &Entry);
 
   // -- Shards and journal
   // ---------------------------------------------------------
 
-  /// Acquires and hands over shards as the new map says.
+  /// Acquires and releases shards according to the new map.
   void mapChanged();
   bool servesAll() const { return Shards && Shards->servesAll(); }
-  /// True when no shard and no call is left.
+  /// Returns whether no shard and no call is left.
   bool empty() const;
 
   std::optional<keep_reply> keep(const keep_message &Message);
@@ -69,7 +69,7 @@
   std::optional<close_reply> close(const close_message &Message);
   void sealed(const close_message &Message);
 
-  /// Limits that depend on time, metrics and counts for the report.
+  /// Checks limits that depend on time, and updates metrics and the report.
   void tick();
 
 private:
@@ -84,7 +84,7 @@
     time_point Deadline;
     bool Streamed = false;
     bool Broken = false;
-    std::optional<std::string> Partial; ///< Streamed before an upstream died.
+    std::optional<std::string> Partial; ///< Streamed before an upstream failed.
   };
   struct dispatch_row {
     waiter_id Waiter = 0;
@@ -143,11 +143,11 @@
   std::map<std::string, admitted_row, std::less<>> Admitted; ///< By root.
   sched::admission Admission;
   waiter_id NextWaiter = 1;
-  std::uint64_t Life = 0; ///< Counts beginLife(), so that old replies are lost.
+  std::uint64_t Life = 0; ///< Calls of beginLife(); identifies old replies.
   bool Pumping = false;
   time_point SlowDue;
-  time_point LastTick;    ///< A long gap tells that the process was paused.
-  time_point PausedUntil; ///< After a pause, until it knows what it missed.
+  time_point LastTick;    ///< A long gap means that the process was suspended.
+  time_point PausedUntil; ///< Until then it may not know that it was replaced.
   bool Fenced = false;
   timer JournalTimer;
 };
--- a/src/libhost/host.cpp
+++ b/src/libhost/host.cpp
@@ -184,14 +184,14 @@
   DrainTimer = timer::every(DrainInterval, [this] { drainTick(); });
 }
 
-// Asks at this host's gates are not waited for: holders ask the next gate.
+// It does not wait for asks at its gates: holders ask the next gate.
 bool host::state::isIdle() const {
   return Front->open() == 0 && Router->open() == 0 && CallsOfPeers.empty();
 }
 
 void host::state::drainTick() {
   if (Removed) {
-    // Other hosts may have sent calls before they heard of the removal.
+    // Other hosts may have sent calls before they learned of the removal.
     if (isIdle())
       g_main_loop_quit(Loop);
     return;
@@ -203,20 +203,20 @@
   }
   const host_record *Self = Context.Map.find(Context.self());
   bool Last = Context.Map.Hosts.size() <= 1;
-  // One change of the map at a time: remove() would find leave() under way.
+  // The map is changed once at a time: leave() may still be in progress.
   if (!Last && Self && Self->State != host_state::Leaving) {
     Membership->leave();
     return;
   }
-  // Callers on kept connections would go on for ever; after a moment in which
-  // the balancer sees that this host isn't ready, none is accepted.
+  // Callers could use open connections without end. Once the load balancer has
+  // had time to see that this host is not ready, no more are accepted.
   if (steadyNow() - DrainSince < DrainGrace)
     return;
   Front->stopAccepting();
   if (!isIdle() || Removing)
     return;
   if (Last) {
-    // Nobody is left to take the shards; their snapshots and journal are on
+    // There is no other host for the shards. Their snapshots and journal are on
     // the platform for the next host.
     g_main_loop_quit(Loop);
     return;
@@ -226,7 +226,7 @@
   Removing = true;
   Membership->remove([this] {
     log::info("drained", {{"took_ms", (steadyNow() - DrainSince).count()}});
-    Removed = true; // The next tick is late enough for written answers.
+    Removed = true; // Written answers are sent before the next tick.
   });
   after(SlowInterval, [this] { Removing = false; });
 }
@@ -285,8 +285,8 @@
     Peers->end(Reply, {error_code::Corrupt, lastError().Text});
     return;
   }
-  // The stream stays open after a grant: its loss tells the gate that the
-  // holder has gone.
+  // The stream stays open after a grant. If it is lost, the gate knows that the
+  // holder has failed.
   AsksOfPeers[Reply] = {Message->Group, {}};
   auto Id = Gates->ask(*Message, [this, Reply](const ask_reply &Answer) {
     Peers->write(Reply, pack(Answer));
--- a/src/libhost/host_pvt.h
+++ b/src/libhost/host_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// All parts of a host, and the requests of other hosts.
+/// All parts of a host, and the handling of requests of other hosts.
 #pragma once
 
 #include "context_pvt.h"
@@ -77,7 +77,7 @@
   host_pvt::timer DrainTimer;
   time_point DrainSince;
   bool Removing = false;
-  bool Removed = false; ///< From the map; no other host sends work here.
+  bool Removed = false; ///< From the map; other hosts send no more work.
 };
 
 } // namespace turmerichead
--- a/src/libhost/loop.cpp
+++ b/src/libhost/loop.cpp
@@ -12,8 +12,8 @@
   Result.Task->Repeat = Repeat;
   auto Wait = static_cast<guint>(std::max<std::int64_t>(Delay.count(), 0));
   Result.Source = g_timeout_source_new(Wait);
-  // The source holds its own share of the task, so that an action may destroy
-  // the timer that runs it.
+  // The source shares ownership of the task, so that an action may destroy its
+  // timer.
   g_source_set_callback(
       Result.Source, fire, new std::shared_ptr<task>(Result.Task),
       [](void *Data) { delete static_cast<std::shared_ptr<task> *>(Data); });
--- a/src/libhost/loop_pvt.h
+++ b/src/libhost/loop_pvt.h
@@ -11,8 +11,8 @@
 
 namespace turmerichead::host_pvt {
 
-/// Calls a function on the main loop, once or again and again, until it is
-/// destroyed or stopped. The function may stop or replace its own timer.
+/// Calls a function on the main loop, once or repeatedly, until the timer is
+/// stopped or destroyed. The function may stop or replace its own timer.
 class timer {
 public:
   timer() = default;
@@ -39,7 +39,7 @@
   std::shared_ptr<task> Task;
 };
 
-/// Calls \p Action once, after the events that are being handled now.
+/// Calls \p Action once, after the events of the current loop iteration.
 void defer(std::function<void()> Action);
 
 /// Calls \p Action once, after \p Delay.
--- a/src/libhost/membership.cpp
+++ b/src/libhost/membership.cpp
@@ -16,7 +16,7 @@
 constexpr std::string_view MapName = "main";
 constexpr milliseconds JoinRetry{200};
 constexpr milliseconds AskPeersInterval{1000};
-/// Heartbeats for which two catalogues may differ before digests are sent.
+/// Heartbeats with different catalogues after which digests are sent.
 constexpr int BeatsBeforeDigest = 8;
 
 json mapObject(const shard_map &Map, std::uint64_t Revision) {
@@ -100,8 +100,8 @@
   Self.Peer = Context.Settings.Host.PeerListen;
   Self.DataCentre = Context.Settings.Host.DataCentre;
   Self.Region = Context.Settings.Host.Region;
-  // The wall clock keeps an incarnation from coming back after the map has
-  // forgotten this host; the journal's names catch the case where it fails.
+  // The wall clock prevents that an incarnation is reused after the host was
+  // removed from the map. If the clock is wrong, the journal names detect it.
   Self.Incarnation = static_cast<std::uint64_t>(wallNowMs());
   if (const host_record *Known = Map->find(Self.Id))
     Self.Incarnation = std::max(Self.Incarnation, Known->Incarnation + 1);
@@ -120,8 +120,8 @@
                Map = *Next](const platform_reply &Reply) {
     Joining = false;
     if (Reply.Outcome != platform_outcome::Ok) {
-      // Where the answer was lost, the next try joins once more, under a
-      // higher incarnation.
+      // If the answer was lost, the next attempt joins again with a higher
+      // incarnation.
       Again();
       return;
     }
@@ -296,7 +296,8 @@
                       Context.Config.summary().Root);
   for (const group_load &Load : Message.Groups)
     Context.GroupLoads[Load.Group] = Load;
-  // The versions tell what is new; a digest tells what a watch has missed.
+  // Versions identify newer items; a digest identifies items that a watch has
+  // missed.
   bool Differs = Beat->Config.Root != Context.Config.summary().Root;
   Differing[Beat->From] = Differs ? Differing[Beat->From] + 1 : 0;
   std::vector<config_item> Lacking = Context.Config.deltaSince(Beat->Config);
@@ -341,16 +342,15 @@
 }
 
 void membership::askPeers() {
-  // While the platform does not answer, a host that starts learns the map
-  // and the catalogue from the peers its settings name, so that it can at
-  // least forward calls.
+  // During an outage of the platform, a starting host gets the map and the
+  // catalogue from the peers in its settings, so that it can forward calls.
   if (Joined)
     return;
   std::vector<std::string> Peers;
   for (const peer_route &Route : Context.Settings.PeerRoutes)
     Peers.push_back(Route.Host);
   for (const std::string &Seed : Context.Settings.Cluster.SeedPeers) {
-    // "host=ip:port": links check that the other side is the host meant.
+    // "host=ip:port": links verify the name of the peer.
     std::string Host = Seed.substr(0, Seed.find('='));
     Context.Links->setAddress(
         Host, Seed.substr(std::min(Host.size() + 1, Seed.size())));
--- a/src/libhost/membership_pvt.h
+++ b/src/libhost/membership_pvt.h
@@ -13,19 +13,19 @@
 
 namespace turmerichead::host_pvt {
 
-/// What membership tells the host.
+/// Callbacks of the membership.
 struct membership_events {
-  /// This host is in the map under a new incarnation.
+  /// This host has joined the map with a new incarnation.
   std::function<void()> OnJoined;
-  /// Another host has taken this one's place; it joins again next.
+  /// This host was replaced by another one; it will join again.
   std::function<void()> OnReplaced;
-  /// The map has changed, and this host is in it as before.
+  /// The map has changed, but not the incarnation of this host.
   std::function<void()> OnMap;
-  /// A heartbeat or an answer to one brought catalogue items.
+  /// A heartbeat or its answer contained catalogue items.
   std::function<void(const std::vector<config_row> &Rows)> OnConfig;
-  /// A peer told its upstreams, because this host knew none.
+  /// A peer has sent its upstreams, because this host knew none.
   std::function<void(const std::string &Upstreams)> OnUpstreams;
-  /// Loads of this host's gates, for the next heartbeat.
+  /// Returns the loads of the gates of this host, for the next heartbeat.
   std::function<std::vector<group_load>()> Loads;
 };
 
@@ -33,23 +33,23 @@
 public:
   membership(host_context &Context, membership_events Events);
 
-  /// Joins the map, and goes on trying until it has succeeded. Also called to
-  /// begin another life after this host was replaced.
+  /// Joins the map, and retries until it succeeds. Also called to rejoin after
+  /// this host was replaced.
   void join();
   bool joined() const { return Joined; }
 
-  /// Asks the map to move this host's shards to others.
+  /// Changes the map so that the shards of this host move to others.
   void leave();
-  /// Takes this host out of the map; \p Done is called when it is out.
+  /// Removes this host from the map, then calls \p Done.
   void remove(std::function<void()> Done);
 
-  /// A heartbeat came in; returns what its sender lacks.
+  /// Handles a heartbeat. Returns the items that its sender lacks.
   state_message receive(std::string_view From, const beat_message &Message);
-  /// All that a starting host needs to know.
+  /// Returns the state for a starting host.
   state_message everything() const;
 
 private:
-  /// Makes the next map; nullopt if there is nothing to change.
+  /// Returns the next map; nullopt if there is no change.
   using map_change = std::function<std::optional<shard_map>(const shard_map &)>;
 
   void tryJoin();
@@ -69,7 +69,7 @@
   bool Joining = false;
   bool Watching = false;
   bool Changing = false;
-  /// Heartbeats in a row from a host whose catalogue differs from ours.
+  /// Number of consecutive heartbeats of a host with a different catalogue.
   std::map<std::string, int, std::less<>> Differing;
   timer BeatTimer;
   timer AskTimer;
--- a/src/libhost/platform_objects_pvt.h
+++ b/src/libhost/platform_objects_pvt.h
@@ -1,6 +1,6 @@
 /// \file
-/// Binary objects on the platform, and what its answers mean to the state
-/// library.
+/// Encoding of binary objects on the platform, and the conversion of its
+/// answers for libstate.
 #pragma once
 
 #include "turmerichead/net_platform.h"
@@ -18,10 +18,10 @@
 inline constexpr std::string_view SnapshotsPlural = "snapshots";
 inline constexpr std::string_view SegmentsPlural = "segments";
 
-/// An object with \p Bytes as base64 text in spec.data.
+/// Returns an object with \p Bytes as base64 text in spec.data.
 nlohmann::json binaryObject(const std::string &Name, std::string_view Bytes);
 
-/// The bytes of such an object; empty if it has none that decode.
+/// Returns the bytes of such an object; empty if they cannot be decoded.
 std::string bytesOf(const nlohmann::json &Object);
 
 create_result createResultOf(platform_outcome Outcome);
--- a/src/libhost/reporter.cpp
+++ b/src/libhost/reporter.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds ReportWait{1000};
 constexpr milliseconds ReportMaxAge{5000};
 
-/// Resident memory of this process in bytes, from /proc.
+/// Returns the resident memory of this process in bytes, from /proc.
 std::int64_t residentBytes() {
   std::ifstream File("/proc/self/statm");
   std::int64_t Total = 0;
--- a/src/libhost/reporter_pvt.h
+++ b/src/libhost/reporter_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// The report over all hosts, the metrics page and the host's status.
+/// The report on all hosts, the metrics page and the status of this host.
 #pragma once
 
 #include "context_pvt.h"
@@ -14,11 +14,11 @@
 public:
   explicit reporter(host_context &Context) : Context(Context) {}
 
-  /// This host's own report, as JSON text.
+  /// Returns the report of this host, as JSON text.
   std::string own();
 
-  /// Asks all hosts of the map, and calls back once with what is known after
-  /// all have answered or a second has passed.
+  /// Queries all hosts of the map. Calls back once, when all have answered or
+  /// after a second.
   void build(std::function<void(const fleet_report &)> Done);
 
   std::string metricsPage();
--- a/src/libhost/router.cpp
+++ b/src/libhost/router.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr milliseconds RouteRetryDelay{50};
-/// How long a call waits for a holder. Longer than a takeover takes.
+/// Time for which a call waits for a holder; longer than a takeover.
 constexpr milliseconds RouteGiveUp{20000};
 constexpr std::int64_t RetryAfterBaseMs = 1000;
 constexpr std::uint16_t StatusUnavailable = 503;
@@ -131,8 +131,8 @@
     onLost(Id, true);
     return;
   }
-  // A holder that says "moved" has nothing of this call that it will answer,
-  // so its stream may end by itself.
+  // A holder that replies "moved" will not answer this call, so its stream is
+  // not cancelled.
   Found->second.Stream = {};
   retryLater(Id);
 }
@@ -144,8 +144,8 @@
     retryLater(Id);
     return;
   }
-  // The caller has a part of an answer that the next holder may not
-  // continue; the same call sent again gets the whole.
+  // The caller has received part of an answer, which the next holder may not be
+  // able to continue. A retry of the call gets the complete answer.
   call_end End = gaveUp(Row);
   End.StreamBroken = true;
   End.Code = "interrupted";
--- a/src/libhost/router_pvt.h
+++ b/src/libhost/router_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// The way from an entry host to the holder of a program, and back.
+/// Routing of calls from an entry host to the holder of their program.
 #pragma once
 
 #include "context_pvt.h"
@@ -13,9 +13,9 @@
 
 namespace turmerichead::host_pvt {
 
-/// Routes calls to the holder, wherever it is, and follows a program that
-/// moves. A call that a lost holder may have seen is sent again to its
-/// successor: every call carries a number or a key, by which holders know it.
+/// Routes calls to the holder, also after the program has moved. If the holder
+/// fails, the call is sent again to its successor: every call has a number or a
+/// key that makes it idempotent for holders.
 class call_router {
 public:
   using route_id = std::uint64_t;
@@ -23,12 +23,12 @@
   call_router(host_context &Context, holder &Holder)
       : Context(Context), Holder(Holder) {}
 
-  /// Calls \p Sink.OnEnd exactly once, unless cancel() comes first.
+  /// Calls \p Sink.OnEnd once, unless cancel() is called before.
   route_id route(call_message Message, answer_sink Sink);
   void cancel(route_id Id);
 
   using program_callback = std::function<void(const program_reply &Reply)>;
-  /// Asks the holder for a history, or to end a program.
+  /// Requests a history from the holder, or the end of a program.
   void askHolder(std::string_view Path, const program_message &Message,
                  const program_callback &Done);
 
@@ -42,8 +42,8 @@
     time_point Deadline;
     peer_stream_id Stream;
     waiter_id Waiter = 0;
-    bool Streamed = false; ///< The caller has a part of the answer.
-    bool MaySent = false;  ///< A holder may have seen the call.
+    bool Streamed = false; ///< The caller has received part of the answer.
+    bool MaySent = false;  ///< A holder may have received the call.
     timer Retry;
   };
 
--- a/src/libhost/shard_snapshots.cpp
+++ b/src/libhost/shard_snapshots.cpp
@@ -1,5 +1,5 @@
-// A shard keeper's snapshots: the first of a tenure, those that bound replay,
-// and what they make superfluous.
+// Snapshots of shards: the first one of each holder, those that limit replay,
+// and the deletion of obsolete segments.
 
 #include "shards_pvt.h"
 
@@ -46,7 +46,7 @@
     Context.Metrics.observe(
         "shard_acquire_ms", "",
         static_cast<double>((steadyNow() - Row->StartedAt).count()));
-    // The map may have moved on while the snapshot was written.
+    // The map may have changed while the snapshot was written.
     if (Context.Map.Shards[Shard].Holder != Context.self())
       Row->Phase = phase::Draining;
     Changed();
@@ -122,7 +122,7 @@
   Row.Write.reset();
   Row.Maker->committed();
   collectGarbage(Shard, Row);
-  // The action may erase the row that holds it.
+  // The action may erase its own row.
   std::function<void()> Kept = std::move(Row.Kept);
   Kept();
 }
@@ -147,8 +147,8 @@
 }
 
 void shard_keeper::snapshotDue() {
-  // SnapshotsPlural only bound replay. They go one at a time and at a slow
-  // pace, so that the writes of the journal, on which answers wait, come first.
+  // These snapshots only limit replay. They are written one at a time and
+  // slowly, because answers wait for the writes of the journal.
   time_point Now = steadyNow();
   if (Now < SnapshotDue)
     return;
@@ -172,7 +172,8 @@
 }
 
 void shard_keeper::collectSegments() {
-  // The latest segment stays: a successor would seal in the hole.
+  // The latest segment is kept: without it, a successor would seal the journal
+  // at the gap.
   std::uint64_t Oldest =
       std::min(Writer.latestSegment(),
                Writer.firstSegmentAfter(Writer.committedRecordEnd()));
--- a/src/libhost/shard_takeover.cpp
+++ b/src/libhost/shard_takeover.cpp
@@ -1,4 +1,4 @@
-// A shard keeper's takeovers: a dead holder's journal is sealed and replayed.
+// Takeover of shards: the journal of a dead holder is sealed and replayed.
 
 #include "shards_pvt.h"
 
@@ -16,7 +16,7 @@
 void shard_keeper::startTakeover(const host_incarnation &Journal,
                                  std::vector<std::uint32_t> Shards) {
   if (Takeovers.contains(Journal)) {
-    // One takeover of a journal at a time; these shards are listed again.
+    // Only one takeover of a journal at a time; these shards are listed again.
     for (std::uint32_t Shard : Shards)
       Rows[Shard].Phase = phase::Listing;
     return;
@@ -45,7 +45,7 @@
 
 void shard_keeper::carryOut(const host_incarnation &Journal,
                             const takeover_command &Command) {
-  // Every answer finds its takeover again by the journal's name.
+  // Answers are matched to their takeover by the name of the journal.
   auto WithTakeover = [this, Journal](auto Action) {
     auto Found = Takeovers.find(Journal);
     if (Found == Takeovers.end())
--- a/src/libhost/shards.cpp
+++ b/src/libhost/shards.cpp
@@ -234,7 +234,7 @@
     Book.releaseShard(Shard);
     Rows.erase(Shard);
     Changed();
-    // The map may have given the shard back meanwhile.
+    // The map may have returned the shard to this host.
     mapChanged();
   });
 }
--- a/src/libhost/shards_pvt.h
+++ b/src/libhost/shards_pvt.h
@@ -1,6 +1,6 @@
 /// \file
-/// Acquires shards with all that was committed for them, keeps snapshots, and
-/// hands shards over.
+/// Acquires shards with their committed state, writes snapshots, and releases
+/// shards.
 #pragma once
 
 #include "context_pvt.h"
@@ -20,18 +20,19 @@
 
 namespace turmerichead::host_pvt {
 
-/// The shards of one life of one host. A shard is served only after a
-/// snapshot that names this life's journal was kept; so the newest manifest
-/// of a shard always tells whose journal continues it.
+/// The shards of one incarnation of a host. A shard is served only after a
+/// snapshot was stored that names the journal of this incarnation. So the
+/// newest manifest of a shard always identifies the journal that continues it.
 class shard_keeper {
 public:
-  /// \p Changed is called after a shard was acquired or given up.
+  /// \p Changed is called after a shard was acquired or released.
   shard_keeper(host_context &Context, program_book &Book,
                journal_writer &Writer, std::function<void()> Changed);
 
-  /// Compares the map with what is served and starts what is needed.
+  /// Compares the map with the served shards and starts the changes.
   void mapChanged();
-  /// Goes on with drains, retries and due snapshots. Call every 50 ms or so.
+  /// Continues drains, retries and due snapshots. Must be called about every
+  /// 50 ms.
   void tick();
 
   bool servesAll() const;
@@ -40,21 +41,21 @@
 
 private:
   enum class phase : std::uint8_t {
-    Listing, ///< Its manifests are to be listed.
-    Waiting, ///< Its old holder lives and is to release it.
-    Loading, ///< Its snapshot or its old holder's journal is being read.
-    Writing, ///< The snapshot of this life is being written.
+    Listing, ///< Its manifests must be listed.
+    Waiting, ///< Its old holder is alive and must release it.
+    Loading, ///< Its snapshot or the journal of its old holder is being read.
+    Writing, ///< The snapshot of this incarnation is being written.
     Serving,
-    Draining, ///< No new calls; those under way finish.
+    Draining, ///< No new calls; those in flight are completed.
     Releasing ///< The last snapshot is being written.
   };
   struct shard_row {
     phase Phase = phase::Listing;
     std::uint64_t Fence = 0;
-    state_rows Rows; ///< Until they are served.
+    state_rows Rows; ///< Until the shard is served.
     std::unique_ptr<snapshot_builder> Maker;
-    std::unique_ptr<snapshot_writer> Write; ///< While one is being written.
-    std::function<void()> Kept;             ///< Of that snapshot.
+    std::unique_ptr<snapshot_writer> Write; ///< Set during a snapshot.
+    std::function<void()> Kept;             ///< Called when it is stored.
     std::uint64_t SnapshotAt = 0;           ///< Ticket of the latest snapshot.
     time_point StartedAt;
   };
@@ -66,8 +67,8 @@
 
   shard_row *find(std::uint32_t Shard, phase Expected);
   using list_callback = std::function<void(const platform_list_reply &Reply)>;
-  /// Lists all manifests. Calls that come while a list is under way share the
-  /// next one, which shows what was created before they were made.
+  /// Lists all manifests. Calls during a list share the next one, which
+  /// contains everything that was created before these calls.
   void listManifests(list_callback Done);
   void startList();
   void takeManifests(const platform_list_reply &Reply);
@@ -96,7 +97,8 @@
   void drain(std::uint32_t Shard, shard_row &Row);
   journal_position positionNow() const;
 
-  /// A guard for callbacks that may come after this object has gone.
+  /// Returns a guard for callbacks that may be called after the destruction of
+  /// this object.
   template <typename Function> auto guarded(Function Action) {
     return [Alive = std::weak_ptr<int>(Token),
             Action = std::move(Action)](auto &&...Arguments) {
@@ -111,11 +113,11 @@
   std::function<void()> Changed;
   std::map<std::uint32_t, shard_row> Rows;
   std::map<host_incarnation, takeover_row> Takeovers;
-  std::set<std::string> ManifestNames; ///< By the latest list.
+  std::set<std::string> ManifestNames; ///< From the latest list.
   std::shared_ptr<int> Token = std::make_shared<int>(0);
-  std::vector<list_callback> ListWaiters; ///< For the next list.
+  std::vector<list_callback> ListWaiters; ///< Waiting for the next list.
   bool ListOpen = false;
-  bool Looking = false; ///< A list for shards that are to be acquired.
+  bool Looking = false; ///< Listing for shards that are being acquired.
   time_point ListDue;
   std::uint64_t FirstSegment = 1; ///< Segments before it were deleted.
   time_point SnapshotDue;
--- a/src/libhost/watcher.cpp
+++ b/src/libhost/watcher.cpp
@@ -97,8 +97,8 @@
     announce();
     return;
   }
-  // Found missing by a new list: it was deleted at the list's version at the
-  // latest, which comes with OnSynced.
+  // Missing in a new list: it was deleted at the version of the list at the
+  // latest, which OnSynced reports.
   Deletions.push_back(std::move(Item));
 }
 
@@ -150,7 +150,7 @@
 }
 
 void watcher::tick() {
-  // The detector is made anew with each life of this host.
+  // Each incarnation of this host creates a new detector.
   hintGone();
   std::vector<std::string> Others;
   for (const host_record &Host : Context.Map.Hosts)
--- a/src/libhost/watcher_pvt.h
+++ b/src/libhost/watcher_pvt.h
@@ -1,5 +1,5 @@
 /// \file
-/// Watches the platform's catalogue, upstreams and list of hosts.
+/// Watches the catalogue, the upstreams and the list of hosts on the platform.
 #pragma once
 
 #include "context_pvt.h"
@@ -12,7 +12,7 @@
 
 namespace turmerichead::host_pvt {
 
-/// What the watcher tells the host.
+/// Callbacks of the watcher.
 struct watcher_events {
   /// An entry came into force or was deleted.
   std::function<void(std::string_view Name)> OnEntry;
@@ -26,13 +26,14 @@
   /// Reads the copy on disk, if there is one, and starts the watches.
   void start();
 
-  /// Takes catalogue items that a peer knew.
+  /// Applies catalogue items from a peer.
   void takeFromPeer(const std::vector<config_row> &Rows);
-  /// Takes a peer's upstreams while the platform has told none.
+  /// Applies upstreams from a peer, while none from the platform are known.
   void takeUpstreams(const std::string &Upstreams);
   std::string upstreamsAsJson() const;
 
-  /// Follows how far changes are in force; call about once a second.
+  /// Tracks which changes are in force on all hosts. Must be called about once
+  /// a second.
   void tick();
 
 private:
@@ -51,7 +52,7 @@
   host_context &Context;
   watcher_events Events;
   bool PlatformTold = false;
-  /// Deletions found by a new list, which has a version for all of them.
+  /// Deletions found by a new list, whose version applies to all of them.
   std::vector<config_item> Deletions;
   std::map<std::string, nlohmann::json, std::less<>> UpstreamObjects;
   std::map<std::string, std::string, std::less<>> HostPhases;
--- a/src/libhost/wire_pvt.h
+++ b/src/libhost/wire_pvt.h
@@ -34,7 +34,7 @@
 
 // -- Calls ------------------------------------------------------------------
 
-/// A call on its way from the entry host to the holder.
+/// A call from an entry host to the holder.
 struct call_message {
   std::string Program; ///< Path from the root.
   std::uint32_t Number = 0;
@@ -51,7 +51,7 @@
                  IdempotencyKey, Target, Body, Entry, Owner, DeadlineMs)
 };
 
-/// How a call ended, as its caller is told.
+/// The outcome of a call for its caller.
 struct call_end {
   std::uint8_t Outcome = 0; ///< call_outcome
   std::uint16_t HttpStatus = 0;
@@ -63,31 +63,31 @@
   std::int64_t RetryAfterMs = 0;
   bool Replayed = false;
   bool Moved = false;
-  /// Bytes of the answer's content that went to this caller before; -1 if
-  /// nothing did, so that the whole answer is still to be sent.
+  /// Bytes of content that were already sent to this caller; -1 if none were,
+  /// so that the complete answer must be sent.
   std::int64_t StreamedBytes = -1;
-  /// What was streamed does not fit the answer, which a later attempt gave:
-  /// the stream is cut, and the same call sent again gets the whole.
+  /// The streamed content differs from the answer of a later attempt. The
+  /// stream is aborted, and a retry of the call gets the complete answer.
   bool StreamBroken = false;
   MSGPACK_DEFINE(Outcome, HttpStatus, ContentType, Body, Code, Text, Number,
                  RetryAfterMs, Replayed, Moved, StreamedBytes, StreamBroken)
 };
 
-/// One message of the answer to a call: events to pass on, or the end.
+/// A message of the answer to a call: events to forward, or the end.
 struct answer_frame {
   bool IsEnd = false;
   std::string Bytes; ///< Server-sent events, or a packed call_end.
   MSGPACK_DEFINE(IsEnd, Bytes)
 };
 
-/// Asks the holder for a program's history, or to end it.
+/// Requests the history of a program from the holder, or its end.
 struct program_message {
   std::string Program;
   std::string Owner;
   MSGPACK_DEFINE(Program, Owner)
 };
 
-/// The holder's answer, ready for the caller.
+/// The answer of the holder, in the form for the caller.
 struct program_reply {
   std::uint16_t HttpStatus = 200;
   std::string Body;
@@ -97,7 +97,7 @@
 
 // -- Gates ------------------------------------------------------------------
 
-/// Asks the gate of a group for a runner.
+/// Requests a runner from the gate of a group.
 struct ask_message {
   std::string Group;
   std::string Root;
@@ -122,20 +122,20 @@
                  MayRepeat, AvoidRunner)
 };
 
-/// The gate's one answer: a runner, or a final refusal.
+/// The answer of the gate: a runner, or a final refusal.
 struct ask_reply {
   bool Granted = false;
   std::string Runner;
   std::string MoveCacheFrom;
   std::string Reason; ///< Of a refusal; a stable code.
   std::int64_t RetryAfterMs = 0;
-  std::uint32_t AskIndex = 0; ///< Names the ask in done_message.
+  std::uint32_t AskIndex = 0; ///< Identifies the ask in done_message.
   std::uint32_t AskGeneration = 0;
   MSGPACK_DEFINE(Granted, Runner, MoveCacheFrom, Reason, RetryAfterMs, AskIndex,
                  AskGeneration)
 };
 
-/// Tells the gate how a granted call ended.
+/// Reports the outcome of a granted call to the gate.
 struct done_message {
   std::string Group;
   std::uint32_t AskIndex = 0;
@@ -145,18 +145,18 @@
   std::int64_t CachedTokens = 0;
   std::int64_t OutputTokens = 0;
   std::string Program;
-  std::int64_t ExpectedPauseMs = 0; ///< The program's next call; 0 unknown.
+  std::int64_t ExpectedPauseMs = 0; ///< Until the next call; 0: unknown.
   MSGPACK_DEFINE(Group, AskIndex, AskGeneration, Outcome, PromptTokens,
                  CachedTokens, OutputTokens, Program, ExpectedPauseMs)
 };
 
-/// Tells the gates that a program has ended.
+/// Notifies the gates that a program has ended.
 struct ended_message {
   std::string Program;
   MSGPACK_DEFINE(Program)
 };
 
-/// Asks a holder which of these programs live.
+/// Asks a holder which of these programs are live.
 struct living_message {
   std::vector<std::string> Programs;
   MSGPACK_DEFINE(Programs)
@@ -164,7 +164,7 @@
 
 // -- Membership -------------------------------------------------------------
 
-/// Load of a group, as its gate sees it.
+/// Load of a group, as measured by its gate.
 struct group_load {
   std::string Group;
   std::int64_t Slots = 0;
@@ -173,17 +173,17 @@
   MSGPACK_DEFINE(Group, Slots, InFlight, Queued)
 };
 
-/// A heartbeat with what travels along.
+/// A heartbeat with additional data.
 struct beat_message {
   std::string Beat; ///< An encoded heartbeat of libcluster.
   std::vector<group_load> Groups;
-  /// Names and versions that the sender knows, as libcluster encodes them;
-  /// only while the two hosts' catalogues go on differing.
+  /// Names and versions that the sender knows, as encoded by libcluster. Only
+  /// set while the catalogues of the two hosts differ.
   std::string Digest;
   MSGPACK_DEFINE(Beat, Groups, Digest)
 };
 
-/// A catalogue item on its way between hosts.
+/// A catalogue item in a message.
 struct config_row {
   std::string Name;
   std::uint64_t Version = 0;
@@ -194,7 +194,7 @@
   MSGPACK_DEFINE(Name, Version, Deleted, Spec, ChangedBy, ChangedAtMs)
 };
 
-/// Answer to a heartbeat or to a state request: what the other side lacks.
+/// Answer to a heartbeat or a state request: data that the peer lacks.
 struct state_message {
   std::vector<config_row> Config;
   std::string Map; ///< JSON of the shard map; empty if not newer.
@@ -205,10 +205,10 @@
 
 // -- Journal ----------------------------------------------------------------
 
-/// Records that a standby keeps for their writer.
+/// Records that a standby stores for their writer.
 struct keep_message {
   host_incarnation Origin;
-  host_incarnation Standby;     ///< The life that the writer means.
+  host_incarnation Standby;     ///< The incarnation that is addressed.
   std::uint64_t OnPlatform = 0; ///< Entries up to here need no standby.
   std::vector<journal_entry> Entries;
   MSGPACK_DEFINE(Origin, Standby, OnPlatform, Entries)
@@ -222,8 +222,8 @@
   std::uint64_t UpTo = 0;
   MSGPACK_DEFINE(Origin, UpTo)
 };
-/// Asks a standby for the tail of a journal (close), or tells it that the
-/// journal is sealed.
+/// Requests the tail of a journal from a standby (close), or notifies it that
+/// the journal is sealed.
 struct close_message {
   host_incarnation Standby;
   host_incarnation Journal;
--- a/src/turmericheadctl/commands.h
+++ b/src/turmericheadctl/commands.h
@@ -1,6 +1,6 @@
 /// \file
-/// The commands of turmericheadctl. Each takes the arguments behind its name
-/// and returns the exit code.
+/// The commands of turmericheadctl. Each takes the arguments after its name and
+/// returns the exit code.
 #pragma once
 
 #include <cstdint>
--- a/src/turmericheadctl/entries.cpp
+++ b/src/turmericheadctl/entries.cpp
@@ -35,7 +35,7 @@
   return Failed;
 }
 
-/// The entry that an object holds, if it checks.
+/// Returns the entry of an object, if it is valid.
 std::optional<catalogue_entry> entryOf(const json &Object) {
   findings Ignored;
   if (!Object.is_object() || !Object.contains("spec"))
@@ -64,7 +64,7 @@
           {"spec", toJson(Entry)}};
 }
 
-/// Tells who was first, and what the entry is now.
+/// Reports who has changed the entry before, and its current content.
 int showWinner(platform_session &Platform, const catalogue_entry &Entry) {
   platform_reply Now = Platform.get(Entry.Name);
   std::cerr << Entry.Name << ": not applied, another change was first: ";
@@ -78,7 +78,7 @@
   return Lost;
 }
 
-/// The answer to a write was lost: reads back whether it took effect.
+/// Reads an entry again after the answer to a write was lost.
 int readBack(platform_session &Platform, const catalogue_entry &Entry,
              const options &Options, std::uint64_t Before) {
   platform_reply Now = Platform.get(Entry.Name);
--- a/src/turmericheadctl/explain.cpp
+++ b/src/turmericheadctl/explain.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// A line of a host's log that tells of the id.
+/// A line of the log of a host that contains the id.
 struct story_line {
   std::int64_t TimeMs = 0;
   std::string Host;
@@ -25,7 +25,7 @@
   });
 }
 
-/// The fingerprints that a line names.
+/// Returns the fingerprints in a line.
 std::vector<std::string> printsOn(const nlohmann::ordered_json &Line) {
   std::vector<std::string> Prints;
   for (const char *Key : {"fingerprint", "content"})
@@ -67,7 +67,7 @@
   }
   const std::string &Id = Rest.front();
   std::vector<nlohmann::ordered_json> Lines;
-  // What became known of a request under other ids is told by its fingerprint.
+  // Lines about the same request under other ids have the same fingerprint.
   std::set<std::string> Prints;
   const std::array<std::string_view, 2> Words = {Id, "\"fingerprint\""};
   bool Read = readLogs(Rest.subspan(1), Words, [&](const auto &Line) {
--- a/src/turmericheadctl/hosts.cpp
+++ b/src/turmericheadctl/hosts.cpp
@@ -17,7 +17,8 @@
 
 constexpr milliseconds CallTimeout{10'000};
 
-/// The base of a host's URLs, or an empty text with the reason printed.
+/// Returns the base URL of a host, or prints the error and returns an empty
+/// string.
 std::string urlOf(const std::string &Address) {
   auto Endpoint = ip_endpoint::parse(Address);
   if (Endpoint)
@@ -27,7 +28,7 @@
   return "";
 }
 
-/// Prints why a call did not succeed.
+/// Prints why a call has failed.
 int explain(const std::string &Url, const response &Response) {
   std::cerr << Url << ": ";
   if (Response.Result.Code != error_code::None)
@@ -124,7 +125,7 @@
       std::cerr << lastError().Text << '\n';
       return BadInput;
     }
-    // As the daemon reads it: without the newlines at its end.
+    // The daemon removes trailing newlines, too.
     Key->erase(Key->find_last_not_of('\n') + 1);
     Request.Headers = {{"Authorization", "Bearer " + *Key}};
   }
--- a/src/turmericheadctl/losses.cpp
+++ b/src/turmericheadctl/losses.cpp
@@ -20,7 +20,7 @@
 constexpr int FirstServerError = 500;
 constexpr int Refused = 503;
 
-/// Where the time of a call went, in milliseconds.
+/// Durations of the parts of a call, in milliseconds.
 struct legs {
   std::int64_t BeforeSend = 0; ///< Disk hosts, and upstreams tried before.
   std::int64_t FirstEvent = 0; ///< From the last send to the first event.
@@ -28,19 +28,19 @@
   std::int64_t Rest = 0;       ///< Keeping the turn, or a plain answer.
 };
 
-/// What is known of all calls of a route.
+/// Statistics of all calls of a route.
 struct route_row {
   std::vector<std::int64_t> TookMs;
   std::size_t Good = 0;
-  std::size_t Refused = 0; ///< Not run; the caller may come back.
+  std::size_t Refused = 0; ///< Not run; the caller may retry.
   std::size_t ClientErrors = 0;
   std::size_t Failed = 0;
-  std::size_t Cut = 0; ///< Broken off, by us or by the caller.
+  std::size_t Cut = 0; ///< Aborted, by the system or by the caller.
   std::size_t Sent = 0;
   legs Legs; ///< Sums over the calls that were sent.
 };
 
-/// All that the lines tell.
+/// Statistics of all log lines.
 struct summary {
   std::map<std::string, route_row> Routes;
   std::map<std::pair<int, std::string>, std::size_t> Reasons;
--- a/src/turmericheadctl/main.cpp
+++ b/src/turmericheadctl/main.cpp
@@ -61,7 +61,7 @@
 Exit codes: 0 good, 1 not reached or refused, 2 wrong usage or findings,
 3 another operator's change was first, 4 outcome of a write unknown.)";
 
-/// Fills what the flags leave open from a host's settings file.
+/// Sets options without a flag from the settings file of a host.
 bool readSettings(options &Options) {
   if (FLAGS_settings.empty())
     return true;
@@ -117,7 +117,7 @@
   gflags::SetUsageMessage(Usage);
   gflags::ParseCommandLineNonHelpFlags(&ArgumentCount, &Arguments, true);
   if (FLAGS_help) {
-    // Without the flags of the flag library itself.
+    // Without the flags that gflags defines.
     gflags::ShowUsageWithFlagsRestrict(Arguments[0], "turmericheadctl/main");
     return Good;
   }
