--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -4,6 +4,7 @@
 
 #include "turmerichead/clock.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -56,6 +57,12 @@
 struct service_capacity {
   std::uint32_t Slots = 0; ///< Total of all ready upstreams.
   std::size_t Hosts = 1;   ///< Entry hosts that share the slots.
+
+  /// Returns the share of the slots that one entry host may use.
+  double slotsPerHost() const {
+    return static_cast<double>(Slots) /
+           static_cast<double>(std::max<std::size_t>(Hosts, 1));
+  }
 };
 
 /// A program that asks to start.
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -101,9 +101,8 @@
                    const start_request &Request, time_point Now) {
   std::optional<time_point> &OverloadStart =
       OverloadedSince[Request.Rank == 0 ? 0 : 1];
-  double Share = static_cast<double>(Capacity.Slots) /
-                 static_cast<double>(std::max<std::size_t>(Capacity.Hosts, 1));
-  bool IsBusy = static_cast<double>(Estimator.inFlight()) >= BusyShare * Share;
+  bool IsBusy = static_cast<double>(Estimator.inFlight()) >=
+                BusyShare * Capacity.slotsPerHost();
   double Slowdown = Estimator.slowdown(Now);
   if (!IsBusy || Slowdown <= maxSlowdown(Request)) {
     OverloadStart.reset();
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -100,8 +100,7 @@
     return false;
   time_point Now = steadyNow();
   service_load &Load = Loads[Call.Service];
-  service_capacity Capacity{Upstreams.readySlots(Call.Service, Now),
-                            EntryHosts};
+  service_capacity Capacity = capacityOf(Call.Service, Now);
   start_request Request{Call.Route.Rank, IsRetry};
   auto Rejection =
       Load.Admission.refusal(Load.Estimator, Capacity, Request, Now);
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -7,6 +7,7 @@
 #include "turmerichead/net_loop.h"
 #include "turmerichead/relay_admission.h"
 #include "turmerichead/relay_crash_tracker.h"
+#include "turmerichead/relay_program_homes.h"
 
 #include <map>
 
@@ -18,6 +19,10 @@
 inline constexpr std::string_view QuarantineReason =
     "it was under way when several upstreams ended";
 
+/// Programs whose last upstream a host remembers at least. A host has far fewer
+/// programs at a time; an entry takes some 150 bytes.
+inline constexpr std::size_t MinHomes = 4096;
+
 /// The load of a service and the admission of new programs to it.
 struct service_load {
   slowdown_estimator Estimator;
@@ -46,6 +51,7 @@
     loop_source NextProbe;
   };
   std::map<std::string, probe_state, std::less<>> Probes; ///< By address.
+  program_homes Homes{MinHomes};
   call_table Calls;
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
 
@@ -67,6 +73,7 @@
 
   // -- Upstreams (relay_send.cpp) --
   void send(relay_call_id Id);
+  service_capacity capacityOf(std::string_view Service, time_point Now) const;
   /// Returns the upstream for the next send, or nullptr if none is ready.
   upstream_row *chooseUpstream(relay_call &Call, time_point Now);
   http1::call_request requestFor(const relay_call &Call,
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -50,8 +50,11 @@
   Call.Streams = false;
   Call.PriorEvents = Call.EventCount;
   Call.SentAt = Now;
-  if (Call.Route.Kind == call_kind::Stream)
+  if (Call.Route.Kind == call_kind::Stream) {
     Loads[Call.Service].Estimator.recordSend(Now);
+    if (!Call.Params.Program.empty())
+      Homes.record(Call.Params.Program, Call.UpstreamId);
+  }
   Call.NotRun = false;
   log::info("call sent", {{"id", Call.Params.Id},
                           {"upstream", Call.UpstreamId},
@@ -73,6 +76,11 @@
        }});
 }
 
+service_capacity relay::impl::capacityOf(std::string_view Service,
+                                         time_point Now) const {
+  return {Upstreams.readySlots(Service, Now), EntryHosts};
+}
+
 upstream_row *relay::impl::chooseUpstream(relay_call &Call, time_point Now) {
   upstream_row *Previous = Upstreams.find(std::exchange(Call.ResumeAt, {}));
   if (Previous && Previous->Upstream.Ready)
@@ -80,9 +88,14 @@
   placement Placement;
   Placement.Service = Call.Service;
   Placement.DataCentre = Settings.DataCentre;
-  if (Call.Route.Kind == call_kind::Stream)
+  if (Call.Route.Kind == call_kind::Stream) {
     Placement.AffinityKey = Call.Params.Program;
-  Placement.IsNewChain = Call.isKept() && Call.Params.PreviousTurn.empty();
+    Placement.SlotShare = capacityOf(Call.Service, Now).slotsPerHost();
+    if (Call.PreviousUpstream.empty())
+      Call.PreviousUpstream = Homes.find(Call.Params.Program);
+    Placement.IsNewChain =
+        Call.PreviousUpstream.empty() && Call.Params.PreviousTurn.empty();
+  }
   Placement.PreviousUpstream = Call.PreviousUpstream;
   Placement.SpreadKey = Call.Params.Id;
   Placement.Tried = Call.Tried;
