--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -17,11 +17,11 @@
 // A program that is slowed down more than this is unlikely to end in time. Less
 // urgent programs have a lower limit, which reserves some capacity for urgent
 // ones without starving the others.
-constexpr double MaxSlowdown = 1.5;
-constexpr double MaxSlowdownLessUrgent = 1.35;
+constexpr double MaxSlowdown = 1.9;
+constexpr double MaxSlowdownLessUrgent = 1.75;
 // For a program that returns. While the runners are overloaded, programs on
 // their first attempt take all capacity.
-constexpr double MaxSlowdownRetry = 1.25;
+constexpr double MaxSlowdownRetry = 1.5;
 // If a host uses less than this part of its share of the slots, a slowdown is
 // not caused by load.
 constexpr double BusyShare = 0.5;
