--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -33,7 +33,9 @@
 
   /// Returns the estimated duration of a turn now, divided by its duration at
   /// the lowest mean times seen so far: 2 if a turn takes twice as long. At
-  /// least 1; also 1 until there are enough samples.
+  /// least 1; also 1 until there are enough samples. Measured times follow the
+  /// load late, so the estimate is scaled with the turns in flight if they are
+  /// above their mean.
   double slowdown(time_point Now) const;
 
 private:
@@ -47,6 +49,7 @@
 
   running_mean FirstEventMs;
   running_mean EventGapMs;
+  running_mean InFlightMean; ///< Turns in flight while times were measured.
   double EventsPerTurn = 0;
   std::size_t InFlight = 0;
   std::size_t Waiting = 0;         ///< Turns without a first event yet.
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -17,8 +17,8 @@
 // A program that is slowed down more than this is unlikely to end in time. Less
 // urgent programs have a lower limit, which reserves some capacity for urgent
 // ones without starving the others.
-constexpr double MaxSlowdown = 1.9;
-constexpr double MaxSlowdownLessUrgent = 1.75;
+constexpr double MaxSlowdown = 1.85;
+constexpr double MaxSlowdownLessUrgent = 1.7;
 // For a program that returns. While the runners are overloaded, programs on
 // their first attempt take all capacity.
 constexpr double MaxSlowdownRetry = 1.5;
@@ -58,6 +58,8 @@
   WaitingSinceMs -= SentAt.Ms;
   FirstEventMs.add(static_cast<double>((Now - SentAt).count()),
                    FirstEventWeight, FirstEventsNeeded);
+  InFlightMean.add(static_cast<double>(InFlight), FirstEventWeight,
+                   FirstEventsNeeded);
 }
 
 void slowdown_estimator::recordEventGap(milliseconds Gap) {
@@ -90,9 +92,11 @@
   // Times are whole milliseconds, so that short ones may be rounded to 0.
   double BaselineMs =
       std::max(*FirstEventMs.Minimum + GapsPerTurn * *EventGapMs.Minimum, 1.0);
-  return std::max(TimeToFirstEvent + GapsPerTurn * EventGapMs.Mean,
-                  BaselineMs) /
-         BaselineMs;
+  double Growth = std::max(
+      static_cast<double>(InFlight) / std::max(InFlightMean.Mean, 1.0), 1.0);
+  return std::max((TimeToFirstEvent + GapsPerTurn * EventGapMs.Mean) /
+                      BaselineMs * Growth,
+                  1.0);
 }
 
 std::optional<start_refusal>
