Relay tests: print why a disk host of the fixture could not start

The fixture's replica::create() failed twice beside heavy load (once of nine runs by hand, once under ctest) without a reason in the output. The requirement is unchanged, it now names the error.

--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "../libnet/test_loop_pvt.h"
+#include "turmerichead/error.h"
 #include "turmerichead/relay.h"
 #include "turmerichead/turns_forwarder.h"
 #include "turmerichead/turns_replica.h"
@@ -82,7 +83,7 @@
       Settings.SharedKey = Key;
       Replicas.push_back(turns::replica::create(
           Settings, {[](const turns::disk_set &) {}, {}}));
-      REQUIRE(Replicas.back());
+      REQUIRE_MESSAGE(Replicas.back(), lastError().Text);
       Replicas.back()->updateSet(Set);
     }
   }
