--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -44,12 +44,9 @@
   /// Id of the upstream that ran the previous turn and has the chain in its
   /// cache. Empty if there is none or it is not known.
   std::string_view PreviousUpstream;
-  /// Program of the call. Its calls prefer the upstream of the previous turn.
-  /// Empty: the call has no chain.
+  /// Calls with the same key go to the same upstream while it is healthy, so
+  /// that they use its cache. Empty: the call goes to the least loaded one.
   std::string_view AffinityKey;
-  /// How many calls of the service this host may have in flight: its share of
-  /// the slots.
-  double SlotShare = 0;
   /// Whether no upstream has anything cached for the key.
   bool IsNewChain = false;
   std::string_view SpreadKey; ///< Breaks ties, for example the id of the call.
@@ -76,14 +73,12 @@
   /// Returns the upstream for a call, or nullptr if none is ready. Expected
   /// load:
   /// - Chains of calls that share a growing prefix go to the runner of the
-  ///   previous turn, even in another data centre, unless this host has several
-  ///   calls fewer at another runner.
-  /// - A new chain starts in this data centre, at the runner with the fewest
-  ///   calls of this host. If each host spreads its own calls evenly, the sum
-  ///   is even, too. Of two such runners the faster one is chosen.
-  /// - If callers move to this data centre, its runners fill up. Once this host
-  ///   uses its share of the slots here, chains start in other data centres.
+  ///   previous turn, even in another data centre. A new chain starts in this
+  ///   data centre, at the faster of the two runners that are first in the
+  ///   rendezvous hash order of its program.
   /// - A runner that is slow or has failed is avoided while others are healthy.
+  /// - In a burst, once the slots of a runner are in use, calls go to the next
+  ///   runner in the hash order.
   upstream_row *pick(const placement &Placement, time_point Now);
 
   /// Returns whether any upstream of the service is ready.
@@ -101,16 +96,13 @@
   /// Orders the candidates for a call; the lowest rank is the best.
   struct rank {
     int Penalty = 0; ///< Sum of weighted reasons to avoid the upstream.
-    double Load = 0;
+    std::uint32_t Load = 0;
     int Distance = 0; ///< Previous upstream, same data centre, others.
     std::uint64_t Hash = 0;
     friend auto operator<=>(const rank &, const rank &) = default;
   };
   rank rankOf(const upstream_row &Row, const placement &Placement,
-              double SlowGapMs, double RemoteLoad, time_point Now) const;
-  /// Returns the number of calls that this host has at each upstream of its
-  /// data centre if it uses its share of the slots there.
-  static double localShare(const placement &Placement, std::size_t LocalCount);
+              double SlowGapMs, time_point Now) const;
   /// Returns the mean time between events above which an upstream of the
   /// service counts as slow, in milliseconds.
   double slowGapMs(std::string_view Service) const;
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -90,7 +90,6 @@
   Placement.DataCentre = Settings.DataCentre;
   if (Call.Route.Kind == call_kind::Stream) {
     Placement.AffinityKey = Call.Params.Program;
-    Placement.SlotShare = capacityOf(Call.Service, Now).slotsPerHost();
     if (Call.PreviousUpstream.empty())
       Call.PreviousUpstream = Homes.find(Call.Params.Program);
     Placement.IsNewChain =
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -17,10 +17,6 @@
 // A runner is slow if its mean time between events is above the median of its
 // service times this factor.
 constexpr double SlowFactor = 2.5;
-// A chain leaves the runner of its previous turn if this host has so many calls
-// fewer at another one: the wait for a slot then costs more than computing the
-// prompt again.
-constexpr double MaxHomeLead = 4;
 
 bool isReady(const upstream_row &Row, std::string_view Service,
              time_point Now) {
@@ -72,7 +68,7 @@
 
 upstream_table::rank upstream_table::rankOf(const upstream_row &Row,
                                             const placement &Placement,
-                                            double SlowGapMs, double RemoteLoad,
+                                            double SlowGapMs,
                                             time_point Now) const {
   const std::string &Id = Row.Upstream.Id;
   bool Tried = std::find(Placement.Tried.begin(), Placement.Tried.end(), Id) !=
@@ -82,37 +78,20 @@
                 (Row.ExpiresAt ? 4 : 0) + (Full ? 2 : 0) +
                 (Row.EventGapMs > SlowGapMs ? 1 : 0);
   bool HasAffinity = !Placement.AffinityKey.empty();
-  bool IsHome = Id == Placement.PreviousUpstream;
-  bool IsLocal = Row.Upstream.DataCentre == Placement.DataCentre;
-  double Load = Row.InFlight;
-  if (HasAffinity && IsHome)
-    Load = std::max(0.0, Load - MaxHomeLead);
-  else if (HasAffinity && !IsLocal)
-    Load += RemoteLoad;
-  int Distance = IsHome ? 0 : IsLocal ? 1 : 2;
+  std::uint32_t Load = HasAffinity ? 0 : Row.InFlight;
+  int Distance = Id == Placement.PreviousUpstream                  ? 0
+                 : Row.Upstream.DataCentre == Placement.DataCentre ? 1
+                                                                   : 2;
   std::string_view Key =
       HasAffinity ? Placement.AffinityKey : Placement.SpreadKey;
   return {Penalty, Load, Distance, hash64(Id, hash64(Key))};
 }
 
-double upstream_table::localShare(const placement &Placement,
-                                  std::size_t LocalCount) {
-  return LocalCount == 0
-             ? 0
-             : Placement.SlotShare / static_cast<double>(LocalCount);
-}
-
 upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
   std::erase_if(Rows, [&](const auto &Row) {
     return Row.second.ExpiresAt && *Row.second.ExpiresAt <= Now;
   });
   double SlowGapMs = slowGapMs(Placement.Service);
-  auto LocalCount = static_cast<std::size_t>(
-      std::count_if(Rows.begin(), Rows.end(), [&](const auto &Entry) {
-        return isReady(Entry.second, Placement.Service, Now) &&
-               Entry.second.Upstream.DataCentre == Placement.DataCentre;
-      }));
-  double RemoteLoad = localShare(Placement, LocalCount);
   upstream_row *Best = nullptr;
   upstream_row *Second = nullptr;
   rank BestRank;
@@ -120,7 +99,7 @@
   for (auto &[Id, Row] : Rows) {
     if (!isReady(Row, Placement.Service, Now))
       continue;
-    rank Rank = rankOf(Row, Placement, SlowGapMs, RemoteLoad, Now);
+    rank Rank = rankOf(Row, Placement, SlowGapMs, Now);
     if (!Best || Rank < BestRank) {
       Second = std::exchange(Best, &Row);
       SecondRank = std::exchange(BestRank, Rank);
@@ -130,7 +109,6 @@
     }
   }
   bool EquallyGood = Second && SecondRank.Penalty == BestRank.Penalty &&
-                     SecondRank.Load == BestRank.Load &&
                      SecondRank.Distance == BestRank.Distance;
   if (Placement.IsNewChain && EquallyGood && Second->EventGapMs > 0 &&
       Second->EventGapMs < Best->EventGapMs)
--- a/src/librelay/upstreams_test.cpp
+++ b/src/librelay/upstreams_test.cpp
@@ -3,7 +3,6 @@
 #include "turmerichead/relay_routes.h"
 
 #include <doctest/doctest.h>
-#include <map>
 #include <set>
 
 using namespace turmerichead;
@@ -221,63 +220,3 @@
     CHECK(Table.rows().empty());
   }
 }
-
-TEST_CASE("hosts that spread their own calls evenly load runners evenly") {
-  // A burst: eight hosts start chains at 18 runners with 12 slots. With a hash
-  // of the program, runners had 12 calls in the mean and 20 at most, so that
-  // turns waited while a quarter of the slots was free.
-  constexpr int Hosts = 8;
-  constexpr int CallsPerHost = 24;
-  constexpr int Runners = 18;
-  std::map<std::string, int> CallsAt;
-  for (int Host = 0; Host < Hosts; ++Host) {
-    upstream_table Table;
-    for (int I = 0; I < Runners; ++I)
-      Table.put({"u" + std::to_string(I), "s", "a", I % 2 == 0 ? "x" : "y", 12,
-                 true, 1});
-    for (int Call = 0; Call < CallsPerHost; ++Call) {
-      std::string Program = std::to_string(Host) + "-" + std::to_string(Call);
-      placement Placement = placementOf(Program, "a");
-      Placement.DataCentre = Host % 2 == 0 ? "x" : "y";
-      Placement.SlotShare = 1.0 * Runners * 12 / Hosts;
-      upstream_row *Row = Table.pick(Placement, {0});
-      ++Row->InFlight;
-      ++CallsAt[Row->Upstream.Id];
-    }
-  }
-  CHECK(CallsAt.size() == Runners);
-  for (const auto &[Id, Count] : CallsAt)
-    CHECK(Count <= 12);
-}
-
-TEST_CASE("a chain leaves its runner only for a much emptier one") {
-  upstream_table Table = tableOf(4);
-  placement Placement = placementOf("p", "a");
-  Placement.IsNewChain = false;
-  Placement.PreviousUpstream = "u2";
-  upstream_row *Home = Table.find("u2");
-  Home->Upstream.Slots = 12;
-  Home->InFlight = 4;
-  CHECK(Table.pick(Placement, {0})->Upstream.Id == "u2");
-  Home->InFlight = 5;
-  CHECK(Table.pick(Placement, {0})->Upstream.Id != "u2");
-}
-
-TEST_CASE("chains start elsewhere once the share of the slots is used") {
-  // Half of the callers of one data centre move to another one, whose runners
-  // would be overloaded while those of the first are idle.
-  upstream_table Table = tableOf(4);
-  for (const char *Id : {"u0", "u1", "u2", "u3"})
-    Table.find(Id)->Upstream.Slots = 12;
-  std::map<std::string, int> CallsIn;
-  for (int Call = 0; Call < 16; ++Call) {
-    placement Placement = placementOf("p" + std::to_string(Call), "a");
-    Placement.SlotShare = 8;
-    upstream_row *Row = Table.pick(Placement, {0});
-    ++Row->InFlight;
-    ++CallsIn[Row->Upstream.DataCentre];
-    if (Call < 8)
-      CHECK(Row->Upstream.DataCentre == "x");
-  }
-  CHECK(CallsIn["y"] >= 4);
-}
