--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -34,8 +34,8 @@
   /// Returns the estimated duration of a turn now, divided by its duration at
   /// the lowest mean times seen so far: 2 if a turn takes twice as long. At
   /// least 1; also 1 until there are enough samples. Measured times follow the
-  /// load late, so the estimate is scaled with the turns in flight if they are
-  /// above their mean.
+  /// load late, so what is above 1 is scaled with the turns in flight if they
+  /// are above their mean.
   double slowdown(time_point Now) const;
 
 private:
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -17,11 +17,11 @@
 // A program that is slowed down more than this is unlikely to end in time. Less
 // urgent programs have a lower limit, which reserves some capacity for urgent
 // ones without starving the others.
-constexpr double MaxSlowdown = 1.85;
-constexpr double MaxSlowdownLessUrgent = 1.7;
+constexpr double MaxSlowdown = 1.75;
+constexpr double MaxSlowdownLessUrgent = 1.6;
 // For a program that returns. While the runners are overloaded, programs on
 // their first attempt take all capacity.
-constexpr double MaxSlowdownRetry = 1.5;
+constexpr double MaxSlowdownRetry = 1.45;
 // If a host uses less than this part of its share of the slots, a slowdown is
 // not caused by load.
 constexpr double BusyShare = 0.5;
@@ -92,11 +92,11 @@
   // Times are whole milliseconds, so that short ones may be rounded to 0.
   double BaselineMs =
       std::max(*FirstEventMs.Minimum + GapsPerTurn * *EventGapMs.Minimum, 1.0);
+  double Measured =
+      (TimeToFirstEvent + GapsPerTurn * EventGapMs.Mean) / BaselineMs;
   double Growth = std::max(
       static_cast<double>(InFlight) / std::max(InFlightMean.Mean, 1.0), 1.0);
-  return std::max((TimeToFirstEvent + GapsPerTurn * EventGapMs.Mean) /
-                      BaselineMs * Growth,
-                  1.0);
+  return 1 + std::max(Measured - 1, 0.0) * Growth;
 }
 
 std::optional<start_refusal>
--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -109,6 +109,38 @@
   CHECK(Second.has("HTTP/1.1 402"));
 }
 
+TEST_CASE("a program that was rejected is recognised when it returns") {
+  // Rejected programs return through other hosts, so that no entry host knows
+  // them. Their settled attempts are known to the disk hosts.
+  fixture F;
+  auto OpenTurn = [&](const std::string &Attempt) {
+    turns::open_call Call;
+    Call.Attempt = Attempt;
+    Call.Program = "p";
+    Call.Tokens = 60;
+    Call.Budget = 100;
+    Call.Retention = milliseconds(60000);
+    std::optional<turns::open_result> Result;
+    F.Turns->open(std::move(Call),
+                  [&](const turns::open_result &Opened) { Result = Opened; });
+    REQUIRE(turnUntil([&] { return Result.has_value(); }));
+    REQUIRE(Result->Outcome == turns::open_outcome::Granted);
+    return *Result;
+  };
+  CHECK(OpenTurn("first").OtherAttempts == 0);
+  turns::close_call Close;
+  Close.Attempt = "first";
+  Close.Program = "p";
+  Close.HasBudget = true;
+  Close.Retention = milliseconds(60000);
+  bool Closed = false;
+  F.Turns->close(std::move(Close), [&](bool /*Kept*/) { Closed = true; });
+  REQUIRE(turnUntil([&] { return Closed; }));
+  turns::open_result Second = OpenTurn("second");
+  CHECK(Second.OtherAttempts == 1);
+  CHECK(Second.Spent == 0);
+}
+
 TEST_CASE("a budget without a program is not enforced") {
   // Otherwise all callers without a program would share one budget.
   fixture F;
--- a/tools/goodput.sh
+++ b/tools/goodput.sh
@@ -9,9 +9,10 @@
 # ("gone moved slow": bursts of 3 with a third of the runners gone, with half
 # of the first zone's callers moved to the second, with 40 % of the runners
 # slow), JOBS (4: days played side by side) and WHY (for the journal) may be
-# set. RESULT.csv gets a row for each day: name, seed, asked, in time, late,
+# set. Needs jq and gnuplot. RESULT.csv gets a row for each day: name, seed, asked, in time, late,
 # refused, failed (programs a second), share of the worth that the whole day
-# and each kind of program earned.
+# and each kind of program earned. PLOT names an SVG file for the curves of the
+# bursts; EARLIER a RESULT.csv of older code to draw beside them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 site=${1:?usage: FLEETBENCH=PATH tools/goodput.sh SITE.toml [RESULT.csv]}
@@ -99,4 +100,35 @@
       for (i = 9; i <= fields; ++i) printf " %.3f", sum[i] / n
       print ")" }' "$work/rows"
 done
+# curve FILE: load, programs a second in time, late; means of the seeds.
+curve() {
+  awk -F';' '$1 ~ /^burst-/ {
+      load = substr($1, 7); ++n[load]; in_time[load] += $4; late[load] += $5 }
+    END { for (l in n) print l, in_time[l] / n[l], late[l] / n[l] }' "$1" |
+    sort -n
+}
+
+if [ -n "${PLOT:-}" ]; then
+  curve "$work/rows" >"$work/now.dat"
+  plot="'$work/now.dat' using 1:2 with linespoints lw 2 title 'in time',
+    '' using 1:3 with linespoints lw 2 title 'late'"
+  if [ -n "${EARLIER:-}" ]; then
+    curve "$EARLIER" >"$work/earlier.dat"
+    plot="$plot, '$work/earlier.dat' using 1:2 with linespoints dt 2 title
+      'in time, earlier', '' using 1:3 with linespoints dt 2 title
+      'late, earlier'"
+  fi
+  plot=$(printf '%s' "$plot" | tr '\n' ' ')
+  gnuplot <<GNUPLOT
+set terminal svg size 720,420 font 'sans,12' background 'white'
+set output '$PLOT'
+set title '$(basename "$site" .toml)'
+set xlabel 'load, of the usual traffic'
+set ylabel 'programs a second'
+set key outside right top
+set grid ytics
+set yrange [0:*]
+plot $plot
+GNUPLOT
+fi
 if [ -n "$result" ]; then sort "$work/rows" >"$result"; fi
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -5,7 +5,7 @@
   clang-tidy-14 libglib2.0-dev libsoup-3.0-dev libhttp-parser-dev prometheus-cpp-dev libnghttp2-dev liblog4cplus-dev
   libgflags-dev libtomlplusplus-dev nlohmann-json3-dev libmsgpack-cxx-dev
   libxxhash-dev doctest-dev librapidcheck-dev glib-networking
-  gnuplot-nox curl"
+  gnuplot-nox curl jq"
 missing=""
 for package in $packages; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
