Log how an answer of an upstream ended

'call ended' and 'call failed at upstream' now say so, and upstream_answers_total counts the ends by their mark. No decision depends on it.

--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -66,11 +66,20 @@
   Broken    ///< Sent at least in part; the answer is missing or truncated.
 };
 
+/// How the end of a complete answer was marked.
+enum class answer_end : std::uint8_t {
+  Length,    ///< By its Content-Length, or its status allows no body.
+  LastChunk, ///< By the last chunk.
+  Connection ///< By the orderly end of its connection.
+};
+std::string_view nameOf(answer_end End);
+
 struct call_result {
   call_outcome Outcome = call_outcome::Broken;
   std::string Reason; ///< Readable text; empty if complete.
   /// The connection was refused; only with NotSent.
   bool Refused = false;
+  answer_end End = answer_end::Length; ///< Only with Complete.
 };
 
 /// Result of a probe.
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -112,6 +112,18 @@
 
 } // namespace
 
+std::string_view nameOf(answer_end End) {
+  switch (End) {
+  case answer_end::Length:
+    return "length";
+  case answer_end::LastChunk:
+    return "last_chunk";
+  case answer_end::Connection:
+    return "connection";
+  }
+  return "unknown";
+}
+
 struct client::state {
   client_settings Settings;
   std::optional<poll_set> Sockets;
@@ -134,7 +146,7 @@
   void onReadable(connection_id Id);
   bool parse(connection_id Id);
   std::string_view excessOf(const connection_row &Row) const;
-  bool onMessageEnd(connection_id Id);
+  bool onMessageEnd(connection_id Id, answer_end End);
   bool takeHead(connection_row &Row);
   void flush(connection_id Id);
   void onWriteFailed(connection_id Id);
@@ -307,7 +319,7 @@
   if (!Row->Skipping && Row->Parser.inMessage() &&
       Row->Parser.feedEnd(Sink) == pvt::feed_result::Paused) {
     Row->KeepAlive = false;
-    onMessageEnd(Id);
+    onMessageEnd(Id, answer_end::Connection);
     return;
   }
   fail(Id, "the connection ended before the answer was complete");
@@ -359,7 +371,9 @@
       if (!Row || Row->Call != CallId)
         return false;
     }
-    if (Result == pvt::feed_result::Paused && !onMessageEnd(Id))
+    answer_end End =
+        Row->Parser.isChunked() ? answer_end::LastChunk : answer_end::Length;
+    if (Result == pvt::feed_result::Paused && !onMessageEnd(Id, End))
       return false;
     Row = Connections.find(Id);
   }
@@ -399,7 +413,7 @@
   return false;
 }
 
-bool client::state::onMessageEnd(connection_id Id) {
+bool client::state::onMessageEnd(connection_id Id, answer_end End) {
   connection_row &Row = *Connections.find(Id);
   if (Row.Skipping) {
     if (!Row.KeepAlive) {
@@ -416,7 +430,7 @@
     keep(Id, Row);
   else
     close(Id);
-  end(Call, {call_outcome::Complete, {}});
+  end(Call, {call_outcome::Complete, {}, false, End});
   return false;
 }
 
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -78,6 +78,8 @@
   std::uint64_t TokensPerEvent = 1; ///< Of the service when the call arrived.
   std::string Output;               ///< Data of the events, one per line.
   std::size_t BytesSinceEvent = 0;
+  /// How the upstream marked the end of its answer; unset until it has ended.
+  std::optional<http1::answer_end> AnswerEnd;
   time_point LastEvent;
   time_point FirstEvent;
 
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -121,6 +121,10 @@
     Line["first_ms"] = (Call.FirstEvent - Call.Arrived).count();
     Line["last_ms"] = (Call.LastEvent - Call.Arrived).count();
   }
+  if (Call.AnswerEnd)
+    Line["answer_end"] = http1::nameOf(*Call.AnswerEnd);
+  if (Call.Streams)
+    Line["unfinished_bytes"] = Call.Events.unfinished();
   log::info("call ended", Line);
   std::string Labels = "kind=\"" + std::string(nameOf(Call.Route.Kind)) +
                        "\",status=\"" + std::to_string(Status) + "\"";
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -48,6 +48,7 @@
   if (Call.Phase != call_phase::Streaming)
     Call.Phase = call_phase::Sent;
   Call.Streams = false;
+  Call.AnswerEnd.reset();
   Call.PriorEvents = Call.EventCount;
   Call.SentAt = Now;
   if (Call.Route.Kind == call_kind::Stream) {
@@ -231,6 +232,9 @@
     onUpstreamFailure(Id, Result);
     return;
   }
+  Call.AnswerEnd = Result.End;
+  Metrics.add("upstream_answers_total",
+              "end=\"" + std::string(nameOf(Result.End)) + "\"");
   if (Call.NotRun) {
     onNotRun(Id);
     return;
@@ -353,6 +357,7 @@
              {"reason", Result.Reason},
              {"phase", nameOf(Call.Phase)},
              {"events", Call.EventCount},
+             {"unfinished_bytes", Call.Events.unfinished()},
              {"after_ms", (Now - Call.SentAt).count()}});
   Upstreams.recordFailure(Call.UpstreamId, Now);
   if (Result.Outcome != http1::call_outcome::NotSent) {
