ORDER reproduced: a stream cut inside an event looks complete (failing test)

A runner that ends its connection in order inside an event, without a length and chunks, is taken for one that has completed its answer: the caller gets the last chunk, and the turn is kept. So is one that sends the last chunk or a fitting length after half an event.

--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -433,3 +433,111 @@
   for (const auto &Row : F.Llm.Connections)
     CHECK(Row->Input.find("X-Call: new") == std::string::npos);
 }
+
+namespace {
+
+/// The head of a stream that has neither a length nor chunks.
+std::string unframedHead(std::string_view Id) {
+  return "HTTP/1.1 200 OK\r\nX-Call: " + std::string(Id) +
+         "\r\nContent-Type: text/event-stream\r\n\r\n";
+}
+
+std::string headWithLength(std::string_view Id, std::size_t Length) {
+  return "HTTP/1.1 200 OK\r\nX-Call: " + std::string(Id) +
+         "\r\nContent-Type: text/event-stream\r\nContent-Length: " +
+         std::to_string(Length) + "\r\n\r\n";
+}
+
+/// Returns the status of a turn that continues \p Previous, or 0 if a runner
+/// gets it.
+int statusOfNext(fixture &F, const std::string &Previous) {
+  caller Next(F.Address);
+  Next.send(F.request("POST", "/plan/1", "next-of-" + Previous,
+                      "X-Previous: " + Previous + "\r\n", "[in]"));
+  bool Sent = false;
+  REQUIRE(turnUntil([&] {
+    Sent = F.connectionOf(F.Llm, "X-Call: next-of-") > 0 ||
+           F.Llm.Connections[0]->Input.find("X-Call: next-of-") !=
+               std::string::npos;
+    return Sent || Next.has("\r\n\r\n");
+  }));
+  return Sent ? 0 : std::stoi(Next.Input.substr(9, 3));
+}
+
+} // namespace
+
+TEST_CASE("order_stream_cut_inside_an_event_looks_complete") {
+  // A runner that crashed ended a stream without length and chunks in order,
+  // inside an event. Its caller got a complete answer, and the turn was kept.
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/plan/1", "t1", {}, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  std::string Event = "id: 1\ndata: a\n\n";
+  std::string Rest;
+  bool Closes = true;
+  SUBCASE("in a line") { Rest = "id: 2\nda"; }
+  SUBCASE("after a line of data") { Rest = "id: 2\ndata: b\n"; }
+  SUBCASE("after its id") { Rest = "id: 2\n"; }
+  SUBCASE("in a comment") { Rest = ": stil"; }
+  SUBCASE("between CR and LF of its blank line") {
+    Event = "id: 1\r\ndata: a\r\n\r\n";
+    Rest = "id: 2\r\ndata: b\r\n\r";
+  }
+  SUBCASE("before the first event") { Event.clear(); }
+  SUBCASE("though the last chunk has come") {
+    Closes = false;
+    F.Llm.send(0, streamHead("t1") + chunk(Event + "id: 2\nda") +
+                      std::string(StreamEnd));
+  }
+  SUBCASE("though the length fits") {
+    Closes = false;
+    std::string Body = Event + "id: 2\ndata: b\n";
+    F.Llm.send(0, headWithLength("t1", Body.size()) + Body);
+  }
+  if (Closes) {
+    F.Llm.send(0, unframedHead("t1") + Event + Rest);
+    REQUIRE(Caller.waitsFor(Event.empty() ? "HTTP/1.1" : "data: a"));
+    F.Llm.close(0);
+  }
+  REQUIRE(turnUntil([&] { return Caller.Closed || Caller.has("\r\n0\r\n"); }));
+  CHECK(!Caller.has("0\r\n\r\n"));
+  CHECK(statusOfNext(F, "t1") == http1::status::NotFound);
+}
+
+TEST_CASE("order_resumable_stream_cut_inside_an_event_is_resumed") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/chat/1", "t1", {}, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  F.Llm.send(0, unframedHead("t1") + "id: 1\ndata: a\n\nid: 2\ndata: b");
+  REQUIRE(Caller.waitsFor("data: a"));
+  F.Llm.close(0);
+  REQUIRE(turnUntil(
+      [&] { return F.Llm.Connections.size() > 1 || Caller.has("\r\n0\r\n"); }));
+  REQUIRE(F.received(F.Llm, "X-Last-Event: 1"));
+  std::size_t Index = F.connectionOf(F.Llm, "X-Last-Event: 1");
+  F.Llm.send(Index, streamHead("t1") + chunk("id: 2\ndata: bc\n\n") +
+                        std::string(StreamEnd));
+  REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+  CHECK(Caller.has("id: 2\ndata: bc\n\n"));
+  CHECK(!Caller.has("data: b\r\n"));
+}
+
+TEST_CASE("a stream that ends with its connection between events is complete") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/plan/1", "t1", {}, "[in]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  std::string Body;
+  SUBCASE("lines that end with LF") { Body = "id: 1\ndata: a\n\n"; }
+  SUBCASE("lines that end with CR LF") { Body = "id: 1\r\ndata: a\r\n\r\n"; }
+  SUBCASE("lines that end with CR") { Body = "id: 1\rdata: a\r\r"; }
+  SUBCASE("a comment at the end") { Body = "data: a\n\n: that is all\n"; }
+  F.Llm.send(0, unframedHead("t1") + Body);
+  REQUIRE(Caller.waitsFor("data: a"));
+  F.Llm.close(0);
+  REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+  CHECK(Caller.has("0\r\n\r\n"));
+  CHECK(statusOfNext(F, "t1") == 0);
+}
