Treat a stream that ends inside an event as broken off

Cause: a stream without length and chunks ends with its connection, and an orderly end was taken for its completion (onReadable, onStreamComplete) without asking whether an event was unfinished. A runner whose process ends closes its connections in order, so that a crash looked like the end. The same holds for a last chunk or a fitting length after half an event.

Why this works: server-sent events mark their own end by a blank line, whatever the framing of the answer says. A stream that ends in a line, between a field and its blank line, between CR and LF, or with its connection before the first event goes the way of every broken answer: cut towards the caller, or resumed where the route allows it; the turn is not kept, and the break counts as evidence of a crash. A whole comment line at the end is no part of an event.

An end exactly between two events can't be told from a complete one: nothing in the head, the stream or the request says how many events are due.

--- a/src/include/turmerichead/net_http.h
+++ b/src/include/turmerichead/net_http.h
@@ -239,6 +239,10 @@
   const std::string &lastId() const { return LastId; }
   /// Returns the number of bytes received after the last blank line.
   std::size_t unfinished() const { return Unfinished; }
+  /// Returns whether a stream that ends here has been cut: in a line, between
+  /// a field and the blank line after it, or between CR and LF. Whole comment
+  /// lines may end a stream.
+  bool isInsideEvent() const;
   /// Discards the bytes of an incomplete event.
   void dropUnfinished();
 
@@ -253,7 +257,9 @@
   std::string LastId;
   std::size_t Unfinished = 0;
   bool HasData = false;
+  bool HasField = false; ///< The incomplete event has a line but comments.
   bool SkipLineFeed = false;
+  bool HasCrLf = false; ///< A line has ended with CR LF.
   bool Failed = false;
 };
 
--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -626,6 +626,22 @@
   CHECK(Seen == "abc");
 }
 
+TEST_CASE("order_end_of_a_stream_inside_an_event") {
+  auto IsInside = [](const std::string &Text) {
+    sse_splitter Splitter;
+    Splitter.feed(Text, [](std::string_view) {});
+    return Splitter.isInsideEvent();
+  };
+  for (const char *Whole :
+       {"", "data: a\n\n", "data: a\r\r", "data: a\r\n\r\n", "\n\n", ": note\n",
+        "data: a\n\n: note\n", "data: a\r\n\r\n: note\r\n"})
+    CHECK_MESSAGE(!IsInside(Whole), Whole);
+  for (const char *Cut :
+       {"d", "data: a", "data: a\n", "id: 1\n", "x: 1\n: note\n", ": no",
+        "data: a\n\ni", "data: a\r\n\r", "data: a\r\n\r\n: note\r"})
+    CHECK_MESSAGE(IsInside(Cut), Cut);
+}
+
 TEST_CASE("an event over the limit fails the splitter") {
   sse_splitter Splitter(10);
   auto Ignore = [](std::string_view) {};
--- a/src/libnet/sse_splitter.cpp
+++ b/src/libnet/sse_splitter.cpp
@@ -12,6 +12,7 @@
   for (std::size_t I = 0; I < Bytes.size() && !Failed;) {
     // A line ends with CR, LF or CR LF; the LF may arrive in a later chunk.
     if (SkipLineFeed && Bytes[I] == '\n') {
+      HasCrLf = true;
       Unfinished += Unfinished > 0 ? 1 : 0;
       ++I;
     }
@@ -43,10 +44,12 @@
     if (HasData)
       OnData(std::exchange(Data, {}));
     HasData = false;
+    HasField = false;
     Data.clear();
     return;
   }
   std::size_t Colon = std::min(Line.find(':'), Line.size());
+  HasField |= Colon > 0;
   std::string_view Field = Line.substr(0, Colon);
   std::string_view Value = Line.substr(std::min(Line.size(), Colon + 1));
   if (Value.starts_with(' '))
@@ -61,11 +64,17 @@
   HasData = true;
 }
 
+bool sse_splitter::isInsideEvent() const {
+  bool LacksLineFeed = SkipLineFeed && HasCrLf;
+  return !Line.empty() || HasField || LacksLineFeed;
+}
+
 void sse_splitter::dropUnfinished() {
   Line.clear();
   Data.clear();
   Id = LastId;
   HasData = false;
+  HasField = false;
   SkipLineFeed = false;
   Unfinished = 0;
 }
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -95,6 +95,13 @@
     return Params.MaxTokens > 0 && EventCount >= Margin &&
            (EventCount - Margin) * TokensPerEvent >= Params.MaxTokens;
   }
+  /// Whether a stream that has ended lacks its rest: it ends inside an event,
+  /// or with its connection before the first event.
+  bool isCutStream() const {
+    bool HasEvents = EventCount > 0;
+    return Events.isInsideEvent() ||
+           (AnswerEnd == http1::answer_end::Connection && !HasEvents);
+  }
   /// Whether its chain is read before the call and the turn is stored after it.
   bool isKept() const { return Route.KeepsTurns; }
   /// Whether the tokens that it generates count against the budget of its
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -239,6 +239,11 @@
     onNotRun(Id);
     return;
   }
+  if (Call.Streams && Call.isCutStream()) {
+    onUpstreamFailure(
+        Id, {http1::call_outcome::Broken, "the stream ended inside an event"});
+    return;
+  }
   if (Call.Streams) {
     onStreamComplete(Id);
     return;
--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -456,9 +456,11 @@
                       "X-Previous: " + Previous + "\r\n", "[in]"));
   bool Sent = false;
   REQUIRE(turnUntil([&] {
-    Sent = F.connectionOf(F.Llm, "X-Call: next-of-") > 0 ||
-           F.Llm.Connections[0]->Input.find("X-Call: next-of-") !=
-               std::string::npos;
+    Sent = std::any_of(F.Llm.Connections.begin(), F.Llm.Connections.end(),
+                       [](const auto &Row) {
+                         return Row->Input.find("X-Call: next-of-") !=
+                                std::string::npos;
+                       });
     return Sent || Next.has("\r\n\r\n");
   }));
   return Sent ? 0 : std::stoi(Next.Input.substr(9, 3));
