Send a call again over another connection

Callers were told 'not run, try again' for a request that its upstream was running, or it ran at a second one.

Cause: the answer to a call is told by the call's id. A call that was refused and sent again to the same upstream used the same id on the same kept connection, so that a copy of the refusal, written by a faulty upstream, was taken for the answer to the second send. Copies that answer another call, or that have no id, were already dropped.

Evidence: refused_call_that_ran_after_a_repeated_refusal fails on the code before (503 for a call that was answered 200) and passes now.

Why this works: no connection carries the same id twice, so that a copy of an earlier answer can only reach an idle connection, which is closed for it, or a call with another id, which drops it.

--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -53,6 +53,9 @@
   std::vector<std::string> Body; ///< Pieces that are sent in order.
   std::string EchoValue;         ///< Id that the answer must repeat.
   milliseconds ConnectTimeout{1000};
+  /// Opens a new connection for this call. Set it when the id was sent to the
+  /// address before: a late copy of the earlier answer would have the same id.
+  bool FreshConnection = false;
   /// Limit for idle connections to this address. Above it, the connection of
   /// the call is closed after its answer.
   std::size_t MaxIdle = 1024;
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -536,7 +536,9 @@
   ++State->Counters.Calls;
   call_id Id = State->Calls.insert({std::move(Request), std::move(Events), {}});
   const call_request &Stored = State->Calls.find(Id)->Request;
-  auto Connection = State->takeIdle(Stored.Address);
+  std::optional<connection_id> Connection;
+  if (!Stored.FreshConnection)
+    Connection = State->takeIdle(Stored.Address);
   if (!Connection)
     Connection = State->connect(Stored.Address, Stored.ConnectTimeout);
   if (!Connection) {
--- a/src/libnet/test_loop_pvt.h
+++ b/src/libnet/test_loop_pvt.h
@@ -28,6 +28,12 @@
   return true;
 }
 
+/// Runs the main loop for \p Time, so that what is under way arrives.
+inline void turnFor(milliseconds Time) {
+  time_point End = steadyNow() + Time;
+  turnUntil([&] { return steadyNow() >= End; });
+}
+
 inline std::string addressOf(std::uint16_t Port) {
   return "127.0.0.1:" + std::to_string(Port);
 }
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -6,6 +6,7 @@
 #include "turmerichead/relay.h"
 #include "turmerichead/table.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -85,6 +86,9 @@
 
   /// Number of tokens that were forwarded to the caller.
   std::uint64_t tokens() const { return EventCount * TokensPerEvent; }
+  bool wasSentTo(std::string_view Id) const {
+    return std::find(Tried.begin(), Tried.end(), Id) != Tried.end();
+  }
   bool hasResumed() const { return ResumesLeft < MaxResumes; }
   /// Number of events received since the current send.
   std::uint64_t eventsFromUpstream() const { return EventCount - PriorEvents; }
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -40,6 +40,7 @@
     refuse(Id, "no upstream is ready");
     return;
   }
+  bool WasTried = Call.wasSentTo(Upstream->Upstream.Id);
   ++Call.Attempts;
   ++Upstream->InFlight;
   Call.UpstreamId = Upstream->Upstream.Id;
@@ -68,6 +69,7 @@
                           {"left_ms", (Call.Deadline - Now).count()},
                           {"chain_bytes", Call.Chain.size()}});
   http1::call_request Request = requestFor(Call, Upstream->Upstream);
+  Request.FreshConnection = WasTried;
   Call.Upstream = Client->call(
       std::move(Request),
       {[this, Id](const http1::response_head &Head) { onHead(Id, Head); },
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -78,6 +78,27 @@
   }
 }
 
+TEST_CASE("refused_call_that_ran_after_a_repeated_refusal") {
+  // A call that was refused was sent again over the same connection, under the
+  // same id. A faulty upstream that wrote its refusal once more had the call
+  // reported as not run, or sent elsewhere, while it ran.
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/book/1", "c1", {}, "b"));
+  REQUIRE(F.received(F.Tools, "X-Call: c1"));
+  std::string Refusal = answerTo("c1", "", "503 Busy", "X-Not-Run: 1\r\n");
+  F.Tools.Connections[0]->Input.clear();
+  F.Tools.send(0, Refusal);
+  REQUIRE(F.received(F.Tools, "X-Call: c1"));
+  std::size_t Second = F.connectionOf(F.Tools, "X-Call: c1");
+  F.Tools.send(0, Refusal);
+  turnFor(milliseconds(50));
+  F.Tools.send(Second, answerTo("c1", "booked"));
+  REQUIRE(Caller.waitsFor("\r\n\r\n"));
+  CHECK(Caller.has("HTTP/1.1 200"));
+  CHECK(!Caller.has("HTTP/1.1 503"));
+}
+
 TEST_CASE("a safe call is retried at another upstream after a failure") {
   fixture F;
   F.put("tool-2", "tools", F.OtherTools);
