Test that a head cut by the end of its connection is no answer

Another operator's report: a runner stopped in the middle of its answer's head, and clients got 200 with an empty or short body. It does not happen on the way of the platform's calls: mixed_head_cut_by_the_end_of_its_connection passes on the code as it was, in all seven places of the cut.

--- a/src/libhttp1/client_test.cpp
+++ b/src/libhttp1/client_test.cpp
@@ -235,6 +235,49 @@
   CHECK(Outcome.Result->Outcome == call_outcome::Broken);
 }
 
+TEST_CASE("mixed_head_cut_by_the_end_of_its_connection") {
+  // A server that stops in the head of its answer must not be taken for one
+  // that has answered without a body.
+  fixture F;
+  outcome Outcome;
+  F.call(Outcome, "1");
+  REQUIRE(F.received(0, "X-Id: 1"));
+  std::string Whole =
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 12\r\n\r\n";
+  std::size_t Size = 0;
+  SUBCASE("in the status line") { Size = Whole.find(" OK"); }
+  SUBCASE("behind the status line") { Size = Whole.find("X-Id"); }
+  SUBCASE("in a name") { Size = Whole.find("Length"); }
+  SUBCASE("in a value") { Size = Whole.find("2\r\n\r\n"); }
+  SUBCASE("behind the last line") { Size = Whole.size() - 2; }
+  SUBCASE("in the blank line") { Size = Whole.size() - 1; }
+  SUBCASE("behind an interim answer") {
+    Whole = "HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n";
+    Size = Whole.size();
+  }
+  F.Server.send(0, Whole.substr(0, Size));
+  F.Server.close(0);
+  REQUIRE(turnUntil([&] { return Outcome.Result.has_value(); }));
+  CHECK(Outcome.Result->Outcome == call_outcome::Broken);
+  CHECK(Outcome.Status == 0);
+}
+
+TEST_CASE("an answer whose status allows no body ends with its head") {
+  fixture F;
+  outcome Outcome;
+  std::string Status = "200 OK";
+  std::string Method = "GET";
+  SUBCASE("204") { Status = "204 No Content"; }
+  SUBCASE("304") { Status = "304 Not Modified"; }
+  SUBCASE("to HEAD") { Method = "HEAD"; }
+  F.call(Outcome, "1", Method);
+  REQUIRE(F.received(0, "X-Id: 1"));
+  F.Server.send(0, "HTTP/1.1 " + Status + "\r\nX-Id: 1\r\n\r\n");
+  REQUIRE(turnUntil([&] { return Outcome.Result.has_value(); }));
+  CHECK(Outcome.isComplete());
+  CHECK(Outcome.Result->End == answer_end::Length);
+}
+
 TEST_CASE("an answer before the body has left does not keep the connection") {
   fixture F;
   F.Server.Reading = false;
