Treat a response without any header as cut off

On our own interface a tool or runner that stopped right behind the status line and closed was answered to the caller as 200 with an empty body: libsoup takes the end of the connection for the end of the head.

Evidence: mixed_head_cut_by_the_end_of_its_connection in libnet_test fails on the code before in one of five places of the cut and passes now; the other places were already reported as failures. A whole response has at least one header field here: its length, its encoding or its type.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -199,6 +199,17 @@
              Message)) == SOUP_ENCODING_CHUNKED;
 }
 
+/// Returns whether the response has a status line only. libsoup reports a
+/// connection that closes there as the end of the head.
+bool lacksHeaders(SoupMessage *Message) {
+  SoupMessageHeadersIter Iter;
+  soup_message_headers_iter_init(&Iter,
+                                 soup_message_get_response_headers(Message));
+  const char *Name = nullptr;
+  const char *Value = nullptr;
+  return soup_message_headers_iter_next(&Iter, &Name, &Value) == FALSE;
+}
+
 /// Returns whether a chunked body was truncated. libsoup reports a connection
 /// that closes between two chunks as the end of the body. After a complete body
 /// the connection stays open, unless the response has "Connection: close".
@@ -216,6 +227,10 @@
 
 void http_client::state::begin(http_call_id Id) {
   http_call_row &Call = *Calls.find(Id);
+  if (lacksHeaders(Call.Message.get())) {
+    end(Id, error_code::Unavailable, "the head of the response was cut off");
+    return;
+  }
   Call.Begun = true;
   Call.Status = static_cast<int>(soup_message_get_status(Call.Message.get()));
   auto Message = Call.Message;
--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -602,6 +602,35 @@
 
 } // namespace
 
+TEST_CASE("mixed_head_cut_by_the_end_of_its_connection") {
+  // libsoup takes the lines of a head that were received before the end of the
+  // connection for a whole head.
+  raw_server Server;
+  auto Client = http_client::create({});
+  std::optional<http_result> Result;
+  http_request Request;
+  Request.Method = "GET";
+  Request.Url = "http://" + addressOf(Server.port()) + "/t";
+  Client->send(Request,
+               {{}, {}, [&](const http_result &Value) { Result = Value; }});
+  REQUIRE(turnUntil([&] {
+    return !Server.Connections.empty() &&
+           Server.Connections[0]->Input.find("\r\n\r\n") != std::string::npos;
+  }));
+  std::string Whole =
+      "HTTP/1.1 200 OK\r\nX-Own: 1\r\nContent-Length: 12\r\n\r\n";
+  std::size_t Size = 0;
+  SUBCASE("in the status line") { Size = Whole.find(" OK"); }
+  SUBCASE("behind the status line") { Size = Whole.find("X-Own"); }
+  SUBCASE("in a name") { Size = Whole.find("Length"); }
+  SUBCASE("in a value") { Size = Whole.find("2\r\n\r\n"); }
+  SUBCASE("behind the last line") { Size = Whole.size() - 2; }
+  Server.send(0, Whole.substr(0, Size));
+  Server.close(0);
+  REQUIRE(turnUntil([&] { return Result.has_value(); }));
+  CHECK(Result->Code == error_code::Unavailable);
+}
+
 TEST_CASE("server-sent events are cut at blank lines") {
   CHECK(split({"data: a\n\ndata:b\r\n\r\n: comment\nid: 7\ndata: c\rdata: d\r\r"
                "event: x\n\ndata\n\ndatabase: no\n\ndata: unfinished\n"}) ==
