Tunnels: connections to upstreams by way of another host

A host that has lost its links to upstreams needs another way, and a call must stay with the host that took it: its attempts, budget, time limit and crash records are counted there. So the way is one for bytes: a tunnel server of another host connects to the address of an upstream and copies. What had been sent stays certain (nothing is before the server has replied that the upstream is connected), a cancelled call closes both connections, and a full buffer stops the reading on the other side.

Bytes from the upstream come in frames: a tunnel server that ends must not look like an upstream that has ended an answer without a length.

Used by nothing yet.

--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -43,10 +43,13 @@
   milliseconds IdleMargin{500};
   /// Time after which a silent connection counts as failed.
   milliseconds SilenceTimeout{4000};
+  std::string TunnelKey = {}; ///< Shared with the tunnel servers.
 };
 
 struct call_request {
   std::string Address; ///< "ip:port"
+  /// Tunnel server by way of which to connect (http1_tunnel.h); empty: none.
+  std::string Via;
   std::string Method;
   std::string Target;
   header_list Headers;           ///< Without framing headers.
@@ -77,19 +80,27 @@
 };
 std::string_view nameOf(answer_end End);
 
+/// Why there was no connection for a call.
+enum class connect_failure : std::uint8_t {
+  None,
+  Unreachable, ///< No connection was established in time.
+  Refused,     ///< There is no listener at the address.
+  Tunnel       ///< The tunnel server could not be used; nothing is known of the
+               ///< address.
+};
+
 struct call_result {
   call_outcome Outcome = call_outcome::Broken;
   std::string Reason; ///< Readable text; empty if complete.
-  /// The connection was refused; only with NotSent.
-  bool Refused = false;
-  answer_end End = answer_end::Length; ///< Only with Complete.
+  connect_failure Failure = connect_failure::None; ///< Only with NotSent.
+  answer_end End = answer_end::Length;             ///< Only with Complete.
 };
 
 /// Result of a probe.
 enum class probe_result : std::uint8_t {
   Listening,
   Refused, ///< There is no listener at the address.
-  Unknown  ///< There was no response in time.
+  Unknown  ///< There was no response in time, or the tunnel failed.
 };
 
 struct call_events {
@@ -122,13 +133,16 @@
   /// afterwards. Returns false if the call has already ended.
   bool cancel(call_id Id);
 
-  /// Connects to \p Address without a call; the connection is kept for later
-  /// calls. \p Done is called once, never inside this function.
-  void probe(const std::string &Address, milliseconds Timeout,
-             std::function<void(probe_result)> Done);
+  /// Connects to \p Address without a call, by way of the tunnel server \p Via
+  /// unless that is empty; the connection is kept for later calls. \p Done is
+  /// called once, never inside this function.
+  void probe(const std::string &Address, const std::string &Via,
+             milliseconds Timeout, std::function<void(probe_result)> Done);
 
   /// Closes the idle connections to an address that is no longer used.
   void forget(std::string_view Address);
+  /// Closes those that lead there without a tunnel.
+  void forgetDirect(std::string_view Address);
 
   client_counters counters() const;
 
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -2,6 +2,7 @@
 
 #include "parser_pvt.h"
 #include "socket_pvt.h"
+#include "tunnel_pvt.h"
 #include "turmerichead/error.h"
 #include "turmerichead/table.h"
 
@@ -30,12 +31,20 @@
 
 namespace {
 
-enum class phase : std::uint8_t { Connecting, Busy, Idle };
+enum class phase : std::uint8_t {
+  Connecting,
+  Opening, ///< Waits for the reply of the tunnel server.
+  Busy,
+  Idle
+};
 
 struct connection_row {
   pvt::buffered_socket Socket;
   pvt::message_parser Parser{HTTP_RESPONSE, 0};
-  std::string Address;
+  std::string Address; ///< See poolKey().
+  /// Set on a connection by way of a tunnel server.
+  std::optional<pvt::tunnel_decoder> Tunnel;
+  std::string TunnelLine; ///< Opens the tunnel.
   std::string Input;
   phase Phase = phase::Connecting;
   call_id Call;
@@ -68,6 +77,14 @@
   void onMessage() {}
 };
 
+// Separates the address of an upstream from that of a tunnel server.
+constexpr std::string_view ViaSeparator = " via ";
+
+/// Returns the name of the pool of connections that lead to \p Address.
+std::string poolKey(const std::string &Address, const std::string &Via) {
+  return Via.empty() ? Address : Address + std::string(ViaSeparator) + Via;
+}
+
 std::string serialize(const call_request &Request) {
   std::string Text = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
   for (const header &Row : Request.Headers.rows())
@@ -105,6 +122,20 @@
   Row.BodyBytes = 0;
 }
 
+std::string_view reasonOf(connect_failure Failure) {
+  switch (Failure) {
+  case connect_failure::None:
+    break;
+  case connect_failure::Unreachable:
+    return "the connection was not established in time";
+  case connect_failure::Refused:
+    return "the connection was refused";
+  case connect_failure::Tunnel:
+    return "the tunnel was not opened";
+  }
+  return "the connection was not established";
+}
+
 bool isInformational(int Status) {
   constexpr int FirstFinal = 200;
   return Status < FirstFinal;
@@ -139,10 +170,16 @@
 
   std::optional<connection_id> takeIdle(std::string_view Address);
   std::optional<connection_id> connect(const std::string &Target,
+                                       const std::string &Via,
                                        milliseconds Timeout);
+  void queueRequest(connection_row &Row);
   void send(connection_id Id, call_id Call);
   void onReady(std::uint64_t Key);
   void onConnected(connection_id Id);
+  void onEstablished(connection_id Id);
+  void onTunnelReply(connection_id Id);
+  void startUse(connection_id Id);
+  pvt::io_result receive(connection_row &Row);
   void onReadable(connection_id Id);
   bool parse(connection_id Id);
   std::string_view excessOf(const connection_row &Row) const;
@@ -154,7 +191,7 @@
   void keep(connection_id Id, connection_row &Row);
   void close(connection_id Id);
   void fail(connection_id Id, std::string Reason);
-  void failConnect(connection_id Id, std::string Reason, bool Refused);
+  void failConnect(connection_id Id, connect_failure Failure);
   void end(call_id Id, const call_result &Result);
   void failLater(call_id Id, std::string Reason);
   void runDeferred();
@@ -183,8 +220,9 @@
 }
 
 std::optional<connection_id> client::state::connect(const std::string &Target,
+                                                    const std::string &Via,
                                                     milliseconds Timeout) {
-  auto Address = parseAddress(Target);
+  auto Address = parseAddress(Via.empty() ? Target : Via);
   if (!Address)
     return std::nullopt;
   auto Socket = beginConnect(Address->get());
@@ -195,7 +233,11 @@
   connection_row Row;
   Row.Socket = pvt::buffered_socket(std::move(*Socket));
   Row.Parser.setMaxHeadBytes(Settings.MaxHeadBytes);
-  Row.Address = Target;
+  Row.Address = poolKey(Target, Via);
+  if (!Via.empty()) {
+    Row.Tunnel.emplace();
+    Row.TunnelLine = pvt::tunnelLine(Target, Settings.TunnelKey);
+  }
   auto Id = Connections.insert(std::move(Row));
   connection_row *Stored = Connections.find(Id);
   Sockets->add(Stored->Socket.descriptor(), Stored->Interest, keyOf(Id));
@@ -208,19 +250,29 @@
   call_row &Call = *Calls.find(CallId);
   Call.Connection = Id;
   Row.Call = CallId;
-  Row.SentBefore = Row.Socket.sent();
   Row.MaxIdle = Call.Request.MaxIdle;
   beginMessage(Row);
   Row.Parser.setNoBody(Call.Request.Method == "HEAD");
   Row.DroppedBytes = 0;
   ++Row.Uses;
-  Row.Socket.queue(serialize(Call.Request));
-  for (std::string &Piece : Call.Request.Body)
+  if (Row.Phase == phase::Idle)
+    startUse(Id);
+}
+
+void client::state::queueRequest(connection_row &Row) {
+  call_request &Request = Calls.find(Row.Call)->Request;
+  Row.SentBefore = Row.Socket.sent();
+  Row.Socket.queue(serialize(Request));
+  for (std::string &Piece : Request.Body)
     Row.Socket.queue(std::move(Piece));
-  Call.Request.Body.clear();
-  if (Row.Phase == phase::Connecting)
-    return;
+  Request.Body.clear();
+}
+
+// Sends the request of the current call over an established connection.
+void client::state::startUse(connection_id Id) {
+  connection_row &Row = *Connections.find(Id);
   Row.Phase = phase::Busy;
+  queueRequest(Row);
   flush(Id);
 }
 
@@ -233,6 +285,10 @@
     onConnected(Id);
     return;
   }
+  if (Row->Phase == phase::Opening) {
+    onTunnelReply(Id);
+    return;
+  }
   if (Row->Phase == phase::Idle) {
     // The server has closed the connection or sent unrequested bytes.
     close(Id);
@@ -248,30 +304,76 @@
   using connect_result = pvt::buffered_socket::connect_result;
   connection_row &Row = *Connections.find(Id);
   connect_result Result = Row.Socket.connectResult();
+  bool IsTunnel = Row.Tunnel.has_value();
   if (Result == connect_result::Refused) {
-    failConnect(Id, "the connection was refused", true);
+    failConnect(Id,
+                IsTunnel ? connect_failure::Tunnel : connect_failure::Refused);
   } else if (Result == connect_result::Failed) {
-    failConnect(Id, "the connection could not be established", false);
-  } else if (Row.Probed) {
-    auto Probed = std::exchange(Row.Probed, {});
-    keep(Id, Row);
-    Probed(probe_result::Listening);
+    failConnect(Id, IsTunnel ? connect_failure::Tunnel
+                             : connect_failure::Unreachable);
+  } else if (IsTunnel) {
+    Row.Phase = phase::Opening;
+    Row.Socket.queue(std::move(Row.TunnelLine));
+    flush(Id);
   } else {
-    Row.Phase = phase::Busy;
+    onEstablished(Id);
+  }
+}
+
+void client::state::onEstablished(connection_id Id) {
+  connection_row &Row = *Connections.find(Id);
+  if (!Row.Probed) {
+    startUse(Id);
+    return;
+  }
+  auto Probed = std::exchange(Row.Probed, {});
+  keep(Id, Row);
+  Probed(probe_result::Listening);
+}
+
+void client::state::onTunnelReply(connection_id Id) {
+  using pvt::tunnel_status;
+  connection_row &Row = *Connections.find(Id);
+  pvt::io_result Result = receive(Row);
+  if (Result == pvt::io_result::Blocked) {
     flush(Id);
+    return;
   }
+  auto Status = Row.Tunnel->status();
+  if (Status == tunnel_status::Connected && Result == pvt::io_result::Done)
+    onEstablished(Id);
+  else if (Status == tunnel_status::Refused)
+    failConnect(Id, connect_failure::Refused);
+  else if (Status == tunnel_status::Unreachable)
+    failConnect(Id, connect_failure::Unreachable);
+  else
+    failConnect(Id, connect_failure::Tunnel);
 }
 
-void client::state::failConnect(connection_id Id, std::string Reason,
-                                bool Refused) {
+void client::state::failConnect(connection_id Id, connect_failure Failure) {
   connection_row &Row = *Connections.find(Id);
   call_id Call = Row.Call;
   auto Probed = std::move(Row.Probed);
   close(Id);
   if (Probed)
-    Probed(Refused ? probe_result::Refused : probe_result::Unknown);
+    Probed(Failure == connect_failure::Refused ? probe_result::Refused
+                                               : probe_result::Unknown);
   else
-    end(Call, {call_outcome::NotSent, std::move(Reason), Refused});
+    end(Call, {.Outcome = call_outcome::NotSent,
+               .Reason = std::string(reasonOf(Failure)),
+               .Failure = Failure});
+}
+
+// Appends available bytes of the answer to the input of the connection.
+pvt::io_result client::state::receive(connection_row &Row) {
+  if (!Row.Tunnel)
+    return Row.Socket.read(Row.Input);
+  std::string Bytes;
+  pvt::io_result Result = Row.Socket.read(Bytes);
+  // Only the tunnel itself tells of an orderly end of its upstream.
+  if (Result == pvt::io_result::Ended || !Row.Tunnel->feed(Bytes, Row.Input))
+    return pvt::io_result::Failed;
+  return Result;
 }
 
 void client::state::flush(connection_id Id) {
@@ -304,7 +406,7 @@
 
 void client::state::onReadable(connection_id Id) {
   connection_row *Row = Connections.find(Id);
-  auto Result = Row->Socket.read(Row->Input);
+  auto Result = receive(*Row);
   if (Result == pvt::io_result::Blocked)
     return;
   if (Result == pvt::io_result::Failed) {
@@ -312,8 +414,12 @@
     return;
   }
   if (Result == pvt::io_result::Done) {
-    parse(Id);
-    return;
+    call_id Call = Row->Call;
+    bool Ended = Row->Tunnel && Row->Tunnel->ended();
+    bool Open = parse(Id);
+    Row = Connections.find(Id);
+    if (!Ended || !Open || !Row || Row->Call != Call)
+      return;
   }
   response_sink Sink{*Row, false, {}};
   if (!Row->Skipping && Row->Parser.inMessage() &&
@@ -424,13 +530,14 @@
     return true;
   }
   call_id Call = Row.Call;
-  bool Reusable =
-      Row.KeepAlive && Row.Socket.unsent() == 0 && Row.Input.empty();
+  bool HasEnded = Row.Tunnel && Row.Tunnel->ended();
+  bool Reusable = Row.KeepAlive && Row.Socket.unsent() == 0 &&
+                  Row.Input.empty() && !HasEnded;
   if (Reusable)
     keep(Id, Row);
   else
     close(Id);
-  end(Call, {call_outcome::Complete, {}, false, End});
+  end(Call, {.Outcome = call_outcome::Complete, .Reason = {}, .End = End});
   return false;
 }
 
@@ -466,8 +573,8 @@
   call_id Call = Row.Call;
   bool Sent = Row.Socket.sent() > Row.SentBefore;
   close(Id);
-  end(Call,
-      {Sent ? call_outcome::Broken : call_outcome::NotSent, std::move(Reason)});
+  end(Call, {.Outcome = Sent ? call_outcome::Broken : call_outcome::NotSent,
+             .Reason = std::move(Reason)});
 }
 
 void client::state::end(call_id Id, const call_result &Result) {
@@ -481,7 +588,7 @@
 
 void client::state::failLater(call_id Id, std::string Reason) {
   Deferred.emplace_back([this, Id, Reason = std::move(Reason)] {
-    end(Id, {call_outcome::NotSent, Reason});
+    end(Id, {.Outcome = call_outcome::NotSent, .Reason = Reason});
   });
   runDeferred();
 }
@@ -522,8 +629,10 @@
   Raw->Deadlines.emplace([Raw](std::uint64_t Key, int /*Kind*/) {
     auto Id = idOf<connection_row>(Key);
     connection_row *Row = Raw->Connections.find(Id);
-    if (Row && Row->Phase == phase::Connecting)
-      Raw->failConnect(Id, "the connection was not established in time", false);
+    if (!Row || Row->Phase == phase::Busy || Row->Phase == phase::Idle)
+      return;
+    Raw->failConnect(Id, Row->Tunnel ? connect_failure::Tunnel
+                                     : connect_failure::Unreachable);
   });
   Raw->Sweep = loop_source::every(SweepInterval, [Raw] {
     Raw->sweep();
@@ -538,9 +647,10 @@
   const call_request &Stored = State->Calls.find(Id)->Request;
   std::optional<connection_id> Connection;
   if (!Stored.FreshConnection)
-    Connection = State->takeIdle(Stored.Address);
+    Connection = State->takeIdle(poolKey(Stored.Address, Stored.Via));
   if (!Connection)
-    Connection = State->connect(Stored.Address, Stored.ConnectTimeout);
+    Connection =
+        State->connect(Stored.Address, Stored.Via, Stored.ConnectTimeout);
   if (!Connection) {
     State->failLater(Id, lastError().Text);
     return Id;
@@ -549,9 +659,10 @@
   return Id;
 }
 
-void client::probe(const std::string &Address, milliseconds Timeout,
+void client::probe(const std::string &Address, const std::string &Via,
+                   milliseconds Timeout,
                    std::function<void(probe_result)> Done) {
-  auto Id = State->connect(Address, Timeout);
+  auto Id = State->connect(Address, Via, Timeout);
   if (!Id) {
     State->Deferred.emplace_back(
         [Done = std::move(Done)] { Done(probe_result::Unknown); });
@@ -576,6 +687,17 @@
 }
 
 void client::forget(std::string_view Address) {
+  forgetDirect(Address);
+  std::string Start = std::string(Address) + std::string(ViaSeparator);
+  std::vector<connection_id> Ids;
+  for (auto Pool = State->Idle.lower_bound(Start);
+       Pool != State->Idle.end() && Pool->first.starts_with(Start); ++Pool)
+    Ids.insert(Ids.end(), Pool->second.begin(), Pool->second.end());
+  for (connection_id Id : Ids)
+    State->close(Id);
+}
+
+void client::forgetDirect(std::string_view Address) {
   auto Pool = State->Idle.find(Address);
   if (Pool == State->Idle.end())
     return;
--- a/src/libhttp1/client_test.cpp
+++ b/src/libhttp1/client_test.cpp
@@ -30,7 +30,8 @@
 struct fixture {
   raw_server Server;
   std::size_t MaxIdle = call_request().MaxIdle;
-  std::optional<client> Client = client::create({"X-Id", 65536});
+  std::optional<client> Client =
+      client::create({.EchoHeader = "X-Id", .MaxHeadBytes = 65536});
 
   call_id call(outcome &Outcome, std::string Id, std::string Method = "GET",
                std::string Body = {}) {
@@ -407,7 +408,7 @@
   fixture F;
   std::optional<probe_result> Result;
   auto Note = [&](probe_result Value) { Result = Value; };
-  F.Client->probe(addressOf(F.Server.port()), milliseconds(1000), Note);
+  F.Client->probe(addressOf(F.Server.port()), {}, milliseconds(1000), Note);
   REQUIRE(turnUntil([&] { return Result.has_value(); }));
   CHECK(*Result == probe_result::Listening);
   outcome Outcome;
@@ -416,11 +417,11 @@
   CHECK(F.Client->counters().Opened == 1);
   Result.reset();
   std::string Gone = addressOf(listener::open("127.0.0.1:0")->port());
-  F.Client->probe(Gone, milliseconds(1000), Note);
+  F.Client->probe(Gone, {}, milliseconds(1000), Note);
   REQUIRE(turnUntil([&] { return Result.has_value(); }));
   CHECK(*Result == probe_result::Refused);
   Result.reset();
-  F.Client->probe("no address", milliseconds(1000), Note);
+  F.Client->probe("no address", {}, milliseconds(1000), Note);
   CHECK(!Result);
   REQUIRE(turnUntil([&] { return Result.has_value(); }));
   CHECK(*Result == probe_result::Unknown);
--- /dev/null
+++ b/src/libhttp1/tunnel_server.cpp
@@ -0,0 +1,322 @@
+#include "turmerichead/http1_tunnel.h"
+
+#include "socket_pvt.h"
+#include "tunnel_pvt.h"
+#include "turmerichead/error.h"
+#include "turmerichead/table.h"
+
+#include <utility>
+
+namespace turmerichead::http1 {
+
+namespace {
+
+using pvt::io_result;
+using pvt::tunnel_status;
+
+constexpr std::uint64_t ListenerKey = 0;
+// A tunnel counts as active for this time after bytes of an answer.
+constexpr milliseconds ActiveTime{1000};
+
+enum class side : std::uint8_t { Peer, Upstream };
+
+enum class phase : std::uint8_t {
+  Opening, ///< The peer's line is read, or the upstream is connected to.
+  Open,
+  Closing ///< The last bytes are sent to the peer.
+};
+
+/// One of the two connections of a tunnel.
+struct tunnel_end {
+  pvt::buffered_socket Socket;
+  side Side = side::Peer;
+  phase Phase = phase::Opening;
+  typed_id<tunnel_end> Other; ///< The other connection, if there is one.
+  std::string Input;          ///< Of a peer whose line is not complete.
+  std::optional<poll_set::interest> Interest;
+  time_point LastBytes;
+};
+
+using end_table = table<tunnel_end>;
+using end_id = end_table::id;
+
+} // namespace
+
+struct tunnel_server::state {
+  tunnel_settings Settings;
+  tunnel_events Events;
+  listener Listener;
+  std::optional<poll_set> Sockets;
+  std::optional<deadline_queue> Deadlines;
+  end_table Ends;
+  tunnel_counters Counters;
+  bool Draining = false;
+
+  void onReady(std::uint64_t Key);
+  void accept();
+  void readLine(end_id Id);
+  void connect(end_id PeerId, const std::string &Address);
+  void onConnected(end_id Id);
+  void reply(end_id PeerId, tunnel_status Status);
+  void forward(end_id Id);
+  void flush(end_id Id);
+  void watch(end_id Id);
+  void close(end_id Id);
+  void closeBoth(end_id Id);
+};
+
+void tunnel_server::state::onReady(std::uint64_t Key) {
+  if (Key == ListenerKey) {
+    accept();
+    return;
+  }
+  auto Id = idOf<tunnel_end>(Key);
+  tunnel_end *End = Ends.find(Id);
+  if (!End)
+    return;
+  if (End->Phase == phase::Open) {
+    forward(Id);
+    if (Ends.find(Id))
+      flush(Id);
+  } else if (End->Phase == phase::Closing) {
+    flush(Id);
+  } else if (End->Side == side::Upstream) {
+    onConnected(Id);
+  } else if (!End->Other) {
+    readLine(Id);
+  } else {
+    // Nothing is due from a peer whose upstream is being connected to.
+    closeBoth(Id);
+  }
+}
+
+void tunnel_server::state::accept() {
+  Listener.acceptAll([this](handle<GSocket> Socket) {
+    constexpr std::size_t EndsPerTunnel = 2;
+    if (Ends.size() >= Settings.MaxTunnels * EndsPerTunnel)
+      return;
+    setNoDelay(Socket.get());
+    setSilenceTimeout(Socket.get(), Settings.SilenceTimeout);
+    tunnel_end End;
+    End.Socket = pvt::buffered_socket(std::move(Socket));
+    end_id Id = Ends.insert(std::move(End));
+    watch(Id);
+    Deadlines->add(Settings.ConnectTimeout, keyOf(Id), 0);
+  });
+}
+
+void tunnel_server::state::readLine(end_id Id) {
+  tunnel_end &End = *Ends.find(Id);
+  io_result Result = End.Socket.read(End.Input);
+  if (Result == io_result::Blocked)
+    return;
+  std::size_t LineEnd = End.Input.find('\n');
+  bool IsPartial = LineEnd == std::string::npos;
+  bool IsValid = IsPartial ? End.Input.size() < pvt::MaxTunnelLineBytes
+                           : LineEnd + 1 == End.Input.size();
+  if (Result != io_result::Done || !IsValid) {
+    close(Id);
+    return;
+  }
+  if (IsPartial)
+    return;
+  auto Address = pvt::readTunnelLine(
+      std::string_view(End.Input).substr(0, LineEnd), Settings.SharedKey);
+  auto Target = Address && !Draining ? Events.Resolve(*Address) : std::nullopt;
+  if (Target) {
+    connect(Id, *Target);
+    return;
+  }
+  ++Counters.Declined;
+  reply(Id, tunnel_status::Declined);
+}
+
+void tunnel_server::state::connect(end_id PeerId, const std::string &Address) {
+  auto Parsed = parseAddress(Address);
+  auto Socket = Parsed ? beginConnect(Parsed->get()) : std::nullopt;
+  if (!Socket) {
+    reply(PeerId, tunnel_status::Unreachable);
+    return;
+  }
+  setNoDelay(Socket->get());
+  setSilenceTimeout(Socket->get(), Settings.SilenceTimeout);
+  tunnel_end End;
+  End.Socket = pvt::buffered_socket(std::move(*Socket));
+  End.Side = side::Upstream;
+  End.Other = PeerId;
+  end_id Id = Ends.insert(std::move(End));
+  Ends.find(PeerId)->Other = Id;
+  watch(Id);
+  Deadlines->add(Settings.ConnectTimeout, keyOf(Id), 0);
+}
+
+void tunnel_server::state::onConnected(end_id Id) {
+  using connect_result = pvt::buffered_socket::connect_result;
+  tunnel_end &End = *Ends.find(Id);
+  end_id PeerId = End.Other;
+  connect_result Result = End.Socket.connectResult();
+  if (Result == connect_result::Connected) {
+    ++Counters.Opened;
+    End.Phase = phase::Open;
+    Ends.find(PeerId)->Phase = phase::Open;
+    watch(Id);
+    reply(PeerId, tunnel_status::Connected);
+    return;
+  }
+  close(Id);
+  reply(PeerId, Result == connect_result::Refused ? tunnel_status::Refused
+                                                  : tunnel_status::Unreachable);
+}
+
+void tunnel_server::state::reply(end_id PeerId, tunnel_status Status) {
+  tunnel_end &Peer = *Ends.find(PeerId);
+  if (Status != tunnel_status::Connected)
+    Peer.Phase = phase::Closing;
+  Peer.Socket.queue(std::string(1, static_cast<char>(Status)));
+  flush(PeerId);
+}
+
+// Copies the bytes that one side has received to the other.
+void tunnel_server::state::forward(end_id Id) {
+  tunnel_end &End = *Ends.find(Id);
+  tunnel_end &Other = *Ends.find(End.Other);
+  end_id OtherId = End.Other;
+  if (Other.Socket.unsent() > Settings.MaxUnsentBytes)
+    return;
+  bool FromUpstream = End.Side == side::Upstream;
+  std::string Bytes;
+  switch (End.Socket.read(Bytes)) {
+  case io_result::Blocked:
+    return;
+  case io_result::Done:
+    End.LastBytes = steadyNow();
+    Other.Socket.queue(FromUpstream ? pvt::tunnelFrame(Bytes)
+                                    : std::move(Bytes));
+    flush(OtherId);
+    return;
+  case io_result::Ended:
+    if (!FromUpstream)
+      break;
+    Other.Socket.queue(pvt::tunnelFrame({}));
+    Other.Phase = phase::Closing;
+    Other.Other = {};
+    close(Id);
+    flush(OtherId);
+    return;
+  case io_result::Failed:
+    break;
+  }
+  // The peer has given up, or its upstream was lost: without the frame of the
+  // end, what the peer has received does not look complete.
+  closeBoth(Id);
+}
+
+void tunnel_server::state::flush(end_id Id) {
+  tunnel_end &End = *Ends.find(Id);
+  io_result Result = End.Socket.flush();
+  bool IsSent = End.Socket.unsent() == 0;
+  if (Result == io_result::Failed || (End.Phase == phase::Closing && IsSent)) {
+    closeBoth(Id);
+    return;
+  }
+  watch(Id);
+  if (End.Phase == phase::Open)
+    watch(End.Other);
+}
+
+void tunnel_server::state::watch(end_id Id) {
+  using interest = poll_set::interest;
+  tunnel_end &End = *Ends.find(Id);
+  tunnel_end *Other = Ends.find(End.Other);
+  bool IsConnecting = End.Phase == phase::Opening && End.Side == side::Upstream;
+  bool Writes = IsConnecting || End.Socket.unsent() > 0;
+  bool Reads = !IsConnecting && End.Phase != phase::Closing &&
+               (!Other || Other->Socket.unsent() <= Settings.MaxUnsentBytes);
+  interest Wanted = Writes && Reads ? interest::ReadWrite
+                    : Writes        ? interest::Writable
+                    : Reads         ? interest::Readable
+                                    : interest::Errors;
+  if (End.Interest == Wanted)
+    return;
+  End.Interest = Wanted;
+  Sockets->add(End.Socket.descriptor(), Wanted, keyOf(Id));
+}
+
+void tunnel_server::state::close(end_id Id) {
+  tunnel_end *End = Ends.find(Id);
+  if (!End)
+    return;
+  Sockets->remove(End->Socket.descriptor());
+  Ends.erase(Id);
+}
+
+void tunnel_server::state::closeBoth(end_id Id) {
+  end_id OtherId = Ends.find(Id)->Other;
+  close(Id);
+  close(OtherId);
+}
+
+// -- Public interface --------------------------------------------------------
+
+std::optional<tunnel_server> tunnel_server::create(tunnel_settings Settings,
+                                                   tunnel_events Events) {
+  auto State = std::make_unique<state>();
+  state *Raw = State.get();
+  Raw->Settings = std::move(Settings);
+  Raw->Events = std::move(Events);
+  auto Listener = listener::open(Raw->Settings.Listen);
+  Raw->Sockets =
+      poll_set::create([Raw](std::uint64_t Key) { Raw->onReady(Key); });
+  if (!Listener || !Raw->Sockets)
+    return std::nullopt;
+  Raw->Listener = std::move(*Listener);
+  Raw->Sockets->add(g_socket_get_fd(Raw->Listener.socket()),
+                    poll_set::interest::Readable, ListenerKey);
+  Raw->Deadlines.emplace([Raw](std::uint64_t Key, int /*Kind*/) {
+    auto Id = idOf<tunnel_end>(Key);
+    tunnel_end *End = Raw->Ends.find(Id);
+    if (!End || End->Phase != phase::Opening)
+      return;
+    end_id PeerId = End->Other;
+    if (End->Side == side::Peer && End->Other)
+      return; // The deadline of its upstream applies.
+    Raw->close(Id);
+    if (Raw->Ends.find(PeerId))
+      Raw->reply(PeerId, tunnel_status::Unreachable);
+  });
+  return tunnel_server(std::move(State));
+}
+
+std::uint16_t tunnel_server::port() const { return State->Listener.port(); }
+
+void tunnel_server::drain() { State->Draining = true; }
+
+std::size_t tunnel_server::activeTunnels() const {
+  std::size_t Count = 0;
+  time_point Now = steadyNow();
+  State->Ends.forEach([&](end_id, tunnel_end &End) {
+    const tunnel_end *Peer = State->Ends.find(End.Other);
+    if (End.Side != side::Upstream || !Peer)
+      return;
+    bool AwaitsAnswer = Peer->LastBytes > End.LastBytes;
+    bool Answers = End.LastBytes.Ms > 0 && Now - End.LastBytes < ActiveTime;
+    Count += AwaitsAnswer || Answers ? 1 : 0;
+  });
+  return Count;
+}
+
+tunnel_counters tunnel_server::counters() const {
+  tunnel_counters Counters = State->Counters;
+  constexpr std::size_t EndsPerTunnel = 2;
+  Counters.Open = State->Ends.size() / EndsPerTunnel;
+  return Counters;
+}
+
+tunnel_server::tunnel_server(std::unique_ptr<state> State)
+    : State(std::move(State)) {}
+tunnel_server::tunnel_server(tunnel_server &&Other) noexcept = default;
+tunnel_server &
+tunnel_server::operator=(tunnel_server &&Other) noexcept = default;
+tunnel_server::~tunnel_server() = default;
+
+} // namespace turmerichead::http1
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -370,7 +370,7 @@
   if (Result.Outcome != http1::call_outcome::NotSent) {
     Call.MayHaveRun = true;
     recordAbort(Call, abort_kind::Broken);
-  } else if (Result.Refused) {
+  } else if (Result.Failure == http1::connect_failure::Refused) {
     recordExit(Call.SentTo, exit_evidence::ConnectionRefused);
   }
   releaseUpstream(Call);
--- a/src/librelay/relay_suspects.cpp
+++ b/src/librelay/relay_suspects.cpp
@@ -86,7 +86,7 @@
 
 void relay::impl::sendProbe(const std::string &Address) {
   ++Probes[Address].ProbeCount;
-  Client->probe(Address, Settings.ConnectTimeout,
+  Client->probe(Address, {}, Settings.ConnectTimeout,
                 [this, Address](http1::probe_result Result) {
                   onProbed(Address, Result);
                 });
