Reach upstreams by way of another host when the own links are lost

Cause: a call has one way to an upstream, the link of the host that took it, and each call learned by itself that the link was lost: up to six connections of 300 ms each, without bound on a kept connection. What the host learned about its links it took for the state of the upstreams: refused connections counted as their exits.

Why this works: - A connection that is not established over the own link is opened by way of another entry host, to the same upstream. The call stays here, so that attempts, budget, time limit, admission and crash records count once, and nothing is sent before the other host has connected. - Three lost links without a connection since, or two that others reach, mean that the host is cut off: calls then take the other way at once, and the host declines tunnels of others. Every 100 ms at most one address is probed while calls need it; the first connection ends the state. - A call that waits for 250 ms while nothing at all comes from upstreams has its link probed; idempotent calls leave a link that is lost. - A refused connection counts as the exit of an upstream only if another host finds the same and, at that moment, reaches a second upstream. - A host that reaches nothing and finds no other host refuses at once: not run.

--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -108,6 +108,9 @@
   std::function<void(std::string_view Bytes)> OnBody;
   /// Called once, unless the call was cancelled.
   std::function<void(const call_result &Result)> OnEnd;
+  /// Called when a new connection has been established for the call. May be
+  /// unset.
+  std::function<void()> OnConnect = {};
 };
 
 struct call_row;
--- a/src/include/turmerichead/http1_tunnel.h
+++ b/src/include/turmerichead/http1_tunnel.h
@@ -37,6 +37,12 @@
   /// Returns the address to connect to, or nullopt if \p Address is not that of
   /// an upstream or this host can't reach upstreams either.
   std::function<std::optional<std::string>(std::string_view Address)> Resolve;
+  /// Returns the address of another upstream, or nullopt if there is none. A
+  /// connection that was refused is reported as such only if the other one can
+  /// be connected to: the link of this host may be the cause. May be unset.
+  std::function<std::optional<std::string>(std::string_view Address)> Control;
+  /// Tells whether a connection to an upstream was established. May be unset.
+  std::function<void(std::string_view Address, bool Connected)> OnConnectEnd;
 };
 
 struct tunnel_counters {
@@ -55,8 +61,10 @@
   std::uint16_t port() const;
   /// Declines new tunnels from now on; open ones go on.
   void drain();
-  /// Returns the number of tunnels that wait for an answer, or over which
-  /// bytes of one have come lately.
+  /// Closes the tunnels that neither wait for an answer nor have carried bytes
+  /// of one lately.
+  void closeIdle();
+  /// Returns the number of the others.
   std::size_t activeTunnels() const;
   tunnel_counters counters() const;
 
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
   milliseconds ConnectTimeout{300};
   /// Time in the retry header of an answer when there is no better estimate.
   milliseconds RetryAfter{200};
+  std::string TunnelKey; ///< Shared with the tunnel servers of other hosts.
 };
 
 /// The relay of one entry host.
@@ -77,6 +79,17 @@
   /// Sets the number of entry hosts including this one.
   void setEntryHosts(std::size_t Count);
 
+  /// Sets the addresses of the tunnel servers of other hosts, in order of
+  /// preference. Calls to upstreams whose links this host has lost use them.
+  void setTunnelHosts(std::span<const std::string> Addresses);
+  /// Whether \p Address is that of an upstream which this host may reach.
+  bool mayReach(std::string_view Address) const;
+  /// Returns the address of another upstream than \p Address, or nullopt.
+  std::optional<std::string> otherAddress(std::string_view Address) const;
+  /// Records whether the tunnel server of this host has connected to an
+  /// upstream.
+  void recordLink(std::string_view Address, bool Connected);
+
   /// Records of requests that crash their upstreams.
   crash_tracker &crashTracker();
   /// Sets the function that is called with the fingerprints whose records this
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -323,7 +323,10 @@
 void client::state::onEstablished(connection_id Id) {
   connection_row &Row = *Connections.find(Id);
   if (!Row.Probed) {
+    auto OnConnect = Calls.find(Row.Call)->Events.OnConnect;
     startUse(Id);
+    if (OnConnect)
+      OnConnect();
     return;
   }
   auto Probed = std::exchange(Row.Probed, {});
--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -6,6 +6,7 @@
 #include "turmerichead/table.h"
 
 #include <utility>
+#include <vector>
 
 namespace turmerichead::http1 {
 
@@ -33,6 +34,8 @@
   phase Phase = phase::Opening;
   typed_id<tunnel_end> Other; ///< The other connection, if there is one.
   std::string Input;          ///< Of a peer whose line is not complete.
+  std::string Address;        ///< Of an upstream.
+  bool IsControl = false;     ///< See tunnel_events::Control.
   std::optional<poll_set::interest> Interest;
   time_point LastBytes;
 };
@@ -55,14 +58,16 @@
   void onReady(std::uint64_t Key);
   void accept();
   void readLine(end_id Id);
-  void connect(end_id PeerId, const std::string &Address);
+  void connect(end_id PeerId, const std::string &Address, bool IsControl);
   void onConnected(end_id Id);
+  void onRefused(end_id PeerId, const std::string &Address);
   void reply(end_id PeerId, tunnel_status Status);
   void forward(end_id Id);
   void flush(end_id Id);
   void watch(end_id Id);
   void close(end_id Id);
   void closeBoth(end_id Id);
+  bool isActive(const tunnel_end &Upstream, time_point Now) const;
 };
 
 void tunnel_server::state::onReady(std::uint64_t Key) {
@@ -124,14 +129,15 @@
       std::string_view(End.Input).substr(0, LineEnd), Settings.SharedKey);
   auto Target = Address && !Draining ? Events.Resolve(*Address) : std::nullopt;
   if (Target) {
-    connect(Id, *Target);
+    connect(Id, *Target, false);
     return;
   }
   ++Counters.Declined;
   reply(Id, tunnel_status::Declined);
 }
 
-void tunnel_server::state::connect(end_id PeerId, const std::string &Address) {
+void tunnel_server::state::connect(end_id PeerId, const std::string &Address,
+                                   bool IsControl) {
   auto Parsed = parseAddress(Address);
   auto Socket = Parsed ? beginConnect(Parsed->get()) : std::nullopt;
   if (!Socket) {
@@ -144,6 +150,8 @@
   End.Socket = pvt::buffered_socket(std::move(*Socket));
   End.Side = side::Upstream;
   End.Other = PeerId;
+  End.Address = Address;
+  End.IsControl = IsControl;
   end_id Id = Ends.insert(std::move(End));
   Ends.find(PeerId)->Other = Id;
   watch(Id);
@@ -154,8 +162,15 @@
   using connect_result = pvt::buffered_socket::connect_result;
   tunnel_end &End = *Ends.find(Id);
   end_id PeerId = End.Other;
+  std::string Address = End.Address;
+  bool IsControl = End.IsControl;
   connect_result Result = End.Socket.connectResult();
-  if (Result == connect_result::Connected) {
+  bool Connected = Result == connect_result::Connected;
+  // A refusal says nothing of this host's link until the control connection.
+  bool SaysNothing = Result == connect_result::Refused && !IsControl;
+  if (Events.OnConnectEnd && !SaysNothing)
+    Events.OnConnectEnd(Address, Connected);
+  if (Connected && !IsControl) {
     ++Counters.Opened;
     End.Phase = phase::Open;
     Ends.find(PeerId)->Phase = phase::Open;
@@ -164,8 +179,21 @@
     return;
   }
   close(Id);
-  reply(PeerId, Result == connect_result::Refused ? tunnel_status::Refused
-                                                  : tunnel_status::Unreachable);
+  if (IsControl)
+    reply(PeerId, Connected ? tunnel_status::Refused : tunnel_status::Declined);
+  else if (Result == connect_result::Refused)
+    onRefused(PeerId, Address);
+  else
+    reply(PeerId, tunnel_status::Unreachable);
+}
+
+void tunnel_server::state::onRefused(end_id PeerId,
+                                     const std::string &Address) {
+  auto Other = Events.Control ? Events.Control(Address) : std::nullopt;
+  if (Other)
+    connect(PeerId, *Other, true);
+  else
+    reply(PeerId, tunnel_status::Refused);
 }
 
 void tunnel_server::state::reply(end_id PeerId, tunnel_status Status) {
@@ -256,6 +284,15 @@
   close(OtherId);
 }
 
+bool tunnel_server::state::isActive(const tunnel_end &Upstream,
+                                    time_point Now) const {
+  const tunnel_end *Peer = Ends.find(Upstream.Other);
+  bool AwaitsAnswer = Peer && Peer->LastBytes > Upstream.LastBytes;
+  bool Answers =
+      Upstream.LastBytes.Ms > 0 && Now - Upstream.LastBytes < ActiveTime;
+  return AwaitsAnswer || Answers;
+}
+
 // -- Public interface --------------------------------------------------------
 
 std::optional<tunnel_server> tunnel_server::create(tunnel_settings Settings,
@@ -280,9 +317,13 @@
     end_id PeerId = End->Other;
     if (End->Side == side::Peer && End->Other)
       return; // The deadline of its upstream applies.
+    if (End->Side == side::Upstream && Raw->Events.OnConnectEnd)
+      Raw->Events.OnConnectEnd(End->Address, false);
+    tunnel_status Status =
+        End->IsControl ? tunnel_status::Declined : tunnel_status::Unreachable;
     Raw->close(Id);
     if (Raw->Ends.find(PeerId))
-      Raw->reply(PeerId, tunnel_status::Unreachable);
+      Raw->reply(PeerId, Status);
   });
   return tunnel_server(std::move(State));
 }
@@ -291,16 +332,22 @@
 
 void tunnel_server::drain() { State->Draining = true; }
 
+void tunnel_server::closeIdle() {
+  time_point Now = steadyNow();
+  std::vector<end_id> Idle;
+  State->Ends.forEach([&](end_id Id, tunnel_end &End) {
+    if (End.Side == side::Upstream && !State->isActive(End, Now))
+      Idle.push_back(Id);
+  });
+  for (end_id Id : Idle)
+    State->closeBoth(Id);
+}
+
 std::size_t tunnel_server::activeTunnels() const {
   std::size_t Count = 0;
   time_point Now = steadyNow();
   State->Ends.forEach([&](end_id, tunnel_end &End) {
-    const tunnel_end *Peer = State->Ends.find(End.Other);
-    if (End.Side != side::Upstream || !Peer)
-      return;
-    bool AwaitsAnswer = Peer->LastBytes > End.LastBytes;
-    bool Answers = End.LastBytes.Ms > 0 && Now - End.LastBytes < ActiveTime;
-    Count += AwaitsAnswer || Answers ? 1 : 0;
+    Count += End.Side == side::Upstream && State->isActive(End, Now) ? 1 : 0;
   });
   return Count;
 }
--- a/src/libhttp1/tunnel_test.cpp
+++ b/src/libhttp1/tunnel_test.cpp
@@ -32,12 +32,14 @@
     tunnel_settings Settings;
     Settings.Listen = "127.0.0.1:0";
     Settings.SharedKey = "key";
-    Server =
-        tunnel_server::create(Settings, {[this](std::string_view Address) {
-                                return Address == Target
-                                           ? std::optional<std::string>(Target)
-                                           : std::nullopt;
-                              }});
+    tunnel_events Events;
+    Events.Resolve =
+        [this](std::string_view Address) -> std::optional<std::string> {
+      if (Address != Target)
+        return std::nullopt;
+      return Target;
+    };
+    Server = tunnel_server::create(Settings, std::move(Events));
     Via = addressOf(Server->port());
     client_settings ClientSettings;
     ClientSettings.TunnelKey = std::move(ClientKey);
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -59,6 +59,8 @@
 
   http1::call_id Upstream;
   std::string UpstreamId;
+  std::string Via; ///< Tunnel server of the send; empty: over the own link.
+  std::uint32_t NotConnected = 0; ///< Sends for which there was no connection.
   upstream SentTo; ///< The upstream as it was when the call was sent.
   std::vector<std::string> Tried; ///< Ids of the upstreams, in order of sends.
   std::uint32_t Attempts = 0;     ///< Sends that count against the limit.
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -3,6 +3,7 @@
 #include "turmerichead/error.h"
 #include "turmerichead/log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace turmerichead::relay {
@@ -229,6 +230,7 @@
   impl *Raw = Impl.get();
   http1::client_settings ClientSettings;
   ClientSettings.EchoHeader = Raw->Names.CallId;
+  ClientSettings.TunnelKey = Raw->Settings.TunnelKey;
   Raw->Client = http1::client::create(ClientSettings);
   Raw->Server = http1::server::create(
       Raw->Settings.Listen, serverLimits({}),
@@ -282,9 +284,42 @@
     return;
   }
   Impl->Client->forget(Row->Upstream.Address);
+  Impl->Links.forget(Row->Upstream.Address);
   Impl->Upstreams.remove(Id);
 }
 
+void relay::setTunnelHosts(std::span<const std::string> Addresses) {
+  Impl->TunnelHosts.set(Addresses);
+}
+
+bool relay::mayReach(std::string_view Address) const {
+  const auto &Rows = Impl->Upstreams.rows();
+  return !Impl->Links.isCutOff() &&
+         std::any_of(Rows.begin(), Rows.end(), [&](const auto &Row) {
+           return Row.second.Upstream.Address == Address;
+         });
+}
+
+std::optional<std::string> relay::otherAddress(std::string_view Address) const {
+  std::optional<std::string> Other;
+  for (const auto &[Id, Row] : Impl->Upstreams.rows()) {
+    const upstream &Upstream = Row.Upstream;
+    if (Upstream.Address == Address || !Upstream.Ready)
+      continue;
+    Other = Upstream.Address;
+    if (!Impl->Links.isLost(Upstream.Address))
+      break;
+  }
+  return Other;
+}
+
+void relay::recordLink(std::string_view Address, bool Connected) {
+  if (Connected)
+    Impl->Links.recordConnected(Address, steadyNow());
+  else
+    Impl->Links.recordFailure(Address, steadyNow());
+}
+
 void relay::setEntryHosts(std::size_t Count) { Impl->EntryHosts = Count; }
 
 const upstream_table &relay::upstreams() const { return Impl->Upstreams; }
--- /dev/null
+++ b/src/librelay/relay_links.cpp
@@ -0,0 +1,141 @@
+// Ways to upstreams: the host's own links, and tunnels by way of other hosts.
+
+#include "relay_pvt.h"
+
+#include "turmerichead/log.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace turmerichead::relay {
+
+namespace {
+
+// A call with so many sends without a connection is refused. Sends that another
+// host declines at once have a limit of their own: the number of hosts.
+constexpr std::uint32_t MaxNotConnected = 6;
+// Time without an answer after which the link of a call is looked at.
+constexpr milliseconds SuspectTime{250};
+
+} // namespace
+
+std::string relay::impl::viaFor(const std::string &Address, time_point Now) {
+  if (!Links.isLost(Address))
+    return {};
+  if (Links.takeProbe(Address, Now))
+    probeLink(Address);
+  return TunnelHosts.pick(Now).value_or("");
+}
+
+void relay::impl::onConnected(relay_call_id Id) {
+  const relay_call *Call = Calls.find(Id);
+  if (!Call)
+    return;
+  if (Call->Via.empty()) {
+    Links.recordConnected(Call->SentTo.Address, steadyNow());
+    return;
+  }
+  TunnelHosts.recordSuccess(Call->Via);
+  Links.recordReachedByOther(Call->SentTo.Address);
+}
+
+void relay::impl::recordWay(const relay_call &Call, time_point Now) {
+  if (Call.Via.empty()) {
+    Links.recordAnswer(Now);
+    return;
+  }
+  TunnelHosts.recordSuccess(Call.Via);
+  Links.recordReachedByOther(Call.SentTo.Address);
+}
+
+void relay::impl::onNotConnected(relay_call_id Id,
+                                 http1::connect_failure Failure) {
+  relay_call &Call = *Calls.find(Id);
+  time_point Now = steadyNow();
+  upstream Target = Call.SentTo;
+  std::string Via = Call.Via;
+  bool TunnelFailed = Failure == http1::connect_failure::Tunnel;
+  bool Refused = Failure == http1::connect_failure::Refused;
+  releaseUpstream(Call);
+  Call.Body.clear();
+  // The upstream has not received the call, so the send does not count.
+  --Call.Attempts;
+  if (Via.empty())
+    Links.recordFailure(Target.Address, Now);
+  else if (!Refused)
+    TunnelHosts.recordFailure(Via, Now);
+  bool OtherWay =
+      (Via.empty() || TunnelFailed) && TunnelHosts.pick(Now).has_value();
+  if (OtherWay) {
+    Call.ResumeAt = Target.Id;
+  } else if (!TunnelFailed) {
+    Upstreams.recordFailure(Target.Id, Now);
+    bool IsConfirmed = !Via.empty() || TunnelHosts.size() == 0;
+    if (Refused && IsConfirmed)
+      recordExit(Target, exit_evidence::ConnectionRefused);
+    if (!Via.empty())
+      Links.recordUnreachedByOther(Target.Address);
+  }
+  Call.NotConnected += TunnelFailed ? 0 : 1;
+  std::size_t MaxSends = MaxNotConnected + TunnelHosts.size();
+  if (Call.NotConnected < MaxNotConnected && Call.Tried.size() < MaxSends)
+    send(Id);
+  else
+    refuse(Id, "no upstream could be reached");
+}
+
+bool relay::impl::checkLinks() {
+  time_point Now = steadyNow();
+  bool Waits = false;
+  std::set<std::string> Suspects;
+  Calls.forEach([&](relay_call_id, relay_call &Call) {
+    bool WaitsHere = Call.Upstream && Call.Via.empty();
+    Waits = Waits || WaitsHere;
+    if (WaitsHere && Now - Call.SentAt >= SuspectTime)
+      Suspects.insert(Call.SentTo.Address);
+  });
+  if (Links.isSilent(Now))
+    for (const std::string &Address : Suspects)
+      if (!Links.isLost(Address) && Links.takeProbe(Address, Now))
+        probeLink(Address);
+  if (!Waits)
+    LinkCheck.reset();
+  return Waits;
+}
+
+void relay::impl::probeLink(const std::string &Address) {
+  Client->probe(
+      Address, {}, Settings.ConnectTimeout,
+      [this, Address](http1::probe_result Result) {
+        time_point Now = steadyNow();
+        if (Result == http1::probe_result::Listening) {
+          Links.recordConnected(Address, Now);
+          return;
+        }
+        bool WasCutOff = Links.isCutOff();
+        Links.recordFailure(Address, Now);
+        if (!WasCutOff && Links.isCutOff())
+          log::warn("links to upstreams lost", {{"upstream", Address}});
+        if (Result == http1::probe_result::Unknown)
+          leaveLostLink(Address);
+      });
+}
+
+void relay::impl::leaveLostLink(const std::string &Address) {
+  Client->forgetDirect(Address);
+  std::vector<relay_call_id> Waiting;
+  Calls.forEach([&](relay_call_id Id, relay_call &Call) {
+    bool Waits = Call.Upstream && Call.Via.empty() && Call.Head.Status == 0;
+    bool MayMove = Call.Route.Kind == call_kind::Safe &&
+                   Call.Attempts < Call.Route.Attempts;
+    if (Waits && MayMove && Call.SentTo.Address == Address)
+      Waiting.push_back(Id);
+  });
+  for (relay_call_id Id : Waiting) {
+    Client->cancel(Calls.find(Id)->Upstream);
+    onUpstreamFailure(Id, {.Outcome = http1::call_outcome::Broken,
+                           .Reason = "the link to the upstream was lost"});
+  }
+}
+
+} // namespace turmerichead::relay
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -7,6 +7,7 @@
 #include "turmerichead/net_loop.h"
 #include "turmerichead/relay_admission.h"
 #include "turmerichead/relay_crash_tracker.h"
+#include "turmerichead/relay_links.h"
 #include "turmerichead/relay_program_homes.h"
 
 #include <map>
@@ -51,6 +52,9 @@
     loop_source NextProbe;
   };
   std::map<std::string, probe_state, std::less<>> Probes; ///< By address.
+  upstream_links Links;
+  tunnel_hosts TunnelHosts;
+  loop_source LinkCheck; ///< Set while a call waits for its answer.
   program_homes Homes{MinHomes};
   call_table Calls;
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
@@ -101,6 +105,26 @@
   /// Takes the call off the in-flight counts of its upstream and service.
   void releaseUpstream(relay_call &Call);
 
+  // -- Links to upstreams (relay_links.cpp) --
+  /// Returns the tunnel server for a call to \p Address, or an empty string if
+  /// it goes over the host's own link.
+  std::string viaFor(const std::string &Address, time_point Now);
+  /// No connection was established for the call: it is sent another way, to
+  /// another upstream, or refused.
+  void onNotConnected(relay_call_id Id, http1::connect_failure Failure);
+  /// A new connection has been established for the call.
+  void onConnected(relay_call_id Id);
+  /// Notes the way that an answer has come.
+  void recordWay(const relay_call &Call, time_point Now);
+  /// Looks at the links of calls that wait for their answers while nothing
+  /// comes from any upstream. Returns whether a call still waits.
+  bool checkLinks();
+  /// Connects to \p Address over the host's own link, to learn whether it
+  /// works.
+  void probeLink(const std::string &Address);
+  /// Calls that may run again don't wait for an answer over a lost link.
+  void leaveLostLink(const std::string &Address);
+
   // -- Crashes of upstreams (relay_suspects.cpp) --
   /// Refuses the call if it is quarantined. Returns whether it did.
   bool refuseQuarantined(relay_call_id Id);
@@ -116,6 +140,10 @@
   void probe(const upstream &Upstream);
   void sendProbe(const std::string &Address);
   void onProbed(const std::string &Address, http1::probe_result Result);
+  /// A connection to the upstream was refused. Counts it as the end of the
+  /// upstream once another host has found the same: the own link may be the
+  /// cause.
+  void confirmExit(const upstream &Upstream);
 
   // -- Ends of calls (relay_end.cpp) --
   /// Answers that the call was not run and will not be. If an upstream may have
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -17,6 +17,7 @@
 // Limit for the bytes of a stream between the ends of two events: comments,
 // fields without data, and the event itself.
 constexpr std::size_t MaxBytesBetweenEvents = 1U << 20U;
+constexpr milliseconds LinkCheckInterval{250};
 
 bool isSuccess(int Status) {
   constexpr int FirstSuccess = 200;
@@ -40,7 +41,13 @@
     refuse(Id, "no upstream is ready");
     return;
   }
+  std::string Via = viaFor(Upstream->Upstream.Address, Now);
+  if (Via.empty() && Links.reachesNothing()) {
+    refuse(Id, "this host reaches no upstream");
+    return;
+  }
   bool WasTried = Call.wasSentTo(Upstream->Upstream.Id);
+  Call.Via = std::move(Via);
   ++Call.Attempts;
   ++Upstream->InFlight;
   Call.UpstreamId = Upstream->Upstream.Id;
@@ -48,6 +55,8 @@
   Call.Tried.push_back(Call.UpstreamId);
   if (Call.Phase != call_phase::Streaming)
     Call.Phase = call_phase::Sent;
+  if (Call.Phase != call_phase::Streaming)
+    Call.Head = {};
   Call.Streams = false;
   Call.AnswerEnd.reset();
   Call.PriorEvents = Call.EventCount;
@@ -62,6 +71,7 @@
                           {"upstream", Call.UpstreamId},
                           {"home", Call.PreviousUpstream},
                           {"in_flight", Upstream->InFlight},
+                          {"via", Call.Via},
                           {"avoided", Upstream->AvoidUntil > Now},
                           {"vanished", Upstream->ExpiresAt.has_value()},
                           {"attempt", Call.Attempts},
@@ -76,7 +86,11 @@
        [this, Id](std::string_view Bytes) { onBody(Id, Bytes); },
        [this, Id](const http1::call_result &Result) {
          onUpstreamEnd(Id, Result);
-       }});
+       },
+       [this, Id] { onConnected(Id); }});
+  if (!LinkCheck)
+    LinkCheck =
+        loop_source::every(LinkCheckInterval, [this] { return checkLinks(); });
 }
 
 service_capacity relay::impl::capacityOf(std::string_view Service,
@@ -124,7 +138,11 @@
   if (!Call.Request.Body.empty())
     Request.Body.push_back(Call.Request.Body);
   Request.EchoValue = Call.Params.Id;
-  Request.ConnectTimeout = std::min(Settings.ConnectTimeout, Left);
+  Request.Via = Call.Via;
+  // A tunnel needs two connections, one after the other.
+  milliseconds ConnectTimeout =
+      Settings.ConnectTimeout * (Call.Via.empty() ? 1 : 2);
+  Request.ConnectTimeout = std::min(ConnectTimeout, Left);
   // An upstream resets connections above its limit. Half of the limit is
   // divided between the idle connections of the entry hosts; the other half
   // remains for calls in flight.
@@ -150,6 +168,7 @@
 void relay::impl::onHead(relay_call_id Id, const http1::response_head &Head) {
   relay_call &Call = *Calls.find(Id);
   CrashTracker.recordResponse(Call.SentTo, Call.SentAt);
+  recordWay(Call, steadyNow());
   Call.Head = Head;
   Call.NotRun = Head.Status == http1::status::Misdirected ||
                 Head.Headers.find(Names.NotRun) != nullptr;
@@ -177,6 +196,8 @@
     abortUpstreamCall(Id, "the answer is too large");
     return;
   }
+  if (Call.Via.empty())
+    Links.recordAnswer(steadyNow());
   Call.BytesSinceEvent += Bytes.size();
   slowdown_estimator &Estimator = Loads[Call.Service].Estimator;
   bool IsValid = Call.Events.feed(Bytes, [&](std::string_view Data) {
@@ -360,31 +381,22 @@
   log::info("call failed at upstream",
             {{"id", Call.Params.Id},
              {"upstream", Call.UpstreamId},
+             {"via", Call.Via},
              {"fingerprint", toHex(Call.Fingerprints.Exact)},
              {"reason", Result.Reason},
              {"phase", nameOf(Call.Phase)},
              {"events", Call.EventCount},
              {"unfinished_bytes", Call.Events.unfinished()},
              {"after_ms", (Now - Call.SentAt).count()}});
-  Upstreams.recordFailure(Call.UpstreamId, Now);
-  if (Result.Outcome != http1::call_outcome::NotSent) {
-    Call.MayHaveRun = true;
-    recordAbort(Call, abort_kind::Broken);
-  } else if (Result.Failure == http1::connect_failure::Refused) {
-    recordExit(Call.SentTo, exit_evidence::ConnectionRefused);
-  }
-  releaseUpstream(Call);
-  Call.Body.clear();
   if (Result.Outcome == http1::call_outcome::NotSent) {
-    // The upstream has not received the call, so the send does not count.
-    --Call.Attempts;
-    constexpr std::size_t MaxTried = 6;
-    if (Call.Tried.size() < MaxTried)
-      send(Id);
-    else
-      refuse(Id, "no upstream could be reached");
+    onNotConnected(Id, Result.Failure);
     return;
   }
+  Upstreams.recordFailure(Call.UpstreamId, Now);
+  Call.MayHaveRun = true;
+  recordAbort(Call, abort_kind::Broken);
+  releaseUpstream(Call);
+  Call.Body.clear();
   if (resumeStream(Id))
     return;
   if (Call.Phase == call_phase::Streaming) {
--- a/src/librelay/relay_suspects.cpp
+++ b/src/librelay/relay_suspects.cpp
@@ -92,11 +92,26 @@
                 });
 }
 
+void relay::impl::confirmExit(const upstream &Upstream) {
+  if (TunnelHosts.size() == 0) {
+    recordExit(Upstream, exit_evidence::ConnectionRefused);
+    return;
+  }
+  auto Via = TunnelHosts.pick(steadyNow());
+  if (!Via)
+    return;
+  Client->probe(Upstream.Address, *Via, Settings.ConnectTimeout * 2,
+                [this, Upstream](http1::probe_result Result) {
+                  if (Result == http1::probe_result::Refused)
+                    recordExit(Upstream, exit_evidence::ConnectionRefused);
+                });
+}
+
 void relay::impl::onProbed(const std::string &Address,
                            http1::probe_result Result) {
   probe_state &Row = Probes[Address];
   if (Result == http1::probe_result::Refused)
-    recordExit(Row.Upstream, exit_evidence::ConnectionRefused);
+    confirmExit(Row.Upstream);
   if (Row.ProbeCount > ProbeDelays.size() ||
       !CrashTracker.hasUnresolvedAborts(Row.Upstream)) {
     Probes.erase(Address);
