Tunnels: a limit a call, an idle host that was cut off, a lost end under back pressure

Found on reading the change again. A host without calls of its own would have declined tunnels for good after a cut, as only its calls probed links; a request for a tunnel does now. An end that was lost while nothing was read from it would have kept the loop awake.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -82,8 +82,9 @@
   /// Sets the addresses of the tunnel servers of other hosts, in order of
   /// preference. Calls to upstreams whose links this host has lost use them.
   void setTunnelHosts(std::span<const std::string> Addresses);
-  /// Whether \p Address is that of an upstream which this host may reach.
-  bool mayReach(std::string_view Address) const;
+  /// Whether \p Address is that of an upstream and this host is not cut off
+  /// from upstreams. If it is, its link to the address is probed.
+  bool mayReach(const std::string &Address);
   /// Returns the address of another upstream than \p Address, or nullopt.
   std::optional<std::string> otherAddress(std::string_view Address) const;
   /// Records whether the tunnel server of this host has connected to an
--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -79,7 +79,10 @@
   tunnel_end *End = Ends.find(Id);
   if (!End)
     return;
-  if (End->Phase == phase::Open) {
+  if (End->Interest == poll_set::interest::Errors) {
+    // Lost while the other side does not take more bytes.
+    closeBoth(Id);
+  } else if (End->Phase == phase::Open) {
     forward(Id);
     if (Ends.find(Id))
       flush(Id);
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -60,12 +60,14 @@
   http1::call_id Upstream;
   std::string UpstreamId;
   std::string Via; ///< Tunnel server of the send; empty: over the own link.
-  std::uint32_t NotConnected = 0; ///< Sends for which there was no connection.
+  std::uint32_t NotConnected = 0;     ///< Sends that found no connection.
+  std::uint32_t TunnelsNotOpened = 0; ///< Sends whose tunnel was not opened.
   upstream SentTo; ///< The upstream as it was when the call was sent.
   std::vector<std::string> Tried; ///< Ids of the upstreams, in order of sends.
   std::uint32_t Attempts = 0;     ///< Sends that count against the limit.
   bool MayHaveRun = false;        ///< It was sent and the upstream failed.
-  /// Id of the upstream that failed, if it is to resume the stream.
+  /// Id of the upstream for the next send, if the same one is to resume the
+  /// stream or to be reached another way.
   std::string ResumeAt;
   std::uint32_t ResumesLeft = MaxResumes;
   time_point SentAt;
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -292,12 +292,19 @@
   Impl->TunnelHosts.set(Addresses);
 }
 
-bool relay::mayReach(std::string_view Address) const {
+bool relay::mayReach(const std::string &Address) {
   const auto &Rows = Impl->Upstreams.rows();
-  return !Impl->Links.isCutOff() &&
-         std::any_of(Rows.begin(), Rows.end(), [&](const auto &Row) {
-           return Row.second.Upstream.Address == Address;
-         });
+  bool Known = std::any_of(Rows.begin(), Rows.end(), [&](const auto &Row) {
+    return Row.second.Upstream.Address == Address;
+  });
+  if (!Known)
+    return false;
+  if (!Impl->Links.isCutOff())
+    return true;
+  // A host without calls of its own learns this way that its links are back.
+  if (Impl->Links.takeProbe(Address, steadyNow()))
+    Impl->probeLink(Address);
+  return false;
 }
 
 std::optional<std::string> relay::otherAddress(std::string_view Address) const {
--- a/src/librelay/relay_links.cpp
+++ b/src/librelay/relay_links.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-// A call with so many sends without a connection is refused. Sends that another
-// host declines at once have a limit of their own: the number of hosts.
+// A call with so many sends without a connection is refused. Tunnels that were
+// not opened have a limit of their own, as most are declined at once.
 constexpr std::uint32_t MaxNotConnected = 6;
+constexpr std::uint32_t MaxTunnelsNotOpened = 8;
 // Time without an answer after which the link of a call is looked at.
 constexpr milliseconds SuspectTime{250};
 
@@ -76,9 +77,9 @@
     if (!Via.empty())
       Links.recordUnreachedByOther(Target.Address);
   }
-  Call.NotConnected += TunnelFailed ? 0 : 1;
-  std::size_t MaxSends = MaxNotConnected + TunnelHosts.size();
-  if (Call.NotConnected < MaxNotConnected && Call.Tried.size() < MaxSends)
+  ++(TunnelFailed ? Call.TunnelsNotOpened : Call.NotConnected);
+  if (Call.NotConnected < MaxNotConnected &&
+      Call.TunnelsNotOpened < MaxTunnelsNotOpened)
     send(Id);
   else
     refuse(Id, "no upstream could be reached");
