--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -79,21 +79,20 @@
   tunnel_end *End = Ends.find(Id);
   if (!End)
     return;
-  if (End->Interest == poll_set::interest::Errors) {
-    // Lost while the other side does not take more bytes.
-    closeBoth(Id);
-  } else if (End->Phase == phase::Open) {
+  bool Reads = End->Interest != poll_set::interest::Errors;
+  if (End->Phase == phase::Closing) {
+    flush(Id);
+  } else if (End->Phase == phase::Open && Reads) {
     forward(Id);
     if (Ends.find(Id))
       flush(Id);
-  } else if (End->Phase == phase::Closing) {
-    flush(Id);
-  } else if (End->Side == side::Upstream) {
+  } else if (End->Phase == phase::Opening && End->Side == side::Upstream) {
     onConnected(Id);
-  } else if (!End->Other) {
+  } else if (End->Phase == phase::Opening && !End->Other) {
     readLine(Id);
   } else {
-    // Nothing is due from a peer whose upstream is being connected to.
+    // Lost while the other side does not take more bytes, or bytes of a peer
+    // whose upstream is still being connected to.
     closeBoth(Id);
   }
 }
