Tunnels: call what the project has, one place for what stood twice

- tunnel_protocol.cpp computed an HMAC of its own and compared it with !=; it calls hmacSha256() and equalConstantTime() of libbase now.
- What a tunnel that works tells was recorded by the same lines on connecting and on an answer: onConnected() calls recordWay().
- The check of links was started in relay_send.cpp with a constant of its own; watchLinks() stands beside checkLinks(), with one constant for both.
- One condition asked twice in send(); EndsPerTunnel defined twice.

Looked at and left: the tests of a head cut midway stand in libhttp1 and libnet, each against its own client; entry points and factories that look alike are the house's pattern.

--- a/src/libhttp1/tunnel_protocol.cpp
+++ b/src/libhttp1/tunnel_protocol.cpp
@@ -1,7 +1,8 @@
 #include "tunnel_pvt.h"
 
+#include "turmerichead/hash.h"
+
 #include <algorithm>
-#include <glib.h>
 
 namespace turmerichead::http1::pvt {
 
@@ -12,16 +13,6 @@
 constexpr unsigned BitsPerByte = 8;
 constexpr unsigned ByteMask = 0xffU;
 
-std::string proofOf(std::string_view Address, std::string_view SharedKey) {
-  gchar *Hex = g_compute_hmac_for_data(
-      G_CHECKSUM_SHA256, reinterpret_cast<const guchar *>(SharedKey.data()),
-      SharedKey.size(), reinterpret_cast<const guchar *>(Address.data()),
-      Address.size());
-  std::string Proof(Hex);
-  g_free(Hex);
-  return Proof;
-}
-
 bool isStatus(char Byte) {
   return std::string_view("CRUD").find(Byte) != std::string_view::npos;
 }
@@ -30,7 +21,7 @@
 
 std::string tunnelLine(std::string_view Address, std::string_view SharedKey) {
   std::string Line(LineStart);
-  Line.append(Address).append(" ").append(proofOf(Address, SharedKey));
+  Line.append(Address).append(" ").append(hmacSha256(SharedKey, Address));
   return Line + "\n";
 }
 
@@ -43,7 +34,8 @@
   if (Space == std::string_view::npos)
     return std::nullopt;
   std::string_view Address = Line.substr(0, Space);
-  if (Line.substr(Space + 1) != proofOf(Address, SharedKey))
+  std::string_view Proof = Line.substr(Space + 1);
+  if (!equalConstantTime(Proof, hmacSha256(SharedKey, Address)))
     return std::nullopt;
   return std::string(Address);
 }
--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -16,6 +16,7 @@
 using pvt::tunnel_status;
 
 constexpr std::uint64_t ListenerKey = 0;
+constexpr std::size_t EndsPerTunnel = 2;
 // A tunnel counts as active for this time after bytes of an answer.
 constexpr milliseconds ActiveTime{1000};
 
@@ -99,7 +100,6 @@
 
 void tunnel_server::state::accept() {
   Listener.acceptAll([this](handle<GSocket> Socket) {
-    constexpr std::size_t EndsPerTunnel = 2;
     if (Ends.size() >= Settings.MaxTunnels * EndsPerTunnel)
       return;
     setNoDelay(Socket.get());
@@ -356,7 +356,6 @@
 
 tunnel_counters tunnel_server::counters() const {
   tunnel_counters Counters = State->Counters;
-  constexpr std::size_t EndsPerTunnel = 2;
   Counters.Open = State->Ends.size() / EndsPerTunnel;
   return Counters;
 }
--- a/src/librelay/relay_links.cpp
+++ b/src/librelay/relay_links.cpp
@@ -15,7 +15,8 @@
 // not opened have a limit of their own, as most are declined at once.
 constexpr std::uint32_t MaxNotConnected = 6;
 constexpr std::uint32_t MaxTunnelsNotOpened = 8;
-// Time without an answer after which the link of a call is looked at.
+// Time without an answer after which the link of a call is looked at, and
+// between two looks.
 constexpr milliseconds SuspectTime{250};
 
 } // namespace
@@ -32,12 +33,10 @@
   const relay_call *Call = Calls.find(Id);
   if (!Call)
     return;
-  if (Call->Via.empty()) {
+  if (Call->Via.empty())
     Links.recordConnected(Call->SentTo.Address, steadyNow());
-    return;
-  }
-  TunnelHosts.recordSuccess(Call->Via);
-  Links.recordReachedByOther(Call->SentTo.Address);
+  else
+    recordWay(*Call, steadyNow());
 }
 
 void relay::impl::recordWay(const relay_call &Call, time_point Now) {
@@ -85,6 +84,12 @@
     refuse(Id, "no upstream could be reached");
 }
 
+void relay::impl::watchLinks() {
+  if (!LinkCheck)
+    LinkCheck =
+        loop_source::every(SuspectTime, [this] { return checkLinks(); });
+}
+
 bool relay::impl::checkLinks() {
   time_point Now = steadyNow();
   bool Waits = false;
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -114,8 +114,10 @@
   void onNotConnected(relay_call_id Id, http1::connect_failure Failure);
   /// A new connection has been established for the call.
   void onConnected(relay_call_id Id);
-  /// Notes the way that an answer has come.
+  /// Notes the way by which the upstream was reached or has answered.
   void recordWay(const relay_call &Call, time_point Now);
+  /// Starts checkLinks() unless it runs already.
+  void watchLinks();
   /// Looks at the links of calls that wait for their answers while nothing
   /// comes from any upstream. Returns whether a call still waits.
   bool checkLinks();
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -17,7 +17,6 @@
 // Limit for the bytes of a stream between the ends of two events: comments,
 // fields without data, and the event itself.
 constexpr std::size_t MaxBytesBetweenEvents = 1U << 20U;
-constexpr milliseconds LinkCheckInterval{250};
 
 bool isSuccess(int Status) {
   constexpr int FirstSuccess = 200;
@@ -53,10 +52,10 @@
   Call.UpstreamId = Upstream->Upstream.Id;
   Call.SentTo = Upstream->Upstream;
   Call.Tried.push_back(Call.UpstreamId);
-  if (Call.Phase != call_phase::Streaming)
+  if (Call.Phase != call_phase::Streaming) {
     Call.Phase = call_phase::Sent;
-  if (Call.Phase != call_phase::Streaming)
     Call.Head = {};
+  }
   Call.Streams = false;
   Call.AnswerEnd.reset();
   Call.PriorEvents = Call.EventCount;
@@ -88,9 +87,7 @@
          onUpstreamEnd(Id, Result);
        },
        [this, Id] { onConnected(Id); }});
-  if (!LinkCheck)
-    LinkCheck =
-        loop_source::every(LinkCheckInterval, [this] { return checkLinks(); });
+  watchLinks();
 }
 
 service_capacity relay::impl::capacityOf(std::string_view Service,
