Hosts log what upstreams say of their limits

No decision uses it yet. Decoded in platform/ only; values that cannot be read are counted and change nothing; of several values the lowest holds. A limit ends only with the answer to a request that was sent after it was last named.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -55,6 +55,8 @@
   /// Time in the retry header of an answer when there is no better estimate.
   milliseconds RetryAfter{200};
   std::string TunnelKey; ///< Shared with the tunnel servers of other hosts.
+  /// Decodes what the head of an answer says of its upstream. May be unset.
+  std::function<upstream_notice(const http1::header_list &Headers)> ReadNotice;
 };
 
 /// The relay of one entry host.
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -2,7 +2,7 @@
 /// The table of upstreams that a host knows, and load balancing between them.
 #pragma once
 
-#include "turmerichead/clock.h"
+#include "turmerichead/relay_notices.h"
 
 #include <cstdint>
 #include <map>
@@ -35,6 +35,7 @@
   /// When the row is removed; unset while the upstream is registered.
   std::optional<time_point> ExpiresAt;
   double EventGapMs = 0; ///< Weighted mean time between events; 0: unknown.
+  std::optional<request_limit> Limit; ///< Named by this run of the upstream.
 };
 
 /// The properties of a call that decide which upstream gets it.
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -83,6 +83,8 @@
   http1::call_request requestFor(const relay_call &Call,
                                  const upstream &Upstream) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
+  /// Takes in what the head of the answer says of the upstream itself.
+  void readNotice(const relay_call &Call, const http1::response_head &Head);
   void onBody(relay_call_id Id, std::string_view Bytes);
   /// Forwards bytes of a stream to the caller; of a resumable stream, only
   /// complete events.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -166,6 +166,7 @@
   relay_call &Call = *Calls.find(Id);
   CrashTracker.recordResponse(Call.SentTo, Call.SentAt);
   recordWay(Call, steadyNow());
+  readNotice(Call, Head);
   Call.Head = Head;
   Call.NotRun = Head.Status == http1::status::Misdirected ||
                 Head.Headers.find(Names.NotRun) != nullptr;
@@ -183,6 +184,30 @@
   Server->begin(Call.Exchange, Head.Status, Headers);
 }
 
+void relay::impl::readNotice(const relay_call &Call,
+                             const http1::response_head &Head) {
+  // Another process has answered a misdirected call.
+  upstream_row *Row = Upstreams.find(Call.SentTo.Id);
+  bool IsSameRun = Row && Row->Upstream.StartedMs == Call.SentTo.StartedMs;
+  if (!Settings.ReadNotice || !IsSameRun ||
+      Head.Status == http1::status::Misdirected)
+    return;
+  upstream_notice Notice = Settings.ReadNotice(Head.Headers);
+  if (Notice.HasInvalidLimit)
+    Metrics.add("upstream_limits_invalid_total");
+  limit_change Change =
+      updateLimit(Row->Limit, Notice, Call.SentAt, steadyNow());
+  if (Change == limit_change::None)
+    return;
+  log::info("upstream limit",
+            {{"upstream", Row->Upstream.Id},
+             {"started_ms", Row->Upstream.StartedMs},
+             {"change", nameOf(Change)},
+             {"per_second", Notice.RequestsPerSecond.value_or(0)},
+             {"evidence", "answer"},
+             {"id", Call.Params.Id}});
+}
+
 void relay::impl::onBody(relay_call_id Id, std::string_view Bytes) {
   relay_call &Call = *Calls.find(Id);
   if (!Call.Streams) {
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -34,6 +34,7 @@
   if (Restarted) {
     Row->second.AvoidUntil = {};
     Row->second.EventGapMs = 0;
+    Row->second.Limit.reset();
   }
 }
 
