--- /dev/null
+++ b/src/librelay/relay_limits_test.cpp
@@ -0,0 +1,116 @@
+// Upstreams that name a limit for the requests of all hosts together.
+
+#include "test_relay_pvt.h"
+
+#include <cstdlib>
+#include <deque>
+
+using namespace turmerichead;
+using namespace turmerichead::pvt;
+
+namespace {
+
+constexpr milliseconds Window{4000};
+
+/// Two entry hosts and an upstream that answers at once and names a limit.
+struct limit_fixture : fixture {
+  std::optional<entry_host> Other;
+  std::string LimitHeader; ///< Of the answers; empty: no limit is named.
+  std::vector<time_point> Arrivals;
+  std::deque<caller> Callers;
+  loop_source Answering;
+  int NextCall = 0;
+
+  limit_fixture() {
+    Other.emplace("other", Disks);
+    Other->Relay->putUpstream(
+        {"tool-1", "tools", addressOf(Tools.port()), "dc", 64, true, 1});
+    Relay->putUpstream(
+        {"tool-1", "tools", addressOf(Tools.port()), "dc", 64, true, 1});
+    Relay->setEntryHosts(2);
+    Other->Relay->setEntryHosts(2);
+    Answering = loop_source::every(milliseconds(2), [this] {
+      answerAll(Tools);
+      answerAll(OtherTools);
+      return true;
+    });
+  }
+  void answerAll(raw_server &Server) {
+    for (std::size_t I = 0; I < Server.Connections.size(); ++I) {
+      std::string &Input = Server.Connections[I]->Input;
+      std::size_t IdAt = Input.find("X-Call: ");
+      if (IdAt == std::string::npos ||
+          Input.find("\r\n\r\n") == std::string::npos)
+        continue;
+      IdAt += std::string_view("X-Call: ").size();
+      std::string Id = Input.substr(IdAt, Input.find('\r', IdAt) - IdAt);
+      Input.clear();
+      bool IsLimited = &Server == &Tools;
+      if (IsLimited)
+        Arrivals.push_back(steadyNow());
+      Server.send(I, answerTo(Id, "done", "200 OK",
+                              IsLimited ? LimitHeader : std::string()));
+    }
+  }
+  /// Sends a call through a host; the connection stays open.
+  caller &call(entry_host &To, std::string_view Path = "/safe/1") {
+    caller &Caller = Callers.emplace_back(To.Address);
+    Caller.send(request("GET", Path, "c" + std::to_string(++NextCall)));
+    return Caller;
+  }
+  /// Sends calls through both hosts for \p Time, each every \p Interval.
+  void callFor(milliseconds Time, milliseconds Interval) {
+    for (time_point End = steadyNow() + Time; steadyNow() < End;) {
+      call(Host);
+      call(*Other);
+      turnFor(Interval);
+    }
+  }
+  /// Returns the most requests that arrived within Window.
+  std::size_t mostArrivals(time_point From) const {
+    std::size_t Most = 0;
+    for (std::size_t I = 0; I < Arrivals.size(); ++I) {
+      if (Arrivals[I] < From)
+        continue;
+      std::size_t End = I;
+      while (End < Arrivals.size() && Arrivals[End] - Arrivals[I] < Window)
+        ++End;
+      Most = std::max(Most, End - I);
+    }
+    return Most;
+  }
+  std::size_t answered(std::string_view Status) const {
+    return static_cast<std::size_t>(std::count_if(
+        Callers.begin(), Callers.end(),
+        [&](const caller &Caller) { return Caller.has(Status); }));
+  }
+};
+
+/// What upstreams may get in Window when they take \p PerSecond.
+double allowed(double PerSecond) {
+  constexpr double Factor = 1.5;
+  constexpr double Extra = 5;
+  return Factor * PerSecond * static_cast<double>(Window.count()) / 1000 +
+         Extra;
+}
+
+} // namespace
+
+TEST_CASE("limit_of_all_hosts_is_kept_by_their_sum") {
+  // Each host sent as much as its callers asked for, and none knew of the
+  // others, so that upstreams got many times what they had named.
+  limit_fixture F;
+  F.LimitHeader = "X-Limit: 2\r\n";
+  F.call(F.Host).waitsFor("done");
+  F.call(*F.Other).waitsFor("done");
+  turnFor(milliseconds(500));
+  time_point Start = steadyNow();
+  F.callFor(milliseconds(4500), milliseconds(100));
+  CHECK(F.mostArrivals(Start) <= allowed(2));
+  // What the upstream takes is used.
+  CHECK(F.mostArrivals(Start) >= 6);
+  turnFor(milliseconds(1500));
+  // The others were told at once that they were not run.
+  CHECK(F.answered("HTTP/1.1 503") >= 60);
+  CHECK(F.answered("HTTP/1.1 ") == F.Callers.size());
+}
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -63,6 +63,14 @@
   return Routing;
 }
 
+/// Reads X-Limit, the requests a second that an upstream takes.
+inline relay::upstream_notice readNotice(const http1::header_list &Headers) {
+  relay::upstream_notice Notice;
+  if (const std::string *Limit = Headers.find("X-Limit"))
+    Notice.RequestsPerSecond = std::strtod(Limit->c_str(), nullptr);
+  return Notice;
+}
+
 /// Three disk hosts with data in a temporary folder.
 struct disks {
   std::string Root;
@@ -127,29 +135,43 @@
   }
 };
 
-struct fixture {
-  disks Disks;
+/// An entry host.
+struct entry_host {
   metrics Metrics;
   std::optional<turns::client> Turns;
   std::optional<relay::relay> Relay;
-  raw_server Tools;
-  raw_server OtherTools;
-  raw_server Llm;
   std::string Address = freeAddress();
 
-  fixture() {
+  entry_host(std::string Name, const disks &Disks) {
     turns::client_settings TurnSettings;
-    TurnSettings.Host = "entry";
+    TurnSettings.Host = Name;
     TurnSettings.DataCentre = "dc";
     TurnSettings.SharedKey = Key;
     Turns = turns::client::create(TurnSettings);
     relay::relay_settings Settings;
+    Settings.Host = std::move(Name);
     Settings.Listen = Address;
     Settings.DataCentre = "dc";
+    Settings.ReadNotice = readNotice;
     Relay = relay::relay::create(Settings, names(), *Turns, Metrics);
     REQUIRE(Relay);
     Turns->updateSet(Disks.Set);
     Relay->setRouting(routingOf(1));
+  }
+};
+
+struct fixture {
+  disks Disks;
+  entry_host Host{"entry", Disks};
+  metrics &Metrics = Host.Metrics;
+  std::optional<turns::client> &Turns = Host.Turns;
+  std::optional<relay::relay> &Relay = Host.Relay;
+  raw_server Tools;
+  raw_server OtherTools;
+  raw_server Llm;
+  std::string &Address = Host.Address;
+
+  fixture() {
     put("tool-1", "tools", Tools);
     put("llm-1", "llm", Llm);
   }
