Tests: an address that is given out is not given out again

librelay_test failed now and then in its fixture, listed in KNOWN-RED.txt: a disk host could not be created. Its reason, printed since, was seen now: 'Error binding to address 127.1.66.211:44219: Address already in use'.

Cause: freeAddress() asks the system for a port and gives it back, so that the system may pick it again before the test binds it. Now a port is given out once.

--- a/src/libnet/test_loop_pvt.h
+++ b/src/libnet/test_loop_pvt.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unistd.h>
 #include <vector>
@@ -38,15 +39,21 @@
   return "127.0.0.1:" + std::to_string(Port);
 }
 
-/// Returns an address without a listener. It uses a loopback address of this
-/// process alone, because on a shared one another process may bind the port
-/// before the test does.
+/// Returns an address without a listener, each time another one. It uses a
+/// loopback address of this process alone, because on a shared one another
+/// process may bind the port before the test does.
 inline std::string freeAddress() {
   auto Pid = static_cast<unsigned>(getpid());
   std::string Ip = "127." + std::to_string(1 + ((Pid >> 16U) & 0x7fU)) + "." +
                    std::to_string((Pid >> 8U) & 0xffU) + "." +
                    std::to_string(Pid & 0xffU);
-  return Ip + ":" + std::to_string(listener::open(Ip + ":0")->port());
+  // The system may pick a port again that was asked for and is not bound yet.
+  static std::set<std::uint16_t> Given;
+  std::uint16_t Port = 0;
+  do {
+    Port = listener::open(Ip + ":0")->port();
+  } while (!Given.insert(Port).second);
+  return Ip + ":" + std::to_string(Port);
 }
 
 /// A TCP server that accepts connections and stores the bytes received on each.
--- /dev/null
+++ b/src/librelay/relay_limits.cpp
@@ -0,0 +1,158 @@
+// Calls to upstreams that have named a limit wait for a permit, move to another
+// upstream, or are refused.
+
+#include "relay_pvt.h"
+
+#include "turmerichead/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmerichead::relay {
+
+namespace {
+
+// Upstreams without a permit after which a call is refused.
+constexpr std::size_t MaxPermitsDenied = 4;
+// A refused caller does not come back later than this.
+constexpr milliseconds MaxRetryAfter{3000};
+
+upstream_run runOf(const upstream &Upstream) {
+  return {Upstream.Id, Upstream.StartedMs};
+}
+
+void logLimit(const upstream_run &Run, limit_change Change, double PerSecond,
+              std::string_view Evidence) {
+  log::info("upstream limit", {{"upstream", Run.Id},
+                               {"started_ms", Run.StartedMs},
+                               {"change", nameOf(Change)},
+                               {"per_second", PerSecond},
+                               {"evidence", Evidence}});
+}
+
+} // namespace
+
+void relay::impl::readNotice(const relay_call &Call,
+                             const http1::response_head &Head) {
+  // Another process has answered a misdirected call.
+  upstream_row *Row = Upstreams.find(Call.SentTo.Id);
+  bool IsSameRun = Row && Row->Upstream.StartedMs == Call.SentTo.StartedMs;
+  if (!Settings.ReadNotice || !IsSameRun ||
+      Head.Status == http1::status::Misdirected)
+    return;
+  upstream_notice Notice = Settings.ReadNotice(Head.Headers);
+  if (Notice.HasInvalidLimit)
+    Metrics.add("upstream_limits_invalid_total");
+  limit_change Change =
+      updateLimit(Row->Limit, Notice, Call.SentAt, steadyNow());
+  if (Change == limit_change::None)
+    return;
+  upstream_run Run = runOf(Row->Upstream);
+  logLimit(Run, Change, Notice.RequestsPerSecond.value_or(0),
+           "answer to " + Call.Params.Id);
+  if (Change == limit_change::Ended)
+    Permits.tellEnd(Run, permitIssuers());
+}
+
+std::vector<std::string> relay::impl::permitIssuers() const {
+  std::vector<std::string> Addresses;
+  for (const turns::disk_host &Host : Turns.set().allMembers())
+    Addresses.push_back(Host.Address);
+  return Addresses;
+}
+
+void relay::impl::askPermit(relay_call_id Id, upstream_row &Upstream) {
+  relay_call &Call = *Calls.find(Id);
+  time_point Now = steadyNow();
+  upstream_run Run = runOf(Upstream.Upstream);
+  if (Call.Permit == Run) {
+    sendTo(Id, Upstream);
+    return;
+  }
+  permit_wait Wait;
+  Wait.Rank = Call.Route.Rank;
+  Wait.StartsProgram = Call.StartsProgram;
+  Wait.HasAlternative =
+      Upstreams.hasAlternative(Call.Service, Upstream.Upstream.Id, Now);
+  Wait.IsHome = Upstream.Upstream.Id == Call.PreviousUpstream;
+  Wait.Left = Call.Deadline - Now;
+  milliseconds MaxWait = Wait.longest();
+  if (Upstream.BusyUntil > Now + MaxWait) {
+    onPermitDenied(Id, Run, Upstream.BusyUntil - Now);
+    return;
+  }
+  if (Call.Phase != call_phase::Streaming)
+    Call.Phase = call_phase::Opening;
+  Call.HeldSince = Now;
+  Permits.ask(Run, *Upstream.Limit, Wait, permitIssuers(), EntryHosts,
+              [this, Id, Run](const permit_result &Result) {
+                onPermit(Id, Run, Result);
+              });
+}
+
+void relay::impl::onPermit(relay_call_id Id, const upstream_run &Run,
+                           const permit_result &Result) {
+  time_point Now = steadyNow();
+  if (Result.News)
+    readNews(Run, *Result.News, Result.IssuedBy);
+  upstream_row *Row = Upstreams.find(Run.Id);
+  if (Row && runOf(Row->Upstream) == Run)
+    Row->BusyUntil = Now + Result.NextWait;
+  relay_call *Call = Calls.find(Id);
+  if (!Call)
+    return;
+  if (!Result.Granted) {
+    onPermitDenied(Id, Run, Result.NextWait);
+    return;
+  }
+  Call->Permit = Run;
+  if (Result.Wait.count() == 0) {
+    onPermitDue(Id);
+    return;
+  }
+  Metrics.add("limit_calls_held_total");
+  Deadlines->add(Result.Wait, keyOf(Id), static_cast<int>(due_kind::Permit));
+}
+
+void relay::impl::onPermitDue(relay_call_id Id) {
+  relay_call *Call = Calls.find(Id);
+  if (!Call)
+    return;
+  Call->HeldFor += steadyNow() - Call->HeldSince;
+  // send() uses the permit, unless the upstream was lost meanwhile.
+  if (Call->Permit)
+    Call->ResumeAt = Call->Permit->Id;
+  send(Id);
+}
+
+void relay::impl::onPermitDenied(relay_call_id Id, const upstream_run &Run,
+                                 milliseconds NextWait) {
+  relay_call &Call = *Calls.find(Id);
+  Call.Denied.push_back(Run.Id);
+  if (Call.Denied.size() < MaxPermitsDenied) {
+    send(Id);
+    return;
+  }
+  Metrics.add("limit_calls_refused_total");
+  refuse(Id, "the upstreams have reached their limits",
+         std::clamp(NextWait, Settings.RetryAfter, MaxRetryAfter));
+}
+
+void relay::impl::readNews(const upstream_run &Run, const limit_message &News,
+                           std::string_view From) {
+  upstream_row *Row = Upstreams.find(Run.Id);
+  if (!Row || runOf(Row->Upstream) != Run)
+    return;
+  time_point SaidAt = steadyNow() - milliseconds(News.AgeMs);
+  bool IsLater = !Row->Limit || SaidAt > Row->Limit->NamedAt;
+  if (!IsLater || (!News.IsLimited && !Row->Limit))
+    return;
+  if (News.IsLimited) {
+    Row->Limit = request_limit{News.PerSecond, SaidAt};
+    logLimit(Run, limit_change::Changed, News.PerSecond, From);
+  } else {
+    Row->Limit.reset();
+    logLimit(Run, limit_change::Ended, 0, From);
+  }
+}
+
+} // namespace turmerichead::relay
