All hosts together keep the limits that upstreams name

Callers saw nothing.

Cause: an upstream was taken for as large as its entry in the store says; what its answers say was not believed, and no mechanism counts requests of several hosts together.

Now a host asks for a permit before each request to an upstream that has named a limit. For each run of an upstream one disk host issues them, by rendezvous hash, at the pace of the limit (GCRA), and the call waits, moves or is refused. Nothing is stored and nobody is elected. Without any, a host keeps an equal share. Weighed and not taken: equal shares alone (a small limit split among many hosts gives each less than a request in 4 s, and a host without callers leaves its share unused); few hosts for each upstream (their callers are not where the limit is).

--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -36,6 +36,8 @@
   std::optional<time_point> ExpiresAt;
   double EventGapMs = 0; ///< Weighted mean time between events; 0: unknown.
   std::optional<request_limit> Limit; ///< Named by this run of the upstream.
+  /// The limit leaves no permit until then, as far as is known.
+  time_point BusyUntil;
 };
 
 /// The properties of a call that decide which upstream gets it.
@@ -50,6 +52,14 @@
   std::string_view AffinityKey;
   /// Whether no upstream has anything cached for the key.
   bool IsNewChain = false;
+  /// Whether the data centre matters. It does not while limits leave less than
+  /// the slots of the upstreams, which are then used wherever they are.
+  bool PrefersNear = true;
+  /// Whether upstreams without a limit are preferred, as others have denied
+  /// permits.
+  bool AvoidsLimits = false;
+  /// Ids of the upstreams that have denied a permit to the call.
+  std::span<const std::string> Denied;
   std::string_view SpreadKey; ///< Breaks ties, for example the id of the call.
   /// Ids of the upstreams that the call was sent to.
   std::span<const std::string> Tried;
@@ -85,6 +95,14 @@
   /// Returns whether any upstream of the service is ready.
   bool hasReady(std::string_view Service, time_point Now) const;
 
+  /// Returns whether an upstream of the service other than \p Id could run a
+  /// call at once: it is healthy, has a free slot and no exhausted limit.
+  bool hasAlternative(std::string_view Service, std::string_view Id,
+                      time_point Now) const;
+
+  /// Returns whether a ready upstream of the service has named a limit.
+  bool hasLimits(std::string_view Service, time_point Now) const;
+
   /// Returns how many calls the ready upstreams of a service run concurrently.
   std::uint32_t readySlots(std::string_view Service, time_point Now) const;
 
@@ -96,7 +114,8 @@
 private:
   /// Orders the candidates for a call; the lowest rank is the best.
   struct rank {
-    int Penalty = 0; ///< Sum of weighted reasons to avoid the upstream.
+    int Penalty = 0;       ///< Sum of weighted reasons to avoid the upstream.
+    std::int64_t Busy = 0; ///< Time until its limit leaves permits, in steps.
     std::uint32_t Load = 0;
     int Distance = 0; ///< Previous upstream, same data centre, others.
     std::uint64_t Hash = 0;
@@ -108,7 +127,16 @@
   /// service counts as slow, in milliseconds.
   double slowGapMs(std::string_view Service) const;
 
+  /// What a run of an upstream has said of itself, kept while it is not
+  /// registered: its entry may come back.
+  struct remembered_limit {
+    std::int64_t StartedMs = 0;
+    request_limit Limit;
+  };
+  void erase(std::string_view Id);
+
   std::map<std::string, upstream_row, std::less<>> Rows;
+  std::map<std::string, remembered_limit, std::less<>> Remembered;
 };
 
 } // namespace turmerichead::relay
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -4,6 +4,7 @@
 
 #include "turmerichead/net_http.h"
 #include "turmerichead/relay.h"
+#include "turmerichead/relay_permits.h"
 #include "turmerichead/table.h"
 
 #include <algorithm>
@@ -71,6 +72,12 @@
   std::string ResumeAt;
   std::uint32_t ResumesLeft = MaxResumes;
   time_point SentAt;
+  bool StartsProgram = false; ///< It was admitted as a new program.
+  /// Run of an upstream for which it has a permit that is not used yet.
+  std::optional<upstream_run> Permit;
+  std::vector<std::string> Denied; ///< Ids of upstreams that denied a permit.
+  time_point HeldSince;    ///< When it began to wait for the current permit.
+  milliseconds HeldFor{0}; ///< Time spent waiting for permits.
 
   http1::response_head Head;
   std::string Body; ///< Body of an answer that is not a stream.
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -75,7 +75,7 @@
   bool NeedsOpening = Call.isKept() || Call.hasBudget();
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
-  Deadlines->add(Wait, keyOf(Id), 0);
+  Deadlines->add(Wait, keyOf(Id), static_cast<int>(due_kind::Deadline));
   if (refuseQuarantined(Id))
     return;
   if (ExitAt && *ExitAt < Calls.find(Id)->Deadline) {
@@ -94,7 +94,7 @@
 }
 
 bool relay::impl::refuseNewProgram(relay_call_id Id, bool IsRetry) {
-  const relay_call &Call = *Calls.find(Id);
+  relay_call &Call = *Calls.find(Id);
   bool StartsProgram = Call.Route.Kind == call_kind::Stream &&
                        (!Call.isKept() || Call.Params.PreviousTurn.empty());
   if (!StartsProgram)
@@ -105,6 +105,7 @@
   start_request Request{Call.Route.Rank, IsRetry};
   auto Rejection =
       Load.Admission.refusal(Load.Estimator, Capacity, Request, Now);
+  Call.StartsProgram = true;
   if (!Rejection)
     return false;
   log::info("new program rejected",
@@ -240,8 +241,11 @@
        [Raw](http1::exchange_id Id) { Raw->onCallerGone(Id); }});
   if (!Raw->Client || !Raw->Server)
     return std::nullopt;
-  Raw->Deadlines.emplace([Raw](std::uint64_t Key, int /*Kind*/) {
-    Raw->onDeadline(idOf<relay_call>(Key));
+  Raw->Deadlines.emplace([Raw](std::uint64_t Key, int Kind) {
+    if (Kind == static_cast<int>(due_kind::Permit))
+      Raw->onPermitDue(idOf<relay_call>(Key));
+    else
+      Raw->onDeadline(idOf<relay_call>(Key));
   });
   return relay(std::move(Impl));
 }
--- a/src/librelay/relay_limits_test.cpp
+++ b/src/librelay/relay_limits_test.cpp
@@ -114,3 +114,44 @@
   CHECK(F.answered("HTTP/1.1 503") >= 60);
   CHECK(F.answered("HTTP/1.1 ") == F.Callers.size());
 }
+
+TEST_CASE("limit_is_kept_where_disk_hosts_issue_no_permits") {
+  // Disk hosts of an earlier version know nothing of permits.
+  limit_fixture F;
+  F.Disks.IssuesPermits = false;
+  F.LimitHeader = "X-Limit: 2\r\n";
+  F.call(F.Host).waitsFor("done");
+  F.call(*F.Other).waitsFor("done");
+  turnFor(milliseconds(500));
+  time_point Start = steadyNow();
+  F.callFor(milliseconds(4500), milliseconds(100));
+  CHECK(F.mostArrivals(Start) <= allowed(2));
+  CHECK(F.mostArrivals(Start) >= 6);
+}
+
+TEST_CASE("limit_that_has_ended_holds_no_call_back") {
+  limit_fixture F;
+  F.LimitHeader = "X-Limit: 1\r\n";
+  F.call(F.Host).waitsFor("done");
+  F.call(*F.Other).waitsFor("done");
+  F.LimitHeader.clear();
+  turnFor(milliseconds(1100));
+  // One of the hosts learns it from the upstream, the other from a disk host.
+  F.call(F.Host).waitsFor("HTTP/1.1");
+  turnFor(milliseconds(50));
+  F.call(*F.Other).waitsFor("HTTP/1.1");
+  F.callFor(milliseconds(500), milliseconds(25));
+  turnFor(milliseconds(100));
+  CHECK(F.answered("HTTP/1.1 200") == F.Callers.size());
+}
+
+TEST_CASE("limit_moves_calls_to_an_upstream_with_room") {
+  limit_fixture F;
+  F.put("tool-2", "tools", F.OtherTools);
+  F.Other->Relay->putUpstream(
+      {"tool-2", "tools", addressOf(F.OtherTools.port()), "dc", 64, true, 1});
+  F.LimitHeader = "X-Limit: 1\r\n";
+  F.callFor(milliseconds(1500), milliseconds(30));
+  turnFor(milliseconds(300));
+  CHECK(F.answered("HTTP/1.1 200") == F.Callers.size());
+}
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -8,6 +8,7 @@
 #include "turmerichead/relay_admission.h"
 #include "turmerichead/relay_crash_tracker.h"
 #include "turmerichead/relay_links.h"
+#include "turmerichead/relay_permit_client.h"
 #include "turmerichead/relay_program_homes.h"
 
 #include <map>
@@ -24,6 +25,12 @@
 /// programs at a time; an entry takes some 150 bytes.
 inline constexpr std::size_t MinHomes = 4096;
 
+/// What is due in the queue of deadlines.
+enum class due_kind : int {
+  Deadline, ///< The deadline of a call.
+  Permit    ///< The delay of a permit is over.
+};
+
 /// The load of a service and the admission of new programs to it.
 struct service_load {
   slowdown_estimator Estimator;
@@ -55,6 +62,7 @@
   upstream_links Links;
   tunnel_hosts TunnelHosts;
   loop_source LinkCheck; ///< Set while a call waits for its answer.
+  permit_client Permits;
   program_homes Homes{MinHomes};
   call_table Calls;
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
@@ -62,7 +70,8 @@
   impl(relay_settings Settings, header_names Names, turns::client &Turns,
        metrics &Metrics)
       : Settings(std::move(Settings)), Names(std::move(Names)), Turns(Turns),
-        Metrics(Metrics), CrashTracker(this->Settings.Host) {}
+        Metrics(Metrics), CrashTracker(this->Settings.Host),
+        Permits(Turns.links()) {}
 
   // -- Arrival of calls (relay.cpp) --
   void onRequest(http1::exchange_id Exchange, http1::request &&Request);
@@ -76,15 +85,15 @@
   bool refuseNewProgram(relay_call_id Id, bool IsRetry);
 
   // -- Upstreams (relay_send.cpp) --
+  /// Chooses an upstream and sends the call, or asks for a permit first.
   void send(relay_call_id Id);
+  void sendTo(relay_call_id Id, upstream_row &Upstream);
   service_capacity capacityOf(std::string_view Service, time_point Now) const;
   /// Returns the upstream for the next send, or nullptr if none is ready.
   upstream_row *chooseUpstream(relay_call &Call, time_point Now);
   http1::call_request requestFor(const relay_call &Call,
                                  const upstream &Upstream) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
-  /// Takes in what the head of the answer says of the upstream itself.
-  void readNotice(const relay_call &Call, const http1::response_head &Head);
   void onBody(relay_call_id Id, std::string_view Bytes);
   /// Forwards bytes of a stream to the caller; of a resumable stream, only
   /// complete events.
@@ -107,6 +116,22 @@
   /// Takes the call off the in-flight counts of its upstream and service.
   void releaseUpstream(relay_call &Call);
 
+  // -- Limits of upstreams (relay_limits.cpp) --
+  /// Takes in what the head of the answer says of the upstream itself.
+  void readNotice(const relay_call &Call, const http1::response_head &Head);
+  /// Asks for a permit for an upstream that has named a limit.
+  void askPermit(relay_call_id Id, upstream_row &Upstream);
+  void onPermit(relay_call_id Id, const upstream_run &Run,
+                const permit_result &Result);
+  /// The delay of the permit is over, or there was none.
+  void onPermitDue(relay_call_id Id);
+  void onPermitDenied(relay_call_id Id, const upstream_run &Run,
+                      milliseconds NextWait);
+  /// Takes in what another host has heard from the upstream.
+  void readNews(const upstream_run &Run, const limit_message &News,
+                std::string_view From);
+  std::vector<std::string> permitIssuers() const;
+
   // -- Links to upstreams (relay_links.cpp) --
   /// Returns the tunnel server for a call to \p Address, or an empty string if
   /// it goes over the host's own link.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -18,6 +18,9 @@
 // fields without data, and the event itself.
 constexpr std::size_t MaxBytesBetweenEvents = 1U << 20U;
 
+// Denied permits after which a call prefers upstreams without a limit.
+constexpr std::size_t DeniedBeforeAvoided = 2;
+
 bool isSuccess(int Status) {
   constexpr int FirstSuccess = 200;
   constexpr int FirstRedirect = 300;
@@ -40,17 +43,26 @@
     refuse(Id, "no upstream is ready");
     return;
   }
-  std::string Via = viaFor(Upstream->Upstream.Address, Now);
+  if (Upstream->Limit)
+    askPermit(Id, *Upstream);
+  else
+    sendTo(Id, *Upstream);
+}
+
+void relay::impl::sendTo(relay_call_id Id, upstream_row &Upstream) {
+  relay_call &Call = *Calls.find(Id);
+  time_point Now = steadyNow();
+  std::string Via = viaFor(Upstream.Upstream.Address, Now);
   if (Via.empty() && Links.reachesNothing()) {
     refuse(Id, "this host reaches no upstream");
     return;
   }
-  bool WasTried = Call.wasSentTo(Upstream->Upstream.Id);
+  bool WasTried = Call.wasSentTo(Upstream.Upstream.Id);
   Call.Via = std::move(Via);
   ++Call.Attempts;
-  ++Upstream->InFlight;
-  Call.UpstreamId = Upstream->Upstream.Id;
-  Call.SentTo = Upstream->Upstream;
+  ++Upstream.InFlight;
+  Call.UpstreamId = Upstream.Upstream.Id;
+  Call.SentTo = Upstream.Upstream;
   Call.Tried.push_back(Call.UpstreamId);
   if (Call.Phase != call_phase::Streaming) {
     Call.Phase = call_phase::Sent;
@@ -66,18 +78,22 @@
       Homes.record(Call.Params.Program, Call.UpstreamId);
   }
   Call.NotRun = false;
+  if (!Call.Denied.empty())
+    Metrics.add("limit_calls_moved_total");
   log::info("call sent", {{"id", Call.Params.Id},
                           {"upstream", Call.UpstreamId},
                           {"home", Call.PreviousUpstream},
-                          {"in_flight", Upstream->InFlight},
+                          {"in_flight", Upstream.InFlight},
                           {"via", Call.Via},
-                          {"avoided", Upstream->AvoidUntil > Now},
-                          {"vanished", Upstream->ExpiresAt.has_value()},
+                          {"avoided", Upstream.AvoidUntil > Now},
+                          {"vanished", Upstream.ExpiresAt.has_value()},
                           {"attempt", Call.Attempts},
                           {"after_event", Call.Events.lastId()},
                           {"left_ms", (Call.Deadline - Now).count()},
+                          {"held_ms", Call.HeldFor.count()},
+                          {"moved", Call.Denied.size()},
                           {"chain_bytes", Call.Chain.size()}});
-  http1::call_request Request = requestFor(Call, Upstream->Upstream);
+  http1::call_request Request = requestFor(Call, Upstream.Upstream);
   Request.FreshConnection = WasTried;
   Call.Upstream = Client->call(
       std::move(Request),
@@ -110,6 +126,9 @@
         Call.PreviousUpstream.empty() && Call.Params.PreviousTurn.empty();
   }
   Placement.PreviousUpstream = Call.PreviousUpstream;
+  Placement.PrefersNear = !Upstreams.hasLimits(Call.Service, Now);
+  Placement.Denied = Call.Denied;
+  Placement.AvoidsLimits = Call.Denied.size() >= DeniedBeforeAvoided;
   Placement.SpreadKey = Call.Params.Id;
   Placement.Tried = Call.Tried;
   return Upstreams.pick(Placement, Now);
@@ -184,30 +203,6 @@
   Server->begin(Call.Exchange, Head.Status, Headers);
 }
 
-void relay::impl::readNotice(const relay_call &Call,
-                             const http1::response_head &Head) {
-  // Another process has answered a misdirected call.
-  upstream_row *Row = Upstreams.find(Call.SentTo.Id);
-  bool IsSameRun = Row && Row->Upstream.StartedMs == Call.SentTo.StartedMs;
-  if (!Settings.ReadNotice || !IsSameRun ||
-      Head.Status == http1::status::Misdirected)
-    return;
-  upstream_notice Notice = Settings.ReadNotice(Head.Headers);
-  if (Notice.HasInvalidLimit)
-    Metrics.add("upstream_limits_invalid_total");
-  limit_change Change =
-      updateLimit(Row->Limit, Notice, Call.SentAt, steadyNow());
-  if (Change == limit_change::None)
-    return;
-  log::info("upstream limit",
-            {{"upstream", Row->Upstream.Id},
-             {"started_ms", Row->Upstream.StartedMs},
-             {"change", nameOf(Change)},
-             {"per_second", Notice.RequestsPerSecond.value_or(0)},
-             {"evidence", "answer"},
-             {"id", Call.Params.Id}});
-}
-
 void relay::impl::onBody(relay_call_id Id, std::string_view Bytes) {
   relay_call &Call = *Calls.find(Id);
   if (!Call.Streams) {
@@ -365,6 +360,7 @@
     Call.Attempts -= Call.hasResumed() ? 1 : 0;
   }
   releaseUpstream(Call);
+  Call.Permit.reset();
   Call.Body.clear();
   if (Call.Attempts < Call.Route.Attempts)
     send(Id);
@@ -416,6 +412,7 @@
   }
   Upstreams.recordFailure(Call.UpstreamId, Now);
   Call.MayHaveRun = true;
+  Call.Permit.reset();
   recordAbort(Call, abort_kind::Broken);
   releaseUpstream(Call);
   Call.Body.clear();
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -6,6 +6,7 @@
 #include "../libnet/test_loop_pvt.h"
 #include "turmerichead/error.h"
 #include "turmerichead/relay.h"
+#include "turmerichead/relay_permit_client.h"
 #include "turmerichead/turns_forwarder.h"
 #include "turmerichead/turns_replica.h"
 
@@ -76,6 +77,8 @@
   std::string Root;
   turns::disk_set Set{1, 2, {}, {}};
   std::vector<std::optional<turns::replica>> Replicas;
+  std::vector<relay::permit_server> Permits{3};
+  bool IssuesPermits = true; ///< If false, like a host of an earlier version.
 
   disks() {
     std::string Template =
@@ -89,12 +92,24 @@
       Settings.Store.Log.Folder = Root + "/" + Host.Name;
       Settings.Store.FirstStart = true;
       Settings.SharedKey = Key;
-      Replicas.push_back(turns::replica::create(
-          Settings, {[](const turns::disk_set &) {}, {}}));
+      turns::replica_events Events;
+      Events.OnPropose = [](const turns::disk_set &) {};
+      Events.OnUnhandledRequest =
+          [this, Index = Replicas.size()](const peer_request_view &Request) {
+            serve(Index, Request);
+          };
+      Replicas.push_back(turns::replica::create(Settings, std::move(Events)));
       REQUIRE_MESSAGE(Replicas.back(), lastError().Text);
       Replicas.back()->updateSet(Set);
     }
   }
+  void serve(std::size_t Index, const peer_request_view &Request) {
+    peer_server &Server = Replicas[Index]->server();
+    if (IssuesPermits && relay::permit_server::handles(Request.Path))
+      Permits[Index].serve(Server, Request);
+    else
+      Server.end(Request.Reply, {error_code::NotFound, "no such path"});
+  }
   ~disks() {
     Replicas.clear();
     std::filesystem::remove_all(Root);
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -18,6 +18,19 @@
 // service times this factor.
 constexpr double SlowFactor = 2.5;
 
+// Limits of upstreams that are not registered.
+constexpr std::size_t MaxRemembered = 4096;
+// Differences in the time until there are permits that don't count.
+constexpr milliseconds BusyStep{64};
+
+bool contains(std::span<const std::string> Ids, std::string_view Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
+bool isBusy(const upstream_row &Row, time_point Now) {
+  return Row.Limit && Row.BusyUntil > Now;
+}
+
 bool isReady(const upstream_row &Row, std::string_view Service,
              time_point Now) {
   bool Expired = Row.ExpiresAt && *Row.ExpiresAt <= Now;
@@ -35,13 +48,26 @@
     Row->second.AvoidUntil = {};
     Row->second.EventGapMs = 0;
     Row->second.Limit.reset();
+    Row->second.BusyUntil = {};
   }
+  auto Known = Remembered.find(Upstream.Id);
+  if (Known == Remembered.end())
+    return;
+  if (New && Known->second.StartedMs == Upstream.StartedMs)
+    Row->second.Limit = Known->second.Limit;
+  Remembered.erase(Known);
 }
 
-void upstream_table::remove(std::string_view Id) {
+void upstream_table::remove(std::string_view Id) { erase(Id); }
+
+void upstream_table::erase(std::string_view Id) {
   auto Row = Rows.find(Id);
-  if (Row != Rows.end())
-    Rows.erase(Row);
+  if (Row == Rows.end())
+    return;
+  if (Row->second.Limit && Remembered.size() < MaxRemembered)
+    Remembered[Row->first] = {Row->second.Upstream.StartedMs,
+                              *Row->second.Limit};
+  Rows.erase(Row);
 }
 
 void upstream_table::expireAt(std::string_view Id, time_point At) {
@@ -72,26 +98,34 @@
                                             double SlowGapMs,
                                             time_point Now) const {
   const std::string &Id = Row.Upstream.Id;
-  bool Tried = std::find(Placement.Tried.begin(), Placement.Tried.end(), Id) !=
-               Placement.Tried.end();
+  bool Tried = contains(Placement.Tried, Id);
   bool Full = Row.InFlight >= Row.Upstream.Slots;
-  int Penalty = (Tried ? 16 : 0) + (Row.AvoidUntil > Now ? 8 : 0) +
-                (Row.ExpiresAt ? 4 : 0) + (Full ? 2 : 0) +
-                (Row.EventGapMs > SlowGapMs ? 1 : 0);
+  bool Denied = contains(Placement.Denied, Id);
+  bool Busy =
+      Denied || isBusy(Row, Now) || (Placement.AvoidsLimits && Row.Limit);
+  int Penalty = (Busy ? 32 : 0) + (Tried ? 16 : 0) +
+                (Row.AvoidUntil > Now ? 8 : 0) + (Row.ExpiresAt ? 4 : 0) +
+                (Full ? 2 : 0) + (Row.EventGapMs > SlowGapMs ? 1 : 0);
   bool HasAffinity = !Placement.AffinityKey.empty();
   std::uint32_t Load = HasAffinity ? 0 : Row.InFlight;
   int Distance = Id == Placement.PreviousUpstream                  ? 0
                  : Row.Upstream.DataCentre == Placement.DataCentre ? 1
-                                                                   : 2;
+                 : Placement.PrefersNear                           ? 2
+                                                                   : 1;
   std::string_view Key =
       HasAffinity ? Placement.AffinityKey : Placement.SpreadKey;
-  return {Penalty, Load, Distance, hash64(Id, hash64(Key))};
+  std::int64_t BusySteps =
+      Busy ? std::max((Row.BusyUntil - Now) / BusyStep, std::int64_t{0}) : 0;
+  return {Penalty, BusySteps, Load, Distance, hash64(Id, hash64(Key))};
 }
 
 upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
-  std::erase_if(Rows, [&](const auto &Row) {
-    return Row.second.ExpiresAt && *Row.second.ExpiresAt <= Now;
-  });
+  std::vector<std::string> Expired;
+  for (const auto &[Id, Row] : Rows)
+    if (Row.ExpiresAt && *Row.ExpiresAt <= Now)
+      Expired.push_back(Id);
+  for (const std::string &Id : Expired)
+    erase(Id);
   double SlowGapMs = slowGapMs(Placement.Service);
   upstream_row *Best = nullptr;
   upstream_row *Second = nullptr;
@@ -111,7 +145,8 @@
   }
   bool EquallyGood = Second && SecondRank.Penalty == BestRank.Penalty &&
                      SecondRank.Distance == BestRank.Distance;
-  if (Placement.IsNewChain && EquallyGood && Second->EventGapMs > 0 &&
+  bool HasNoHome = Placement.IsNewChain || !Placement.PrefersNear;
+  if (HasNoHome && EquallyGood && Second->EventGapMs > 0 &&
       Second->EventGapMs < Best->EventGapMs)
     return Second;
   return Best;
@@ -123,6 +158,22 @@
   });
 }
 
+bool upstream_table::hasAlternative(std::string_view Service,
+                                    std::string_view Id, time_point Now) const {
+  return std::any_of(Rows.begin(), Rows.end(), [&](const auto &Entry) {
+    const upstream_row &Row = Entry.second;
+    return Entry.first != Id && isReady(Row, Service, Now) &&
+           !isBusy(Row, Now) && Row.InFlight < Row.Upstream.Slots &&
+           Row.AvoidUntil <= Now;
+  });
+}
+
+bool upstream_table::hasLimits(std::string_view Service, time_point Now) const {
+  return std::any_of(Rows.begin(), Rows.end(), [&](const auto &Entry) {
+    return Entry.second.Limit && isReady(Entry.second, Service, Now);
+  });
+}
+
 std::uint32_t upstream_table::readySlots(std::string_view Service,
                                          time_point Now) const {
   std::uint32_t Slots = 0;
