--- a/src/include/turmerichead/relay_notices.h
+++ b/src/include/turmerichead/relay_notices.h
@@ -19,6 +19,9 @@
   std::optional<double> RequestsPerSecond;
   /// A limit is named that cannot be read. What was known before stays valid.
   bool HasInvalidLimit = false;
+  /// The upstream ends soon and wants no new calls. It does not come back; a
+  /// process that starts later is another one.
+  bool IsLeaving = false;
 };
 
 /// A limit that an upstream has named.
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -34,7 +34,8 @@
   time_point AvoidUntil; ///< Others are preferred until then, after a failure.
   /// When the row is removed; unset while the upstream is registered.
   std::optional<time_point> ExpiresAt;
-  double EventGapMs = 0; ///< Weighted mean time between events; 0: unknown.
+  double EventGapMs = 0;  ///< Weighted mean time between events; 0: unknown.
+  bool IsLeaving = false; ///< This run has said in an answer that it leaves.
   std::optional<request_limit> Limit; ///< Named by this run of the upstream.
   /// The limit leaves no permit until then, as far as is known.
   time_point BusyUntil;
--- a/src/librelay/relay_limits.cpp
+++ b/src/librelay/relay_limits.cpp
@@ -42,6 +42,11 @@
   upstream_notice Notice = Settings.ReadNotice(Head.Headers);
   if (Notice.HasInvalidLimit)
     Metrics.add("upstream_limits_invalid_total");
+  if (Notice.IsLeaving && !std::exchange(Row->IsLeaving, true))
+    log::info("upstream leaves", {{"upstream", Row->Upstream.Id},
+                                  {"started_ms", Row->Upstream.StartedMs},
+                                  {"ready_in_store", Row->Upstream.Ready},
+                                  {"evidence", "answer to " + Call.Params.Id}});
   limit_change Change =
       updateLimit(Row->Limit, Notice, Call.SentAt, steadyNow());
   if (Change == limit_change::None)
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -47,6 +47,7 @@
   if (Restarted) {
     Row->second.AvoidUntil = {};
     Row->second.EventGapMs = 0;
+    Row->second.IsLeaving = false;
     Row->second.Limit.reset();
     Row->second.BusyUntil = {};
   }
