DRAIN reproduced by tests of our own

An upstream says in an answer that it leaves, its entry still says ready: the next calls reach it all the same. The third case, that a stream under way goes on, guards the fix.

--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -64,11 +64,12 @@
   return Routing;
 }
 
-/// Reads X-Limit, the requests a second that an upstream takes.
+/// Reads X-Limit, the requests a second that an upstream takes, and X-Leaving.
 inline relay::upstream_notice readNotice(const http1::header_list &Headers) {
   relay::upstream_notice Notice;
   if (const std::string *Limit = Headers.find("X-Limit"))
     Notice.RequestsPerSecond = std::strtod(Limit->c_str(), nullptr);
+  Notice.IsLeaving = Headers.find("X-Leaving") != nullptr;
   return Notice;
 }
 
