An upstream that says it leaves gets no new calls, whatever its entry says

What upstreams saw: requests for seconds after they had said in their answers that they leave, as the store was silent and its last word was "ready".

Now each host keeps what a run of an upstream has said of itself (leaving, limit) in one place, upstream_state, beside its entry, which does not undo it; it ends with the run, and is kept while the entry is away, as it may come back.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -17,6 +17,7 @@
 #include "turmerichead/http1_server.h"
 #include "turmerichead/metrics.h"
 #include "turmerichead/relay_crash_tracker.h"
+#include "turmerichead/relay_permits.h"
 #include "turmerichead/relay_routes.h"
 #include "turmerichead/relay_upstreams.h"
 #include "turmerichead/turns_client.h"
@@ -84,8 +85,9 @@
   /// Sets the addresses of the tunnel servers of other hosts, in order of
   /// preference. Calls to upstreams whose links this host has lost use them.
   void setTunnelHosts(std::span<const std::string> Addresses);
-  /// Whether \p Address is that of an upstream and this host is not cut off
-  /// from upstreams. If it is, its link to the address is probed.
+  /// Whether \p Address is that of an upstream that is not leaving, and this
+  /// host is not cut off from upstreams. If it is, its link to the address is
+  /// probed.
   bool mayReach(const std::string &Address);
   /// Returns the address of another upstream than \p Address, or nullopt.
   std::optional<std::string> otherAddress(std::string_view Address) const;
@@ -93,6 +95,12 @@
   /// upstream.
   void recordLink(std::string_view Address, bool Connected);
 
+  /// Sets the function that is called when an answer has said for the first
+  /// time that its upstream leaves, so that other hosts can be told.
+  void onUpstreamLeaves(std::function<void(const upstream_run &Run)> Action);
+  /// Another host, \p From, has been told by the upstream that it leaves.
+  void recordLeaving(const upstream_run &Run, std::string_view From);
+
   /// Records of requests that crash their upstreams.
   crash_tracker &crashTracker();
   /// Sets the function that is called with the fingerprints whose records this
--- a/src/include/turmerichead/relay_notices.h
+++ b/src/include/turmerichead/relay_notices.h
@@ -6,11 +6,22 @@
 #include "turmerichead/clock.h"
 
 #include <cstdint>
+#include <msgpack.hpp>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace turmerichead::relay {
 
+/// One run of an upstream process. Another process may get its address, or
+/// start under its id.
+struct upstream_run {
+  std::string Id;
+  std::int64_t StartedMs = 0;
+  MSGPACK_DEFINE(Id, StartedMs)
+  friend auto operator<=>(const upstream_run &, const upstream_run &) = default;
+};
+
 /// What the head of one answer says of its upstream. The platform adapter
 /// decodes it.
 struct upstream_notice {
@@ -28,6 +39,19 @@
 struct request_limit {
   double PerSecond = 0; ///< Requests of all hosts together.
   time_point NamedAt;   ///< Arrival of the latest answer that named it.
+  friend bool operator==(const request_limit &,
+                         const request_limit &) = default;
+};
+
+/// What a host believes of one run of an upstream, from its answers and from
+/// other hosts that have received such answers. It outranks the entry of the
+/// upstream in the store, which may be older.
+struct upstream_state {
+  /// Ends with the run only: an entry that still says ready does not undo it.
+  bool IsLeaving = false;
+  std::optional<request_limit> Limit;
+  friend bool operator==(const upstream_state &,
+                         const upstream_state &) = default;
 };
 
 /// How an answer has changed what a host knows of a limit.
--- a/src/include/turmerichead/relay_permits.h
+++ b/src/include/turmerichead/relay_permits.h
@@ -29,15 +29,6 @@
 
 namespace turmerichead::relay {
 
-/// One run of an upstream process. Another process may get its address, or
-/// start under its id.
-struct upstream_run {
-  std::string Id;
-  std::int64_t StartedMs = 0;
-  MSGPACK_DEFINE(Id, StartedMs)
-  friend auto operator<=>(const upstream_run &, const upstream_run &) = default;
-};
-
 // -- Messages between hosts --------------------------------------------------
 // Fields may be added at the end; a host of another version ignores those that
 // it does not know.
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -21,12 +21,16 @@
   std::string Address; ///< "ip:port"
   std::string DataCentre;
   std::uint32_t Slots = 1;
-  bool Ready = false; ///< False while draining: it gets no new calls.
+  bool Ready = false; ///< As registered; see upstream_row::takesCalls().
   /// Start time of the process, which distinguishes two runs with the same id.
   std::int64_t StartedMs = 0;
   friend bool operator==(const upstream &, const upstream &) = default;
 };
 
+inline upstream_run runOf(const upstream &Upstream) {
+  return {Upstream.Id, Upstream.StartedMs};
+}
+
 /// An upstream with the state that this host keeps for it.
 struct upstream_row {
   upstream Upstream;
@@ -34,11 +38,13 @@
   time_point AvoidUntil; ///< Others are preferred until then, after a failure.
   /// When the row is removed; unset while the upstream is registered.
   std::optional<time_point> ExpiresAt;
-  double EventGapMs = 0;  ///< Weighted mean time between events; 0: unknown.
-  bool IsLeaving = false; ///< This run has said in an answer that it leaves.
-  std::optional<request_limit> Limit; ///< Named by this run of the upstream.
+  double EventGapMs = 0; ///< Weighted mean time between events; 0: unknown.
+  upstream_state State;  ///< What this run has said of itself.
   /// The limit leaves no permit until then, as far as is known.
   time_point BusyUntil;
+
+  /// Whether it may get new calls.
+  bool takesCalls() const { return Upstream.Ready && !State.IsLeaving; }
 };
 
 /// The properties of a call that decide which upstream gets it.
@@ -107,6 +113,10 @@
   /// Returns how many calls the ready upstreams of a service run concurrently.
   std::uint32_t readySlots(std::string_view Service, time_point Now) const;
 
+  /// Returns the state of a run, which need not be registered; nullptr if
+  /// another run of the upstream is.
+  upstream_state *stateOf(std::string_view Id, std::int64_t StartedMs);
+
   /// Prefers other upstreams for a short time.
   void recordFailure(std::string_view Id, time_point Now);
   /// Records the time between two events of a stream of the upstream.
@@ -128,16 +138,17 @@
   /// service counts as slow, in milliseconds.
   double slowGapMs(std::string_view Service) const;
 
-  /// What a run of an upstream has said of itself, kept while it is not
-  /// registered: its entry may come back.
-  struct remembered_limit {
+  /// The state of a run whose upstream is not registered. Its entry may come
+  /// back.
+  struct remembered_run {
     std::int64_t StartedMs = 0;
-    request_limit Limit;
+    upstream_state State;
   };
+  upstream_state &remember(std::string_view Id, std::int64_t StartedMs);
   void erase(std::string_view Id);
 
   std::map<std::string, upstream_row, std::less<>> Rows;
-  std::map<std::string, remembered_limit, std::less<>> Remembered;
+  std::map<std::string, remembered_run, std::less<>> Remembered;
 };
 
 } // namespace turmerichead::relay
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -299,7 +299,8 @@
 bool relay::mayReach(const std::string &Address) {
   const auto &Rows = Impl->Upstreams.rows();
   bool Known = std::any_of(Rows.begin(), Rows.end(), [&](const auto &Row) {
-    return Row.second.Upstream.Address == Address;
+    return Row.second.Upstream.Address == Address &&
+           !Row.second.State.IsLeaving;
   });
   if (!Known)
     return false;
@@ -315,7 +316,7 @@
   std::optional<std::string> Other;
   for (const auto &[Id, Row] : Impl->Upstreams.rows()) {
     const upstream &Upstream = Row.Upstream;
-    if (Upstream.Address == Address || !Upstream.Ready)
+    if (Upstream.Address == Address || !Row.takesCalls())
       continue;
     Other = Upstream.Address;
     if (!Impl->Links.isLost(Upstream.Address))
@@ -342,6 +343,14 @@
   Impl->OnCrashRecordsChanged = std::move(Action);
 }
 
+void relay::onUpstreamLeaves(std::function<void(const upstream_run &)> Action) {
+  Impl->OnUpstreamLeaves = std::move(Action);
+}
+
+void relay::recordLeaving(const upstream_run &Run, std::string_view From) {
+  Impl->recordLeaving(Run, From);
+}
+
 void relay::drain(milliseconds Left) {
   Impl->ExitAt = steadyNow() + Left;
   Impl->Server->drain();
--- a/src/librelay/relay_limits.cpp
+++ b/src/librelay/relay_limits.cpp
@@ -3,10 +3,6 @@
 
 #include "relay_pvt.h"
 
-#include "turmerichead/log.h"
-
-#include <nlohmann/json.hpp>
-
 namespace turmerichead::relay {
 
 namespace {
@@ -16,48 +12,8 @@
 // A refused caller does not come back later than this.
 constexpr milliseconds MaxRetryAfter{3000};
 
-upstream_run runOf(const upstream &Upstream) {
-  return {Upstream.Id, Upstream.StartedMs};
-}
-
-void logLimit(const upstream_run &Run, limit_change Change, double PerSecond,
-              std::string_view Evidence) {
-  log::info("upstream limit", {{"upstream", Run.Id},
-                               {"started_ms", Run.StartedMs},
-                               {"change", nameOf(Change)},
-                               {"per_second", PerSecond},
-                               {"evidence", Evidence}});
-}
-
 } // namespace
 
-void relay::impl::readNotice(const relay_call &Call,
-                             const http1::response_head &Head) {
-  // Another process has answered a misdirected call.
-  upstream_row *Row = Upstreams.find(Call.SentTo.Id);
-  bool IsSameRun = Row && Row->Upstream.StartedMs == Call.SentTo.StartedMs;
-  if (!Settings.ReadNotice || !IsSameRun ||
-      Head.Status == http1::status::Misdirected)
-    return;
-  upstream_notice Notice = Settings.ReadNotice(Head.Headers);
-  if (Notice.HasInvalidLimit)
-    Metrics.add("upstream_limits_invalid_total");
-  if (Notice.IsLeaving && !std::exchange(Row->IsLeaving, true))
-    log::info("upstream leaves", {{"upstream", Row->Upstream.Id},
-                                  {"started_ms", Row->Upstream.StartedMs},
-                                  {"ready_in_store", Row->Upstream.Ready},
-                                  {"evidence", "answer to " + Call.Params.Id}});
-  limit_change Change =
-      updateLimit(Row->Limit, Notice, Call.SentAt, steadyNow());
-  if (Change == limit_change::None)
-    return;
-  upstream_run Run = runOf(Row->Upstream);
-  logLimit(Run, Change, Notice.RequestsPerSecond.value_or(0),
-           "answer to " + Call.Params.Id);
-  if (Change == limit_change::Ended)
-    Permits.tellEnd(Run, permitIssuers());
-}
-
 std::vector<std::string> relay::impl::permitIssuers() const {
   std::vector<std::string> Addresses;
   for (const turns::disk_host &Host : Turns.set().allMembers())
@@ -88,7 +44,7 @@
   if (Call.Phase != call_phase::Streaming)
     Call.Phase = call_phase::Opening;
   Call.HeldSince = Now;
-  Permits.ask(Run, *Upstream.Limit, Wait, permitIssuers(), EntryHosts,
+  Permits.ask(Run, *Upstream.State.Limit, Wait, permitIssuers(), EntryHosts,
               [this, Id, Run](const permit_result &Result) {
                 onPermit(Id, Run, Result);
               });
@@ -142,22 +98,4 @@
          std::clamp(NextWait, Settings.RetryAfter, MaxRetryAfter));
 }
 
-void relay::impl::readNews(const upstream_run &Run, const limit_message &News,
-                           std::string_view From) {
-  upstream_row *Row = Upstreams.find(Run.Id);
-  if (!Row || runOf(Row->Upstream) != Run)
-    return;
-  time_point SaidAt = steadyNow() - milliseconds(News.AgeMs);
-  bool IsLater = !Row->Limit || SaidAt > Row->Limit->NamedAt;
-  if (!IsLater || (!News.IsLimited && !Row->Limit))
-    return;
-  if (News.IsLimited) {
-    Row->Limit = request_limit{News.PerSecond, SaidAt};
-    logLimit(Run, limit_change::Changed, News.PerSecond, From);
-  } else {
-    Row->Limit.reset();
-    logLimit(Run, limit_change::Ended, 0, From);
-  }
-}
-
 } // namespace turmerichead::relay
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -52,6 +52,7 @@
   std::size_t EntryHosts = 1; ///< Including this one.
   crash_tracker CrashTracker;
   std::function<void(std::span<const std::uint64_t>)> OnCrashRecordsChanged;
+  std::function<void(const upstream_run &)> OnUpstreamLeaves;
   /// The probing of an address at which a call broke.
   struct probe_state {
     upstream Upstream;
@@ -116,9 +117,17 @@
   /// Takes the call off the in-flight counts of its upstream and service.
   void releaseUpstream(relay_call &Call);
 
-  // -- Limits of upstreams (relay_limits.cpp) --
+  // -- What upstreams say of themselves (relay_notices.cpp) --
   /// Takes in what the head of the answer says of the upstream itself.
   void readNotice(const relay_call &Call, const http1::response_head &Head);
+  /// Sends the upstream no new calls from now on. Returns whether it was not
+  /// known to leave.
+  bool recordLeaving(const upstream_run &Run, std::string_view Evidence);
+  /// Takes in what another host has heard of a limit.
+  void readNews(const upstream_run &Run, const limit_message &News,
+                std::string_view From);
+
+  // -- Limits of upstreams (relay_limits.cpp) --
   /// Asks for a permit for an upstream that has named a limit.
   void askPermit(relay_call_id Id, upstream_row &Upstream);
   void onPermit(relay_call_id Id, const upstream_run &Run,
@@ -127,9 +136,6 @@
   void onPermitDue(relay_call_id Id);
   void onPermitDenied(relay_call_id Id, const upstream_run &Run,
                       milliseconds NextWait);
-  /// Takes in what another host has heard from the upstream.
-  void readNews(const upstream_run &Run, const limit_message &News,
-                std::string_view From);
   std::vector<std::string> permitIssuers() const;
 
   // -- Links to upstreams (relay_links.cpp) --
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -43,7 +43,7 @@
     refuse(Id, "no upstream is ready");
     return;
   }
-  if (Upstream->Limit)
+  if (Upstream->State.Limit)
     askPermit(Id, *Upstream);
   else
     sendTo(Id, *Upstream);
@@ -113,7 +113,7 @@
 
 upstream_row *relay::impl::chooseUpstream(relay_call &Call, time_point Now) {
   upstream_row *Previous = Upstreams.find(std::exchange(Call.ResumeAt, {}));
-  if (Previous && Previous->Upstream.Ready)
+  if (Previous && Previous->takesCalls())
     return Previous;
   placement Placement;
   Placement.Service = Call.Service;
@@ -374,10 +374,10 @@
   relay_call &Call = *Calls.find(Id);
   if (!Call.Route.Resumable || Call.ResumesLeft == 0)
     return false;
-  // A draining upstream takes no new calls although it may still run, so
+  // A leaving upstream takes no new calls although it may still run, so
   // another one would get the call. That requires an attempt to be left.
   const upstream_row *Previous = Upstreams.find(Call.SentTo.Id);
-  if (Previous && !Previous->Upstream.Ready &&
+  if (Previous && !Previous->takesCalls() &&
       Call.Attempts >= Call.Route.Attempts)
     return false;
   --Call.ResumesLeft;
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -18,7 +18,7 @@
 // service times this factor.
 constexpr double SlowFactor = 2.5;
 
-// Limits of upstreams that are not registered.
+// States of upstreams that are not registered.
 constexpr std::size_t MaxRemembered = 4096;
 // Differences in the time until there are permits that don't count.
 constexpr milliseconds BusyStep{64};
@@ -28,13 +28,13 @@
 }
 
 bool isBusy(const upstream_row &Row, time_point Now) {
-  return Row.Limit && Row.BusyUntil > Now;
+  return Row.State.Limit && Row.BusyUntil > Now;
 }
 
 bool isReady(const upstream_row &Row, std::string_view Service,
              time_point Now) {
   bool Expired = Row.ExpiresAt && *Row.ExpiresAt <= Now;
-  return Row.Upstream.Service == Service && Row.Upstream.Ready && !Expired;
+  return Row.Upstream.Service == Service && Row.takesCalls() && !Expired;
 }
 
 } // namespace
@@ -47,15 +47,14 @@
   if (Restarted) {
     Row->second.AvoidUntil = {};
     Row->second.EventGapMs = 0;
-    Row->second.IsLeaving = false;
-    Row->second.Limit.reset();
+    Row->second.State = {};
     Row->second.BusyUntil = {};
   }
   auto Known = Remembered.find(Upstream.Id);
   if (Known == Remembered.end())
     return;
   if (New && Known->second.StartedMs == Upstream.StartedMs)
-    Row->second.Limit = Known->second.Limit;
+    Row->second.State = Known->second.State;
   Remembered.erase(Known);
 }
 
@@ -65,12 +64,32 @@
   auto Row = Rows.find(Id);
   if (Row == Rows.end())
     return;
-  if (Row->second.Limit && Remembered.size() < MaxRemembered)
-    Remembered[Row->first] = {Row->second.Upstream.StartedMs,
-                              *Row->second.Limit};
+  if (Row->second.State != upstream_state{})
+    remember(Id, Row->second.Upstream.StartedMs) = Row->second.State;
   Rows.erase(Row);
 }
 
+upstream_state &upstream_table::remember(std::string_view Id,
+                                         std::int64_t StartedMs) {
+  auto Known = Remembered.find(Id);
+  if (Known == Remembered.end()) {
+    if (Remembered.size() >= MaxRemembered)
+      Remembered.erase(Remembered.begin());
+    Known = Remembered.try_emplace(std::string(Id)).first;
+  }
+  if (Known->second.StartedMs != StartedMs)
+    Known->second = {StartedMs, {}};
+  return Known->second.State;
+}
+
+upstream_state *upstream_table::stateOf(std::string_view Id,
+                                        std::int64_t StartedMs) {
+  upstream_row *Row = find(Id);
+  if (!Row)
+    return &remember(Id, StartedMs);
+  return Row->Upstream.StartedMs == StartedMs ? &Row->State : nullptr;
+}
+
 void upstream_table::expireAt(std::string_view Id, time_point At) {
   if (upstream_row *Row = find(Id))
     Row->ExpiresAt = At;
@@ -103,7 +122,7 @@
   bool Full = Row.InFlight >= Row.Upstream.Slots;
   bool Denied = contains(Placement.Denied, Id);
   bool Busy =
-      Denied || isBusy(Row, Now) || (Placement.AvoidsLimits && Row.Limit);
+      Denied || isBusy(Row, Now) || (Placement.AvoidsLimits && Row.State.Limit);
   int Penalty = (Busy ? 32 : 0) + (Tried ? 16 : 0) +
                 (Row.AvoidUntil > Now ? 8 : 0) + (Row.ExpiresAt ? 4 : 0) +
                 (Full ? 2 : 0) + (Row.EventGapMs > SlowGapMs ? 1 : 0);
@@ -171,7 +190,7 @@
 
 bool upstream_table::hasLimits(std::string_view Service, time_point Now) const {
   return std::any_of(Rows.begin(), Rows.end(), [&](const auto &Entry) {
-    return Entry.second.Limit && isReady(Entry.second, Service, Now);
+    return Entry.second.State.Limit && isReady(Entry.second, Service, Now);
   });
 }
 
