Hosts tell each other which upstreams have said that they leave

What upstreams saw: a host that copies bytes for another one, which has lost its links, passes on an answer that says so without reading it, and goes on to send calls of its own. Its rule is broken, although the host that owns the call knows.

The others stop before a call of theirs has to find out. A host that was told opens no new tunnels to the upstream and closes idle ones. Hosts of an earlier version answer that they know no such path, and are not asked again. Weighed and not taken: reading heads in the tunnel server, which would have to parse what it copies; telling only the helping host, which leaves all others to find out by a call.

--- a/src/librelay/relay_leaving_test.cpp
+++ b/src/librelay/relay_leaving_test.cpp
@@ -2,6 +2,7 @@
 // calls them ready.
 
 #include "test_relay_pvt.h"
+#include "turmerichead/relay_leaving_gossip.h"
 
 #include <deque>
 
@@ -119,3 +120,71 @@
   REQUIRE(First.waitsFor("0\r\n\r\n"));
   CHECK(F.Llm.Connections.size() == 1);
 }
+
+TEST_CASE("drain_host_whose_tunnel_passed_the_answer_on_is_told") {
+  // It copies bytes for a host that has lost its links, cannot read that the
+  // upstream leaves, and sent its own calls there.
+  leaving_fixture F;
+  entry_host Helper("helper", F.Disks);
+  Helper.Relay->putUpstream(
+      {"tool-1", "tools", addressOf(F.Tools.port()), "dc", 4, true, 1});
+  REQUIRE(Helper.Relay->mayReach(addressOf(F.Tools.port())));
+  std::string HelperAddress = freeAddress();
+  relay::leaving_gossip Received(
+      Helper.Turns->links(),
+      [&](const relay::upstream_run &Run, std::string_view From) {
+        CHECK(From == "entry");
+        Helper.Relay->recordLeaving(Run, From);
+      });
+  std::optional<turns::forwarder> Server;
+  auto Listen = [&] {
+    Server = turns::forwarder::create(
+        HelperAddress, Key, Helper.Turns->links(),
+        [&](const peer_request_view &Request) {
+          REQUIRE(relay::leaving_gossip::handles(Request.Path));
+          Received.serve(Server->server(), Request);
+        });
+    REQUIRE(Server);
+  };
+  relay::leaving_gossip Gossip(F.Turns->links(), {});
+  Gossip.setPeers({HelperAddress});
+  F.Relay->onUpstreamLeaves(
+      [&](const relay::upstream_run &Run) { Gossip.propagate(Run); });
+  SUBCASE("at once") {
+    Listen();
+    F.leave();
+  }
+  SUBCASE("after it could not be reached") {
+    F.leave();
+    turnFor(milliseconds(200));
+    Listen();
+  }
+  REQUIRE(turnUntil(
+      [&] { return !Helper.Relay->mayReach(addressOf(F.Tools.port())); }));
+  caller Caller(Helper.Address);
+  Caller.send(F.request("POST", "/book/1", "c9"));
+  REQUIRE(Caller.waitsFor("\r\n\r\n"));
+  CHECK(Caller.has("HTTP/1.1 503"));
+}
+
+TEST_CASE("drain_host_of_an_earlier_version_is_not_told_again_and_again") {
+  leaving_fixture F;
+  std::string Address = freeAddress();
+  int Requests = 0;
+  std::optional<turns::forwarder> Server;
+  Server = turns::forwarder::create(
+      Address, Key, F.Turns->links(), [&](const peer_request_view &Request) {
+        ++Requests;
+        Server->server().end(Request.Reply,
+                             {error_code::NotFound, "no such path"});
+      });
+  REQUIRE(Server);
+  relay::leaving_gossip Gossip(F.Turns->links(), {});
+  Gossip.setPeers({Address});
+  F.Relay->onUpstreamLeaves(
+      [&](const relay::upstream_run &Run) { Gossip.propagate(Run); });
+  F.leave();
+  REQUIRE(turnUntil([&] { return Requests > 0; }));
+  turnFor(milliseconds(1200));
+  CHECK(Requests == 1);
+}
