A stopping host refuses calls that arrive after its last check

What callers saw: a host that had no call left ended 0.2 s later. A request of which a part had been read by then, and whose rest came in that time, was passed on to an upstream and cut off, also one that must not be repeated (LOST). Kept connections with part of a request are not idle, so they stayed open, and the time of the exit that calls are checked against was still the end of the grace.

Test stop_call_that_arrives_after_the_last_check_is_not_sent: before, the call reached the upstream and got no answer. Now the last step sets the time of the exit, so that the call is refused as not run, with the time to come back.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -114,8 +114,9 @@
   void drain(milliseconds Left);
   /// Stops accepting connections.
   void stopAccepting();
-  /// Closes connections without a call in flight.
-  void closeIdle();
+  /// Ends the shutdown, shortly before the process exits: closes connections
+  /// without a call. A call whose last bytes arrive from now on is refused.
+  void endDrain();
   std::size_t callsUnderWay() const;
 
   /// Updates the gauges in the metrics.
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -357,7 +357,12 @@
 }
 
 void relay::stopAccepting() { Impl->Server->stopAccepting(); }
-void relay::closeIdle() { Impl->Server->closeIdle(); }
+
+void relay::endDrain() {
+  Impl->ExitAt = steadyNow();
+  Impl->Server->closeIdle();
+}
+
 std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
 
 void relay::publish() const {
