A host that stops gives calls under way their final answers

What callers saw: a call that was under way when the grace ran out was cut off when the process exited: a request with a longer timeout than the grace, or one that had been taken under a shorter grace, ended with a closed connection and no answer, also where it must not be repeated (LOST).

Test stop_calls_under_way_at_the_end_get_their_final_answers: before, two calls were still under way and had no answer. Now the last step ends them: not run (503) if they were not sent, 504 if an upstream may have run them, and an answer that has begun is broken off so that it does not look complete.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -115,7 +115,9 @@
   /// Stops accepting connections.
   void stopAccepting();
   /// Ends the shutdown, shortly before the process exits: closes connections
-  /// without a call. A call whose last bytes arrive from now on is refused.
+  /// without a call, and gives calls under way their final answer, which says
+  /// that they were not run only if they were not sent. A call whose last bytes
+  /// arrive from now on is refused.
   void endDrain();
   std::size_t callsUnderWay() const;
 
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -222,6 +222,22 @@
   }
 }
 
+void relay::impl::endAtExit(relay_call_id Id) {
+  constexpr std::string_view Reason = "the host has stopped";
+  switch (Calls.find(Id)->Phase) {
+  case call_phase::Opening:
+    refuse(Id, Reason);
+    return;
+  case call_phase::Sent:
+    failCall(Id, http1::status::GatewayTimeout, Reason);
+    return;
+  case call_phase::Streaming:
+  case call_phase::Keeping:
+    abortResponse(Id, Reason);
+    return;
+  }
+}
+
 // -- Public interface --------------------------------------------------------
 
 std::optional<relay> relay::create(relay_settings Settings, header_names Names,
@@ -361,6 +377,11 @@
 void relay::endDrain() {
   Impl->ExitAt = steadyNow();
   Impl->Server->closeIdle();
+  std::vector<relay_call_id> UnderWay;
+  Impl->Calls.forEach(
+      [&](relay_call_id Id, relay_call &) { UnderWay.push_back(Id); });
+  for (relay_call_id Id : UnderWay)
+    Impl->endAtExit(Id);
 }
 
 std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -79,6 +79,8 @@
   /// The caller has closed its connection.
   void onCallerGone(http1::exchange_id Exchange);
   void onDeadline(relay_call_id Id);
+  /// The process exits although the call has not ended.
+  void endAtExit(relay_call_id Id);
   /// Opens the turn at the disk hosts, then sends the call.
   void openTurn(relay_call_id Id);
   /// Refuses a call that starts a program if no program may start now.
--- a/src/librelay/relay_stop_test.cpp
+++ b/src/librelay/relay_stop_test.cpp
@@ -25,3 +25,26 @@
   turnFor(milliseconds(50));
   CHECK(F.Tools.Connections.empty());
 }
+
+TEST_CASE("stop_calls_under_way_at_the_end_get_their_final_answers") {
+  // They were cut off without an answer when the process ended.
+  fixture F;
+  caller Booking(F.Address);
+  Booking.send(F.request("POST", "/book/1", "c1", {}, "b"));
+  REQUIRE(F.received(F.Tools, "X-Call: c1"));
+  caller Stream(F.Address);
+  Stream.send(F.request("POST", "/talk/1", "t1"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  F.Llm.send(0, streamHead("t1") + chunk("data: a\n\n"));
+  REQUIRE(Stream.waitsFor("data: a"));
+  F.Relay->drain(milliseconds(1000));
+  F.Relay->stopAccepting();
+  F.Relay->endDrain();
+  turnFor(milliseconds(100));
+  CHECK(F.Relay->callsUnderWay() == 0);
+  CHECK(Booking.has("HTTP/1.1 504"));
+  CHECK(Booking.has("Connection: close"));
+  // Without the last chunk it does not look complete.
+  CHECK(Stream.Closed);
+  CHECK(!Stream.has("0\r\n\r\n"));
+}
