Tests over real processes: limits, leaving upstreams, and two versions side by side

mixed_versions_read_each_others_messages: the daemon of the last landing, built from the history, runs in four of six hosts and is replaced host by host under load.

--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -213,7 +213,9 @@
             "--control=" + Member.Ip + ":" + std::to_string(StoreControlPort)};
   case role::Entry:
   case role::Disk:
-    return {Settings.Bin + "/turmerichead", "--platform"};
+    return {Member.UsesOther ? Settings.OtherDaemon
+                             : Settings.Bin + "/turmerichead",
+            "--platform"};
   case role::Runner:
   case role::Tool:
     break;
@@ -267,6 +269,11 @@
   return true;
 }
 
+void fleet::useOther(const std::string &Name, bool UsesOther) {
+  role Role = Name.starts_with("disk") ? role::Disk : role::Entry;
+  place(Name, Role).UsesOther = UsesOther;
+}
+
 bool fleet::startMember(const std::string &Name, bool Fresh) {
   member *Member = find(Name);
   return Member && !isRunning(Name) && spawn(*Member, Fresh);
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -26,8 +26,9 @@
 namespace turmerichead::fleet_harness {
 
 struct fleet_settings {
-  std::string Scratch; ///< Emptied at the start.
-  std::string Bin;     ///< Where the programs are.
+  std::string Scratch;     ///< Emptied at the start.
+  std::string Bin;         ///< Where the programs are.
+  std::string OtherDaemon; ///< The daemon of another version; see useOther().
   int Entries = 3;
   int Disks = 3;
   int DiskFaults = 1;
@@ -55,6 +56,7 @@
   time_point StartedAt;
   time_point EndedAt; ///< Zero while it runs, or was ended by the test.
   bool Restarts = false;
+  bool UsesOther = false; ///< Runs fleet_settings::OtherDaemon.
   std::unique_ptr<standin::tcp_link> CallerLink; ///< If the fleet has links.
   std::unique_ptr<standin::tcp_link> StoreLink;
 };
@@ -103,6 +105,10 @@
   std::vector<std::string> entriesInTouch();
   std::string callerAddress(const std::string &Entry);
 
+  /// Sets whether a host runs the daemon of the other version from its next
+  /// start on. Before start(), the name may be that of a host to come.
+  void useOther(const std::string &Name, bool UsesOther);
+
   /// Starts a process that has ended, or a new one of the role.
   bool startMember(const std::string &Name, bool Fresh = false);
   /// A new host of the role, an entry or a disk host.
--- /dev/null
+++ b/testsuite/fleet/mixed_versions_test.cpp
@@ -0,0 +1,86 @@
+// Hosts of the last landing's version beside hosts of this one, while they are
+// replaced one after the other. Run by tools/mixed_versions.sh.
+
+#include "callers.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+using namespace turmerichead;
+using namespace turmerichead::fleet_harness;
+
+namespace {
+
+/// Returns the lines of all logs that tell of a message that a host could not
+/// read.
+std::vector<std::string> unreadable(const std::string &Folder) {
+  std::vector<std::string> Lines;
+  for (const auto &File : std::filesystem::directory_iterator(Folder)) {
+    if (File.path().extension() != ".log")
+      continue;
+    std::ifstream Input(File.path());
+    for (std::string Line; std::getline(Input, Line);)
+      if (Line.find("failed to decode") != std::string::npos ||
+          Line.find("message between hosts:") != std::string::npos)
+        Lines.push_back(File.path().filename().string() + ": " + Line);
+  }
+  return Lines;
+}
+
+void upgrade(fleet &Fleet, const std::string &Name) {
+  constexpr milliseconds StopBound{12'000};
+  Fleet.signal(Name, SIGTERM);
+  CHECK(Fleet.wait(StopBound, [&] { return !Fleet.isRunning(Name); }));
+  Fleet.useOther(Name, false);
+  REQUIRE(Fleet.startMember(Name));
+}
+
+} // namespace
+
+TEST_CASE("mixed_versions_read_each_others_messages") {
+  const char *Other = std::getenv("FLEET_OTHER_DAEMON");
+  REQUIRE_MESSAGE(Other, "FLEET_OTHER_DAEMON: needed, see "
+                         "tools/mixed_versions.sh");
+  fleet_settings Settings;
+  Settings.Bin = FLEET_BIN;
+  Settings.Scratch = std::string(FLEET_SCRATCH) + "/mixed";
+  Settings.OtherDaemon = Other;
+  fleet Fleet(Settings);
+  // All hosts run the earlier version but one of each role.
+  for (const char *Name : {"entry-1", "entry-2", "disk-1", "disk-2"})
+    Fleet.useOther(Name, true);
+  REQUIRE(Fleet.start());
+  sound_traffic Traffic(Fleet, 12, 1);
+  Fleet.pause(milliseconds(2000));
+  Fleet.order("runner-0", {{"limit", 3}});
+  Fleet.order("tool-0", {{"limit", 3}});
+  Fleet.order("runner-1", {{"leaving", true}});
+  Fleet.pause(milliseconds(2000));
+  for (const char *Name : {"entry-1", "disk-1", "entry-2", "disk-2"}) {
+    upgrade(Fleet, Name);
+    Fleet.pause(milliseconds(1500));
+  }
+  std::int64_t From = wallNowMs();
+  Fleet.pause(milliseconds(3000));
+  Traffic.stop();
+  Fleet.pause(milliseconds(500));
+  // Every host is of this version now and has heard that it leaves.
+  std::size_t Late = 0;
+  for (const run_line &Line : Fleet.runs())
+    if (Line.What == "run" && Line.Upstream == "i-runner-1-0" &&
+        Line.AtMs > From + 2000)
+      ++Late;
+  CHECK(Late == 0);
+  for (const std::string &Line : unreadable(Settings.Scratch))
+    FAIL_CHECK(Line);
+  const sound_counts &Counts = Traffic.counts();
+  MESSAGE("sound: " << Counts.Turns << " requests, " << Counts.Answered
+                    << " answered, " << Counts.Refused << " refused, "
+                    << Counts.Broken << " broken");
+  CHECK(Counts.Wrong == 0);
+  CHECK(Counts.Answered > Counts.Turns / 2);
+}
--- a/testsuite/standins/upstream_engine.cpp
+++ b/testsuite/standins/upstream_engine.cpp
@@ -144,6 +144,7 @@
   http1::header_list Echo;
   if (const std::string *Attempt = Request.Headers.find("Request-Attempt-Id"))
     Echo.add("Request-Attempt-Id", *Attempt);
+  addNotices(Echo);
   if (Request.Target == "/health") {
     Echo.add("Instance-Id", Settings.Id);
     bool Well = !Bad.Sick && !Bad.Draining;
@@ -163,6 +164,13 @@
   begin(Id, Request);
 }
 
+void upstream_engine::addNotices(http1::header_list &Headers) const {
+  if (Bad.Limit >= 0)
+    Headers.add("Server-Limit", std::to_string(Bad.Limit));
+  if (Bad.Leaving)
+    Headers.add("Server-Leaving", "1");
+}
+
 void upstream_engine::begin(http1::exchange_id Id,
                             const http1::request &Request) {
   run Run;
@@ -181,6 +189,7 @@
     return;
   http1::header_list Headers = {{"Request-Attempt-Id", Run.Attempt},
                                 {"Response-Signature", Run.Mark}};
+  addNotices(Headers);
   if (happens(Bad.Errors)) {
     Server->respond(Id, ServerError, Headers, "an error of the upstream");
     return;
@@ -212,6 +221,8 @@
   Bad.SlowFactor = Order.value("slow_factor", Bad.SlowFactor);
   Bad.Draining = Order.value("draining", Bad.Draining);
   Bad.Sick = Order.value("sick", Bad.Sick);
+  Bad.Limit = Order.value("limit", Bad.Limit);
+  Bad.Leaving = Order.value("leaving", Bad.Leaving);
   registerSelf();
   Server->respond(Id, http1::status::Ok, {}, "{}");
 }
@@ -263,6 +274,7 @@
 void upstream_engine::answerPlain(run &Run) {
   http1::header_list Headers = {{"Request-Attempt-Id", Run.Attempt},
                                 {"Response-Signature", Run.Mark}};
+  addNotices(Headers);
   if (Run.Crash == CrashMidwayMark) {
     Server->begin(Run.Exchange, http1::status::Ok, Headers);
     Server->write(Run.Exchange, "half of an ans");
--- a/testsuite/standins/upstream_engine.h
+++ b/testsuite/standins/upstream_engine.h
@@ -63,6 +63,8 @@
     double SlowFactor = 1;
     bool Draining = false;
     bool Sick = false; ///< The health path says no.
+    double Limit = -1; ///< Requests a second that answers name; below 0: none.
+    bool Leaving = false; ///< Answers say so; the entry in the store does not.
   };
 
   void onRequest(http1::exchange_id Id, const http1::request &Request);
@@ -71,6 +73,8 @@
   void tick();
   bool advance(run &Run);
   void answerPlain(run &Run);
+  /// Adds what the upstream says of itself.
+  void addNotices(http1::header_list &Headers) const;
   void note(std::string_view What, const run &Run);
   bool happens(double Share);
   void registerSelf();
--- a/testsuite/standins/upstream_main.cpp
+++ b/testsuite/standins/upstream_main.cpp
@@ -1,7 +1,8 @@
 /// \file
 /// Stand-in for an upstream of the platform, as a process. `POST /control`
 /// takes shares of requests that go wrong: {"errors", "lost", "hang",
-/// "endless", "slow_factor", "draining", "sick"}.
+/// "endless", "slow_factor", "draining", "sick"}, and what answers say:
+/// {"limit", "leaving"}.
 
 #include "upstream_engine.h"
 
