--- a/src/include/turmerichead/relay_leaving_gossip.h
+++ b/src/include/turmerichead/relay_leaving_gossip.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <msgpack.hpp>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,7 +48,7 @@
       : Links(Links), OnReceived(std::move(OnReceived)) {}
 
   /// Sets the peer addresses of the other entry hosts.
-  void setPeers(std::vector<std::string> Addresses);
+  void setPeers(std::span<const std::string> Addresses);
 
   /// Tells all other hosts of a run that leaves.
   void propagate(const upstream_run &Run);
--- a/src/include/turmerichead/relay_permit_client.h
+++ b/src/include/turmerichead/relay_permit_client.h
@@ -43,11 +43,12 @@
 
 private:
   struct question;
-  void askNext(std::shared_ptr<question> Question);
+  void askNext(const std::shared_ptr<question> &Question);
   permit_result takeOwnShare(const question &Question);
   /// \p Done gets nullopt if there was no valid reply in time.
-  void send(const std::string &Address, const permit_request &Request,
-            std::function<void(const std::optional<permit_reply> &)> Done);
+  void
+  send(const std::string &Address, const permit_request &Request,
+       const std::function<void(const std::optional<permit_reply> &)> &Done);
 
   peer_links &Links;
   issuer_order Order;
--- a/src/librelay/leaving_gossip.cpp
+++ b/src/librelay/leaving_gossip.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void leaving_gossip::setPeers(std::vector<std::string> Addresses) {
+void leaving_gossip::setPeers(std::span<const std::string> Addresses) {
   std::map<std::string, peer, std::less<>> Kept;
   for (const std::string &Address : Addresses)
     Kept.try_emplace(Address);
--- a/src/librelay/permit_client.cpp
+++ b/src/librelay/permit_client.cpp
@@ -47,10 +47,10 @@
   Question->DiskHosts.assign(DiskHosts.begin(), DiskHosts.end());
   Question->Hosts = Hosts;
   Question->Done = std::move(Done);
-  askNext(std::move(Question));
+  askNext(Question);
 }
 
-void permit_client::askNext(std::shared_ptr<question> Question) {
+void permit_client::askNext(const std::shared_ptr<question> &Question) {
   time_point Now = steadyNow();
   auto Issuer = Order.pick(Question->Upstream, Question->DiskHosts, Now);
   if (!Issuer || Question->Asked >= MaxAsked) {
@@ -121,7 +121,7 @@
 
 void permit_client::send(
     const std::string &Address, const permit_request &Request,
-    std::function<void(const std::optional<permit_reply> &)> Done) {
+    const std::function<void(const std::optional<permit_reply> &)> &Done) {
   std::uint64_t Number = ++NextNumber;
   auto Reply = std::make_shared<std::optional<permit_reply>>();
   Links.setAddress(Address, Address);
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -116,6 +116,10 @@
     Line["reason"] = Reason;
   if (Call.SentAt.Ms > 0)
     Line["sent_ms"] = (Call.SentAt - Call.Arrived).count();
+  if (Call.HeldFor.count() > 0)
+    Line["held_ms"] = Call.HeldFor.count();
+  if (!Call.Denied.empty())
+    Line["denied"] = Call.Denied;
   if (Call.EventCount > 0) {
     Line["events"] = Call.EventCount;
     Line["first_ms"] = (Call.FirstEvent - Call.Arrived).count();
--- a/src/librelay/relay_leaving_test.cpp
+++ b/src/librelay/relay_leaving_test.cpp
@@ -147,7 +147,7 @@
     REQUIRE(Server);
   };
   relay::leaving_gossip Gossip(F.Turns->links(), {});
-  Gossip.setPeers({HelperAddress});
+  Gossip.setPeers(std::vector<std::string>{HelperAddress});
   F.Relay->onUpstreamLeaves(
       [&](const relay::upstream_run &Run) { Gossip.propagate(Run); });
   SUBCASE("at once") {
@@ -180,7 +180,7 @@
       });
   REQUIRE(Server);
   relay::leaving_gossip Gossip(F.Turns->links(), {});
-  Gossip.setPeers({Address});
+  Gossip.setPeers(std::vector<std::string>{Address});
   F.Relay->onUpstreamLeaves(
       [&](const relay::upstream_run &Run) { Gossip.propagate(Run); });
   F.leave();
--- a/src/turmericheadctl/losses.cpp
+++ b/src/turmericheadctl/losses.cpp
@@ -45,6 +45,9 @@
   std::map<std::string, route_row> Routes;
   std::map<std::pair<int, std::string>, std::size_t> Reasons;
   std::map<std::string, bool> Programs; ///< Whether a call was answered.
+  std::size_t Held = 0;                 ///< Calls that waited for a permit.
+  std::int64_t HeldMs = 0;              ///< Sum of their times.
+  std::size_t Denied = 0; ///< Calls that an upstream's limit sent elsewhere.
 };
 
 void countStatus(route_row &Row, int Status) {
@@ -86,6 +89,10 @@
   if (Status != Answered)
     ++Summary
           .Reasons[{Status, Reason.empty() ? "the upstream's answer" : Reason}];
+  std::int64_t HeldMs = Line.value("held_ms", std::int64_t(0));
+  Summary.Held += HeldMs > 0 ? 1 : 0;
+  Summary.HeldMs += HeldMs;
+  Summary.Denied += Line.contains("denied") ? 1 : 0;
   std::string Program = Line.value("program", std::string());
   if (!Program.empty())
     Summary.Programs[Program] |= Status == Answered;
@@ -131,6 +138,16 @@
               << "  " << Reason.second << '\n';
 }
 
+void printLimits(const summary &Summary) {
+  if (Summary.Held == 0 && Summary.Denied == 0)
+    return;
+  auto Calls =
+      static_cast<std::int64_t>(std::max<std::size_t>(Summary.Held, 1));
+  std::cout << "limits of upstreams: " << Summary.Held << " calls waited "
+            << Summary.HeldMs / Calls << " ms on average, " << Summary.Denied
+            << " were denied a permit and sent elsewhere or refused\n";
+}
+
 } // namespace
 
 int losses(const options &, arguments Rest) {
@@ -152,6 +169,7 @@
   printRoutes(Summary.Routes);
   std::cout << "\nwhat did not end well, by status (0: broken off)\n";
   printReasons(Summary);
+  printLimits(Summary);
   std::cout << '\n'
             << Summary.Programs.size() << " programs, " << Without
             << " without an answered call\n";
--- a/src/turmericheadctl/turmericheadctl_test.sh
+++ b/src/turmericheadctl/turmericheadctl_test.sh
@@ -105,12 +105,13 @@
 {"time_ms":1,"host":"a","event":"call ended","id":"c1","route":"/plan/","program":"p1","status":200,"took_ms":300,"sent_ms":10,"events":3,"first_ms":110,"last_ms":290}
 {"time_ms":2,"host":"a","event":"call ended","id":"c2","route":"/plan/","program":"p2","status":503,"took_ms":2,"reason":"no room for a new program"}
 {"time_ms":3,"host":"b","event":"call ended","id":"c3","route":"/plan/","program":"p2","status":503,"took_ms":4,"reason":"no room for a new program"}
-{"time_ms":4,"host":"b","event":"call ended","id":"c4","route":"/book/","program":"p1","status":0,"took_ms":50,"sent_ms":1,"reason":"the caller has left"}
+{"time_ms":4,"host":"b","event":"call ended","id":"c4","route":"/book/","program":"p1","status":0,"took_ms":50,"sent_ms":1,"reason":"the caller has left","held_ms":30,"denied":["u1"]}
 LOG
 expect 0 '^/plan/ *3 *1 *2 *0 *0 *0 *4 *300 *10 *100 *180 *10$' losses "$folder/c.log"
 expect 0 '^/book/ *1 *0 *0 *0 *0 *1 *50 *50 *1 *0 *0 *49$' losses "$folder/c.log"
 expect 0 '^ *2 *503 *no room for a new program$' losses "$folder/c.log"
 expect 0 '^2 programs, 1 without an answered call$' losses "$folder/c.log"
+expect 0 '^limits of upstreams: 1 calls waited 30 ms on average, 1 were denied' losses "$folder/c.log"
 expect 1 'no call has ended' losses "$folder/audit.jsonl"
 expect 2 'cannot be read' losses "$folder/none.log"
 expect 2 'cannot be read' explain c1 "$folder/none.log"
