--- a/src/include/turmerichead/relay_permit_client.h
+++ b/src/include/turmerichead/relay_permit_client.h
@@ -24,6 +24,10 @@
 
   /// \p Links must outlive the object.
   explicit permit_client(peer_links &Links) : Links(Links) {}
+  /// Requests that are under way are cancelled.
+  ~permit_client();
+  permit_client(const permit_client &) = delete;
+  permit_client &operator=(const permit_client &) = delete;
 
   /// Asks for a permit to send one request to \p Upstream. \p Hosts is the
   /// number of entry hosts, for the own share if no disk host replies. \p Done
@@ -53,7 +57,12 @@
   peer_links &Links;
   issuer_order Order;
   std::map<upstream_run, request_pacer> OwnShares;
-  std::map<std::uint64_t, loop_source> Timers; ///< By number of the request.
+  /// A request for a permit that waits for its reply.
+  struct pending_request {
+    peer_stream_id Stream;
+    loop_source Timeout;
+  };
+  std::map<std::uint64_t, pending_request> Pending; ///< By its number.
   std::uint64_t NextNumber = 0;
 };
 
--- a/src/librelay/permit_client.cpp
+++ b/src/librelay/permit_client.cpp
@@ -55,8 +55,8 @@
   auto Issuer = Order.pick(Question->Upstream, Question->DiskHosts, Now);
   if (!Issuer || Question->Asked >= MaxAsked) {
     std::uint64_t Number = ++NextNumber;
-    Timers[Number] = loop_source::soon([this, Number, Question] {
-      Timers.erase(Number);
+    Pending[Number].Timeout = loop_source::soon([this, Number, Question] {
+      Pending.erase(Number);
       Question->Done(takeOwnShare(*Question));
       return false;
     });
@@ -131,16 +131,21 @@
                     *Reply = unpack<permit_reply>(Bytes);
                   },
                   [this, Number, Reply, Done](const peer_result &) {
-                    if (Timers.erase(Number) > 0)
+                    if (Pending.erase(Number) > 0)
                       Done(*Reply);
                   }});
-  Timers[Number] =
-      loop_source::every(ReplyTimeout, [this, Number, Stream, Done] {
+  Pending[Number] = {
+      Stream, loop_source::every(ReplyTimeout, [this, Number, Stream, Done] {
         Links.cancel(Stream);
-        Timers.erase(Number);
+        Pending.erase(Number);
         Done(std::nullopt);
         return false;
-      });
+      })};
+}
+
+permit_client::~permit_client() {
+  for (const auto &[Number, Request] : Pending)
+    Links.cancel(Request.Stream);
 }
 
 void permit_server::serve(peer_server &Server,
