--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -27,6 +27,7 @@
   friend bool operator==(const upstream &, const upstream &) = default;
 };
 
+/// Returns the run that an entry is about.
 inline upstream_run runOf(const upstream &Upstream) {
   return {Upstream.Id, Upstream.StartedMs};
 }
@@ -144,7 +145,9 @@
     std::int64_t StartedMs = 0;
     upstream_state State;
   };
+  /// Returns the remembered state of the run, an empty one if there is none.
   upstream_state &remember(std::string_view Id, std::int64_t StartedMs);
+  /// Removes a row; what its run has said is remembered.
   void erase(std::string_view Id);
 
   std::map<std::string, upstream_row, std::less<>> Rows;
--- a/src/librelay/relay_limits_test.cpp
+++ b/src/librelay/relay_limits_test.cpp
@@ -66,6 +66,17 @@
       turnFor(Interval);
     }
   }
+  /// Has the upstream name 2 requests a second, and callers of both hosts ask
+  /// for 20 once both hosts know. Returns when they began.
+  time_point askForMoreThanTheLimit() {
+    LimitHeader = "X-Limit: 2\r\n";
+    call(Host).waitsFor("done");
+    call(*Other).waitsFor("done");
+    turnFor(milliseconds(500));
+    time_point Start = steadyNow();
+    callFor(milliseconds(4500), milliseconds(100));
+    return Start;
+  }
   /// Returns the most requests that arrived within Window.
   std::size_t mostArrivals(time_point From) const {
     std::size_t Most = 0;
@@ -100,12 +111,7 @@
   // Each host sent as much as its callers asked for, and none knew of the
   // others, so that upstreams got many times what they had named.
   limit_fixture F;
-  F.LimitHeader = "X-Limit: 2\r\n";
-  F.call(F.Host).waitsFor("done");
-  F.call(*F.Other).waitsFor("done");
-  turnFor(milliseconds(500));
-  time_point Start = steadyNow();
-  F.callFor(milliseconds(4500), milliseconds(100));
+  time_point Start = F.askForMoreThanTheLimit();
   CHECK(F.mostArrivals(Start) <= allowed(2));
   // What the upstream takes is used.
   CHECK(F.mostArrivals(Start) >= 6);
@@ -119,12 +125,7 @@
   // Disk hosts of an earlier version know nothing of permits.
   limit_fixture F;
   F.Disks.IssuesPermits = false;
-  F.LimitHeader = "X-Limit: 2\r\n";
-  F.call(F.Host).waitsFor("done");
-  F.call(*F.Other).waitsFor("done");
-  turnFor(milliseconds(500));
-  time_point Start = steadyNow();
-  F.callFor(milliseconds(4500), milliseconds(100));
+  time_point Start = F.askForMoreThanTheLimit();
   CHECK(F.mostArrivals(Start) <= allowed(2));
   CHECK(F.mostArrivals(Start) >= 6);
 }
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -90,6 +90,7 @@
   // -- Upstreams (relay_send.cpp) --
   /// Chooses an upstream and sends the call, or asks for a permit first.
   void send(relay_call_id Id);
+  /// Sends the call to this upstream, over the way that works.
   void sendTo(relay_call_id Id, upstream_row &Upstream);
   service_capacity capacityOf(std::string_view Service, time_point Now) const;
   /// Returns the upstream for the next send, or nullptr if none is ready.
@@ -132,12 +133,16 @@
   // -- Limits of upstreams (relay_limits.cpp) --
   /// Asks for a permit for an upstream that has named a limit.
   void askPermit(relay_call_id Id, upstream_row &Upstream);
+  /// The reply to a request for a permit. The call may have ended meanwhile.
   void onPermit(relay_call_id Id, const upstream_run &Run,
                 const permit_result &Result);
   /// The delay of the permit is over, or there was none.
   void onPermitDue(relay_call_id Id);
+  /// Tries another upstream, or refuses the call with the time until there are
+  /// permits.
   void onPermitDenied(relay_call_id Id, const upstream_run &Run,
                       milliseconds NextWait);
+  /// Returns the peer addresses of the disk hosts, which issue permits.
   std::vector<std::string> permitIssuers() const;
 
   // -- Links to upstreams (relay_links.cpp) --
