--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -62,6 +62,7 @@
   std::lock_guard Guard(RecordLock);
   std::string Line = std::to_string(nowMs()) + " ms  " + Text + "\n";
   std::fputs(Line.c_str(), stdout);
+  std::fflush(stdout);
   if (RecordFile) {
     std::fputs(Line.c_str(), RecordFile);
     std::fflush(RecordFile);
@@ -216,8 +217,9 @@
   std::string Input;
 };
 
-/// Accepts connections and serves each in a thread of its own.
-inline void listenOn(const std::string &Address,
+/// Accepts connections and serves each in a thread of its own. Returns the
+/// listening socket; shutdown() ends it.
+inline int listenOn(const std::string &Address,
                      std::function<void(int Socket)> Serve) {
   int Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int One = 1;
@@ -231,16 +233,21 @@
   std::thread([Listener, Serve = std::move(Serve)] {
     for (;;) {
       int Socket = accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
+      if (Socket < 0 && errno == EINVAL) {
+        close(Listener);
+        break;
+      }
       if (Socket < 0)
         continue;
       int NoDelay = 1;
       setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &NoDelay, sizeof(NoDelay));
-      std::thread([Socket, &Serve] {
+      std::thread([Socket, Serve] {
         Serve(Socket);
         close(Socket);
       }).detach();
     }
   }).detach();
+  return Listener;
 }
 
 inline std::string respond(int Status, const std::string &Body,
@@ -256,13 +263,18 @@
 public:
   /// How far a list with "serializable" may lie behind, in milliseconds.
   std::atomic<std::int64_t> StaleMs{0};
+  /// How long an answer takes.
+  std::atomic<std::int64_t> DelayMs{4};
 
   void serveOn(const std::string &Address) {
     listenOn(Address, [this](int Socket) {
       reader Reader(Socket);
-      while (auto Request = Reader.read(false))
-        if (!sendAll(Socket, answer(*Request)))
+      while (auto Request = Reader.read(false)) {
+        std::string Answer = answer(*Request);
+        sleepMs(DelayMs);
+        if (!sendAll(Socket, Answer))
           return;
+      }
     });
   }
 
@@ -487,7 +499,7 @@
   }
 
   void serve() {
-    listenOn(Address, [this](int Socket) {
+    Listener = listenOn(Address, [this](int Socket) {
       reader Reader(Socket);
       while (auto Request = Reader.read(false))
         if (!IsUp || !answer(Socket, *Request))
@@ -495,7 +507,16 @@
     });
   }
 
+  /// Ends as a process does: its port and its connections are closed.
+  void exit() {
+    note("exit     " + Id);
+    IsUp = false;
+    shutdown(Listener, SHUT_RDWR);
+  }
+
 private:
+  int Listener = -1;
+
   bool answer(int Socket, const message &Request) {
     std::string Attempt = Request.get("request-attempt-id");
     std::string Echo = "Request-Attempt-Id: " + Attempt + "\r\n";
@@ -767,6 +788,61 @@
   }
 };
 
+/// A route of turns to the service "models".
+inline json turnRoute(const std::string &Name, const std::string &Prefix) {
+  return {{"name", Name},          {"host", "agents.example"},
+          {"path_prefix", Prefix}, {"kind", "streaming"},
+          {"timeout_ms", 4000},    {"target_latency_ms", 500},
+          {"priority", 2},         {"service", "models"},
+          {"attempts", 2},         {"retain_context", true},
+          {"retention_s", 60.0},   {"sticky_sessions", true},
+          {"resumable", false},    {"target_gap_ms", 300}};
+}
+
+/// A config with these routes and the service "models".
+inline json configOf(int Version, const std::vector<json> &Routes) {
+  json Service = {{"name", "models"},        {"health_path", "/health"},
+                  {"connection_limit", 240}, {"protocol", "h1"},
+                  {"tls", false},
+                  {"engine", {{"slots", 32}, {"tokens_per_event", 19}}}};
+  return {{"version", Version},
+          {"routes", Routes},
+          {"services", {Service}},
+          {"limits",
+           {{"header_bytes", 16384},
+            {"body_bytes", 4194304},
+            {"header_timeout_ms", 3000},
+            {"idle_timeout_ms", 15000}}}};
+}
+
+/// Sends a turn and waits for its answer.
+inline answer sendTurn(const machine &Entry, const std::string &Path,
+                       const std::string &Attempt, const std::string &Program,
+                       const std::string &Previous, const std::string &Input,
+                       std::int64_t TimeLeftMs) {
+  std::vector<std::pair<std::string, std::string>> Headers = {
+      {"Host", "agents.example"},
+      {"Request-Attempt-Id", Attempt},
+      {"Model", "m"},
+      {"Program-Id", Program},
+      {"Session-Id", "line-of-" + Program},
+      {"Program-Time-Left", std::to_string(TimeLeftMs)},
+      {"Token-Budget", "100000"},
+      {"Token-Usage", "200,400"},
+      {"Deadline-Remaining", "4000"}};
+  if (!Previous.empty())
+    Headers.emplace_back("Previous-Turn", Previous);
+  note("send     " + Attempt + " to " + Entry.Name +
+       (Previous.empty() ? ", a first turn" : ", after " + Previous));
+  answer Answer =
+      sendRequest(Entry.front(), "POST", Path, Headers, Input, 6000);
+  note("answered " + Attempt + " " + std::to_string(Answer.Status) +
+       (Answer.Status == 200
+            ? (Answer.Whole ? ", whole" : ", cut")
+            : ", " + Answer.Body.substr(0, Answer.Body.find('\n'))));
+  return Answer;
+}
+
 /// Opens record.txt in the folder that the script names.
 inline bool openRecord(int Count, char **Arguments) {
   if (Count < 2)
