--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -12,17 +12,14 @@
   note(Trouble ? "with the disruption" : "without the disruption");
   deployment D;
   const char *Zones[] = {"a", "b", "c"};
-  for (int I = 0; I < 3; ++I) {
-    D.add("storage-" + std::string(Zones[I]), 11 + I, Zones[I], false);
-    D.add("front-" + std::string(Zones[I]), 21 + I, Zones[I], true);
-  }
+  D.addMachines(7);
   D.Store.serveOn(D.StoreAddress);
   std::vector<std::unique_ptr<runner>> Runners;
   constexpr int RunnerCount = 6;
   for (int I = 0; I < RunnerCount; ++I) {
     auto Runner = std::make_unique<runner>();
     Runner->Id = "i-" + std::to_string(I);
-    Runner->Address = D.ip(31 + I) + ":8080";
+    Runner->Address = D.ip(41 + I) + ":8080";
     Runner->Service = "models";
     Runner->Zone = Zones[I % 3];
     Runner->Events = 10;
@@ -44,7 +41,7 @@
 
   // Reads with "serializable" lie 2.5 s behind all the time.
   D.Store.StaleMs = 2500;
-  machine &Entry = D.Machines["front-c"];
+  machine &Entry = D.Machines["front-c-1"];
   runner &Leaving = *Runners[2];
   for (auto &[Name, Machine] : D.Machines)
     Machine.Bootstrap = false;
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -649,6 +649,19 @@
                              true, -1};
   }
 
+  /// Adds three disk machines and \p Entries entry machines ("front-a-1",
+  /// "front-b-1", "front-c-1", "front-a-2", ...) in three zones.
+  void addMachines(int Entries) {
+    const std::string Zones = "abc";
+    for (int I = 0; I < 3; ++I)
+      add("storage-" + Zones.substr(I, 1), 11 + I, Zones.substr(I, 1), false);
+    for (int I = 0; I < Entries; ++I) {
+      std::string Zone = Zones.substr(I % 3, 1);
+      add("front-" + Zone + "-" + std::to_string(I / 3 + 1), 21 + I, Zone,
+          true);
+    }
+  }
+
   json settingsOf(const machine &Machine) const {
     json Listen = json::object();
     if (Machine.IsEntry)
@@ -819,7 +832,9 @@
 inline answer sendTurn(const machine &Entry, const std::string &Path,
                        const std::string &Attempt, const std::string &Program,
                        const std::string &Previous, const std::string &Input,
-                       std::int64_t TimeLeftMs) {
+                       std::int64_t TimeLeftMs,
+                       std::uint64_t Budget = 100000,
+                       std::uint64_t MostTokens = 400) {
   std::vector<std::pair<std::string, std::string>> Headers = {
       {"Host", "agents.example"},
       {"Request-Attempt-Id", Attempt},
@@ -827,8 +842,8 @@
       {"Program-Id", Program},
       {"Session-Id", "line-of-" + Program},
       {"Program-Time-Left", std::to_string(TimeLeftMs)},
-      {"Token-Budget", "100000"},
-      {"Token-Usage", "200,400"},
+      {"Token-Budget", std::to_string(Budget)},
+      {"Token-Usage", "200," + std::to_string(MostTokens)},
       {"Deadline-Remaining", "4000"}};
   if (!Previous.empty())
     Headers.emplace_back("Previous-Turn", Previous);
