--- a/review/3/case.cpp
+++ b/review/3/case.cc
@@ -1,7 +1,7 @@
 // An entry machine that starts while the platform's store is slow uses a runner
 // whose entry was removed before.
 
-#include "../harness/harness.h"
+#include "../harness/harness.hh"
 
 using namespace review;
 
@@ -77,8 +77,7 @@
                                "input of a first turn\n", 60000);
       auto Run = runOf(Id);
       std::lock_guard Guard(Lock);
-      if (Run && Run->Runner == Leaving.Id &&
-          Run->AtMs > RemovedMs + 2000) {
+      if (Run && Run->Runner == Leaving.Id && Run->AtMs > RemovedMs + 2000) {
         ++Late;
         if (!Answer.Whole)
           ++Cut;
--- a/review/4/case.cpp
+++ b/review/4/case.cc
@@ -1,7 +1,7 @@
 // A stopped program returns within the retention time, by way of an entry
 // machine that freezes for two seconds.
 
-#include "../harness/harness.h"
+#include "../harness/harness.hh"
 
 using namespace review;
 
@@ -63,9 +63,9 @@
   const std::string Program = "p-" + newId();
   std::uint64_t Handed = 0;
   auto Send = [&](const machine &Entry) {
-    answer Answer = sendTurn(Entry, "/loop/1", newId(), Program, "",
-                             "input of a helper\n", 120000, Budget,
-                             MostOfOneTurn);
+    answer Answer =
+        sendTurn(Entry, "/loop/1", newId(), Program, "", "input of a helper\n",
+                 120000, Budget, MostOfOneTurn);
     Handed += tokensOf(Answer);
     note("handed so far: " + std::to_string(Handed) + " tokens of " +
          std::to_string(Budget));
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/*/case.cpp; do
+for source in review/*/case.cc; do
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/case$number" \
     "$source"
--- a/review/harness/harness.h
+++ b/review/harness/harness.hh
@@ -107,7 +107,7 @@
 
 /// A message: a request or a response.
 struct message {
-  std::string First; ///< The first line.
+  std::string First;                          ///< The first line.
   std::map<std::string, std::string> Headers; ///< Names in lower case.
   std::string Body;
   bool Complete = false; ///< The body has ended as its framing says.
@@ -189,8 +189,7 @@
         auto Size = line();
         if (!Size)
           return Message;
-        auto Bytes =
-            static_cast<std::size_t>(std::stoul(*Size, nullptr, 16));
+        auto Bytes = static_cast<std::size_t>(std::stoul(*Size, nullptr, 16));
         if (!take(Bytes, Message.Body) || !line())
           return Message;
         if (Bytes == 0)
@@ -198,8 +197,8 @@
       }
       Message.Complete = true;
     } else if (!Message.get("content-length").empty()) {
-      Message.Complete = take(std::stoul(Message.get("content-length")),
-                              Message.Body);
+      Message.Complete =
+          take(std::stoul(Message.get("content-length")), Message.Body);
     } else if (IsResponse && Message.status() != 204) {
       while (fill()) {
       }
@@ -220,7 +219,7 @@
 /// Accepts connections and serves each in a thread of its own. Returns the
 /// listening socket; shutdown() ends it.
 inline int listenOn(const std::string &Address,
-                     std::function<void(int Socket)> Serve) {
+                    std::function<void(int Socket)> Serve) {
   int Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int One = 1;
   setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
@@ -367,17 +366,16 @@
     json Items = json::array();
     for (auto &[Name, Object] : Found)
       Items.push_back(Object);
-    return respond(200, json{{"items", Items},
-                             {"has_more", false},
-                             {"current_rev", At}}
-                            .dump());
+    return respond(
+        200, json{{"items", Items}, {"has_more", false}, {"current_rev", At}}
+                 .dump());
   }
 
   std::string watch(const std::string &Kind, std::uint64_t Since,
                     std::int64_t WaitMs) {
     std::unique_lock Guard(Lock);
-    auto Until = clock_type::now() + milliseconds(std::min<std::int64_t>(
-                                         WaitMs, 30000));
+    auto Until =
+        clock_type::now() + milliseconds(std::min<std::int64_t>(WaitMs, 30000));
     for (;;) {
       json Events = json::array();
       for (const change &Row : Changes)
@@ -386,8 +384,7 @@
       if (!Events.empty() ||
           Changed.wait_until(Guard, Until) == std::cv_status::timeout)
         return respond(
-            200,
-            json{{"events", Events}, {"current_rev", Revision}}.dump());
+            200, json{{"events", Events}, {"current_rev", Revision}}.dump());
     }
   }
 
@@ -492,9 +489,8 @@
   std::atomic<bool> IsUp{true};
 
   json entry() const {
-    return {{"service", Service}, {"address", Address},
-            {"zone", Zone},       {"version", "v1"},
-            {"slots", 32},        {"state", "ready"},
+    return {{"service", Service}, {"address", Address},    {"zone", Zone},
+            {"version", "v1"},    {"slots", 32},           {"state", "ready"},
             {"sequence", 1},      {"cold_remaining_ms", 0}};
   }
 
@@ -524,8 +520,8 @@
       return sendAll(Socket, respond(200, "", "Instance-Id: " + Id + "\r\n"));
     std::string Expected = Request.get("expected-instance");
     if (!Expected.empty() && Expected != Id)
-      return sendAll(Socket, respond(421, "",
-                                     Echo + "Instance-Id: " + Id + "\r\n"));
+      return sendAll(Socket,
+                     respond(421, "", Echo + "Instance-Id: " + Id + "\r\n"));
     std::size_t Row = 0;
     {
       std::lock_guard Guard(RunsLock);
@@ -579,11 +575,11 @@
 }
 
 /// Sends one request on a new connection and waits for its answer.
-inline answer sendRequest(
-    const std::string &To, const std::string &Method,
-    const std::string &Target,
-    const std::vector<std::pair<std::string, std::string>> &Headers,
-    const std::string &Body, int LimitMs) {
+inline answer
+sendRequest(const std::string &To, const std::string &Method,
+            const std::string &Target,
+            const std::vector<std::pair<std::string, std::string>> &Headers,
+            const std::string &Body, int LimitMs) {
   answer Answer;
   int Socket = connectTo(To);
   if (Socket >= 0) {
@@ -605,7 +601,8 @@
   return Answer;
 }
 
-// -- Processes of the project ---------------------------------------------------
+// -- Processes of the project
+// ---------------------------------------------------
 
 /// A machine with one process of the project.
 struct machine {
@@ -634,10 +631,10 @@
     auto Pid = static_cast<unsigned>(getpid());
     Net = "127." + std::to_string(20 + (Pid >> 8U) % 200) + "." +
           std::to_string(Pid & 0xffU) + ".";
-    char Folder[] = "/tmp/review-XXXXXX";
-    if (!mkdtemp(Folder))
+    Scratch =
+        (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+    if (!mkdtemp(Scratch.data()))
       std::exit(2);
-    Scratch = Folder;
     StoreAddress = Net + "7:8142";
   }
 
@@ -645,8 +642,8 @@
 
   machine &add(const std::string &Name, int LastOfIp, const std::string &Zone,
                bool IsEntry) {
-    return Machines[Name] = {Name, ip(LastOfIp), Zone, IsEntry, StoreAddress,
-                             true, -1};
+    return Machines[Name] = {Name,         ip(LastOfIp), Zone, IsEntry,
+                             StoreAddress, true,         -1};
   }
 
   /// Adds three disk machines and \p Entries entry machines ("front-a-1",
@@ -703,14 +700,22 @@
           "engine", "platform"}},
         {"fault_tolerance", {{"machines", 1}, {"zones", 0}, {"regions", 0}}},
         {"bounds",
-         {{"seed_lag_s", 3},       {"reuse_after_s", 2},
-          {"contact_ms", 3000},    {"ack_timeout_ms", 4000},
-          {"catch_up_s", 4.7},     {"drain_ms", 2000},
-          {"grace_s", 8},          {"loss_slack_ms", 200},
-          {"config_apply_ms", 2000}, {"rollback_slack_ms", 250},
-          {"outer_ms", 5000},      {"recovery_s", 12},
-          {"pass_ms", 120},        {"retry_after_s", 0},
-          {"finish_s", 10},        {"settle_ms", 1000}}},
+         {{"seed_lag_s", 3},
+          {"reuse_after_s", 2},
+          {"contact_ms", 3000},
+          {"ack_timeout_ms", 4000},
+          {"catch_up_s", 4.7},
+          {"drain_ms", 2000},
+          {"grace_s", 8},
+          {"loss_slack_ms", 200},
+          {"config_apply_ms", 2000},
+          {"rollback_slack_ms", 250},
+          {"outer_ms", 5000},
+          {"recovery_s", 12},
+          {"pass_ms", 120},
+          {"retry_after_s", 0},
+          {"finish_s", 10},
+          {"settle_ms", 1000}}},
         {"platform",
          {{"address", Machine.StoreAddress},
           {"form", "objects"},
@@ -814,8 +819,10 @@
 
 /// A config with these routes and the service "models".
 inline json configOf(int Version, const std::vector<json> &Routes) {
-  json Service = {{"name", "models"},        {"health_path", "/health"},
-                  {"connection_limit", 240}, {"protocol", "h1"},
+  json Service = {{"name", "models"},
+                  {"health_path", "/health"},
+                  {"connection_limit", 240},
+                  {"protocol", "h1"},
                   {"tls", false},
                   {"engine", {{"slots", 32}, {"tokens_per_event", 19}}}};
   return {{"version", Version},
@@ -832,8 +839,7 @@
 inline answer sendTurn(const machine &Entry, const std::string &Path,
                        const std::string &Attempt, const std::string &Program,
                        const std::string &Previous, const std::string &Input,
-                       std::int64_t TimeLeftMs,
-                       std::uint64_t Budget = 100000,
+                       std::int64_t TimeLeftMs, std::uint64_t Budget = 100000,
                        std::uint64_t MostTokens = 400) {
   std::vector<std::pair<std::string, std::string>> Headers = {
       {"Host", "agents.example"},
@@ -863,8 +869,8 @@
   if (Count < 2)
     return false;
   std::signal(SIGPIPE, SIG_IGN);
-  RecordFile = std::fopen((std::string(Arguments[1]) + "/record.txt").c_str(),
-                          "w");
+  RecordFile =
+      std::fopen((std::string(Arguments[1]) + "/record.txt").c_str(), "w");
   return RecordFile != nullptr;
 }
 
