--- a/src/include/turmerichead/relay_routes.h
+++ b/src/include/turmerichead/relay_routes.h
@@ -73,6 +73,10 @@
 
   /// Returns nullptr if there is no such service.
   const service *findService(std::string_view Name) const;
+
+  /// The longest time that a turn may run: the longest timeout of the routes
+  /// whose turns are stored.
+  milliseconds longestTurn() const;
 };
 
 /// Returns the service of a route for a call by the traffic split. The same
--- a/src/librelay/routes.cpp
+++ b/src/librelay/routes.cpp
@@ -1,6 +1,8 @@
 #include "turmerichead/hash.h"
 #include "turmerichead/relay_routes.h"
 
+#include <algorithm>
+
 namespace turmerichead::relay {
 
 std::string_view nameOf(call_kind Kind) {
@@ -32,6 +34,14 @@
   return Row == Services.end() ? nullptr : &Row->second;
 }
 
+milliseconds routing::longestTurn() const {
+  milliseconds Longest{0};
+  for (const route &Route : Routes)
+    if (Route.KeepsTurns)
+      Longest = std::max(Longest, Route.Timeout);
+  return Longest;
+}
+
 const std::string &serviceFor(const route &Route, std::string_view Key) {
   std::uint64_t Total = 0;
   for (const traffic_share &Share : Route.Services)
