--- a/testsuite/standins/object_store.h
+++ b/testsuite/standins/object_store.h
@@ -101,7 +101,24 @@
       watch(Row);
   }
 
+  /// Returns the page that a list of \p Kind gets now.
+  nlohmann::json listOf(const std::string &Kind) const {
+    nlohmann::json Items = nlohmann::json::array();
+    for (const auto &[Key, Object] : Objects)
+      if (Key.first == Kind)
+        Items.push_back(Object);
+    return {{"items", Items}, {"has_more", false}, {"current_rev", Revision}};
+  }
+  /// Whether a list waits for answerLists(); see HoldsLists.
+  bool hasHeldList() const { return !HeldLists.empty(); }
+  /// Answers the lists that wait with \p Page.
+  void answerLists(const nlohmann::json &Page) {
+    for (http1::exchange_id Id : std::exchange(HeldLists, {}))
+      reply(Id, 200, Page);
+  }
+
   mood Mood = mood::Fine;
+  bool HoldsLists = false; ///< Lists wait for answerLists().
   std::function<void(const http1::request &)> OnRequest;
   std::optional<http1::server> Server;
 
@@ -187,12 +204,10 @@
       return;
     }
     if (Request.Method == "GET") {
-      nlohmann::json Items = nlohmann::json::array();
-      for (const auto &[Key, Object] : Objects)
-        if (Key.first == Kind)
-          Items.push_back(Object);
-      reply(Id, 200,
-            {{"items", Items}, {"has_more", false}, {"current_rev", Revision}});
+      if (HoldsLists)
+        HeldLists.push_back(Id);
+      else
+        reply(Id, 200, listOf(Kind));
       return;
     }
     write(Id, Request, Kind, Name);
@@ -241,6 +256,7 @@
   std::map<std::pair<std::string, std::string>, nlohmann::json> Objects;
   std::vector<change> History;
   std::vector<watcher> Watchers;
+  std::vector<http1::exchange_id> HeldLists;
   std::uint64_t Revision = 100;
   std::uint64_t HistoryFrom = 0;
   loop_source Ticker;
