Records outlast the time that requests and answers are on their way

Cause: the disk hosts remove the spending of a program exactly its retention after its last change there. Callers count from what they have seen to what they send; nothing was added for the way. Ruled out: refusals that don't extend the retention (a program that comes back after 40 s is stopped again), reservations on too few hosts.

Change: the records of turns and of spending are requested with the longest turn and 10 s more (routing::recordRetention()). A request that a host has held for longer has lost its caller, whose time limit is a few seconds. Turns expire by the same clock and get the same time.

--- a/src/include/turmerichead/relay_routes.h
+++ b/src/include/turmerichead/relay_routes.h
@@ -42,7 +42,8 @@
   bool Resumable = false;
   std::vector<traffic_share> Services;
   bool KeepsTurns = false; ///< Whether calls are turns whose chains are stored.
-  milliseconds Retention{0}; ///< How long a turn is stored.
+  /// How long after its end a turn may be continued, and a program may return.
+  milliseconds Retention{0};
 };
 
 /// A service, and properties of its upstreams.
@@ -74,9 +75,13 @@
   /// Returns nullptr if there is no such service.
   const service *findService(std::string_view Name) const;
 
-  /// The longest time that a turn may run: the longest timeout of the routes
-  /// whose turns are stored.
-  milliseconds longestTurn() const;
+  /// How long the disk hosts retain the records of a call on \p Route.
+  ///
+  /// Longer than its Retention. A turn that continues another one, or a request
+  /// of a program that was stopped, may be sent until Retention is over and be
+  /// delayed on its way. A turn extends its chain only at its own end, so its
+  /// longest time is added.
+  milliseconds recordRetention(const route &Route) const;
 };
 
 /// Returns the service of a route for a call by the traffic split. The same
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -148,7 +148,7 @@
   Open.Previous = std::move(Previous);
   Open.Tokens = Call.Params.MaxTokens;
   Open.Budget = Call.hasBudget() ? *Call.Params.Budget : 0;
-  Open.Retention = Call.Route.Retention;
+  Open.Retention = Routing.recordRetention(Call.Route);
   Call.Reserved = Call.hasBudget();
   Call.Operation =
       Turns.open(std::move(Open), [this, Id](const turns::open_result &Result) {
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -73,13 +73,13 @@
   finish(Id, 0, Reason);
 }
 
-turns::close_call relay::impl::closeOf(const relay_call &Call) {
+turns::close_call relay::impl::closeOf(const relay_call &Call) const {
   turns::close_call Close;
   Close.Attempt = Call.Params.Id;
   Close.Program = Call.Params.Program;
   Close.Tokens = Call.tokens();
   Close.HasBudget = Call.hasBudget();
-  Close.Retention = Call.Route.Retention;
+  Close.Retention = Routing.recordRetention(Call.Route);
   return Close;
 }
 
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -198,7 +198,7 @@
   /// Closes the connection of the caller in the middle of the answer.
   void abortResponse(relay_call_id Id, std::string_view Reason);
   /// Returns the request that reports the tokens used to the disk hosts.
-  static turns::close_call closeOf(const relay_call &Call);
+  turns::close_call closeOf(const relay_call &Call) const;
   /// Reports the tokens used to the disk hosts, which release the rest of the
   /// reservation.
   void settleBudget(const relay_call &Call);
--- a/src/librelay/relay_retention_test.cpp
+++ b/src/librelay/relay_retention_test.cpp
@@ -65,3 +65,26 @@
   });
   CHECK_MESSAGE(!Caller.has("HTTP/1.1"), Caller.Input);
 }
+
+// A program that was stopped at its budget got the whole budget again: its next
+// request was sent within the retention and waited at a host that had frozen.
+TEST_CASE("request_delayed_on_its_way_finds_the_spending_of_its_program") {
+  retention_fixture F;
+  std::string Budget = "X-Budget: 20\r\nX-Tokens: 5,20\r\n";
+  F.answerTurn("t1", Budget, "[in1]", milliseconds(0));
+  auto IsStopped = [&](std::string_view Id, std::string_view Body) {
+    caller Caller(F.Address);
+    Caller.send(F.turn(Id, Budget, Body));
+    std::size_t Requests = F.Llm.Connections[0]->Input.size();
+    turnUntil([&] {
+      return Caller.has("HTTP/1.1") ||
+             F.Llm.Connections[0]->Input.size() > Requests;
+    });
+    return Caller.has("HTTP/1.1 402");
+  };
+  // One event of 10 tokens was handed out, so 20 more would be too many.
+  REQUIRE(IsStopped("t2", "[in2]"));
+  constexpr milliseconds FrozenFor{5000};
+  turnFor(Retention + FrozenFor);
+  CHECK(IsStopped("t3", "[in3]"));
+}
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -330,10 +330,7 @@
   Close.Turn->Id = Call.Params.Id;
   Close.Turn->Previous = Call.Params.PreviousTurn;
   Close.Turn->Program = Call.Params.Program;
-  // The next turn may be sent until the retention of this one is over, and
-  // extends it only at its own end.
-  milliseconds TurnRetention = Call.Route.Retention + Routing.longestTurn();
-  Close.Turn->RetentionMs = static_cast<std::uint64_t>(TurnRetention.count());
+  Close.Turn->RetentionMs = static_cast<std::uint64_t>(Close.Retention.count());
   Close.Turn->Input = std::move(Call.Request.Body);
   Close.Turn->Output = std::move(Call.Output);
   Close.Turn->Upstream = std::move(Upstream);
--- a/src/librelay/routes.cpp
+++ b/src/librelay/routes.cpp
@@ -34,12 +34,16 @@
   return Row == Services.end() ? nullptr : &Row->second;
 }
 
-milliseconds routing::longestTurn() const {
-  milliseconds Longest{0};
-  for (const route &Route : Routes)
-    if (Route.KeepsTurns)
-      Longest = std::max(Longest, Route.Timeout);
-  return Longest;
+milliseconds routing::recordRetention(const route &Route) const {
+  // From the disk hosts to the caller that is told of an end, and back with the
+  // next request. Callers wait for a few seconds, so a request that a frozen
+  // host has held for longer has lost its caller.
+  constexpr milliseconds TransitTime{10000};
+  milliseconds LongestTurn{0};
+  for (const struct route &Other : Routes)
+    if (Other.KeepsTurns)
+      LongestTurn = std::max(LongestTurn, Other.Timeout);
+  return Route.Retention + LongestTurn + TransitTime;
 }
 
 const std::string &serviceFor(const route &Route, std::string_view Key) {
