A broken stream goes to another upstream only if its own has exited

What callers could see: a resumable stream that broke ran at a second upstream though its route allows one, while the first still worked on it (BUDGET).

Cause: the run at the first upstream was taken off the count when the stream was to be resumed there. If the connection was not established in time (a full queue of new connections, a slow process), the call went to any other upstream. The same held if its entry had gone from the store while it served on.

Change: the call remembers where its stream broke. Another send to that upstream is not counted, one to another upstream is, unless the first has exited (connection refused, or another process at its address), as docs/design/resumed-streams.md says.

--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -71,6 +71,9 @@
   /// stream or to be reached another way.
   std::string ResumeAt;
   std::uint32_t ResumesLeft = MaxResumes;
+  /// Id of the upstream at which the stream broke and that may still run it;
+  /// empty if there is none. Another send to it is not counted again.
+  std::string BrokenAt;
   time_point SentAt;
   bool StartsProgram = false; ///< It was admitted as a new program.
   /// Run of an upstream for which it has a permit that is not used yet.
@@ -100,7 +103,16 @@
   bool wasSentTo(std::string_view Id) const {
     return std::find(Tried.begin(), Tried.end(), Id) != Tried.end();
   }
-  bool hasResumed() const { return ResumesLeft < MaxResumes; }
+  /// Whether another upstream may get the call.
+  bool mayGoToAnother() const {
+    return BrokenAt.empty() || Attempts < Route.Attempts;
+  }
+  /// Notes that the upstream at which the stream broke has exited: its run no
+  /// longer counts against the attempts.
+  void discountBrokenRun() {
+    BrokenAt.clear();
+    --Attempts;
+  }
   /// Number of events received since the current send.
   std::uint64_t eventsFromUpstream() const { return EventCount - PriorEvents; }
   /// Whether it has more than one event above the maximum that the caller has
--- a/src/librelay/relay_links.cpp
+++ b/src/librelay/relay_links.cpp
@@ -59,19 +59,24 @@
   releaseUpstream(Call);
   Call.Body.clear();
   // The upstream has not received the call, so the send does not count.
-  --Call.Attempts;
+  bool IsResume = Call.BrokenAt == Target.Id;
+  Call.Attempts -= IsResume ? 0 : 1;
   if (Via.empty())
     Links.recordFailure(Target.Address, Now);
   else if (!Refused)
     TunnelHosts.recordFailure(Via, Now);
   bool OtherWay =
       (Via.empty() || TunnelFailed) && TunnelHosts.pick(Now).has_value();
-  if (OtherWay) {
+  // Refused connections of a host that has lost its links are no evidence.
+  bool HasExited =
+      Refused && !OtherWay && (!Via.empty() || TunnelHosts.size() == 0);
+  if (HasExited && IsResume)
+    Call.discountBrokenRun();
+  if (OtherWay || !Call.mayGoToAnother())
     Call.ResumeAt = Target.Id;
-  } else if (!TunnelFailed) {
+  if (!OtherWay && !TunnelFailed) {
     Upstreams.recordFailure(Target.Id, Now);
-    bool IsConfirmed = !Via.empty() || TunnelHosts.size() == 0;
-    if (Refused && IsConfirmed)
+    if (HasExited)
       recordExit(Target, exit_evidence::ConnectionRefused);
     if (!Via.empty())
       Links.recordUnreachedByOther(Target.Address);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -59,7 +59,7 @@
   }
   bool WasTried = Call.wasSentTo(Upstream.Upstream.Id);
   Call.Via = std::move(Via);
-  ++Call.Attempts;
+  Call.Attempts += Call.BrokenAt == Upstream.Upstream.Id ? 0 : 1;
   ++Upstream.InFlight;
   Call.UpstreamId = Upstream.Upstream.Id;
   Call.SentTo = Upstream.Upstream;
@@ -115,6 +115,8 @@
   upstream_row *Previous = Upstreams.find(std::exchange(Call.ResumeAt, {}));
   if (Previous && Previous->takesCalls())
     return Previous;
+  if (!Call.mayGoToAnother())
+    return nullptr;
   placement Placement;
   Placement.Service = Call.Service;
   Placement.DataCentre = Settings.DataCentre;
@@ -354,9 +356,10 @@
                                           {"status", Call.Head.Status}});
   if (Call.Head.Status == http1::status::Misdirected) {
     Upstreams.recordFailure(Call.UpstreamId, steadyNow());
-    // The upstream that was to resume the stream has exited, and another
-    // process has its address. The send does not count against the limit.
-    Call.Attempts -= Call.hasResumed() ? 1 : 0;
+    // Another process has the address of the upstream that was to resume the
+    // stream.
+    if (Call.BrokenAt == Call.SentTo.Id)
+      Call.discountBrokenRun();
   }
   releaseUpstream(Call);
   Call.Permit.reset();
@@ -373,19 +376,12 @@
   relay_call &Call = *Calls.find(Id);
   if (!Call.Route.Resumable || Call.ResumesLeft == 0)
     return false;
-  // A leaving upstream takes no new calls although it may still run, so
-  // another one would get the call. That requires an attempt to be left.
-  const upstream_row *Previous = Upstreams.find(Call.SentTo.Id);
-  if (Previous && !Previous->takesCalls() &&
-      Call.Attempts >= Call.Route.Attempts)
-    return false;
   --Call.ResumesLeft;
   Call.Events.dropUnfinished();
   Call.PartialEvent.clear();
   Call.BytesSinceEvent = 0;
   Call.ResumeAt = Call.SentTo.Id;
-  // The first send to this upstream was already counted.
-  --Call.Attempts;
+  Call.BrokenAt = Call.SentTo.Id;
   Metrics.add("streams_resumed_total");
   send(Id);
   return true;
--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -7,6 +7,27 @@
 using namespace turmerichead;
 using namespace turmerichead::pvt;
 
+namespace {
+
+/// A listener whose queue of new connections is full: connecting to it hangs.
+struct unresponsive_listener {
+  std::string Address = freeAddress();
+  handle<GSocket> Socket;
+  std::optional<caller> Waiting;
+
+  unresponsive_listener() {
+    Socket = handle<GSocket>::adopt(
+        g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                     G_SOCKET_PROTOCOL_TCP, nullptr));
+    g_socket_set_listen_backlog(Socket.get(), 0);
+    g_socket_bind(Socket.get(), parseAddress(Address)->get(), TRUE, nullptr);
+    g_socket_listen(Socket.get(), nullptr);
+    Waiting.emplace(Address);
+  }
+};
+
+} // namespace
+
 TEST_CASE("the runner gets the chain, and the turn is stored before the end") {
   fixture F;
   caller Caller(F.Address);
@@ -310,6 +331,28 @@
   CHECK(Caller.Input.find("HTTP/1.1") == Caller.Input.rfind("HTTP/1.1"));
 }
 
+// A broken stream ran at a second upstream though its route allows one: its own
+// upstream was alive, but no connection to it was established in time.
+TEST_CASE("budget_stream_whose_upstream_may_still_run_it_goes_to_no_other") {
+  fixture F;
+  F.Relay->removeUpstream("llm-1", milliseconds(0));
+  raw_server First;
+  F.put("llm-2", "llm", First);
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/chat/1", "t1", {}, "[in]"));
+  REQUIRE(F.received(First, "X-Call: t1"));
+  First.send(0, streamHead("t1") + chunk("id: 1\ndata: a\n\n"));
+  REQUIRE(Caller.waitsFor("data: a"));
+  unresponsive_listener Hanging;
+  F.Relay->putUpstream({"llm-2", "llm", Hanging.Address, "dc", 4, true, 1});
+  F.put("llm-1", "llm", F.Llm);
+  First.close(0);
+  REQUIRE(
+      turnUntil([&] { return Caller.Closed || !F.Llm.Connections.empty(); }));
+  CHECK(F.Llm.Connections.empty());
+  CHECK(!Caller.has("0\r\n\r\n"));
+}
+
 TEST_CASE("a stream that cannot be resumed is cut off") {
   fixture F;
   caller Caller(F.Address);
