--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -96,6 +96,7 @@
                                      if (Alive.expired())
                                        return false;
                                      Fleet.http().cancel(Row->Call);
+                                     Row->Answer.GivenUp = true;
                                      End(false);
                                      return false;
                                    });
@@ -179,6 +180,10 @@
   Request.MostTokens =
       static_cast<std::uint64_t>(Fleet.settings().RunnerEvents);
   std::string Given = Program.Chain + Request.Body;
+  if (Fleet.settings().Resumable) {
+    Request.PreviousTurn.clear();
+    Request.Body = Given;
+  }
   send(Fleet, Entry, Request,
        [this, Index, Given, Entry, Request](const caller_answer &Answer) {
          judge(Entry, Request, Answer);
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -30,6 +30,7 @@
   std::string Body;
   std::string Signature;
   bool Complete = false;
+  bool GivenUp = false; ///< By the caller, before the connection ended.
   milliseconds Took{0};
 };
 
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -412,24 +412,27 @@
 void fleet::configure(std::uint64_t Version) {
   std::string Own = versionHost(Version);
   constexpr int RetentionS = 30;
-  json Plan = routeOf("plan", PlanHost, "/", "streaming", "llm", 2);
-  Plan["retain_context"] = true;
+  int Attempts = Settings.Attempts;
+  json Plan = routeOf("plan", PlanHost, "/", "streaming", "llm", Attempts);
+  Plan["retain_context"] = !Settings.Resumable;
+  Plan["resumable"] = Settings.Resumable;
   Plan["retention_s"] = RetentionS;
-  json Spec = {{"version", Version},
-               {"routes",
-                {Plan, routeOf("own", Own.c_str(), "/look/", "safe", "book", 2),
-                 routeOf("look", ToolHost, "/look/", "safe", "book", 2),
-                 routeOf("book", ToolHost, "/book/", "unsafe", "book", 2)}},
-               {"services",
-                {{{"name", "llm"},
-                  {"connection_limit", 200},
-                  {"engine", {{"tokens_per_event", 1}}}},
-                 {{"name", "book"}, {"connection_limit", 200}}}},
-               {"limits",
-                {{"header_bytes", 16384},
-                 {"body_bytes", 1048576},
-                 {"header_timeout_ms", 5000},
-                 {"idle_timeout_ms", 30000}}}};
+  json Spec = {
+      {"version", Version},
+      {"routes",
+       {Plan, routeOf("own", Own.c_str(), "/look/", "safe", "book", Attempts),
+        routeOf("look", ToolHost, "/look/", "safe", "book", Attempts),
+        routeOf("book", ToolHost, "/book/", "unsafe", "book", Attempts)}},
+      {"services",
+       {{{"name", "llm"},
+         {"connection_limit", 200},
+         {"engine", {{"tokens_per_event", 1}}}},
+        {{"name", "book"}, {"connection_limit", 200}}}},
+      {"limits",
+       {{"header_bytes", 16384},
+        {"body_bytes", 1048576},
+        {"header_timeout_ms", 5000},
+        {"idle_timeout_ms", 30000}}}};
   order("store",
         {{"put", {{"kind", "config"}, {"name", "main"}, {"spec", Spec}}}});
 }
@@ -444,7 +447,8 @@
     Lines.push_back({Line.value("at", std::int64_t(0)),
                      Line.value("upstream", ""), Line.value("service", ""),
                      Line.value("what", ""), Line.value("attempt", ""),
-                     Line.value("crash", ""), Line.value("input", "")});
+                     Line.value("crash", ""), Line.value("input", ""),
+                     Line.value("left_ms", std::int64_t(-1))});
   }
   return Lines;
 }
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -36,6 +36,9 @@
   int Tools = 3; ///< Plain services.
   int DataCentres = 3;
   int RunnerEvents = 6;
+  int Attempts = 2; ///< Upstreams that an attempt of a caller may run on.
+  /// Whether streams may be resumed; their turns are not stored then.
+  bool Resumable = false;
   milliseconds EventGap{20};
   /// An upstream that ends by itself is started again after this time.
   milliseconds UpstreamBack{1500};
@@ -68,8 +71,9 @@
   std::string Service;
   std::string What; ///< run, end, crash, lost, left
   std::string Attempt;
-  std::string Crash; ///< The mark of a request that ends its upstream.
-  std::string Input; ///< Hash of what it was given.
+  std::string Crash;        ///< The mark of a request that ends its upstream.
+  std::string Input;        ///< Hash of what it was given.
+  std::int64_t LeftMs = -1; ///< Time left by the request; -1: not told.
 };
 
 /// What one request did to its upstreams, from what they told.
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -28,6 +28,8 @@
 DEFINE_int32(runners, 6, "Runners");
 DEFINE_int32(tools, 3, "Plain services");
 DEFINE_int32(programs, 16, "Programs at once");
+DEFINE_int32(attempts, 2, "Upstreams that an attempt of a caller may run on");
+DEFINE_bool(resumable, false, "Streams may be resumed and are not stored");
 DEFINE_string(only, "", "Numbers of faults to play, with commas");
 DEFINE_bool(minimize, false, "Look for the fewest faults that still fail");
 DEFINE_string(report, "", "File for a picture and a table of the last run");
@@ -48,6 +50,8 @@
   Settings.Fleet.DiskFaults = FLAGS_disk_faults;
   Settings.Fleet.Runners = FLAGS_runners;
   Settings.Fleet.Tools = FLAGS_tools;
+  Settings.Fleet.Attempts = FLAGS_attempts;
+  Settings.Fleet.Resumable = FLAGS_resumable;
   Settings.Fleet.Seed = Seed;
   Settings.Fleet.Links = true;
   Settings.Programs = FLAGS_programs;
@@ -74,7 +78,9 @@
          std::to_string(FLAGS_disk_faults) + " --runners " +
          std::to_string(FLAGS_runners) + " --tools " +
          std::to_string(FLAGS_tools) + " --programs " +
-         std::to_string(FLAGS_programs) +
+         std::to_string(FLAGS_programs) + " --attempts " +
+         std::to_string(FLAGS_attempts) +
+         (FLAGS_resumable ? " --resumable" : "") +
          (Only.empty() ? "" : " --only " + Only);
 }
 
--- a/testsuite/soak/oracle.cpp
+++ b/testsuite/soak/oracle.cpp
@@ -8,6 +8,10 @@
 
 // A leaving upstream gets nothing new after this time.
 constexpr std::int64_t DrainMs = 2000;
+// So many requests may break a rule about single ones.
+constexpr int MostOddRequests = 3;
+// Times that are compared may differ by so much.
+constexpr std::int64_t LateMs = 500;
 
 std::uint64_t eventsIn(const std::string &Stream) {
   std::string Data = fleet_harness::dataOf(Stream);
@@ -21,13 +25,16 @@
 }
 
 void oracle::note(milliseconds At, const fleet_harness::caller_request &Request,
-                  const fleet_harness::caller_answer &Answer) {
+                  const fleet_harness::caller_answer &Answer,
+                  bool EntryWasCalm) {
   slice &Slice = Slices[At / SliceTime];
   bool Whole = Answer.Status == http1::status::Ok && Answer.Complete;
   bool Refused = Answer.Status == http1::status::Unavailable;
   bool Answered = Whole || Answer.Status == http1::status::PaymentRequired;
   (Answered ? Slice.Answered : Refused ? Slice.Refused : Slice.Broken)++;
-  Attempts[Answer.Attempt] = {Request.Path, Answer.Status};
+  bool Unanswered = Answer.Status == 0 && !Answer.GivenUp;
+  Attempts[Answer.Attempt] = {Request.Path, Request.TimeLeft.count(),
+                              Answer.Status, Unanswered, EntryWasCalm};
   if (Request.Host == fleet_harness::fleet::PlanHost)
     judgeTurn(Request, Answer);
   if (Answer.Status == http1::status::BadRequest)
@@ -53,28 +60,105 @@
 }
 
 void oracle::judge(const std::vector<fleet_harness::run_line> &Runs) {
-  std::map<std::string, int> RunsOf;
-  for (const fleet_harness::run_line &Line : Runs)
+  runs_by_attempt RunsOf;
+  for (const fleet_harness::run_line &Line : Runs) {
     if (Line.What == "run")
-      ++RunsOf[Line.Attempt];
+      RunsOf[Line.Attempt].push_back(&Line);
+    if (Line.What == "crash" || Line.What == "lost")
+      noteDisturbed(Line.Upstream);
+  }
   judgeAttempts(RunsOf);
+  judgeRepeats(RunsOf);
+  judgeTimeLeft(RunsOf);
+  judgeUnanswered(RunsOf);
   judgeCrashers(Runs);
   judgeLeaving(Runs);
 }
 
-void oracle::judgeAttempts(const std::map<std::string, int> &RunsOf) {
-  for (const auto &[Id, Times] : RunsOf) {
+void oracle::judgeAttempts(const runs_by_attempt &RunsOf) {
+  for (const auto &[Id, Lines] : RunsOf) {
     auto Attempt = Attempts.find(Id);
     if (Attempt == Attempts.end())
       continue;
-    bool Safe = Attempt->second.Path.starts_with("/look/");
-    if (Times > 1 && !Safe)
-      fail("at most once", Id + " ran " + std::to_string(Times) + " times");
+    const std::string &Path = Attempt->second.Path;
+    bool MayRunAgain =
+        Path.starts_with("/look/") || (Resumable && Path.starts_with("/turn/"));
+    if (Lines.size() > 1 && !MayRunAgain)
+      fail("at most once",
+           Id + " ran " + std::to_string(Lines.size()) + " times");
     if (Attempt->second.Status == http1::status::Unavailable)
       fail("not run", Id + " was told 503 and has run");
   }
 }
 
+// An attempt of a caller runs on no more upstreams than its route allows.
+void oracle::judgeRepeats(const runs_by_attempt &RunsOf) {
+  int Count = 0;
+  std::string Example;
+  for (const auto &[Id, Lines] : RunsOf) {
+    std::set<std::string> Upstreams;
+    for (const fleet_harness::run_line *Line : Lines)
+      if (Disturbed.count(Line->Upstream) == 0)
+        Upstreams.insert(Line->Upstream);
+    if (Upstreams.size() <= MaxUpstreams || Attempts.count(Id) == 0)
+      continue;
+    ++Count;
+    Example = Id;
+  }
+  if (Count > MostOddRequests)
+    fail("attempts", std::to_string(Count) +
+                         " requests ran on more upstreams than allowed, " +
+                         Example + " among them");
+}
+
+// Upstreams are told no more time than is left.
+void oracle::judgeTimeLeft(const runs_by_attempt &RunsOf) {
+  int Count = 0;
+  int Told = 0;
+  std::string Example;
+  for (const auto &[Id, Lines] : RunsOf) {
+    auto Attempt = Attempts.find(Id);
+    if (Attempt == Attempts.end() || Attempt->second.Path == "/turn/")
+      continue;
+    std::int64_t FirstEnd = Lines.front()->AtMs + Lines.front()->LeftMs;
+    for (const fleet_harness::run_line *Line : Lines) {
+      ++Told;
+      bool TooLong = Line->LeftMs < 0 ||
+                     Line->LeftMs > Attempt->second.LeftMs + LateMs ||
+                     (Line->AtMs > Lines.front()->AtMs + LateMs &&
+                      Line->AtMs + Line->LeftMs > FirstEnd + LateMs);
+      Count += TooLong ? 1 : 0;
+      Example = TooLong ? Id : Example;
+    }
+  }
+  constexpr int MostTooLong = 20;
+  constexpr int OneIn = 5;
+  if (Count > MostTooLong && Count * OneIn > Told)
+    fail("time left", std::to_string(Count) +
+                          " sends told upstreams more time than is left, " +
+                          Example + " among them");
+}
+
+// A request that a sound upstream got is answered before its connection ends.
+void oracle::judgeUnanswered(const runs_by_attempt &RunsOf) {
+  int Count = 0;
+  std::string Example;
+  for (const auto &[Id, Attempt] : Attempts) {
+    auto Lines = RunsOf.find(Id);
+    if (!Attempt.EndedUnanswered || !Attempt.EntryWasCalm ||
+        Lines == RunsOf.end() ||
+        Disturbed.count(Lines->second.back()->Upstream) > 0)
+      continue;
+    ++Count;
+    Example = Id;
+  }
+  if (Count > MostOddRequests)
+    fail("answers", std::to_string(Count) +
+                        " requests that upstreams got ended without an "
+                        "answer, " +
+                        Example + " among them");
+}
+
 void oracle::judgeCrashers(const std::vector<fleet_harness::run_line> &Runs) {
   std::map<std::string, fleet_harness::crash_record> Records;
   for (const fleet_harness::run_line &Line : Runs)
--- a/testsuite/soak/oracle.h
+++ b/testsuite/soak/oracle.h
@@ -36,9 +36,22 @@
 public:
   static constexpr milliseconds SliceTime{250};
 
+  /// \p Routes has the attempts of the routes and whether streams may be
+  /// resumed.
+  explicit oracle(const fleet_harness::fleet_settings &Routes)
+      : MaxUpstreams(static_cast<std::size_t>(Routes.Attempts)),
+        Resumable(Routes.Resumable) {}
+
   /// An answer that a caller got, \p At after the start of traffic.
+  /// \p EntryWasCalm: nothing disturbed its entry host from a while before the
+  /// request on.
   void note(milliseconds At, const fleet_harness::caller_request &Request,
-            const fleet_harness::caller_answer &Answer);
+            const fleet_harness::caller_answer &Answer, bool EntryWasCalm);
+  /// Notes an upstream that ended or was frozen: its runs don't count against
+  /// attempts.
+  void noteDisturbed(std::string Upstream) {
+    Disturbed.insert(std::move(Upstream));
+  }
   void noteLeaving(leaving_upstream Upstream) {
     Leaving.push_back(std::move(Upstream));
   }
@@ -53,14 +66,25 @@
 private:
   struct attempt {
     std::string Path;
+    std::int64_t LeftMs = 0; ///< Time left when it was sent.
     int Status = 0;
+    bool EndedUnanswered = false; ///< By the end of the connection.
+    bool EntryWasCalm = false;
   };
+  using runs_by_attempt =
+      std::map<std::string, std::vector<const fleet_harness::run_line *>>;
   void judgeTurn(const fleet_harness::caller_request &Request,
                  const fleet_harness::caller_answer &Answer);
-  void judgeAttempts(const std::map<std::string, int> &RunsOf);
+  void judgeAttempts(const runs_by_attempt &RunsOf);
+  void judgeRepeats(const runs_by_attempt &RunsOf);
+  void judgeTimeLeft(const runs_by_attempt &RunsOf);
+  void judgeUnanswered(const runs_by_attempt &RunsOf);
   void judgeCrashers(const std::vector<fleet_harness::run_line> &Runs);
   void judgeLeaving(const std::vector<fleet_harness::run_line> &Runs);
 
+  std::size_t MaxUpstreams;
+  bool Resumable;
+  std::set<std::string> Disturbed; ///< Ids of upstreams.
   std::map<std::string, attempt> Attempts;
   std::set<std::string> WholeTurns;
   std::map<std::string, std::uint64_t> TokensOf; ///< By program.
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -30,7 +30,7 @@
 
 soak_run::soak_run(soak_settings Given)
     : Settings(std::move(Given)), Plan(makePlan(Settings.Plan)),
-      Fleet(Settings.Fleet) {
+      Fleet(Settings.Fleet), Oracle(Settings.Fleet) {
   if (!Settings.Only.empty()) {
     std::vector<fault> Kept;
     for (std::size_t I = 0; I < Plan.size(); ++I)
@@ -67,9 +67,10 @@
   Start = steadyNow();
   fleet_harness::sound_traffic Traffic(
       Fleet, Settings.Programs, Settings.Plan.Seed,
-      [this](const std::string &, const fleet_harness::caller_request &Request,
+      [this](const std::string &Entry,
+             const fleet_harness::caller_request &Request,
              const fleet_harness::caller_answer &Answer) {
-        Oracle.note(now(), Request, Answer);
+        Oracle.note(now(), Request, Answer, wasCalm(Entry, Answer.Took));
       });
   milliseconds End{0};
   for (const fault &Fault : Plan) {
@@ -77,12 +78,21 @@
     End = std::max(End, milliseconds(Fault.AtMs + Fault.ForMs));
     after(milliseconds(Fault.AtMs), [this, Fault] {
       tell("begins", {{"fault", describe(Fault)}});
-      after(milliseconds(Fault.ForMs), [this, Fault, Stop = begin(Fault)] {
-        if (Stop)
-          Stop();
-        tell("ends", {{"fault", describe(Fault)}});
-        --UnderWay;
-      });
+      std::vector<std::string> Struck = entriesStruckBy(Fault);
+      for (const std::string &Entry : Struck)
+        DisturbedUntil[Entry] = steadyNow() + Recovery;
+      after(milliseconds(Fault.ForMs),
+            [this, Fault, Stop = begin(Fault), Struck = std::move(Struck)] {
+              if (Stop)
+                Stop();
+              // A host that was told to stop ends within its grace.
+              bool Stops = Fault.Kind == fault_kind::StopEntry;
+              for (const std::string &Entry : Struck)
+                DisturbedUntil[Entry] =
+                    steadyNow() + (Stops ? Recovery : milliseconds(0));
+              tell("ends", {{"fault", describe(Fault)}});
+              --UnderWay;
+            });
     });
   }
   Fleet.wait(End + Recovery, [this] { return UnderWay == 0; });
@@ -144,6 +154,32 @@
   return Result;
 }
 
+// Whether no fault has struck an entry host, its callers' link or its upstreams
+// since ContactTime before a request that has taken \p Took.
+bool soak_run::wasCalm(const std::string &Entry, milliseconds Took) const {
+  auto Row = DisturbedUntil.find(Entry);
+  return Row == DisturbedUntil.end() ||
+         steadyNow() - Took > Row->second + ApplyTime;
+}
+
+std::vector<std::string> soak_run::entriesStruckBy(const fault &Fault) {
+  switch (Fault.Kind) {
+  case fault_kind::KillEntry:
+  case fault_kind::FreezeEntry:
+  case fault_kind::StopEntry:
+  case fault_kind::ReplaceEntry:
+  case fault_kind::CallersCutOff:
+  case fault_kind::CallersSlow:
+  case fault_kind::CallersReset:
+    return {pick(role::Entry, Fault.Target)};
+  case fault_kind::KillAllEntries:
+  case fault_kind::KillAllHosts:
+    return Fleet.names(role::Entry);
+  default:
+    return {};
+  }
+}
+
 // -- Faults ------------------------------------------------------------------
 
 std::string soak_run::pick(role Role, std::uint32_t Target) {
@@ -242,12 +278,16 @@
   };
 }
 
+std::string soak_run::upstreamId(const std::string &Name) {
+  return "i-" + Name + "-" + std::to_string(Fleet.find(Name)->Starts - 1);
+}
+
 // The upstream says that it leaves, serves on, and goes; another comes.
 soak_run::ender soak_run::leave(const std::string &Name) {
   fleet_harness::member *Member = Fleet.find(Name);
   if (!Fleet.isRunning(Name) || Member->Stopped || !Member->Restarts)
     return {};
-  std::string Id = "i-" + Name + "-" + std::to_string(Member->Starts - 1);
+  std::string Id = upstreamId(Name);
   Member->Restarts = false;
   Fleet.order(Name, {{"draining", true}});
   std::int64_t SaidAt = wallMs();
@@ -256,6 +296,7 @@
     bool Still = Calm && StoreTroubles == 0 &&
                  steadyNow() - StoreTroubleUntil >= LeaveTime;
     Oracle.noteLeaving({Id, SaidAt, Still});
+    Oracle.noteDisturbed(Id);
     Fleet.signal(Name, SIGKILL);
     Fleet.order("store", {{"remove", {{"kind", "servers"}, {"name", Id}}}});
     after(RestartPause, [this, Name] { restart(Name); });
@@ -270,12 +311,15 @@
   std::string Tool = pick(role::Tool, Fault.Target);
   switch (Fault.Kind) {
   case fault_kind::KillRunner:
+    Oracle.noteDisturbed(upstreamId(Runner));
     Fleet.signal(Runner, SIGKILL);
     return {};
   case fault_kind::KillTool:
+    Oracle.noteDisturbed(upstreamId(Tool));
     Fleet.signal(Tool, SIGKILL);
     return {};
   case fault_kind::FreezeRunner:
+    Oracle.noteDisturbed(upstreamId(Runner));
     Fleet.signal(Runner, SIGSTOP);
     return [this, Runner] { Fleet.signal(Runner, SIGCONT); };
   case fault_kind::LeaveRunner:
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -56,6 +56,11 @@
   void probeVersion(std::uint64_t Version, bool Wanted);
   void restart(const std::string &Name);
   void restartOnceEnded(const std::string &Name);
+  /// The entry hosts that a fault disturbs by itself.
+  std::vector<std::string> entriesStruckBy(const fault &Fault);
+  /// The id of the current start of an upstream.
+  std::string upstreamId(const std::string &Name);
+  bool wasCalm(const std::string &Entry, milliseconds Took) const;
   std::string pick(fleet_harness::role Role, std::uint32_t Target);
   void killAll(std::initializer_list<fleet_harness::role> Roles);
   bool finish();
@@ -75,6 +80,8 @@
   std::uint64_t Version = 1;
   std::uint64_t CrasherNumber = 0;
   int UnderWay = 0; ///< Faults.
+  /// Until when each entry host was disturbed, by a fault of its own.
+  std::map<std::string, time_point> DisturbedUntil;
   /// Until when hosts may not have heard of what the store was told.
   time_point StoreTroubleUntil;
   int StoreTroubles = 0;
--- a/testsuite/standins/upstream_engine.cpp
+++ b/testsuite/standins/upstream_engine.cpp
@@ -119,6 +119,7 @@
                                     {"attempt", Run.Attempt},
                                     {"events", Run.Sent},
                                     {"crash", Run.Crash},
+                                    {"left_ms", Run.LeftMs},
                                     {"input", Run.Mark}}
                          .dump() +
                      "\n";
@@ -179,6 +180,10 @@
   Run.Mark = markOf(Request.Body);
   Run.Crash = crashOf(Request);
   Run.Next = steadyNow() + Settings.EventGap;
+  if (const std::string *Left = Request.Headers.find("Deadline-Remaining"))
+    Run.LeftMs = std::strtoll(Left->c_str(), nullptr, 10);
+  if (const std::string *Last = Request.Headers.find("Last-Event-Id"))
+    Run.Sent = std::atoi(Last->c_str());
   note("run", Run);
   if (happens(Bad.Lost)) {
     note("lost", Run);
--- a/testsuite/standins/upstream_engine.h
+++ b/testsuite/standins/upstream_engine.h
@@ -51,7 +51,8 @@
     std::string Attempt;
     std::string Mark; ///< What the answer must show: a hash of the input.
     std::string Crash;
-    int Sent = 0;
+    std::int64_t LeftMs = -1; ///< Time left by the request; -1: not told.
+    int Sent = 0;             ///< Events, with those before a resume.
     time_point Next;
   };
   /// Shares of requests, 0 to 1, that are treated badly.
