Answers of upstreams share one limit of memory on a host

Ruled out: heads, framing, bytes after an answer, all bounded before.

Above it the call that holds the most is broken off, as an endless answer is larger than those of sound upstreams.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -55,6 +55,9 @@
   milliseconds ConnectTimeout{300};
   /// Time in the retry header of an answer when there is no better estimate.
   milliseconds RetryAfter{200};
+  /// Limit for the bytes that answers of upstreams take on this host. Above it,
+  /// the largest answers are broken off.
+  std::size_t MaxAnswerBytes = 32U << 20U;
   std::string TunnelKey; ///< Shared with the tunnel servers of other hosts.
   /// Decodes what the head of an answer says of its upstream. May be unset.
   std::function<upstream_notice(const http1::header_list &Headers)> ReadNotice;
@@ -120,6 +123,8 @@
   /// arrive from now on is refused.
   void endDrain();
   std::size_t callsUnderWay() const;
+  /// Bytes of answers of upstreams that the calls under way hold.
+  std::size_t answerBytes() const;
 
   /// Updates the gauges in the metrics.
   void publish() const;
--- /dev/null
+++ b/src/librelay/answer_budget_test.cpp
@@ -0,0 +1,99 @@
+// The memory that the answers of upstreams may take on a host.
+
+#include "test_relay_pvt.h"
+#include "turmerichead/relay_answer_budget.h"
+
+#include <deque>
+
+using namespace turmerichead;
+using namespace turmerichead::pvt;
+
+TEST_CASE("the call that holds the most ends first") {
+  relay::answer_budget Budget(100);
+  Budget.set(1, 40);
+  Budget.set(2, 60);
+  CHECK(!Budget.largestIfExceeded());
+  Budget.set(1, 45);
+  CHECK(Budget.largestIfExceeded() == 2);
+  Budget.release(2);
+  CHECK(!Budget.largestIfExceeded());
+  CHECK(Budget.total() == 45);
+  Budget.release(2);
+  CHECK(Budget.total() == 45);
+}
+
+namespace {
+
+constexpr std::size_t EndlessCalls = 60;
+
+/// A relay with an upstream whose answers never end, and 60 calls to it.
+struct endless_fixture : fixture {
+  std::deque<caller> Callers;
+  std::size_t MostHeld = 0;
+
+  void callAll(std::string_view Method, std::string_view Path,
+               raw_server &Upstream, std::string_view Head) {
+    for (std::size_t I = 0; I < EndlessCalls; ++I)
+      Callers.emplace_back(Address).send(
+          request(Method, Path, "c" + std::to_string(I), {}, {}));
+    REQUIRE(
+        turnUntil([&] { return Upstream.Connections.size() >= EndlessCalls; }));
+    for (std::size_t I = 0; I < EndlessCalls; ++I) {
+      raw_server::connection &Row = *Upstream.Connections[I];
+      REQUIRE(turnUntil(
+          [&] { return Row.Input.find("X-Call: ") != std::string::npos; }));
+      std::size_t IdAt = Row.Input.find("X-Call: ");
+      std::string Id =
+          Row.Input.substr(IdAt, Row.Input.find("\r\n", IdAt) - IdAt);
+      Upstream.send(I, "HTTP/1.1 200 OK\r\n" + Id + "\r\n" + std::string(Head) +
+                           "\r\n");
+    }
+  }
+  /// Sends bytes to all calls until the upstream's side has sent \p Rounds
+  /// times 64 KB to each, and notes the most that the relay held.
+  void sendEndlessly(raw_server &Upstream, std::string_view Piece, int Rounds) {
+    constexpr std::size_t PieceBytes = 64U << 10U;
+    std::string Bytes;
+    while (Bytes.size() < PieceBytes)
+      Bytes += Piece;
+    for (int Round = 0; Round < Rounds; ++Round) {
+      for (std::size_t I = 0; I < EndlessCalls; ++I)
+        if (!Upstream.Connections[I]->Closed)
+          Upstream.send(I, Bytes);
+      turnFor(milliseconds(5));
+      MostHeld = std::max(MostHeld, Relay->answerBytes());
+    }
+  }
+};
+
+} // namespace
+
+// 60 calls to a faulty upstream held 4 MB each, and the host ran out of memory
+// with the calls of all other callers.
+TEST_CASE("lost_host_stays_within_its_memory_while_answers_never_end") {
+  endless_fixture F;
+  raw_server *Upstream = &F.Tools;
+  SUBCASE("a body") {
+    F.callAll("GET", "/safe/1", F.Tools, "Content-Length: 99999999\r\n");
+    F.sendEndlessly(F.Tools, "x", 30);
+  }
+  SUBCASE("an event") {
+    Upstream = &F.Llm;
+    F.callAll(
+        "POST", "/talk/1", F.Llm,
+        "Content-Type: text/event-stream\r\nContent-Length: 99999999\r\n");
+    F.sendEndlessly(F.Llm, "x", 15);
+  }
+  CHECK(F.MostHeld <= MaxAnswerBytes);
+  auto Ended =
+      std::count_if(Upstream->Connections.begin(), Upstream->Connections.end(),
+                    [](const auto &Row) { return Row->Closed; });
+  CHECK(Ended > 0);
+  F.put("tool-2", "tools", F.OtherTools);
+  caller Sound(F.Address);
+  Sound.send(F.request("POST", "/book/1", "sound", {}, "b"));
+  REQUIRE(F.received(F.OtherTools, "X-Call: sound"));
+  std::size_t Index = F.connectionOf(F.OtherTools, "X-Call: sound");
+  F.OtherTools.send(Index, answerTo("sound", "booked"));
+  REQUIRE(Sound.waitsFor("booked"));
+}
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -98,6 +98,12 @@
   time_point LastEvent;
   time_point FirstEvent;
 
+  /// Bytes of the answer that are held: all of a plain one, and of a stream the
+  /// unfinished event and what will be stored.
+  std::size_t heldBytes() const {
+    return Body.size() + PartialEvent.size() + Events.unfinished() +
+           Output.size();
+  }
   /// Number of tokens that were forwarded to the caller.
   std::uint64_t tokens() const { return EventCount * TokensPerEvent; }
   bool wasSentTo(std::string_view Id) const {
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -386,11 +386,15 @@
 
 std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
 
+std::size_t relay::answerBytes() const { return Impl->Answers.total(); }
+
 void relay::publish() const {
   http1::server_counters Server = Impl->Server->counters();
   http1::client_counters Client = Impl->Client->counters();
   Impl->Metrics.set("caller_connections", "",
                     static_cast<double>(Server.OpenConnections));
+  Impl->Metrics.set("upstream_answer_bytes", "",
+                    static_cast<double>(answerBytes()));
   Impl->Metrics.set("upstream_connections", "",
                     static_cast<double>(Client.OpenConnections));
   Impl->Metrics.set("upstream_connections_opened", "",
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -136,6 +136,7 @@
   Metrics.observe("call_ms", Labels, static_cast<double>(TookMs));
   releaseUpstream(Call);
   ByExchange.erase(Call.Exchange);
+  Answers.release(keyOf(Id));
   Calls.erase(Id);
 }
 
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -6,6 +6,7 @@
 #include "call_pvt.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/relay_admission.h"
+#include "turmerichead/relay_answer_budget.h"
 #include "turmerichead/relay_crash_tracker.h"
 #include "turmerichead/relay_links.h"
 #include "turmerichead/relay_permit_client.h"
@@ -66,6 +67,7 @@
   permit_client Permits;
   program_homes Homes{MinHomes};
   call_table Calls;
+  answer_budget Answers{Settings.MaxAnswerBytes};
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
 
   impl(relay_settings Settings, header_names Names, turns::client &Turns,
@@ -99,6 +101,9 @@
                                  const upstream &Upstream) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
   void onBody(relay_call_id Id, std::string_view Bytes);
+  /// Counts what the call holds of its answer, and breaks off the largest
+  /// answers while all of them take too much memory. The call may end.
+  void limitAnswers(relay_call_id Id);
   /// Forwards bytes of a stream to the caller; of a resumable stream, only
   /// complete events.
   void forwardBody(relay_call &Call, std::string_view Bytes);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -210,6 +210,7 @@
   if (!Call.Streams) {
     if (Call.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
       Call.Body += Bytes;
+      limitAnswers(Id);
       return;
     }
     abortUpstreamCall(Id, "the answer is too large");
@@ -236,12 +237,23 @@
   });
   // A faulty upstream may send endless bytes without events, or more events
   // than the call may generate.
-  if (!IsValid || Call.BytesSinceEvent > MaxBytesBetweenEvents)
+  if (!IsValid || Call.BytesSinceEvent > MaxBytesBetweenEvents) {
     abortUpstreamCall(Id, "the stream brings no events");
-  else if (Call.exceedsTokenLimit())
+    return;
+  }
+  if (Call.exceedsTokenLimit()) {
     abortUpstreamCall(Id, "the stream is longer than the call may generate");
-  else
-    forwardBody(Call, Bytes);
+    return;
+  }
+  forwardBody(Call, Bytes);
+  limitAnswers(Id);
+}
+
+void relay::impl::limitAnswers(relay_call_id Id) {
+  Answers.set(keyOf(Id), Calls.find(Id)->heldBytes());
+  while (auto Largest = Answers.largestIfExceeded())
+    abortUpstreamCall(idOf<relay_call>(*Largest),
+                      "answers take more memory than the host has for them");
 }
 
 void relay::impl::forwardBody(relay_call &Call, std::string_view Bytes) {
@@ -317,6 +329,7 @@
   relay_call &Call = *Calls.find(Id);
   std::string Upstream = Call.UpstreamId;
   releaseUpstream(Call);
+  Answers.release(keyOf(Id));
   recordSuccess(Call);
   if (!Call.PartialEvent.empty())
     Server->write(Call.Exchange, Call.PartialEvent);
@@ -410,7 +423,8 @@
   Call.Permit.reset();
   recordAbort(Call, abort_kind::Broken);
   releaseUpstream(Call);
-  Call.Body.clear();
+  Call.Body = {}; // clear() would keep the memory.
+  Answers.release(keyOf(Id));
   if (resumeStream(Id))
     return;
   if (Call.Phase == call_phase::Streaming) {
