What is dropped of an answer no longer counts against the memory limit

Read again: after an answer that said "not run" the bytes of its body stayed counted until the next answer, so that a call that holds nothing could have been taken for the largest. Dropping a body is one step now, at all three places. No fault was seen; librelay_test's cases on answers, resumes and retries pass.

--- a/src/librelay/relay_links.cpp
+++ b/src/librelay/relay_links.cpp
@@ -57,7 +57,7 @@
   bool TunnelFailed = Failure == http1::connect_failure::Tunnel;
   bool Refused = Failure == http1::connect_failure::Refused;
   releaseUpstream(Call);
-  Call.Body.clear();
+  dropBody(Id);
   // The upstream has not received the call, so the send does not count.
   bool IsResume = Call.BrokenAt == Target.Id;
   Call.Attempts -= IsResume ? 0 : 1;
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -104,6 +104,8 @@
   /// Counts what the call holds of its answer, and breaks off the largest
   /// answers while all of them take too much memory. The call may end.
   void limitAnswers(relay_call_id Id);
+  /// Drops what was received of an answer, before the call is sent again.
+  void dropBody(relay_call_id Id);
   /// Forwards bytes of a stream to the caller; of a resumable stream, only
   /// complete events.
   void forwardBody(relay_call &Call, std::string_view Bytes);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -256,6 +256,11 @@
                       "answers take more memory than the host has for them");
 }
 
+void relay::impl::dropBody(relay_call_id Id) {
+  Calls.find(Id)->Body = {}; // clear() would keep the memory.
+  Answers.release(keyOf(Id));
+}
+
 void relay::impl::forwardBody(relay_call &Call, std::string_view Bytes) {
   if (!Call.Route.Resumable) {
     Server->write(Call.Exchange, Bytes);
@@ -376,7 +381,7 @@
   }
   releaseUpstream(Call);
   Call.Permit.reset();
-  Call.Body.clear();
+  dropBody(Id);
   if (Call.Attempts < Call.Route.Attempts)
     send(Id);
   else
@@ -423,8 +428,7 @@
   Call.Permit.reset();
   recordAbort(Call, abort_kind::Broken);
   releaseUpstream(Call);
-  Call.Body = {}; // clear() would keep the memory.
-  Answers.release(keyOf(Id));
+  dropBody(Id);
   if (resumeStream(Id))
     return;
   if (Call.Phase == call_phase::Streaming) {
