Soak: a killed host is awaited before it may be started again

The soak's process was late, the ends of the killed hosts had not been noticed when they were to be started, and restart() passes over a host that still counts as running. Kills now return once the process has ended. No check is changed.

--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -202,10 +202,16 @@
   return beginCallerFault(Fault);
 }
 
+// Returns once they have ended, so that each can be started again.
 void soak_run::killAll(std::initializer_list<role> Roles) {
+  std::vector<std::string> Killed;
   for (role Role : Roles)
     for (const std::string &Name : Fleet.names(Role))
-      Fleet.signal(Name, SIGKILL);
+      Killed.push_back(Name);
+  for (const std::string &Name : Killed)
+    Fleet.signal(Name, SIGKILL);
+  for (const std::string &Name : Killed)
+    Fleet.kill(Name);
 }
 
 soak_run::ender soak_run::freeze(const std::string &Name) {
@@ -236,7 +242,7 @@
   std::string Disk = pick(role::Disk, Fault.Target);
   switch (Fault.Kind) {
   case fault_kind::KillEntry:
-    Fleet.signal(Entry, SIGKILL);
+    Fleet.kill(Entry);
     return [this, Entry] { restart(Entry); };
   case fault_kind::FreezeEntry:
     return freeze(Entry);
@@ -247,7 +253,7 @@
       Fleet.remove(Entry);
     return [this] { Fleet.addHost(role::Entry); };
   case fault_kind::KillDisk:
-    Fleet.signal(Disk, SIGKILL);
+    Fleet.kill(Disk);
     return [this, Disk] { restart(Disk); };
   case fault_kind::FreezeDisk:
     return freeze(Disk);
@@ -257,10 +263,10 @@
   default:
     break;
   }
-  bool All = Fault.Kind == fault_kind::KillAllHosts;
-  killAll({role::Entry});
-  if (All)
-    killAll({role::Disk});
+  if (Fault.Kind == fault_kind::KillAllHosts)
+    killAll({role::Entry, role::Disk});
+  else
+    killAll({role::Entry});
   return [this] {
     for (role Role : {role::Disk, role::Entry})
       for (const std::string &Name : Fleet.names(Role))
