Bodies of answers are kept in pieces of one size

Cause: with the limit on answers a real process still went above its 110 MB: 113 MB (body with a length) and 131 MB (without), 60 calls at once at two upstreams without end, 27.5 MB counted. A string that grows takes up to twice its size and is copied into a larger block each time; what it leaves fragments the heap.

Change: a body is a list of pieces of 16 KB, joined when the answer is complete.

The limit's tests, retries and a new test of the pieces pass.

--- a/src/librelay/answer_budget_test.cpp
+++ b/src/librelay/answer_budget_test.cpp
@@ -1,5 +1,6 @@
 // The memory that the answers of upstreams may take on a host.
 
+#include "call_pvt.h"
 #include "test_relay_pvt.h"
 #include "turmerichead/relay_answer_budget.h"
 
@@ -22,6 +23,18 @@
   CHECK(Budget.total() == 45);
 }
 
+TEST_CASE("an answer in pieces is the text that was appended") {
+  relay::answer_body Body;
+  std::string Expected;
+  for (std::size_t Size : {0U, 1U, 5000U, 16384U, 40000U, 3U}) {
+    std::string Part(Size, static_cast<char>('a' + Size % 26));
+    Body.append(Part);
+    Expected += Part;
+  }
+  CHECK(Body.size() == Expected.size());
+  CHECK(Body.text() == Expected);
+}
+
 namespace {
 
 constexpr std::size_t EndlessCalls = 60;
--- a/src/librelay/call.cpp
+++ b/src/librelay/call.cpp
@@ -64,6 +64,32 @@
   return Params;
 }
 
+// Large enough to be few, small enough that a short answer wastes little.
+constexpr std::size_t PieceBytes = 16U << 10U;
+
+void answer_body::append(std::string_view Bytes) {
+  Size += Bytes.size();
+  while (!Bytes.empty()) {
+    if (Pieces.empty() || Pieces.back().size() == PieceBytes)
+      Pieces.emplace_back();
+    std::string &Last = Pieces.back();
+    std::string_view Part = Bytes.substr(0, PieceBytes - Last.size());
+    // The first piece is mostly the whole answer, and grows as needed.
+    if (Pieces.size() > 1)
+      Last.reserve(PieceBytes);
+    Last += Part;
+    Bytes.remove_prefix(Part.size());
+  }
+}
+
+std::string answer_body::text() const {
+  std::string Text;
+  Text.reserve(Size);
+  for (const std::string &Piece : Pieces)
+    Text += Piece;
+  return Text;
+}
+
 std::string_view nameOf(call_phase Phase) {
   switch (Phase) {
   case call_phase::Opening:
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -30,6 +30,20 @@
 std::optional<call_params> readCallParams(const header_names &Names,
                                           const http1::header_list &Headers);
 
+/// The body of an answer while it is received, in pieces of one size. A string
+/// that grows is copied again and again and takes up to twice its size, and
+/// what it leaves behind fragments the memory of the process.
+class answer_body {
+public:
+  void append(std::string_view Bytes);
+  std::size_t size() const { return Size; }
+  std::string text() const;
+
+private:
+  std::vector<std::string> Pieces; ///< All full but the last one.
+  std::size_t Size = 0;
+};
+
 enum class call_phase : std::uint8_t {
   Opening,   ///< The turn is being opened at the disk hosts.
   Sent,      ///< It was sent to an upstream.
@@ -83,7 +97,7 @@
   milliseconds HeldFor{0}; ///< Time spent waiting for permits.
 
   http1::response_head Head;
-  std::string Body; ///< Body of an answer that is not a stream.
+  answer_body Body; ///< Of an answer that is not a stream.
   bool NotRun = false;
   bool Streams = false; ///< Whether the upstream answers with a stream.
   sse_splitter Events;
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -209,7 +209,7 @@
   relay_call &Call = *Calls.find(Id);
   if (!Call.Streams) {
     if (Call.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
-      Call.Body += Bytes;
+      Call.Body.append(Bytes);
       limitAnswers(Id);
       return;
     }
@@ -257,7 +257,7 @@
 }
 
 void relay::impl::dropBody(relay_call_id Id) {
-  Calls.find(Id)->Body = {}; // clear() would keep the memory.
+  Calls.find(Id)->Body = {};
   Answers.release(keyOf(Id));
 }
 
@@ -326,7 +326,7 @@
   settleBudget(Call);
   if (isSuccess(Call.Head.Status))
     recordSuccess(Call);
-  Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body);
+  Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body.text());
   finish(Id, Call.Head.Status, {});
 }
 
