--- a/src/librelay/routes.cpp
+++ b/src/librelay/routes.cpp
@@ -40,7 +40,7 @@
   // host has held for longer has lost its caller.
   constexpr milliseconds TransitTime{10000};
   milliseconds LongestTurn{0};
-  for (const struct route &Other : Routes)
+  for (const route &Other : Routes)
     if (Other.KeepsTurns)
       LongestTurn = std::max(LongestTurn, Other.Timeout);
   return Route.Retention + LongestTurn + TransitTime;
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -154,8 +154,8 @@
   return Result;
 }
 
-// Whether no fault has struck an entry host, its callers' link or its upstreams
-// since ContactTime before a request that has taken \p Took.
+// Whether no fault has struck an entry host or its callers' link since
+// ApplyTime before a request that has taken \p Took.
 bool soak_run::wasCalm(const std::string &Entry, milliseconds Took) const {
   auto Row = DisturbedUntil.find(Entry);
   return Row == DisturbedUntil.end() ||
