--- a/src/include/turmerichead/relay_routes.h
+++ b/src/include/turmerichead/relay_routes.h
@@ -53,6 +53,17 @@
   std::uint32_t TokensPerEvent = 1;  ///< In the streams of a model runner.
 };
 
+/// An organisation whose callers authenticate with keys.
+struct organisation {
+  std::string Name;
+  std::optional<std::uint32_t> Rank; ///< Replaces the rank of the route.
+  double RatePerSecond = 0; ///< Requests of all hosts together; 0: no limit.
+  double Burst = 0;         ///< Requests above the rate after a pause.
+};
+
+/// The organisations of a configuration, by name.
+using organisation_map = std::map<std::string, organisation, std::less<>>;
+
 /// Limits on what callers may send.
 struct caller_limits {
   std::size_t HeaderBytes = 16U << 10U;
@@ -66,6 +77,8 @@
   std::uint64_t Version = 0;
   std::vector<route> Routes;
   std::map<std::string, service, std::less<>> Services;
+  /// Unset if the configuration has no organisations; callers then need no key.
+  std::optional<organisation_map> Organisations;
   caller_limits Limits;
 
   /// Returns the route of the host with the longest matching path prefix, or
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -60,7 +60,8 @@
   http1::exchange_id Exchange;
   http1::request Request;
   call_params Params;
-  route Route; ///< As it was when the call arrived.
+  route Route;              ///< As it was when the call arrived.
+  std::string Organisation; ///< Of the caller; empty: none.
   std::string Service;
   call_phase Phase = call_phase::Opening;
   time_point Arrived;
