A disk host that joins the set has time to reply

Cause, from the disk hosts' logs: hosts outside the set counted a host that had just joined it as unresponsive, because they had never pinged it, and cancelled the joint set at once. With three such hosts the epoch rose twice a second while a member was away, and each epoch starts all copies anew. Ruled out: links and processor time of the copying host. The time to reply now begins with the first ping, for each host by itself. Besides, a host that catches up wrote each reservation once for each host it copied from; records that add nothing are now skipped before they are decoded.

--- a/src/include/turmerichead/turns_index.h
+++ b/src/include/turmerichead/turns_index.h
@@ -51,6 +51,8 @@
   /// Follows the chain of turn \p Id back to its first turn.
   chain_lookup findChain(std::string_view Id) const;
   bool hasTurn(std::string_view Id) const;
+  /// Whether addSpend() of the record would return false.
+  bool hasSpend(const spend_record &Spend) const;
 
   /// Returns the tokens that the other attempts of \p Program have reserved or
   /// spent.
--- a/src/include/turmerichead/turns_record_store.h
+++ b/src/include/turmerichead/turns_record_store.h
@@ -31,8 +31,9 @@
   /// with the reason, if the log refuses the record.
   bool add(const turn_record &Turn, time_point Now);
   bool add(const spend_record &Spend, time_point Now);
-  /// Stores an encoded record from the log of another host; State records are
-  /// skipped. Returns false, with the reason, if the record can't be decoded or
+  /// Stores an encoded record from the log of another host. State records are
+  /// skipped, and so are records that add no information: a host that catches
+  /// up receives most records from every other host. Returns false, with the reason, if the record can't be decoded or
   /// the log refuses it.
   bool addEncoded(std::string_view Bytes, time_point Now);
 
--- a/src/libturns/index.cpp
+++ b/src/libturns/index.cpp
@@ -35,6 +35,16 @@
   return true;
 }
 
+bool turn_index::hasSpend(const spend_record &Spend) const {
+  auto Program = Programs.find(Spend.Program);
+  if (Program == Programs.end())
+    return false;
+  auto Entry = Program->second.Attempts.find(Spend.Attempt);
+  if (Entry == Program->second.Attempts.end())
+    return false;
+  return Entry->second.Settled || !Spend.Settled;
+}
+
 chain_lookup turn_index::findChain(std::string_view Id) const {
   chain_lookup Lookup;
   std::string_view At = Id;
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -12,6 +12,12 @@
 constexpr std::uint64_t CompactAbovePercent = 50;
 constexpr std::uint64_t Hundred = 100;
 
+/// The first field of a turn_record, to recognise a turn that is stored.
+struct turn_id {
+  std::string Id;
+  MSGPACK_DEFINE(Id)
+};
+
 } // namespace
 
 std::optional<record_store> record_store::open(record_store_settings Settings,
@@ -81,10 +87,15 @@
   if (Kind == record_kind::State)
     return true;
   if (Kind == record_kind::Turn) {
+    auto Known = unpackRecord<turn_id>(Bytes);
+    if (Known && Index.hasTurn(Known->Id))
+      return true;
     auto Turn = unpackRecord<turn_record>(Bytes);
     return Turn && add(*Turn, Now);
   }
   auto Spend = unpackRecord<spend_record>(Bytes);
+  if (Spend && Index.hasSpend(*Spend))
+    return true;
   return Spend && add(*Spend, Now);
 }
 
--- a/src/libturns/records_test.cpp
+++ b/src/libturns/records_test.cpp
@@ -88,3 +88,35 @@
     std::filesystem::remove_all(Folder);
   }
 }
+
+TEST_CASE("records_that_are_copied_from_several_hosts_are_stored_once") {
+  // A host that caught up wrote every reservation once for each host that it
+  // copied from, so that its log grew several times as fast as theirs.
+  std::string Template =
+      (std::filesystem::temp_directory_path() / "copyXXXXXX").string();
+  std::string Folder = mkdtemp(Template.data());
+  log_recovery Recovery;
+  constexpr std::uint64_t SegmentBytes = 1U << 20U;
+  auto Store =
+      record_store::open({{Folder, SegmentBytes, 0}, true}, {0}, Recovery);
+  REQUIRE(Store);
+  spend_record Reserved{"p", "a1", 40, false, 60000};
+  spend_record Settled{"p", "a1", 10, true, 60000};
+  std::vector<std::string> Records = {
+      packRecord(record_kind::Spend, Reserved),
+      packRecord(record_kind::Spend, Settled),
+      packRecord(record_kind::Turn,
+                 turn_record{"t", "", "p", 60000, "in", "out", "u"})};
+  auto Copy = [&] {
+    for (const std::string &Record : Records)
+      REQUIRE(Store->addEncoded(Record, {0}));
+  };
+  Copy();
+  std::uint64_t Bytes = Store->bytes();
+  Copy();
+  CHECK(Store->bytes() == Bytes);
+  auto Attempts = Store->index().listOtherAttempts("p", "a2");
+  REQUIRE(Attempts.size() == 1);
+  CHECK(Attempts[0].Tokens == 10);
+  std::filesystem::remove_all(Folder);
+}
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -154,7 +154,6 @@
        [](peer_reply_id) {}});
   if (!Raw->Links || !Raw->Server)
     return std::nullopt;
-  Raw->MonitoringSince = steadyNow();
   Raw->TickTimer = loop_source::every(TickInterval, [Raw] {
     Raw->onTick();
     return true;
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -3,6 +3,7 @@
 /// monitoring the set.
 #pragma once
 
+#include "monitor_pvt.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/turns_replica.h"
 #include "turmerichead/turns_replica_core.h"
@@ -50,8 +51,7 @@
   // -- Membership and copying (replica_set.cpp) --
   std::vector<disk_host> Registered;
   std::vector<std::string> Retiring;
-  std::map<std::string, time_point> LastReplyAt; ///< By address.
-  time_point MonitoringSince;
+  host_monitor Monitor{Settings.UnresponsiveAfter};
   loop_source TickTimer;
 
   void onTick();
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -14,10 +14,10 @@
   // The members of a set that is not joint never propose a change, so they need
   // not monitor other hosts.
   bool IsMonitoring = Set.Epoch > 0 && (Set.isJoint() || !Core->isMember());
+  Monitor.watch(IsMonitoring ? Set.allMembers() : std::vector<disk_host>(),
+                steadyNow());
   if (IsMonitoring)
     pingMembers();
-  else
-    MonitoringSince = steadyNow();
   propose();
   if (Core->needsCopy())
     requestCopies();
@@ -34,7 +34,7 @@
     Links->send(Address,
                 {std::string(PingPath), {}, pack(ping_request{Core->set()})},
                 {[this, Address](std::string_view Bytes) {
-                   LastReplyAt[Address] = steadyNow();
+                   Monitor.recordReply(Address, steadyNow());
                    auto Reply = unpack<ping_reply>(Bytes);
                    if (Reply && Reply->Set.Epoch > Core->set().Epoch)
                      Core->adoptSet(Reply->Set);
@@ -48,10 +48,7 @@
   time_point Now = steadyNow();
   std::vector<std::string> Unresponsive;
   auto Responds = [&](std::string_view Address) {
-    auto LastReply = LastReplyAt.find(std::string(Address));
-    time_point Since =
-        LastReply == LastReplyAt.end() ? MonitoringSince : LastReply->second;
-    return Now - std::max(Since, MonitoringSince) < Settings.UnresponsiveAfter;
+    return Monitor.responds(Address, Now);
   };
   // A host that receives replies from fewer members than a read quorum is
   // itself partitioned, so it reports no other host as unresponsive.
