Organisations: callers are authenticated, and removed keys expire in time

The configuration's organisations were not decoded, so keys went on to the upstreams and requests with unknown or removed keys ran. Requests now need a key unless their route is public, upstreams get the organisation's name in place of the key, and turns and programs belong to an organisation.

--- a/src/include/turmerichead/http1_message.h
+++ b/src/include/turmerichead/http1_message.h
@@ -74,6 +74,7 @@
 inline constexpr int NoContent = 204;
 inline constexpr int NotModified = 304;
 inline constexpr int BadRequest = 400;
+inline constexpr int Unauthorized = 401;
 inline constexpr int PaymentRequired = 402;
 inline constexpr int NotFound = 404;
 inline constexpr int RequestTimeout = 408;
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -44,6 +44,8 @@
   std::string Tokens;         ///< "PROMPT,MAX": tokens of a turn.
   std::string PreviousTurn;   ///< Call id of the turn that it continues.
   std::string LastEvent;      ///< Id of the event after which to resume.
+  /// Names the organisation of the caller to the upstream.
+  std::string Organisation;
   /// Headers that only this system may set; removed from requests of callers.
   std::vector<std::string> SystemOnly;
 };
@@ -61,6 +63,9 @@
   std::string TunnelKey; ///< Shared with the tunnel servers of other hosts.
   /// Decodes what the head of an answer says of its upstream. May be unset.
   std::function<upstream_notice(const http1::header_list &Headers)> ReadNotice;
+  /// Returns whether the keys of the configuration are known to be current. If
+  /// not, requests that need a key are refused. Unset: they always are.
+  std::function<bool()> KeysAreCurrent;
 };
 
 /// The relay of one entry host.
--- a/src/include/turmerichead/relay_routes.h
+++ b/src/include/turmerichead/relay_routes.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "turmerichead/clock.h"
+#include "turmerichead/relay_authentication.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -41,6 +42,7 @@
   /// caller has received. Such a call may run more than once.
   bool Resumable = false;
   std::vector<traffic_share> Services;
+  bool IsPublic = false;   ///< Whether its callers need no key.
   bool KeepsTurns = false; ///< Whether calls are turns whose chains are stored.
   /// How long after its end a turn may be continued, and a program may return.
   milliseconds Retention{0};
@@ -79,6 +81,7 @@
   std::map<std::string, service, std::less<>> Services;
   /// Unset if the configuration has no organisations; callers then need no key.
   std::optional<organisation_map> Organisations;
+  key_directory Keys; ///< Of the organisations.
   caller_limits Limits;
 
   /// Returns the route of the host with the longest matching path prefix, or
--- a/src/librelay/call.cpp
+++ b/src/librelay/call.cpp
@@ -34,6 +34,16 @@
 
 } // namespace
 
+std::string scopedId(std::string_view Organisation, std::string_view Id) {
+  // Names of organisations have no control characters.
+  constexpr char Separator = '\x1f';
+  if (Organisation.empty() || Id.empty())
+    return std::string(Id);
+  std::string Scoped(Organisation);
+  Scoped += Separator;
+  return Scoped.append(Id);
+}
+
 std::optional<call_params> readCallParams(const header_names &Names,
                                           const http1::header_list &Headers) {
   call_params Params;
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -26,6 +26,11 @@
   std::string PreviousTurn;
 };
 
+/// Returns the id under which disk hosts and this host keep a turn or program
+/// of an organisation: one organisation can't name those of another. An empty
+/// id stays empty.
+std::string scopedId(std::string_view Organisation, std::string_view Id);
+
 /// Decodes the headers. Fails with InvalidInput; the text names the header.
 std::optional<call_params> readCallParams(const header_names &Names,
                                           const http1::header_list &Headers);
@@ -119,6 +124,10 @@
     return Body.size() + PartialEvent.size() + Events.unfinished() +
            Output.size();
   }
+  /// Returns the id of its program, or of a turn, with its organisation.
+  std::string scoped(std::string_view Id) const {
+    return scopedId(Organisation, Id);
+  }
   /// Number of tokens that were forwarded to the caller.
   std::uint64_t tokens() const { return EventCount * TokensPerEvent; }
   bool wasSentTo(std::string_view Id) const {
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -50,6 +50,9 @@
     respondWithText(Exchange, http1::status::NotFound, "no route matches");
     return;
   }
+  auto Organisation = authenticate(Exchange, *Route, Request);
+  if (!Organisation)
+    return;
   auto Params = readCallParams(Names, Request.Headers);
   if (!Params) {
     respondWithText(Exchange, http1::status::BadRequest, lastError().Text);
@@ -60,6 +63,7 @@
   Call.Request = std::move(Request);
   Call.Params = std::move(*Params);
   Call.Route = *Route;
+  setOrganisation(Call, std::move(*Organisation));
   const std::string &Key =
       Call.Params.Program.empty() ? Call.Params.Id : Call.Params.Program;
   Call.Service = serviceFor(*Route, Key);
@@ -93,6 +97,54 @@
     send(Id);
 }
 
+std::optional<std::string>
+relay::impl::authenticate(http1::exchange_id Exchange, const route &Route,
+                          const http1::request &Request) {
+  if (!Routing.Organisations)
+    return std::string();
+  credentials Credentials = readCredentials(Request.Headers);
+  const std::string *Name =
+      Credentials.Key ? Routing.Keys.find(*Credentials.Key) : nullptr;
+  if (Route.IsPublic)
+    return Name ? *Name : std::string();
+  // A key that is not known here may have been added since, and a known one
+  // may have been removed.
+  if (Credentials.Key && Settings.KeysAreCurrent &&
+      !Settings.KeysAreCurrent()) {
+    Metrics.add("keys_unconfirmed_total");
+    respondUnavailable(Exchange, "the keys in force are not known at present",
+                       Settings.RetryAfter);
+    return std::nullopt;
+  }
+  if (Name)
+    return *Name;
+  credential_error Error =
+      Credentials.Key ? credential_error::Unknown : Credentials.Error;
+  log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
+                             {"reason", "not authenticated"},
+                             {"error", nameOf(Error)},
+                             {"config", Routing.Version}});
+  Metrics.add("callers_unauthenticated_total",
+              "reason=\"" + std::string(nameOf(Error)) + "\"");
+  respondWithText(Exchange, http1::status::Unauthorized, textOf(Error),
+                  {{"WWW-Authenticate", "Bearer"}});
+  return std::nullopt;
+}
+
+void relay::impl::setOrganisation(relay_call &Call, std::string Name) {
+  if (!Routing.Organisations)
+    return;
+  Call.Request.Headers.remove("Authorization");
+  Call.Request.Headers.remove(Names.Organisation);
+  if (Name.empty())
+    return;
+  Call.Request.Headers.add(Names.Organisation, Name);
+  auto Row = Routing.Organisations->find(Name);
+  if (Row != Routing.Organisations->end() && Row->second.Rank)
+    Call.Route.Rank = *Row->second.Rank;
+  Call.Organisation = std::move(Name);
+}
+
 bool relay::impl::refuseNewProgram(relay_call_id Id, bool IsRetry) {
   relay_call &Call = *Calls.find(Id);
   bool StartsProgram = Call.Route.Kind == call_kind::Stream &&
@@ -133,7 +185,8 @@
     refuse(Id, "no upstream is ready");
     return;
   }
-  std::string Previous = Call.isKept() ? Call.Params.PreviousTurn : "";
+  std::string Previous =
+      Call.isKept() ? Call.scoped(Call.Params.PreviousTurn) : "";
   if (Previous.empty() && !Call.hasBudget()) {
     send(Id);
     return;
@@ -143,8 +196,8 @@
     return;
   }
   turns::open_call Open;
-  Open.Attempt = Call.Params.Id;
-  Open.Program = Call.Params.Program;
+  Open.Attempt = Call.scoped(Call.Params.Id);
+  Open.Program = Call.scoped(Call.Params.Program);
   Open.Previous = std::move(Previous);
   Open.Tokens = Call.Params.MaxTokens;
   Open.Budget = Call.hasBudget() ? *Call.Params.Budget : 0;
@@ -271,10 +324,14 @@
     return;
   Impl->Routing = std::move(Routing);
   Impl->Server->setLimits(serverLimits(Impl->Routing.Limits));
-  log::info("configuration in force",
-            {{"version", Impl->Routing.Version},
-             {"routes", Impl->Routing.Routes.size()},
-             {"services", Impl->Routing.Services.size()}});
+  log::info(
+      "configuration in force",
+      {{"version", Impl->Routing.Version},
+       {"routes", Impl->Routing.Routes.size()},
+       {"services", Impl->Routing.Services.size()},
+       {"organisations",
+        Impl->Routing.Organisations ? Impl->Routing.Organisations->size() : 0},
+       {"keys", Impl->Routing.Keys.size()}});
 }
 
 const routing &relay::routingInForce() const { return Impl->Routing; }
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -75,8 +75,8 @@
 
 turns::close_call relay::impl::closeOf(const relay_call &Call) const {
   turns::close_call Close;
-  Close.Attempt = Call.Params.Id;
-  Close.Program = Call.Params.Program;
+  Close.Attempt = Call.scoped(Call.Params.Id);
+  Close.Program = Call.scoped(Call.Params.Program);
   Close.Tokens = Call.tokens();
   Close.HasBudget = Call.hasBudget();
   Close.Retention = Routing.recordRetention(Call.Route);
@@ -112,6 +112,8 @@
       {"upstream", Call.Tried.empty() ? std::string() : Call.Tried.back()},
       {"sends", Call.Tried.size()},
       {"took_ms", TookMs}};
+  if (!Call.Organisation.empty())
+    Line["organisation"] = Call.Organisation;
   if (!Reason.empty())
     Line["reason"] = Reason;
   if (Call.SentAt.Ms > 0)
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -83,6 +83,14 @@
   void onDeadline(relay_call_id Id);
   /// The process exits although the call has not ended.
   void endAtExit(relay_call_id Id);
+  /// Returns the organisation of the caller, empty if it needs none. Refuses
+  /// the request and returns nullopt if it is not authenticated.
+  std::optional<std::string> authenticate(http1::exchange_id Exchange,
+                                          const route &Route,
+                                          const http1::request &Request);
+  /// Assigns the call to an organisation. From then on its request names the
+  /// organisation and no longer holds the key.
+  void setOrganisation(relay_call &Call, std::string Name);
   /// Opens the turn at the disk hosts, then sends the call.
   void openTurn(relay_call_id Id);
   /// Refuses a call that starts a program if no program may start now.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -75,7 +75,7 @@
   if (Call.Route.Kind == call_kind::Stream) {
     Loads[Call.Service].Estimator.recordSend(Now);
     if (!Call.Params.Program.empty())
-      Homes.record(Call.Params.Program, Call.UpstreamId);
+      Homes.record(Call.scoped(Call.Params.Program), Call.UpstreamId);
   }
   Call.NotRun = false;
   if (!Call.Denied.empty())
@@ -123,7 +123,7 @@
   if (Call.Route.Kind == call_kind::Stream) {
     Placement.AffinityKey = Call.Params.Program;
     if (Call.PreviousUpstream.empty())
-      Call.PreviousUpstream = Homes.find(Call.Params.Program);
+      Call.PreviousUpstream = Homes.find(Call.scoped(Call.Params.Program));
     Placement.IsNewChain =
         Call.PreviousUpstream.empty() && Call.Params.PreviousTurn.empty();
   }
@@ -347,9 +347,9 @@
   Call.Phase = call_phase::Keeping;
   turns::close_call Close = closeOf(Call);
   Close.Turn.emplace();
-  Close.Turn->Id = Call.Params.Id;
-  Close.Turn->Previous = Call.Params.PreviousTurn;
-  Close.Turn->Program = Call.Params.Program;
+  Close.Turn->Id = Call.scoped(Call.Params.Id);
+  Close.Turn->Previous = Call.scoped(Call.Params.PreviousTurn);
+  Close.Turn->Program = Call.scoped(Call.Params.Program);
   Close.Turn->RetentionMs = static_cast<std::uint64_t>(Close.Retention.count());
   Close.Turn->Input = std::move(Call.Request.Body);
   Close.Turn->Output = std::move(Call.Output);
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -30,6 +30,7 @@
   Names.Tokens = "X-Tokens";
   Names.PreviousTurn = "X-Previous";
   Names.LastEvent = "X-Last-Event";
+  Names.Organisation = "X-Organisation";
   Names.SystemOnly = {"X-Expect", "X-Pin"};
   return Names;
 }
@@ -159,6 +160,7 @@
   std::optional<turns::client> Turns;
   std::optional<relay::relay> Relay;
   std::string Address = freeAddress();
+  bool KeysAreCurrent = true; ///< See relay_settings.
 
   entry_host(std::string Name, const disks &Disks) {
     turns::client_settings TurnSettings;
@@ -171,6 +173,7 @@
     Settings.Listen = Address;
     Settings.DataCentre = "dc";
     Settings.ReadNotice = readNotice;
+    Settings.KeysAreCurrent = [this] { return KeysAreCurrent; };
     Settings.MaxAnswerBytes = MaxAnswerBytes;
     Relay = relay::relay::create(Settings, names(), *Turns, Metrics);
     REQUIRE(Relay);
