Test that callers can't send ids with control characters

Turns of an organisation are stored under its name, a control character and the id, so that the separation of organisations rests on the parser, which refuses such bytes in a header, also at the start of a folded line. The test passes on the code as it is.

--- a/src/librelay/relay_organisations_test.cpp
+++ b/src/librelay/relay_organisations_test.cpp
@@ -15,6 +15,9 @@
   Routing.Routes.push_back(
       routeOf("/open/", relay::call_kind::Safe, "tools", 1));
   Routing.Routes.back().IsPublic = true;
+  Routing.Routes.push_back(Routing.Routes[2]);
+  Routing.Routes.back().PathPrefix = "/note/";
+  Routing.Routes.back().IsPublic = true;
   Routing.Organisations.emplace();
   for (std::string Name : {"acme", "bolt"}) {
     Routing.Organisations->emplace(Name, relay::organisation{Name, {}, 0, 0});
@@ -123,6 +126,27 @@
   CHECK(F.wasSent(F.Llm, "[in1]a\n[in]"));
 }
 
+TEST_CASE("a_caller_without_a_key_can_not_name_a_turn_of_an_organisation") {
+  // The id under which a turn of an organisation is stored contains a control
+  // character. If the parser let one through, a caller of a public route could
+  // read the prompt of the turn.
+  organisation_fixture F;
+  caller First(F.Address);
+  First.send(F.request("POST", "/note/1", "t1", "Authorization: Bearer ka\r\n",
+                       "[secret]"));
+  REQUIRE(F.received(F.Llm, "X-Call: t1"));
+  F.Llm.send(0,
+             streamHead("t1") + chunk("data: a\n\n") + std::string(StreamEnd));
+  REQUIRE(First.waitsFor("0\r\n\r\n"));
+  CHECK(
+      F.answerHead(F.Llm, "POST", "/note/1", "t2", "X-Previous: acme\x1ft1\r\n")
+          .starts_with("HTTP/1.1 400"));
+  CHECK(F.answerHead(F.Llm, "POST", "/note/1", "t3",
+                     "X-Previous: acme\r\n \x1ft1\r\n")
+            .starts_with("HTTP/1.1 400"));
+  CHECK(!F.wasSent(F.Llm, "[secret]a\n[in]"));
+}
+
 TEST_CASE("keys_that_are_not_known_to_be_current_authenticate_nobody") {
   // A host that the store had cut off served a removed key for as long as the
   // cut lasted.
