Public routes name no organisation by a key that may be removed

On a public route a host that was cut off from the store named the organisation of a removed key to the upstream for as long as that lasted. The request is now served without the name. Where turns are kept, the turns of the caller would then not be found and be answered 404, so that such a request is refused with 503.

--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -105,12 +105,14 @@
   credentials Credentials = readCredentials(Request.Headers);
   const std::string *Name =
       Credentials.Key ? Routing.Keys.find(*Credentials.Key) : nullptr;
-  if (Route.IsPublic)
-    return Name ? *Name : std::string();
   // A key that is not known here may have been added since, and a known one
   // may have been removed.
-  if (Credentials.Key && Settings.KeysAreCurrent &&
-      !Settings.KeysAreCurrent()) {
+  bool MayBeOutdated =
+      Credentials.Key && Settings.KeysAreCurrent && !Settings.KeysAreCurrent();
+  // A call without its organisation would not find the turns of it.
+  if (Route.IsPublic && (!MayBeOutdated || !Route.KeepsTurns))
+    return Name && !MayBeOutdated ? *Name : std::string();
+  if (MayBeOutdated) {
     Metrics.add("keys_unconfirmed_total");
     respondUnavailable(Exchange, "the keys in force are not known at present",
                        Settings.RetryAfter);
--- a/src/librelay/relay_organisations_test.cpp
+++ b/src/librelay/relay_organisations_test.cpp
@@ -147,6 +147,17 @@
   CHECK(!F.wasSent(F.Llm, "[secret]a\n[in]"));
 }
 
+TEST_CASE("a_public_route_names_no_organisation_whose_key_may_be_removed") {
+  organisation_fixture F;
+  F.Host.KeysAreCurrent = false;
+  std::string Key = "Authorization: Bearer ka\r\n";
+  CHECK(F.answerHead(F.Tools, "GET", "/open/x", "r1", Key).empty());
+  CHECK(!F.wasSent(F.Tools, "X-Organisation"));
+  // Without the organisation its turns would be answered 404.
+  CHECK(F.answerHead(F.Llm, "POST", "/note/x", "r2", Key)
+            .starts_with("HTTP/1.1 503"));
+}
+
 TEST_CASE("keys_that_are_not_known_to_be_current_authenticate_nobody") {
   // A host that the store had cut off served a removed key for as long as the
   // cut lasted.
