Quarantine tells the programs of organisations apart

The fingerprint of a request that ends upstreams contained the program without its organisation. A request without a body of one organisation was refused if another one had sent the same request under the same program id.

--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -75,7 +75,7 @@
       std::min(Call.Params.TimeLeft.value_or(DefaultTimeLeft), Route->Timeout);
   Call.Deadline = Call.Arrived + Wait;
   Call.Fingerprints = crash_tracker::fingerprintsOf(
-      Call.Params.Program, Call.Request.Target, Call.Request.Body);
+      Call.scoped(Call.Params.Program), Call.Request.Target, Call.Request.Body);
   bool NeedsOpening = Call.isKept() || Call.hasBudget();
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
--- a/src/librelay/relay_organisations_test.cpp
+++ b/src/librelay/relay_organisations_test.cpp
@@ -1,5 +1,6 @@
 // Calls of callers that belong to organisations.
 
+#include "call_pvt.h"
 #include "test_relay_pvt.h"
 
 #include <doctest/doctest.h>
@@ -158,6 +159,23 @@
             .starts_with("HTTP/1.1 503"));
 }
 
+TEST_CASE("quarantine_of_a_program_spares_that_of_another_organisation") {
+  // Programs of two organisations may have the same id.
+  organisation_fixture F;
+  std::string Program = relay::scopedId("acme", "p1");
+  sched::poison_entry Entry;
+  Entry.Fingerprint =
+      relay::crash_tracker::fingerprintsOf(Program, "/safe/x", "[in]").Exact;
+  for (std::uint64_t I = 1; I <= 3; ++I)
+    Entry.Crashes.push_back({I, milliseconds(10), "u", "h"});
+  F.Relay->crashTracker().merge(std::span(&Entry, 1), steadyNow());
+  std::string Header = "X-Program: p1\r\nAuthorization: Bearer ";
+  CHECK(F.answerHead(F.Tools, "GET", "/safe/x", "r1", Header + "ka\r\n")
+            .starts_with("HTTP/1.1 503"));
+  CHECK(
+      F.answerHead(F.Tools, "GET", "/safe/x", "r2", Header + "kb\r\n").empty());
+}
+
 TEST_CASE("keys_that_are_not_known_to_be_current_authenticate_nobody") {
   // A host that the store had cut off served a removed key for as long as the
   // cut lasted.
