Soak: organisations, and keys that come and go

The soak played no configuration with organisations. One seed in four now has three of them (--organisations sets it): all callers send keys and a forged name, a key is replaced every 1.3 s while the faults go on, and requests with valid, removed, unknown and no keys go to all hosts, also to frozen ones. The oracle checks that no request runs whose key was removed more than the revocation time (2 s here) before it was sent, that upstreams get the right name and no key, that unknown keys never run, that valid keys get no 401 and are answered at the end, and that no log and no disk contains a key. Times are those of the answer of the store, so that the checks need no margin. Versions of the configuration and of the routes that only one version has are now counted apart, as keys change faster than hosts are asked for these routes.

--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -36,6 +36,10 @@
       {"Host", Request.Host},
       {"Request-Attempt-Id", Attempt},
       {"Deadline-Remaining", std::to_string(Request.TimeLeft.count())}};
+  if (!Request.Caller.Key.empty())
+    Call.Headers.add("Authorization", "Bearer " + Request.Caller.Key);
+  if (Fleet.settings().Organisations > 0)
+    Call.Headers.add("Tenant", "forged");
   if (!Request.Program.empty())
     Call.Headers.add("Program-Id", Request.Program);
   if (!Request.PreviousTurn.empty())
@@ -172,6 +176,7 @@
   caller_request Request;
   Request.Host = fleet::PlanHost;
   Request.Path = "/turn/";
+  Request.Caller = Fleet.lastingKey(Index);
   Request.Program = Program.Name;
   Request.PreviousTurn = Program.Previous;
   Request.Body =
@@ -211,6 +216,7 @@
   Request.Method = Look ? "GET" : "POST";
   Request.Host = fleet::ToolHost;
   Request.Path = Look ? "/look/slot" : "/book/slot";
+  Request.Caller = Fleet.lastingKey(Index);
   Request.Program = Program.Name;
   if (!Look)
     Request.Body = "book " + std::to_string(++Serial);
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -22,6 +22,7 @@
   std::uint64_t Budget = 0; ///< Tokens; 0: none.
   std::uint64_t MostTokens = 0;
   milliseconds TimeLeft{3000};
+  organisation_key Caller;
 };
 
 struct caller_answer {
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -62,6 +62,12 @@
 
 } // namespace
 
+std::int64_t wallMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 void crash_record::add(const run_line &Line) {
   if (Line.What == "crash")
     Ends.push_back(Line.AtMs);
@@ -200,6 +206,10 @@
       {"fault_tolerance", {{"machines", Settings.DiskFaults}}},
       {"bounds", {{"grace_s", 8}}},
       {"platform", {{"address", storeAddress(Member)}}}};
+  if (Settings.Organisations > 0) {
+    Root["bounds"]["strict_revocation"] = true;
+    Root["bounds"]["revoke_ms"] = Settings.RevocationTime.count();
+  }
   std::string File = Settings.Scratch + "/" + Member.Name + ".json";
   std::ofstream(File) << Root.dump(2);
   return File;
@@ -388,7 +398,7 @@
   });
 }
 
-void fleet::order(const std::string &Name, const json &Order) {
+std::int64_t fleet::order(const std::string &Name, const json &Order) {
   member *Member = find(Name);
   http1::call_request Request;
   int Port = Member->Role == role::Store ? StoreControlPort : UpstreamPort;
@@ -397,20 +407,60 @@
   Request.Target = "/control";
   Request.Body.push_back(Order.dump());
   bool Done = false;
+  std::int64_t AnsweredAt = 0;
   auto Id =
       http().call(std::move(Request),
                   {[](const http1::response_head &) {}, [](std::string_view) {},
-                   [&](const http1::call_result &) { Done = true; }});
+                   [&](const http1::call_result &Result) {
+                     Done = true;
+                     if (Result.Outcome == http1::call_outcome::Complete)
+                       AnsweredAt = wallMs();
+                   }});
   if (!wait(milliseconds(3000), [&] { return Done; }))
     http().cancel(Id);
+  return AnsweredAt;
+}
+
+std::string fleet::versionHost(std::uint64_t Routes) {
+  return "v" + std::to_string(Routes) + ".example";
+}
+
+std::string fleet::organisation(std::size_t Number) const {
+  auto Count = static_cast<std::size_t>(Settings.Organisations);
+  return Count == 0 ? "" : "org-" + std::to_string(Number % Count);
 }
 
-std::string fleet::versionHost(std::uint64_t Version) {
-  return "v" + std::to_string(Version) + ".example";
+organisation_key fleet::lastingKey(std::size_t Caller) const {
+  std::string Organisation = organisation(Caller);
+  return {Organisation,
+          Organisation.empty() ? "" : KeyPrefix + Organisation + "-lasting"};
+}
+
+void fleet::configure(std::uint64_t NewRoutes) {
+  Routes = NewRoutes;
+  putConfiguration();
+}
+
+std::int64_t fleet::putKeys(std::vector<organisation_key> Keys) {
+  AddedKeys = std::move(Keys);
+  return putConfiguration();
+}
+
+json fleet::organisationsToJson() const {
+  json Rows = json::array();
+  for (int I = 0; I < Settings.Organisations; ++I) {
+    organisation_key Lasting = lastingKey(static_cast<std::size_t>(I));
+    json Keys = {Lasting.Key};
+    for (const organisation_key &Key : AddedKeys)
+      if (Key.Organisation == Lasting.Organisation)
+        Keys.push_back(Key.Key);
+    Rows.push_back({{"name", Lasting.Organisation}, {"api_keys", Keys}});
+  }
+  return Rows;
 }
 
-void fleet::configure(std::uint64_t Version) {
-  std::string Own = versionHost(Version);
+std::int64_t fleet::putConfiguration() {
+  std::string Own = versionHost(Routes);
   constexpr int RetentionS = 30;
   int Attempts = Settings.Attempts;
   json Plan = routeOf("plan", PlanHost, "/", "streaming", "llm", Attempts);
@@ -418,7 +468,7 @@
   Plan["resumable"] = Settings.Resumable;
   Plan["retention_s"] = RetentionS;
   json Spec = {
-      {"version", Version},
+      {"version", ++ConfigVersion},
       {"routes",
        {Plan, routeOf("own", Own.c_str(), "/look/", "safe", "book", Attempts),
         routeOf("look", ToolHost, "/look/", "safe", "book", Attempts),
@@ -433,8 +483,14 @@
         {"body_bytes", 1048576},
         {"header_timeout_ms", 5000},
         {"idle_timeout_ms", 30000}}}};
-  order("store",
-        {{"put", {{"kind", "config"}, {"name", "main"}, {"spec", Spec}}}});
+  if (Settings.Organisations > 0)
+    Spec["tenants"] = organisationsToJson();
+  Configuring = true;
+  std::int64_t At =
+      order("store",
+            {{"put", {{"kind", "config"}, {"name", "main"}, {"spec", Spec}}}});
+  Configuring = false;
+  return At;
 }
 
 std::vector<run_line> fleet::runs() const {
@@ -444,11 +500,12 @@
     json Line = json::parse(Text, nullptr, false);
     if (!Line.is_object())
       continue;
-    Lines.push_back({Line.value("at", std::int64_t(0)),
-                     Line.value("upstream", ""), Line.value("service", ""),
-                     Line.value("what", ""), Line.value("attempt", ""),
-                     Line.value("crash", ""), Line.value("input", ""),
-                     Line.value("left_ms", std::int64_t(-1))});
+    Lines.push_back(
+        {Line.value("at", std::int64_t(0)), Line.value("upstream", ""),
+         Line.value("service", ""), Line.value("what", ""),
+         Line.value("attempt", ""), Line.value("crash", ""),
+         Line.value("input", ""), Line.value("left_ms", std::int64_t(-1)),
+         Line.value("organisation", ""), Line.value("has_key", false)});
   }
   return Lines;
 }
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -44,6 +44,10 @@
   milliseconds UpstreamBack{1500};
   std::uint64_t Seed = 1;
   bool Links = false; ///< Relays before callers' ports and before the store.
+  /// Organisations of the configuration, whose callers need keys; 0: none.
+  int Organisations = 0;
+  /// Time within which all hosts refuse a removed key; with organisations only.
+  milliseconds RevocationTime{2000};
 };
 
 enum class role { Store, Entry, Disk, Runner, Tool };
@@ -74,8 +78,19 @@
   std::string Crash;        ///< The mark of a request that ends its upstream.
   std::string Input;        ///< Hash of what it was given.
   std::int64_t LeftMs = -1; ///< Time left by the request; -1: not told.
+  std::string Organisation; ///< Named to the upstream; empty: none.
+  bool HasKey = false;      ///< Whether the upstream was sent a key.
 };
 
+/// A key and whose it is. Both are empty without organisations.
+struct organisation_key {
+  std::string Organisation;
+  std::string Key;
+};
+
+/// Time of day in milliseconds, as in run_line.
+std::int64_t wallMs();
+
 /// What one request did to its upstreams, from what they told.
 struct crash_record {
   std::vector<std::int64_t> Ends;  ///< Time of day, ms
@@ -125,13 +140,25 @@
   /// Kills a disk host and empties its disk.
   void wipe(const std::string &Name);
 
-  /// Orders to the store's stand-in, or to an upstream's.
-  void order(const std::string &Name, const nlohmann::json &Order);
+  /// Orders to the store's stand-in, or to an upstream's. Returns the time of
+  /// day of the answer in milliseconds; 0 if there was none.
+  std::int64_t order(const std::string &Name, const nlohmann::json &Order);
 
-  /// Puts a configuration in force. Each version has a route that the others
+  /// Puts a configuration in force. Each \p Routes has a route that the others
   /// have not, under versionHost().
-  void configure(std::uint64_t Version);
-  static std::string versionHost(std::uint64_t Version);
+  void configure(std::uint64_t Routes);
+  static std::string versionHost(std::uint64_t Routes);
+
+  /// All keys begin with this text.
+  static constexpr const char *KeyPrefix = "secret-key-";
+  std::string organisation(std::size_t Number) const;
+  /// Returns a key that is valid in all configurations.
+  organisation_key lastingKey(std::size_t Caller) const;
+  /// Puts a configuration in force that has \p Keys beside the lasting ones.
+  /// Returns when the store acknowledged it, as order() does.
+  std::int64_t putKeys(std::vector<organisation_key> Keys);
+  /// Whether a configuration is being written. Another one might overtake it.
+  bool isConfiguring() const { return Configuring; }
 
   bool waitReady(const std::string &Entry, milliseconds Bound);
 
@@ -155,11 +182,17 @@
   bool spawn(member &Member, bool Fresh);
   void reviveUpstreams();
   std::string dataCentreOf(const std::string &Name) const;
+  std::int64_t putConfiguration();
+  nlohmann::json organisationsToJson() const;
 
   fleet_settings Settings;
   std::map<std::string, member> Members;
   std::optional<http1::client> Http;
   std::shared_ptr<const bool> Alive = std::make_shared<bool>(true);
+  std::uint64_t ConfigVersion = 0;
+  std::uint64_t Routes = 0; ///< See configure().
+  std::vector<organisation_key> AddedKeys;
+  bool Configuring = false;
   unsigned Number = 0; ///< Of the fleets of this process.
   std::uint8_t NextIp = 1;
   std::map<role, int> NextNumber;
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -30,6 +30,8 @@
 DEFINE_int32(programs, 16, "Programs at once");
 DEFINE_int32(attempts, 2, "Upstreams that an attempt of a caller may run on");
 DEFINE_bool(resumable, false, "Streams may be resumed and are not stored");
+DEFINE_int32(organisations, -1,
+             "Organisations whose callers need keys; -1: 3 for one seed in 4");
 DEFINE_string(only, "", "Numbers of faults to play, with commas");
 DEFINE_bool(minimize, false, "Look for the fewest faults that still fail");
 DEFINE_string(report, "", "File for a picture and a table of the last run");
@@ -41,6 +43,14 @@
 using namespace turmerichead;
 using namespace turmerichead::soak;
 
+int organisationsFor(std::uint64_t Seed) {
+  constexpr std::uint64_t OneIn = 4;
+  constexpr int Usual = 3;
+  if (FLAGS_organisations >= 0)
+    return FLAGS_organisations;
+  return Seed % OneIn == OneIn - 1 ? Usual : 0;
+}
+
 soak_settings settingsFor(std::uint64_t Seed) {
   soak_settings Settings;
   Settings.Fleet.Bin = FLAGS_bin;
@@ -54,6 +64,7 @@
   Settings.Fleet.Resumable = FLAGS_resumable;
   Settings.Fleet.Seed = Seed;
   Settings.Fleet.Links = true;
+  Settings.Fleet.Organisations = organisationsFor(Seed);
   Settings.Programs = FLAGS_programs;
   constexpr std::int64_t MsPerSecond = 1000;
   Settings.Plan.Seed = Seed;
@@ -79,7 +90,8 @@
          std::to_string(FLAGS_runners) + " --tools " +
          std::to_string(FLAGS_tools) + " --programs " +
          std::to_string(FLAGS_programs) + " --attempts " +
-         std::to_string(FLAGS_attempts) +
+         std::to_string(FLAGS_attempts) + " --organisations " +
+         std::to_string(Settings.Fleet.Organisations) +
          (FLAGS_resumable ? " --resumable" : "") +
          (Only.empty() ? "" : " --only " + Only);
 }
--- a/testsuite/soak/oracle.cpp
+++ b/testsuite/soak/oracle.cpp
@@ -33,12 +33,18 @@
   bool Answered = Whole || Answer.Status == http1::status::PaymentRequired;
   (Answered ? Slice.Answered : Refused ? Slice.Refused : Slice.Broken)++;
   bool Unanswered = Answer.Status == 0 && !Answer.GivenUp;
-  Attempts[Answer.Attempt] = {Request.Path, Request.TimeLeft.count(),
-                              Answer.Status, Unanswered, EntryWasCalm};
+  Attempts[Answer.Attempt] = {Request.Path,
+                              Request.Caller.Organisation,
+                              Request.TimeLeft.count(),
+                              Answer.Status,
+                              Unanswered,
+                              EntryWasCalm};
   if (Request.Host == fleet_harness::fleet::PlanHost)
     judgeTurn(Request, Answer);
   if (Answer.Status == http1::status::BadRequest)
     fail("answers", Answer.Attempt + ": a proper request was answered 400");
+  if (Answer.Status == http1::status::Unauthorized)
+    fail("keys", Answer.Attempt + ": a valid key was answered 401");
 }
 
 void oracle::judgeTurn(const fleet_harness::caller_request &Request,
@@ -73,6 +79,23 @@
   judgeUnanswered(RunsOf);
   judgeCrashers(Runs);
   judgeLeaving(Runs);
+  judgeOrganisations(RunsOf);
+}
+
+// Upstreams get the name of the caller's organisation and no key.
+void oracle::judgeOrganisations(const runs_by_attempt &RunsOf) {
+  for (const auto &[Id, Lines] : RunsOf) {
+    auto Attempt = Attempts.find(Id);
+    if (Attempt == Attempts.end() || Attempt->second.Organisation.empty())
+      continue;
+    for (const fleet_harness::run_line *Line : Lines) {
+      if (Line->Organisation != Attempt->second.Organisation)
+        fail("organisations", Id + " of " + Attempt->second.Organisation +
+                                  " ran for '" + Line->Organisation + "'");
+      if (Line->HasKey)
+        fail("keys", Id + ": " + Line->Upstream + " was sent the key");
+    }
+  }
 }
 
 void oracle::judgeAttempts(const runs_by_attempt &RunsOf) {
--- a/testsuite/soak/oracle.h
+++ b/testsuite/soak/oracle.h
@@ -66,7 +66,8 @@
 private:
   struct attempt {
     std::string Path;
-    std::int64_t LeftMs = 0; ///< Time left when it was sent.
+    std::string Organisation; ///< Of the caller.
+    std::int64_t LeftMs = 0;  ///< Time left when it was sent.
     int Status = 0;
     bool EndedUnanswered = false; ///< By the end of the connection.
     bool EntryWasCalm = false;
@@ -80,6 +81,7 @@
   void judgeTimeLeft(const runs_by_attempt &RunsOf);
   void judgeUnanswered(const runs_by_attempt &RunsOf);
   void judgeCrashers(const std::vector<fleet_harness::run_line> &Runs);
+  void judgeOrganisations(const runs_by_attempt &RunsOf);
   void judgeLeaving(const std::vector<fleet_harness::run_line> &Runs);
 
   std::size_t MaxUpstreams;
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -9,6 +9,7 @@
 namespace turmerichead::soak {
 
 using fleet_harness::role;
+using fleet_harness::wallMs;
 
 namespace {
 
@@ -20,12 +21,6 @@
 constexpr milliseconds RestartPause{200};
 constexpr milliseconds LeaveTime{3500};
 
-std::int64_t wallMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 } // namespace
 
 soak_run::soak_run(soak_settings Given)
@@ -72,6 +67,8 @@
              const fleet_harness::caller_answer &Answer) {
         Oracle.note(now(), Request, Answer, wasCalm(Entry, Answer.Took));
       });
+  if (Settings.Fleet.Organisations > 0)
+    Keys.emplace(Fleet, Oracle, Settings.Plan.Seed);
   milliseconds End{0};
   for (const fault &Fault : Plan) {
     ++UnderWay;
@@ -97,10 +94,13 @@
   }
   Fleet.wait(End + Recovery, [this] { return UnderWay == 0; });
   Crashers.clear();
+  if (Keys)
+    Keys->stopChanges();
   Fleet.pause(Recovery);
   judgeEnd();
   Traffic.stop();
-  Fleet.wait(Recovery, [&] { return Traffic.ended(); });
+  Fleet.wait(Recovery,
+             [&] { return Traffic.ended() && (!Keys || Keys->ended()); });
   if (Traffic.counts().Wrong > 0)
     Oracle.fail("own answers", std::to_string(Traffic.counts().Wrong) +
                                    " answers were not the request's own");
@@ -108,7 +108,10 @@
     Oracle.fail("sound requests",
                 std::to_string(Traffic.counts().Condemned) +
                     " were refused for ends that they did not cause");
-  Oracle.judge(Fleet.runs());
+  std::vector<fleet_harness::run_line> Runs = Fleet.runs();
+  Oracle.judge(Runs);
+  if (Keys)
+    Keys->judge(Runs);
   for (const violation &Row : Oracle.violations())
     tell("violation", {{"rule", Row.Rule}, {"text", Row.Text}});
   return true;
@@ -120,7 +123,10 @@
     if (!Fleet.waitReady(Name, milliseconds(2000)))
       Oracle.fail("recovery", Name + " is not ready");
   milliseconds From = now();
+  std::int64_t KeysFrom = wallMs();
   Fleet.pause(Measured);
+  if (Keys)
+    Keys->judgeEnd(KeysFrom);
   slice Sum;
   for (const auto &[Number, Slice] : Oracle.slices())
     if (Number * oracle::SliceTime >= From) {
@@ -407,6 +413,8 @@
 // -- Configurations ----------------------------------------------------------
 
 void soak_run::configure() {
+  if (Fleet.isConfiguring())
+    return;
   Fleet.configure(++Version);
   std::uint64_t Mine = Version;
   bool Calm = StoreTroubles == 0 && steadyNow() >= StoreTroubleUntil;
@@ -432,6 +440,7 @@
     Request.Method = "GET";
     Request.Host = fleet_harness::fleet::versionHost(Asked);
     Request.Path = "/look/slot";
+    Request.Caller = Fleet.lastingKey(0);
     Request.TimeLeft = milliseconds(1000);
     std::uint64_t Current = Version;
     send(Fleet, Name, Request,
@@ -467,6 +476,7 @@
   Request.Host =
       Stream ? fleet_harness::fleet::PlanHost : fleet_harness::fleet::ToolHost;
   Request.Path = Stream ? "/turn/" : "/book/slot";
+  Request.Caller = Fleet.lastingKey(CrasherNumber);
   Request.Program = "crasher-" + std::to_string(CrasherNumber);
   Request.Body = "crash-midway " + Request.Program + "\n";
   Crashers.push_back(loop_source::every(VisitPause, [this, Request] {
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -2,6 +2,7 @@
 /// One run of the soak: a fleet, callers, faults and the oracle.
 #pragma once
 
+#include "keys.h"
 #include "oracle.h"
 #include "plan.h"
 
@@ -73,6 +74,7 @@
   std::vector<fault> Plan;
   fleet_harness::fleet Fleet;
   oracle Oracle;
+  std::optional<key_callers> Keys; ///< If the fleet has organisations.
   std::ofstream Timeline;
   time_point Start;
   std::vector<loop_source> Timers;
--- a/testsuite/standins/upstream_engine.cpp
+++ b/testsuite/standins/upstream_engine.cpp
@@ -120,6 +120,8 @@
                                     {"events", Run.Sent},
                                     {"crash", Run.Crash},
                                     {"left_ms", Run.LeftMs},
+                                    {"organisation", Run.Organisation},
+                                    {"has_key", Run.HasKey},
                                     {"input", Run.Mark}}
                          .dump() +
                      "\n";
@@ -182,6 +184,8 @@
   Run.Next = steadyNow() + Settings.EventGap;
   if (const std::string *Left = Request.Headers.find("Deadline-Remaining"))
     Run.LeftMs = std::strtoll(Left->c_str(), nullptr, 10);
+  Run.Organisation = Request.Headers.get("Tenant");
+  Run.HasKey = Request.Headers.find("Authorization") != nullptr;
   if (const std::string *Last = Request.Headers.find("Last-Event-Id"))
     Run.Sent = std::atoi(Last->c_str());
   note("run", Run);
--- a/testsuite/standins/upstream_engine.h
+++ b/testsuite/standins/upstream_engine.h
@@ -52,6 +52,8 @@
     std::string Mark; ///< What the answer must show: a hash of the input.
     std::string Crash;
     std::int64_t LeftMs = -1; ///< Time left by the request; -1: not told.
+    std::string Organisation; ///< Named by the host; empty: none.
+    bool HasKey = false;      ///< Whether the request still had a key.
     int Sent = 0;             ///< Events, with those before a resume.
     time_point Next;
   };
