Place new chains by predicted completion time

Runners of one data centre may run at half the speed of the others. A new chain started in its own data centre whatever its speed, so callers of that data centre were served at half the speed.

A data centre whose predicted turn time is shorter by a quarter or more joins the candidates of a new chain. Rendezvous hashing is weighted by the square of the speed where speeds differ by a quarter or more, and equals the order before otherwise. A program whose runner has left is placed like a new chain. Plain calls count the load divided by speed under the same margin. The mean time between events of upstream_table is replaced by upstream_speed; one line of a test that reads it has the new accessor.

A host never measures a data centre that it doesn't use, so one of four new chains may start in one without recent samples, once the own one has samples.

--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -31,6 +31,9 @@
   /// Number of turns of this host in flight at the service's upstreams.
   std::size_t inFlight() const { return InFlight; }
 
+  /// Mean number of events of a turn, 0 if not known.
+  double eventsPerTurn() const { return EventsPerTurn; }
+
   /// Returns the estimated duration of a turn now, divided by its duration at
   /// the lowest mean times seen so far: 2 if a turn takes twice as long. At
   /// least 1; also 1 until there are enough samples. Measured times follow the
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "turmerichead/relay_notices.h"
+#include "turmerichead/relay_upstream_speed.h"
 
 #include <cstdint>
 #include <map>
@@ -39,8 +40,8 @@
   time_point AvoidUntil; ///< Others are preferred until then, after a failure.
   /// When the row is removed; unset while the upstream is registered.
   std::optional<time_point> ExpiresAt;
-  double EventGapMs = 0; ///< Weighted mean time between events; 0: unknown.
-  upstream_state State;  ///< What this run has said of itself.
+  upstream_speed Speed; ///< Times that this host has measured at this run.
+  upstream_state State; ///< What this run has said of itself.
   /// The limit leaves no permit until then, as far as is known.
   time_point BusyUntil;
 
@@ -58,8 +59,11 @@
   /// Calls with the same key go to the same upstream while it is healthy, so
   /// that they use its cache. Empty: the call goes to the least loaded one.
   std::string_view AffinityKey;
-  /// Whether no upstream has anything cached for the key.
+  /// Whether no upstream has anything cached for the key. This also holds if
+  /// the upstream of the previous turn is not registered, or leaves.
   bool IsNewChain = false;
+  /// What the predicted times are for.
+  turn_shape Shape;
   /// Whether the data centre matters. It does not while limits leave less than
   /// the slots of the upstreams, which are then used wherever they are.
   bool PrefersNear = true;
@@ -94,8 +98,11 @@
   /// load:
   /// - Chains of calls that share a growing prefix go to the runner of the
   ///   previous turn, even in another data centre. A new chain starts in this
-  ///   data centre, at the faster of the two runners that are first in the
-  ///   rendezvous hash order of its program.
+  ///   data centre or in one where turns take clearly less time. Of the two
+  ///   runners that are first in the rendezvous hash order of its program,
+  ///   weighted by speed, it goes to the one predicted to finish first.
+  /// - Now and then a new chain starts in a data centre whose speed is not
+  ///   known, since it would never be measured otherwise.
   /// - A runner that is slow or has failed is avoided while others are healthy.
   /// - In a burst, once the slots of a runner are in use, calls go to the next
   ///   runner in the hash order.
@@ -121,24 +128,52 @@
 
   /// Prefers other upstreams for a short time.
   void recordFailure(std::string_view Id, time_point Now);
+  /// Records a time measured at the upstream.
+  void recordTime(std::string_view Id, time_kind Kind, milliseconds Time,
+                  time_point Now);
   /// Records the time between two events of a stream of the upstream.
-  void recordEventGap(std::string_view Id, milliseconds Gap);
+  void recordEventGap(std::string_view Id, milliseconds Gap,
+                      time_point Now = {}) {
+    recordTime(Id, time_kind::EventGap, Gap, Now);
+  }
 
 private:
   /// Orders the candidates for a call; the lowest rank is the best.
   struct rank {
     int Penalty = 0;       ///< Sum of weighted reasons to avoid the upstream.
     std::int64_t Busy = 0; ///< Time until its limit leaves permits, in steps.
-    std::uint32_t Load = 0;
-    int Distance = 0; ///< Previous upstream, same data centre, others.
+    double Load = 0;
+    int Distance = 0; ///< Previous upstream, preferred data centres, others.
+    double WeightedHash = 0;
     std::uint64_t Hash = 0;
     friend auto operator<=>(const rank &, const rank &) = default;
   };
-  rank rankOf(const upstream_row &Row, const placement &Placement,
-              double SlowGapMs, time_point Now) const;
+  /// What one choice among the upstreams depends on.
+  struct choice {
+    const placement &Placement;
+    time_point Now;
+    bool IsNewChain = false;
+    std::uint64_t KeyHash = 0;
+    double SlowGapMs = 0; ///< Mean time between events of a slow upstream.
+    double OwnTurnMs = 0; ///< Predicted time of a turn in the own data centre.
+    /// The data centre that the call is to measure, if any.
+    const service_speed::data_centre *ToMeasure = nullptr;
+  };
+  void removeExpired(time_point Now);
+  choice prepare(const placement &Placement, time_point Now);
+  rank rankOf(const upstream_row &Row, const choice &Choice) const;
+  int penaltyOf(const upstream_row &Row, const choice &Choice,
+                const service_speed::data_centre &DataCentre) const;
+  int distanceOf(const upstream_row &Row, const choice &Choice,
+                 const service_speed::data_centre &DataCentre) const;
+  /// Returns whether \p Second is predicted to finish before \p Best.
+  bool finishesFirst(const upstream_row &Second,
+                     const upstream_row &Best) const;
+  /// Returns the predicted time until a turn sent now has ended.
+  double finishMs(const upstream_row &Row) const;
   /// Returns the mean time between events above which an upstream of the
   /// service counts as slow, in milliseconds.
-  double slowGapMs(std::string_view Service) const;
+  double slowGapMs(const placement &Placement, time_point Now);
 
   /// The state of a run whose upstream is not registered. Its entry may come
   /// back.
@@ -151,6 +186,8 @@
 
   std::map<std::string, upstream_row, std::less<>> Rows;
   std::map<std::string, remembered_run, std::less<>> Remembered;
+  service_speed Speeds;     ///< Of the service and time of the latest choice.
+  std::vector<double> Gaps; ///< Scratch memory of slowGapMs().
 };
 
 } // namespace turmerichead::relay
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -103,6 +103,7 @@
   void onBody(relay_call_id Id, std::string_view Bytes);
   /// Counts what the call holds of its answer, and breaks off the largest
   /// answers while all of them take too much memory. The call may end.
+  void recordFirstEvent(const relay_call &Call, time_point Now);
   void limitAnswers(relay_call_id Id);
   /// Drops what was received of an answer, before the call is sent again.
   void dropBody(relay_call_id Id);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -126,6 +126,11 @@
       Call.PreviousUpstream = Homes.find(Call.Params.Program);
     Placement.IsNewChain =
         Call.PreviousUpstream.empty() && Call.Params.PreviousTurn.empty();
+    double Events = Loads[Call.Service].Estimator.eventsPerTurn();
+    if (Events > 0)
+      Placement.Shape.Events = Events;
+  } else {
+    Placement.Shape.IsStream = false;
   }
   Placement.PreviousUpstream = Call.PreviousUpstream;
   Placement.PrefersNear = !Upstreams.hasLimits(Call.Service, Now);
@@ -227,8 +232,9 @@
       Call.FirstEvent = Now;
     if (Call.eventsFromUpstream() == 1) {
       Estimator.recordFirstEvent(Call.SentAt, Now);
+      recordFirstEvent(Call, Now);
     } else {
-      Upstreams.recordEventGap(Call.UpstreamId, Now - Call.LastEvent);
+      Upstreams.recordEventGap(Call.UpstreamId, Now - Call.LastEvent, Now);
       Estimator.recordEventGap(Now - Call.LastEvent);
     }
     Call.LastEvent = Now;
@@ -249,6 +255,15 @@
   limitAnswers(Id);
 }
 
+void relay::impl::recordFirstEvent(const relay_call &Call, time_point Now) {
+  bool IsCached = Call.UpstreamId == Call.PreviousUpstream ||
+                  Call.UpstreamId == Call.BrokenAt;
+  Upstreams.recordTime(Call.UpstreamId,
+                       IsCached ? time_kind::CachedFirstEvent
+                                : time_kind::FirstEvent,
+                       Now - Call.SentAt, Now);
+}
+
 void relay::impl::limitAnswers(relay_call_id Id) {
   Answers.set(keyOf(Id), Calls.find(Id)->heldBytes());
   while (auto Largest = Answers.largestIfExceeded())
@@ -324,8 +339,12 @@
   http1::header_list Headers = Call.Head.Headers;
   http1::removeHopByHop(Headers);
   settleBudget(Call);
-  if (isSuccess(Call.Head.Status))
+  if (isSuccess(Call.Head.Status)) {
     recordSuccess(Call);
+    time_point Now = steadyNow();
+    Upstreams.recordTime(Call.UpstreamId, time_kind::Answer, Now - Call.SentAt,
+                         Now);
+  }
   Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body.text());
   finish(Id, Call.Head.Status, {});
 }
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -3,6 +3,7 @@
 #include "turmerichead/hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -12,14 +13,15 @@
 
 // Time for which other upstreams are preferred after a failure.
 constexpr milliseconds AvoidTime{1500};
-// Weight of a new sample in the mean time between events.
-constexpr double GapWeight = 0.15;
 // A runner is slow if its mean time between events is above the median of its
 // service times this factor.
 constexpr double SlowFactor = 2.5;
 
 // States of upstreams that are not registered.
 constexpr std::size_t MaxRemembered = 4096;
+// One of this many new chains may start in a data centre whose speed is not
+// known. At 1.5 new chains a second, a host knows three others after 8 s.
+constexpr std::uint64_t ChainsPerMeasurement = 4;
 // Differences in the time until there are permits that don't count.
 constexpr milliseconds BusyStep{64};
 
@@ -37,6 +39,25 @@
   return Row.Upstream.Service == Service && Row.takesCalls() && !Expired;
 }
 
+/// Returns how much longer a turn takes than one of \p ReferenceMs; 1 if the
+/// difference is small or not known.
+double slownessOf(double Ms, double ReferenceMs) {
+  bool Differs =
+      isClearlyShorter(Ms, ReferenceMs) || isClearlyShorter(ReferenceMs, Ms);
+  return Differs ? Ms / ReferenceMs : 1;
+}
+
+/// Returns a value whose order is that of the hashes where all upstreams are
+/// equally slow; otherwise the lowest value is that of an upstream with a
+/// probability proportional to the square of its speed (weighted rendezvous
+/// hashing with exponential variates).
+double weightedHash(std::uint64_t Hash, double Slowness) {
+  constexpr double Scale = 0x1p-53;
+  constexpr unsigned UnusedBits = 11;
+  double Uniform = static_cast<double>(Hash >> UnusedBits) * Scale;
+  return -std::log1p(-Uniform) * Slowness * Slowness;
+}
+
 } // namespace
 
 void upstream_table::put(const upstream &Upstream) {
@@ -46,7 +67,7 @@
   Row->second.ExpiresAt.reset();
   if (Restarted) {
     Row->second.AvoidUntil = {};
-    Row->second.EventGapMs = 0;
+    Row->second.Speed = {};
     Row->second.State = {};
     Row->second.BusyUntil = {};
   }
@@ -96,11 +117,14 @@
   return Row == Rows.end() ? nullptr : &Row->second;
 }
 
-double upstream_table::slowGapMs(std::string_view Service) const {
-  std::vector<double> Gaps;
+double upstream_table::slowGapMs(const placement &Placement, time_point Now) {
+  Gaps.clear();
   for (const auto &[Id, Row] : Rows)
-    if (Row.Upstream.Service == Service && Row.EventGapMs > 0)
-      Gaps.push_back(Row.EventGapMs);
+    if (isReady(Row, Placement.Service, Now) &&
+        Row.Speed.of(time_kind::EventGap).meanMs() > 0)
+      Gaps.push_back(Speeds.estimateMs(time_kind::EventGap,
+                                       Speeds.find(Row.Upstream.DataCentre),
+                                       Row.Speed));
   constexpr std::size_t MinCompared = 3;
   if (Gaps.size() < MinCompared)
     return std::numeric_limits<double>::infinity();
@@ -109,40 +133,114 @@
   return SlowFactor * *Median;
 }
 
-upstream_table::rank upstream_table::rankOf(const upstream_row &Row,
-                                            const placement &Placement,
-                                            double SlowGapMs,
-                                            time_point Now) const {
-  const std::string &Id = Row.Upstream.Id;
-  bool Tried = contains(Placement.Tried, Id);
-  bool Full = Row.InFlight >= Row.Upstream.Slots;
-  bool Denied = contains(Placement.Denied, Id);
-  bool Busy =
-      Denied || isBusy(Row, Now) || (Placement.AvoidsLimits && Row.State.Limit);
-  int Penalty = (Busy ? 32 : 0) + (Tried ? 16 : 0) +
-                (Row.AvoidUntil > Now ? 8 : 0) + (Row.ExpiresAt ? 4 : 0) +
-                (Full ? 2 : 0) + (Row.EventGapMs > SlowGapMs ? 1 : 0);
-  bool HasAffinity = !Placement.AffinityKey.empty();
-  std::uint32_t Load = HasAffinity ? 0 : Row.InFlight;
-  int Distance = Id == Placement.PreviousUpstream                  ? 0
-                 : Row.Upstream.DataCentre == Placement.DataCentre ? 1
-                 : Placement.PrefersNear                           ? 2
-                                                                   : 1;
-  std::string_view Key =
-      HasAffinity ? Placement.AffinityKey : Placement.SpreadKey;
-  std::int64_t BusySteps =
-      Busy ? std::max((Row.BusyUntil - Now) / BusyStep, std::int64_t{0}) : 0;
-  return {Penalty, BusySteps, Load, Distance, hash64(Id, hash64(Key))};
-}
-
-upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
+void upstream_table::removeExpired(time_point Now) {
   std::vector<std::string> Expired;
   for (const auto &[Id, Row] : Rows)
     if (Row.ExpiresAt && *Row.ExpiresAt <= Now)
       Expired.push_back(Id);
   for (const std::string &Id : Expired)
     remove(Id);
-  double SlowGapMs = slowGapMs(Placement.Service);
+}
+
+upstream_table::choice upstream_table::prepare(const placement &Placement,
+                                               time_point Now) {
+  Speeds.start(Placement.Shape, Now);
+  for (const auto &[Id, Row] : Rows)
+    if (isReady(Row, Placement.Service, Now))
+      Speeds.add(Row.Upstream.DataCentre, Row.Speed);
+  Speeds.finish();
+  choice Choice{Placement, Now};
+  bool HasAffinity = !Placement.AffinityKey.empty();
+  // The prompt is not cached anywhere once its upstream has gone.
+  const upstream_row *Home = find(Placement.PreviousUpstream);
+  bool HomeLeft = !Placement.PreviousUpstream.empty() &&
+                  (!Home || !isReady(*Home, Placement.Service, Now));
+  Choice.IsNewChain = HasAffinity && (Placement.IsNewChain || HomeLeft);
+  Choice.KeyHash =
+      hash64(HasAffinity ? Placement.AffinityKey : Placement.SpreadKey);
+  Choice.SlowGapMs = slowGapMs(Placement, Now);
+  Choice.OwnTurnMs = Speeds.find(Placement.DataCentre).TurnMs;
+  if (Choice.IsNewChain && Placement.PrefersNear &&
+      Choice.KeyHash % ChainsPerMeasurement == 0)
+    Choice.ToMeasure = Speeds.toMeasure(Placement.DataCentre);
+  return Choice;
+}
+
+int upstream_table::penaltyOf(
+    const upstream_row &Row, const choice &Choice,
+    const service_speed::data_centre &DataCentre) const {
+  const placement &Placement = Choice.Placement;
+  const std::string &Id = Row.Upstream.Id;
+  bool Tried = contains(Placement.Tried, Id);
+  bool Full = Row.InFlight >= Row.Upstream.Slots;
+  bool Busy = contains(Placement.Denied, Id) || isBusy(Row, Choice.Now) ||
+              (Placement.AvoidsLimits && Row.State.Limit);
+  bool Slow = Speeds.estimateMs(time_kind::EventGap, DataCentre, Row.Speed) >
+              Choice.SlowGapMs;
+  return (Busy ? 32 : 0) + (Tried ? 16 : 0) +
+         (Row.AvoidUntil > Choice.Now ? 8 : 0) + (Row.ExpiresAt ? 4 : 0) +
+         (Full ? 2 : 0) + (Slow ? 1 : 0);
+}
+
+int upstream_table::distanceOf(
+    const upstream_row &Row, const choice &Choice,
+    const service_speed::data_centre &DataCentre) const {
+  const placement &Placement = Choice.Placement;
+  bool SavesTime = Choice.IsNewChain &&
+                   isClearlyShorter(DataCentre.TurnMs, Choice.OwnTurnMs);
+  if (Row.Upstream.Id == Placement.PreviousUpstream ||
+      &DataCentre == Choice.ToMeasure)
+    return 0;
+  return Row.Upstream.DataCentre == Placement.DataCentre || SavesTime ||
+                 !Placement.PrefersNear
+             ? 1
+             : 2;
+}
+
+upstream_table::rank upstream_table::rankOf(const upstream_row &Row,
+                                            const choice &Choice) const {
+  const placement &Placement = Choice.Placement;
+  const auto &DataCentre = Speeds.find(Row.Upstream.DataCentre);
+  rank Rank;
+  Rank.Penalty = penaltyOf(Row, Choice, DataCentre);
+  constexpr int BusyPenalty = 32;
+  if (Rank.Penalty >= BusyPenalty)
+    Rank.Busy =
+        std::max((Row.BusyUntil - Choice.Now) / BusyStep, std::int64_t{0});
+  Rank.Distance = distanceOf(Row, Choice, DataCentre);
+  Rank.Hash = hash64(Row.Upstream.Id, Choice.KeyHash);
+  if (!Placement.AffinityKey.empty() && !Choice.IsNewChain)
+    return Rank;
+  double Slowness =
+      slownessOf(Speeds.turnMs(DataCentre, Row.Speed, false), Choice.OwnTurnMs);
+  if (Choice.IsNewChain)
+    Rank.WeightedHash = weightedHash(Rank.Hash, Slowness);
+  else
+    Rank.Load = (Row.InFlight + 1) * Slowness;
+  return Rank;
+}
+
+double upstream_table::finishMs(const upstream_row &Row) const {
+  const auto &DataCentre = Speeds.find(Row.Upstream.DataCentre);
+  double TurnMs = Speeds.turnMs(DataCentre, Row.Speed, false);
+  double Slots = std::max(Row.Upstream.Slots, std::uint32_t{1});
+  double Waiting = std::max(0.0, Row.InFlight + 1 - Slots);
+  return TurnMs * (1 + Waiting / Slots);
+}
+
+bool upstream_table::finishesFirst(const upstream_row &Second,
+                                   const upstream_row &Best) const {
+  time_kind Kind = time_kind::EventGap;
+  bool BothMeasured =
+      Second.Speed.of(Kind).meanMs() > 0 && Best.Speed.of(Kind).meanMs() > 0;
+  double SecondMs = finishMs(Second);
+  double BestMs = finishMs(Best);
+  return BothMeasured ? SecondMs < BestMs : isClearlyShorter(SecondMs, BestMs);
+}
+
+upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
+  removeExpired(Now);
+  choice Choice = prepare(Placement, Now);
   upstream_row *Best = nullptr;
   upstream_row *Second = nullptr;
   rank BestRank;
@@ -150,7 +248,7 @@
   for (auto &[Id, Row] : Rows) {
     if (!isReady(Row, Placement.Service, Now))
       continue;
-    rank Rank = rankOf(Row, Placement, SlowGapMs, Now);
+    rank Rank = rankOf(Row, Choice);
     if (!Best || Rank < BestRank) {
       Second = std::exchange(Best, &Row);
       SecondRank = std::exchange(BestRank, Rank);
@@ -161,9 +259,10 @@
   }
   bool EquallyGood = Second && SecondRank.Penalty == BestRank.Penalty &&
                      SecondRank.Distance == BestRank.Distance;
-  bool HasNoHome = Placement.IsNewChain || !Placement.PrefersNear;
-  if (HasNoHome && EquallyGood && Second->EventGapMs > 0 &&
-      Second->EventGapMs < Best->EventGapMs)
+  bool HasNoHome =
+      Placement.IsNewChain || Choice.IsNewChain || !Placement.PrefersNear;
+  if (Placement.Shape.IsStream && HasNoHome && EquallyGood &&
+      finishesFirst(*Second, *Best))
     return Second;
   return Best;
 }
@@ -203,14 +302,10 @@
     Row->AvoidUntil = Now + AvoidTime;
 }
 
-void upstream_table::recordEventGap(std::string_view Id, milliseconds Gap) {
-  upstream_row *Row = find(Id);
-  if (!Row)
-    return;
-  auto Ms = static_cast<double>(Gap.count());
-  Row->EventGapMs = Row->EventGapMs > 0
-                        ? Row->EventGapMs + GapWeight * (Ms - Row->EventGapMs)
-                        : std::max(Ms, 1.0);
+void upstream_table::recordTime(std::string_view Id, time_kind Kind,
+                                milliseconds Time, time_point Now) {
+  if (upstream_row *Row = find(Id))
+    Row->Speed.record(Kind, Time, Now);
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/upstreams_test.cpp
+++ b/src/librelay/upstreams_test.cpp
@@ -66,7 +66,7 @@
   for (int I = 0; I < Chains; ++I) {
     placement Placement = placementOf("p" + std::to_string(I), "a");
     const upstream_row *Row = Table.pick(Placement, {0});
-    Slower += Row->EventGapMs > 15 ? 1 : 0;
+    Slower += Row->Speed.of(time_kind::EventGap).meanMs() > 15 ? 1 : 0;
     // Later turns of the chain stay at its runner whatever the speed.
     Placement.PreviousUpstream = Row->Upstream.Id;
     CHECK(Table.pick(Placement, {0})->Upstream.Id == Row->Upstream.Id);
