Compute the estimates of a choice once, and less often on old samples

Candidates are now collected once with the two kinds that the call needs.

The mean of a data centre now needs twice as many samples against that of the service. The choice of chains that measure a data centre uses other bits of the hash than traffic splits, and only a host with recent turns of its own measures.

Also tests that the relay records each time under its kind.

--- a/src/include/turmerichead/relay_upstream_speed.h
+++ b/src/include/turmerichead/relay_upstream_speed.h
@@ -29,9 +29,14 @@
   void add(milliseconds Sample, double MaxSamples, time_point Now);
   double meanMs() const { return MeanMs; }
   /// Returns how many new samples the samples so far are worth.
-  double samples(time_point Now) const;
+  double samples(time_point Now) const { return Count / ageFactor(Now); }
+  /// Returns the mean with a prior mean that counts as \p PriorSamples. A prior
+  /// of 0 is not known. Returns 0 if nothing is known.
+  double combined(double PriorMs, double PriorSamples, time_point Now) const;
 
 private:
+  double ageFactor(time_point Now) const;
+
   double MeanMs = 0;
   double Count = 0;
   time_point LatestAt;
@@ -51,37 +56,44 @@
 
 /// What a time is predicted for.
 struct turn_shape {
-  bool IsStream = true; ///< Otherwise only the time of the whole answer counts.
-  double Events = 20;   ///< Expected number of events of a stream.
+  bool IsStream = true;  ///< Otherwise only the time of the answer counts.
+  bool IsCached = false; ///< Whether the upstream has the prompt in its cache.
+  double Events = 20;    ///< Expected number of events of a stream.
 };
 
 /// Estimates for the upstreams of one service at one time. An upstream with few
 /// or old samples has the mean of its data centre, and a data centre with few
 /// samples that of the service: each mean is weighted by its samples.
 ///
-///     Speed.start(Shape, Now);
-///     for (const auto &Upstream : UpstreamsOfTheService)
-///       Speed.add(Upstream.DataCentre, Upstream.Speed);
-///     Speed.finish();
-///     double Ms = Speed.turnMs(Speed.find(DataCentre), Upstream.Speed, false);
+///     Speeds.start(Shape, Now);
+///     for (auto &Upstream : UpstreamsOfTheService)
+///       Upstream.Index = Speeds.add(Upstream.DataCentre, Upstream.Speed);
+///     Speeds.finish();
+///     double Ms = Speeds.turnMs(Speeds.at(Index), Upstream.Speed);
 ///
 /// An object keeps its memory for the next start(). It refers to the names of
 /// data centres until then.
 class service_speed {
 public:
+  /// A time until the first event or the end, and one between two events.
+  struct times {
+    double First = 0;
+    double Gap = 0;
+  };
   struct data_centre {
     std::string_view Name;
-    std::array<double, TimeKinds> TotalMs{};
-    std::array<double, TimeKinds> Samples{};
-    std::array<double, TimeKinds> EstimateMs{};
-    /// Predicted time of a turn without a cached prompt; 0: unknown.
-    double TurnMs = 0;
+    times TotalMs;
+    times Samples;
+    times EstimateMs;  ///< 0: not known.
+    double TurnMs = 0; ///< Predicted time of a turn; 0: not known.
   };
 
   void start(const turn_shape &Shape, time_point Now);
-  void add(std::string_view DataCentre, const upstream_speed &Speed);
+  /// Returns the index of the data centre for at().
+  std::size_t add(std::string_view DataCentre, const upstream_speed &Speed);
   void finish();
 
+  const data_centre &at(std::size_t Index) const { return DataCentres[Index]; }
   /// Returns the data centre, or one with the means of the service if it has no
   /// upstreams.
   const data_centre &find(std::string_view Name) const;
@@ -89,15 +101,20 @@
   /// nullptr if all have enough samples, or if \p Own has not.
   const data_centre *toMeasure(std::string_view Own) const;
 
-  /// Returns the estimate for an upstream, 0 if nothing is known.
-  double estimateMs(time_kind Kind, const data_centre &DataCentre,
-                    const upstream_speed &Speed) const;
+  /// Returns the estimated time between two events at an upstream, 0 if nothing
+  /// is known.
+  double gapMs(const data_centre &DataCentre,
+               const upstream_speed &Speed) const;
   /// Returns the predicted time of a turn that does not wait for a slot, 0 if
   /// nothing is known.
-  double turnMs(const data_centre &DataCentre, const upstream_speed &Speed,
-                bool IsCached) const;
+  double turnMs(const data_centre &DataCentre,
+                const upstream_speed &Speed) const;
 
 private:
+  time_kind firstKind() const;
+  double turnMs(const times &Times) const;
+  void estimate(data_centre &DataCentre, const times &Prior) const;
+
   turn_shape Shape;
   time_point Now;
   data_centre Service; ///< Sums of all data centres.
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -159,21 +159,28 @@
     /// The data centre that the call is to measure, if any.
     const service_speed::data_centre *ToMeasure = nullptr;
   };
+  struct candidate {
+    upstream_row *Row = nullptr;
+    std::size_t DataCentre = 0; ///< Index in Speeds.
+    double GapMs = 0;           ///< Estimated time between events.
+  };
   void removeExpired(time_point Now);
   choice prepare(const placement &Placement, time_point Now);
-  rank rankOf(const upstream_row &Row, const choice &Choice) const;
-  int penaltyOf(const upstream_row &Row, const choice &Choice,
-                const service_speed::data_centre &DataCentre) const;
-  int distanceOf(const upstream_row &Row, const choice &Choice,
-                 const service_speed::data_centre &DataCentre) const;
-  /// Returns whether \p Second is predicted to finish before \p Best.
-  bool finishesFirst(const upstream_row &Second,
-                     const upstream_row &Best) const;
+  /// Returns whether no upstream has the prompt of the call in its cache.
+  bool isNewChain(const placement &Placement, time_point Now);
+  /// Sets Candidates and their estimates.
+  void collect(const choice &Choice);
+  rank rankOf(const candidate &Candidate, const choice &Choice) const;
+  int penaltyOf(const candidate &Candidate, const choice &Choice) const;
+  int distanceOf(const candidate &Candidate, const choice &Choice) const;
+  double turnMs(const candidate &Candidate) const;
   /// Returns the predicted time until a turn sent now has ended.
-  double finishMs(const upstream_row &Row) const;
-  /// Returns the mean time between events above which an upstream of the
-  /// service counts as slow, in milliseconds.
-  double slowGapMs(const placement &Placement, time_point Now);
+  double finishMs(const candidate &Candidate) const;
+  /// Returns whether \p Second is predicted to finish before \p Best.
+  bool finishesFirst(const candidate &Second, const candidate &Best) const;
+  /// Returns the mean time between events above which a candidate counts as
+  /// slow, in milliseconds.
+  double slowGapMs();
 
   /// The state of a run whose upstream is not registered. Its entry may come
   /// back.
@@ -186,8 +193,10 @@
 
   std::map<std::string, upstream_row, std::less<>> Rows;
   std::map<std::string, remembered_run, std::less<>> Remembered;
-  service_speed Speeds;     ///< Of the service and time of the latest choice.
-  std::vector<double> Gaps; ///< Scratch memory of slowGapMs().
+  // Of the latest choice. They are members to keep their memory.
+  service_speed Speeds;
+  std::vector<candidate> Candidates;
+  std::vector<double> Gaps;
 };
 
 } // namespace turmerichead::relay
--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -77,6 +77,36 @@
   }
 }
 
+TEST_CASE("the times of a turn are recorded by what they depend on") {
+  // The first event of a cached prompt comes early on a slow runner, too, and a
+  // call that failed at once does not show a fast upstream.
+  fixture F;
+  caller Caller(F.Address);
+  auto Samples = [&](const char *Id, relay::time_kind Kind) {
+    return F.Relay->upstreams().rows().at(Id).Speed.of(Kind).samples({0});
+  };
+  for (std::string Id : {"t1", "t2"}) {
+    Caller.send(F.request("POST", "/plan/1", Id, "X-Program: p\r\n", "[in]"));
+    REQUIRE(F.received(F.Llm, "X-Call: " + Id));
+    F.Llm.send(0, streamHead(Id) + chunk("data: a\n\ndata: b\n\n") +
+                      std::string(StreamEnd));
+    REQUIRE(Caller.waitsFor("0\r\n\r\n"));
+    Caller.Input.clear();
+    CHECK(Samples("llm-1", relay::time_kind::FirstEvent) == 1);
+  }
+  CHECK(Samples("llm-1", relay::time_kind::CachedFirstEvent) == 1);
+  CHECK(Samples("llm-1", relay::time_kind::EventGap) > 1);
+  CHECK(Samples("llm-1", relay::time_kind::Answer) == 0);
+  for (std::string Status : {"200 OK", "500 Failed"}) {
+    Caller.send(F.request("GET", "/safe/1", Status.substr(0, 3)));
+    REQUIRE(F.received(F.Tools, "X-Call: " + Status.substr(0, 3)));
+    F.Tools.send(0, answerTo(Status.substr(0, 3), "done", Status));
+    REQUIRE(Caller.waitsFor("done"));
+    Caller.Input.clear();
+    CHECK(Samples("tool-1", relay::time_kind::Answer) == 1);
+  }
+}
+
 TEST_CASE("an unknown previous turn is 404, and no runner gets the call") {
   fixture F;
   caller Caller(F.Address);
--- a/src/librelay/upstream_speed.cpp
+++ b/src/librelay/upstream_speed.cpp
@@ -14,31 +14,38 @@
 // kind. A turn gives one time to the first event and some twenty between
 // events, which are alike if the runner is slow for a moment.
 constexpr std::array<double, TimeKinds> PriorSamples = {4, 4, 20, 16};
+// The same for a data centre and the mean of its service, as a multiple.
+// Without it a full pool of equal runners sends programs to other data centres
+// on old samples, which saves no time.
+constexpr double DataCentrePriors = 2;
 // Samples that a mean remembers, as a multiple of these.
 constexpr double MaxPriors = 4;
 
 // A data centre with fewer samples of one kind, as a share of the above, is
 // measured again: about 90 s after the last turn there.
 constexpr double MinShareMeasured = 0.4;
+// A host measures others while its own data centre has as many, which is three
+// recent turns. A host with few calls would otherwise send many of them away.
+constexpr double MinShareOwn = 3;
 
-constexpr std::size_t indexOf(time_kind Kind) {
-  return static_cast<std::size_t>(Kind);
+constexpr double priorOf(time_kind Kind) {
+  return PriorSamples[static_cast<std::size_t>(Kind)];
 }
 
-/// Returns the mean of samples and of a prior estimate, which may be unknown.
+/// Returns the mean of samples and of a prior mean, which counts as \p Weight
+/// samples unless it is 0.
 double combine(double TotalMs, double Samples, double PriorMs, double Weight) {
-  if (PriorMs <= 0)
-    return Samples > 0 ? TotalMs / Samples : 0;
-  return (TotalMs + Weight * PriorMs) / (Samples + Weight);
+  if (PriorMs > 0)
+    return (TotalMs + Weight * PriorMs) / (Samples + Weight);
+  return Samples > 0 ? TotalMs / Samples : 0;
 }
 
 } // namespace
 
-double recent_mean::samples(time_point Now) const {
-  if (Now <= LatestAt)
-    return Count;
-  return Count / (1.0 + static_cast<double>((Now - LatestAt).count()) /
-                            static_cast<double>(HalfAge.count()));
+double recent_mean::ageFactor(time_point Now) const {
+  constexpr double PerMs = 1.0 / static_cast<double>(HalfAge.count());
+  auto AgeMs = static_cast<double>((Now - LatestAt).count());
+  return 1.0 + std::max(AgeMs, 0.0) * PerMs;
 }
 
 void recent_mean::add(milliseconds Sample, double MaxSamples, time_point Now) {
@@ -50,10 +57,15 @@
   LatestAt = std::max(LatestAt, Now);
 }
 
+double recent_mean::combined(double PriorMs, double PriorSamples,
+                             time_point Now) const {
+  return combine(Count * MeanMs, Count, PriorMs, PriorSamples * ageFactor(Now));
+}
+
 void upstream_speed::record(time_kind Kind, milliseconds Sample,
                             time_point Now) {
-  std::size_t Index = indexOf(Kind);
-  Means[Index].add(Sample, MaxPriors * PriorSamples[Index], Now);
+  Means[static_cast<std::size_t>(Kind)].add(Sample, MaxPriors * priorOf(Kind),
+                                            Now);
 }
 
 void service_speed::start(const turn_shape &NewShape, time_point NewNow) {
@@ -63,7 +75,14 @@
   DataCentres.clear();
 }
 
-void service_speed::add(std::string_view Name, const upstream_speed &Speed) {
+time_kind service_speed::firstKind() const {
+  if (!Shape.IsStream)
+    return time_kind::Answer;
+  return Shape.IsCached ? time_kind::CachedFirstEvent : time_kind::FirstEvent;
+}
+
+std::size_t service_speed::add(std::string_view Name,
+                               const upstream_speed &Speed) {
   auto Row = std::find_if(
       DataCentres.begin(), DataCentres.end(),
       [&](const data_centre &DataCentre) { return DataCentre.Name == Name; });
@@ -71,30 +90,35 @@
     Row = DataCentres.emplace(Row);
     Row->Name = Name;
   }
-  for (std::size_t Kind = 0; Kind < TimeKinds; ++Kind) {
-    const recent_mean &Mean = Speed.of(static_cast<time_kind>(Kind));
-    double Samples = Mean.samples(Now);
-    Row->Samples[Kind] += Samples;
-    Row->TotalMs[Kind] += Samples * Mean.meanMs();
-  }
+  auto Add = [&](time_kind Kind, double times::*Time) {
+    double Samples = Speed.of(Kind).samples(Now);
+    Row->Samples.*Time += Samples;
+    Row->TotalMs.*Time += Samples * Speed.of(Kind).meanMs();
+  };
+  Add(firstKind(), &times::First);
+  Add(time_kind::EventGap, &times::Gap);
+  return static_cast<std::size_t>(Row - DataCentres.begin());
+}
+
+void service_speed::estimate(data_centre &Row, const times &Prior) const {
+  Row.EstimateMs.First =
+      combine(Row.TotalMs.First, Row.Samples.First, Prior.First,
+              DataCentrePriors * priorOf(firstKind()));
+  Row.EstimateMs.Gap = combine(Row.TotalMs.Gap, Row.Samples.Gap, Prior.Gap,
+                               DataCentrePriors * priorOf(time_kind::EventGap));
+  Row.TurnMs = turnMs(Row.EstimateMs);
 }
 
 void service_speed::finish() {
-  for (std::size_t Kind = 0; Kind < TimeKinds; ++Kind) {
-    for (const data_centre &Row : DataCentres) {
-      Service.Samples[Kind] += Row.Samples[Kind];
-      Service.TotalMs[Kind] += Row.TotalMs[Kind];
-    }
-    Service.EstimateMs[Kind] =
-        combine(Service.TotalMs[Kind], Service.Samples[Kind], 0, 0);
-    for (data_centre &Row : DataCentres)
-      Row.EstimateMs[Kind] =
-          combine(Row.TotalMs[Kind], Row.Samples[Kind],
-                  Service.EstimateMs[Kind], PriorSamples[Kind]);
+  for (const data_centre &Row : DataCentres) {
+    Service.Samples.First += Row.Samples.First;
+    Service.Samples.Gap += Row.Samples.Gap;
+    Service.TotalMs.First += Row.TotalMs.First;
+    Service.TotalMs.Gap += Row.TotalMs.Gap;
   }
-  Service.TurnMs = turnMs(Service, {}, false);
+  estimate(Service, {});
   for (data_centre &Row : DataCentres)
-    Row.TurnMs = turnMs(Row, {}, false);
+    estimate(Row, Service.EstimateMs);
 }
 
 const service_speed::data_centre &
@@ -107,40 +131,37 @@
 
 const service_speed::data_centre *
 service_speed::toMeasure(std::string_view Own) const {
-  std::size_t Kind =
-      indexOf(Shape.IsStream ? time_kind::EventGap : time_kind::Answer);
-  double Enough = MinShareMeasured * PriorSamples[Kind];
+  constexpr double Prior = priorOf(time_kind::EventGap);
+  if (find(Own).Samples.Gap < MinShareOwn * Prior)
+    return nullptr;
   const data_centre *Least = nullptr;
-  bool IsOwnMeasured = false;
-  for (const data_centre &Row : DataCentres) {
-    bool IsMeasured = Row.Samples[Kind] >= Enough;
-    if (Row.Name == Own)
-      IsOwnMeasured = IsMeasured;
-    else if (!IsMeasured &&
-             (!Least || Row.Samples[Kind] < Least->Samples[Kind]))
+  for (const data_centre &Row : DataCentres)
+    if (Row.Name != Own && Row.Samples.Gap < MinShareMeasured * Prior &&
+        (!Least || Row.Samples.Gap < Least->Samples.Gap))
       Least = &Row;
-  }
-  return IsOwnMeasured ? Least : nullptr;
+  return Least;
 }
 
-double service_speed::estimateMs(time_kind Kind, const data_centre &DataCentre,
-                                 const upstream_speed &Speed) const {
-  const recent_mean &Mean = Speed.of(Kind);
-  double Samples = Mean.samples(Now);
-  return combine(Samples * Mean.meanMs(), Samples,
-                 DataCentre.EstimateMs[indexOf(Kind)],
-                 PriorSamples[indexOf(Kind)]);
+double service_speed::gapMs(const data_centre &DataCentre,
+                            const upstream_speed &Speed) const {
+  return Speed.of(time_kind::EventGap)
+      .combined(DataCentre.EstimateMs.Gap, priorOf(time_kind::EventGap), Now);
 }
 
 double service_speed::turnMs(const data_centre &DataCentre,
-                             const upstream_speed &Speed, bool IsCached) const {
-  if (!Shape.IsStream)
-    return estimateMs(time_kind::Answer, DataCentre, Speed);
-  time_kind First =
-      IsCached ? time_kind::CachedFirstEvent : time_kind::FirstEvent;
-  double Gaps = std::max(0.0, Shape.Events - 1);
-  return estimateMs(First, DataCentre, Speed) +
-         Gaps * estimateMs(time_kind::EventGap, DataCentre, Speed);
+                             const upstream_speed &Speed) const {
+  times Times;
+  Times.First =
+      Speed.of(firstKind())
+          .combined(DataCentre.EstimateMs.First, priorOf(firstKind()), Now);
+  if (Shape.IsStream)
+    Times.Gap = gapMs(DataCentre, Speed);
+  return turnMs(Times);
+}
+
+double service_speed::turnMs(const times &Times) const {
+  double Gaps = Shape.IsStream ? std::max(0.0, Shape.Events - 1) : 0;
+  return Times.First + Gaps * Times.Gap;
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/upstream_speed_test.cpp
+++ b/src/librelay/upstream_speed_test.cpp
@@ -22,7 +22,7 @@
 
 double gapOf(const service_speed &Speeds, std::string_view DataCentre,
              const upstream_speed &Speed) {
-  return Speeds.estimateMs(time_kind::EventGap, Speeds.find(DataCentre), Speed);
+  return Speeds.gapMs(Speeds.find(DataCentre), Speed);
 }
 
 } // namespace
@@ -57,15 +57,15 @@
   Speed.record(time_kind::CachedFirstEvent, milliseconds(50), {0});
   Speed.record(time_kind::Answer, milliseconds(7), {0});
   service_speed Speeds;
-  for (bool IsStream : {true, false}) {
-    Speeds.start({IsStream, 11}, {0});
-    Speeds.add("x", Speed);
+  auto Predict = [&](const turn_shape &Shape) {
+    Speeds.start(Shape, {0});
+    const auto &DataCentre = Speeds.at(Speeds.add("x", Speed));
     Speeds.finish();
-    CHECK(Speeds.turnMs(Speeds.find("x"), Speed, false) ==
-          doctest::Approx(IsStream ? 400 : 7));
-    CHECK(Speeds.turnMs(Speeds.find("x"), Speed, true) ==
-          doctest::Approx(IsStream ? 150 : 7));
-  }
+    return Speeds.turnMs(DataCentre, Speed);
+  };
+  CHECK(Predict({true, false, 11}) == doctest::Approx(400));
+  CHECK(Predict({true, true, 11}) == doctest::Approx(150));
+  CHECK(Predict({false, false, 11}) == doctest::Approx(7));
 }
 
 namespace {
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -22,6 +22,8 @@
 // One of this many new chains may start in a data centre whose speed is not
 // known. At 1.5 new chains a second, a host knows three others after 8 s.
 constexpr std::uint64_t ChainsPerMeasurement = 4;
+// Penalty of an upstream whose limit leaves no permit, above all others.
+constexpr int BusyPenalty = 32;
 // Differences in the time until there are permits that don't count.
 constexpr milliseconds BusyStep{64};
 
@@ -55,7 +57,7 @@
   constexpr double Scale = 0x1p-53;
   constexpr unsigned UnusedBits = 11;
   double Uniform = static_cast<double>(Hash >> UnusedBits) * Scale;
-  return -std::log1p(-Uniform) * Slowness * Slowness;
+  return -std::log(1 - Uniform) * Slowness * Slowness;
 }
 
 } // namespace
@@ -117,14 +119,29 @@
   return Row == Rows.end() ? nullptr : &Row->second;
 }
 
-double upstream_table::slowGapMs(const placement &Placement, time_point Now) {
-  Gaps.clear();
+void upstream_table::removeExpired(time_point Now) {
+  std::vector<std::string> Expired;
   for (const auto &[Id, Row] : Rows)
-    if (isReady(Row, Placement.Service, Now) &&
-        Row.Speed.of(time_kind::EventGap).meanMs() > 0)
-      Gaps.push_back(Speeds.estimateMs(time_kind::EventGap,
-                                       Speeds.find(Row.Upstream.DataCentre),
-                                       Row.Speed));
+    if (Row.ExpiresAt && *Row.ExpiresAt <= Now)
+      Expired.push_back(Id);
+  for (const std::string &Id : Expired)
+    remove(Id);
+}
+
+bool upstream_table::isNewChain(const placement &Placement, time_point Now) {
+  if (Placement.AffinityKey.empty())
+    return false;
+  if (Placement.IsNewChain || Placement.PreviousUpstream.empty())
+    return Placement.IsNewChain;
+  const upstream_row *Home = find(Placement.PreviousUpstream);
+  return !Home || !isReady(*Home, Placement.Service, Now);
+}
+
+double upstream_table::slowGapMs() {
+  Gaps.clear();
+  for (const candidate &Candidate : Candidates)
+    if (Candidate.Row->Speed.of(time_kind::EventGap).meanMs() > 0)
+      Gaps.push_back(Candidate.GapMs);
   constexpr std::size_t MinCompared = 3;
   if (Gaps.size() < MinCompared)
     return std::numeric_limits<double>::infinity();
@@ -133,127 +150,126 @@
   return SlowFactor * *Median;
 }
 
-void upstream_table::removeExpired(time_point Now) {
-  std::vector<std::string> Expired;
-  for (const auto &[Id, Row] : Rows)
-    if (Row.ExpiresAt && *Row.ExpiresAt <= Now)
-      Expired.push_back(Id);
-  for (const std::string &Id : Expired)
-    remove(Id);
+void upstream_table::collect(const choice &Choice) {
+  turn_shape Shape = Choice.Placement.Shape;
+  Shape.IsCached = !Choice.IsNewChain;
+  Speeds.start(Shape, Choice.Now);
+  Candidates.clear();
+  for (auto &[Id, Row] : Rows)
+    if (isReady(Row, Choice.Placement.Service, Choice.Now))
+      Candidates.push_back(
+          {&Row, Speeds.add(Row.Upstream.DataCentre, Row.Speed)});
+  Speeds.finish();
+  for (candidate &Candidate : Candidates)
+    Candidate.GapMs =
+        Speeds.gapMs(Speeds.at(Candidate.DataCentre), Candidate.Row->Speed);
 }
 
 upstream_table::choice upstream_table::prepare(const placement &Placement,
                                                time_point Now) {
-  Speeds.start(Placement.Shape, Now);
-  for (const auto &[Id, Row] : Rows)
-    if (isReady(Row, Placement.Service, Now))
-      Speeds.add(Row.Upstream.DataCentre, Row.Speed);
-  Speeds.finish();
   choice Choice{Placement, Now};
-  bool HasAffinity = !Placement.AffinityKey.empty();
-  // The prompt is not cached anywhere once its upstream has gone.
-  const upstream_row *Home = find(Placement.PreviousUpstream);
-  bool HomeLeft = !Placement.PreviousUpstream.empty() &&
-                  (!Home || !isReady(*Home, Placement.Service, Now));
-  Choice.IsNewChain = HasAffinity && (Placement.IsNewChain || HomeLeft);
+  Choice.IsNewChain = isNewChain(Placement, Now);
   Choice.KeyHash =
-      hash64(HasAffinity ? Placement.AffinityKey : Placement.SpreadKey);
-  Choice.SlowGapMs = slowGapMs(Placement, Now);
+      hash64(Placement.AffinityKey.empty() ? Placement.SpreadKey
+                                           : Placement.AffinityKey);
+  collect(Choice);
+  Choice.SlowGapMs = slowGapMs();
   Choice.OwnTurnMs = Speeds.find(Placement.DataCentre).TurnMs;
+  // Traffic splits use the low bits of the hash.
+  constexpr unsigned SplitBits = 32;
   if (Choice.IsNewChain && Placement.PrefersNear &&
-      Choice.KeyHash % ChainsPerMeasurement == 0)
+      (Choice.KeyHash >> SplitBits) % ChainsPerMeasurement == 0)
     Choice.ToMeasure = Speeds.toMeasure(Placement.DataCentre);
   return Choice;
 }
 
-int upstream_table::penaltyOf(
-    const upstream_row &Row, const choice &Choice,
-    const service_speed::data_centre &DataCentre) const {
+int upstream_table::penaltyOf(const candidate &Candidate,
+                              const choice &Choice) const {
   const placement &Placement = Choice.Placement;
+  const upstream_row &Row = *Candidate.Row;
   const std::string &Id = Row.Upstream.Id;
   bool Tried = contains(Placement.Tried, Id);
   bool Full = Row.InFlight >= Row.Upstream.Slots;
   bool Busy = contains(Placement.Denied, Id) || isBusy(Row, Choice.Now) ||
               (Placement.AvoidsLimits && Row.State.Limit);
-  bool Slow = Speeds.estimateMs(time_kind::EventGap, DataCentre, Row.Speed) >
-              Choice.SlowGapMs;
-  return (Busy ? 32 : 0) + (Tried ? 16 : 0) +
+  bool Slow = Candidate.GapMs > Choice.SlowGapMs;
+  return (Busy ? BusyPenalty : 0) + (Tried ? 16 : 0) +
          (Row.AvoidUntil > Choice.Now ? 8 : 0) + (Row.ExpiresAt ? 4 : 0) +
          (Full ? 2 : 0) + (Slow ? 1 : 0);
 }
 
-int upstream_table::distanceOf(
-    const upstream_row &Row, const choice &Choice,
-    const service_speed::data_centre &DataCentre) const {
+int upstream_table::distanceOf(const candidate &Candidate,
+                               const choice &Choice) const {
   const placement &Placement = Choice.Placement;
-  bool SavesTime = Choice.IsNewChain &&
-                   isClearlyShorter(DataCentre.TurnMs, Choice.OwnTurnMs);
-  if (Row.Upstream.Id == Placement.PreviousUpstream ||
+  const upstream &Upstream = Candidate.Row->Upstream;
+  const auto &DataCentre = Speeds.at(Candidate.DataCentre);
+  if (Upstream.Id == Placement.PreviousUpstream ||
       &DataCentre == Choice.ToMeasure)
     return 0;
-  return Row.Upstream.DataCentre == Placement.DataCentre || SavesTime ||
-                 !Placement.PrefersNear
-             ? 1
-             : 2;
+  bool SavesTime = Choice.IsNewChain &&
+                   isClearlyShorter(DataCentre.TurnMs, Choice.OwnTurnMs);
+  bool IsNear = Upstream.DataCentre == Placement.DataCentre;
+  return IsNear || SavesTime || !Placement.PrefersNear ? 1 : 2;
 }
 
-upstream_table::rank upstream_table::rankOf(const upstream_row &Row,
+upstream_table::rank upstream_table::rankOf(const candidate &Candidate,
                                             const choice &Choice) const {
-  const placement &Placement = Choice.Placement;
-  const auto &DataCentre = Speeds.find(Row.Upstream.DataCentre);
+  const upstream_row &Row = *Candidate.Row;
   rank Rank;
-  Rank.Penalty = penaltyOf(Row, Choice, DataCentre);
-  constexpr int BusyPenalty = 32;
+  Rank.Penalty = penaltyOf(Candidate, Choice);
   if (Rank.Penalty >= BusyPenalty)
     Rank.Busy =
         std::max((Row.BusyUntil - Choice.Now) / BusyStep, std::int64_t{0});
-  Rank.Distance = distanceOf(Row, Choice, DataCentre);
+  Rank.Distance = distanceOf(Candidate, Choice);
   Rank.Hash = hash64(Row.Upstream.Id, Choice.KeyHash);
-  if (!Placement.AffinityKey.empty() && !Choice.IsNewChain)
+  bool HasAffinity = !Choice.Placement.AffinityKey.empty();
+  if (HasAffinity && !Choice.IsNewChain)
     return Rank;
-  double Slowness =
-      slownessOf(Speeds.turnMs(DataCentre, Row.Speed, false), Choice.OwnTurnMs);
-  if (Choice.IsNewChain)
+  double Slowness = slownessOf(turnMs(Candidate), Choice.OwnTurnMs);
+  if (HasAffinity)
     Rank.WeightedHash = weightedHash(Rank.Hash, Slowness);
   else
     Rank.Load = (Row.InFlight + 1) * Slowness;
   return Rank;
 }
 
-double upstream_table::finishMs(const upstream_row &Row) const {
-  const auto &DataCentre = Speeds.find(Row.Upstream.DataCentre);
-  double TurnMs = Speeds.turnMs(DataCentre, Row.Speed, false);
+double upstream_table::turnMs(const candidate &Candidate) const {
+  return Speeds.turnMs(Speeds.at(Candidate.DataCentre), Candidate.Row->Speed);
+}
+
+double upstream_table::finishMs(const candidate &Candidate) const {
+  const upstream_row &Row = *Candidate.Row;
   double Slots = std::max(Row.Upstream.Slots, std::uint32_t{1});
   double Waiting = std::max(0.0, Row.InFlight + 1 - Slots);
-  return TurnMs * (1 + Waiting / Slots);
+  return turnMs(Candidate) * (1 + Waiting / Slots);
 }
 
-bool upstream_table::finishesFirst(const upstream_row &Second,
-                                   const upstream_row &Best) const {
-  time_kind Kind = time_kind::EventGap;
-  bool BothMeasured =
-      Second.Speed.of(Kind).meanMs() > 0 && Best.Speed.of(Kind).meanMs() > 0;
+bool upstream_table::finishesFirst(const candidate &Second,
+                                   const candidate &Best) const {
+  auto IsMeasured = [](const candidate &Candidate) {
+    return Candidate.Row->Speed.of(time_kind::EventGap).meanMs() > 0;
+  };
   double SecondMs = finishMs(Second);
   double BestMs = finishMs(Best);
-  return BothMeasured ? SecondMs < BestMs : isClearlyShorter(SecondMs, BestMs);
+  return IsMeasured(Second) && IsMeasured(Best)
+             ? SecondMs < BestMs
+             : isClearlyShorter(SecondMs, BestMs);
 }
 
 upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
   removeExpired(Now);
   choice Choice = prepare(Placement, Now);
-  upstream_row *Best = nullptr;
-  upstream_row *Second = nullptr;
+  const candidate *Best = nullptr;
+  const candidate *Second = nullptr;
   rank BestRank;
   rank SecondRank;
-  for (auto &[Id, Row] : Rows) {
-    if (!isReady(Row, Placement.Service, Now))
-      continue;
-    rank Rank = rankOf(Row, Choice);
+  for (const candidate &Candidate : Candidates) {
+    rank Rank = rankOf(Candidate, Choice);
     if (!Best || Rank < BestRank) {
-      Second = std::exchange(Best, &Row);
+      Second = std::exchange(Best, &Candidate);
       SecondRank = std::exchange(BestRank, Rank);
     } else if (!Second || Rank < SecondRank) {
-      Second = &Row;
+      Second = &Candidate;
       SecondRank = Rank;
     }
   }
@@ -263,8 +279,8 @@
       Placement.IsNewChain || Choice.IsNewChain || !Placement.PrefersNear;
   if (Placement.Shape.IsStream && HasNoHome && EquallyGood &&
       finishesFirst(*Second, *Best))
-    return Second;
-  return Best;
+    return Second->Row;
+  return Best ? Best->Row : nullptr;
 }
 
 bool upstream_table::hasReady(std::string_view Service, time_point Now) const {
