Requests to disk hosts for permits: shared parts are separate

Cause: tokens of organisations need the same pacing, avoidance of members that did not reply, and requests with a timeout as permits for upstreams. A copy was ruled out. Result: permits behave as before; their tests are unchanged.

--- a/src/include/turmerichead/relay_permit_client.h
+++ b/src/include/turmerichead/relay_permit_client.h
@@ -2,15 +2,12 @@
 /// Requests for permits (relay_permits.h) between entry hosts and disk hosts.
 #pragma once
 
-#include "turmerichead/net_loop.h"
-#include "turmerichead/net_peer.h"
+#include "turmerichead/relay_member_requests.h"
 #include "turmerichead/relay_permits.h"
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,11 +20,7 @@
   static constexpr std::string_view Path = "/relay/permit";
 
   /// \p Links must outlive the object.
-  explicit permit_client(peer_links &Links) : Links(Links) {}
-  /// Requests that are under way are cancelled.
-  ~permit_client();
-  permit_client(const permit_client &) = delete;
-  permit_client &operator=(const permit_client &) = delete;
+  explicit permit_client(peer_links &Links) : Requests(Links) {}
 
   /// Asks for a permit to send one request to \p Upstream. \p Hosts is the
   /// number of entry hosts, for the own share if no disk host replies. \p Done
@@ -46,21 +39,10 @@
   struct question;
   void askNext(const std::shared_ptr<question> &Question);
   permit_result takeOwnShare(const question &Question);
-  /// \p Done gets nullopt if there was no valid reply in time.
-  void
-  send(const std::string &Address, const permit_request &Request,
-       const std::function<void(const std::optional<permit_reply> &)> &Done);
 
-  peer_links &Links;
+  member_requests Requests;
   issuer_order Order;
   std::map<upstream_run, request_pacer> OwnShares;
-  /// A request for a permit that waits for its reply.
-  struct pending_request {
-    peer_stream_id Stream;
-    loop_source Timeout;
-  };
-  std::map<std::uint64_t, pending_request> Pending; ///< By its number.
-  std::uint64_t NextNumber = 0;
 };
 
 /// Serves requests for permits on a disk host. Used in the loop thread.
--- a/src/include/turmerichead/relay_permits.h
+++ b/src/include/turmerichead/relay_permits.h
@@ -17,6 +17,7 @@
 /// serves the requests.
 #pragma once
 
+#include "turmerichead/relay_issuing.h"
 #include "turmerichead/relay_notices.h"
 
 #include <cstdint>
@@ -72,22 +73,6 @@
 /// whose answer tells when its limit has ended.
 double pacedRate(double PerSecond);
 
-/// Spaces requests evenly (generic cell rate algorithm).
-class request_pacer {
-public:
-  /// Reserves the next request if it may be sent within \p MaxWait of \p Now.
-  /// Returns its delay; nullopt if that would be longer, see wait().
-  /// \p PerSecond must be above 0. At most 1 + \p Burst requests follow each
-  /// other without a delay after a pause.
-  std::optional<milliseconds> take(double PerSecond, double Burst,
-                                   milliseconds MaxWait, time_point Now);
-  /// Returns the delay that the next request would get.
-  milliseconds wait(double PerSecond, double Burst, time_point Now) const;
-
-private:
-  double NextMs = 0; ///< When the next request is due at an even pace.
-};
-
 /// Issues permits on a disk host. Expected load: most upstreams of a service
 /// name limits at once while callers want more than these allow; a host asks
 /// for each call, and again at another upstream if it gets no permit.
@@ -120,12 +105,12 @@
   std::optional<candidate> pick(const upstream_run &Upstream,
                                 std::span<const std::string> Addresses,
                                 time_point Now);
-  /// The disk host did not reply in time, or is of a version that issues no
-  /// permits.
-  void recordFailure(std::string_view Address, time_point Now);
+  void recordFailure(std::string_view Address, time_point Now) {
+    Avoided.recordFailure(Address, Now);
+  }
 
 private:
-  std::map<std::string, time_point, std::less<>> AvoidedUntil;
+  member_avoidance Avoided;
 };
 
 /// Which call asks for a permit, and how long it waits at most.
--- /dev/null
+++ b/src/librelay/member_requests.cpp
@@ -0,0 +1,44 @@
+#include "turmerichead/relay_member_requests.h"
+
+#include <memory>
+
+namespace turmerichead::relay {
+
+void member_requests::sendBytes(const std::string &Address,
+                                std::string_view Path, std::string Body,
+                                const bytes_action &Done) {
+  std::uint64_t Number = ++NextNumber;
+  auto Reply = std::make_shared<std::optional<std::string>>();
+  Links.setAddress(Address, Address);
+  peer_stream_id Stream =
+      Links.send(Address, {std::string(Path), {}, std::move(Body)},
+                 {[Reply](std::string_view Bytes) { *Reply = Bytes; },
+                  [this, Number, Reply, Done](const peer_result &) {
+                    if (Pending.erase(Number) > 0)
+                      Done(*Reply);
+                  }});
+  Pending[Number] = {
+      Stream, loop_source::every(ReplyTimeout, [this, Number, Stream, Done] {
+        Links.cancel(Stream);
+        Pending.erase(Number);
+        Done(std::nullopt);
+        return false;
+      })};
+}
+
+void member_requests::soon(std::function<void()> Action) {
+  std::uint64_t Number = ++NextNumber;
+  Pending[Number].Timeout =
+      loop_source::soon([this, Number, Action = std::move(Action)] {
+        Pending.erase(Number);
+        Action();
+        return false;
+      });
+}
+
+member_requests::~member_requests() {
+  for (const auto &[Number, Request] : Pending)
+    Links.cancel(Request.Stream);
+}
+
+} // namespace turmerichead::relay
--- a/src/librelay/permit_client.cpp
+++ b/src/librelay/permit_client.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-// A disk host that has not replied after this time is passed over.
-constexpr milliseconds ReplyTimeout{200};
 // Disk hosts that are asked for one call before the own share is used.
 constexpr std::size_t MaxAsked = 2;
 
@@ -54,12 +52,8 @@
   time_point Now = steadyNow();
   auto Issuer = Order.pick(Question->Upstream, Question->DiskHosts, Now);
   if (!Issuer || Question->Asked >= MaxAsked) {
-    std::uint64_t Number = ++NextNumber;
-    Pending[Number].Timeout = loop_source::soon([this, Number, Question] {
-      Pending.erase(Number);
-      Question->Done(takeOwnShare(*Question));
-      return false;
-    });
+    Requests.soon(
+        [this, Question] { Question->Done(takeOwnShare(*Question)); });
     return;
   }
   ++Question->Asked;
@@ -67,29 +61,30 @@
                          Issuer->Position, Question->MaxWait.count(),
                          Question->OnlySpare};
   std::int64_t AgeMs = Request.Limit.AgeMs;
-  send(Issuer->Address, Request,
-       [this, Question, AgeMs,
-        Address = Issuer->Address](const std::optional<permit_reply> &Reply) {
-         if (!Reply) {
-           log::info(
-               "no reply to a request for a permit",
-               {{"disk_host", Address}, {"upstream", Question->Upstream.Id}});
-           Order.recordFailure(Address, steadyNow());
-           askNext(Question);
-           return;
-         }
-         permit_result Result;
-         Result.Granted = Reply->Granted;
-         Result.Wait = milliseconds(std::max<std::int64_t>(Reply->WaitMs, 0));
-         Result.NextWait =
-             milliseconds(std::max<std::int64_t>(Reply->NextWaitMs, 0));
-         Result.IssuedBy = Address;
-         bool IsOther = !Reply->Limit.IsLimited ||
-                        Reply->Limit.PerSecond != Question->Limit.PerSecond;
-         if (IsOther && Reply->Limit.AgeMs < AgeMs)
-           Result.News = Reply->Limit;
-         Question->Done(Result);
-       });
+  Requests.send<permit_reply>(
+      Issuer->Address, Path, Request,
+      [this, Question, AgeMs,
+       Address = Issuer->Address](const std::optional<permit_reply> &Reply) {
+        if (!Reply) {
+          log::info(
+              "no reply to a request for a permit",
+              {{"disk_host", Address}, {"upstream", Question->Upstream.Id}});
+          Order.recordFailure(Address, steadyNow());
+          askNext(Question);
+          return;
+        }
+        permit_result Result;
+        Result.Granted = Reply->Granted;
+        Result.Wait = milliseconds(std::max<std::int64_t>(Reply->WaitMs, 0));
+        Result.NextWait =
+            milliseconds(std::max<std::int64_t>(Reply->NextWaitMs, 0));
+        Result.IssuedBy = Address;
+        bool IsOther = !Reply->Limit.IsLimited ||
+                       Reply->Limit.PerSecond != Question->Limit.PerSecond;
+        if (IsOther && Reply->Limit.AgeMs < AgeMs)
+          Result.News = Reply->Limit;
+        Question->Done(Result);
+      });
 }
 
 // Equal shares of all hosts, so that their sum keeps the limit although they
@@ -116,36 +111,8 @@
     return;
   constexpr std::int64_t NoPermit = -1;
   permit_request Request{Upstream, {}, Issuer->Position, NoPermit, false};
-  send(Issuer->Address, Request, [](const std::optional<permit_reply> &) {});
-}
-
-void permit_client::send(
-    const std::string &Address, const permit_request &Request,
-    const std::function<void(const std::optional<permit_reply> &)> &Done) {
-  std::uint64_t Number = ++NextNumber;
-  auto Reply = std::make_shared<std::optional<permit_reply>>();
-  Links.setAddress(Address, Address);
-  peer_stream_id Stream =
-      Links.send(Address, {std::string(Path), {}, pack(Request)},
-                 {[Reply](std::string_view Bytes) {
-                    *Reply = unpack<permit_reply>(Bytes);
-                  },
-                  [this, Number, Reply, Done](const peer_result &) {
-                    if (Pending.erase(Number) > 0)
-                      Done(*Reply);
-                  }});
-  Pending[Number] = {
-      Stream, loop_source::every(ReplyTimeout, [this, Number, Stream, Done] {
-        Links.cancel(Stream);
-        Pending.erase(Number);
-        Done(std::nullopt);
-        return false;
-      })};
-}
-
-permit_client::~permit_client() {
-  for (const auto &[Number, Request] : Pending)
-    Links.cancel(Request.Stream);
+  Requests.send<permit_reply>(Issuer->Address, Path, Request,
+                              [](const std::optional<permit_reply> &) {});
 }
 
 void permit_server::serve(peer_server &Server,
--- a/src/librelay/permits.cpp
+++ b/src/librelay/permits.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr double MsPerSecond = 1000;
 constexpr double MinPerSecond = 0.25;
 // A disk host issues this part of what the one before it issues, so that all of
 // them together stay below one and a half times the limit.
@@ -23,12 +22,6 @@
 // Permits are issued anew for an upstream after this time without requests.
 constexpr milliseconds UnusedTime{60'000};
 constexpr milliseconds CleanInterval{10'000};
-// A disk host that did not reply is not asked for this time.
-constexpr milliseconds AvoidTime{2000};
-
-milliseconds roundUp(double Ms) {
-  return milliseconds(static_cast<std::int64_t>(std::ceil(Ms)));
-}
 
 } // namespace
 
@@ -36,24 +29,6 @@
 
 double pacedRate(double PerSecond) { return std::max(PerSecond, MinPerSecond); }
 
-milliseconds request_pacer::wait(double PerSecond, double Burst,
-                                 time_point Now) const {
-  double Interval = MsPerSecond / PerSecond;
-  double Early = Burst * Interval;
-  return roundUp(std::max(NextMs - Early - static_cast<double>(Now.Ms), 0.0));
-}
-
-std::optional<milliseconds> request_pacer::take(double PerSecond, double Burst,
-                                                milliseconds MaxWait,
-                                                time_point Now) {
-  milliseconds Wait = wait(PerSecond, Burst, Now);
-  if (Wait > MaxWait)
-    return std::nullopt;
-  NextMs =
-      std::max(NextMs, static_cast<double>(Now.Ms)) + MsPerSecond / PerSecond;
-  return Wait;
-}
-
 // -- Issuing -----------------------------------------------------------------
 
 permit_reply permit_issuer::issue(const permit_request &Request,
@@ -114,19 +89,12 @@
   std::sort(Order.begin(), Order.end());
   for (std::size_t I = 0; I < Order.size(); ++I) {
     std::string_view Address = Order[I].second;
-    auto Avoided = AvoidedUntil.find(Address);
-    if (Avoided == AvoidedUntil.end() || Avoided->second <= Now)
+    if (!Avoided.isAvoided(Address, Now))
       return candidate{std::string(Address), static_cast<std::uint32_t>(I)};
   }
   return std::nullopt;
 }
 
-void issuer_order::recordFailure(std::string_view Address, time_point Now) {
-  std::erase_if(AvoidedUntil,
-                [&](const auto &Row) { return Row.second <= Now; });
-  AvoidedUntil.insert_or_assign(std::string(Address), Now + AvoidTime);
-}
-
 milliseconds permit_wait::longest() const {
   // A few times what the prompt of a program costs at another upstream.
   constexpr milliseconds AtHome{150};
