--- a/src/librelay/test_limits_pvt.h
+++ b/src/librelay/test_limits_pvt.h
@@ -11,15 +11,16 @@
 inline constexpr std::int64_t LimitWindowMs = 4000;
 
 /// Returns the most of \p Times, in milliseconds and not before \p FromMs, that
-/// lie within LimitWindowMs.
+/// lie within \p WindowMs.
 inline std::size_t mostInWindow(std::vector<std::int64_t> Times,
-                                std::int64_t FromMs) {
+                                std::int64_t FromMs,
+                                std::int64_t WindowMs = LimitWindowMs) {
   std::erase_if(Times, [&](std::int64_t Time) { return Time < FromMs; });
   std::sort(Times.begin(), Times.end());
   std::size_t Most = 0;
   std::size_t Begin = 0;
   for (std::size_t I = 0; I < Times.size(); ++I) {
-    while (Times[I] - Times[Begin] >= LimitWindowMs)
+    while (Times[I] - Times[Begin] >= WindowMs)
       ++Begin;
     Most = std::max(Most, I - Begin + 1);
   }
