Relay: calls of organisations with a limit take a token

Cause: limits of the configuration were not enforced, and one organisation could take all capacity. Change: a step between opening and the first send gets one token for a call; without one it is refused with 429, or 503 if the usage is not known. Result: calls of organisations without a limit do one comparison more.

--- a/src/include/turmerichead/metrics.h
+++ b/src/include/turmerichead/metrics.h
@@ -29,6 +29,9 @@
   /// Sets a gauge.
   void set(std::string_view Name, std::string_view Labels, double Value);
 
+  /// Removes all series of a counter or gauge, for labels whose values change.
+  void clear(std::string_view Name);
+
   /// Adds a sample, in milliseconds, to a histogram of latencies.
   void observe(std::string_view Name, std::string_view Labels, double Value);
 
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -18,6 +18,7 @@
 #include "turmerichead/metrics.h"
 #include "turmerichead/relay_crash_tracker.h"
 #include "turmerichead/relay_permits.h"
+#include "turmerichead/relay_quota.h"
 #include "turmerichead/relay_routes.h"
 #include "turmerichead/relay_upstreams.h"
 #include "turmerichead/turns_client.h"
@@ -66,6 +67,7 @@
   /// Returns whether the keys of the configuration are known to be current. If
   /// not, requests that need a key are refused. Unset: they always are.
   std::function<bool()> KeysAreCurrent;
+  quota_settings Quota; ///< Of the rate limits of organisations.
 };
 
 /// The relay of one entry host.
--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -74,6 +74,8 @@
   /// Whether the program returns after an earlier attempt that has generated
   /// nothing, usually because it was rejected.
   bool IsRetry = false;
+  /// Whether its organisation has used far more of its limit than others.
+  bool IsOverShare = false;
 };
 
 /// Rejection of a new program.
--- a/src/libbase/metrics.cpp
+++ b/src/libbase/metrics.cpp
@@ -80,6 +80,11 @@
   Series.Value = Value;
 }
 
+void metrics::clear(std::string_view Name) {
+  std::erase_if(State->Simple,
+                [&](const auto &Row) { return Row.first.Name == Name; });
+}
+
 void metrics::observe(std::string_view Name, std::string_view Labels,
                       double Value) {
   State->Histograms
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -22,6 +22,9 @@
 // For a program that returns. While the runners are overloaded, programs on
 // their first attempt take all capacity.
 constexpr double MaxSlowdownRetry = 1.45;
+// For a program of an organisation that uses more than its share, which yields
+// to those of all others.
+constexpr double MaxSlowdownOverShare = 1.3;
 // If a host uses less than this part of its share of the slots, a slowdown is
 // not caused by load.
 constexpr double BusyShare = 0.5;
@@ -30,6 +33,8 @@
 constexpr milliseconds MaxRetryAfter{3000};
 
 double maxSlowdown(const start_request &Request) {
+  if (Request.IsOverShare)
+    return MaxSlowdownOverShare;
   if (Request.IsRetry)
     return MaxSlowdownRetry;
   return Request.Rank == 0 ? MaxSlowdown : MaxSlowdownLessUrgent;
--- a/src/librelay/admission_test.cpp
+++ b/src/librelay/admission_test.cpp
@@ -131,6 +131,20 @@
   }
 }
 
+TEST_CASE("admission: programs of organisations over their share yield first") {
+  // One organisation could take all the capacity.
+  slowdown_estimator Estimator;
+  time_point Now{0};
+  recordTurns(Estimator, 40, BaselineWait, BaselineGap, Now);
+  recordTurns(Estimator, 40, BaselineWait, milliseconds(14), Now);
+  startTurns(Estimator, 1, Now);
+  admission Admission;
+  service_capacity Capacity{2, 2};
+  CHECK_FALSE(Admission.refusal(Estimator, Capacity, {0, true}, Now));
+  CHECK_FALSE(Admission.refusal(Estimator, Capacity, {1, false}, Now));
+  CHECK(Admission.refusal(Estimator, Capacity, {0, false, true}, Now));
+}
+
 namespace {
 
 /// Simulates programs of several turns. The time of a generation step grows
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -161,6 +161,12 @@
   }
   /// Whether its chain is read before the call and the turn is stored after it.
   bool isKept() const { return Route.KeepsTurns; }
+  /// Whether it may be the first turn of a program. With a budget, only the
+  /// disk hosts know whether it is.
+  bool mayStartProgram() const {
+    return Route.Kind == call_kind::Stream &&
+           (!isKept() || Params.PreviousTurn.empty());
+  }
   /// Whether the tokens that it generates count against the budget of its
   /// program.
   bool hasBudget() const {
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -91,10 +91,10 @@
   // checked after they have opened the turn.
   if (!Calls.find(Id)->hasBudget() && refuseNewProgram(Id, false))
     return;
-  if (NeedsOpening)
+  if (!NeedsOpening)
+    startSending(Id);
+  else if (!refuseOverLimit(Id))
     openTurn(Id);
-  else
-    send(Id);
 }
 
 std::optional<std::string>
@@ -147,14 +147,12 @@
 
 bool relay::impl::refuseNewProgram(relay_call_id Id, bool IsRetry) {
   relay_call &Call = *Calls.find(Id);
-  bool StartsProgram = Call.Route.Kind == call_kind::Stream &&
-                       (!Call.isKept() || Call.Params.PreviousTurn.empty());
-  if (!StartsProgram)
+  if (!Call.mayStartProgram())
     return false;
   time_point Now = steadyNow();
   service_load &Load = Loads[Call.Service];
   service_capacity Capacity = capacityOf(Call.Service, Now);
-  start_request Request{Call.Route.Rank, IsRetry};
+  start_request Request{Call.Route.Rank, IsRetry, isOverShare(Call)};
   auto Rejection =
       Load.Admission.refusal(Load.Estimator, Capacity, Request, Now);
   Call.StartsProgram = true;
@@ -165,6 +163,7 @@
              {"program", Call.Params.Program},
              {"service", Call.Service},
              {"retry", IsRetry},
+             {"over_share", Request.IsOverShare},
              {"stretch", Rejection->Slowdown},
              {"in_flight", Load.Estimator.inFlight()},
              {"slots", Capacity.Slots},
@@ -188,7 +187,7 @@
   std::string Previous =
       Call.isKept() ? Call.scoped(Call.Params.PreviousTurn) : "";
   if (Previous.empty() && !Call.hasBudget()) {
-    send(Id);
+    startSending(Id);
     return;
   }
   if (Call.Params.Budget == 0U) {
@@ -225,7 +224,7 @@
         case turns::open_outcome::Granted:
           if (Result.Spent > 0 ||
               !refuseNewProgram(Id, Result.OtherAttempts > 0))
-            send(Id);
+            startSending(Id);
           return;
         case turns::open_outcome::OverBudget:
           failCall(Id, http1::status::PaymentRequired, Result.Reason);
@@ -323,6 +322,7 @@
   if (Routing.Version <= Impl->Routing.Version)
     return;
   Impl->Routing = std::move(Routing);
+  Impl->forgetUnlimited();
   Impl->Server->setLimits(serverLimits(Impl->Routing.Limits));
   log::info(
       "configuration in force",
@@ -464,6 +464,7 @@
                     static_cast<double>(Client.Endless));
   Impl->Metrics.set("calls_under_way", "",
                     static_cast<double>(Impl->Calls.size()));
+  Impl->publishRefused();
   for (const auto &[Service, Load] : Impl->Loads) {
     std::string Labels = "service=\"" + Service + "\"";
     Impl->Metrics.set("service_streams", Labels,
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -33,8 +33,8 @@
 
 void relay::impl::respondUnavailable(http1::exchange_id Exchange,
                                      std::string_view Reason,
-                                     milliseconds RetryAfter) {
-  respondWithText(Exchange, http1::status::Unavailable, Reason,
+                                     milliseconds RetryAfter, int Status) {
+  respondWithText(Exchange, Status, Reason,
                   {{Names.RetryAfter, secondsText(RetryAfter)}});
 }
 
@@ -43,7 +43,7 @@
 }
 
 void relay::impl::refuse(relay_call_id Id, std::string_view Reason,
-                         milliseconds RetryAfter) {
+                         milliseconds RetryAfter, int Status) {
   relay_call &Call = *Calls.find(Id);
   if (Call.Phase == call_phase::Streaming) {
     abortResponse(Id, Reason);
@@ -54,8 +54,8 @@
     return;
   }
   settleBudget(Call);
-  respondUnavailable(Call.Exchange, Reason, RetryAfter);
-  finish(Id, http1::status::Unavailable, Reason);
+  respondUnavailable(Call.Exchange, Reason, RetryAfter, Status);
+  finish(Id, Status, Reason);
 }
 
 void relay::impl::failCall(relay_call_id Id, int Status,
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -11,6 +11,7 @@
 #include "turmerichead/relay_links.h"
 #include "turmerichead/relay_permit_client.h"
 #include "turmerichead/relay_program_homes.h"
+#include "turmerichead/relay_quota_client.h"
 
 #include <map>
 
@@ -65,6 +66,7 @@
   tunnel_hosts TunnelHosts;
   loop_source LinkCheck; ///< Set while a call waits for its answer.
   permit_client Permits;
+  quota_client Quota;
   program_homes Homes{MinHomes};
   call_table Calls;
   answer_budget Answers{Settings.MaxAnswerBytes};
@@ -74,7 +76,7 @@
        metrics &Metrics)
       : Settings(std::move(Settings)), Names(std::move(Names)), Turns(Turns),
         Metrics(Metrics), CrashTracker(this->Settings.Host),
-        Permits(Turns.links()) {}
+        Permits(Turns.links()), Quota(Turns.links(), this->Settings.Quota) {}
 
   // -- Arrival of calls (relay.cpp) --
   void onRequest(http1::exchange_id Exchange, http1::request &&Request);
@@ -160,6 +162,26 @@
   /// Returns the peer addresses of the disk hosts, which issue permits.
   std::vector<std::string> permitIssuers() const;
 
+  // -- Rate limits of organisations (relay_quota.cpp) --
+  /// Returns the organisation of the call if it has a limit, or nullptr.
+  const organisation *limitedOrganisation(const relay_call &Call) const;
+  /// Refuses the call if its organisation is known to have no tokens left, so
+  /// that the disk hosts need not open a turn for it. Returns whether it did.
+  bool refuseOverLimit(relay_call_id Id);
+  /// Sends the call for the first time, once its organisation has a token for
+  /// it.
+  void startSending(relay_call_id Id);
+  void refuseForQuota(relay_call_id Id, const organisation &Organisation,
+                      const quota_result &Result);
+  /// Whether a new program yields to those of other organisations.
+  bool isOverShare(const relay_call &Call) const;
+  /// Returns the members of the disk set, which issue tokens.
+  std::vector<quota_member> quotaMembers() const;
+  /// Drops what is known of organisations that have no limit any more.
+  void forgetUnlimited();
+  /// Updates the gauges of the organisations that are refused most.
+  void publishRefused() const;
+
   // -- Links to upstreams (relay_links.cpp) --
   /// Returns the tunnel server for a call to \p Address, or an empty string if
   /// it goes over the host's own link.
@@ -207,7 +229,7 @@
   /// run it, answers that it failed. Aborts an answer that has begun.
   void refuse(relay_call_id Id, std::string_view Reason);
   void refuse(relay_call_id Id, std::string_view Reason,
-              milliseconds RetryAfter);
+              milliseconds RetryAfter, int Status = http1::status::Unavailable);
   /// Answers with an error that does not say whether the call was run.
   void failCall(relay_call_id Id, int Status, std::string_view Reason);
   /// Closes the connection of the caller in the middle of the answer.
@@ -223,9 +245,10 @@
   void respondWithText(http1::exchange_id Exchange, int Status,
                        std::string_view Reason,
                        http1::header_list Headers = {});
-  /// Sends status 503 with the time after which to retry.
+  /// Sends a status, 503 if not given, with the time after which to retry.
   void respondUnavailable(http1::exchange_id Exchange, std::string_view Reason,
-                          milliseconds RetryAfter);
+                          milliseconds RetryAfter,
+                          int Status = http1::status::Unavailable);
 };
 
 } // namespace turmerichead::relay
--- /dev/null
+++ b/src/librelay/relay_quota.cpp
@@ -0,0 +1,138 @@
+// Calls of organisations with a rate limit take a token before they are sent
+// for the first time, or are refused.
+
+#include "relay_pvt.h"
+
+#include "turmerichead/hash.h"
+#include "turmerichead/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmerichead::relay {
+
+namespace {
+
+// Of the new programs of an organisation that is over its share, one of so many
+// is admitted like those of others. So its requests are not served less than a
+// quarter as often.
+constexpr std::uint64_t AdmittedOneOf = 4;
+
+std::string labelValue(std::string_view Text) {
+  std::string Result;
+  for (char Byte : Text) {
+    if (Byte == '"' || Byte == '\\')
+      Result += '\\';
+    Result += Byte;
+  }
+  return Result;
+}
+
+} // namespace
+
+const organisation *
+relay::impl::limitedOrganisation(const relay_call &Call) const {
+  if (Call.Organisation.empty() || !Routing.Organisations)
+    return nullptr;
+  auto Row = Routing.Organisations->find(Call.Organisation);
+  if (Row == Routing.Organisations->end() || Row->second.RatePerSecond <= 0)
+    return nullptr;
+  return &Row->second;
+}
+
+std::vector<quota_member> relay::impl::quotaMembers() const {
+  std::vector<quota_member> Members;
+  for (turns::disk_host &Host : Turns.set().allMembers())
+    Members.push_back(
+        {std::move(Host.Address), Host.DataCentre == Settings.DataCentre});
+  return Members;
+}
+
+bool relay::impl::refuseOverLimit(relay_call_id Id) {
+  const relay_call &Call = *Calls.find(Id);
+  const organisation *Organisation = limitedOrganisation(Call);
+  if (!Organisation)
+    return false;
+  quota_requester &Tokens = Quota.tokens();
+  Tokens.setLimit(
+      Call.Organisation,
+      {Routing.Version, Organisation->RatePerSecond, Organisation->Burst});
+  auto Wait = Tokens.emptyFor(Call.Organisation, Call.StartsProgram,
+                              quotaMembers(), bootNow());
+  if (!Wait)
+    return false;
+  refuseForQuota(Id, *Organisation, {quota_outcome::LimitReached, *Wait});
+  return true;
+}
+
+void relay::impl::startSending(relay_call_id Id) {
+  const relay_call &Call = *Calls.find(Id);
+  const organisation *Organisation = limitedOrganisation(Call);
+  if (!Organisation) {
+    send(Id);
+    return;
+  }
+  quota_question Question;
+  Question.Organisation = Call.Organisation;
+  Question.Limit = {Routing.Version, Organisation->RatePerSecond,
+                    Organisation->Burst};
+  Question.StartsProgram = Call.StartsProgram;
+  Question.Members = quotaMembers();
+  Question.Hosts = EntryHosts;
+  Quota.ask(std::move(Question), [this, Id](const quota_result &Result) {
+    const relay_call *Asking = Calls.find(Id);
+    if (!Asking)
+      return;
+    const organisation *Limited = limitedOrganisation(*Asking);
+    // The limit may have ended meanwhile.
+    if (Result.Outcome == quota_outcome::Granted || !Limited)
+      send(Id);
+    else
+      refuseForQuota(Id, *Limited, Result);
+  });
+}
+
+void relay::impl::refuseForQuota(relay_call_id Id,
+                                 const organisation &Organisation,
+                                 const quota_result &Result) {
+  bool IsReached = Result.Outcome == quota_outcome::LimitReached;
+  Metrics.add("organisation_refused_total",
+              "reason=\"" + std::string(nameOf(Result.Outcome)) + "\"");
+  if (Quota.tokens().recordRefusal(Organisation.Name, bootNow()))
+    log::info(IsReached ? "rate limit reached" : "usage is not known",
+              {{"organisation", Organisation.Name},
+               {"rate", Organisation.RatePerSecond},
+               {"burst", Organisation.Burst},
+               {"version", Routing.Version},
+               {"retry_after_ms", Result.RetryAfter.count()}});
+  if (IsReached)
+    refuse(Id, "the rate limit of the organisation is reached",
+           Result.RetryAfter, http1::status::TooManyRequests);
+  else
+    refuse(Id, "the usage of the organisation is not known at present",
+           Result.RetryAfter);
+}
+
+bool relay::impl::isOverShare(const relay_call &Call) const {
+  return limitedOrganisation(Call) &&
+         hash64(Call.Params.Id) % AdmittedOneOf != 0 &&
+         Quota.tokens().isOverShare(Call.Organisation, bootNow());
+}
+
+void relay::impl::forgetUnlimited() {
+  Quota.tokens().retain([this](std::string_view Name) {
+    if (!Routing.Organisations)
+      return false;
+    auto Row = Routing.Organisations->find(Name);
+    return Row != Routing.Organisations->end() && Row->second.RatePerSecond > 0;
+  });
+}
+
+void relay::impl::publishRefused() const {
+  constexpr std::string_view Name = "organisation_refused";
+  Metrics.clear(Name);
+  for (const auto &[Organisation, Count] : Quota.tokens().mostRefused())
+    Metrics.set(Name, "organisation=\"" + labelValue(Organisation) + "\"",
+                static_cast<double>(Count));
+}
+
+} // namespace turmerichead::relay
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -7,6 +7,7 @@
 #include "turmerichead/error.h"
 #include "turmerichead/relay.h"
 #include "turmerichead/relay_permit_client.h"
+#include "turmerichead/relay_quota_client.h"
 #include "turmerichead/turns_forwarder.h"
 #include "turmerichead/turns_replica.h"
 
@@ -82,7 +83,9 @@
   turns::disk_set Set{1, 2, {}, {}};
   std::vector<std::optional<turns::replica>> Replicas;
   std::vector<relay::permit_server> Permits{3};
+  std::vector<relay::quota_server> Quotas{3};
   bool IssuesPermits = true; ///< If false, like a host of an earlier version.
+  bool IssuesTokens = true;  ///< The same for tokens of organisations.
 
   disks() {
     std::string Template =
@@ -105,12 +108,15 @@
       Replicas.push_back(turns::replica::create(Settings, std::move(Events)));
       REQUIRE_MESSAGE(Replicas.back(), lastError().Text);
       Replicas.back()->updateSet(Set);
+      Quotas[Replicas.size() - 1].updateSet(Set, Host.Address);
     }
   }
   void serve(std::size_t Index, const peer_request_view &Request) {
     peer_server &Server = Replicas[Index]->server();
     if (IssuesPermits && relay::permit_server::handles(Request.Path))
       Permits[Index].serve(Server, Request);
+    else if (IssuesTokens && relay::quota_server::handles(Request.Path))
+      Quotas[Index].serve(Server, Request);
     else
       Server.end(Request.Reply, {error_code::NotFound, "no such path"});
   }
