Tests of tokens: local shares of many hosts, expiry; a property is checked

The results of two rapidcheck properties, of permits and of tokens, were ignored: a failed one printed a counterexample and the test passed.

--- a/src/librelay/permits_test.cpp
+++ b/src/librelay/permits_test.cpp
@@ -109,7 +109,7 @@
 TEST_CASE("limit_holds_for_the_sum_of_hosts_that_don't_hear_each_other") {
   // Any number of hosts, each of which reaches other disk hosts, with requests
   // and replies that are lost, late and in another order.
-  rc::check([] {
+  CHECK(rc::check([] {
     double PerSecond = *rc::gen::inRange(3, 400) / 10.0;
     auto Hosts = static_cast<std::size_t>(*rc::gen::inRange(1, 12));
     std::vector<std::string> Disks = {"d1", "d2", "d3", "d4", "d5"};
@@ -162,5 +162,5 @@
     }
     RC_ASSERT(static_cast<double>(mostInWindow(Sent, 0)) <=
               allowedInWindow(PerSecond));
-  });
+  }));
 }
--- a/src/librelay/quota_test.cpp
+++ b/src/librelay/quota_test.cpp
@@ -174,7 +174,7 @@
 TEST_CASE("quota_holds_for_the_sum_of_hosts_in_every_window") {
   // Each host served what its callers sent. Messages are lost and late, members
   // restart, hosts are cut off or frozen, the limit is lowered.
-  rc::check([] {
+  CHECK(rc::check([] {
     quota_limit Old{7, *rc::gen::inRange(1, 2000) / 10.0,
                     static_cast<double>(*rc::gen::inRange(0, 60))};
     quota_limit New{8, Old.PerSecond / *rc::gen::inRange(1, 30),
@@ -221,7 +221,38 @@
     RC_ASSERT(static_cast<double>(S.mostGranted(Start)) <= allowed(Old));
     RC_ASSERT(static_cast<double>(S.mostGranted(Lowered + 1000 + WindowMs)) <=
               allowed(New));
-  });
+  }));
+}
+
+TEST_CASE("local_shares_of_many_hosts_that_reach_no_member_stay_small") {
+  // One request for each host at once would be more than the slack.
+  for (double PerSecond : {10.0, 400.0}) {
+    simulation S(3, 76, {1, PerSecond, 0});
+    for (simulation::host &Host : S.Hosts)
+      Host.Reaches.assign(3, false);
+    std::int64_t Start = S.NowMs;
+    for (; S.NowMs < Start + 12'000; S.step())
+      if (S.NowMs % 50 == 0)
+        for (std::size_t Host = 0; Host < S.Hosts.size(); ++Host)
+          S.arrive(Host, false);
+    CHECK(static_cast<double>(S.mostGranted(Start)) <=
+          0.05 * PerSecond * WindowMs / 1000 + Settings.Slack / 2);
+    CHECK((PerSecond < 100 || S.Granted.size() >= 76));
+  }
+}
+
+TEST_CASE("tokens_that_are_left_expire_250_ms_after_they_were_asked_for") {
+  // Held for longer, those of many windows could be used in one.
+  quota_requester Tokens(Settings);
+  Tokens.setLimit("a", {1, 100, 100});
+  quota_reply Reply{3, 0, 1, 100, 100, 0, 0, 1};
+  CHECK(Tokens.recordReply("m", {"a", 1, 100, 100, 3, false}, Reply, {1000},
+                           {1150}));
+  CHECK(Tokens.takeHeld("a", {1249}));
+  CHECK(!Tokens.takeHeld("a", {1250}));
+  CHECK(Tokens.recordReply("m", {"a", 1, 100, 100, 3, false}, Reply, {2000},
+                           {2250}));
+  CHECK(!Tokens.takeHeld("a", {2250}));
 }
 
 TEST_CASE("nothing_is_refused_below_the_limit_if_one_data_centre_sends_all") {
