Tokens: running programs wait, hosts that are cut off ask through others

The slices now have 0.8 of the slack, the local shares none, and requests of running programs wait for a token that is due within 250 ms.

--- a/src/include/turmerichead/relay_quota_client.h
+++ b/src/include/turmerichead/relay_quota_client.h
@@ -22,6 +22,9 @@
   bool StartsProgram = false;
   std::vector<quota_member> Members;
   std::size_t Hosts = 1; ///< Entry hosts, for the local share.
+  /// How long the request may wait for a token. A delay costs a running program
+  /// less than a refusal, after which its caller returns later.
+  milliseconds MaxWait{0};
 };
 
 /// Gets tokens for the requests of an entry host. Used in the loop thread.
@@ -29,9 +32,10 @@
 public:
   static constexpr std::string_view Path = "/relay/quota";
 
-  /// \p Links must outlive the object.
-  quota_client(peer_links &Links, quota_settings Settings)
-      : Tokens(Settings), Requests(Links) {}
+  /// \p Links must outlive the object. \p Route: see member_requests.
+  quota_client(peer_links &Links, quota_settings Settings,
+               member_requests::route_function Route = nullptr)
+      : Tokens(Settings), Requests(Links, std::move(Route)) {}
 
   /// Gets one token. \p Done is called once: inside this function if a token is
   /// held or the answer is known.
@@ -45,6 +49,9 @@
 private:
   struct pending;
   void askNext(const std::shared_ptr<pending> &Pending);
+  /// Decides a request for which no member is left to ask: it waits for the
+  /// next token, or ends.
+  void decide(const std::shared_ptr<pending> &Pending, time_point Now);
   quota_requester Tokens;
   member_requests Requests;
 };
--- a/src/include/turmerichead/turns_client.h
+++ b/src/include/turmerichead/turns_client.h
@@ -121,6 +121,12 @@
   /// host that does not reply are sent through one of them.
   void setForwarders(std::vector<std::string> Addresses);
 
+  /// Returns a forwarder for a request to the disk host at \p Address, if the
+  /// host does not reply at present and a forwarder does. \p HasFailed: it has
+  /// not replied to a request that this client does not know of.
+  std::optional<std::string> forwarderFor(std::string_view Address,
+                                          bool HasFailed) const;
+
   /// Opens a turn. \p Done is called once, after this function has returned.
   operation_id open(open_call Call,
                     std::function<void(const open_result &)> Done);
--- a/src/include/turmerichead/turns_record_store.h
+++ b/src/include/turmerichead/turns_record_store.h
@@ -33,8 +33,8 @@
   bool add(const spend_record &Spend, time_point Now);
   /// Stores an encoded record from the log of another host. State records are
   /// skipped, and so are records that add no information: a host that catches
-  /// up receives most records from every other host. Returns false, with the reason, if the record can't be decoded or
-  /// the log refuses it.
+  /// up receives most records from every other host. Returns false, with the
+  /// reason, if the record can't be decoded or the log refuses it.
   bool addEncoded(std::string_view Bytes, time_point Now);
 
   /// Syncs the log. Returns false if that fails; the turns that were not synced
--- a/src/librelay/quota.cpp
+++ b/src/librelay/quota.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr double MsPerSecond = 1000;
-// One half of the slack is for the depth of the slices, the other one for the
-// local shares.
-constexpr double SlackShare = 0.5;
+// Part of the slack that adds to the depth of the slices, which lets bursts of
+// small organisations pass. The rest is a margin.
+constexpr double SlackShare = 0.8;
 // New programs get no token below this level of a slice: programs that run are
 // to end.
 constexpr double ReservedForRunning = 0.25;
@@ -381,8 +381,7 @@
 bool quota_requester::takeLocalShare(row &Row, std::size_t Hosts,
                                      time_point Now) {
   double OfAllHosts =
-      LocalShare * Row.Limit.PerSecond * secondsOf(Settings.Window) +
-      SlackShare * Settings.Slack;
+      LocalShare * Row.Limit.PerSecond * secondsOf(Settings.Window);
   double InWindow = std::floor(
       OfAllHosts / static_cast<double>(std::max<std::size_t>(Hosts, 1)));
   if (InWindow < 1 || Settings.Window.count() <= 0)
--- a/src/librelay/quota_client.cpp
+++ b/src/librelay/quota_client.cpp
@@ -10,6 +10,7 @@
 struct quota_client::pending {
   quota_question Question;
   std::vector<std::string> Asked;
+  time_point WaitsUntil; ///< Boot clock.
   std::function<void(const quota_result &)> Done;
 };
 
@@ -18,6 +19,7 @@
   Tokens.setLimit(Question.Organisation, Question.Limit);
   Tokens.recordDemand(Question.Organisation, bootNow());
   auto Pending = std::make_shared<pending>();
+  Pending->WaitsUntil = bootNow() + Question.MaxWait;
   Pending->Question = std::move(Question);
   Pending->Done = std::move(Done);
   askNext(Pending);
@@ -35,8 +37,7 @@
   auto Member = Tokens.pick(Question.Organisation, Question.StartsProgram,
                             Question.Members, Pending->Asked, Now);
   if (!Member) {
-    Pending->Done(Tokens.decide(Question.Organisation, Question.StartsProgram,
-                                Question.Members, Question.Hosts, Now));
+    decide(Pending, Now);
     return;
   }
   Pending->Asked.push_back(*Member);
@@ -61,6 +62,22 @@
       });
 }
 
+void quota_client::decide(const std::shared_ptr<pending> &Pending,
+                          time_point Now) {
+  const quota_question &Question = Pending->Question;
+  quota_result Result =
+      Tokens.decide(Question.Organisation, Question.StartsProgram,
+                    Question.Members, Question.Hosts, Now);
+  bool Waits = Result.Outcome == quota_outcome::LimitReached &&
+               Now + Result.RetryAfter <= Pending->WaitsUntil;
+  if (!Waits) {
+    Pending->Done(Result);
+    return;
+  }
+  Pending->Asked.clear();
+  Requests.after(Result.RetryAfter, [this, Pending] { askNext(Pending); });
+}
+
 void quota_server::updateSet(const turns::disk_set &Set,
                              std::string_view Self) {
   std::vector<turns::disk_host> Members = Set.allMembers();
--- a/src/librelay/quota_test.cpp
+++ b/src/librelay/quota_test.cpp
@@ -236,7 +236,7 @@
         for (std::size_t Host = 0; Host < S.Hosts.size(); ++Host)
           S.arrive(Host, false);
     CHECK(static_cast<double>(S.mostGranted(Start)) <=
-          0.05 * PerSecond * WindowMs / 1000 + Settings.Slack / 2);
+          0.05 * PerSecond * WindowMs / 1000);
     CHECK((PerSecond < 100 || S.Granted.size() >= 76));
   }
 }
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -76,7 +76,11 @@
        metrics &Metrics)
       : Settings(std::move(Settings)), Names(std::move(Names)), Turns(Turns),
         Metrics(Metrics), CrashTracker(this->Settings.Host),
-        Permits(Turns.links()), Quota(Turns.links(), this->Settings.Quota) {}
+        Permits(Turns.links()),
+        Quota(Turns.links(), this->Settings.Quota,
+              [&Turns](std::string_view Address, bool HasFailed) {
+                return Turns.forwarderFor(Address, HasFailed);
+              }) {}
 
   // -- Arrival of calls (relay.cpp) --
   void onRequest(http1::exchange_id Exchange, http1::request &&Request);
@@ -172,6 +176,8 @@
   /// Sends the call for the first time, once its organisation has a token for
   /// it.
   void startSending(relay_call_id Id);
+  /// Returns how long a call may wait for a token.
+  static milliseconds tokenWait(const relay_call &Call);
   void refuseForQuota(relay_call_id Id, const organisation &Organisation,
                       const quota_result &Result);
   /// Whether a new program yields to those of other organisations.
--- a/src/librelay/relay_quota.cpp
+++ b/src/librelay/relay_quota.cpp
@@ -17,6 +17,11 @@
 // quarter as often.
 constexpr std::uint64_t AdmittedOneOf = 4;
 
+// The longest time that a request of a running program waits for a token, and
+// the part of its time left that this may take.
+constexpr milliseconds MaxTokenWait{250};
+constexpr int PartOfTimeLeft = 4;
+
 std::string labelValue(std::string_view Text) {
   std::string Result;
   for (char Byte : Text) {
@@ -47,6 +52,12 @@
   return Members;
 }
 
+milliseconds relay::impl::tokenWait(const relay_call &Call) {
+  if (Call.StartsProgram)
+    return milliseconds(0);
+  return std::min(MaxTokenWait, (Call.Deadline - steadyNow()) / PartOfTimeLeft);
+}
+
 bool relay::impl::refuseOverLimit(relay_call_id Id) {
   const relay_call &Call = *Calls.find(Id);
   const organisation *Organisation = limitedOrganisation(Call);
@@ -58,7 +69,7 @@
       {Routing.Version, Organisation->RatePerSecond, Organisation->Burst});
   auto Wait = Tokens.emptyFor(Call.Organisation, Call.StartsProgram,
                               quotaMembers(), bootNow());
-  if (!Wait)
+  if (!Wait || *Wait <= tokenWait(Call))
     return false;
   refuseForQuota(Id, *Organisation, {quota_outcome::LimitReached, *Wait});
   return true;
@@ -78,6 +89,7 @@
   Question.StartsProgram = Call.StartsProgram;
   Question.Members = quotaMembers();
   Question.Hosts = EntryHosts;
+  Question.MaxWait = tokenWait(Call);
   Quota.ask(std::move(Question), [this, Id](const quota_result &Result) {
     const relay_call *Asking = Calls.find(Id);
     if (!Asking)
--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -83,13 +83,20 @@
                [](const peer_result &) {}});
 }
 
-bool client::impl::sendForwarded(
-    const std::string &Address, const peer_request &Request,
-    const std::function<void(std::string_view)> &OnMessage) {
+std::optional<std::string> client::impl::responsiveForwarder() const {
   auto Forwarder = std::find_if(
       Forwarders.begin(), Forwarders.end(),
       [&](const std::string &Host) { return !isUnresponsive(Host); });
   if (Forwarder == Forwarders.end())
+    return std::nullopt;
+  return *Forwarder;
+}
+
+bool client::impl::sendForwarded(
+    const std::string &Address, const peer_request &Request,
+    const std::function<void(std::string_view)> &OnMessage) {
+  auto Forwarder = responsiveForwarder();
+  if (!Forwarder)
     return false;
   ++Counters.Forwarded;
   sendDirectly(*Forwarder, forwardedRequest(Address, Request), OnMessage);
@@ -189,6 +196,13 @@
   Impl->Forwarders = std::move(Addresses);
 }
 
+std::optional<std::string> client::forwarderFor(std::string_view Address,
+                                                bool HasFailed) const {
+  if (!HasFailed && !Impl->isUnresponsive(Address))
+    return std::nullopt;
+  return Impl->responsiveForwarder();
+}
+
 operation_id client::open(open_call Call,
                           std::function<void(const open_result &)> Done) {
   ++Impl->Counters.Opens;
--- a/src/libturns/client_pvt.h
+++ b/src/libturns/client_pvt.h
@@ -68,6 +68,8 @@
   void onDeadline(operation_id Id, deadline_kind Kind);
   std::vector<disk_host> membersByPreference(const disk_set &Members) const;
   bool isUnresponsive(std::string_view Address) const;
+  /// Returns the nearest forwarder that replies, or nullopt.
+  std::optional<std::string> responsiveForwarder() const;
   void transmit(const std::string &Address, peer_request Request,
                 const std::function<void(std::string_view)> &OnMessage);
   void sendDirectly(const std::string &Address, peer_request Request,
