--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -62,7 +62,7 @@
   /// Whether no upstream has anything cached for the key. This also holds if
   /// the upstream of the previous turn is not registered, or leaves.
   bool IsNewChain = false;
-  /// What the predicted times are for.
+  /// What the predicted times are for. IsCached follows from the above.
   turn_shape Shape;
   /// Whether the data centre matters. It does not while limits leave less than
   /// the slots of the upstreams, which are then used wherever they are.
--- a/src/librelay/upstream_pool_test.cpp
+++ b/src/librelay/upstream_pool_test.cpp
@@ -170,7 +170,7 @@
 TEST_CASE("runners of equal speed keep the programs of their data centre") {
   // Load: demand that swings by 55 %, 15 % of the runners slow for moments;
   // also at 1.6 times the demand, when full runners are slower than idle ones.
-  // On few old samples 8 % of the turns left their data centre for nothing.
+  // On few old samples a tenth of the turns left their data centre for nothing.
   pool Pool;
   double MaxRemote = 0.02;
   SUBCASE("usual demand") {}
