Explore where old samples promise less time, and else less often

In runs of 140 s of the model each host measured the other data centres again after 90 s, which took 2 % of all turns in a pool that gains nothing by it. Now it does so after six minutes, or after 30 s if the old samples were at most 0.6 of the times that its own data centre has now.

--- a/src/librelay/upstream_speed.cpp
+++ b/src/librelay/upstream_speed.cpp
@@ -21,9 +21,13 @@
 // Samples that a mean remembers, as a multiple of these.
 constexpr double MaxPriors = 4;
 
-// A data centre with fewer samples of one kind, as a share of the above, is
-// measured again: about 90 s after the last turn there.
-constexpr double MinShareMeasured = 0.4;
+// A data centre with fewer samples, as a share of the above, is measured again:
+// some six minutes after the last turn there.
+constexpr double MinShareMeasured = 0.1;
+// The same for one whose times were this share of the own ones now, or less:
+// after 30 s. Swings of the load make smaller differences.
+constexpr double FasterShare = 0.6;
+constexpr double MinShareFaster = 1;
 // A host measures others while its own data centre has as many, which is three
 // recent turns. A host with few calls would otherwise send many of them away.
 constexpr double MinShareOwn = 3;
@@ -132,13 +136,19 @@
 const service_speed::data_centre *
 service_speed::toMeasure(std::string_view Own) const {
   constexpr double Prior = priorOf(time_kind::EventGap);
-  if (find(Own).Samples.Gap < MinShareOwn * Prior)
+  const data_centre &OwnRow = find(Own);
+  if (OwnRow.Samples.Gap < MinShareOwn * Prior)
     return nullptr;
   const data_centre *Least = nullptr;
-  for (const data_centre &Row : DataCentres)
-    if (Row.Name != Own && Row.Samples.Gap < MinShareMeasured * Prior &&
+  for (const data_centre &Row : DataCentres) {
+    bool WasFaster = Row.TotalMs.Gap <=
+                     FasterShare * OwnRow.EstimateMs.Gap * Row.Samples.Gap;
+    double Share = Row.Samples.Gap / Prior;
+    bool IsOld = Share < (WasFaster ? MinShareFaster : MinShareMeasured);
+    if (Row.Name != Own && IsOld &&
         (!Least || Row.Samples.Gap < Least->Samples.Gap))
       Least = &Row;
+  }
   return Least;
 }
 
