--- a/src/include/turmerichead/relay_upstream_speed.h
+++ b/src/include/turmerichead/relay_upstream_speed.h
@@ -97,8 +97,10 @@
   /// Returns the data centre, or one with the means of the service if it has no
   /// upstreams.
   const data_centre &find(std::string_view Name) const;
-  /// Returns the data centre other than \p Own that was measured least, or
-  /// nullptr if all have enough samples, or if \p Own has not.
+  /// Returns the data centre other than \p Own that was measured least among
+  /// those with nearly no recent samples, or with old ones that promise far
+  /// less time than \p Own takes now. Returns nullptr if there is none or \p
+  /// Own has too few recent samples itself.
   const data_centre *toMeasure(std::string_view Own) const;
 
   /// Returns the estimated time between two events at an upstream, 0 if nothing
