Relay: the state of one send is a struct of its own

A call has at most one attempt in flight, and its state was spread over relay_call. A second concurrent attempt needs its own upstream, way, times, head and body. Functions that record what happened to an attempt now take it as a parameter. No change of behaviour.

Resetting these fields by assigning a new attempt at each send was ruled out: the head of a resumed stream is kept until the new one arrives.

--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -52,6 +52,22 @@
 };
 std::string_view nameOf(call_phase Phase);
 
+/// One send of a call to an upstream, and the answer that it brings.
+struct upstream_attempt {
+  http1::call_id ClientCall; ///< Unset unless it is in flight.
+  std::string UpstreamId;    ///< Empty once it left the in-flight counts.
+  std::string Via; ///< Tunnel server of the send; empty: over the own link.
+  upstream SentTo; ///< The upstream as it was when the call was sent.
+  time_point SentAt;
+
+  http1::response_head Head;
+  answer_body Body; ///< Of an answer that is not a stream.
+  bool NotRun = false;
+  bool Streams = false; ///< Whether the upstream answers with a stream.
+  /// How the upstream marked the end of its answer; unset until it has ended.
+  std::optional<http1::answer_end> AnswerEnd;
+};
+
 /// A call from its arrival to its end, owned by the call table of the relay.
 struct relay_call {
   /// How often a broken stream is resumed.
@@ -73,12 +89,9 @@
   std::string Chain; ///< Previous turns; sent before the body of the request.
   std::string PreviousUpstream; ///< Upstream that ran the previous turn.
 
-  http1::call_id Upstream;
-  std::string UpstreamId;
-  std::string Via; ///< Tunnel server of the send; empty: over the own link.
+  upstream_attempt Current;           ///< The last send, and its answer.
   std::uint32_t NotConnected = 0;     ///< Sends that found no connection.
   std::uint32_t TunnelsNotOpened = 0; ///< Sends whose tunnel was not opened.
-  upstream SentTo; ///< The upstream as it was when the call was sent.
   std::vector<std::string> Tried; ///< Ids of the upstreams, in order of sends.
   std::uint32_t Attempts = 0;     ///< Sends that count against the limit.
   bool MayHaveRun = false;        ///< It was sent and the upstream failed.
@@ -89,7 +102,6 @@
   /// Id of the upstream at which the stream broke and that may still run it;
   /// empty if there is none. Another send to it is not counted again.
   std::string BrokenAt;
-  time_point SentAt;
   bool StartsProgram = false; ///< It was admitted as a new program.
   /// Run of an upstream for which it has a permit that is not used yet.
   std::optional<upstream_run> Permit;
@@ -97,10 +109,6 @@
   time_point HeldSince;    ///< When it began to wait for the current permit.
   milliseconds HeldFor{0}; ///< Time spent waiting for permits.
 
-  http1::response_head Head;
-  answer_body Body; ///< Of an answer that is not a stream.
-  bool NotRun = false;
-  bool Streams = false; ///< Whether the upstream answers with a stream.
   sse_splitter Events;
   std::string PartialEvent; ///< Buffered until the event is complete.
   std::uint64_t EventCount = 0;
@@ -108,15 +116,13 @@
   std::uint64_t TokensPerEvent = 1; ///< Of the service when the call arrived.
   std::string Output;               ///< Data of the events, one per line.
   std::size_t BytesSinceEvent = 0;
-  /// How the upstream marked the end of its answer; unset until it has ended.
-  std::optional<http1::answer_end> AnswerEnd;
   time_point LastEvent;
   time_point FirstEvent;
 
   /// Bytes of the answer that are held: all of a plain one, and of a stream the
   /// unfinished event and what will be stored.
   std::size_t heldBytes() const {
-    return Body.size() + PartialEvent.size() + Events.unfinished() +
+    return Current.Body.size() + PartialEvent.size() + Events.unfinished() +
            Output.size();
   }
   /// Number of tokens that were forwarded to the caller.
@@ -148,7 +154,7 @@
   bool isCutStream() const {
     bool HasEvents = EventCount > 0;
     return Events.isInsideEvent() ||
-           (AnswerEnd == http1::answer_end::Connection && !HasEvents);
+           (Current.AnswerEnd == http1::answer_end::Connection && !HasEvents);
   }
   /// Whether its chain is read before the call and the turn is stored after it.
   bool isKept() const { return Route.KeepsTurns; }
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -98,8 +98,8 @@
   relay_call &Call = *Calls.find(Id);
   if (Call.Operation)
     Turns.cancel(Call.Operation);
-  if (Call.Upstream && Client->cancel(Call.Upstream))
-    recordAbort(Call, abort_kind::Cancelled);
+  if (Call.Current.ClientCall && Client->cancel(Call.Current.ClientCall))
+    recordAbort(Call, Call.Current, abort_kind::Cancelled);
   time_point Now = steadyNow();
   std::int64_t TookMs = (Now - Call.Arrived).count();
   nlohmann::json Line = {
@@ -114,8 +114,8 @@
       {"took_ms", TookMs}};
   if (!Reason.empty())
     Line["reason"] = Reason;
-  if (Call.SentAt.Ms > 0)
-    Line["sent_ms"] = (Call.SentAt - Call.Arrived).count();
+  if (Call.Current.SentAt.Ms > 0)
+    Line["sent_ms"] = (Call.Current.SentAt - Call.Arrived).count();
   if (Call.HeldFor.count() > 0)
     Line["held_ms"] = Call.HeldFor.count();
   if (!Call.Denied.empty())
@@ -125,16 +125,16 @@
     Line["first_ms"] = (Call.FirstEvent - Call.Arrived).count();
     Line["last_ms"] = (Call.LastEvent - Call.Arrived).count();
   }
-  if (Call.AnswerEnd)
-    Line["answer_end"] = http1::nameOf(*Call.AnswerEnd);
-  if (Call.Streams)
+  if (Call.Current.AnswerEnd)
+    Line["answer_end"] = http1::nameOf(*Call.Current.AnswerEnd);
+  if (Call.Current.Streams)
     Line["unfinished_bytes"] = Call.Events.unfinished();
   log::info("call ended", Line);
   std::string Labels = "kind=\"" + std::string(nameOf(Call.Route.Kind)) +
                        "\",status=\"" + std::to_string(Status) + "\"";
   Metrics.add("calls_total", Labels);
   Metrics.observe("call_ms", Labels, static_cast<double>(TookMs));
-  releaseUpstream(Call);
+  releaseUpstream(Call, Call.Current);
   ByExchange.erase(Call.Exchange);
   Answers.release(keyOf(Id));
   Calls.erase(Id);
--- a/src/librelay/relay_links.cpp
+++ b/src/librelay/relay_links.cpp
@@ -33,30 +33,30 @@
   const relay_call *Call = Calls.find(Id);
   if (!Call)
     return;
-  if (Call->Via.empty())
-    Links.recordConnected(Call->SentTo.Address, steadyNow());
+  if (Call->Current.Via.empty())
+    Links.recordConnected(Call->Current.SentTo.Address, steadyNow());
   else
-    recordWay(*Call, steadyNow());
+    recordWay(Call->Current, steadyNow());
 }
 
-void relay::impl::recordWay(const relay_call &Call, time_point Now) {
-  if (Call.Via.empty()) {
+void relay::impl::recordWay(const upstream_attempt &Attempt, time_point Now) {
+  if (Attempt.Via.empty()) {
     Links.recordAnswer(Now);
     return;
   }
-  TunnelHosts.recordSuccess(Call.Via);
-  Links.recordReachedByOther(Call.SentTo.Address);
+  TunnelHosts.recordSuccess(Attempt.Via);
+  Links.recordReachedByOther(Attempt.SentTo.Address);
 }
 
 void relay::impl::onNotConnected(relay_call_id Id,
                                  http1::connect_failure Failure) {
   relay_call &Call = *Calls.find(Id);
   time_point Now = steadyNow();
-  upstream Target = Call.SentTo;
-  std::string Via = Call.Via;
+  upstream Target = Call.Current.SentTo;
+  std::string Via = Call.Current.Via;
   bool TunnelFailed = Failure == http1::connect_failure::Tunnel;
   bool Refused = Failure == http1::connect_failure::Refused;
-  releaseUpstream(Call);
+  releaseUpstream(Call, Call.Current);
   dropBody(Id);
   // The upstream has not received the call, so the send does not count.
   bool IsResume = Call.BrokenAt == Target.Id;
@@ -100,10 +100,10 @@
   bool Waits = false;
   std::set<std::string> Suspects;
   Calls.forEach([&](relay_call_id, relay_call &Call) {
-    bool WaitsHere = Call.Upstream && Call.Via.empty();
+    bool WaitsHere = Call.Current.ClientCall && Call.Current.Via.empty();
     Waits = Waits || WaitsHere;
-    if (WaitsHere && Now - Call.SentAt >= SuspectTime)
-      Suspects.insert(Call.SentTo.Address);
+    if (WaitsHere && Now - Call.Current.SentAt >= SuspectTime)
+      Suspects.insert(Call.Current.SentTo.Address);
   });
   if (Links.isSilent(Now))
     for (const std::string &Address : Suspects)
@@ -136,14 +136,15 @@
   Client->forgetDirect(Address);
   std::vector<relay_call_id> Waiting;
   Calls.forEach([&](relay_call_id Id, relay_call &Call) {
-    bool Waits = Call.Upstream && Call.Via.empty() && Call.Head.Status == 0;
+    bool Waits = Call.Current.ClientCall && Call.Current.Via.empty() &&
+                 Call.Current.Head.Status == 0;
     bool MayMove = Call.Route.Kind == call_kind::Safe &&
                    Call.Attempts < Call.Route.Attempts;
-    if (Waits && MayMove && Call.SentTo.Address == Address)
+    if (Waits && MayMove && Call.Current.SentTo.Address == Address)
       Waiting.push_back(Id);
   });
   for (relay_call_id Id : Waiting) {
-    Client->cancel(Calls.find(Id)->Upstream);
+    Client->cancel(Calls.find(Id)->Current.ClientCall);
     onUpstreamFailure(Id, {.Outcome = http1::call_outcome::Broken,
                            .Reason = "the link to the upstream was lost"});
   }
--- a/src/librelay/relay_notices.cpp
+++ b/src/librelay/relay_notices.cpp
@@ -23,11 +23,12 @@
 } // namespace
 
 void relay::impl::readNotice(const relay_call &Call,
+                             const upstream_attempt &Attempt,
                              const http1::response_head &Head) {
   // Another process has answered a misdirected call.
   if (!Settings.ReadNotice || Head.Status == http1::status::Misdirected)
     return;
-  upstream_run Run = runOf(Call.SentTo);
+  upstream_run Run = runOf(Attempt.SentTo);
   upstream_state *State = Upstreams.stateOf(Run);
   if (!State)
     return;
@@ -38,7 +39,7 @@
   if (Notice.HasInvalidLimit)
     Metrics.add("upstream_limits_invalid_total");
   limit_change Change =
-      updateLimit(State->Limit, Notice, Call.SentAt, steadyNow());
+      updateLimit(State->Limit, Notice, Attempt.SentAt, steadyNow());
   if (Change == limit_change::None)
     return;
   logLimit(Run, Change, Notice.RequestsPerSecond.value_or(0), Evidence());
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -98,7 +98,7 @@
   /// Returns the upstream for the next send, or nullptr if none is ready.
   upstream_row *chooseUpstream(relay_call &Call, time_point Now);
   http1::call_request requestFor(const relay_call &Call,
-                                 const upstream &Upstream) const;
+                                 const upstream_attempt &Attempt) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
   void onBody(relay_call_id Id, std::string_view Bytes);
   /// Counts what the call holds of its answer, and breaks off the largest
@@ -124,12 +124,13 @@
   /// Sends the call again after the last complete event. Returns false if it
   /// may not be resumed.
   bool resumeStream(relay_call_id Id);
-  /// Takes the call off the in-flight counts of its upstream and service.
-  void releaseUpstream(relay_call &Call);
+  /// Takes an attempt off the in-flight counts of its upstream and service.
+  void releaseUpstream(const relay_call &Call, upstream_attempt &Attempt);
 
   // -- What upstreams say of themselves (relay_notices.cpp) --
   /// Takes in what the head of the answer says of the upstream itself.
-  void readNotice(const relay_call &Call, const http1::response_head &Head);
+  void readNotice(const relay_call &Call, const upstream_attempt &Attempt,
+                  const http1::response_head &Head);
   /// Sends the upstream no new calls from now on. Returns whether it was not
   /// known to leave.
   bool recordLeaving(const upstream_run &Run, std::string_view Evidence);
@@ -162,7 +163,7 @@
   /// A new connection has been established for the call.
   void onConnected(relay_call_id Id);
   /// Notes the way by which the upstream was reached or has answered.
-  void recordWay(const relay_call &Call, time_point Now);
+  void recordWay(const upstream_attempt &Attempt, time_point Now);
   /// Starts checkLinks() unless it runs already.
   void watchLinks();
   /// Looks at the links of calls that wait for their answers while nothing
@@ -177,8 +178,9 @@
   // -- Crashes of upstreams (relay_suspects.cpp) --
   /// Refuses the call if it is quarantined. Returns whether it did.
   bool refuseQuarantined(relay_call_id Id);
-  /// Records that the call ended at its upstream without a complete answer.
-  void recordAbort(const relay_call &Call, abort_kind Kind);
+  /// Records that the call ended at an upstream without a complete answer.
+  void recordAbort(const relay_call &Call, const upstream_attempt &Attempt,
+                   abort_kind Kind);
   void recordExit(const upstream &Upstream, exit_evidence Evidence);
   void recordSuccess(const relay_call &Call);
   /// Logs changed crash records and passes them on to other hosts.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -58,33 +58,33 @@
     return;
   }
   bool WasTried = Call.wasSentTo(Upstream.Upstream.Id);
-  Call.Via = std::move(Via);
+  Call.Current.Via = std::move(Via);
   Call.Attempts += Call.BrokenAt == Upstream.Upstream.Id ? 0 : 1;
   ++Upstream.InFlight;
-  Call.UpstreamId = Upstream.Upstream.Id;
-  Call.SentTo = Upstream.Upstream;
-  Call.Tried.push_back(Call.UpstreamId);
+  Call.Current.UpstreamId = Upstream.Upstream.Id;
+  Call.Current.SentTo = Upstream.Upstream;
+  Call.Tried.push_back(Call.Current.UpstreamId);
   if (Call.Phase != call_phase::Streaming) {
     Call.Phase = call_phase::Sent;
-    Call.Head = {};
+    Call.Current.Head = {};
   }
-  Call.Streams = false;
-  Call.AnswerEnd.reset();
+  Call.Current.Streams = false;
+  Call.Current.AnswerEnd.reset();
   Call.PriorEvents = Call.EventCount;
-  Call.SentAt = Now;
+  Call.Current.SentAt = Now;
   if (Call.Route.Kind == call_kind::Stream) {
     Loads[Call.Service].Estimator.recordSend(Now);
     if (!Call.Params.Program.empty())
-      Homes.record(Call.Params.Program, Call.UpstreamId);
+      Homes.record(Call.Params.Program, Call.Current.UpstreamId);
   }
-  Call.NotRun = false;
+  Call.Current.NotRun = false;
   if (!Call.Denied.empty())
     Metrics.add("limit_calls_moved_total");
   log::info("call sent", {{"id", Call.Params.Id},
-                          {"upstream", Call.UpstreamId},
+                          {"upstream", Call.Current.UpstreamId},
                           {"home", Call.PreviousUpstream},
                           {"in_flight", Upstream.InFlight},
-                          {"via", Call.Via},
+                          {"via", Call.Current.Via},
                           {"avoided", Upstream.AvoidUntil > Now},
                           {"vanished", Upstream.ExpiresAt.has_value()},
                           {"attempt", Call.Attempts},
@@ -93,9 +93,9 @@
                           {"held_ms", Call.HeldFor.count()},
                           {"moved", Call.Denied.size()},
                           {"chain_bytes", Call.Chain.size()}});
-  http1::call_request Request = requestFor(Call, Upstream.Upstream);
+  http1::call_request Request = requestFor(Call, Call.Current);
   Request.FreshConnection = WasTried;
-  Call.Upstream = Client->call(
+  Call.Current.ClientCall = Client->call(
       std::move(Request),
       {[this, Id](const http1::response_head &Head) { onHead(Id, Head); },
        [this, Id](std::string_view Bytes) { onBody(Id, Bytes); },
@@ -136,10 +136,11 @@
   return Upstreams.pick(Placement, Now);
 }
 
-http1::call_request relay::impl::requestFor(const relay_call &Call,
-                                            const upstream &Upstream) const {
+http1::call_request
+relay::impl::requestFor(const relay_call &Call,
+                        const upstream_attempt &Attempt) const {
   http1::call_request Request;
-  Request.Address = Upstream.Address;
+  Request.Address = Attempt.SentTo.Address;
   Request.Method = Call.Request.Method;
   Request.Target = Call.Request.Target;
   Request.Headers = Call.Request.Headers;
@@ -148,7 +149,7 @@
     Request.Headers.remove(Name);
   milliseconds Left = Call.Deadline - steadyNow();
   Request.Headers.set(Names.TimeLeft, std::to_string(Left.count()));
-  Request.Headers.set(Names.ExpectUpstream, Upstream.Id);
+  Request.Headers.set(Names.ExpectUpstream, Attempt.SentTo.Id);
   if (!Call.Events.lastId().empty())
     Request.Headers.set(Names.LastEvent, Call.Events.lastId());
   if (!Call.Chain.empty())
@@ -156,10 +157,10 @@
   if (!Call.Request.Body.empty())
     Request.Body.push_back(Call.Request.Body);
   Request.EchoValue = Call.Params.Id;
-  Request.Via = Call.Via;
+  Request.Via = Attempt.Via;
   // A tunnel needs two connections, one after the other.
   milliseconds ConnectTimeout =
-      Settings.ConnectTimeout * (Call.Via.empty() ? 1 : 2);
+      Settings.ConnectTimeout * (Attempt.Via.empty() ? 1 : 2);
   Request.ConnectTimeout = std::min(ConnectTimeout, Left);
   // An upstream resets connections above its limit. Half of the limit is
   // divided between the idle connections of the entry hosts; the other half
@@ -171,30 +172,31 @@
   return Request;
 }
 
-void relay::impl::releaseUpstream(relay_call &Call) {
-  if (Call.UpstreamId.empty())
+void relay::impl::releaseUpstream(const relay_call &Call,
+                                  upstream_attempt &Attempt) {
+  if (Attempt.UpstreamId.empty())
     return;
-  if (upstream_row *Row = Upstreams.find(Call.UpstreamId))
+  if (upstream_row *Row = Upstreams.find(Attempt.UpstreamId))
     Row->InFlight -= Row->InFlight > 0 ? 1 : 0;
   if (Call.Route.Kind == call_kind::Stream)
-    Loads[Call.Service].Estimator.recordEnd(Call.SentAt,
+    Loads[Call.Service].Estimator.recordEnd(Attempt.SentAt,
                                             Call.eventsFromUpstream());
-  Call.UpstreamId.clear();
-  Call.Upstream = {};
+  Attempt.UpstreamId.clear();
+  Attempt.ClientCall = {};
 }
 
 void relay::impl::onHead(relay_call_id Id, const http1::response_head &Head) {
   relay_call &Call = *Calls.find(Id);
-  CrashTracker.recordResponse(Call.SentTo, Call.SentAt);
-  recordWay(Call, steadyNow());
-  readNotice(Call, Head);
-  Call.Head = Head;
-  Call.NotRun = Head.Status == http1::status::Misdirected ||
-                Head.Headers.find(Names.NotRun) != nullptr;
+  CrashTracker.recordResponse(Call.Current.SentTo, Call.Current.SentAt);
+  recordWay(Call.Current, steadyNow());
+  readNotice(Call, Call.Current, Head);
+  Call.Current.Head = Head;
+  Call.Current.NotRun = Head.Status == http1::status::Misdirected ||
+                        Head.Headers.find(Names.NotRun) != nullptr;
   bool Streams = Call.Route.Kind == call_kind::Stream &&
-                 Head.Status == http1::status::Ok && !Call.NotRun &&
+                 Head.Status == http1::status::Ok && !Call.Current.NotRun &&
                  !Head.Headers.find("Content-Encoding");
-  Call.Streams = Streams;
+  Call.Current.Streams = Streams;
   // The caller of a resumed stream has already received a head.
   if (!Streams || Call.Phase == call_phase::Streaming)
     return;
@@ -207,16 +209,16 @@
 
 void relay::impl::onBody(relay_call_id Id, std::string_view Bytes) {
   relay_call &Call = *Calls.find(Id);
-  if (!Call.Streams) {
-    if (Call.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
-      Call.Body.append(Bytes);
+  if (!Call.Current.Streams) {
+    if (Call.Current.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
+      Call.Current.Body.append(Bytes);
       limitAnswers(Id);
       return;
     }
     abortUpstreamCall(Id, "the answer is too large");
     return;
   }
-  if (Call.Via.empty())
+  if (Call.Current.Via.empty())
     Links.recordAnswer(steadyNow());
   Call.BytesSinceEvent += Bytes.size();
   slowdown_estimator &Estimator = Loads[Call.Service].Estimator;
@@ -226,9 +228,9 @@
     if (++Call.EventCount == 1)
       Call.FirstEvent = Now;
     if (Call.eventsFromUpstream() == 1) {
-      Estimator.recordFirstEvent(Call.SentAt, Now);
+      Estimator.recordFirstEvent(Call.Current.SentAt, Now);
     } else {
-      Upstreams.recordEventGap(Call.UpstreamId, Now - Call.LastEvent);
+      Upstreams.recordEventGap(Call.Current.UpstreamId, Now - Call.LastEvent);
       Estimator.recordEventGap(Now - Call.LastEvent);
     }
     Call.LastEvent = Now;
@@ -257,7 +259,7 @@
 }
 
 void relay::impl::dropBody(relay_call_id Id) {
-  Calls.find(Id)->Body = {};
+  Calls.find(Id)->Current.Body = {};
   Answers.release(keyOf(Id));
 }
 
@@ -278,7 +280,7 @@
 
 void relay::impl::abortUpstreamCall(relay_call_id Id, std::string_view Reason) {
   relay_call &Call = *Calls.find(Id);
-  Client->cancel(Call.Upstream);
+  Client->cancel(Call.Current.ClientCall);
   Call.ResumesLeft = 0;
   Metrics.add("upstream_answers_broken_off_total");
   onUpstreamFailure(Id, {http1::call_outcome::Broken, std::string(Reason)});
@@ -291,19 +293,19 @@
     onUpstreamFailure(Id, Result);
     return;
   }
-  Call.AnswerEnd = Result.End;
+  Call.Current.AnswerEnd = Result.End;
   Metrics.add("upstream_answers_total",
               "end=\"" + std::string(nameOf(Result.End)) + "\"");
-  if (Call.NotRun) {
+  if (Call.Current.NotRun) {
     onNotRun(Id);
     return;
   }
-  if (Call.Streams && Call.isCutStream()) {
+  if (Call.Current.Streams && Call.isCutStream()) {
     onUpstreamFailure(
         Id, {http1::call_outcome::Broken, "the stream ended inside an event"});
     return;
   }
-  if (Call.Streams) {
+  if (Call.Current.Streams) {
     onStreamComplete(Id);
     return;
   }
@@ -311,7 +313,7 @@
     abortResponse(Id, "the stream does not go on");
     return;
   }
-  if (Call.Head.Headers.find("Content-Encoding")) {
+  if (Call.Current.Head.Headers.find("Content-Encoding")) {
     onUpstreamFailure(Id,
                       {http1::call_outcome::Broken, "the answer is encoded"});
     return;
@@ -321,19 +323,20 @@
 
 void relay::impl::onResponseComplete(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
-  http1::header_list Headers = Call.Head.Headers;
+  http1::header_list Headers = Call.Current.Head.Headers;
   http1::removeHopByHop(Headers);
   settleBudget(Call);
-  if (isSuccess(Call.Head.Status))
+  if (isSuccess(Call.Current.Head.Status))
     recordSuccess(Call);
-  Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body.text());
-  finish(Id, Call.Head.Status, {});
+  Server->respond(Call.Exchange, Call.Current.Head.Status, Headers,
+                  Call.Current.Body.text());
+  finish(Id, Call.Current.Head.Status, {});
 }
 
 void relay::impl::onStreamComplete(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
-  std::string Upstream = Call.UpstreamId;
-  releaseUpstream(Call);
+  std::string Upstream = Call.Current.UpstreamId;
+  releaseUpstream(Call, Call.Current);
   Answers.release(keyOf(Id));
   recordSuccess(Call);
   if (!Call.PartialEvent.empty())
@@ -341,7 +344,7 @@
   if (!Call.isKept()) {
     settleBudget(Call);
     Server->finish(Call.Exchange);
-    finish(Id, Call.Head.Status, {});
+    finish(Id, Call.Current.Head.Status, {});
     return;
   }
   Call.Phase = call_phase::Keeping;
@@ -363,23 +366,24 @@
       return;
     }
     Server->finish(Closed->Exchange);
-    finish(Id, Closed->Head.Status, {});
+    finish(Id, Closed->Current.Head.Status, {});
   });
 }
 
 void relay::impl::onNotRun(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
-  log::info("upstream did not run call", {{"id", Call.Params.Id},
-                                          {"upstream", Call.UpstreamId},
-                                          {"status", Call.Head.Status}});
-  if (Call.Head.Status == http1::status::Misdirected) {
-    Upstreams.recordFailure(Call.UpstreamId, steadyNow());
+  log::info("upstream did not run call",
+            {{"id", Call.Params.Id},
+             {"upstream", Call.Current.UpstreamId},
+             {"status", Call.Current.Head.Status}});
+  if (Call.Current.Head.Status == http1::status::Misdirected) {
+    Upstreams.recordFailure(Call.Current.UpstreamId, steadyNow());
     // Another process has the address of the upstream that was to resume the
     // stream.
-    if (Call.BrokenAt == Call.SentTo.Id)
+    if (Call.BrokenAt == Call.Current.SentTo.Id)
       Call.discountBrokenRun();
   }
-  releaseUpstream(Call);
+  releaseUpstream(Call, Call.Current);
   Call.Permit.reset();
   dropBody(Id);
   if (Call.Attempts < Call.Route.Attempts)
@@ -398,8 +402,8 @@
   Call.Events.dropUnfinished();
   Call.PartialEvent.clear();
   Call.BytesSinceEvent = 0;
-  Call.ResumeAt = Call.SentTo.Id;
-  Call.BrokenAt = Call.SentTo.Id;
+  Call.ResumeAt = Call.Current.SentTo.Id;
+  Call.BrokenAt = Call.Current.SentTo.Id;
   Metrics.add("streams_resumed_total");
   send(Id);
   return true;
@@ -411,23 +415,23 @@
   time_point Now = steadyNow();
   log::info("call failed at upstream",
             {{"id", Call.Params.Id},
-             {"upstream", Call.UpstreamId},
-             {"via", Call.Via},
+             {"upstream", Call.Current.UpstreamId},
+             {"via", Call.Current.Via},
              {"fingerprint", toHex(Call.Fingerprints.Exact)},
              {"reason", Result.Reason},
              {"phase", nameOf(Call.Phase)},
              {"events", Call.EventCount},
              {"unfinished_bytes", Call.Events.unfinished()},
-             {"after_ms", (Now - Call.SentAt).count()}});
+             {"after_ms", (Now - Call.Current.SentAt).count()}});
   if (Result.Outcome == http1::call_outcome::NotSent) {
     onNotConnected(Id, Result.Failure);
     return;
   }
-  Upstreams.recordFailure(Call.UpstreamId, Now);
+  Upstreams.recordFailure(Call.Current.UpstreamId, Now);
   Call.MayHaveRun = true;
   Call.Permit.reset();
-  recordAbort(Call, abort_kind::Broken);
-  releaseUpstream(Call);
+  recordAbort(Call, Call.Current, abort_kind::Broken);
+  releaseUpstream(Call, Call.Current);
   dropBody(Id);
   if (resumeStream(Id))
     return;
--- a/src/librelay/relay_suspects.cpp
+++ b/src/librelay/relay_suspects.cpp
@@ -37,12 +37,14 @@
   return true;
 }
 
-void relay::impl::recordAbort(const relay_call &Call, abort_kind Kind) {
-  reportCrashChanges(CrashTracker.recordAbort(Call.SentTo, Call.Fingerprints,
-                                              Kind, Call.SentAt, steadyNow()));
+void relay::impl::recordAbort(const relay_call &Call,
+                              const upstream_attempt &Attempt,
+                              abort_kind Kind) {
+  reportCrashChanges(CrashTracker.recordAbort(
+      Attempt.SentTo, Call.Fingerprints, Kind, Attempt.SentAt, steadyNow()));
   if (Kind == abort_kind::Broken &&
-      CrashTracker.hasUnresolvedAborts(Call.SentTo))
-    probe(Call.SentTo);
+      CrashTracker.hasUnresolvedAborts(Attempt.SentTo))
+    probe(Attempt.SentTo);
 }
 
 void relay::impl::recordExit(const upstream &Upstream, exit_evidence Evidence) {
