Relay: hedged requests for slow repeatable calls

Off unless relay_settings::HedgePercent is set; then no timer is armed, no time recorded and no allocation added.

The first complete usable answer wins. A win by the head was ruled out: a body that breaks off would then fail a call whose other attempt is fine. While the other attempt is in flight, a not-run answer, a failure and statuses 408, 429 and 5xx only end their own attempt; the last one to end is handled as before, and 503 is given only if no attempt may have run. Callbacks are told apart by a role that is a template parameter, so that they fit into std::function without an allocation.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -59,6 +59,9 @@
   /// the largest answers are broken off.
   std::size_t MaxAnswerBytes = 32U << 20U;
   std::string TunnelKey; ///< Shared with the tunnel servers of other hosts.
+  /// Second attempts that slow repeatable calls may get, for 100 calls of a
+  /// service; 0: none (relay_hedging.h).
+  std::uint32_t HedgePercent = 0;
   /// Decodes what the head of an answer says of its upstream. May be unset.
   std::function<upstream_notice(const http1::header_list &Headers)> ReadNotice;
 };
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -115,6 +115,10 @@
   /// Returns how many calls the ready upstreams of a service run concurrently.
   std::uint32_t readySlots(std::string_view Service, time_point Now) const;
 
+  /// Returns how many calls of this host are in flight at the upstreams of a
+  /// service.
+  std::size_t inFlight(std::string_view Service) const;
+
   /// Returns the state of a run, which need not be registered; nullptr if
   /// another run of the upstream is.
   upstream_state *stateOf(const upstream_run &Run);
--- a/src/librelay/call.cpp
+++ b/src/librelay/call.cpp
@@ -90,6 +90,25 @@
   return Text;
 }
 
+bool mayWin(int Status) {
+  constexpr int FirstServerError = 500;
+  return Status < FirstServerError && Status != http1::status::RequestTimeout &&
+         Status != http1::status::Misdirected &&
+         Status != http1::status::TooManyRequests;
+}
+
+std::string_view nameOf(hedge_end End) {
+  switch (End) {
+  case hedge_end::Failed:
+    return "failed";
+  case hedge_end::Won:
+    return "won";
+  case hedge_end::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
 std::string_view nameOf(call_phase Phase) {
   switch (Phase) {
   case call_phase::Opening:
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,8 +53,16 @@
 };
 std::string_view nameOf(call_phase Phase);
 
+/// Why an attempt was sent.
+enum class attempt_kind : std::uint8_t {
+  First,
+  Repeated, ///< The attempts before it have ended.
+  Hedge     ///< The first attempt had no head yet.
+};
+
 /// One send of a call to an upstream, and the answer that it brings.
 struct upstream_attempt {
+  attempt_kind Kind = attempt_kind::First;
   http1::call_id ClientCall; ///< Unset unless it is in flight.
   std::string UpstreamId;    ///< Empty once it left the in-flight counts.
   std::string Via; ///< Tunnel server of the send; empty: over the own link.
@@ -68,6 +77,22 @@
   std::optional<http1::answer_end> AnswerEnd;
 };
 
+/// Tells the two attempts of a hedged call apart in callbacks.
+enum class attempt_role : std::uint8_t { Main, Hedge };
+
+/// How the hedge of a call ended.
+enum class hedge_end : std::uint8_t {
+  Failed,   ///< It brought no usable answer.
+  Won,      ///< The caller gets its answer.
+  Cancelled ///< It was not needed any more.
+};
+std::string_view nameOf(hedge_end End);
+
+/// Whether the answer with this status may be the one of a call while another
+/// attempt is in flight. Failures and answers that say that the call did not
+/// run may not.
+bool mayWin(int Status);
+
 /// A call from its arrival to its end, owned by the call table of the relay.
 struct relay_call {
   /// How often a broken stream is resumed.
@@ -89,7 +114,12 @@
   std::string Chain; ///< Previous turns; sent before the body of the request.
   std::string PreviousUpstream; ///< Upstream that ran the previous turn.
 
-  upstream_attempt Current;           ///< The last send, and its answer.
+  upstream_attempt Current; ///< The last send, and its answer.
+  /// Set while a hedge and another attempt are in flight. If that other one
+  /// ends without a usable answer, the hedge becomes the current attempt.
+  std::unique_ptr<upstream_attempt> Hedge;
+  std::optional<time_point> HedgedAt; ///< When its hedge was sent.
+  hedge_end HedgeEnd = hedge_end::Failed;
   std::uint32_t NotConnected = 0;     ///< Sends that found no connection.
   std::uint32_t TunnelsNotOpened = 0; ///< Sends whose tunnel was not opened.
   std::vector<std::string> Tried; ///< Ids of the upstreams, in order of sends.
@@ -122,8 +152,24 @@
   /// Bytes of the answer that are held: all of a plain one, and of a stream the
   /// unfinished event and what will be stored.
   std::size_t heldBytes() const {
-    return Current.Body.size() + PartialEvent.size() + Events.unfinished() +
-           Output.size();
+    return Current.Body.size() + (Hedge ? Hedge->Body.size() : 0) +
+           PartialEvent.size() + Events.unfinished() + Output.size();
+  }
+  /// Returns the attempt that was sent in this role and is in flight. \p Role
+  /// matters only while there are two.
+  upstream_attempt &attempt(attempt_role Role) {
+    return Hedge && Role == attempt_role::Hedge ? *Hedge : Current;
+  }
+  /// Passes the current attempt, and the hedge if both are in flight.
+  template <typename Visitor> void forEachAttempt(Visitor Visit) const {
+    Visit(Current);
+    if (Hedge)
+      Visit(*Hedge);
+  }
+  /// Returns the attempt that holds most of its answer.
+  upstream_attempt &largestAttempt() {
+    bool IsHedge = Hedge && Hedge->Body.size() > Current.Body.size();
+    return IsHedge ? *Hedge : Current;
   }
   /// Number of tokens that were forwarded to the caller.
   std::uint64_t tokens() const { return EventCount * TokensPerEvent; }
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -118,6 +118,7 @@
              {"slots", Capacity.Slots},
              {"hosts", Capacity.Hosts},
              {"retry_after_ms", Rejection->RetryAfter.count()}});
+  noteShortage(Call.Service);
   Metrics.add("programs_refused_total", "service=\"" + Call.Service + "\"");
   refuse(Id, "no room for a new program", Rejection->RetryAfter);
   return true;
@@ -258,10 +259,18 @@
   if (!Raw->Client || !Raw->Server)
     return std::nullopt;
   Raw->Deadlines.emplace([Raw](std::uint64_t Key, int Kind) {
-    if (Kind == static_cast<int>(due_kind::Permit))
-      Raw->onPermitDue(idOf<relay_call>(Key));
-    else
-      Raw->onDeadline(idOf<relay_call>(Key));
+    auto Id = idOf<relay_call>(Key);
+    switch (static_cast<due_kind>(Kind)) {
+    case due_kind::Deadline:
+      Raw->onDeadline(Id);
+      return;
+    case due_kind::Permit:
+      Raw->onPermitDue(Id);
+      return;
+    case due_kind::Hedge:
+      Raw->onHedgeDue(Id);
+      return;
+    }
   });
   return relay(std::move(Impl));
 }
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -98,8 +98,7 @@
   relay_call &Call = *Calls.find(Id);
   if (Call.Operation)
     Turns.cancel(Call.Operation);
-  if (Call.Current.ClientCall && Client->cancel(Call.Current.ClientCall))
-    recordAbort(Call, Call.Current, abort_kind::Cancelled);
+  cancelAttempts(Call);
   time_point Now = steadyNow();
   std::int64_t TookMs = (Now - Call.Arrived).count();
   nlohmann::json Line = {
@@ -116,6 +115,11 @@
     Line["reason"] = Reason;
   if (Call.Current.SentAt.Ms > 0)
     Line["sent_ms"] = (Call.Current.SentAt - Call.Arrived).count();
+  if (Call.HedgedAt) {
+    Line["upstream"] = Call.Current.SentTo.Id;
+    Line["hedge"] = nameOf(Call.HedgeEnd);
+    Line["hedge_ms"] = (*Call.HedgedAt - Call.Arrived).count();
+  }
   if (Call.HeldFor.count() > 0)
     Line["held_ms"] = Call.HeldFor.count();
   if (!Call.Denied.empty())
--- a/src/librelay/relay_limits.cpp
+++ b/src/librelay/relay_limits.cpp
@@ -94,6 +94,7 @@
     return;
   }
   Metrics.add("limit_calls_refused_total");
+  noteShortage(Call.Service);
   refuse(Id, "the upstreams have reached their limits",
          std::clamp(NextWait, Settings.RetryAfter, MaxRetryAfter));
 }
--- a/src/librelay/relay_links.cpp
+++ b/src/librelay/relay_links.cpp
@@ -29,14 +29,15 @@
   return TunnelHosts.pick(Now).value_or("");
 }
 
-void relay::impl::onConnected(relay_call_id Id) {
-  const relay_call *Call = Calls.find(Id);
+void relay::impl::onConnected(relay_call_id Id, attempt_role Role) {
+  relay_call *Call = Calls.find(Id);
   if (!Call)
     return;
-  if (Call->Current.Via.empty())
-    Links.recordConnected(Call->Current.SentTo.Address, steadyNow());
+  const upstream_attempt &Attempt = Call->attempt(Role);
+  if (Attempt.Via.empty())
+    Links.recordConnected(Attempt.SentTo.Address, steadyNow());
   else
-    recordWay(Call->Current, steadyNow());
+    recordWay(Attempt, steadyNow());
 }
 
 void relay::impl::recordWay(const upstream_attempt &Attempt, time_point Now) {
@@ -48,16 +49,15 @@
   Links.recordReachedByOther(Attempt.SentTo.Address);
 }
 
-void relay::impl::onNotConnected(relay_call_id Id,
+void relay::impl::onNotConnected(relay_call_id Id, upstream_attempt &Attempt,
                                  http1::connect_failure Failure) {
   relay_call &Call = *Calls.find(Id);
   time_point Now = steadyNow();
-  upstream Target = Call.Current.SentTo;
-  std::string Via = Call.Current.Via;
+  upstream Target = Attempt.SentTo;
+  std::string Via = Attempt.Via;
   bool TunnelFailed = Failure == http1::connect_failure::Tunnel;
   bool Refused = Failure == http1::connect_failure::Refused;
-  releaseUpstream(Call, Call.Current);
-  dropBody(Id);
+  releaseUpstream(Call, Attempt);
   // The upstream has not received the call, so the send does not count.
   bool IsResume = Call.BrokenAt == Target.Id;
   Call.Attempts -= IsResume ? 0 : 1;
@@ -72,8 +72,6 @@
       Refused && !OtherWay && (!Via.empty() || TunnelHosts.size() == 0);
   if (HasExited && IsResume)
     Call.discountBrokenRun();
-  if (OtherWay || !Call.mayGoToAnother())
-    Call.ResumeAt = Target.Id;
   if (!OtherWay && !TunnelFailed) {
     Upstreams.recordFailure(Target.Id, Now);
     if (HasExited)
@@ -81,6 +79,11 @@
     if (!Via.empty())
       Links.recordUnreachedByOther(Target.Address);
   }
+  if (continueWithOther(Id, Attempt))
+    return;
+  dropBody(Id);
+  if (OtherWay || !Call.mayGoToAnother())
+    Call.ResumeAt = Target.Id;
   ++(TunnelFailed ? Call.TunnelsNotOpened : Call.NotConnected);
   if (Call.NotConnected < MaxNotConnected &&
       Call.TunnelsNotOpened < MaxTunnelsNotOpened)
@@ -100,10 +103,12 @@
   bool Waits = false;
   std::set<std::string> Suspects;
   Calls.forEach([&](relay_call_id, relay_call &Call) {
-    bool WaitsHere = Call.Current.ClientCall && Call.Current.Via.empty();
-    Waits = Waits || WaitsHere;
-    if (WaitsHere && Now - Call.Current.SentAt >= SuspectTime)
-      Suspects.insert(Call.Current.SentTo.Address);
+    Call.forEachAttempt([&](const upstream_attempt &Attempt) {
+      bool WaitsHere = Attempt.ClientCall && Attempt.Via.empty();
+      Waits = Waits || WaitsHere;
+      if (WaitsHere && Now - Attempt.SentAt >= SuspectTime)
+        Suspects.insert(Attempt.SentTo.Address);
+    });
   });
   if (Links.isSilent(Now))
     for (const std::string &Address : Suspects)
@@ -134,19 +139,28 @@
 
 void relay::impl::leaveLostLink(const std::string &Address) {
   Client->forgetDirect(Address);
-  std::vector<relay_call_id> Waiting;
+  std::vector<std::pair<relay_call_id, attempt_role>> Waiting;
   Calls.forEach([&](relay_call_id Id, relay_call &Call) {
-    bool Waits = Call.Current.ClientCall && Call.Current.Via.empty() &&
-                 Call.Current.Head.Status == 0;
     bool MayMove = Call.Route.Kind == call_kind::Safe &&
-                   Call.Attempts < Call.Route.Attempts;
-    if (Waits && MayMove && Call.Current.SentTo.Address == Address)
-      Waiting.push_back(Id);
+                   (Call.Hedge || Call.Attempts < Call.Route.Attempts);
+    if (!MayMove)
+      return;
+    // The two attempts of a call have different addresses.
+    Call.forEachAttempt([&](const upstream_attempt &Attempt) {
+      bool Waits =
+          Attempt.ClientCall && Attempt.Via.empty() && Attempt.Head.Status == 0;
+      if (Waits && Attempt.SentTo.Address == Address)
+        Waiting.emplace_back(Id, &Attempt == Call.Hedge.get()
+                                     ? attempt_role::Hedge
+                                     : attempt_role::Main);
+    });
   });
-  for (relay_call_id Id : Waiting) {
-    Client->cancel(Calls.find(Id)->Current.ClientCall);
-    onUpstreamFailure(Id, {.Outcome = http1::call_outcome::Broken,
-                           .Reason = "the link to the upstream was lost"});
+  for (auto [Id, Role] : Waiting) {
+    upstream_attempt &Attempt = Calls.find(Id)->attempt(Role);
+    Client->cancel(Attempt.ClientCall);
+    onUpstreamFailure(Id, Attempt,
+                      {.Outcome = http1::call_outcome::Broken,
+                       .Reason = "the link to the upstream was lost"});
   }
 }
 
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -8,6 +8,7 @@
 #include "turmerichead/relay_admission.h"
 #include "turmerichead/relay_answer_budget.h"
 #include "turmerichead/relay_crash_tracker.h"
+#include "turmerichead/relay_hedging.h"
 #include "turmerichead/relay_links.h"
 #include "turmerichead/relay_permit_client.h"
 #include "turmerichead/relay_program_homes.h"
@@ -29,9 +30,13 @@
 /// What is due in the queue of deadlines.
 enum class due_kind : int {
   Deadline, ///< The deadline of a call.
-  Permit    ///< The delay of a permit is over.
+  Permit,   ///< The delay of a permit is over.
+  Hedge     ///< The first attempt of a call is slow if it has no head yet.
 };
 
+/// A call with less time left is not sent.
+inline constexpr milliseconds MinTimeToSend{5};
+
 /// The load of a service and the admission of new programs to it.
 struct service_load {
   slowdown_estimator Estimator;
@@ -50,6 +55,7 @@
   std::optional<time_point> ExitAt; ///< Exit of the process; set by drain().
   upstream_table Upstreams;
   std::map<std::string, service_load, std::less<>> Loads; ///< By service.
+  std::map<std::string, hedging, std::less<>> Hedgings;   ///< By service.
   std::size_t EntryHosts = 1; ///< Including this one.
   crash_tracker CrashTracker;
   std::function<void(std::span<const std::uint64_t>)> OnCrashRecordsChanged;
@@ -99,8 +105,15 @@
   upstream_row *chooseUpstream(relay_call &Call, time_point Now);
   http1::call_request requestFor(const relay_call &Call,
                                  const upstream_attempt &Attempt) const;
-  void onHead(relay_call_id Id, const http1::response_head &Head);
-  void onBody(relay_call_id Id, std::string_view Bytes);
+  /// Enters the upstream as that of the attempt, and counts it in flight.
+  void assign(relay_call &Call, upstream_attempt &Attempt,
+              upstream_row &Upstream);
+  /// Gives the call to the HTTP client for the attempt in this role.
+  template <attempt_role Role>
+  void startAttempt(relay_call_id Id, bool FreshConnection);
+  void onHead(relay_call_id Id, attempt_role Role,
+              const http1::response_head &Head);
+  void onBody(relay_call_id Id, attempt_role Role, std::string_view Bytes);
   /// Counts what the call holds of its answer, and breaks off the largest
   /// answers while all of them take too much memory. The call may end.
   void limitAnswers(relay_call_id Id);
@@ -109,24 +122,59 @@
   /// Forwards bytes of a stream to the caller; of a resumable stream, only
   /// complete events.
   void forwardBody(relay_call &Call, std::string_view Bytes);
-  /// Cancels the call at the upstream in the middle of its answer, and handles
-  /// this as a failure of the upstream.
-  void abortUpstreamCall(relay_call_id Id, std::string_view Reason);
-  void onUpstreamEnd(relay_call_id Id, const http1::call_result &Result);
+  /// Cancels an attempt in the middle of its answer, and handles this as a
+  /// failure of the upstream.
+  void abortUpstreamCall(relay_call_id Id, upstream_attempt &Attempt,
+                         std::string_view Reason);
+  void onUpstreamEnd(relay_call_id Id, attempt_role Role,
+                     const http1::call_result &Result);
   /// The upstream has sent a complete answer that is not a stream.
   void onResponseComplete(relay_call_id Id);
   /// The upstream has sent a complete stream.
   void onStreamComplete(relay_call_id Id);
   /// The upstream has answered that it did not run the call.
-  void onNotRun(relay_call_id Id);
-  /// The call failed at the upstream: it is resumed, retried or failed.
-  void onUpstreamFailure(relay_call_id Id, const http1::call_result &Result);
+  void onNotRun(relay_call_id Id, upstream_attempt &Attempt);
+  /// An attempt failed: unless another one is in flight, the call is resumed,
+  /// retried or failed.
+  void onUpstreamFailure(relay_call_id Id, upstream_attempt &Attempt,
+                         const http1::call_result &Result);
   /// Sends the call again after the last complete event. Returns false if it
   /// may not be resumed.
   bool resumeStream(relay_call_id Id);
   /// Takes an attempt off the in-flight counts of its upstream and service.
   void releaseUpstream(const relay_call &Call, upstream_attempt &Attempt);
 
+  // -- Hedged requests (relay_hedge.cpp) --
+  /// Returns the hedging of the call's service, or nullptr if the call is never
+  /// hedged.
+  hedging *hedgingOf(const relay_call &Call);
+  /// Starts the timer of the hedge if the call has just been sent for the first
+  /// time.
+  void scheduleHedge(relay_call_id Id);
+  /// The timer is over. Sends the hedge if the first attempt still waits for
+  /// its head and the service has room.
+  void onHedgeDue(relay_call_id Id);
+  /// Returns the upstream for the hedge, or nullptr if none is free.
+  upstream_row *chooseHedge(relay_call &Call, time_point Now);
+  void sendHedge(relay_call_id Id, upstream_row &Upstream, std::string Via);
+  /// Notes what the head of an answer says about times and shortage.
+  void noteHead(const relay_call &Call, const upstream_attempt &Attempt);
+  /// Notes that calls of the service were refused, shed or limited.
+  void noteShortage(std::string_view Service);
+  /// Ends an attempt without a usable answer if another one is in flight, which
+  /// then is the only one. Returns whether it did.
+  bool continueWithOther(relay_call_id Id, upstream_attempt &Attempt);
+  /// Ends an attempt with a complete answer that may not win if another one is
+  /// in flight. Returns whether it did.
+  bool endUnusable(relay_call_id Id, upstream_attempt &Attempt);
+  /// An attempt has brought the answer of the call: it becomes the current one,
+  /// and the other one is cancelled.
+  void keepWinner(relay_call_id Id, upstream_attempt &Attempt);
+  /// Cancels an attempt at the HTTP client if it is in flight.
+  void cancelAttempt(relay_call &Call, upstream_attempt &Attempt);
+  /// Cancels all attempts of a call that ends.
+  void cancelAttempts(relay_call &Call);
+
   // -- What upstreams say of themselves (relay_notices.cpp) --
   /// Takes in what the head of the answer says of the upstream itself.
   void readNotice(const relay_call &Call, const upstream_attempt &Attempt,
@@ -159,9 +207,10 @@
   std::string viaFor(const std::string &Address, time_point Now);
   /// No connection was established for the call: it is sent another way, to
   /// another upstream, or refused.
-  void onNotConnected(relay_call_id Id, http1::connect_failure Failure);
+  void onNotConnected(relay_call_id Id, upstream_attempt &Attempt,
+                      http1::connect_failure Failure);
   /// A new connection has been established for the call.
-  void onConnected(relay_call_id Id);
+  void onConnected(relay_call_id Id, attempt_role Role);
   /// Notes the way by which the upstream was reached or has answered.
   void recordWay(const upstream_attempt &Attempt, time_point Now);
   /// Starts checkLinks() unless it runs already.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-// A call with less time left is not sent.
-constexpr milliseconds MinTimeToSend{5};
 // Limit for the bytes of a stream between the ends of two events: comments,
 // fields without data, and the event itself.
 constexpr std::size_t MaxBytesBetweenEvents = 1U << 20U;
@@ -27,6 +25,12 @@
   return Status >= FirstSuccess && Status < FirstRedirect;
 }
 
+bool saysNotRun(int Status) {
+  return Status == http1::status::RequestTimeout ||
+         Status == http1::status::TooManyRequests ||
+         Status == http1::status::Unavailable;
+}
+
 } // namespace
 
 void relay::impl::send(relay_call_id Id) {
@@ -40,6 +44,7 @@
   }
   upstream_row *Upstream = chooseUpstream(Call, Now);
   if (!Upstream) {
+    noteShortage(Call.Service);
     refuse(Id, "no upstream is ready");
     return;
   }
@@ -60,10 +65,9 @@
   bool WasTried = Call.wasSentTo(Upstream.Upstream.Id);
   Call.Current.Via = std::move(Via);
   Call.Attempts += Call.BrokenAt == Upstream.Upstream.Id ? 0 : 1;
-  ++Upstream.InFlight;
-  Call.Current.UpstreamId = Upstream.Upstream.Id;
-  Call.Current.SentTo = Upstream.Upstream;
-  Call.Tried.push_back(Call.Current.UpstreamId);
+  assign(Call, Call.Current, Upstream);
+  Call.Current.Kind =
+      Call.Tried.size() == 1 ? attempt_kind::First : attempt_kind::Repeated;
   if (Call.Phase != call_phase::Streaming) {
     Call.Phase = call_phase::Sent;
     Call.Current.Head = {};
@@ -71,7 +75,6 @@
   Call.Current.Streams = false;
   Call.Current.AnswerEnd.reset();
   Call.PriorEvents = Call.EventCount;
-  Call.Current.SentAt = Now;
   if (Call.Route.Kind == call_kind::Stream) {
     Loads[Call.Service].Estimator.recordSend(Now);
     if (!Call.Params.Program.empty())
@@ -93,18 +96,40 @@
                           {"held_ms", Call.HeldFor.count()},
                           {"moved", Call.Denied.size()},
                           {"chain_bytes", Call.Chain.size()}});
-  http1::call_request Request = requestFor(Call, Call.Current);
-  Request.FreshConnection = WasTried;
-  Call.Current.ClientCall = Client->call(
+  startAttempt<attempt_role::Main>(Id, WasTried);
+  scheduleHedge(Id);
+}
+
+void relay::impl::assign(relay_call &Call, upstream_attempt &Attempt,
+                         upstream_row &Upstream) {
+  ++Upstream.InFlight;
+  Attempt.UpstreamId = Upstream.Upstream.Id;
+  Attempt.SentTo = Upstream.Upstream;
+  Attempt.SentAt = steadyNow();
+  Call.Tried.push_back(Attempt.UpstreamId);
+}
+
+// The role is a template parameter so that the callbacks fit into the buffer of
+// std::function without an allocation.
+template <attempt_role Role>
+void relay::impl::startAttempt(relay_call_id Id, bool FreshConnection) {
+  relay_call &Call = *Calls.find(Id);
+  upstream_attempt &Attempt = Call.attempt(Role);
+  http1::call_request Request = requestFor(Call, Attempt);
+  Request.FreshConnection = FreshConnection;
+  Attempt.ClientCall = Client->call(
       std::move(Request),
-      {[this, Id](const http1::response_head &Head) { onHead(Id, Head); },
-       [this, Id](std::string_view Bytes) { onBody(Id, Bytes); },
+      {[this, Id](const http1::response_head &Head) { onHead(Id, Role, Head); },
+       [this, Id](std::string_view Bytes) { onBody(Id, Role, Bytes); },
        [this, Id](const http1::call_result &Result) {
-         onUpstreamEnd(Id, Result);
+         onUpstreamEnd(Id, Role, Result);
        },
-       [this, Id] { onConnected(Id); }});
+       [this, Id] { onConnected(Id, Role); }});
   watchLinks();
 }
+template void
+relay::impl::startAttempt<attempt_role::Hedge>(relay_call_id Id,
+                                               bool FreshConnection);
 
 service_capacity relay::impl::capacityOf(std::string_view Service,
                                          time_point Now) const {
@@ -185,18 +210,21 @@
   Attempt.ClientCall = {};
 }
 
-void relay::impl::onHead(relay_call_id Id, const http1::response_head &Head) {
+void relay::impl::onHead(relay_call_id Id, attempt_role Role,
+                         const http1::response_head &Head) {
   relay_call &Call = *Calls.find(Id);
-  CrashTracker.recordResponse(Call.Current.SentTo, Call.Current.SentAt);
-  recordWay(Call.Current, steadyNow());
-  readNotice(Call, Call.Current, Head);
-  Call.Current.Head = Head;
-  Call.Current.NotRun = Head.Status == http1::status::Misdirected ||
-                        Head.Headers.find(Names.NotRun) != nullptr;
+  upstream_attempt &Attempt = Call.attempt(Role);
+  CrashTracker.recordResponse(Attempt.SentTo, Attempt.SentAt);
+  recordWay(Attempt, steadyNow());
+  readNotice(Call, Attempt, Head);
+  Attempt.Head = Head;
+  Attempt.NotRun = Head.Status == http1::status::Misdirected ||
+                   Head.Headers.find(Names.NotRun) != nullptr;
   bool Streams = Call.Route.Kind == call_kind::Stream &&
-                 Head.Status == http1::status::Ok && !Call.Current.NotRun &&
+                 Head.Status == http1::status::Ok && !Attempt.NotRun &&
                  !Head.Headers.find("Content-Encoding");
-  Call.Current.Streams = Streams;
+  Attempt.Streams = Streams;
+  noteHead(Call, Attempt);
   // The caller of a resumed stream has already received a head.
   if (!Streams || Call.Phase == call_phase::Streaming)
     return;
@@ -207,18 +235,20 @@
   Server->begin(Call.Exchange, Head.Status, Headers);
 }
 
-void relay::impl::onBody(relay_call_id Id, std::string_view Bytes) {
+void relay::impl::onBody(relay_call_id Id, attempt_role Role,
+                         std::string_view Bytes) {
   relay_call &Call = *Calls.find(Id);
-  if (!Call.Current.Streams) {
-    if (Call.Current.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
-      Call.Current.Body.append(Bytes);
+  upstream_attempt &Attempt = Call.attempt(Role);
+  if (!Attempt.Streams) {
+    if (Attempt.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
+      Attempt.Body.append(Bytes);
       limitAnswers(Id);
       return;
     }
-    abortUpstreamCall(Id, "the answer is too large");
+    abortUpstreamCall(Id, Attempt, "the answer is too large");
     return;
   }
-  if (Call.Current.Via.empty())
+  if (Attempt.Via.empty())
     Links.recordAnswer(steadyNow());
   Call.BytesSinceEvent += Bytes.size();
   slowdown_estimator &Estimator = Loads[Call.Service].Estimator;
@@ -228,9 +258,9 @@
     if (++Call.EventCount == 1)
       Call.FirstEvent = Now;
     if (Call.eventsFromUpstream() == 1) {
-      Estimator.recordFirstEvent(Call.Current.SentAt, Now);
+      Estimator.recordFirstEvent(Attempt.SentAt, Now);
     } else {
-      Upstreams.recordEventGap(Call.Current.UpstreamId, Now - Call.LastEvent);
+      Upstreams.recordEventGap(Attempt.UpstreamId, Now - Call.LastEvent);
       Estimator.recordEventGap(Now - Call.LastEvent);
     }
     Call.LastEvent = Now;
@@ -240,11 +270,12 @@
   // A faulty upstream may send endless bytes without events, or more events
   // than the call may generate.
   if (!IsValid || Call.BytesSinceEvent > MaxBytesBetweenEvents) {
-    abortUpstreamCall(Id, "the stream brings no events");
+    abortUpstreamCall(Id, Attempt, "the stream brings no events");
     return;
   }
   if (Call.exceedsTokenLimit()) {
-    abortUpstreamCall(Id, "the stream is longer than the call may generate");
+    abortUpstreamCall(Id, Attempt,
+                      "the stream is longer than the call may generate");
     return;
   }
   forwardBody(Call, Bytes);
@@ -253,9 +284,11 @@
 
 void relay::impl::limitAnswers(relay_call_id Id) {
   Answers.set(keyOf(Id), Calls.find(Id)->heldBytes());
-  while (auto Largest = Answers.largestIfExceeded())
-    abortUpstreamCall(idOf<relay_call>(*Largest),
+  while (auto Largest = Answers.largestIfExceeded()) {
+    auto LargestId = idOf<relay_call>(*Largest);
+    abortUpstreamCall(LargestId, Calls.find(LargestId)->largestAttempt(),
                       "answers take more memory than the host has for them");
+  }
 }
 
 void relay::impl::dropBody(relay_call_id Id) {
@@ -278,34 +311,37 @@
   Call.PartialEvent.erase(0, CompleteSize);
 }
 
-void relay::impl::abortUpstreamCall(relay_call_id Id, std::string_view Reason) {
-  relay_call &Call = *Calls.find(Id);
-  Client->cancel(Call.Current.ClientCall);
-  Call.ResumesLeft = 0;
+void relay::impl::abortUpstreamCall(relay_call_id Id, upstream_attempt &Attempt,
+                                    std::string_view Reason) {
+  Client->cancel(Attempt.ClientCall);
+  Calls.find(Id)->ResumesLeft = 0;
   Metrics.add("upstream_answers_broken_off_total");
-  onUpstreamFailure(Id, {http1::call_outcome::Broken, std::string(Reason)});
+  onUpstreamFailure(Id, Attempt,
+                    {http1::call_outcome::Broken, std::string(Reason)});
 }
 
-void relay::impl::onUpstreamEnd(relay_call_id Id,
+void relay::impl::onUpstreamEnd(relay_call_id Id, attempt_role Role,
                                 const http1::call_result &Result) {
   relay_call &Call = *Calls.find(Id);
+  upstream_attempt &Attempt = Call.attempt(Role);
   if (Result.Outcome != http1::call_outcome::Complete) {
-    onUpstreamFailure(Id, Result);
+    onUpstreamFailure(Id, Attempt, Result);
     return;
   }
-  Call.Current.AnswerEnd = Result.End;
+  Attempt.AnswerEnd = Result.End;
   Metrics.add("upstream_answers_total",
               "end=\"" + std::string(nameOf(Result.End)) + "\"");
-  if (Call.Current.NotRun) {
-    onNotRun(Id);
+  if (Attempt.NotRun) {
+    onNotRun(Id, Attempt);
     return;
   }
-  if (Call.Current.Streams && Call.isCutStream()) {
+  if (Attempt.Streams && Call.isCutStream()) {
     onUpstreamFailure(
-        Id, {http1::call_outcome::Broken, "the stream ended inside an event"});
+        Id, Attempt,
+        {http1::call_outcome::Broken, "the stream ended inside an event"});
     return;
   }
-  if (Call.Current.Streams) {
+  if (Attempt.Streams) {
     onStreamComplete(Id);
     return;
   }
@@ -313,16 +349,26 @@
     abortResponse(Id, "the stream does not go on");
     return;
   }
-  if (Call.Current.Head.Headers.find("Content-Encoding")) {
-    onUpstreamFailure(Id,
+  if (Attempt.Head.Headers.find("Content-Encoding")) {
+    onUpstreamFailure(Id, Attempt,
                       {http1::call_outcome::Broken, "the answer is encoded"});
     return;
   }
+  if (endUnusable(Id, Attempt))
+    return;
+  keepWinner(Id, Attempt);
   onResponseComplete(Id);
 }
 
 void relay::impl::onResponseComplete(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
+  // The other attempt may have run, so the caller must not be told that none
+  // did.
+  if (Call.HedgedAt && Call.MayHaveRun &&
+      saysNotRun(Call.Current.Head.Status)) {
+    failCall(Id, http1::status::BadGateway, "an upstream may have run it");
+    return;
+  }
   http1::header_list Headers = Call.Current.Head.Headers;
   http1::removeHopByHop(Headers);
   settleBudget(Call);
@@ -370,21 +416,22 @@
   });
 }
 
-void relay::impl::onNotRun(relay_call_id Id) {
+void relay::impl::onNotRun(relay_call_id Id, upstream_attempt &Attempt) {
   relay_call &Call = *Calls.find(Id);
-  log::info("upstream did not run call",
-            {{"id", Call.Params.Id},
-             {"upstream", Call.Current.UpstreamId},
-             {"status", Call.Current.Head.Status}});
-  if (Call.Current.Head.Status == http1::status::Misdirected) {
-    Upstreams.recordFailure(Call.Current.UpstreamId, steadyNow());
+  log::info("upstream did not run call", {{"id", Call.Params.Id},
+                                          {"upstream", Attempt.UpstreamId},
+                                          {"status", Attempt.Head.Status}});
+  if (Attempt.Head.Status == http1::status::Misdirected) {
+    Upstreams.recordFailure(Attempt.UpstreamId, steadyNow());
     // Another process has the address of the upstream that was to resume the
     // stream.
-    if (Call.BrokenAt == Call.Current.SentTo.Id)
+    if (Call.BrokenAt == Attempt.SentTo.Id)
       Call.discountBrokenRun();
   }
-  releaseUpstream(Call, Call.Current);
+  releaseUpstream(Call, Attempt);
   Call.Permit.reset();
+  if (continueWithOther(Id, Attempt))
+    return;
   dropBody(Id);
   if (Call.Attempts < Call.Route.Attempts)
     send(Id);
@@ -409,29 +456,31 @@
   return true;
 }
 
-void relay::impl::onUpstreamFailure(relay_call_id Id,
+void relay::impl::onUpstreamFailure(relay_call_id Id, upstream_attempt &Attempt,
                                     const http1::call_result &Result) {
   relay_call &Call = *Calls.find(Id);
   time_point Now = steadyNow();
   log::info("call failed at upstream",
             {{"id", Call.Params.Id},
-             {"upstream", Call.Current.UpstreamId},
-             {"via", Call.Current.Via},
+             {"upstream", Attempt.UpstreamId},
+             {"via", Attempt.Via},
              {"fingerprint", toHex(Call.Fingerprints.Exact)},
              {"reason", Result.Reason},
              {"phase", nameOf(Call.Phase)},
              {"events", Call.EventCount},
              {"unfinished_bytes", Call.Events.unfinished()},
-             {"after_ms", (Now - Call.Current.SentAt).count()}});
+             {"after_ms", (Now - Attempt.SentAt).count()}});
   if (Result.Outcome == http1::call_outcome::NotSent) {
-    onNotConnected(Id, Result.Failure);
+    onNotConnected(Id, Attempt, Result.Failure);
     return;
   }
-  Upstreams.recordFailure(Call.Current.UpstreamId, Now);
+  Upstreams.recordFailure(Attempt.UpstreamId, Now);
   Call.MayHaveRun = true;
   Call.Permit.reset();
-  recordAbort(Call, Call.Current, abort_kind::Broken);
-  releaseUpstream(Call, Call.Current);
+  recordAbort(Call, Attempt, abort_kind::Broken);
+  releaseUpstream(Call, Attempt);
+  if (continueWithOther(Id, Attempt))
+    return;
   dropBody(Id);
   if (resumeStream(Id))
     return;
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -160,7 +160,8 @@
   std::optional<relay::relay> Relay;
   std::string Address = freeAddress();
 
-  entry_host(std::string Name, const disks &Disks) {
+  entry_host(std::string Name, const disks &Disks,
+             std::uint32_t HedgePercent = 0) {
     turns::client_settings TurnSettings;
     TurnSettings.Host = Name;
     TurnSettings.DataCentre = "dc";
@@ -172,6 +173,7 @@
     Settings.DataCentre = "dc";
     Settings.ReadNotice = readNotice;
     Settings.MaxAnswerBytes = MaxAnswerBytes;
+    Settings.HedgePercent = HedgePercent;
     Relay = relay::relay::create(Settings, names(), *Turns, Metrics);
     REQUIRE(Relay);
     Turns->updateSet(Disks.Set);
@@ -181,7 +183,7 @@
 
 struct fixture {
   disks Disks;
-  entry_host Host{"entry", Disks};
+  entry_host Host;
   metrics &Metrics = Host.Metrics;
   std::optional<turns::client> &Turns = Host.Turns;
   std::optional<relay::relay> &Relay = Host.Relay;
@@ -190,7 +192,8 @@
   raw_server Llm;
   std::string &Address = Host.Address;
 
-  fixture() {
+  explicit fixture(std::uint32_t HedgePercent = 0)
+      : Host("entry", Disks, HedgePercent) {
     put("tool-1", "tools", Tools);
     put("llm-1", "llm", Llm);
   }
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -198,6 +198,13 @@
   return Slots;
 }
 
+std::size_t upstream_table::inFlight(std::string_view Service) const {
+  std::size_t Count = 0;
+  for (const auto &[Id, Row] : Rows)
+    Count += Row.Upstream.Service == Service ? Row.InFlight : 0;
+  return Count;
+}
+
 void upstream_table::recordFailure(std::string_view Id, time_point Now) {
   if (upstream_row *Row = find(Id))
     Row->AvoidUntil = Now + AvoidTime;
