--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-// A call with less time left is not sent.
-constexpr milliseconds MinTimeToSend{5};
 // Limit for the bytes of a stream between the ends of two events: comments,
 // fields without data, and the event itself.
 constexpr std::size_t MaxBytesBetweenEvents = 1U << 20U;
@@ -27,6 +25,12 @@
   return Status >= FirstSuccess && Status < FirstRedirect;
 }
 
+bool saysNotRun(int Status) {
+  return Status == http1::status::RequestTimeout ||
+         Status == http1::status::TooManyRequests ||
+         Status == http1::status::Unavailable;
+}
+
 } // namespace
 
 void relay::impl::send(relay_call_id Id) {
@@ -40,6 +44,7 @@
   }
   upstream_row *Upstream = chooseUpstream(Call, Now);
   if (!Upstream) {
+    noteShortage(Call.Service);
     refuse(Id, "no upstream is ready");
     return;
   }
@@ -58,33 +63,31 @@
     return;
   }
   bool WasTried = Call.wasSentTo(Upstream.Upstream.Id);
-  Call.Via = std::move(Via);
+  Call.Current.Via = std::move(Via);
   Call.Attempts += Call.BrokenAt == Upstream.Upstream.Id ? 0 : 1;
-  ++Upstream.InFlight;
-  Call.UpstreamId = Upstream.Upstream.Id;
-  Call.SentTo = Upstream.Upstream;
-  Call.Tried.push_back(Call.UpstreamId);
+  assign(Call, Call.Current, Upstream);
+  Call.Current.Kind =
+      Call.Tried.size() == 1 ? attempt_kind::First : attempt_kind::Repeated;
   if (Call.Phase != call_phase::Streaming) {
     Call.Phase = call_phase::Sent;
-    Call.Head = {};
+    Call.Current.Head = {};
   }
-  Call.Streams = false;
-  Call.AnswerEnd.reset();
+  Call.Current.Streams = false;
+  Call.Current.AnswerEnd.reset();
   Call.PriorEvents = Call.EventCount;
-  Call.SentAt = Now;
   if (Call.Route.Kind == call_kind::Stream) {
     Loads[Call.Service].Estimator.recordSend(Now);
     if (!Call.Params.Program.empty())
-      Homes.record(Call.scoped(Call.Params.Program), Call.UpstreamId);
+      Homes.record(Call.scoped(Call.Params.Program), Call.Current.UpstreamId);
   }
-  Call.NotRun = false;
+  Call.Current.NotRun = false;
   if (!Call.Denied.empty())
     Metrics.add("limit_calls_moved_total");
   log::info("call sent", {{"id", Call.Params.Id},
-                          {"upstream", Call.UpstreamId},
+                          {"upstream", Call.Current.UpstreamId},
                           {"home", Call.PreviousUpstream},
                           {"in_flight", Upstream.InFlight},
-                          {"via", Call.Via},
+                          {"via", Call.Current.Via},
                           {"avoided", Upstream.AvoidUntil > Now},
                           {"vanished", Upstream.ExpiresAt.has_value()},
                           {"attempt", Call.Attempts},
@@ -93,18 +96,40 @@
                           {"held_ms", Call.HeldFor.count()},
                           {"moved", Call.Denied.size()},
                           {"chain_bytes", Call.Chain.size()}});
-  http1::call_request Request = requestFor(Call, Upstream.Upstream);
-  Request.FreshConnection = WasTried;
-  Call.Upstream = Client->call(
+  startAttempt<attempt_role::Main>(Id, WasTried);
+  scheduleHedge(Id);
+}
+
+void relay::impl::assign(relay_call &Call, upstream_attempt &Attempt,
+                         upstream_row &Upstream) {
+  ++Upstream.InFlight;
+  Attempt.UpstreamId = Upstream.Upstream.Id;
+  Attempt.SentTo = Upstream.Upstream;
+  Attempt.SentAt = steadyNow();
+  Call.Tried.push_back(Attempt.UpstreamId);
+}
+
+// The role is a template parameter so that the callbacks fit into the buffer of
+// std::function without an allocation.
+template <attempt_role Role>
+void relay::impl::startAttempt(relay_call_id Id, bool FreshConnection) {
+  relay_call &Call = *Calls.find(Id);
+  upstream_attempt &Attempt = Call.attempt(Role);
+  http1::call_request Request = requestFor(Call, Attempt);
+  Request.FreshConnection = FreshConnection;
+  Attempt.ClientCall = Client->call(
       std::move(Request),
-      {[this, Id](const http1::response_head &Head) { onHead(Id, Head); },
-       [this, Id](std::string_view Bytes) { onBody(Id, Bytes); },
+      {[this, Id](const http1::response_head &Head) { onHead(Id, Role, Head); },
+       [this, Id](std::string_view Bytes) { onBody(Id, Role, Bytes); },
        [this, Id](const http1::call_result &Result) {
-         onUpstreamEnd(Id, Result);
+         onUpstreamEnd(Id, Role, Result);
        },
-       [this, Id] { onConnected(Id); }});
+       [this, Id] { onConnected(Id, Role); }});
   watchLinks();
 }
+template void
+relay::impl::startAttempt<attempt_role::Hedge>(relay_call_id Id,
+                                               bool FreshConnection);
 
 service_capacity relay::impl::capacityOf(std::string_view Service,
                                          time_point Now) const {
@@ -141,10 +166,11 @@
   return Upstreams.pick(Placement, Now);
 }
 
-http1::call_request relay::impl::requestFor(const relay_call &Call,
-                                            const upstream &Upstream) const {
+http1::call_request
+relay::impl::requestFor(const relay_call &Call,
+                        const upstream_attempt &Attempt) const {
   http1::call_request Request;
-  Request.Address = Upstream.Address;
+  Request.Address = Attempt.SentTo.Address;
   Request.Method = Call.Request.Method;
   Request.Target = Call.Request.Target;
   Request.Headers = Call.Request.Headers;
@@ -153,7 +179,7 @@
     Request.Headers.remove(Name);
   milliseconds Left = Call.Deadline - steadyNow();
   Request.Headers.set(Names.TimeLeft, std::to_string(Left.count()));
-  Request.Headers.set(Names.ExpectUpstream, Upstream.Id);
+  Request.Headers.set(Names.ExpectUpstream, Attempt.SentTo.Id);
   if (!Call.Events.lastId().empty())
     Request.Headers.set(Names.LastEvent, Call.Events.lastId());
   if (!Call.Chain.empty())
@@ -161,10 +187,10 @@
   if (!Call.Request.Body.empty())
     Request.Body.push_back(Call.Request.Body);
   Request.EchoValue = Call.Params.Id;
-  Request.Via = Call.Via;
+  Request.Via = Attempt.Via;
   // A tunnel needs two connections, one after the other.
   milliseconds ConnectTimeout =
-      Settings.ConnectTimeout * (Call.Via.empty() ? 1 : 2);
+      Settings.ConnectTimeout * (Attempt.Via.empty() ? 1 : 2);
   Request.ConnectTimeout = std::min(ConnectTimeout, Left);
   // An upstream resets connections above its limit. Half of the limit is
   // divided between the idle connections of the entry hosts; the other half
@@ -176,30 +202,34 @@
   return Request;
 }
 
-void relay::impl::releaseUpstream(relay_call &Call) {
-  if (Call.UpstreamId.empty())
+void relay::impl::releaseUpstream(const relay_call &Call,
+                                  upstream_attempt &Attempt) {
+  if (Attempt.UpstreamId.empty())
     return;
-  if (upstream_row *Row = Upstreams.find(Call.UpstreamId))
+  if (upstream_row *Row = Upstreams.find(Attempt.UpstreamId))
     Row->InFlight -= Row->InFlight > 0 ? 1 : 0;
   if (Call.Route.Kind == call_kind::Stream)
-    Loads[Call.Service].Estimator.recordEnd(Call.SentAt,
+    Loads[Call.Service].Estimator.recordEnd(Attempt.SentAt,
                                             Call.eventsFromUpstream());
-  Call.UpstreamId.clear();
-  Call.Upstream = {};
+  Attempt.UpstreamId.clear();
+  Attempt.ClientCall = {};
 }
 
-void relay::impl::onHead(relay_call_id Id, const http1::response_head &Head) {
+void relay::impl::onHead(relay_call_id Id, attempt_role Role,
+                         const http1::response_head &Head) {
   relay_call &Call = *Calls.find(Id);
-  CrashTracker.recordResponse(Call.SentTo, Call.SentAt);
-  recordWay(Call, steadyNow());
-  readNotice(Call, Head);
-  Call.Head = Head;
-  Call.NotRun = Head.Status == http1::status::Misdirected ||
-                Head.Headers.find(Names.NotRun) != nullptr;
+  upstream_attempt &Attempt = Call.attempt(Role);
+  CrashTracker.recordResponse(Attempt.SentTo, Attempt.SentAt);
+  recordWay(Attempt, steadyNow());
+  readNotice(Call, Attempt, Head);
+  Attempt.Head = Head;
+  Attempt.NotRun = Head.Status == http1::status::Misdirected ||
+                   Head.Headers.find(Names.NotRun) != nullptr;
   bool Streams = Call.Route.Kind == call_kind::Stream &&
-                 Head.Status == http1::status::Ok && !Call.NotRun &&
+                 Head.Status == http1::status::Ok && !Attempt.NotRun &&
                  !Head.Headers.find("Content-Encoding");
-  Call.Streams = Streams;
+  Attempt.Streams = Streams;
+  noteHead(Call, Attempt);
   // The caller of a resumed stream has already received a head.
   if (!Streams || Call.Phase == call_phase::Streaming)
     return;
@@ -210,18 +240,20 @@
   Server->begin(Call.Exchange, Head.Status, Headers);
 }
 
-void relay::impl::onBody(relay_call_id Id, std::string_view Bytes) {
+void relay::impl::onBody(relay_call_id Id, attempt_role Role,
+                         std::string_view Bytes) {
   relay_call &Call = *Calls.find(Id);
-  if (!Call.Streams) {
-    if (Call.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
-      Call.Body.append(Bytes);
+  upstream_attempt &Attempt = Call.attempt(Role);
+  if (!Attempt.Streams) {
+    if (Attempt.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
+      Attempt.Body.append(Bytes);
       limitAnswers(Id);
       return;
     }
-    abortUpstreamCall(Id, "the answer is too large");
+    abortUpstreamCall(Id, Attempt, "the answer is too large");
     return;
   }
-  if (Call.Via.empty())
+  if (Attempt.Via.empty())
     Links.recordAnswer(steadyNow());
   Call.BytesSinceEvent += Bytes.size();
   slowdown_estimator &Estimator = Loads[Call.Service].Estimator;
@@ -231,10 +263,10 @@
     if (++Call.EventCount == 1)
       Call.FirstEvent = Now;
     if (Call.eventsFromUpstream() == 1) {
-      Estimator.recordFirstEvent(Call.SentAt, Now);
+      Estimator.recordFirstEvent(Attempt.SentAt, Now);
       recordFirstEvent(Call, Now);
     } else {
-      Upstreams.recordEventGap(Call.UpstreamId, Now - Call.LastEvent, Now);
+      Upstreams.recordEventGap(Attempt.UpstreamId, Now - Call.LastEvent, Now);
       Estimator.recordEventGap(Now - Call.LastEvent);
     }
     Call.LastEvent = Now;
@@ -244,11 +276,12 @@
   // A faulty upstream may send endless bytes without events, or more events
   // than the call may generate.
   if (!IsValid || Call.BytesSinceEvent > MaxBytesBetweenEvents) {
-    abortUpstreamCall(Id, "the stream brings no events");
+    abortUpstreamCall(Id, Attempt, "the stream brings no events");
     return;
   }
   if (Call.exceedsTokenLimit()) {
-    abortUpstreamCall(Id, "the stream is longer than the call may generate");
+    abortUpstreamCall(Id, Attempt,
+                      "the stream is longer than the call may generate");
     return;
   }
   forwardBody(Call, Bytes);
@@ -256,23 +289,26 @@
 }
 
 void relay::impl::recordFirstEvent(const relay_call &Call, time_point Now) {
-  bool IsCached = Call.UpstreamId == Call.PreviousUpstream ||
-                  Call.UpstreamId == Call.BrokenAt;
-  Upstreams.recordTime(Call.UpstreamId,
+  const upstream_attempt &Attempt = Call.Current;
+  bool IsCached = Attempt.UpstreamId == Call.PreviousUpstream ||
+                  Attempt.UpstreamId == Call.BrokenAt;
+  Upstreams.recordTime(Attempt.UpstreamId,
                        IsCached ? time_kind::CachedFirstEvent
                                 : time_kind::FirstEvent,
-                       Now - Call.SentAt, Now);
+                       Now - Attempt.SentAt, Now);
 }
 
 void relay::impl::limitAnswers(relay_call_id Id) {
   Answers.set(keyOf(Id), Calls.find(Id)->heldBytes());
-  while (auto Largest = Answers.largestIfExceeded())
-    abortUpstreamCall(idOf<relay_call>(*Largest),
+  while (auto Largest = Answers.largestIfExceeded()) {
+    auto LargestId = idOf<relay_call>(*Largest);
+    abortUpstreamCall(LargestId, Calls.find(LargestId)->largestAttempt(),
                       "answers take more memory than the host has for them");
+  }
 }
 
 void relay::impl::dropBody(relay_call_id Id) {
-  Calls.find(Id)->Body = {};
+  Calls.find(Id)->Current.Body = {};
   Answers.release(keyOf(Id));
 }
 
@@ -291,34 +327,37 @@
   Call.PartialEvent.erase(0, CompleteSize);
 }
 
-void relay::impl::abortUpstreamCall(relay_call_id Id, std::string_view Reason) {
-  relay_call &Call = *Calls.find(Id);
-  Client->cancel(Call.Upstream);
-  Call.ResumesLeft = 0;
+void relay::impl::abortUpstreamCall(relay_call_id Id, upstream_attempt &Attempt,
+                                    std::string_view Reason) {
+  Client->cancel(Attempt.ClientCall);
+  Calls.find(Id)->ResumesLeft = 0;
   Metrics.add("upstream_answers_broken_off_total");
-  onUpstreamFailure(Id, {http1::call_outcome::Broken, std::string(Reason)});
+  onUpstreamFailure(Id, Attempt,
+                    {http1::call_outcome::Broken, std::string(Reason)});
 }
 
-void relay::impl::onUpstreamEnd(relay_call_id Id,
+void relay::impl::onUpstreamEnd(relay_call_id Id, attempt_role Role,
                                 const http1::call_result &Result) {
   relay_call &Call = *Calls.find(Id);
+  upstream_attempt &Attempt = Call.attempt(Role);
   if (Result.Outcome != http1::call_outcome::Complete) {
-    onUpstreamFailure(Id, Result);
+    onUpstreamFailure(Id, Attempt, Result);
     return;
   }
-  Call.AnswerEnd = Result.End;
+  Attempt.AnswerEnd = Result.End;
   Metrics.add("upstream_answers_total",
               "end=\"" + std::string(nameOf(Result.End)) + "\"");
-  if (Call.NotRun) {
-    onNotRun(Id);
+  if (Attempt.NotRun) {
+    onNotRun(Id, Attempt);
     return;
   }
-  if (Call.Streams && Call.isCutStream()) {
+  if (Attempt.Streams && Call.isCutStream()) {
     onUpstreamFailure(
-        Id, {http1::call_outcome::Broken, "the stream ended inside an event"});
+        Id, Attempt,
+        {http1::call_outcome::Broken, "the stream ended inside an event"});
     return;
   }
-  if (Call.Streams) {
+  if (Attempt.Streams) {
     onStreamComplete(Id);
     return;
   }
@@ -326,33 +365,44 @@
     abortResponse(Id, "the stream does not go on");
     return;
   }
-  if (Call.Head.Headers.find("Content-Encoding")) {
-    onUpstreamFailure(Id,
+  if (Attempt.Head.Headers.find("Content-Encoding")) {
+    onUpstreamFailure(Id, Attempt,
                       {http1::call_outcome::Broken, "the answer is encoded"});
     return;
   }
+  if (endUnusable(Id, Attempt))
+    return;
+  keepWinner(Id, Attempt);
   onResponseComplete(Id);
 }
 
 void relay::impl::onResponseComplete(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
-  http1::header_list Headers = Call.Head.Headers;
+  // The other attempt may have run, so the caller must not be told that none
+  // did.
+  if (Call.HedgedAt && Call.MayHaveRun &&
+      saysNotRun(Call.Current.Head.Status)) {
+    failCall(Id, http1::status::BadGateway, "an upstream may have run it");
+    return;
+  }
+  http1::header_list Headers = Call.Current.Head.Headers;
   http1::removeHopByHop(Headers);
   settleBudget(Call);
-  if (isSuccess(Call.Head.Status)) {
+  if (isSuccess(Call.Current.Head.Status)) {
     recordSuccess(Call);
     time_point Now = steadyNow();
-    Upstreams.recordTime(Call.UpstreamId, time_kind::Answer, Now - Call.SentAt,
-                         Now);
+    Upstreams.recordTime(Call.Current.UpstreamId, time_kind::Answer,
+                         Now - Call.Current.SentAt, Now);
   }
-  Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body.text());
-  finish(Id, Call.Head.Status, {});
+  Server->respond(Call.Exchange, Call.Current.Head.Status, Headers,
+                  Call.Current.Body.text());
+  finish(Id, Call.Current.Head.Status, {});
 }
 
 void relay::impl::onStreamComplete(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
-  std::string Upstream = Call.UpstreamId;
-  releaseUpstream(Call);
+  std::string Upstream = Call.Current.UpstreamId;
+  releaseUpstream(Call, Call.Current);
   Answers.release(keyOf(Id));
   recordSuccess(Call);
   if (!Call.PartialEvent.empty())
@@ -360,7 +410,7 @@
   if (!Call.isKept()) {
     settleBudget(Call);
     Server->finish(Call.Exchange);
-    finish(Id, Call.Head.Status, {});
+    finish(Id, Call.Current.Head.Status, {});
     return;
   }
   Call.Phase = call_phase::Keeping;
@@ -382,24 +432,26 @@
       return;
     }
     Server->finish(Closed->Exchange);
-    finish(Id, Closed->Head.Status, {});
+    finish(Id, Closed->Current.Head.Status, {});
   });
 }
 
-void relay::impl::onNotRun(relay_call_id Id) {
+void relay::impl::onNotRun(relay_call_id Id, upstream_attempt &Attempt) {
   relay_call &Call = *Calls.find(Id);
   log::info("upstream did not run call", {{"id", Call.Params.Id},
-                                          {"upstream", Call.UpstreamId},
-                                          {"status", Call.Head.Status}});
-  if (Call.Head.Status == http1::status::Misdirected) {
-    Upstreams.recordFailure(Call.UpstreamId, steadyNow());
+                                          {"upstream", Attempt.UpstreamId},
+                                          {"status", Attempt.Head.Status}});
+  if (Attempt.Head.Status == http1::status::Misdirected) {
+    Upstreams.recordFailure(Attempt.UpstreamId, steadyNow());
     // Another process has the address of the upstream that was to resume the
     // stream.
-    if (Call.BrokenAt == Call.SentTo.Id)
+    if (Call.BrokenAt == Attempt.SentTo.Id)
       Call.discountBrokenRun();
   }
-  releaseUpstream(Call);
+  releaseUpstream(Call, Attempt);
   Call.Permit.reset();
+  if (continueWithOther(Id, Attempt))
+    return;
   dropBody(Id);
   if (Call.Attempts < Call.Route.Attempts)
     send(Id);
@@ -417,36 +469,38 @@
   Call.Events.dropUnfinished();
   Call.PartialEvent.clear();
   Call.BytesSinceEvent = 0;
-  Call.ResumeAt = Call.SentTo.Id;
-  Call.BrokenAt = Call.SentTo.Id;
+  Call.ResumeAt = Call.Current.SentTo.Id;
+  Call.BrokenAt = Call.Current.SentTo.Id;
   Metrics.add("streams_resumed_total");
   send(Id);
   return true;
 }
 
-void relay::impl::onUpstreamFailure(relay_call_id Id,
+void relay::impl::onUpstreamFailure(relay_call_id Id, upstream_attempt &Attempt,
                                     const http1::call_result &Result) {
   relay_call &Call = *Calls.find(Id);
   time_point Now = steadyNow();
   log::info("call failed at upstream",
             {{"id", Call.Params.Id},
-             {"upstream", Call.UpstreamId},
-             {"via", Call.Via},
+             {"upstream", Attempt.UpstreamId},
+             {"via", Attempt.Via},
              {"fingerprint", toHex(Call.Fingerprints.Exact)},
              {"reason", Result.Reason},
              {"phase", nameOf(Call.Phase)},
              {"events", Call.EventCount},
              {"unfinished_bytes", Call.Events.unfinished()},
-             {"after_ms", (Now - Call.SentAt).count()}});
+             {"after_ms", (Now - Attempt.SentAt).count()}});
   if (Result.Outcome == http1::call_outcome::NotSent) {
-    onNotConnected(Id, Result.Failure);
+    onNotConnected(Id, Attempt, Result.Failure);
     return;
   }
-  Upstreams.recordFailure(Call.UpstreamId, Now);
+  Upstreams.recordFailure(Attempt.UpstreamId, Now);
   Call.MayHaveRun = true;
   Call.Permit.reset();
-  recordAbort(Call, abort_kind::Broken);
-  releaseUpstream(Call);
+  recordAbort(Call, Attempt, abort_kind::Broken);
+  releaseUpstream(Call, Attempt);
+  if (continueWithOther(Id, Attempt))
+    return;
   dropBody(Id);
   if (resumeStream(Id))
     return;
