--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -25,6 +25,7 @@
 constexpr int ControlPort = 8144;
 constexpr int FirstPeerPort = 7380;
 constexpr int LastPeerPort = 7395;
+constexpr int MetricsPort = 9464;
 constexpr int UpstreamPort = 8500;
 constexpr milliseconds StartBound{20000};
 constexpr milliseconds ReviveInterval{50};
@@ -147,6 +148,23 @@
   return find(Entry)->Ip + ":" + std::to_string(Port);
 }
 
+std::string fleet::addressOf(const std::string &Name, host_port Port) {
+  int Number = ReadyPort;
+  if (Port == host_port::Peer)
+    Number = FirstPeerPort;
+  if (Port == host_port::Tunnel)
+    Number = FirstPeerPort + 1;
+  if (Port == host_port::Metrics)
+    Number = MetricsPort;
+  return find(Name)->Ip + ":" + std::to_string(Number);
+}
+
+int fleet::pidOf(const std::string &Name) {
+  return isRunning(Name)
+             ? std::atoi(g_subprocess_get_identifier(find(Name)->Process.get()))
+             : 0;
+}
+
 std::string fleet::storeAddress(const member &Member) const {
   if (Member.StoreLink)
     return Member.Ip + ":" + std::to_string(StoreLinkPort);
@@ -186,6 +204,11 @@
   std::error_code Ignored;
   if (Disk)
     std::filesystem::create_directories(Folder, Ignored);
+  json Limits = {{"disk_mb", Disk ? 200 : 0}};
+  if (Settings.MemoryMb > 0)
+    Limits["memory_mb"] = Settings.MemoryMb;
+  if (Settings.FileDescriptors > 0)
+    Limits["file_descriptors"] = Settings.FileDescriptors;
   json Root = {
       {"node_name", Member.Name},
       {"serves", {Disk ? "storage" : "front"}},
@@ -195,7 +218,7 @@
       {"internal_port_range", {FirstPeerPort, LastPeerPort}},
       {"seeds", Seeds},
       {"bootstrap", Fresh},
-      {"limits", {{"disk_mb", Disk ? 200 : 0}}},
+      {"limits", Limits},
       {"data_directory", Disk ? json(Folder) : json()},
       {"fault_tolerance", {{"machines", Settings.DiskFaults}}},
       {"bounds", {{"grace_s", 8}}},
@@ -221,6 +244,10 @@
     break;
   }
   bool Runner = Member.Role == role::Runner;
+  // A plain answer has the limit of bodies.
+  std::size_t AnswerBytes =
+      Runner ? Settings.AnswerBytes
+             : std::min(Settings.AnswerBytes, Settings.BodyBytes - 64);
   return {Settings.Bin + "/standin_upstream",
           "--id=i-" + Member.Name + "-" + std::to_string(Member.Starts),
           "--address=" + Member.Ip + ":" + std::to_string(UpstreamPort),
@@ -231,6 +258,7 @@
           std::string("--streams=") + (Runner ? "true" : "false"),
           "--events=" + std::to_string(Settings.RunnerEvents),
           "--gap_ms=" + std::to_string(Settings.EventGap.count()),
+          "--answer_bytes=" + std::to_string(AnswerBytes),
           "--seed=" + std::to_string(Settings.Seed + NextIp)};
 }
 
@@ -430,9 +458,9 @@
         {{"name", "book"}, {"connection_limit", 200}}}},
       {"limits",
        {{"header_bytes", 16384},
-        {"body_bytes", 1048576},
-        {"header_timeout_ms", 5000},
-        {"idle_timeout_ms", 30000}}}};
+        {"body_bytes", Settings.BodyBytes},
+        {"header_timeout_ms", Settings.HeaderTimeout.count()},
+        {"idle_timeout_ms", Settings.IdleTimeout.count()}}}};
   order("store",
         {{"put", {{"kind", "config"}, {"name", "main"}, {"spec", Spec}}}});
 }
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -43,6 +43,13 @@
   /// An upstream that ends by itself is started again after this time.
   milliseconds UpstreamBack{1500};
   std::uint64_t Seed = 1;
+  std::size_t BodyBytes = 1U << 20U; ///< Limit for bodies of callers.
+  milliseconds HeaderTimeout{5000};
+  milliseconds IdleTimeout{30000};
+  /// Limits of the processes in their settings; 0: not given.
+  std::uint64_t MemoryMb = 0;
+  std::uint64_t FileDescriptors = 0;
+  std::size_t AnswerBytes = 0; ///< Of upstreams' answers; 0: short ones.
   bool Links = false; ///< Relays before callers' ports and before the store.
 };
 
@@ -108,6 +115,11 @@
   /// Entry hosts that run and are not stopped.
   std::vector<std::string> entriesInTouch();
   std::string callerAddress(const std::string &Entry);
+  /// "ip:port" of a port of the host \p Name that is not for callers.
+  enum class host_port { Ready, Peer, Tunnel, Metrics };
+  std::string addressOf(const std::string &Name, host_port Port);
+  /// Process id of a member that runs, or 0.
+  int pidOf(const std::string &Name);
 
   /// Sets whether a host runs the daemon of the other version from its next
   /// start on. Before start(), the name may be that of a host to come.
--- a/testsuite/standins/upstream_engine.cpp
+++ b/testsuite/standins/upstream_engine.cpp
@@ -267,6 +267,11 @@
     crash(Run);
   ++Run.Sent;
   std::string Data = Run.Mark + "-" + std::to_string(Run.Sent);
+  if (Settings.AnswerBytes > 0)
+    Data.resize(
+        std::max(Data.size(), Settings.AnswerBytes /
+                                  static_cast<std::size_t>(Settings.Events)),
+        '.');
   Server->write(Run.Exchange,
                 "id: " + std::to_string(Run.Sent) + "\ndata: " + Data + "\n\n");
   if (Run.Sent < Settings.Events)
@@ -286,7 +291,9 @@
     crash(Run);
   }
   note("end", Run);
-  Server->respond(Run.Exchange, http1::status::Ok, Headers, Run.Mark);
+  std::string Text = Run.Mark;
+  Text.resize(std::max(Text.size(), Settings.AnswerBytes), '.');
+  Server->respond(Run.Exchange, http1::status::Ok, Headers, Text);
 }
 
 } // namespace turmerichead::standin
--- a/testsuite/standins/upstream_engine.h
+++ b/testsuite/standins/upstream_engine.h
@@ -37,6 +37,7 @@
   milliseconds EventGap{20};
   milliseconds Heartbeat{400};
   std::uint64_t Seed = 1;
+  std::size_t AnswerBytes = 0; ///< Answers are filled up to this size.
 };
 
 class upstream_engine {
