Entry hosts: one memory budget for requests, chains, answers

Cause: 48 clients with bodies that stop short took 217 MB of a host with a limit of 60 MB, pipelined requests 604 MB, stopped readers 245 MB. Ruled out: smaller limits for each client, and a limit for answers beside one for requests (docs/design/memory-of-a-host.md).

Bodies grow as they arrive. A connection that was lost while nothing was read from it is closed at once: epoll reported it again and again until the call ended.

A long stream whose turn does not fit into the rest of the budget is broken off, as ending it later frees nothing: the copies for the disk hosts are under way.

--- a/src/include/turmerichead/http1_message.h
+++ b/src/include/turmerichead/http1_message.h
@@ -40,6 +40,9 @@
   const std::vector<header> &rows() const { return Rows; }
   std::vector<header> &rows() { return Rows; }
 
+  /// Returns the bytes that the list takes.
+  std::size_t heldBytes() const;
+
 private:
   std::vector<header> Rows;
 };
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -55,9 +55,12 @@
   milliseconds ConnectTimeout{300};
   /// Time in the retry header of an answer when there is no better estimate.
   milliseconds RetryAfter{200};
-  /// Limit for the bytes that answers of upstreams take on this host. Above it,
-  /// the largest answers are broken off.
-  std::size_t MaxAnswerBytes = 32U << 20U;
+  /// Limit for the bytes that callers and upstreams make this host hold:
+  /// requests, chains, answers. Above it, requests that are not complete are
+  /// refused, then unread answers and the largest calls are broken off.
+  std::size_t MaxHeldBytes = 64U << 20U;
+  /// Connections of callers at once.
+  std::size_t MaxConnections = 2048;
   std::string TunnelKey; ///< Shared with the tunnel servers of other hosts.
   /// Decodes what the head of an answer says of its upstream. May be unset.
   std::function<upstream_notice(const http1::header_list &Headers)> ReadNotice;
@@ -123,8 +126,8 @@
   /// arrive from now on is refused.
   void endDrain();
   std::size_t callsUnderWay() const;
-  /// Bytes of answers of upstreams that the calls under way hold.
-  std::size_t answerBytes() const;
+  /// Bytes that callers and upstreams make this host hold.
+  std::size_t heldBytes() const;
 
   /// Updates the gauges in the metrics.
   void publish() const;
--- a/src/libhttp1/message.cpp
+++ b/src/libhttp1/message.cpp
@@ -76,6 +76,13 @@
       }));
 }
 
+std::size_t header_list::heldBytes() const {
+  std::size_t Bytes = Rows.capacity() * sizeof(header);
+  for (const header &Row : Rows)
+    Bytes += Row.Name.size() + Row.Value.size();
+  return Bytes;
+}
+
 void removeHopByHop(header_list &Headers) {
   static constexpr std::array<std::string_view, 11> Names = {
       "Connection",
--- a/src/libhttp1/parser.cpp
+++ b/src/libhttp1/parser.cpp
@@ -30,6 +30,7 @@
   InMessage = false;
   Ended = false;
   HeadDone = false;
+  TotalBytes.reset();
 }
 
 std::optional<std::uint64_t> message_parser::declaredLength() const {
--- a/src/libhttp1/parser_pvt.h
+++ b/src/libhttp1/parser_pvt.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <http_parser.h>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,15 @@
   bool keepsAlive() const { return http_should_keep_alive(Parser.get()) != 0; }
   /// Returns the declared length, or nullopt.
   std::optional<std::uint64_t> declaredLength() const;
+  /// Returns the bytes that the head takes: its text, and a row for each field,
+  /// which is far larger than the text of a short one.
+  std::size_t heldBytes() const {
+    return Head.Bytes + Head.Headers.rows().capacity() * sizeof(header);
+  }
+  /// Returns the declared length, or the largest number.
+  std::uint64_t bodyBytesBound() const {
+    return TotalBytes.value_or(std::numeric_limits<std::uint64_t>::max());
+  }
   bool isChunked() const { return (Parser->flags & F_CHUNKED) != 0; }
   /// Returns why the last feed() failed.
   std::string_view errorText() const;
@@ -97,6 +107,7 @@
   bool Ended = false;
   bool NoBody = false;
   bool HeadDone = false;
+  std::optional<std::uint64_t> TotalBytes; ///< Declared length of the body.
 
   template <typename Sink> friend struct callbacks;
 };
@@ -124,6 +135,7 @@
   }
   static int head(http_parser *Raw) {
     of(Raw).Parser->HeadDone = true;
+    of(Raw).Parser->TotalBytes = of(Raw).Parser->declaredLength();
     of(Raw).Owner->onHead();
     return of(Raw).Parser->NoBody ? 1 : 0;
   }
--- a/src/libhttp1/server.cpp
+++ b/src/libhttp1/server.cpp
@@ -3,9 +3,12 @@
 #include "parser_pvt.h"
 #include "socket_pvt.h"
 #include "turmerichead/error.h"
+#include "turmerichead/log.h"
 #include "turmerichead/table.h"
 
+#include <algorithm>
 #include <charconv>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace turmerichead::http1 {
@@ -17,8 +20,17 @@
 constexpr milliseconds LingerTime{1000};
 constexpr milliseconds SweepInterval{1000};
 constexpr milliseconds SilenceTimeout{5000};
-// Limit for pipelined requests that are buffered.
-constexpr std::size_t MaxReadAheadBytes = 256U << 10U;
+// The next request of a connection is read once no more bytes of its earlier
+// answers are unsent: a client that does not read holds one answer at most.
+constexpr std::size_t MaxUnsentBeforeNext = 64U << 10U;
+// Buffers above this size are freed once they are empty.
+constexpr std::size_t KeptInputBytes = 16U << 10U;
+// Memory for a body is taken in steps, as its bytes arrive.
+constexpr std::size_t FirstBodyBytes = 64U << 10U;
+// A body up to this size is read before the request is refused, so that its
+// connection can be kept.
+constexpr std::size_t SmallBodyBytes = 16U << 10U;
+constexpr milliseconds LogInterval{1000};
 constexpr std::uint64_t ListenerKey = 0;
 
 enum class phase : std::uint8_t {
@@ -39,7 +51,22 @@
   bool HeadSeen = false;
   bool FinishedWriting = false;
   poll_set::interest Interest = poll_set::interest::Readable;
-  time_point Since; ///< Start of the phase, or of the current request.
+  time_point Since;       ///< Start of the phase, or of the current request.
+  bool HasServed = false; ///< A request on it was complete.
+  memory_holder_id Memory;
+  std::uint64_t SentBefore = 0; ///< Bytes sent when it was last swept.
+  time_point TakenAt; ///< When bytes were last taken, as seen by sweeps.
+
+  bool isReading() const { return Parser.inMessage() || HeadSeen; }
+  /// Whether the next request waits until earlier answers have been sent.
+  bool awaitsReader() const {
+    return Phase == phase::Receiving && Socket.unsent() > MaxUnsentBeforeNext;
+  }
+  /// Bytes that its client makes the host hold.
+  std::size_t heldBytes() const {
+    return Input.capacity() + Body.capacity() + Parser.heldBytes() +
+           Socket.unsent();
+  }
 };
 
 using connection_table = table<connection>;
@@ -82,6 +109,11 @@
 };
 
 struct server::state {
+  state() = default;
+  ~state();
+  state(const state &) = delete;
+  state &operator=(const state &) = delete;
+
   listener Listener;
   server_limits Limits;
   server_events Events;
@@ -94,7 +126,15 @@
   table<exchange_row> Exchanges;
   server_counters Counters;
   bool Draining = false;
-
+  memory_budget *Budget = nullptr;
+  memory_owner_id Owner;
+  std::array<time_point, ClientEnds> LoggedAt;
+
+  bool isFull(const connection &Row) const;
+  void account(connection &Row);
+  void endForMemory(connection_id Id);
+  bool makeRoom();
+  void report(client_end Reason);
   void onReady(std::uint64_t Key);
   void take(handle<GSocket> Socket);
   void process(connection_id Id);
@@ -117,7 +157,9 @@
 struct request_sink {
   connection &Row;
   std::size_t MaxBodyBytes;
+  const server_events &Events;
   bool WantsContinue = false;
+  std::optional<early_refusal> Refusal = std::nullopt;
 
   void onHead() {
     Row.HeadSeen = true;
@@ -126,16 +168,36 @@
     Row.BodyTooLarge = Length && *Length > MaxBodyBytes;
     WantsContinue =
         hasToken(Row.Parser.head().Headers.get("Expect"), "100-continue");
-    if (Length && !Row.BodyTooLarge)
-      Row.Body.reserve(*Length);
+    bool IsSmall = Length ? *Length <= SmallBodyBytes : !Row.Parser.isChunked();
+    if (!IsSmall && !Row.BodyTooLarge && Events.OnHead)
+      Refusal =
+          Events.OnHead(Row.Parser.head().Target, Row.Parser.head().Headers);
+    if (Length && !Row.BodyTooLarge && !Refusal)
+      Row.Body.reserve(std::min<std::size_t>(*Length, FirstBodyBytes));
   }
   void onBody(std::string_view Bytes) {
     Row.BodyTooLarge =
         Row.BodyTooLarge || Row.Body.size() + Bytes.size() > MaxBodyBytes;
-    if (!Row.BodyTooLarge)
-      Row.Body += Bytes;
+    if (Row.BodyTooLarge || Refusal)
+      return;
+    std::size_t Needed = Row.Body.size() + Bytes.size();
+    if (Needed > Row.Body.capacity())
+      grow(Needed);
+    Row.Body += Bytes;
   }
   void onMessage() {}
+
+  // By halves, and never beyond what the request may have. A string that grows
+  // by itself doubles.
+  void grow(std::size_t Needed) {
+    auto Most = static_cast<std::size_t>(
+        std::min<std::uint64_t>(Row.Parser.bodyBytesBound(), MaxBodyBytes));
+    std::size_t Wanted = std::max(FirstBodyBytes, Needed + Needed / 2);
+    std::string Larger;
+    Larger.reserve(std::max(Needed, std::min(Wanted, Most)));
+    Larger += Row.Body;
+    Row.Body = std::move(Larger);
+  }
 };
 
 } // namespace
@@ -150,16 +212,21 @@
   }
   auto Id = idOf<connection>(Key);
   connection *Row = Connections.find(Id);
-  if (!Row || (Row->Socket.unsent() > 0 && !flush(Id, *Row)))
-    return;
-  Row = Connections.find(Id);
   if (!Row)
     return;
-  if (Row->Input.size() >= MaxReadAheadBytes && Row->Phase == phase::Answering)
+  if (Row->Interest == poll_set::interest::Errors) {
+    close(Id); // It was lost while nothing was read from it.
+    return;
+  }
+  if (Row->Socket.unsent() > 0 && !flush(Id, *Row))
+    return;
+  if (isFull(*Row))
     return;
   auto Result = Row->Socket.read(Row->Input);
-  if (Result == pvt::io_result::Blocked)
+  if (Result == pvt::io_result::Blocked) {
+    process(Id); // Input that has waited for its reader.
     return;
+  }
   if (Result != pvt::io_result::Done) {
     close(Id);
     return;
@@ -169,37 +236,47 @@
     return;
   }
   process(Id);
+  if (Budget)
+    Budget->enforce();
 }
 
 void server::state::take(handle<GSocket> Socket) {
   ++Counters.Accepted;
-  if (Connections.size() >= Limits.MaxConnections)
+  if (Connections.size() >= Limits.MaxConnections && !makeRoom())
     return;
   setSilenceTimeout(Socket.get(), SilenceTimeout);
   connection Row;
   Row.Socket = pvt::buffered_socket(std::move(Socket));
   Row.Parser.setMaxHeadBytes(Limits.HeaderBytes);
   Row.Since = steadyNow();
+  Row.TakenAt = Row.Since;
   auto Id = Connections.insert(std::move(Row));
   connection *Stored = Connections.find(Id);
+  if (Budget)
+    Stored->Memory = Budget->add(Owner, keyOf(Id));
   Sockets->add(Stored->Socket.descriptor(), Stored->Interest, keyOf(Id));
 }
 
 void server::state::process(connection_id Id) {
   connection *Row = Connections.find(Id);
-  while (Row && Row->Phase == phase::Receiving && !Row->Input.empty()) {
+  while (Row && Row->Phase == phase::Receiving && !Row->Input.empty() &&
+         !Row->awaitsReader()) {
     if (!feed(Id, *Row))
       return;
     Row = Connections.find(Id);
   }
-  if (Row)
-    watch(Id, *Row);
+  if (!Row)
+    return;
+  if (Row->Input.empty() && Row->Input.capacity() > KeptInputBytes)
+    Row->Input = {};
+  watch(Id, *Row);
+  account(*Row);
 }
 
 bool server::state::feed(connection_id Id, connection &Row) {
   if (!Row.Parser.inMessage() && !Row.HeadSeen)
     Row.Since = steadyNow();
-  request_sink Sink{Row, Limits.BodyBytes};
+  request_sink Sink{Row, Limits.BodyBytes, Events};
   std::size_t Used = 0;
   auto Result = Row.Parser.feed(Sink, Row.Input, Used);
   Row.Input.erase(0, Used);
@@ -220,6 +297,10 @@
   case pvt::feed_result::Fine:
     break;
   }
+  if (Sink.Refusal) {
+    refuse(Id, Row, Sink.Refusal->Status, Sink.Refusal->Reason);
+    return false;
+  }
   if (Sink.WantsContinue && Row.Body.empty()) {
     Row.Socket.queue("HTTP/1.1 100 Continue\r\n\r\n");
     return flush(Id, Row);
@@ -241,6 +322,7 @@
     Row.KeepAlive = false;
   Row.Parser.restart();
   Row.HeadSeen = false;
+  Row.HasServed = true;
   Row.Phase = phase::Answering;
   Row.Exchange = Exchanges.insert(Exchange);
   ++Counters.Requests;
@@ -258,14 +340,15 @@
   Row.Socket.queue(std::move(Body));
   Row.Phase = phase::Closing;
   Row.Since = steadyNow();
-  Row.Input.clear();
+  Row.Input = {};
+  Row.Body = {};
+  Row.Parser.restart();
   flush(Id, Row);
 }
 
 // Updates the polled events for the phase of the connection.
 void server::state::watch(connection_id Id, connection &Row) {
-  bool Full =
-      Row.Phase == phase::Answering && Row.Input.size() >= MaxReadAheadBytes;
+  bool Full = isFull(Row);
   bool Unsent = Row.Socket.unsent() > 0;
   auto Wanted = poll_set::interest::Readable;
   if (Unsent)
@@ -295,6 +378,7 @@
     Row.FinishedWriting = true;
   }
   watch(Id, Row);
+  account(Row);
   return true;
 }
 
@@ -304,6 +388,8 @@
     return;
   Sockets->remove(Row->Socket.descriptor());
   exchange_id Exchange = Row->Exchange;
+  if (Budget)
+    Budget->release(Row->Memory);
   Connections.erase(Id);
   if (Exchanges.erase(Exchange))
     Events.OnGone(Exchange);
@@ -312,9 +398,18 @@
 void server::state::sweep() {
   time_point Now = steadyNow();
   std::vector<connection_id> Late;
+  std::vector<connection_id> Unread;
   Connections.forEach([&](connection_id Id, connection &Row) {
     milliseconds Age = Now - Row.Since;
-    bool Reading = Row.Parser.inMessage() || Row.HeadSeen;
+    bool Reading = Row.isReading();
+    if (Row.Socket.unsent() == 0 || Row.Socket.sent() != Row.SentBefore) {
+      Row.SentBefore = Row.Socket.sent();
+      Row.TakenAt = Now;
+    }
+    if (Now - Row.TakenAt >= Limits.UnreadTimeout) {
+      Unread.push_back(Id);
+      return;
+    }
     if (Row.Phase == phase::Closing && Age > LingerTime)
       Late.push_back(Id);
     if (Row.Phase == phase::Receiving &&
@@ -323,13 +418,96 @@
   });
   for (connection_id Id : Late) {
     connection *Row = Connections.find(Id);
-    bool Reading = Row->Parser.inMessage() || Row->HeadSeen;
-    if (Row->Phase == phase::Receiving && Reading)
+    if (Row && Row->Phase == phase::Receiving && Row->isReading())
       refuse(Id, *Row, status::RequestTimeout,
              "the request took too long to arrive");
     else
       close(Id);
   }
+  for (connection_id Id : Unread) {
+    report(client_end::Unread);
+    close(Id);
+  }
+}
+
+// -- Limits for all clients --------------------------------------------------
+
+server::state::~state() {
+  if (Budget)
+    Budget->removeOwner(Owner);
+}
+
+// Whether nothing is read for now.
+bool server::state::isFull(const connection &Row) const {
+  return Row.awaitsReader() || (Row.Phase == phase::Answering &&
+                                Row.Input.size() >= Limits.ReadAheadBytes);
+}
+
+void server::state::account(connection &Row) {
+  if (!Budget)
+    return;
+  bool IsRequest = Row.Phase == phase::Receiving && Row.isReading();
+  Budget->set(Row.Memory,
+              IsRequest ? memory_rank::Request : memory_rank::Answer,
+              Row.heldBytes(), steadyNow());
+}
+
+void server::state::endForMemory(connection_id Id) {
+  connection *Row = Connections.find(Id);
+  if (!Row)
+    return;
+  report(client_end::Memory);
+  bool IsRequest = Row->Phase == phase::Receiving && Row->isReading();
+  if (IsRequest && Row->Socket.unsent() == 0)
+    refuse(Id, *Row, status::Unavailable, "the host has no memory for it");
+  else
+    close(Id);
+}
+
+// Closes the oldest connection on which no request was complete.
+bool server::state::makeRoom() {
+  std::optional<connection_id> Oldest;
+  time_point Since;
+  Connections.forEach([&](connection_id Id, const connection &Row) {
+    bool IsAnswered = Row.Phase == phase::Closing && Row.Socket.unsent() == 0;
+    bool IsUnused =
+        IsAnswered || (Row.Phase == phase::Receiving && !Row.HasServed);
+    if (!IsUnused || (Oldest && Row.Since >= Since))
+      return;
+    Oldest = Id;
+    Since = Row.Since;
+  });
+  report(client_end::Connections);
+  if (Oldest)
+    close(*Oldest);
+  return Oldest.has_value();
+}
+
+void server::state::report(client_end Reason) {
+  auto Index = static_cast<std::size_t>(Reason);
+  ++Counters.Ended.at(Index);
+  time_point Now = steadyNow();
+  time_point &LoggedBefore = LoggedAt.at(Index);
+  if (LoggedBefore.Ms > 0 && Now - LoggedBefore < LogInterval)
+    return;
+  LoggedBefore = Now;
+  log::warn("client ended", {{"reason", nameOf(Reason)},
+                             {"port", Listener.port()},
+                             {"ended", Counters.Ended.at(Index)},
+                             {"connections", Connections.size()},
+                             {"held_bytes", Budget ? Budget->total() : 0}});
+}
+
+std::string_view nameOf(client_end Reason) {
+  switch (Reason) {
+  case client_end::Memory:
+    return "memory";
+  case client_end::Unread:
+    return "unread";
+  case client_end::Connections:
+    return "connections";
+  }
+  return "unknown";
 }
 
 void server::state::resumeLater(connection_id Id) {
@@ -369,8 +547,8 @@
 }
 
 std::optional<server> server::create(std::string_view Address,
-                                     server_limits Limits,
-                                     server_events Events) {
+                                     server_limits Limits, server_events Events,
+                                     memory_budget *Budget) {
   auto Listener = listener::open(Address);
   if (!Listener)
     return std::nullopt;
@@ -379,6 +557,10 @@
   Raw->Listener = std::move(*Listener);
   Raw->Limits = Limits;
   Raw->Events = std::move(Events);
+  Raw->Budget = Budget;
+  if (Budget)
+    Raw->Owner = Budget->addOwner(
+        [Raw](std::uint64_t Key) { Raw->endForMemory(idOf<connection>(Key)); });
   Raw->Sockets =
       poll_set::create([Raw](std::uint64_t Key) { Raw->onReady(Key); });
   if (!Raw->Sockets)
@@ -403,6 +585,11 @@
 
 bool server::respond(exchange_id Id, int Status, const header_list &Headers,
                      std::string_view Body) {
+  return respondWith(Id, Status, Headers, std::string(Body));
+}
+
+bool server::respondWith(exchange_id Id, int Status, const header_list &Headers,
+                         std::string Body) {
   exchange_row *Exchange = State->Exchanges.find(Id);
   if (!Exchange || Exchange->Begun)
     return false;
@@ -414,7 +601,7 @@
     Framing = "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   Row->Socket.queue(serializeHead(Status, Headers, Framing, Close));
   if (!Exchange->HeadOnly && !hasNoBody(Status))
-    Row->Socket.queue(std::string(Body));
+    Row->Socket.queue(std::move(Body));
   State->endExchange(Id, Connection, Close);
   return true;
 }
--- a/src/librelay/call.cpp
+++ b/src/librelay/call.cpp
@@ -82,11 +82,19 @@
   }
 }
 
-std::string answer_body::text() const {
+std::string answer_body::take() {
+  if (Pieces.size() == 1) {
+    std::string Only = std::move(Pieces.front());
+    *this = {};
+    return Only;
+  }
   std::string Text;
   Text.reserve(Size);
-  for (const std::string &Piece : Pieces)
+  for (std::string &Piece : Pieces) {
     Text += Piece;
+    Piece = {};
+  }
+  *this = {};
   return Text;
 }
 
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -2,6 +2,7 @@
 /// The state of one call, and the parameters in its headers.
 #pragma once
 
+#include "turmerichead/memory_budget.h"
 #include "turmerichead/net_http.h"
 #include "turmerichead/relay.h"
 #include "turmerichead/relay_permits.h"
@@ -37,7 +38,8 @@
 public:
   void append(std::string_view Bytes);
   std::size_t size() const { return Size; }
-  std::string text() const;
+  /// Returns the text and drops the pieces.
+  std::string take();
 
 private:
   std::vector<std::string> Pieces; ///< All full but the last one.
@@ -112,12 +114,27 @@
   std::optional<http1::answer_end> AnswerEnd;
   time_point LastEvent;
   time_point FirstEvent;
+  memory_holder_id Memory;
+  std::size_t HeadBytes = 0; ///< That the head of the request takes.
+  /// A turn that is being stored is there once, and once for each disk host.
+  static constexpr std::size_t KeepingCopies = 4;
 
+  /// Bytes that are held for the call. What is sent to an upstream, or to the
+  /// disk hosts to be stored, is there twice until it has been sent.
+  std::size_t heldBytes() const {
+    constexpr std::size_t Copies = 2;
+    return HeadBytes + Copies * (Request.Body.capacity() + Chain.size()) +
+           answerBytes();
+  }
   /// Bytes of the answer that are held: all of a plain one, and of a stream the
   /// unfinished event and what will be stored.
-  std::size_t heldBytes() const {
+  std::size_t answerBytes() const {
     return Body.size() + PartialEvent.size() + Events.unfinished() +
-           Output.size();
+           Output.capacity();
+  }
+  /// Bytes that storing its turn takes.
+  std::size_t keepingBytes() const {
+    return KeepingCopies * (Request.Body.size() + Output.size());
   }
   /// Number of tokens that were forwarded to the caller.
   std::uint64_t tokens() const { return EventCount * TokensPerEvent; }
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -20,19 +20,31 @@
   return Host.substr(0, Host.find(':'));
 }
 
-http1::server_limits serverLimits(const caller_limits &Limits) {
+} // namespace
+
+http1::server_limits relay::impl::serverLimits() const {
+  const caller_limits &Limits = Routing.Limits;
   http1::server_limits Result;
   Result.HeaderBytes = Limits.HeaderBytes;
   Result.BodyBytes = Limits.BodyBytes;
   Result.HeaderTimeout = Limits.HeaderTimeout;
   Result.IdleTimeout = Limits.IdleTimeout;
+  Result.MaxConnections = Settings.MaxConnections;
   return Result;
 }
 
-} // namespace
-
 // -- Arrival of calls --------------------------------------------------------
 
+std::optional<http1::early_refusal>
+relay::impl::onRequestHead(std::string_view Target,
+                           const http1::header_list &Headers) {
+  if (Routing.Version == 0 || Routing.match(withoutPort(Headers.get("Host")),
+                                            Target.substr(0, Target.find('?'))))
+    return std::nullopt;
+  Metrics.add("bodies_refused_total");
+  return http1::early_refusal{http1::status::NotFound, "no route matches"};
+}
+
 void relay::impl::onRequest(http1::exchange_id Exchange,
                             http1::request &&Request) {
   if (Routing.Version == 0) {
@@ -73,9 +85,14 @@
   Call.Fingerprints = crash_tracker::fingerprintsOf(
       Call.Params.Program, Call.Request.Target, Call.Request.Body);
   bool NeedsOpening = Call.isKept() || Call.hasBudget();
+  Call.HeadBytes = Call.Request.Headers.heldBytes();
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
+  Calls.find(Id)->Memory = Memory.add(MemoryOwner, keyOf(Id));
   Deadlines->add(Wait, keyOf(Id), static_cast<int>(due_kind::Deadline));
+  limitMemory(Id);
+  if (!Calls.find(Id))
+    return;
   if (refuseQuarantined(Id))
     return;
   if (ExitAt && *ExitAt < Calls.find(Id)->Deadline) {
@@ -158,6 +175,9 @@
         Opened->Operation = {};
         Opened->Chain = Result.Chain;
         Opened->PreviousUpstream = Result.Upstream;
+        limitMemory(Id);
+        if (!Calls.find(Id))
+          return;
         if (Result.Outcome != turns::open_outcome::Granted)
           log::info("turn not opened",
                     {{"id", Opened->Params.Id},
@@ -250,11 +270,17 @@
   ClientSettings.TunnelKey = Raw->Settings.TunnelKey;
   Raw->Client = http1::client::create(ClientSettings);
   Raw->Server = http1::server::create(
-      Raw->Settings.Listen, serverLimits({}),
+      Raw->Settings.Listen, Raw->serverLimits(),
       {[Raw](http1::exchange_id Id, http1::request &&Request) {
          Raw->onRequest(Id, std::move(Request));
        },
-       [Raw](http1::exchange_id Id) { Raw->onCallerGone(Id); }});
+       [Raw](http1::exchange_id Id) { Raw->onCallerGone(Id); },
+       [Raw](std::string_view Target, const http1::header_list &Headers) {
+         return Raw->onRequestHead(Target, Headers);
+       }},
+      &Raw->Memory);
+  Raw->MemoryOwner = Raw->Memory.addOwner(
+      [Raw](std::uint64_t Key) { Raw->endForMemory(idOf<relay_call>(Key)); });
   if (!Raw->Client || !Raw->Server)
     return std::nullopt;
   Raw->Deadlines.emplace([Raw](std::uint64_t Key, int Kind) {
@@ -270,7 +296,7 @@
   if (Routing.Version <= Impl->Routing.Version)
     return;
   Impl->Routing = std::move(Routing);
-  Impl->Server->setLimits(serverLimits(Impl->Routing.Limits));
+  Impl->Server->setLimits(Impl->serverLimits());
   log::info("configuration in force",
             {{"version", Impl->Routing.Version},
              {"routes", Impl->Routing.Routes.size()},
@@ -386,15 +412,22 @@
 
 std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
 
-std::size_t relay::answerBytes() const { return Impl->Answers.total(); }
+std::size_t relay::heldBytes() const { return Impl->Memory.total(); }
 
 void relay::publish() const {
   http1::server_counters Server = Impl->Server->counters();
   http1::client_counters Client = Impl->Client->counters();
   Impl->Metrics.set("caller_connections", "",
                     static_cast<double>(Server.OpenConnections));
-  Impl->Metrics.set("upstream_answer_bytes", "",
-                    static_cast<double>(answerBytes()));
+  Impl->Metrics.set("held_bytes", "", static_cast<double>(heldBytes()));
+  Impl->Metrics.set("held_bytes_limit", "",
+                    static_cast<double>(Impl->Memory.limit()));
+  for (std::size_t I = 0; I < http1::ClientEnds; ++I)
+    Impl->Metrics.set(
+        "clients_ended",
+        "reason=\"" + std::string(nameOf(static_cast<http1::client_end>(I))) +
+            "\"",
+        static_cast<double>(Server.Ended.at(I)));
   Impl->Metrics.set("upstream_connections", "",
                     static_cast<double>(Client.OpenConnections));
   Impl->Metrics.set("upstream_connections_opened", "",
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -136,7 +136,7 @@
   Metrics.observe("call_ms", Labels, static_cast<double>(TookMs));
   releaseUpstream(Call);
   ByExchange.erase(Call.Exchange);
-  Answers.release(keyOf(Id));
+  Memory.release(Call.Memory);
   Calls.erase(Id);
 }
 
--- a/src/librelay/answer_budget_test.cpp
+++ b/src/librelay/relay_memory_test.cpp
@@ -1,28 +1,13 @@
-// The memory that the answers of upstreams may take on a host.
+// The memory that callers and upstreams may make a host hold.
 
 #include "call_pvt.h"
 #include "test_relay_pvt.h"
-#include "turmerichead/relay_answer_budget.h"
 
 #include <deque>
 
 using namespace turmerichead;
 using namespace turmerichead::pvt;
 
-TEST_CASE("the call that holds the most ends first") {
-  relay::answer_budget Budget(100);
-  Budget.set(1, 40);
-  Budget.set(2, 60);
-  CHECK(!Budget.largestIfExceeded());
-  Budget.set(1, 45);
-  CHECK(Budget.largestIfExceeded() == 2);
-  Budget.release(2);
-  CHECK(!Budget.largestIfExceeded());
-  CHECK(Budget.total() == 45);
-  Budget.release(2);
-  CHECK(Budget.total() == 45);
-}
-
 TEST_CASE("an answer in pieces is the text that was appended") {
   relay::answer_body Body;
   std::string Expected;
@@ -32,7 +17,7 @@
     Expected += Part;
   }
   CHECK(Body.size() == Expected.size());
-  CHECK(Body.text() == Expected);
+  CHECK(Body.take() == Expected);
 }
 
 namespace {
@@ -74,7 +59,7 @@
         if (!Upstream.Connections[I]->Closed)
           Upstream.send(I, Bytes);
       turnFor(milliseconds(5));
-      MostHeld = std::max(MostHeld, Relay->answerBytes());
+      MostHeld = std::max(MostHeld, Relay->heldBytes());
     }
   }
 };
@@ -97,7 +82,7 @@
         "Content-Type: text/event-stream\r\nContent-Length: 99999999\r\n");
     F.sendEndlessly(F.Llm, "x", 15);
   }
-  CHECK(F.MostHeld <= MaxAnswerBytes);
+  CHECK(F.MostHeld <= MaxHeldBytes);
   auto Ended =
       std::count_if(Upstream->Connections.begin(), Upstream->Connections.end(),
                     [](const auto &Row) { return Row->Closed; });
@@ -110,3 +95,54 @@
   F.OtherTools.send(Index, answerTo("sound", "booked"));
   REQUIRE(Sound.waitsFor("booked"));
 }
+
+// Requests that wait at an upstream were not counted: only answers were.
+TEST_CASE("lost_host_stays_within_its_memory_while_requests_pile_up") {
+  constexpr std::size_t BodyBytes = 200U << 10U;
+  constexpr std::size_t Calls = 40;
+  fixture F;
+  std::deque<caller> Callers;
+  std::size_t MostHeld = 0;
+  for (std::size_t I = 0; I < Calls; ++I) {
+    Callers.emplace_back(F.Address);
+    std::string Request = F.request("POST", "/book/1", "c" + std::to_string(I),
+                                    {}, std::string(BodyBytes, 'b'));
+    std::string_view Rest = Request;
+    REQUIRE(turnUntil([&] {
+      gssize Count = g_socket_send(Callers.back().Socket.get(), Rest.data(),
+                                   Rest.size(), nullptr, nullptr);
+      Rest.remove_prefix(Count > 0 ? static_cast<std::size_t>(Count) : 0);
+      MostHeld = std::max(MostHeld, F.Relay->heldBytes());
+      return Rest.empty();
+    }));
+    // It is whole before the next one comes.
+    turnFor(milliseconds(5));
+  }
+  auto Failed = [&] {
+    return std::count_if(Callers.begin(), Callers.end(), [](const caller &Row) {
+      return Row.has("HTTP/1.1 502");
+    });
+  };
+  // Each is held twice, so that 20 fit.
+  turnFor(milliseconds(200));
+  CHECK(Failed() >= 15);
+  CHECK(MostHeld <= MaxHeldBytes);
+  CHECK(F.Metrics.value("calls_ended_for_memory_total") >= 15);
+  // The upstream is not held to be faulty, and serves the next call.
+  caller Sound(F.Address);
+  Sound.send(F.request("POST", "/book/1", "sound", {}, "b"));
+  REQUIRE(F.received(F.Tools, "X-Call: sound"));
+  F.Tools.send(F.connectionOf(F.Tools, "X-Call: sound"),
+               answerTo("sound", "booked"));
+  REQUIRE(Sound.waitsFor("booked"));
+}
+
+// Bodies for paths without a route were read to their ends.
+TEST_CASE("a long body without a route is refused by its head") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send("POST /nowhere HTTP/1.1\r\nHost: h\r\nX-Call: c\r\n"
+              "Content-Length: 1000000\r\n\r\n");
+  REQUIRE(Caller.waitsFor("HTTP/1.1 404"));
+  CHECK(F.Metrics.value("bodies_refused_total") == 1);
+}
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -4,9 +4,9 @@
 #pragma once
 
 #include "call_pvt.h"
+#include "turmerichead/memory_budget.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/relay_admission.h"
-#include "turmerichead/relay_answer_budget.h"
 #include "turmerichead/relay_crash_tracker.h"
 #include "turmerichead/relay_links.h"
 #include "turmerichead/relay_permit_client.h"
@@ -43,6 +43,8 @@
   header_names Names;
   turns::client &Turns;
   metrics &Metrics;
+  memory_budget Memory{Settings.MaxHeldBytes}; ///< Outlives the server.
+  memory_owner_id MemoryOwner;                 ///< The calls.
   std::optional<http1::server> Server;
   std::optional<http1::client> Client;
   std::optional<deadline_queue> Deadlines;
@@ -67,7 +69,6 @@
   permit_client Permits;
   program_homes Homes{MinHomes};
   call_table Calls;
-  answer_budget Answers{Settings.MaxAnswerBytes};
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
 
   impl(relay_settings Settings, header_names Names, turns::client &Turns,
@@ -80,6 +81,10 @@
   void onRequest(http1::exchange_id Exchange, http1::request &&Request);
   /// The caller has closed its connection.
   void onCallerGone(http1::exchange_id Exchange);
+  /// A request with a long body is refused if it has no route.
+  std::optional<http1::early_refusal>
+  onRequestHead(std::string_view Target, const http1::header_list &Headers);
+  http1::server_limits serverLimits() const;
   void onDeadline(relay_call_id Id);
   /// The process exits although the call has not ended.
   void endAtExit(relay_call_id Id);
@@ -101,9 +106,11 @@
                                  const upstream &Upstream) const;
   void onHead(relay_call_id Id, const http1::response_head &Head);
   void onBody(relay_call_id Id, std::string_view Bytes);
-  /// Counts what the call holds of its answer, and breaks off the largest
-  /// answers while all of them take too much memory. The call may end.
-  void limitAnswers(relay_call_id Id);
+  /// Counts what the call holds, and ends what holds the most while all of it
+  /// takes too much memory. The call may end.
+  void limitMemory(relay_call_id Id);
+  /// Ends a call for the memory that it takes.
+  void endForMemory(relay_call_id Id);
   /// Drops what was received of an answer, before the call is sent again.
   void dropBody(relay_call_id Id);
   /// Forwards bytes of a stream to the caller; of a resumable stream, only
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -18,6 +18,10 @@
 // fields without data, and the event itself.
 constexpr std::size_t MaxBytesBetweenEvents = 1U << 20U;
 
+// Turns up to this size are stored although the host is short of memory. With
+// its copies an ordinary turn takes far less.
+constexpr std::size_t SmallTurnBytes = 256U << 10U;
+
 // Denied permits after which a call prefers upstreams without a limit.
 constexpr std::size_t DeniedBeforeAvoided = 2;
 
@@ -210,7 +214,7 @@
   if (!Call.Streams) {
     if (Call.Body.size() + Bytes.size() <= Routing.Limits.BodyBytes) {
       Call.Body.append(Bytes);
-      limitAnswers(Id);
+      limitMemory(Id);
       return;
     }
     abortUpstreamCall(Id, "the answer is too large");
@@ -246,19 +250,38 @@
     return;
   }
   forwardBody(Call, Bytes);
-  limitAnswers(Id);
+  limitMemory(Id);
 }
 
-void relay::impl::limitAnswers(relay_call_id Id) {
-  Answers.set(keyOf(Id), Calls.find(Id)->heldBytes());
-  while (auto Largest = Answers.largestIfExceeded())
-    abortUpstreamCall(idOf<relay_call>(*Largest),
-                      "answers take more memory than the host has for them");
+void relay::impl::limitMemory(relay_call_id Id) {
+  relay_call &Call = *Calls.find(Id);
+  Memory.set(Call.Memory, memory_rank::Call, Call.heldBytes(), steadyNow());
+  Memory.enforce();
+}
+
+void relay::impl::endForMemory(relay_call_id Id) {
+  constexpr std::string_view Reason =
+      "calls take more memory than the host has for them";
+  relay_call *Call = Calls.find(Id);
+  if (!Call)
+    return;
+  Metrics.add("calls_ended_for_memory_total");
+  if (Call->Phase == call_phase::Opening)
+    refuse(Id, Reason);
+  else if (Call->Phase == call_phase::Keeping)
+    abortResponse(Id, Reason);
+  else if (Call->answerBytes() * 2 > Call->heldBytes())
+    abortUpstreamCall(Id, Reason); // Its answer is too long.
+  else if (Call->Phase == call_phase::Streaming)
+    abortResponse(Id, Reason);
+  else
+    failCall(Id, http1::status::BadGateway, Reason);
 }
 
 void relay::impl::dropBody(relay_call_id Id) {
-  Calls.find(Id)->Body = {};
-  Answers.release(keyOf(Id));
+  relay_call &Call = *Calls.find(Id);
+  Call.Body = {};
+  Memory.set(Call.Memory, memory_rank::Call, Call.heldBytes(), steadyNow());
 }
 
 void relay::impl::forwardBody(relay_call &Call, std::string_view Bytes) {
@@ -326,7 +349,8 @@
   settleBudget(Call);
   if (isSuccess(Call.Head.Status))
     recordSuccess(Call);
-  Server->respond(Call.Exchange, Call.Head.Status, Headers, Call.Body.text());
+  Server->respondWith(Call.Exchange, Call.Head.Status, Headers,
+                      Call.Body.take());
   finish(Id, Call.Head.Status, {});
 }
 
@@ -334,7 +358,6 @@
   relay_call &Call = *Calls.find(Id);
   std::string Upstream = Call.UpstreamId;
   releaseUpstream(Call);
-  Answers.release(keyOf(Id));
   recordSuccess(Call);
   if (!Call.PartialEvent.empty())
     Server->write(Call.Exchange, Call.PartialEvent);
@@ -344,6 +367,16 @@
     finish(Id, Call.Head.Status, {});
     return;
   }
+  std::size_t KeepingBytes = Call.keepingBytes();
+  if (KeepingBytes > SmallTurnBytes &&
+      !Memory.hasRoomFor(KeepingBytes - Call.answerBytes())) {
+    Metrics.add("calls_ended_for_memory_total");
+    abortResponse(Id, "the host has no memory to store the turn");
+    return;
+  }
+  // Until it is stored, also if the caller leaves meanwhile.
+  memory_holder_id Pinned = Memory.add(MemoryOwner, keyOf(Id));
+  Memory.set(Pinned, memory_rank::Pinned, KeepingBytes, steadyNow());
   Call.Phase = call_phase::Keeping;
   turns::close_call Close = closeOf(Call);
   Close.Turn.emplace();
@@ -354,7 +387,9 @@
   Close.Turn->Input = std::move(Call.Request.Body);
   Close.Turn->Output = std::move(Call.Output);
   Close.Turn->Upstream = std::move(Upstream);
-  Turns.close(std::move(Close), [this, Id](bool Kept) {
+  Memory.set(Call.Memory, memory_rank::Call, Call.heldBytes(), steadyNow());
+  Turns.close(std::move(Close), [this, Id, Pinned](bool Kept) {
+    Memory.release(Pinned);
     relay_call *Closed = Calls.find(Id);
     if (!Closed)
       return;
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -16,7 +16,7 @@
 
 inline constexpr const char *Key = "test-key";
 /// Of the relays under test.
-inline constexpr std::size_t MaxAnswerBytes = 8U << 20U;
+inline constexpr std::size_t MaxHeldBytes = 8U << 20U;
 
 inline relay::header_names names() {
   relay::header_names Names;
@@ -171,7 +171,7 @@
     Settings.Listen = Address;
     Settings.DataCentre = "dc";
     Settings.ReadNotice = readNotice;
-    Settings.MaxAnswerBytes = MaxAnswerBytes;
+    Settings.MaxHeldBytes = MaxHeldBytes;
     Relay = relay::relay::create(Settings, names(), *Turns, Metrics);
     REQUIRE(Relay);
     Turns->updateSet(Disks.Set);
