Peer and tunnel ports: few connections without a proof

Cause: 600 silent connections took 616 descriptors of a disk host (bound 500), each for up to 3 s. An unproved peer could also open 4,096 streams with 16 KB of headers.

Change: 64 connections without a proof of the key (peer port) or a first line (tunnel port) at once; the oldest makes room for a new one, so that a handshake still succeeds. An unproved connection has four streams, a handshake needs two.

--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::uint64_t ListenerKey = 0;
 constexpr std::size_t EndsPerTunnel = 2;
+// Connections whose first line has not been read.
+constexpr std::size_t MaxWithoutLine = 64;
 // A tunnel counts as active for this time after bytes of an answer.
 constexpr milliseconds ActiveTime{1000};
 
@@ -39,6 +41,12 @@
   bool IsControl = false;     ///< See tunnel_events::Control.
   std::optional<poll_set::interest> Interest;
   time_point LastBytes;
+  time_point OpenedAt;
+
+  /// Whether it comes from a host that has not said what it wants.
+  bool hasNoLine() const {
+    return Side == side::Peer && Phase == phase::Opening && !Other;
+  }
 };
 
 using end_table = table<tunnel_end>;
@@ -58,6 +66,7 @@
 
   void onReady(std::uint64_t Key);
   void accept();
+  void limitWithoutLine();
   void readLine(end_id Id);
   void connect(end_id PeerId, const std::string &Address, bool IsControl);
   void onConnected(end_id Id);
@@ -102,16 +111,36 @@
   Listener.acceptAll([this](handle<GSocket> Socket) {
     if (Ends.size() >= Settings.MaxTunnels * EndsPerTunnel)
       return;
+    limitWithoutLine();
     setNoDelay(Socket.get());
     setSilenceTimeout(Socket.get(), Settings.SilenceTimeout);
     tunnel_end End;
     End.Socket = pvt::buffered_socket(std::move(Socket));
+    End.OpenedAt = steadyNow();
     end_id Id = Ends.insert(std::move(End));
     watch(Id);
     Deadlines->add(Settings.ConnectTimeout, keyOf(Id), 0);
   });
 }
 
+// The oldest of them makes room for a new one.
+void tunnel_server::state::limitWithoutLine() {
+  std::size_t Count = 0;
+  std::optional<end_id> Oldest;
+  time_point Since;
+  Ends.forEach([&](end_id Id, const tunnel_end &End) {
+    if (!End.hasNoLine())
+      return;
+    ++Count;
+    if (Oldest && End.OpenedAt >= Since)
+      return;
+    Oldest = Id;
+    Since = End.OpenedAt;
+  });
+  if (Count >= MaxWithoutLine)
+    close(*Oldest);
+}
+
 void tunnel_server::state::readLine(end_id Id) {
   tunnel_end &End = *Ends.find(Id);
   io_result Result = End.Socket.read(End.Input);
--- a/src/libnet/peer_server.cpp
+++ b/src/libnet/peer_server.cpp
@@ -16,6 +16,10 @@
 
 constexpr std::size_t MaxStatusTextBytes = 1024;
 constexpr std::size_t CompactBytes = 64U << 10U;
+// Connections that have not shown the key, and requests on each of them. A
+// handshake takes two requests, one after the other, and less than a second.
+constexpr std::size_t MaxUnproved = 64;
+constexpr std::size_t MaxUnprovedStreams = 4;
 
 struct accepted_row;
 using accepted_id = typed_id<std::unique_ptr<accepted_row>>;
@@ -44,6 +48,7 @@
 struct accepted_row {
   session_context Context;
   proof_phase Phase = proof_phase::Nothing;
+  time_point AcceptedAt;
   handshake Shake;
   loop_source Deadline;
   std::unordered_map<std::int32_t, server_stream> Streams;
@@ -95,6 +100,7 @@
 
   void take(handle<GSocket> Socket);
   void lose(accepted_id Id);
+  void limitUnproved();
   session_handle newSession(accepted_row &Connection);
   void requestRead(accepted_row &Connection, std::int32_t Http2Id);
   void greet(accepted_row &Connection, std::int32_t Http2Id,
@@ -154,8 +160,10 @@
 void peer_server::state::take(handle<GSocket> Socket) {
   if (Connections.size() >= Settings.MaxConnections)
     return; // The handle closes the connection.
+  limitUnproved();
   accepted_id Id = Connections.insert(std::make_unique<accepted_row>());
   accepted_row &Connection = *find(Id);
+  Connection.AcceptedAt = steadyNow();
   Connection.Context = {this, Id};
   Connection.Transport = std::make_unique<peer_transport>(
       std::move(Socket), newSession(Connection), Settings, Counters,
@@ -172,6 +180,26 @@
   Connection.Transport->scheduleFlush();
 }
 
+// The oldest connection without a proof makes room for a new one.
+void peer_server::state::limitUnproved() {
+  std::size_t Count = 0;
+  std::optional<accepted_id> Oldest;
+  time_point Since;
+  Connections.forEach([&](accepted_id Id, auto &Row) {
+    if (Row->Phase == proof_phase::Proved)
+      return;
+    ++Count;
+    if (Oldest && Row->AcceptedAt >= Since)
+      return;
+    Oldest = Id;
+    Since = Row->AcceptedAt;
+  });
+  if (Count < MaxUnproved)
+    return;
+  ++Counters.HandshakesRefused;
+  lose(*Oldest);
+}
+
 void peer_server::state::lose(accepted_id Id) {
   if (!find(Id))
     return;
@@ -306,9 +334,14 @@
 
 int peer_server::state::onBeginHeaders(nghttp2_session * /*Session*/,
                                        const nghttp2_frame *Frame, void *User) {
-  if (Frame->hd.type == NGHTTP2_HEADERS &&
-      Frame->headers.cat == NGHTTP2_HCAT_REQUEST)
-    connectionOf(User).Streams.try_emplace(Frame->hd.stream_id);
+  if (Frame->hd.type != NGHTTP2_HEADERS ||
+      Frame->headers.cat != NGHTTP2_HCAT_REQUEST)
+    return 0;
+  accepted_row &Connection = connectionOf(User);
+  bool IsProved = Connection.Phase == proof_phase::Proved;
+  if (!IsProved && Connection.Streams.size() >= MaxUnprovedStreams)
+    return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+  Connection.Streams.try_emplace(Frame->hd.stream_id);
   return 0;
 }
 
