Own interface: bodies and unread answers of all callers have one limit

Cause: 48 bodies that stop short took 219 MB. Their bodies are freed at once now.

Change: http_server counts in a memory_budget; limits.max_held_bytes (32 MB, not below twice the longest body), metrics held_bytes and clients_ended, a log line.

--- a/src/include/turmerichead/net_http.h
+++ b/src/include/turmerichead/net_http.h
@@ -36,6 +36,9 @@
   std::size_t MaxHeaderBytes = 32U << 10U;   ///< Status 431 above it.
   std::size_t MaxConnections = 4096;         ///< Further ones are closed.
   std::size_t MaxBufferedBytes = 16U << 20U; ///< Unsent bytes of a response.
+  /// Bodies and unsent bytes of all connections. Above it, connections that
+  /// hold the most are closed, those with incomplete requests first.
+  std::size_t MaxHeldBytes = 64U << 20U;
   /// Time within which a complete request must arrive. Otherwise the connection
   /// is closed.
   milliseconds RequestTimeout{15000};
@@ -70,8 +73,8 @@
   /// exchange id is stale afterwards.
   std::function<void(http_exchange_id Exchange)> OnClientGone;
   /// Called for a request that exceeds a limit or cannot be parsed. Returns the
-  /// body of the response (application/json); \p Status is 400, 413 or 431. May
-  /// be unset.
+  /// body of the response (application/json); \p Status is 400, 413, 431 or
+  /// 503. May be unset.
   std::function<std::string(int Status, std::string_view Reason)> OnBadRequest;
 };
 
@@ -120,6 +123,10 @@
 
   std::size_t openConnections() const;
   std::size_t openExchanges() const;
+  /// Bodies and unsent bytes of all connections.
+  std::size_t heldBytes() const;
+  /// Number of connections that were closed for what they held.
+  std::uint64_t endedForMemory() const;
 
   http_server(http_server &&Other) noexcept;
   http_server &operator=(http_server &&Other) noexcept;
--- a/src/include/turmerichead/settings.h
+++ b/src/include/turmerichead/settings.h
@@ -75,6 +75,7 @@
     std::int64_t MaxBodyBytes = 0;
     std::int64_t MaxHeaderBytes = 0;
     std::int64_t MaxConnections = 0;
+    std::int64_t MaxHeldBytes = 0;
     milliseconds IdleTimeout{0};
     milliseconds RequestTimeout{0};
   };
--- a/src/libcatalogue/settings.cpp
+++ b/src/libcatalogue/settings.cpp
@@ -232,6 +232,15 @@
            .Min = 1,
            .Max = 1'000'000,
            .Unit = "connections"}),
+      bind<settings, &settings::Limits, &section::MaxHeldBytes>(
+          {.Key = "limits.max_held_bytes",
+           .Text = "Bodies and unread answers of all callers together; above "
+                   "it the connections that hold the most are closed. Not "
+                   "below twice the longest body.",
+           .Default = "33554432",
+           .Min = 65'536,
+           .Max = 68'719'476'736,
+           .Unit = "bytes"}),
       bind<settings, &settings::Limits, &section::IdleTimeout>(
           {.Key = "limits.idle_timeout_ms",
            .Text = "A connection without a request is closed after this.",
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -96,6 +96,9 @@
   Settings.MaxBodyBytes = static_cast<std::size_t>(Limits.MaxBodyBytes);
   Settings.MaxHeaderBytes = static_cast<std::size_t>(Limits.MaxHeaderBytes);
   Settings.MaxConnections = static_cast<std::size_t>(Limits.MaxConnections);
+  // A body is there twice while it is handed over.
+  Settings.MaxHeldBytes = std::max(
+      static_cast<std::size_t>(Limits.MaxHeldBytes), 2 * Settings.MaxBodyBytes);
   Settings.IdleTimeout = Limits.IdleTimeout;
   Settings.RequestTimeout = Limits.RequestTimeout;
   http_server_events Handlers;
@@ -111,6 +114,8 @@
       Code = "body_too_large";
     if (Status == 431)
       Code = "headers_too_large";
+    if (Status == 503)
+      Code = "no_memory";
     return errorJson(Code, Reason, "not_run", "", 0);
   };
   Server = http_server::create(Context.Settings.Host.Listen.toText(), Settings,
@@ -149,6 +154,10 @@
                     Ready ? R"({"status":"ready"})"
                           : R"({"status":"not ready"})");
   } else if (Path == "/metrics" && Request.Method == "GET") {
+    Context.Metrics.set("held_bytes", "",
+                        static_cast<double>(Server->heldBytes()));
+    Context.Metrics.set("clients_ended", R"(reason="memory")",
+                        static_cast<double>(Server->endedForMemory()));
     Server->respond(Exchange, 200,
                     {{"Content-Type", "text/plain; version=0.0.4"}},
                     Events.Metrics());
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -1,5 +1,7 @@
 #include "turmerichead/net_http.h"
 
+#include "turmerichead/log.h"
+#include "turmerichead/memory_budget.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/table.h"
 
@@ -7,12 +9,14 @@
 
 #include <algorithm>
 #include <gio/gunixsocketaddress.h>
+#include <nlohmann/json.hpp>
 
 namespace turmerichead {
 
 namespace {
 
 constexpr milliseconds SweepInterval{500};
+constexpr milliseconds LogInterval{1000};
 constexpr int StatusHeadersTooLarge = 431; ///< Not defined by libsoup.
 constexpr const char *ConnectionKey = "turmerichead-connection";
 
@@ -28,6 +32,9 @@
   time_point LastActive;
   std::optional<time_point> ReadingSince; ///< Set while a body is read.
   std::size_t BodyBytes = 0;
+  memory_holder_id Memory;
+  SoupServerMessage *Reading = nullptr; ///< While its body is read; not owned.
+  bool Ending = false; ///< It was closed for the memory that it takes.
 };
 
 /// User data of a GLib callback: a row of the server. It may outlive the
@@ -43,6 +50,10 @@
   }
 };
 using connection_context = row_context<connection_id>;
+/// Of a message whose body is read; it ends with the message.
+struct reading_context : connection_context {
+  SoupServerMessage *Message = nullptr;
+};
 using exchange_context = row_context<http_exchange_id>;
 
 template <typename Context> void freeContext(gpointer Data, GClosure *) {
@@ -73,8 +84,15 @@
   table<connection_row> Connections;
   table<http_exchange_row> Exchanges;
   std::shared_ptr<state *> Self = std::make_shared<state *>(this);
+  std::optional<memory_budget> Budget;
+  memory_owner_id Owner;
+  time_point LoggedAt;
 
   ~state();
+  void account(connection_row &Connection);
+  void endForMemory(connection_id Id);
+  void setBuffered(http_exchange_id Id);
+  void erase(connection_id Id);
   void take(handle<GSocket> Socket);
   void waitForRequest(handle<GSocket> Socket);
   void adopt(connection_id Id);
@@ -93,7 +111,8 @@
   static void onRequest(SoupServer *Server, SoupServerMessage *Message,
                         const char *Path, GHashTable *Query, gpointer Data);
   static void onChunk(SoupServerMessage *Message, GBytes *Chunk,
-                      connection_context *Context);
+                      reading_context *Context);
+  static void onReadingGone(gpointer Data, GClosure *Closure);
   static void onFinished(SoupServerMessage *Message, exchange_context *Context);
   static void onWrote(SoupServerMessage *Message, guint Size,
                       exchange_context *Context);
@@ -116,6 +135,7 @@
   Row.Socket = std::move(Socket);
   Row.LastActive = steadyNow();
   connection_id Id = Connections.insert(std::move(Row));
+  Connections.find(Id)->Memory = Budget->add(Owner, keyOf(Id));
   Callers->add(Descriptor, poll_set::interest::Readable, keyOf(Id));
 }
 
@@ -129,7 +149,7 @@
   auto Remote = handle<GSocketAddress>::adopt(
       g_socket_connection_get_remote_address(Stream.get(), nullptr));
   if (!Local || !Remote) {
-    Connections.erase(Id); // The caller has already closed it.
+    erase(Id); // The caller has already closed it.
     return;
   }
   Row.Stream = Stream.get();
@@ -149,7 +169,73 @@
   std::unique_ptr<connection_context> Context(
       static_cast<connection_context *>(Data));
   if (state *Owner = Context->owner())
-    Owner->Connections.erase(Context->Row);
+    Owner->erase(Context->Row);
+}
+
+// -- Memory ------------------------------------------------------------------
+
+void http_server::state::erase(connection_id Id) {
+  if (connection_row *Row = Connections.find(Id))
+    Budget->release(Row->Memory);
+  Connections.erase(Id);
+}
+
+void http_server::state::account(connection_row &Connection) {
+  const http_exchange_row *Exchange = Exchanges.find(Connection.Exchange);
+  std::size_t Bytes =
+      Connection.BodyBytes + (Exchange ? Exchange->Buffered : 0);
+  memory_rank Rank =
+      Connection.ReadingSince ? memory_rank::Request : memory_rank::Answer;
+  Budget->set(Connection.Memory, Rank, Bytes, steadyNow());
+  Budget->enforce();
+}
+
+// Counts the unsent bytes of an answer. No connection is closed here, as the
+// owner of the exchange may be calling.
+void http_server::state::setBuffered(http_exchange_id Id) {
+  const http_exchange_row *Exchange = Exchanges.find(Id);
+  connection_row *Row =
+      Exchange ? Connections.find(Exchange->Connection) : nullptr;
+  if (Row)
+    Budget->set(Row->Memory, memory_rank::Answer,
+                Row->BodyBytes + Exchange->Buffered, steadyNow());
+}
+
+void http_server::state::endForMemory(connection_id Id) {
+  connection_row *Row = Connections.find(Id);
+  if (!Row)
+    return;
+  time_point Now = steadyNow();
+  if (LoggedAt.Ms == 0 || Now - LoggedAt >= LogInterval) {
+    LoggedAt = Now;
+    log::warn("client ended", {{"reason", "memory"},
+                               {"port", Listener.port()},
+                               {"ended", Budget->ended()},
+                               {"connections", Connections.size()},
+                               {"held_bytes", Budget->total()}});
+  }
+  if (Exchanges.find(Row->Exchange))
+    cutOff(Row->Exchange);
+  else
+    g_socket_shutdown(Row->Socket.get(), TRUE, TRUE, nullptr);
+  Row->Ending = true;
+  if (!Row->Reading || soup_server_message_get_status(Row->Reading) != 0)
+    return;
+  // What the kernel has received is still read, and then dropped. libsoup may
+  // get to it much later, so the body is freed now.
+  SoupServerMessage *Message = Row->Reading;
+  reject(Message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+         "the host has no memory for it");
+  soup_message_body_truncate(soup_server_message_get_request_body(Message));
+}
+
+void http_server::state::onReadingGone(gpointer Data, GClosure *) {
+  std::unique_ptr<reading_context> Context(
+      static_cast<reading_context *>(Data));
+  state *Owner = Context->owner();
+  connection_row *Row = Owner ? Owner->Connections.find(Context->Row) : nullptr;
+  if (Row && Row->Reading == Context->Message)
+    Row->Reading = nullptr;
 }
 
 connection_id
@@ -229,14 +315,15 @@
            "the body is over the limit");
     return;
   }
+  if (connection_row *Connection = Connections.find(Id))
+    Connection->Reading = Message;
   g_signal_connect_data(Message, "got-chunk", G_CALLBACK(onChunk),
-                        new connection_context{Self, Id},
-                        freeContext<connection_context>,
+                        new reading_context{{Self, Id}, Message}, onReadingGone,
                         static_cast<GConnectFlags>(0));
 }
 
 void http_server::state::onChunk(SoupServerMessage *Message, GBytes *Chunk,
-                                 connection_context *Context) {
+                                 reading_context *Context) {
   state *Owner = Context->owner();
   connection_row *Connection =
       Owner ? Owner->Connections.find(Context->Row) : nullptr;
@@ -246,6 +333,8 @@
   if (Connection->BodyBytes > Owner->Settings.MaxBodyBytes)
     Owner->reject(Message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
                   "the body is over the limit");
+  else
+    Owner->account(*Connection);
 }
 
 /// Responds without calling the handler. libsoup reads and discards the rest of
@@ -287,6 +376,7 @@
   std::string Remote;
   if (connection_row *Row = Connections.find(Connection)) {
     Row->ReadingSince.reset();
+    Row->Reading = nullptr;
     Row->LastActive = steadyNow();
   }
   http_exchange_row Exchange;
@@ -368,9 +458,13 @@
   if (!Exchange)
     return;
   bool Ended = Exchange->Ended;
-  if (connection_row *Row = Connections.find(Exchange->Connection))
-    Row->LastActive = steadyNow();
+  connection_row *Row = Connections.find(Exchange->Connection);
   Exchanges.erase(Id);
+  if (Row) {
+    Row->LastActive = steadyNow();
+    Row->BodyBytes = 0;
+    account(*Row);
+  }
   if (!Ended && Events.OnClientGone)
     Events.OnClientGone(Id);
 }
@@ -384,6 +478,7 @@
     return;
   Exchange->Buffered -= std::min<std::size_t>(Exchange->Buffered, Size);
   Exchange->LastTaken = steadyNow();
+  Owner->setBuffered(Context->Row);
 }
 
 void http_server::state::sweep() {
@@ -400,6 +495,7 @@
       Row->LastActive = Now;
   for (http_exchange_id Id : Slow)
     cutOff(Id);
+  Budget->enforce(); // For unread answers.
   std::vector<connection_id> Unused;
   Connections.forEach([&](connection_id Id, connection_row &Row) {
     bool SlowRequest =
@@ -413,7 +509,7 @@
       g_socket_shutdown(Row.Socket.get(), TRUE, TRUE, nullptr);
   });
   for (connection_id Id : Unused)
-    Connections.erase(Id);
+    erase(Id);
 }
 
 http_server::state::~state() {
@@ -438,6 +534,10 @@
   Raw->Settings = Settings;
   Raw->Events = std::move(Events);
   Raw->Listener = std::move(*Listener);
+  Raw->Budget.emplace(Settings.MaxHeldBytes);
+  Raw->Owner = Raw->Budget->addOwner([Raw](std::uint64_t Key) {
+    Raw->endForMemory(idOf<connection_row>(Key));
+  });
   Raw->Callers = poll_set::create([Raw](std::uint64_t Key) {
     Raw->callerReady(idOf<connection_row>(Key));
   });
@@ -521,6 +621,7 @@
   Row->Ended = true;
   soup_message_body_complete(soup_server_message_get_response_body(Message));
   soup_server_message_unpause(Message);
+  State->setBuffered(Exchange);
   return true;
 }
 
@@ -551,6 +652,7 @@
   }
   append(*Row, Bytes);
   soup_server_message_unpause(Row->Message.get());
+  State->setBuffered(Exchange);
   return true;
 }
 
@@ -593,4 +695,10 @@
   return State->Exchanges.size();
 }
 
+std::size_t http_server::heldBytes() const { return State->Budget->total(); }
+
+std::uint64_t http_server::endedForMemory() const {
+  return State->Budget->ended();
+}
+
 } // namespace turmerichead
--- a/src/libnet/http_test.cpp
+++ b/src/libnet/http_test.cpp
@@ -698,3 +698,42 @@
     RC_ASSERT(split({Text}) == split(Parts));
   }));
 }
+
+// Bodies that stopped short of their end took 219 MB of a host.
+TEST_CASE("bodies that stop short are closed while all exceed the limit") {
+  constexpr std::size_t Limit = 1U << 20U;
+  constexpr std::size_t Callers = 10;
+  http_server_settings Settings;
+  Settings.MaxHeldBytes = Limit;
+  http_pair Pair(Settings);
+  Pair.OnRequest = [&](const http_request_view &Request) {
+    Pair.Server->respond(Request.Exchange, 200, {}, "served");
+  };
+  std::vector<handle<GSocket>> Crowd;
+  std::string Bytes =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 250000\r\n\r\n" +
+      std::string(200'000, 'x');
+  std::size_t MostHeld = 0;
+  for (std::size_t I = 0; I < Callers; ++I) {
+    Crowd.push_back(
+        *beginConnect(parseAddress(addressOf(Pair.Server->port()))->get()));
+    std::string_view Rest = Bytes;
+    time_point End = steadyNow() + milliseconds(200);
+    REQUIRE(turnUntil([&] {
+      gssize Count = g_socket_send(Crowd.back().get(), Rest.data(), Rest.size(),
+                                   nullptr, nullptr);
+      Rest.remove_prefix(Count > 0 ? static_cast<std::size_t>(Count) : 0);
+      MostHeld = std::max(MostHeld, Pair.Server->heldBytes());
+      return Rest.empty() || steadyNow() >= End;
+    }));
+    turnFor(milliseconds(20));
+    MostHeld = std::max(MostHeld, Pair.Server->heldBytes());
+  }
+  CHECK(MostHeld <= Limit);
+  CHECK(Pair.Server->endedForMemory() >= 4);
+  CHECK(turnUntil([&] { return Pair.Server->openConnections() <= 6; }));
+  std::string Ordinary =
+      rawExchange(Pair.Server->port(),
+                  "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK(Ordinary.find("served") != std::string::npos);
+}
