--- a/src/librelay/relay_hedge.cpp
+++ b/src/librelay/relay_hedge.cpp
@@ -114,7 +114,7 @@
   if (&Attempt == &Call.Current)
     Call.Current = std::move(*Call.Hedge);
   Call.Hedge.reset();
-  Answers.set(keyOf(Id), Call.heldBytes());
+  Memory.set(Call.Memory, memory_rank::Call, Call.heldBytes(), steadyNow());
   return true;
 }
 
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -17,7 +17,7 @@
 
 inline constexpr const char *Key = "test-key";
 /// Of the relays under test.
-inline constexpr std::size_t MaxAnswerBytes = 8U << 20U;
+inline constexpr std::size_t MaxHeldBytes = 8U << 20U;
 
 inline relay::header_names names() {
   relay::header_names Names;
@@ -181,7 +181,7 @@
     Settings.DataCentre = "dc";
     Settings.ReadNotice = readNotice;
     Settings.KeysAreCurrent = [this] { return KeysAreCurrent; };
-    Settings.MaxAnswerBytes = MaxAnswerBytes;
+    Settings.MaxHeldBytes = MaxHeldBytes;
     Settings.HedgePercent = HedgePercent;
     Relay = relay::relay::create(Settings, names(), *Turns, Metrics);
     REQUIRE(Relay);
