--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -20,19 +20,31 @@
   return Host.substr(0, Host.find(':'));
 }
 
-http1::server_limits serverLimits(const caller_limits &Limits) {
+} // namespace
+
+http1::server_limits relay::impl::serverLimits() const {
+  const caller_limits &Limits = Routing.Limits;
   http1::server_limits Result;
   Result.HeaderBytes = Limits.HeaderBytes;
   Result.BodyBytes = Limits.BodyBytes;
   Result.HeaderTimeout = Limits.HeaderTimeout;
   Result.IdleTimeout = Limits.IdleTimeout;
+  Result.MaxConnections = Settings.MaxConnections;
   return Result;
 }
 
-} // namespace
-
 // -- Arrival of calls --------------------------------------------------------
 
+std::optional<http1::early_refusal>
+relay::impl::onRequestHead(std::string_view Target,
+                           const http1::header_list &Headers) {
+  if (Routing.Version == 0 || Routing.match(withoutPort(Headers.get("Host")),
+                                            Target.substr(0, Target.find('?'))))
+    return std::nullopt;
+  Metrics.add("bodies_refused_total");
+  return http1::early_refusal{http1::status::NotFound, "no route matches"};
+}
+
 void relay::impl::onRequest(http1::exchange_id Exchange,
                             http1::request &&Request) {
   if (Routing.Version == 0) {
@@ -77,9 +89,14 @@
   Call.Fingerprints = crash_tracker::fingerprintsOf(
       Call.scoped(Call.Params.Program), Call.Request.Target, Call.Request.Body);
   bool NeedsOpening = Call.isKept() || Call.hasBudget();
+  Call.HeadBytes = Call.Request.Headers.heldBytes();
   relay_call_id Id = Calls.insert(std::move(Call));
   ByExchange[Exchange] = Id;
+  Calls.find(Id)->Memory = Memory.add(MemoryOwner, keyOf(Id));
   Deadlines->add(Wait, keyOf(Id), static_cast<int>(due_kind::Deadline));
+  limitMemory(Id);
+  if (!Calls.find(Id))
+    return;
   if (refuseQuarantined(Id))
     return;
   if (ExitAt && *ExitAt < Calls.find(Id)->Deadline) {
@@ -91,10 +108,10 @@
   // checked after they have opened the turn.
   if (!Calls.find(Id)->hasBudget() && refuseNewProgram(Id, false))
     return;
-  if (NeedsOpening)
+  if (!NeedsOpening)
+    startSending(Id);
+  else if (!refuseOverLimit(Id))
     openTurn(Id);
-  else
-    send(Id);
 }
 
 std::optional<std::string>
@@ -149,14 +166,12 @@
 
 bool relay::impl::refuseNewProgram(relay_call_id Id, bool IsRetry) {
   relay_call &Call = *Calls.find(Id);
-  bool StartsProgram = Call.Route.Kind == call_kind::Stream &&
-                       (!Call.isKept() || Call.Params.PreviousTurn.empty());
-  if (!StartsProgram)
+  if (!Call.mayStartProgram())
     return false;
   time_point Now = steadyNow();
   service_load &Load = Loads[Call.Service];
   service_capacity Capacity = capacityOf(Call.Service, Now);
-  start_request Request{Call.Route.Rank, IsRetry};
+  start_request Request{Call.Route.Rank, IsRetry, isOverShare(Call)};
   auto Rejection =
       Load.Admission.refusal(Load.Estimator, Capacity, Request, Now);
   Call.StartsProgram = true;
@@ -167,11 +182,13 @@
              {"program", Call.Params.Program},
              {"service", Call.Service},
              {"retry", IsRetry},
+             {"over_share", Request.IsOverShare},
              {"stretch", Rejection->Slowdown},
              {"in_flight", Load.Estimator.inFlight()},
              {"slots", Capacity.Slots},
              {"hosts", Capacity.Hosts},
              {"retry_after_ms", Rejection->RetryAfter.count()}});
+  noteShortage(Call.Service);
   Metrics.add("programs_refused_total", "service=\"" + Call.Service + "\"");
   refuse(Id, "no room for a new program", Rejection->RetryAfter);
   return true;
@@ -190,7 +207,7 @@
   std::string Previous =
       Call.isKept() ? Call.scoped(Call.Params.PreviousTurn) : "";
   if (Previous.empty() && !Call.hasBudget()) {
-    send(Id);
+    startSending(Id);
     return;
   }
   if (Call.Params.Budget == 0U) {
@@ -213,6 +230,9 @@
         Opened->Operation = {};
         Opened->Chain = Result.Chain;
         Opened->PreviousUpstream = Result.Upstream;
+        limitMemory(Id);
+        if (!Calls.find(Id))
+          return;
         if (Result.Outcome != turns::open_outcome::Granted)
           log::info("turn not opened",
                     {{"id", Opened->Params.Id},
@@ -227,7 +247,7 @@
         case turns::open_outcome::Granted:
           if (Result.Spent > 0 ||
               !refuseNewProgram(Id, Result.OtherAttempts > 0))
-            send(Id);
+            startSending(Id);
           return;
         case turns::open_outcome::OverBudget:
           failCall(Id, http1::status::PaymentRequired, Result.Reason);
@@ -305,18 +325,32 @@
   ClientSettings.TunnelKey = Raw->Settings.TunnelKey;
   Raw->Client = http1::client::create(ClientSettings);
   Raw->Server = http1::server::create(
-      Raw->Settings.Listen, serverLimits({}),
+      Raw->Settings.Listen, Raw->serverLimits(),
       {[Raw](http1::exchange_id Id, http1::request &&Request) {
          Raw->onRequest(Id, std::move(Request));
        },
-       [Raw](http1::exchange_id Id) { Raw->onCallerGone(Id); }});
+       [Raw](http1::exchange_id Id) { Raw->onCallerGone(Id); },
+       [Raw](std::string_view Target, const http1::header_list &Headers) {
+         return Raw->onRequestHead(Target, Headers);
+       }},
+      &Raw->Memory);
+  Raw->MemoryOwner = Raw->Memory.addOwner(
+      [Raw](std::uint64_t Key) { Raw->endForMemory(idOf<relay_call>(Key)); });
   if (!Raw->Client || !Raw->Server)
     return std::nullopt;
   Raw->Deadlines.emplace([Raw](std::uint64_t Key, int Kind) {
-    if (Kind == static_cast<int>(due_kind::Permit))
-      Raw->onPermitDue(idOf<relay_call>(Key));
-    else
-      Raw->onDeadline(idOf<relay_call>(Key));
+    auto Id = idOf<relay_call>(Key);
+    switch (static_cast<due_kind>(Kind)) {
+    case due_kind::Deadline:
+      Raw->onDeadline(Id);
+      return;
+    case due_kind::Permit:
+      Raw->onPermitDue(Id);
+      return;
+    case due_kind::Hedge:
+      Raw->onHedgeDue(Id);
+      return;
+    }
   });
   return relay(std::move(Impl));
 }
@@ -325,7 +359,8 @@
   if (Routing.Version <= Impl->Routing.Version)
     return;
   Impl->Routing = std::move(Routing);
-  Impl->Server->setLimits(serverLimits(Impl->Routing.Limits));
+  Impl->forgetUnlimited();
+  Impl->Server->setLimits(Impl->serverLimits());
   log::info(
       "configuration in force",
       {{"version", Impl->Routing.Version},
@@ -445,15 +480,22 @@
 
 std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
 
-std::size_t relay::answerBytes() const { return Impl->Answers.total(); }
+std::size_t relay::heldBytes() const { return Impl->Memory.total(); }
 
 void relay::publish() const {
   http1::server_counters Server = Impl->Server->counters();
   http1::client_counters Client = Impl->Client->counters();
   Impl->Metrics.set("caller_connections", "",
                     static_cast<double>(Server.OpenConnections));
-  Impl->Metrics.set("upstream_answer_bytes", "",
-                    static_cast<double>(answerBytes()));
+  Impl->Metrics.set("held_bytes", "", static_cast<double>(heldBytes()));
+  Impl->Metrics.set("held_bytes_limit", "",
+                    static_cast<double>(Impl->Memory.limit()));
+  for (std::size_t I = 0; I < http1::ClientEnds; ++I)
+    Impl->Metrics.set(
+        "clients_ended",
+        "reason=\"" + std::string(nameOf(static_cast<http1::client_end>(I))) +
+            "\"",
+        static_cast<double>(Server.Ended.at(I)));
   Impl->Metrics.set("upstream_connections", "",
                     static_cast<double>(Client.OpenConnections));
   Impl->Metrics.set("upstream_connections_opened", "",
@@ -466,6 +508,7 @@
                     static_cast<double>(Client.Endless));
   Impl->Metrics.set("calls_under_way", "",
                     static_cast<double>(Impl->Calls.size()));
+  Impl->publishRefused();
   for (const auto &[Service, Load] : Impl->Loads) {
     std::string Labels = "service=\"" + Service + "\"";
     Impl->Metrics.set("service_streams", Labels,
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -33,8 +33,8 @@
 
 void relay::impl::respondUnavailable(http1::exchange_id Exchange,
                                      std::string_view Reason,
-                                     milliseconds RetryAfter) {
-  respondWithText(Exchange, http1::status::Unavailable, Reason,
+                                     milliseconds RetryAfter, int Status) {
+  respondWithText(Exchange, Status, Reason,
                   {{Names.RetryAfter, secondsText(RetryAfter)}});
 }
 
@@ -43,7 +43,7 @@
 }
 
 void relay::impl::refuse(relay_call_id Id, std::string_view Reason,
-                         milliseconds RetryAfter) {
+                         milliseconds RetryAfter, int Status) {
   relay_call &Call = *Calls.find(Id);
   if (Call.Phase == call_phase::Streaming) {
     abortResponse(Id, Reason);
@@ -54,8 +54,8 @@
     return;
   }
   settleBudget(Call);
-  respondUnavailable(Call.Exchange, Reason, RetryAfter);
-  finish(Id, http1::status::Unavailable, Reason);
+  respondUnavailable(Call.Exchange, Reason, RetryAfter, Status);
+  finish(Id, Status, Reason);
 }
 
 void relay::impl::failCall(relay_call_id Id, int Status,
@@ -98,8 +98,7 @@
   relay_call &Call = *Calls.find(Id);
   if (Call.Operation)
     Turns.cancel(Call.Operation);
-  if (Call.Upstream && Client->cancel(Call.Upstream))
-    recordAbort(Call, abort_kind::Cancelled);
+  cancelAttempts(Call);
   time_point Now = steadyNow();
   std::int64_t TookMs = (Now - Call.Arrived).count();
   nlohmann::json Line = {
@@ -116,8 +115,13 @@
     Line["organisation"] = Call.Organisation;
   if (!Reason.empty())
     Line["reason"] = Reason;
-  if (Call.SentAt.Ms > 0)
-    Line["sent_ms"] = (Call.SentAt - Call.Arrived).count();
+  if (Call.Current.SentAt.Ms > 0)
+    Line["sent_ms"] = (Call.Current.SentAt - Call.Arrived).count();
+  if (Call.HedgedAt) {
+    Line["upstream"] = Call.Current.SentTo.Id;
+    Line["hedge"] = nameOf(Call.HedgeEnd);
+    Line["hedge_ms"] = (*Call.HedgedAt - Call.Arrived).count();
+  }
   if (Call.HeldFor.count() > 0)
     Line["held_ms"] = Call.HeldFor.count();
   if (!Call.Denied.empty())
@@ -127,18 +131,18 @@
     Line["first_ms"] = (Call.FirstEvent - Call.Arrived).count();
     Line["last_ms"] = (Call.LastEvent - Call.Arrived).count();
   }
-  if (Call.AnswerEnd)
-    Line["answer_end"] = http1::nameOf(*Call.AnswerEnd);
-  if (Call.Streams)
+  if (Call.Current.AnswerEnd)
+    Line["answer_end"] = http1::nameOf(*Call.Current.AnswerEnd);
+  if (Call.Current.Streams)
     Line["unfinished_bytes"] = Call.Events.unfinished();
   log::info("call ended", Line);
   std::string Labels = "kind=\"" + std::string(nameOf(Call.Route.Kind)) +
                        "\",status=\"" + std::to_string(Status) + "\"";
   Metrics.add("calls_total", Labels);
   Metrics.observe("call_ms", Labels, static_cast<double>(TookMs));
-  releaseUpstream(Call);
+  releaseUpstream(Call, Call.Current);
   ByExchange.erase(Call.Exchange);
-  Answers.release(keyOf(Id));
+  Memory.release(Call.Memory);
   Calls.erase(Id);
 }
 
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -4,13 +4,15 @@
 #pragma once
 
 #include "call_pvt.h"
+#include "turmerichead/memory_budget.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/relay_admission.h"
-#include "turmerichead/relay_answer_budget.h"
 #include "turmerichead/relay_crash_tracker.h"
+#include "turmerichead/relay_hedging.h"
 #include "turmerichead/relay_links.h"
 #include "turmerichead/relay_permit_client.h"
 #include "turmerichead/relay_program_homes.h"
+#include "turmerichead/relay_quota_client.h"
 
 #include <map>
 
@@ -29,9 +31,13 @@
 /// What is due in the queue of deadlines.
 enum class due_kind : int {
   Deadline, ///< The deadline of a call.
-  Permit    ///< The delay of a permit is over.
+  Permit,   ///< The delay of a permit is over.
+  Hedge     ///< The first attempt of a call is slow if it has no head yet.
 };
 
+/// A call with less time left is not sent.
+inline constexpr milliseconds MinTimeToSend{5};
+
 /// The load of a service and the admission of new programs to it.
 struct service_load {
   slowdown_estimator Estimator;
@@ -43,6 +49,8 @@
   header_names Names;
   turns::client &Turns;
   metrics &Metrics;
+  memory_budget Memory{Settings.MaxHeldBytes}; ///< Outlives the server.
+  memory_owner_id MemoryOwner;                 ///< The calls.
   std::optional<http1::server> Server;
   std::optional<http1::client> Client;
   std::optional<deadline_queue> Deadlines;
@@ -50,6 +58,7 @@
   std::optional<time_point> ExitAt; ///< Exit of the process; set by drain().
   upstream_table Upstreams;
   std::map<std::string, service_load, std::less<>> Loads; ///< By service.
+  std::map<std::string, hedging, std::less<>> Hedgings;   ///< By service.
   std::size_t EntryHosts = 1; ///< Including this one.
   crash_tracker CrashTracker;
   std::function<void(std::span<const std::uint64_t>)> OnCrashRecordsChanged;
@@ -65,21 +74,29 @@
   tunnel_hosts TunnelHosts;
   loop_source LinkCheck; ///< Set while a call waits for its answer.
   permit_client Permits;
+  quota_client Quota;
   program_homes Homes{MinHomes};
   call_table Calls;
-  answer_budget Answers{Settings.MaxAnswerBytes};
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
 
   impl(relay_settings Settings, header_names Names, turns::client &Turns,
        metrics &Metrics)
       : Settings(std::move(Settings)), Names(std::move(Names)), Turns(Turns),
         Metrics(Metrics), CrashTracker(this->Settings.Host),
-        Permits(Turns.links()) {}
+        Permits(Turns.links()),
+        Quota(Turns.links(), this->Settings.Quota,
+              [&Turns](std::string_view Address, bool HasFailed) {
+                return Turns.forwarderFor(Address, HasFailed);
+              }) {}
 
   // -- Arrival of calls (relay.cpp) --
   void onRequest(http1::exchange_id Exchange, http1::request &&Request);
   /// The caller has closed its connection.
   void onCallerGone(http1::exchange_id Exchange);
+  /// A request with a long body is refused if it has no route.
+  std::optional<http1::early_refusal>
+  onRequestHead(std::string_view Target, const http1::header_list &Headers);
+  http1::server_limits serverLimits() const;
   void onDeadline(relay_call_id Id);
   /// The process exits although the call has not ended.
   void endAtExit(relay_call_id Id);
@@ -106,38 +123,85 @@
   /// Returns the upstream for the next send, or nullptr if none is ready.
   upstream_row *chooseUpstream(relay_call &Call, time_point Now);
   http1::call_request requestFor(const relay_call &Call,
-                                 const upstream &Upstream) const;
-  void onHead(relay_call_id Id, const http1::response_head &Head);
-  void onBody(relay_call_id Id, std::string_view Bytes);
-  /// Counts what the call holds of its answer, and breaks off the largest
-  /// answers while all of them take too much memory. The call may end.
-  void limitAnswers(relay_call_id Id);
+                                 const upstream_attempt &Attempt) const;
+  /// Enters the upstream as that of the attempt, and counts it in flight.
+  void assign(relay_call &Call, upstream_attempt &Attempt,
+              upstream_row &Upstream);
+  /// Gives the call to the HTTP client for the attempt in this role.
+  template <attempt_role Role>
+  void startAttempt(relay_call_id Id, bool FreshConnection);
+  void onHead(relay_call_id Id, attempt_role Role,
+              const http1::response_head &Head);
+  void onBody(relay_call_id Id, attempt_role Role, std::string_view Bytes);
+  /// Records the time to the first event of the current attempt.
+  void recordFirstEvent(const relay_call &Call, time_point Now);
+  /// Counts what the call holds, and ends what holds the most while all of it
+  /// takes too much memory. The call may end.
+  void limitMemory(relay_call_id Id);
+  /// Ends a call for the memory that it takes.
+  void endForMemory(relay_call_id Id);
   /// Drops what was received of an answer, before the call is sent again.
   void dropBody(relay_call_id Id);
   /// Forwards bytes of a stream to the caller; of a resumable stream, only
   /// complete events.
   void forwardBody(relay_call &Call, std::string_view Bytes);
-  /// Cancels the call at the upstream in the middle of its answer, and handles
-  /// this as a failure of the upstream.
-  void abortUpstreamCall(relay_call_id Id, std::string_view Reason);
-  void onUpstreamEnd(relay_call_id Id, const http1::call_result &Result);
+  /// Cancels an attempt in the middle of its answer, and handles this as a
+  /// failure of the upstream.
+  void abortUpstreamCall(relay_call_id Id, upstream_attempt &Attempt,
+                         std::string_view Reason);
+  void onUpstreamEnd(relay_call_id Id, attempt_role Role,
+                     const http1::call_result &Result);
   /// The upstream has sent a complete answer that is not a stream.
   void onResponseComplete(relay_call_id Id);
   /// The upstream has sent a complete stream.
   void onStreamComplete(relay_call_id Id);
   /// The upstream has answered that it did not run the call.
-  void onNotRun(relay_call_id Id);
-  /// The call failed at the upstream: it is resumed, retried or failed.
-  void onUpstreamFailure(relay_call_id Id, const http1::call_result &Result);
+  void onNotRun(relay_call_id Id, upstream_attempt &Attempt);
+  /// An attempt failed: unless another one is in flight, the call is resumed,
+  /// retried or failed.
+  void onUpstreamFailure(relay_call_id Id, upstream_attempt &Attempt,
+                         const http1::call_result &Result);
   /// Sends the call again after the last complete event. Returns false if it
   /// may not be resumed.
   bool resumeStream(relay_call_id Id);
-  /// Takes the call off the in-flight counts of its upstream and service.
-  void releaseUpstream(relay_call &Call);
+  /// Takes an attempt off the in-flight counts of its upstream and service.
+  void releaseUpstream(const relay_call &Call, upstream_attempt &Attempt);
+
+  // -- Hedged requests (relay_hedge.cpp) --
+  /// Returns the hedging of the call's service, or nullptr if the call is never
+  /// hedged.
+  hedging *hedgingOf(const relay_call &Call);
+  /// Starts the timer of the hedge if the call has just been sent for the first
+  /// time.
+  void scheduleHedge(relay_call_id Id);
+  /// The timer is over. Sends the hedge if the first attempt still waits for
+  /// its head and the service has room.
+  void onHedgeDue(relay_call_id Id);
+  /// Returns the upstream for the hedge, or nullptr if none is free.
+  upstream_row *chooseHedge(relay_call &Call, time_point Now);
+  void sendHedge(relay_call_id Id, upstream_row &Upstream, std::string Via);
+  /// Notes what the head of an answer says about times and shortage.
+  void noteHead(const relay_call &Call, const upstream_attempt &Attempt);
+  /// Notes that calls of the service were refused, shed or limited.
+  void noteShortage(std::string_view Service);
+  /// Ends an attempt without a usable answer if another one is in flight, which
+  /// then is the only one. Returns whether it did.
+  bool continueWithOther(relay_call_id Id, upstream_attempt &Attempt);
+  /// Ends an attempt with a complete answer that may not win if another one is
+  /// in flight. Returns whether it did.
+  bool endUnusable(relay_call_id Id, upstream_attempt &Attempt);
+  /// An attempt has brought the answer of the call: it becomes the current one,
+  /// and the other one is cancelled.
+  void keepWinner(relay_call_id Id, upstream_attempt &Attempt);
+  /// Cancels an attempt at the HTTP client if it is in flight.
+  void cancelAttempt(relay_call &Call, upstream_attempt &Attempt);
+  /// Cancels all attempts of a call that ends.
+  void cancelAttempts(relay_call &Call);
 
   // -- What upstreams say of themselves (relay_notices.cpp) --
   /// Takes in what the head of the answer says of the upstream itself.
-  void readNotice(const relay_call &Call, const http1::response_head &Head);
+  void readNotice(const relay_call &Call, const upstream_attempt &Attempt,
+                  const http1::response_head &Head);
   /// Sends the upstream no new calls from now on. Returns whether it was not
   /// known to leave.
   bool recordLeaving(const upstream_run &Run, std::string_view Evidence);
@@ -160,17 +224,40 @@
   /// Returns the peer addresses of the disk hosts, which issue permits.
   std::vector<std::string> permitIssuers() const;
 
+  // -- Rate limits of organisations (relay_quota.cpp) --
+  /// Returns the organisation of the call if it has a limit, or nullptr.
+  const organisation *limitedOrganisation(const relay_call &Call) const;
+  /// Refuses the call if its organisation is known to have no tokens left, so
+  /// that the disk hosts need not open a turn for it. Returns whether it did.
+  bool refuseOverLimit(relay_call_id Id);
+  /// Sends the call for the first time, once its organisation has a token for
+  /// it.
+  void startSending(relay_call_id Id);
+  /// Returns how long a call may wait for a token.
+  static milliseconds tokenWait(const relay_call &Call);
+  void refuseForQuota(relay_call_id Id, const organisation &Organisation,
+                      const quota_result &Result);
+  /// Whether a new program yields to those of other organisations.
+  bool isOverShare(const relay_call &Call) const;
+  /// Returns the members of the disk set, which issue tokens.
+  std::vector<quota_member> quotaMembers() const;
+  /// Drops what is known of organisations that have no limit any more.
+  void forgetUnlimited();
+  /// Updates the gauges of the organisations that are refused most.
+  void publishRefused() const;
+
   // -- Links to upstreams (relay_links.cpp) --
   /// Returns the tunnel server for a call to \p Address, or an empty string if
   /// it goes over the host's own link.
   std::string viaFor(const std::string &Address, time_point Now);
   /// No connection was established for the call: it is sent another way, to
   /// another upstream, or refused.
-  void onNotConnected(relay_call_id Id, http1::connect_failure Failure);
+  void onNotConnected(relay_call_id Id, upstream_attempt &Attempt,
+                      http1::connect_failure Failure);
   /// A new connection has been established for the call.
-  void onConnected(relay_call_id Id);
+  void onConnected(relay_call_id Id, attempt_role Role);
   /// Notes the way by which the upstream was reached or has answered.
-  void recordWay(const relay_call &Call, time_point Now);
+  void recordWay(const upstream_attempt &Attempt, time_point Now);
   /// Starts checkLinks() unless it runs already.
   void watchLinks();
   /// Looks at the links of calls that wait for their answers while nothing
@@ -185,8 +272,9 @@
   // -- Crashes of upstreams (relay_suspects.cpp) --
   /// Refuses the call if it is quarantined. Returns whether it did.
   bool refuseQuarantined(relay_call_id Id);
-  /// Records that the call ended at its upstream without a complete answer.
-  void recordAbort(const relay_call &Call, abort_kind Kind);
+  /// Records that the call ended at an upstream without a complete answer.
+  void recordAbort(const relay_call &Call, const upstream_attempt &Attempt,
+                   abort_kind Kind);
   void recordExit(const upstream &Upstream, exit_evidence Evidence);
   void recordSuccess(const relay_call &Call);
   /// Logs changed crash records and passes them on to other hosts.
@@ -207,7 +295,7 @@
   /// run it, answers that it failed. Aborts an answer that has begun.
   void refuse(relay_call_id Id, std::string_view Reason);
   void refuse(relay_call_id Id, std::string_view Reason,
-              milliseconds RetryAfter);
+              milliseconds RetryAfter, int Status = http1::status::Unavailable);
   /// Answers with an error that does not say whether the call was run.
   void failCall(relay_call_id Id, int Status, std::string_view Reason);
   /// Closes the connection of the caller in the middle of the answer.
@@ -223,9 +311,10 @@
   void respondWithText(http1::exchange_id Exchange, int Status,
                        std::string_view Reason,
                        http1::header_list Headers = {});
-  /// Sends status 503 with the time after which to retry.
+  /// Sends a status, 503 if not given, with the time after which to retry.
   void respondUnavailable(http1::exchange_id Exchange, std::string_view Reason,
-                          milliseconds RetryAfter);
+                          milliseconds RetryAfter,
+                          int Status = http1::status::Unavailable);
 };
 
 } // namespace turmerichead::relay
--- a/src/librelay/test_relay_pvt.h
+++ b/src/librelay/test_relay_pvt.h
@@ -7,6 +7,7 @@
 #include "turmerichead/error.h"
 #include "turmerichead/relay.h"
 #include "turmerichead/relay_permit_client.h"
+#include "turmerichead/relay_quota_client.h"
 #include "turmerichead/turns_forwarder.h"
 #include "turmerichead/turns_replica.h"
 
@@ -16,7 +17,7 @@
 
 inline constexpr const char *Key = "test-key";
 /// Of the relays under test.
-inline constexpr std::size_t MaxAnswerBytes = 8U << 20U;
+inline constexpr std::size_t MaxHeldBytes = 8U << 20U;
 
 inline relay::header_names names() {
   relay::header_names Names;
@@ -82,7 +83,9 @@
   turns::disk_set Set{1, 2, {}, {}};
   std::vector<std::optional<turns::replica>> Replicas;
   std::vector<relay::permit_server> Permits{3};
+  std::vector<relay::quota_server> Quotas{3};
   bool IssuesPermits = true; ///< If false, like a host of an earlier version.
+  bool IssuesTokens = true;  ///< The same for tokens of organisations.
 
   disks() {
     std::string Template =
@@ -105,12 +108,15 @@
       Replicas.push_back(turns::replica::create(Settings, std::move(Events)));
       REQUIRE_MESSAGE(Replicas.back(), lastError().Text);
       Replicas.back()->updateSet(Set);
+      Quotas[Replicas.size() - 1].updateSet(Set, Host.Address);
     }
   }
   void serve(std::size_t Index, const peer_request_view &Request) {
     peer_server &Server = Replicas[Index]->server();
     if (IssuesPermits && relay::permit_server::handles(Request.Path))
       Permits[Index].serve(Server, Request);
+    else if (IssuesTokens && relay::quota_server::handles(Request.Path))
+      Quotas[Index].serve(Server, Request);
     else
       Server.end(Request.Reply, {error_code::NotFound, "no such path"});
   }
@@ -162,7 +168,8 @@
   std::string Address = freeAddress();
   bool KeysAreCurrent = true; ///< See relay_settings.
 
-  entry_host(std::string Name, const disks &Disks) {
+  entry_host(std::string Name, const disks &Disks,
+             std::uint32_t HedgePercent = 0) {
     turns::client_settings TurnSettings;
     TurnSettings.Host = Name;
     TurnSettings.DataCentre = "dc";
@@ -174,7 +181,8 @@
     Settings.DataCentre = "dc";
     Settings.ReadNotice = readNotice;
     Settings.KeysAreCurrent = [this] { return KeysAreCurrent; };
-    Settings.MaxAnswerBytes = MaxAnswerBytes;
+    Settings.MaxHeldBytes = MaxHeldBytes;
+    Settings.HedgePercent = HedgePercent;
     Relay = relay::relay::create(Settings, names(), *Turns, Metrics);
     REQUIRE(Relay);
     Turns->updateSet(Disks.Set);
@@ -184,7 +192,7 @@
 
 struct fixture {
   disks Disks;
-  entry_host Host{"entry", Disks};
+  entry_host Host;
   metrics &Metrics = Host.Metrics;
   std::optional<turns::client> &Turns = Host.Turns;
   std::optional<relay::relay> &Relay = Host.Relay;
@@ -193,7 +201,8 @@
   raw_server Llm;
   std::string &Address = Host.Address;
 
-  fixture() {
+  explicit fixture(std::uint32_t HedgePercent = 0)
+      : Host("entry", Disks, HedgePercent) {
     put("tool-1", "tools", Tools);
     put("llm-1", "llm", Llm);
   }
