Rate limits: the lookup of a limited organisation stands once

Two functions looked up whether an organisation has a limit, and two built the limit from the configuration. No behaviour changes; librelay_test passes.

--- a/src/librelay/relay_quota.cpp
+++ b/src/librelay/relay_quota.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-// Of the new programs of an organisation that is over its share, one of so many
-// is admitted like those of others. So its requests are not served less than a
+// One of this many new programs of an organisation over its share is admitted
+// like those of other organisations, so that its requests are served at least a
 // quarter as often.
 constexpr std::uint64_t AdmittedOneOf = 4;
 
@@ -22,6 +22,21 @@
 constexpr milliseconds MaxTokenWait{250};
 constexpr int PartOfTimeLeft = 4;
 
+/// Returns the organisation if it has a rate limit, or nullptr.
+const organisation *findLimited(const routing &Routing, std::string_view Name) {
+  if (!Routing.Organisations)
+    return nullptr;
+  auto Row = Routing.Organisations->find(Name);
+  bool IsLimited =
+      Row != Routing.Organisations->end() && Row->second.RatePerSecond > 0;
+  return IsLimited ? &Row->second : nullptr;
+}
+
+quota_limit limitOf(const routing &Routing, const organisation &Organisation) {
+  return {Routing.Version, Organisation.RatePerSecond, Organisation.Burst};
+}
+
+/// Escapes \p Text as the value of a label of a metric.
 std::string labelValue(std::string_view Text) {
   std::string Result;
   for (char Byte : Text) {
@@ -36,12 +51,9 @@
 
 const organisation *
 relay::impl::limitedOrganisation(const relay_call &Call) const {
-  if (Call.Organisation.empty() || !Routing.Organisations)
-    return nullptr;
-  auto Row = Routing.Organisations->find(Call.Organisation);
-  if (Row == Routing.Organisations->end() || Row->second.RatePerSecond <= 0)
+  if (Call.Organisation.empty())
     return nullptr;
-  return &Row->second;
+  return findLimited(Routing, Call.Organisation);
 }
 
 std::vector<quota_member> relay::impl::quotaMembers() const {
@@ -64,9 +76,7 @@
   if (!Organisation)
     return false;
   quota_requester &Tokens = Quota.tokens();
-  Tokens.setLimit(
-      Call.Organisation,
-      {Routing.Version, Organisation->RatePerSecond, Organisation->Burst});
+  Tokens.setLimit(Call.Organisation, limitOf(Routing, *Organisation));
   auto Wait = Tokens.emptyFor(Call.Organisation, Call.StartsProgram,
                               quotaMembers(), bootNow());
   if (!Wait || *Wait <= tokenWait(Call))
@@ -84,8 +94,7 @@
   }
   quota_question Question;
   Question.Organisation = Call.Organisation;
-  Question.Limit = {Routing.Version, Organisation->RatePerSecond,
-                    Organisation->Burst};
+  Question.Limit = limitOf(Routing, *Organisation);
   Question.StartsProgram = Call.StartsProgram;
   Question.Members = quotaMembers();
   Question.Hosts = EntryHosts;
@@ -132,10 +141,7 @@
 
 void relay::impl::forgetUnlimited() {
   Quota.tokens().retain([this](std::string_view Name) {
-    if (!Routing.Organisations)
-      return false;
-    auto Row = Routing.Organisations->find(Name);
-    return Row != Routing.Organisations->end() && Row->second.RatePerSecond > 0;
+    return findLimited(Routing, Name) != nullptr;
   });
 }
 
