--- a/src/include/turmerichead/memory_budget.h
+++ b/src/include/turmerichead/memory_budget.h
@@ -72,12 +72,12 @@
   /// Forgets a holder that has ended.
   void release(memory_holder_id Holder);
 
-  /// The holder to be ended, if all of them together exceed the limit. It is
-  /// one of the first rank that has a quarter of the limit, or else of the rank
-  /// with the most, so that small
-  /// requests are not ended for the sake of one endless answer: the largest, or
-  /// of those half as large the one that has made no progress for the longest
-  /// time.
+  /// Returns the holder to end if all of them together exceed the limit. It is
+  /// of the first rank that has more than a quarter of the limit, or else of
+  /// the rank that has the most, so that one endless answer does not end small
+  /// requests. Within the rank it is the largest holder, or of those at least
+  /// half as large the one whose bytes have not changed for the longest time;
+  /// nullopt if nothing can be ended.
   std::optional<memory_holder_id> excess() const;
 
   /// Whether \p Bytes more are within the limit.
--- a/src/include/turmerichead/relay_quota.h
+++ b/src/include/turmerichead/relay_quota.h
@@ -3,9 +3,9 @@
 ///
 /// The members of the disk set issue tokens, one for each request. Each of n
 /// members issues 1/n of every organisation's limit and does not communicate
-/// with the others, so that the sum holds under any partition. Nothing of it is
-/// stored. An entry host asks the members one after the other, the near ones
-/// first, and uses a small share of its own if it reaches none.
+/// with the others, so that the sum holds under any partition. Nothing is
+/// stored. An entry host asks one member after the other, in the order of
+/// quota_requester::pick(), and uses a small local share if it reaches none.
 ///
 /// Decisions only, without input and output; relay_quota_client.h sends and
 /// serves the requests. docs/design/rate-limits.md has the arithmetic.
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -101,8 +101,8 @@
   ///   data centre or in one where turns take clearly less time. Of the two
   ///   runners that are first in the rendezvous hash order of its program,
   ///   weighted by speed, it goes to the one predicted to finish first.
-  /// - Now and then a new chain starts in a data centre whose speed is not
-  ///   known, since it would never be measured otherwise.
+  /// - Some new chains start in another data centre to measure its speed, see
+  ///   service_speed::toMeasure().
   /// - A runner that is slow or has failed is avoided while others are healthy.
   /// - In a burst, once the slots of a runner are in use, calls go to the next
   ///   runner in the hash order.
--- a/src/librelay/call_pvt.h
+++ b/src/librelay/call_pvt.h
@@ -157,11 +157,11 @@
   time_point FirstEvent;
   memory_holder_id Memory;
   std::size_t HeadBytes = 0; ///< That the head of the request takes.
-  /// A turn that is being stored is there once, and once for each disk host.
+  /// Copies of a turn while it is stored: one, and one for each disk host.
   static constexpr std::size_t KeepingCopies = 4;
 
-  /// Bytes that are held for the call. What is sent to an upstream, or to the
-  /// disk hosts to be stored, is there twice until it has been sent.
+  /// Bytes that are held for the call. The body and the chain are counted
+  /// twice, as they are copied to be sent to an upstream.
   std::size_t heldBytes() const {
     constexpr std::size_t Copies = 2;
     return HeadBytes + Copies * (Request.Body.capacity() + Chain.size()) +
--- a/src/librelay/hedging.cpp
+++ b/src/librelay/hedging.cpp
@@ -14,12 +14,13 @@
 // maximum.
 constexpr milliseconds HalfLife{30'000};
 constexpr double MaxWeight = 4096;
-// Halvings after which no sample is left to count.
+// Halvings after which the weight of all samples is negligible.
 constexpr int MaxHalvings = 16;
 
 constexpr std::uint32_t CostOfHedge = 100; // In hundredths.
-// The budget saves up five hedges at most, so that a calm hour does not allow a
-// flood of them. One upstream that pauses delays about as many calls of a host.
+// The budget saves up five hedges at most, so that an hour without slow calls
+// allows no burst. One upstream that pauses delays about as many calls of a
+// host.
 constexpr std::uint32_t MaxBudget = 5 * CostOfHedge;
 // Time for which a refusal counts as a shortage.
 constexpr milliseconds ShortageTime{2000};
--- a/src/librelay/hedging_test.cpp
+++ b/src/librelay/hedging_test.cpp
@@ -183,7 +183,7 @@
     REQUIRE(Hedges * 20 <= I);
   }
   CHECK(Hedges == 500);
-  // A calm hour must not save up a flood.
+  // An hour without slow calls must not allow a burst of hedges.
   for (int I = 0; I < 10000; ++I)
     Hedging.recordFirst(1);
   CHECK(takeAll(Hedging, {20000}) == 5);
--- a/src/librelay/quota.cpp
+++ b/src/librelay/quota.cpp
@@ -14,8 +14,8 @@
 // Part of the slack that adds to the depth of the slices, which lets bursts of
 // small organisations pass. The rest is a margin.
 constexpr double SlackShare = 0.8;
-// New programs get no token below this level of a slice: programs that run are
-// to end.
+// New programs get no token below this level of a slice, so that running
+// programs can finish.
 constexpr double ReservedForRunning = 0.25;
 // Hosts get tokens for later requests only above this level. Tokens that expire
 // unused must not make a slice that is nearly empty refuse anything.
@@ -38,7 +38,7 @@
 // the overage of a tenth.
 constexpr double LocalShare = 0.05;
 // A caller that was refused since the usage is not known returns after this
-// time. By then another member may have been found.
+// time. By then a member may reply again.
 constexpr milliseconds UnknownRetryAfter{1000};
 constexpr milliseconds MinRetryAfter{50};
 // An organisation that uses this many times the mean is over its share.
@@ -124,7 +124,8 @@
 quota_reply quota_issuer::issue(const quota_request &Request, time_point Now) {
   dropUnused(Now);
   row &Row = rowFor(Request, Now);
-  // take() needs a level of one token above what is kept back.
+  // Returns the burst with which take() succeeds above a level of the slice. At
+  // least one token is needed.
   auto BurstAbove = [&](double Level) {
     return Row.Depth - std::max(1.0, Level * Row.Depth);
   };
@@ -259,9 +260,9 @@
                       std::span<const std::string> Asked, time_point Now) {
   row &Row = rowOf(Organisation);
   Row.Members = std::max<std::size_t>(Members.size(), 1);
-  // If near members were used up first, their slices would never fill, and a
-  // burst below the limit would find only the tokens of the others. The last
-  // key has each organisation ask members elsewhere in another order.
+  // If near members were always asked first, their slices would never fill, and
+  // a burst below the limit would find only the tokens of the others. Between
+  // equal members, the order differs by organisation.
   std::uint64_t Seed = hash64(Organisation);
   auto OrderOf = [&](const quota_member &Member) {
     double Fill = fillOf(Row, Member.Address, Now);
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -93,7 +93,7 @@
   void onRequest(http1::exchange_id Exchange, http1::request &&Request);
   /// The caller has closed its connection.
   void onCallerGone(http1::exchange_id Exchange);
-  /// A request with a long body is refused if it has no route.
+  /// Refuses a request with a long body if no route matches.
   std::optional<http1::early_refusal>
   onRequestHead(std::string_view Target, const http1::header_list &Headers);
   http1::server_limits serverLimits() const;
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -16,8 +16,8 @@
 // fields without data, and the event itself.
 constexpr std::size_t MaxBytesBetweenEvents = 1U << 20U;
 
-// Turns up to this size are stored although the host is short of memory. With
-// its copies an ordinary turn takes far less.
+// Turns that take up to this many bytes with their copies are stored although
+// the host is short of memory. Ordinary turns take far less.
 constexpr std::size_t SmallTurnBytes = 256U << 10U;
 
 // Denied permits after which a call prefers upstreams without a limit.
@@ -439,7 +439,7 @@
     abortResponse(Id, "the host has no memory to store the turn");
     return;
   }
-  // Until it is stored, also if the caller leaves meanwhile.
+  // The copies are held until the turn is stored, even if the caller leaves.
   memory_holder_id Pinned = Memory.add(MemoryOwner, keyOf(Id));
   Memory.set(Pinned, memory_rank::Pinned, KeepingBytes, steadyNow());
   Call.Phase = call_phase::Keeping;
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -19,8 +19,8 @@
 
 // States of upstreams that are not registered.
 constexpr std::size_t MaxRemembered = 4096;
-// One of this many new chains may start in a data centre whose speed is not
-// known. At 1.5 new chains a second, a host knows three others after 8 s.
+// One of this many new chains may start in another data centre to measure it.
+// At 1.5 new chains a second, a host has measured three others after 8 s.
 constexpr std::uint64_t ChainsPerMeasurement = 4;
 // Penalty of an upstream whose limit leaves no permit, above all others.
 constexpr int BusyPenalty = 32;
