--- a/src/libbase/memory_budget.cpp
+++ b/src/libbase/memory_budget.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// A rank with this part of the limit is worth ending holders of.
+// The first rank that has more than one part in so many of the limit is chosen.
 constexpr std::size_t RankShare = 4;
 
 std::size_t indexOf(memory_rank Rank) { return static_cast<std::size_t>(Rank); }
@@ -21,12 +21,12 @@
 }
 
 void memory_budget::removeOwner(memory_owner_id Owner) {
-  std::vector<memory_holder_id> Its;
+  std::vector<memory_holder_id> Owned;
   Holders.forEach([&](memory_holder_id Id, const memory_holder &Row) {
     if (Row.Owner == Owner)
-      Its.push_back(Id);
+      Owned.push_back(Id);
   });
-  for (memory_holder_id Id : Its)
+  for (memory_holder_id Id : Owned)
     release(Id);
   Owners.erase(Owner);
 }
@@ -90,7 +90,7 @@
 }
 
 void memory_budget::enforce() {
-  // What an owner does to end a holder may come back here.
+  // memory_owner::End may call this function.
   if (Enforcing || Total <= Limit)
     return;
   Enforcing = true;
@@ -98,7 +98,7 @@
     const memory_holder &Row = *Holders.find(*Id);
     std::uint64_t Key = Row.Key;
     memory_owner_id Owner = Row.Owner;
-    // Not counted from here on: an owner may free it a moment later.
+    // Not counted from here on, as an owner may release the memory later.
     set(*Id, Row.Rank, 0, Row.Progress);
     ++Ended;
     if (memory_owner *Found = Owners.find(Owner))
--- a/src/libbase/memory_budget_test.cpp
+++ b/src/libbase/memory_budget_test.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-// An endless answer among small ones brought all of them to an end.
+// Guards against one endless answer that makes small calls end.
 TEST_CASE("the call that holds the most ends first") {
   fixture F;
   auto Small = F.add(1, memory_rank::Call, 40);
@@ -54,7 +54,7 @@
   F.add(4, memory_rank::Request, 5);
   F.add(5, memory_rank::Answer, 20);
   F.Budget.enforce();
-  // The request of 5 bytes would not help.
+  // Ending the request of 5 bytes would free too little.
   CHECK(F.Ended == std::vector<std::uint64_t>{3, 2});
 }
 
@@ -80,8 +80,8 @@
   CHECK(F.Ended == std::vector<std::uint64_t>{2});
 }
 
-// A host without memory for it ended by a dangling callback of a server that
-// was gone.
+// Guards against a callback into a server that was destroyed while the budget
+// still counted its connections.
 TEST_CASE("an owner that goes takes its holders along") {
   fixture F;
   F.add(1, memory_rank::Call, 500);
--- a/src/libhttp1/server.cpp
+++ b/src/libhttp1/server.cpp
@@ -20,8 +20,8 @@
 constexpr milliseconds LingerTime{1000};
 constexpr milliseconds SweepInterval{1000};
 constexpr milliseconds SilenceTimeout{5000};
-// The next request of a connection is read once no more bytes of its earlier
-// answers are unsent: a client that does not read holds one answer at most.
+// The next request of a connection is read only while at most this many bytes
+// of earlier answers are unsent, so that a client that does not read holds one.
 constexpr std::size_t MaxUnsentBeforeNext = 64U << 10U;
 // Buffers above this size are freed once they are empty.
 constexpr std::size_t KeptInputBytes = 16U << 10U;
@@ -189,8 +189,8 @@
   }
   void onMessage() {}
 
-  // By halves, and never beyond what the request may have. A string that grows
-  // by itself doubles.
+  // Grows the body by halves, at most up to the length that the request may
+  // have. The string itself would double its capacity.
   void grow(std::size_t Needed) {
     auto Most = static_cast<std::size_t>(
         std::min<std::uint64_t>(Row.Parser.bodyBytesBound(), MaxBodyBytes));
@@ -226,7 +226,7 @@
     return;
   auto Result = Row->Socket.read(Row->Input);
   if (Result == pvt::io_result::Blocked) {
-    process(Id); // Input that has waited for its reader.
+    process(Id); // Input that was held back while answers were unsent.
     return;
   }
   if (Result != pvt::io_result::Done) {
@@ -439,7 +439,7 @@
     Budget->removeOwner(Owner);
 }
 
-// Whether nothing is read for now.
+// Whether nothing is read from the connection at present.
 bool server::state::isFull(const connection &Row) const {
   return Row.awaitsReader() || (Row.Phase == phase::Answering &&
                                 Row.Input.size() >= Limits.ReadAheadBytes);
@@ -451,7 +451,7 @@
   bool IsRequest = Row.Phase == phase::Receiving && Row.isReading();
   auto Rank = IsRequest ? memory_rank::Request : memory_rank::Answer;
   std::size_t Bytes = Row.heldBytes();
-  // Mostly nothing has changed: a request that arrives in one piece.
+  // Usually nothing has changed, as most requests arrive in one piece.
   if (Bytes == Row.CountedBytes && Rank == Row.CountedRank)
     return;
   Row.CountedBytes = Bytes;
@@ -467,12 +467,14 @@
   Row->CountedBytes = 0; // The budget has forgotten them.
   bool IsRequest = Row->Phase == phase::Receiving && Row->isReading();
   if (IsRequest && Row->Socket.unsent() == 0)
-    refuse(Id, *Row, status::Unavailable, "the host has no memory for it");
+    refuse(Id, *Row, status::Unavailable,
+           "the host has no memory for the request");
   else
     close(Id);
 }
 
-// Closes the oldest connection on which no request was complete.
+// Closes the oldest connection on which no request was complete. Returns
+// whether there was one.
 bool server::state::makeRoom() {
   std::optional<connection_id> Oldest;
   time_point Since;
--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -43,7 +43,7 @@
   time_point LastBytes;
   time_point OpenedAt;
 
-  /// Whether it comes from a host that has not said what it wants.
+  /// Whether the first line, which names the address, has not been read.
   bool hasNoLine() const {
     return Side == side::Peer && Phase == phase::Opening && !Other;
   }
@@ -123,7 +123,7 @@
   });
 }
 
-// The oldest of them makes room for a new one.
+// Closes the oldest connection without a first line if there are too many.
 void tunnel_server::state::limitWithoutLine() {
   std::size_t Count = 0;
   std::optional<end_id> Oldest;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -50,7 +50,8 @@
   }
 };
 using connection_context = row_context<connection_id>;
-/// Of a message whose body is read; it ends with the message.
+/// User data of the callbacks of a message whose body is read. It is deleted
+/// with the message.
 struct reading_context : connection_context {
   SoupServerMessage *Message = nullptr;
 };
@@ -225,7 +226,7 @@
   // get to it much later, so the body is freed now.
   SoupServerMessage *Message = Row->Reading;
   reject(Message, SOUP_STATUS_SERVICE_UNAVAILABLE,
-         "the host has no memory for it");
+         "the host has no memory for the request");
   soup_message_body_truncate(soup_server_message_get_request_body(Message));
 }
 
--- a/src/libnet/peer_server.cpp
+++ b/src/libnet/peer_server.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t MaxStatusTextBytes = 1024;
 constexpr std::size_t CompactBytes = 64U << 10U;
-// Connections that have not shown the key, and requests on each of them. A
+// Connections that have not proved the key, and requests on each of them. A
 // handshake takes two requests, one after the other, and less than a second.
 constexpr std::size_t MaxUnproved = 64;
 constexpr std::size_t MaxUnprovedStreams = 4;
@@ -180,7 +180,7 @@
   Connection.Transport->scheduleFlush();
 }
 
-// The oldest connection without a proof makes room for a new one.
+// Closes the oldest connection without a proof if there are too many of them.
 void peer_server::state::limitUnproved() {
   std::size_t Count = 0;
   std::optional<accepted_id> Oldest;
