--- a/testsuite/fleet/hostile_clients_test.cpp
+++ b/testsuite/fleet/hostile_clients_test.cpp
@@ -156,7 +156,7 @@
 
 } // namespace
 
-// (a) Bodies of legal size that stop short of their end.
+// Bodies of legal size that stop short of their end.
 TEST_CASE("hostile_bodies_stop_short_in_one_piece") {
   fixture F(settingsFor("a"));
   for (const target &Target : F.targets()) {
@@ -168,7 +168,7 @@
   }
 }
 
-// (b) The same in small pieces.
+// Bodies that stop short, in small pieces.
 TEST_CASE("hostile_bodies_stop_short_in_small_pieces") {
   fixture F(settingsFor("b"));
   for (const target &Target : F.targets()) {
@@ -181,7 +181,7 @@
   }
 }
 
-// (c) The same in chunks of a few bytes, without a declared length.
+// Bodies that stop short, in chunks of a few bytes without a declared length.
 TEST_CASE("hostile_bodies_stop_short_in_chunks") {
   fixture F(settingsFor("c"));
   for (const target &Target : F.targets()) {
@@ -193,7 +193,7 @@
   }
 }
 
-// (d) Bodies far over the limit, with and without a declared length.
+// Bodies far over the limit, with and without a declared length.
 TEST_CASE("hostile_bodies_are_far_over_the_limit") {
   constexpr std::size_t Factor = 8;
   fixture F(settingsFor("d"));
@@ -210,7 +210,7 @@
     }
 }
 
-// (e) Very many short header fields: their text is far smaller than the memory
+// Very many short header fields: their text is far smaller than the memory
 // that a field takes. Some end, some stop short.
 TEST_CASE("hostile_requests_have_very_many_fields") {
   constexpr std::size_t Connections = 300;
@@ -230,7 +230,7 @@
     }
 }
 
-// (f) Many requests in a row whose answers are not read.
+// Many requests in a row whose answers are not read.
 TEST_CASE("hostile_requests_follow_without_reading_answers") {
   fleet_settings Settings = settingsFor("f");
   Settings.AnswerBytes = 256U << 10U;
@@ -244,7 +244,7 @@
   }
 }
 
-// (g) Slow senders: heads and bodies that never end, a few bytes at a time.
+// Slow senders: heads and bodies that never end, a few bytes at a time.
 TEST_CASE("hostile_senders_are_slow") {
   constexpr std::size_t Connections = 150;
   fixture F(settingsFor("g"));
@@ -294,7 +294,7 @@
 
 } // namespace
 
-// (h) Readers that are slow, or stop in the middle of a long answer.
+// Readers that are slow, or stop in the middle of a long answer.
 TEST_CASE("hostile_readers_of_plain_answers") {
   runReaders("h1", PlainAnswerBytes, false, fleet::ToolHost);
 }
@@ -332,7 +332,7 @@
 
 } // namespace
 
-// (i) Garbage and connections that say nothing or half of something, at the
+// Garbage and connections that say nothing or half of something, at the
 // ports that hosts use among themselves; and more connections than the host
 // has descriptors.
 TEST_CASE("hostile_clients_at_internal_ports") {
--- a/testsuite/soak/keys.cpp
+++ b/testsuite/soak/keys.cpp
@@ -14,7 +14,7 @@
 
 constexpr milliseconds ChangeInterval{1300};
 constexpr milliseconds CallInterval{40};
-// Older ones are no longer used: every host has refused them for long.
+// Older keys are not used: all hosts have refused them for some seconds.
 constexpr std::size_t RemovedKeysInUse = 4;
 constexpr double LeastAnswered = 0.9;
 
@@ -66,7 +66,7 @@
     Removed.erase(Removed.begin());
 }
 
-// A key for the next request; empty for a request without one.
+// Returns a key for the next request; empty for a request without a key.
 std::string key_callers::choose() {
   constexpr unsigned Kinds = 5;
   switch (Random() % Kinds) {
@@ -160,8 +160,8 @@
                                std::to_string(Attempt.Status) + " and has run");
 }
 
-// A key that each host must know by now is not answered 401, and one that no
-// host can know is not answered by an upstream.
+// Requests with a key that each host must know by now must not get 401, and
+// those with a key that never existed must not get 200.
 void key_callers::judgeAnswer(const std::string &Id, const attempt &Attempt) {
   auto Found = Keys.find(Attempt.Key);
   if (Found == Keys.end()) {
@@ -176,7 +176,7 @@
     Oracle.fail("keys", Id + ": a valid key was answered 401");
 }
 
-// The logs of all processes, and the disks of disk hosts.
+// Searches the logs of all processes and the disks of disk hosts for keys.
 void key_callers::judgeFiles() {
   namespace fs = std::filesystem;
   for (const auto &File :
--- a/testsuite/soak/keys.h
+++ b/testsuite/soak/keys.h
@@ -1,6 +1,6 @@
 /// \file
-/// Keys that are added and removed during a run, callers that use them, and the
-/// checks of what became of their requests.
+/// Keys that are added and removed during a run, callers that use them, and
+/// checks of the results of their requests.
 #pragma once
 
 #include "oracle.h"
@@ -19,15 +19,15 @@
 public:
   key_callers(fleet_harness::fleet &Fleet, oracle &Oracle, std::uint64_t Seed);
 
-  /// No key is added or removed any more.
+  /// Stops adding and removing keys.
   void stopChanges() { Changes.reset(); }
   /// Checks that valid keys were answered since \p FromMs (time of day), and
   /// ends the requests.
   void judgeEnd(std::int64_t FromMs);
   /// Whether all requests have ended.
   bool ended() const { return Pending == 0; }
-  /// Compares with what the upstreams have told, and looks for keys in all
-  /// files of the hosts.
+  /// Compares the answers with the runs that upstreams have logged. Searches
+  /// all files of the hosts for keys.
   void judge(const std::vector<fleet_harness::run_line> &Runs);
 
 private:
