Hedging: an attempt does not count itself as load of the pool

A host compares its mean number of attempts in flight with 0.6 of its share of the slots, and counted the attempt that was just sent. Where there are more hosts than slots (63 hosts, 48 slots) the mean is never below one, so that the pool always counted as short. Only other attempts count now. The test fails without the change.

--- a/src/librelay/relay_hedge.cpp
+++ b/src/librelay/relay_hedge.cpp
@@ -5,6 +5,7 @@
 
 #include "turmerichead/log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace turmerichead::relay {
@@ -22,7 +23,11 @@
   hedging *Hedging = hedgingOf(Call);
   if (!Hedging || Call.Current.Kind != attempt_kind::First)
     return;
-  auto Delay = Hedging->recordFirst(Upstreams.inFlight(Call.Service));
+  // With the attempt itself, a host whose share of the slots is below one would
+  // always count as busy.
+  std::size_t Others =
+      std::max<std::size_t>(Upstreams.inFlight(Call.Service), 1) - 1;
+  auto Delay = Hedging->recordFirst(Others);
   if (Delay && *Delay < Call.Deadline - Call.Current.SentAt)
     Deadlines->add(*Delay, keyOf(Id), static_cast<int>(due_kind::Hedge));
 }
--- a/src/librelay/relay_hedge_test.cpp
+++ b/src/librelay/relay_hedge_test.cpp
@@ -307,3 +307,14 @@
   REQUIRE(Caller.waitsFor("done"));
   CHECK(F.hedges("cancelled") == 0);
 }
+
+TEST_CASE("a host whose share of the slots is below one sends hedges") {
+  // An attempt counted itself as load of the pool. Where there are more hosts
+  // than slots, no host sent any hedge.
+  hedge_fixture F;
+  F.Relay->setEntryHosts(10);
+  caller Caller(F.Address);
+  Caller.send(F.request("GET", "/safe/1", "c1"));
+  raw_server &First = F.serverOf("c1");
+  CHECK(F.received(F.otherThan(First), "X-Call: c1"));
+}
