--- a/src/include/turmerichead/relay_hedging.h
+++ b/src/include/turmerichead/relay_hedging.h
@@ -46,9 +46,9 @@
   explicit hedging(std::uint32_t Percent) : Percent(Percent) {}
 
   /// Records that the first attempt of a call was sent while \p InFlight
-  /// other attempts of this host were in flight at the service. Returns the time
-  /// without a head after which takeHedge() may be asked; unset if there are
-  /// too few samples.
+  /// other attempts of this host were in flight at the service. Returns the
+  /// time without a head after which takeHedge() may be asked; unset if there
+  /// are too few samples.
   std::optional<milliseconds> recordFirst(std::size_t InFlight);
 
   /// Records the time until the head of an answer to a first attempt.
