--- /dev/null
+++ b/src/include/turmerichead/log_limiter.h
@@ -0,0 +1,27 @@
+/// \file
+/// Bounds the number of log lines of one kind. Reads no clock.
+#pragma once
+
+#include "turmerichead/clock.h"
+
+#include <optional>
+
+namespace turmerichead {
+
+/// Allows one log line a second, for events that clients can cause at any rate.
+class log_limiter {
+public:
+  /// Whether a line may be logged at \p Now. It then counts as logged.
+  bool allows(time_point Now) {
+    constexpr milliseconds Interval{1000};
+    if (LoggedAt && Now - *LoggedAt < Interval)
+      return false;
+    LoggedAt = Now;
+    return true;
+  }
+
+private:
+  std::optional<time_point> LoggedAt;
+};
+
+} // namespace turmerichead
--- a/src/include/turmerichead/relay_quota.h
+++ b/src/include/turmerichead/relay_quota.h
@@ -11,6 +11,7 @@
 /// serves the requests. docs/design/rate-limits.md has the arithmetic.
 #pragma once
 
+#include "turmerichead/log_limiter.h"
 #include "turmerichead/relay_issuing.h"
 
 #include <array>
@@ -231,7 +232,7 @@
     double MeanUtilisation = 0;
     std::optional<time_point> ReportedAt;
     std::uint64_t Refused = 0;
-    std::optional<time_point> LoggedAt;
+    log_limiter LogLimiter;
   };
   row &rowOf(std::string_view Organisation);
   static time_point emptyUntil(const row &Row, std::string_view Address,
--- a/src/libhttp1/server.cpp
+++ b/src/libhttp1/server.cpp
@@ -4,6 +4,7 @@
 #include "socket_pvt.h"
 #include "turmerichead/error.h"
 #include "turmerichead/log.h"
+#include "turmerichead/log_limiter.h"
 #include "turmerichead/table.h"
 
 #include <algorithm>
@@ -30,7 +31,6 @@
 // A body up to this size is read before the request is refused, so that its
 // connection can be kept.
 constexpr std::size_t SmallBodyBytes = 16U << 10U;
-constexpr milliseconds LogInterval{1000};
 constexpr std::uint64_t ListenerKey = 0;
 
 enum class phase : std::uint8_t {
@@ -130,7 +130,7 @@
   bool Draining = false;
   memory_budget *Budget = nullptr;
   memory_owner_id Owner;
-  std::array<time_point, ClientEnds> LoggedAt;
+  std::array<log_limiter, ClientEnds> LogLimiters;
 
   bool isFull(const connection &Row) const;
   void account(connection &Row);
@@ -496,11 +496,8 @@
 void server::state::report(client_end Reason) {
   auto Index = static_cast<std::size_t>(Reason);
   ++Counters.Ended.at(Index);
-  time_point Now = steadyNow();
-  time_point &LoggedBefore = LoggedAt.at(Index);
-  if (LoggedBefore.Ms > 0 && Now - LoggedBefore < LogInterval)
+  if (!LogLimiters.at(Index).allows(steadyNow()))
     return;
-  LoggedBefore = Now;
   log::warn("client ended", {{"reason", nameOf(Reason)},
                              {"port", Listener.port()},
                              {"ended", Counters.Ended.at(Index)},
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -1,6 +1,7 @@
 #include "turmerichead/net_http.h"
 
 #include "turmerichead/log.h"
+#include "turmerichead/log_limiter.h"
 #include "turmerichead/memory_budget.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/table.h"
@@ -16,7 +17,6 @@
 namespace {
 
 constexpr milliseconds SweepInterval{500};
-constexpr milliseconds LogInterval{1000};
 constexpr int StatusHeadersTooLarge = 431; ///< Not defined by libsoup.
 constexpr const char *ConnectionKey = "turmerichead-connection";
 
@@ -87,7 +87,7 @@
   std::shared_ptr<state *> Self = std::make_shared<state *>(this);
   std::optional<memory_budget> Budget;
   memory_owner_id Owner;
-  time_point LoggedAt;
+  log_limiter LogLimiter;
 
   ~state();
   void account(connection_row &Connection);
@@ -206,15 +206,12 @@
   connection_row *Row = Connections.find(Id);
   if (!Row)
     return;
-  time_point Now = steadyNow();
-  if (LoggedAt.Ms == 0 || Now - LoggedAt >= LogInterval) {
-    LoggedAt = Now;
+  if (LogLimiter.allows(steadyNow()))
     log::warn("client ended", {{"reason", "memory"},
                                {"port", Listener.port()},
                                {"ended", Budget->ended()},
                                {"connections", Connections.size()},
                                {"held_bytes", Budget->total()}});
-  }
   if (Exchanges.find(Row->Exchange))
     cutOff(Row->Exchange);
   else
--- a/src/librelay/member_requests.cpp
+++ b/src/librelay/member_requests.cpp
@@ -10,12 +10,12 @@
                                 std::string_view Path, std::string Body,
                                 bytes_action Done) {
   peer_request Request{std::string(Path), {}, std::move(Body)};
-  auto Forwarder = Route ? Route(Address, false) : std::nullopt;
-  if (Forwarder || !Route) {
-    const std::string &To = Forwarder ? *Forwarder : Address;
-    sendOnce(To,
-             Forwarder ? turns::forwardedRequest(Address, std::move(Request))
-                       : std::move(Request),
+  if (!Route) {
+    sendOnce(Address, std::move(Request), Done);
+    return;
+  }
+  if (auto Forwarder = Route(Address, false)) {
+    sendOnce(*Forwarder, turns::forwardedRequest(Address, std::move(Request)),
              Done);
     return;
   }
@@ -66,10 +66,8 @@
   std::uint64_t Number = ++NextNumber;
   Pending[Number].Timeout =
       loop_source::every(Delay, [this, Number, Action = std::move(Action)] {
-        // The entry owns this function.
-        auto Run = Action;
         Pending.erase(Number);
-        Run();
+        Action();
         return false;
       });
 }
--- a/src/librelay/quota.cpp
+++ b/src/librelay/quota.cpp
@@ -44,7 +44,6 @@
 // An organisation that uses this many times the mean is over its share.
 constexpr double OverShare = 1.4;
 constexpr milliseconds ReportLifetime{2000};
-constexpr milliseconds LogInterval{1000};
 constexpr std::size_t MaxListed = 10;
 
 double secondsOf(milliseconds Time) {
@@ -428,10 +427,7 @@
                                     time_point Now) {
   row &Row = rowOf(Organisation);
   ++Row.Refused;
-  if (Row.LoggedAt && Now - *Row.LoggedAt < LogInterval)
-    return false;
-  Row.LoggedAt = Now;
-  return true;
+  return Row.LogLimiter.allows(Now);
 }
 
 std::vector<std::pair<std::string, std::uint64_t>>
