Avoid upstreams that take calls and answer none

Cause: an upstream that hung while its health checks passed got one call after the other from each host, as a call that ended at its deadline, or whose caller had left, told nothing about the upstream. Hedges did not help: the waiting calls counted as load, so that the pool seemed short of capacity.

Change: upstream_silence adds up how long calls wait while none gets an answer, over calls that end without one. Time in which no upstream of the service answers does not count. Calls at silent upstreams are not counted as load for hedging. Penalty weights have names.

--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "turmerichead/relay_notices.h"
+#include "turmerichead/relay_upstream_silence.h"
 #include "turmerichead/relay_upstream_speed.h"
 
 #include <cstdint>
@@ -41,6 +42,7 @@
   /// When the row is removed; unset while the upstream is registered.
   std::optional<time_point> ExpiresAt;
   upstream_speed Speed; ///< Times that this host has measured at this run.
+  upstream_silence Silence;
   upstream_state State; ///< What this run has said of itself.
   /// The limit leaves no permit until then, as far as is known.
   time_point BusyUntil;
@@ -75,6 +77,9 @@
   std::string_view SpreadKey; ///< Breaks ties, for example the id of the call.
   /// Ids of the upstreams that the call was sent to.
   std::span<const std::string> Tried;
+  /// Whether the call may be sent again if it gets no answer. Such calls find
+  /// out whether a silent upstream answers again.
+  bool IsRepeatable = false;
 };
 
 /// Upstreams by id. Each entry host owns one and uses it in its loop thread.
@@ -103,7 +108,8 @@
   ///   weighted by speed, it goes to the one predicted to finish first.
   /// - Some new chains start in another data centre to measure its speed, see
   ///   service_speed::toMeasure().
-  /// - A runner that is slow or has failed is avoided while others are healthy.
+  /// - A runner that is slow, silent or has failed is avoided while others are
+  ///   healthy.
   /// - In a burst, once the slots of a runner are in use, calls go to the next
   ///   runner in the hash order.
   upstream_row *pick(const placement &Placement, time_point Now);
@@ -123,13 +129,19 @@
   std::uint32_t readySlots(std::string_view Service, time_point Now) const;
 
   /// Returns how many calls of this host are in flight at the upstreams of a
-  /// service.
-  std::size_t inFlight(std::string_view Service) const;
+  /// service, without those at silent ones.
+  std::size_t inFlight(std::string_view Service, time_point Now) const;
 
   /// Returns the state of a run, which need not be registered; nullptr if
   /// another run of the upstream is.
   upstream_state *stateOf(const upstream_run &Run);
 
+  /// Counts a call as in flight at \p Row.
+  void recordSent(upstream_row &Row, time_point Now);
+  /// A call is not in flight any more, with or without an answer.
+  void recordEnd(std::string_view Id, time_point Now);
+  /// The head or a part of an answer has arrived.
+  void recordAnswer(std::string_view Id, time_point Now);
   /// Prefers other upstreams for a short time.
   void recordFailure(std::string_view Id, time_point Now);
   /// Records a time measured at the upstream.
@@ -157,6 +169,7 @@
     const placement &Placement;
     time_point Now;
     bool IsNewChain = false;
+    time_point ActiveSince{}; ///< See activeSince().
     std::uint64_t KeyHash = 0;
     double SlowGapMs = 0; ///< Mean time between events of a slow upstream.
     double OwnTurnMs = 0; ///< Predicted time of a turn in the own data centre.
@@ -174,6 +187,11 @@
   bool isNewChain(const placement &Placement, time_point Now);
   /// Sets Candidates and their estimates.
   void collect(const choice &Choice);
+  /// Returns since when the service answers without a longer pause.
+  time_point activeSince(std::string_view Service, time_point Now) const;
+  /// Returns whether the upstream answers none of its calls, and was tried too
+  /// lately for another one.
+  bool isSilent(const candidate &Candidate, const choice &Choice) const;
   rank rankOf(const candidate &Candidate, const choice &Choice) const;
   int penaltyOf(const candidate &Candidate, const choice &Choice) const;
   int distanceOf(const candidate &Candidate, const choice &Choice) const;
@@ -197,6 +215,7 @@
 
   std::map<std::string, upstream_row, std::less<>> Rows;
   std::map<std::string, remembered_run, std::less<>> Remembered;
+  std::map<std::string, service_activity, std::less<>> Activities;
   // Of the latest choice. They are members to keep their memory.
   service_speed Speeds;
   std::vector<candidate> Candidates;
--- a/src/librelay/relay_hedge_test.cpp
+++ b/src/librelay/relay_hedge_test.cpp
@@ -58,7 +58,9 @@
     return Metrics.value("hedges_total",
                          "result=\"" + std::string(Result) + "\"");
   }
-  std::size_t inFlight() const { return Relay->upstreams().inFlight("tools"); }
+  std::size_t inFlight() const {
+    return Relay->upstreams().inFlight("tools", steadyNow());
+  }
 };
 
 constexpr std::string_view NotRun = "X-Not-Run: 1\r\n";
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -106,10 +106,10 @@
 
 void relay::impl::assign(relay_call &Call, upstream_attempt &Attempt,
                          upstream_row &Upstream) {
-  ++Upstream.InFlight;
   Attempt.UpstreamId = Upstream.Upstream.Id;
   Attempt.SentTo = Upstream.Upstream;
   Attempt.SentAt = steadyNow();
+  Upstreams.recordSent(Upstream, Attempt.SentAt);
   Call.Tried.push_back(Attempt.UpstreamId);
 }
 
@@ -160,6 +160,8 @@
       Placement.Shape.Events = Events;
   } else {
     Placement.Shape.IsStream = false;
+    Placement.IsRepeatable = Call.Route.Kind == call_kind::Safe &&
+                             Call.Attempts + 1 < Call.Route.Attempts;
   }
   Placement.PreviousUpstream = Call.PreviousUpstream;
   Placement.PrefersNear = !Upstreams.hasLimits(Call.Service, Now);
@@ -210,8 +212,7 @@
                                   upstream_attempt &Attempt) {
   if (Attempt.UpstreamId.empty())
     return;
-  if (upstream_row *Row = Upstreams.find(Attempt.UpstreamId))
-    Row->InFlight -= Row->InFlight > 0 ? 1 : 0;
+  Upstreams.recordEnd(Attempt.UpstreamId, steadyNow());
   if (Call.Route.Kind == call_kind::Stream)
     Loads[Call.Service].Estimator.recordEnd(Attempt.SentAt,
                                             Call.eventsFromUpstream());
@@ -225,6 +226,7 @@
   upstream_attempt &Attempt = Call.attempt(Role);
   CrashTracker.recordResponse(Attempt.SentTo, Attempt.SentAt);
   recordWay(Attempt, steadyNow());
+  Upstreams.recordAnswer(Attempt.UpstreamId, steadyNow());
   readNotice(Call, Attempt, Head);
   Attempt.Head = Head;
   Attempt.NotRun = Head.Status == http1::status::Misdirected ||
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -13,6 +13,13 @@
 
 // Time for which other upstreams are preferred after a failure.
 constexpr milliseconds AvoidTime{1500};
+// Calls that wait this long without an answer, or for this many times the
+// expected time if that is longer, make an upstream silent. It is tried again
+// by calls that may be repeated; others, which would fail, wait for longer.
+constexpr milliseconds MinSilence = service_activity::MaxPause;
+constexpr double SilenceFactor = 8;
+constexpr milliseconds SilentTrialTime{1500};
+constexpr milliseconds SilentAvoidTime{10'000};
 // A runner is slow if its mean time between events is above the median of its
 // service times this factor.
 constexpr double SlowFactor = 2.5;
@@ -22,8 +29,13 @@
 // One of this many new chains may start in another data centre to measure it.
 // At 1.5 new chains a second, a host has measured three others after 8 s.
 constexpr std::uint64_t ChainsPerMeasurement = 4;
-// Penalty of an upstream whose limit leaves no permit, above all others.
-constexpr int BusyPenalty = 32;
+// Penalties; each is above the sum of those after it.
+constexpr int BusyPenalty = 32; ///< Its limit leaves no permit.
+constexpr int TriedPenalty = 16;
+constexpr int FailedPenalty = 8;   ///< It failed lately or is silent.
+constexpr int VanishedPenalty = 4; ///< Its entry has expired.
+constexpr int FullPenalty = 2;     ///< All of its slots are in use.
+constexpr int SlowPenalty = 1;
 // Differences in the time until there are permits that don't count.
 constexpr milliseconds BusyStep{64};
 
@@ -169,6 +181,7 @@
                                                time_point Now) {
   choice Choice{Placement, Now};
   Choice.IsNewChain = isNewChain(Placement, Now);
+  Choice.ActiveSince = activeSince(Placement.Service, Now);
   Choice.KeyHash =
       hash64(Placement.AffinityKey.empty() ? Placement.SpreadKey
                                            : Placement.AffinityKey);
@@ -193,9 +206,30 @@
   bool Busy = contains(Placement.Denied, Id) || isBusy(Row, Choice.Now) ||
               (Placement.AvoidsLimits && Row.State.Limit);
   bool Slow = Candidate.GapMs > Choice.SlowGapMs;
-  return (Busy ? BusyPenalty : 0) + (Tried ? 16 : 0) +
-         (Row.AvoidUntil > Choice.Now ? 8 : 0) + (Row.ExpiresAt ? 4 : 0) +
-         (Full ? 2 : 0) + (Slow ? 1 : 0);
+  bool Failed = Row.AvoidUntil > Choice.Now || isSilent(Candidate, Choice);
+  return (Busy ? BusyPenalty : 0) + (Tried ? TriedPenalty : 0) +
+         (Failed ? FailedPenalty : 0) + (Row.ExpiresAt ? VanishedPenalty : 0) +
+         (Full ? FullPenalty : 0) + (Slow ? SlowPenalty : 0);
+}
+
+time_point upstream_table::activeSince(std::string_view Service,
+                                       time_point Now) const {
+  auto Activity = Activities.find(Service);
+  return Activity == Activities.end() ? Now : Activity->second.activeSince();
+}
+
+bool upstream_table::isSilent(const candidate &Candidate,
+                              const choice &Choice) const {
+  const upstream_row &Row = *Candidate.Row;
+  milliseconds Waited =
+      Row.Silence.waited(Row.InFlight, Choice.ActiveSince, Choice.Now);
+  double ExpectedMs = Speeds.at(Candidate.DataCentre).EstimateMs.First;
+  if (Waited < MinSilence ||
+      static_cast<double>(Waited.count()) < SilenceFactor * ExpectedMs)
+    return false;
+  milliseconds AvoidedFor =
+      Choice.Placement.IsRepeatable ? SilentTrialTime : SilentAvoidTime;
+  return Choice.Now - Row.Silence.lastSentAt() < AvoidedFor;
 }
 
 int upstream_table::distanceOf(const candidate &Candidate,
@@ -313,13 +347,38 @@
   return Slots;
 }
 
-std::size_t upstream_table::inFlight(std::string_view Service) const {
+std::size_t upstream_table::inFlight(std::string_view Service,
+                                     time_point Now) const {
   std::size_t Count = 0;
+  time_point ActiveSince = activeSince(Service, Now);
   for (const auto &[Id, Row] : Rows)
-    Count += Row.Upstream.Service == Service ? Row.InFlight : 0;
+    if (Row.Upstream.Service == Service &&
+        Row.Silence.waited(Row.InFlight, ActiveSince, Now) < MinSilence)
+      Count += Row.InFlight;
   return Count;
 }
 
+void upstream_table::recordSent(upstream_row &Row, time_point Now) {
+  Row.Silence.recordSent(Row.InFlight, Now);
+  ++Row.InFlight;
+}
+
+void upstream_table::recordEnd(std::string_view Id, time_point Now) {
+  upstream_row *Row = find(Id);
+  if (!Row || Row->InFlight == 0)
+    return;
+  --Row->InFlight;
+  Row->Silence.recordEnd(Row->InFlight, Now);
+}
+
+void upstream_table::recordAnswer(std::string_view Id, time_point Now) {
+  upstream_row *Row = find(Id);
+  if (!Row)
+    return;
+  Row->Silence.recordAnswer(Now);
+  Activities.try_emplace(Row->Upstream.Service).first->second.recordAnswer(Now);
+}
+
 void upstream_table::recordFailure(std::string_view Id, time_point Now) {
   if (upstream_row *Row = find(Id))
     Row->AvoidUntil = Now + AvoidTime;
@@ -327,8 +386,11 @@
 
 void upstream_table::recordTime(std::string_view Id, time_kind Kind,
                                 milliseconds Time, time_point Now) {
-  if (upstream_row *Row = find(Id))
-    Row->Speed.record(Kind, Time, Now);
+  upstream_row *Row = find(Id);
+  if (!Row)
+    return;
+  Row->Speed.record(Kind, Time, Now);
+  Row->Silence.recordAnswer(Now);
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/upstreams_test.cpp
+++ b/src/librelay/upstreams_test.cpp
@@ -2,8 +2,10 @@
 
 #include "turmerichead/relay_routes.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <set>
+#include <vector>
 
 using namespace turmerichead;
 using namespace turmerichead::relay;
@@ -118,6 +120,73 @@
   CHECK(Table.pick(placementOf("p", "a"), {0}) != Preferred);
 }
 
+TEST_CASE("few calls wait at an upstream that hangs") {
+  // Each host went on sending calls to an upstream that took them and answered
+  // none, one after the other: all of them failed at their deadlines.
+  struct sent {
+    std::string Upstream;
+    std::int64_t At;
+    std::int64_t Until;
+    bool IsAnswered;
+  };
+  constexpr std::int64_t HangsFrom = 2000;
+  constexpr std::int64_t HangsUntil = 9000;
+  upstream_table Table = tableOf(5);
+  std::vector<sent> Calls;
+  int Failed = 0;
+  int LaterThere = 0;
+  for (std::int64_t Now = 0; Now < 20'000; Now += 10) {
+    std::erase_if(Calls, [&](const sent &Call) {
+      if (Call.Until > Now)
+        return false;
+      if (Call.IsAnswered) {
+        Table.recordAnswer(Call.Upstream, {Now});
+        Table.recordTime(Call.Upstream, time_kind::Answer,
+                         milliseconds(Now - Call.At), {Now});
+      }
+      Table.recordEnd(Call.Upstream, {Now});
+      return true;
+    });
+    if (Now % 110 != 0)
+      continue;
+    // Half of the calls may be repeated, and are hedged after 60 ms.
+    placement Placement = placementOf({}, std::to_string(Now));
+    Placement.Shape.IsStream = false;
+    Placement.IsRepeatable = Now % 220 == 0;
+    upstream_row *Row = Table.pick(Placement, {Now});
+    bool Hangs =
+        Row->Upstream.Id == "u2" && Now >= HangsFrom && Now < HangsUntil;
+    bool Fails = Hangs && !Placement.IsRepeatable;
+    Failed += Fails ? 1 : 0;
+    LaterThere += Row->Upstream.Id == "u2" && Now > HangsUntil + 2000 ? 1 : 0;
+    Table.recordSent(*Row, {Now});
+    std::int64_t Takes = Fails ? 1000 : Hangs ? 60 : 20;
+    Calls.push_back({Row->Upstream.Id, Now, Now + Takes, !Hangs});
+  }
+  CHECK(Failed <= 2);
+  CHECK(LaterThere > 5);
+}
+
+TEST_CASE("no upstream counts as silent while none of them answers") {
+  // When the own links of a host work again, its calls would all go to the
+  // first upstream that answers.
+  upstream_table Table = tableOf(4);
+  for (const auto &[Id, Row] : Table.rows()) {
+    Table.recordAnswer(Id, {0});
+    Table.recordSent(*Table.find(Id), {100});
+    Table.recordSent(*Table.find(Id), {100});
+  }
+  Table.recordAnswer("u1", {5000});
+  for (const auto &[Id, Row] : Table.rows())
+    for (int I = 0; I < 2; ++I)
+      Table.recordEnd(Id, {5000});
+  std::set<std::string> Used;
+  for (int I = 0; I < 20; ++I)
+    Used.insert(Table.pick(placementOf("p" + std::to_string(I), "a"), {5010})
+                    ->Upstream.Id);
+  CHECK(Used == std::set<std::string>{"u0", "u2"});
+}
+
 TEST_CASE("programs move away from a runner that has become slow") {
   upstream_table Table = tableOf(5);
   std::string Preferred = Table.pick(placementOf("p", "a"), {0})->Upstream.Id;
