Forward the requests to several disk hosts through several hosts

Change: the disk host decides which of the first eight forwarders is used. A forwarder that did not reply is tried again after 5 s; before, it never was. The test fails without the spread (one forwarder).

--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -3,6 +3,7 @@
 #include "test_relay_pvt.h"
 
 #include <algorithm>
+#include <set>
 
 using namespace turmerichead;
 using namespace turmerichead::pvt;
@@ -310,6 +311,26 @@
   }
 }
 
+TEST_CASE("requests to several disk hosts go through several hosts") {
+  // A small machine forwarded everything for a host without links to the disk
+  // hosts, and for others that had chosen it too.
+  fixture F;
+  std::vector<std::string> Forwarders;
+  for (int I = 0; I < 12; ++I)
+    Forwarders.push_back("10.0.1." + std::to_string(I) + ":1");
+  F.Turns->setForwarders(Forwarders);
+  std::set<std::string> Used;
+  for (int I = 0; I < 20; ++I) {
+    std::string DiskHost = "10.0.0." + std::to_string(I) + ":1";
+    auto Forwarder = F.Turns->forwarderFor(DiskHost, true);
+    REQUIRE(Forwarder);
+    CHECK(Forwarder == F.Turns->forwarderFor(DiskHost, true));
+    Used.insert(*Forwarder);
+  }
+  CHECK(Used.size() > 3);
+  CHECK(!Used.contains(Forwarders.back()));
+}
+
 TEST_CASE("a stream that its runner breaks off does not look complete") {
   fixture F;
   caller Caller(F.Address);
--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -1,6 +1,7 @@
 #include "client_pvt.h"
 
 #include "rank_pvt.h"
+#include "turmerichead/hash.h"
 #include "turmerichead/turns_forwarder.h"
 #include "turmerichead/turns_links.h"
 
@@ -13,6 +14,11 @@
 // The interval of the pings that check whether an unresponsive host replies
 // again.
 constexpr milliseconds PingInterval{400};
+// Requests to different disk hosts are spread over this many forwarders, as one
+// of them may be a small machine.
+constexpr std::size_t MaxForwardersUsed = 8;
+// A forwarder that did not reply is used again after this time.
+constexpr milliseconds ForwarderAvoidTime{5000};
 // The delay before an operation restarts under a newer set.
 constexpr milliseconds OldSetRetryDelay{20};
 
@@ -83,22 +89,33 @@
                [](const peer_result &) {}});
 }
 
-std::optional<std::string> client::impl::responsiveForwarder() const {
-  auto Forwarder = std::find_if(
-      Forwarders.begin(), Forwarders.end(),
-      [&](const std::string &Host) { return !isUnresponsive(Host); });
-  if (Forwarder == Forwarders.end())
-    return std::nullopt;
-  return *Forwarder;
+std::optional<std::string>
+client::impl::forwarderTo(std::string_view Address) const {
+  std::size_t Used = std::min(Forwarders.size(), MaxForwardersUsed);
+  for (std::size_t I = 0; I < Forwarders.size(); ++I) {
+    std::size_t Index = I < Used ? (hash64(Address) + I) % Used : I;
+    if (isForwarding(Forwarders[Index]))
+      return Forwarders[Index];
+  }
+  return std::nullopt;
+}
+
+bool client::impl::isForwarding(const std::string &Host) const {
+  if (!isUnresponsive(Host))
+    return true;
+  return steadyNow() - *LinkStates.find(Host)->second.UnansweredSince >=
+         ForwarderAvoidTime;
 }
 
 bool client::impl::sendForwarded(
     const std::string &Address, const peer_request &Request,
     const std::function<void(std::string_view)> &OnMessage) {
-  auto Forwarder = responsiveForwarder();
+  auto Forwarder = forwarderTo(Address);
   if (!Forwarder)
     return false;
   ++Counters.Forwarded;
+  if (isUnresponsive(*Forwarder))
+    LinkStates[*Forwarder].UnansweredSince = steadyNow();
   sendDirectly(*Forwarder, forwardedRequest(Address, Request), OnMessage);
   return true;
 }
@@ -200,7 +217,7 @@
                                                 bool HasFailed) const {
   if (!HasFailed && !Impl->isUnresponsive(Address))
     return std::nullopt;
-  return Impl->responsiveForwarder();
+  return Impl->forwarderTo(Address);
 }
 
 operation_id client::open(open_call Call,
--- a/src/libturns/client_pvt.h
+++ b/src/libturns/client_pvt.h
@@ -68,8 +68,11 @@
   void onDeadline(operation_id Id, deadline_kind Kind);
   std::vector<disk_host> membersByPreference(const disk_set &Members) const;
   bool isUnresponsive(std::string_view Address) const;
-  /// Returns the nearest forwarder that replies, or nullopt.
-  std::optional<std::string> responsiveForwarder() const;
+  /// Returns the forwarder for requests to a disk host, or nullopt if none
+  /// replies. Near ones come first.
+  std::optional<std::string> forwarderTo(std::string_view Address) const;
+  /// Whether the forwarder replies, or has not been tried for a while.
+  bool isForwarding(const std::string &Host) const;
   void transmit(const std::string &Address, peer_request Request,
                 const std::function<void(std::string_view)> &OnMessage);
   void sendDirectly(const std::string &Address, peer_request Request,
