Ask members that failed once again soon, and let running programs wait longer

Cause: when all hosts restart, members reply 'not in the disk set' for some 100 ms.

Change: a member that failed once is asked again after 250 ms, twice as long after each further failure, up to 2 s. A request of a running program waits up to 750 ms (250 ms before), and a quarter of its time left, for a token or until a member is asked again. The rule counts requests that arrive and are sent within a window, so waiting adds none to it. Permits keep their 2 s.

The new test fails with a first time of 2 s.

--- a/src/include/turmerichead/relay_issuing.h
+++ b/src/include/turmerichead/relay_issuing.h
@@ -40,16 +40,31 @@
   double NextMs = 0; ///< When the next request is due at an even pace.
 };
 
-/// The disk hosts that did not reply lately.
+/// The disk hosts that did not reply lately. Each failure in a row doubles the
+/// time for which a host is not asked.
 class member_avoidance {
 public:
+  static constexpr milliseconds MaxTime{2000};
+
+  /// \p FirstTime: for which a host is not asked after its first failure.
+  explicit member_avoidance(milliseconds FirstTime = MaxTime)
+      : FirstTime(FirstTime) {}
+
   bool isAvoided(std::string_view Address, time_point Now) const;
+  /// Returns until when the disk host is not asked.
+  time_point avoidedUntil(std::string_view Address) const;
   /// The disk host did not reply in time, or is of a version that does not know
   /// the request.
   void recordFailure(std::string_view Address, time_point Now);
+  void recordReply(std::string_view Address);
 
 private:
-  std::map<std::string, time_point, std::less<>> AvoidedUntil;
+  struct row {
+    time_point Until;
+    milliseconds Time{0}; ///< Of the last avoidance.
+  };
+  milliseconds FirstTime;
+  std::map<std::string, row, std::less<>> Rows; ///< By address.
 };
 
 } // namespace turmerichead::relay
--- a/src/include/turmerichead/relay_quota.h
+++ b/src/include/turmerichead/relay_quota.h
@@ -243,7 +243,8 @@
   bool takeLocalShare(row &Row, std::size_t Hosts, time_point Now);
 
   quota_settings Settings;
-  member_avoidance Avoidance;
+  /// A member that has just started replies once it knows the disk set.
+  member_avoidance Avoidance{milliseconds(250)};
   std::map<std::string, row, std::less<>> Rows; ///< By organisation.
 };
 
--- a/src/librelay/issuing.cpp
+++ b/src/librelay/issuing.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr double MsPerSecond = 1000;
-// A disk host that did not reply is not asked for this time.
-constexpr milliseconds AvoidTime{2000};
+// A failure after this time without one is the first in a row again.
+constexpr milliseconds RowTime{10'000};
 
 milliseconds roundUp(double Ms) {
   return milliseconds(static_cast<std::int64_t>(std::ceil(Ms)));
@@ -49,14 +49,29 @@
 
 bool member_avoidance::isAvoided(std::string_view Address,
                                  time_point Now) const {
-  auto Avoided = AvoidedUntil.find(Address);
-  return Avoided != AvoidedUntil.end() && Avoided->second > Now;
+  return avoidedUntil(Address) > Now;
+}
+
+time_point member_avoidance::avoidedUntil(std::string_view Address) const {
+  auto Row = Rows.find(Address);
+  return Row == Rows.end() ? time_point() : Row->second.Until;
 }
 
 void member_avoidance::recordFailure(std::string_view Address, time_point Now) {
-  std::erase_if(AvoidedUntil,
-                [&](const auto &Row) { return Row.second <= Now; });
-  AvoidedUntil.insert_or_assign(std::string(Address), Now + AvoidTime);
+  std::erase_if(
+      Rows, [&](const auto &Row) { return Now - Row.second.Until >= RowTime; });
+  row &Row = Rows[std::string(Address)];
+  // Requests that were sent together fail together.
+  if (Row.Until > Now)
+    return;
+  Row.Time = std::clamp(Row.Time * 2, FirstTime, MaxTime);
+  Row.Until = Now + Row.Time;
+}
+
+void member_avoidance::recordReply(std::string_view Address) {
+  auto Row = Rows.find(Address);
+  if (Row != Rows.end())
+    Rows.erase(Row);
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/quota.cpp
+++ b/src/librelay/quota.cpp
@@ -37,8 +37,7 @@
 // The local shares of all hosts together are this part of the limit: half of
 // the overage of a tenth.
 constexpr double LocalShare = 0.05;
-// A caller that was refused since the usage is not known returns after this
-// time. By then a member may reply again.
+// A caller that was refused since no member is known returns after this time.
 constexpr milliseconds UnknownRetryAfter{1000};
 constexpr milliseconds MinRetryAfter{50};
 // An organisation that uses this many times the mean is over its share.
@@ -311,6 +310,7 @@
                                   const quota_reply &Reply, time_point SentAt,
                                   time_point Now) {
   row &Row = rowOf(Request.Organisation);
+  Avoidance.recordReply(Address);
   Row.ExtraAsked -= std::min(Row.ExtraAsked, Request.Count - 1);
   Row.Utilisation = Reply.Utilisation;
   Row.MeanUtilisation = Reply.MeanUtilisation;
@@ -359,21 +359,19 @@
   bool OneReached = false;
   std::optional<milliseconds> Wait;
   for (const quota_member &Member : Members) {
-    if (Avoidance.isAvoided(Member.Address, Now)) {
-      AllReached = false;
-      continue;
-    }
-    OneReached = true;
-    milliseconds MemberWait =
-        emptyUntil(Row, Member.Address, StartsProgram) - Now;
-    Wait = std::min(Wait.value_or(MemberWait), MemberWait);
+    bool IsAvoided = Avoidance.isAvoided(Member.Address, Now);
+    AllReached = AllReached && !IsAvoided;
+    OneReached = OneReached || !IsAvoided;
+    time_point AskedAt =
+        std::max(Avoidance.avoidedUntil(Member.Address),
+                 IsAvoided ? time_point()
+                           : emptyUntil(Row, Member.Address, StartsProgram));
+    Wait = std::min(Wait.value_or(AskedAt - Now), AskedAt - Now);
   }
-  if (OneReached)
-    return {AllReached ? quota_outcome::LimitReached : quota_outcome::Unknown,
-            std::max(*Wait, MinRetryAfter)};
-  if (!Members.empty() && takeLocalShare(Row, Hosts, Now))
+  if (!OneReached && !Members.empty() && takeLocalShare(Row, Hosts, Now))
     return {quota_outcome::Granted, milliseconds(0)};
-  return {quota_outcome::Unknown, UnknownRetryAfter};
+  return {AllReached ? quota_outcome::LimitReached : quota_outcome::Unknown,
+          std::max(Wait.value_or(UnknownRetryAfter), MinRetryAfter)};
 }
 
 // Whole requests in a window, so that the sum over all hosts has no addend for
--- a/src/librelay/quota_client.cpp
+++ b/src/librelay/quota_client.cpp
@@ -68,7 +68,7 @@
   quota_result Result =
       Tokens.decide(Question.Organisation, Question.StartsProgram,
                     Question.Members, Question.Hosts, Now);
-  bool Waits = Result.Outcome == quota_outcome::LimitReached &&
+  bool Waits = Result.Outcome != quota_outcome::Granted &&
                Now + Result.RetryAfter <= Pending->WaitsUntil;
   if (!Waits) {
     Pending->Done(Result);
--- a/src/librelay/quota_test.cpp
+++ b/src/librelay/quota_test.cpp
@@ -311,6 +311,33 @@
   CHECK(OverShare > 4);
 }
 
+TEST_CASE("members_that_fail_once_are_asked_again_soon") {
+  // After a restart of all hosts, members that did not know the disk set yet
+  // were not asked for two seconds, and running programs failed meanwhile.
+  quota_requester Tokens(Settings);
+  Tokens.setLimit("a", {1, 10, 10});
+  std::vector<quota_member> Members = {{"m0", true}, {"m1", false}};
+  std::int64_t Now = 1000;
+  for (std::int64_t Expected : {250, 500, 1000, 2000, 2000}) {
+    for (const quota_member &Member : Members)
+      for (int I = 0; I < 3; ++I)
+        Tokens.recordFailure(
+            Member.Address,
+            Tokens.requestFor("a", Member.Address, false, {Now}), {Now});
+    CHECK(!Tokens.pick("a", false, Members, {}, {Now}));
+    quota_result Result = Tokens.decide("a", false, Members, 100, {Now});
+    CHECK(Result.Outcome == quota_outcome::Unknown);
+    CHECK(Result.RetryAfter == milliseconds(Expected));
+    Now += Expected;
+    REQUIRE(Tokens.pick("a", false, Members, {}, {Now}));
+  }
+  Tokens.recordReply("m0", {"a", 1, 10, 10, 1, false},
+                     {1, 0, 1, 10, 10, 0, 0, 1}, {Now}, {Now});
+  Tokens.recordFailure("m0", Tokens.requestFor("a", "m0", false, {Now}), {Now});
+  CHECK(!Tokens.pick("a", false, {Members.data(), 1}, {}, {Now + 249}));
+  CHECK(Tokens.pick("a", false, {Members.data(), 1}, {}, {Now + 250}));
+}
+
 TEST_CASE("refusals_tell_when_there_are_tokens_again") {
   // A caller that comes back at that time was refused again.
   simulation S(3, 1, {1, 3, 0});
--- a/src/librelay/relay_quota.cpp
+++ b/src/librelay/relay_quota.cpp
@@ -19,7 +19,7 @@
 
 // The longest time that a request of a running program waits for a token, and
 // the part of its time left that this may take.
-constexpr milliseconds MaxTokenWait{250};
+constexpr milliseconds MaxTokenWait{750};
 constexpr int PartOfTimeLeft = 4;
 
 /// Returns the organisation if it has a rate limit, or nullptr.
