libnet: one queue of deferred actions in place of three

Ruled out: the deferred work of http1::server and peer_transport, which calls members in a fixed order and holds no actions.

Change: deferred_actions in net_loop.h. It is at the place of the members that it replaces, so the order of destruction is the same.

--- a/src/include/turmerichead/net_loop.h
+++ b/src/include/turmerichead/net_loop.h
@@ -53,6 +53,25 @@
   GSource *Source = nullptr;
 };
 
+/// Runs actions in the next loop iteration, in the order in which they were
+/// added, with one event source for all of them. Destroying the object discards
+/// the pending actions. An action may destroy the object.
+class deferred_actions {
+public:
+  using action = std::function<void()>;
+
+  deferred_actions() = default;
+  deferred_actions(const deferred_actions &) = delete;
+  deferred_actions &operator=(const deferred_actions &) = delete;
+
+  /// Inside an action, the iteration after this one is the next.
+  void add(action Action);
+
+private:
+  std::vector<action> Actions;
+  loop_source Source;
+};
+
 /// Polls many sockets with one event source. A GLib loop iteration takes time
 /// proportional to the number of sources, so with a source per call the total
 /// cost would grow with the square of the number of calls.
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -63,21 +63,9 @@
 }
 
 void client::state::failLater(call_id Id, std::string Reason) {
-  Deferred.emplace_back([this, Id, Reason = std::move(Reason)] {
+  Deferred.add([this, Id, Reason = std::move(Reason)] {
     end(Id, {.Outcome = call_outcome::NotSent, .Reason = Reason});
   });
-  runDeferred();
-}
-
-void client::state::runDeferred() {
-  if (DeferredSource)
-    return;
-  DeferredSource = loop_source::soon([this] {
-    DeferredSource.reset();
-    for (const auto &Action : std::exchange(Deferred, {}))
-      Action();
-    return false;
-  });
 }
 
 std::optional<client> client::create(client_settings Settings) {
@@ -127,9 +115,8 @@
                    std::function<void(probe_result)> Done) {
   auto Id = State->connect(Address, Via, Timeout);
   if (!Id) {
-    State->Deferred.emplace_back(
+    State->Deferred.add(
         [Done = std::move(Done)] { Done(probe_result::Unknown); });
-    State->runDeferred();
     return;
   }
   client_connection &Row = *State->Connections.find(*Id);
--- a/src/libhttp1/client_pvt.h
+++ b/src/libhttp1/client_pvt.h
@@ -79,9 +79,7 @@
   std::optional<poll_set> Sockets;
   std::optional<deadline_queue> Deadlines;
   loop_source Sweep;
-  loop_source DeferredSource;
-  /// Actions for the next loop iteration.
-  std::vector<std::function<void()>> Deferred;
+  deferred_actions Deferred;
   table<pvt::client_connection> Connections;
   table<call_row> Calls;
   /// Idle connections by pool; see poolKey().
@@ -115,7 +113,6 @@
   void failConnect(pvt::client_connection_id Id, connect_failure Failure);
   void end(call_id Id, const call_result &Result);
   void failLater(call_id Id, std::string Reason);
-  void runDeferred();
   void sweep();
 };
 
--- a/src/libhttp1/client_requests.cpp
+++ b/src/libhttp1/client_requests.cpp
@@ -61,8 +61,7 @@
     return;
   }
   // Callbacks of a call are never called inside call().
-  Deferred.emplace_back([this, Id] { onWriteFailed(Id); });
-  runDeferred();
+  Deferred.add([this, Id] { onWriteFailed(Id); });
 }
 
 void client::state::onWriteFailed(client_connection_id Id) {
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -90,6 +90,22 @@
   g_source_unref(Old);
 }
 
+// -- deferred_actions --------------------------------------------------------
+
+void deferred_actions::add(action Action) {
+  Actions.push_back(std::move(Action));
+  if (Source)
+    return;
+  Source = loop_source::soon([this] {
+    Source.reset();
+    // An action may add others, or destroy this object.
+    auto Due = std::exchange(Actions, {});
+    for (action &Each : Due)
+      Each();
+    return false;
+  });
+}
+
 // -- poll_set ----------------------------------------------------------------
 
 std::optional<poll_set>
--- a/src/libnet/peer_links.cpp
+++ b/src/libnet/peer_links.cpp
@@ -8,19 +8,6 @@
 
 using namespace pvt;
 
-void peer_links::state::defer(std::function<void()> Action) {
-  Deferred.push_back(std::move(Action));
-  if (DeferredSource)
-    return;
-  DeferredSource = loop_source::soon([this] {
-    DeferredSource.reset();
-    auto Actions = std::exchange(Deferred, {});
-    for (auto &Each : Actions)
-      Each();
-    return false;
-  });
-}
-
 // -- Connections -------------------------------------------------------------
 
 connection_id peer_links::state::connect(const std::string &Host,
@@ -129,7 +116,7 @@
   }
   ++Counters.HandshakesRefused;
   // The session must not be destroyed inside one of its callbacks.
-  defer([this, Id] {
+  Deferred.add([this, Id] {
     failConnection(Id, error_code::Unauthorized,
                    "the other side is another host or has another key");
   });
@@ -177,7 +164,7 @@
   if (!Connection)
     return;
   Connection->Retired = true;
-  defer([this, Id] { closeIfEmpty(Id); });
+  Deferred.add([this, Id] { closeIfEmpty(Id); });
 }
 
 void peer_links::state::closeIfEmpty(connection_id Id) {
@@ -262,7 +249,7 @@
   });
   State->Targets.erase(Found);
   state *Raw = State.get();
-  Raw->defer([Raw, Gone] {
+  Raw->Deferred.add([Raw, Gone] {
     for (connection_id Id : Gone)
       Raw->failConnection(Id, error_code::Unavailable, "the host has left");
   });
--- a/src/libnet/peer_links_pvt.h
+++ b/src/libnet/peer_links_pvt.h
@@ -80,8 +80,7 @@
   std::map<std::string, pvt::target_row, std::less<>> Targets;
   table<std::unique_ptr<pvt::connection_row>> Connections;
   table<peer_stream_row> Streams;
-  std::vector<std::function<void()>> Deferred;
-  loop_source DeferredSource;
+  deferred_actions Deferred;
   loop_source IdleSweep;
 
   pvt::connection_row *find(pvt::connection_id Id) {
@@ -90,7 +89,6 @@
   }
 
   // Connections.
-  void defer(std::function<void()> Action);
   pvt::connection_id connect(const std::string &Host, pvt::target_row &Target);
   bool onConnected(pvt::connection_id Id);
   void greet(pvt::connection_row &Connection);
--- a/src/libnet/peer_streams.cpp
+++ b/src/libnet/peer_streams.cpp
@@ -36,7 +36,8 @@
 }
 
 void peer_links::state::endLater(peer_stream_id Id, peer_result Result) {
-  defer([this, Id, Result = std::move(Result)] { endStream(Id, Result); });
+  Deferred.add(
+      [this, Id, Result = std::move(Result)] { endStream(Id, Result); });
 }
 
 void peer_links::state::submit(connection_row &Connection, peer_stream_id Id) {
--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -229,19 +229,6 @@
     ++countersOf(Verb).Failed;
 }
 
-void platform_client::state::defer(std::function<void()> Action) {
-  Deferred.push_back(std::move(Action));
-  if (DeferredSource)
-    return;
-  DeferredSource = loop_source::soon([this] {
-    DeferredSource.reset();
-    auto Actions = std::exchange(Deferred, {});
-    for (auto &Each : Actions)
-      Each();
-    return false;
-  });
-}
-
 /// Sends a call as soon as the budget allows it.
 void platform_client::state::call(
     platform_verb Verb, http_request Request,
@@ -255,7 +242,7 @@
   }
   if (Queue.size() >= Settings.MaxWaiting) {
     ++countersOf(Verb).Failed;
-    defer([Done = std::move(Call.Done)] {
+    Deferred.add([Done = std::move(Call.Done)] {
       Done({{error_code::Refused, "too many calls wait for the budget"}, {}});
     });
     return;
--- a/src/libnet/platform_pvt.h
+++ b/src/libnet/platform_pvt.h
@@ -92,8 +92,7 @@
   std::deque<pvt::raw_call> WaitingReads;
   std::deque<pvt::raw_call> WaitingWrites;
   loop_source Wake;
-  std::vector<std::function<void()>> Deferred;
-  loop_source DeferredSource;
+  deferred_actions Deferred;
   platform_counters Counters;
   table<platform_watch_row> Watches;
   std::mt19937_64 Random;
@@ -112,7 +111,6 @@
   void drainQueue(std::deque<pvt::raw_call> &Queue, pvt::token_bucket &Bucket);
   void count(platform_verb Verb, platform_outcome Outcome);
   platform_counters::verb &countersOf(platform_verb Verb);
-  void defer(std::function<void()> Action);
   void callForObject(platform_verb Verb, http_request Request,
                      platform_callback Done);
   void nextPage(const std::shared_ptr<pvt::list_job> &Job);
