libbase: one text of wall-clock times in place of two

Ruled out: clock.h as the place, since the decision core includes it.

Change: utcText() in wall_time.h. The suffix " UTC" and the texts for times outside of the calendar stay with the callers, as they differ.

--- a/src/libbase/base_test.cpp
+++ b/src/libbase/base_test.cpp
@@ -4,11 +4,13 @@
 #include "turmerichead/log.h"
 #include "turmerichead/metrics.h"
 #include "turmerichead/table.h"
+#include "turmerichead/wall_time.h"
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <rapidcheck.h>
 
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -57,6 +59,13 @@
   CHECK(Passed);
 }
 
+// Guards against milliseconds read as seconds, and against a missing check of
+// times outside of the calendar.
+TEST_CASE("wall-clock times are shown in UTC") {
+  CHECK(utcText(1'796'351'467'999) == "2026-12-04 02:31:07");
+  CHECK_FALSE(utcText(std::numeric_limits<std::int64_t>::max()));
+}
+
 TEST_CASE("secrets are compared whole") {
   CHECK(equalConstantTime("abc", "abc"));
   CHECK_FALSE(equalConstantTime("abc", "abd"));
--- a/src/libreport/wording.cpp
+++ b/src/libreport/wording.cpp
@@ -1,6 +1,6 @@
 #include "wording_pvt.h"
 
-#include <glib.h>
+#include "turmerichead/wall_time.h"
 
 namespace turmerichead::pvt {
 
@@ -16,15 +16,8 @@
 }
 
 std::string timeText(std::int64_t WallMs) {
-  constexpr std::int64_t MsPerSecond = 1'000;
-  GDateTime *Time = g_date_time_new_from_unix_utc(WallMs / MsPerSecond);
-  if (!Time)
-    return "not known";
-  char *Text = g_date_time_format(Time, "%Y-%m-%d %H:%M:%S UTC");
-  g_date_time_unref(Time);
-  std::string Result = Text ? Text : "";
-  g_free(Text);
-  return Result;
+  auto Text = utcText(WallMs);
+  return Text ? *Text + " UTC" : "not known";
 }
 
 std::string lengthText(std::int64_t Ms) {
--- a/src/turmericheadctl/audit.cpp
+++ b/src/turmericheadctl/audit.cpp
@@ -2,10 +2,10 @@
 
 #include "commands.h"
 #include "turmerichead/file.h"
+#include "turmerichead/wall_time.h"
 
 #include "turmerichead/error.h"
 
-#include <glib.h>
 #include <nlohmann/json.hpp>
 
 #include <deque>
@@ -17,18 +17,6 @@
 
 using nlohmann::json;
 
-std::string timeText(std::int64_t WallMs) {
-  constexpr std::int64_t MsPerSecond = 1'000;
-  GDateTime *Time = g_date_time_new_from_unix_utc(WallMs / MsPerSecond);
-  if (!Time)
-    return "(no time)";
-  char *Text = g_date_time_format(Time, "%Y-%m-%d %H:%M:%S");
-  g_date_time_unref(Time);
-  std::string Result = Text ? Text : "";
-  g_free(Text);
-  return Result;
-}
-
 std::string textOr(const json &Record, const char *Key, const char *Default) {
   auto Found = Record.find(Key);
   if (Found == Record.end())
@@ -41,7 +29,8 @@
 void print(const json &Record) {
   auto Time = Record.find("time_ms");
   bool HasTime = Time != Record.end() && Time->is_number_integer();
-  std::cout << timeText(HasTime ? Time->get<std::int64_t>() : 0) << "  "
+  std::int64_t WallMs = HasTime ? Time->get<std::int64_t>() : 0;
+  std::cout << utcText(WallMs).value_or("(no time)") << "  "
             << textOr(Record, "host", "?") << "  "
             << textOr(Record, "event", "?") << ": "
             << textOr(Record, "entry", "?") << " version "
