libnet, libhttp1: names of the connections' functions, and unused members

Change: findOpen, countUnsentBytes, countHeldBytes, closeForMemory, acceptConnection, dispatch, assignCall, sendRequest, returnToPool and updateInterest; reportHead() taken out of parse(). The members Ending and Streaming and a local Remote were written or declared and never read.

--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -106,7 +106,7 @@
     State->failLater(Id, lastError().Text);
     return Id;
   }
-  State->send(*Connection, Id);
+  State->assignCall(*Connection, Id);
   return Id;
 }
 
--- a/src/libhttp1/client_answers.cpp
+++ b/src/libhttp1/client_answers.cpp
@@ -101,13 +101,7 @@
     }
     call_id CallId = Row->Call;
     if (Sink.HasHead && takeHead(*Row)) {
-      response_head Head{Row->Parser.status(),
-                         std::move(Row->Parser.head().Headers)};
-      Row->IdleLimit = Settings.IdleTimeout;
-      if (auto Declared = declaredIdleTime(Head.Headers))
-        Row->IdleLimit = *Declared - Settings.IdleMargin;
-      auto OnHead = Calls.find(CallId)->Events.OnHead;
-      OnHead(Head);
+      reportHead(*Row);
       Row = Connections.find(Id);
       if (!Row || Row->Call != CallId)
         return false;
@@ -137,6 +131,16 @@
   return Row != nullptr;
 }
 
+// Passes the head of the answer to the call, which may be cancelled in it.
+void client::state::reportHead(client_connection &Row) {
+  response_head Head{Row.Parser.status(), std::move(Row.Parser.head().Headers)};
+  Row.IdleLimit = Settings.IdleTimeout;
+  if (auto Declared = declaredIdleTime(Head.Headers))
+    Row.IdleLimit = *Declared - Settings.IdleMargin;
+  auto OnHead = Calls.find(Row.Call)->Events.OnHead;
+  OnHead(Head);
+}
+
 // Returns why the connection has received too many bytes, or an empty string. A
 // faulty upstream may send endless bytes in any part of a message.
 std::string_view client::state::excessOf(const client_connection &Row) const {
@@ -185,7 +189,7 @@
   bool Reusable = Row.KeepAlive && Row.Socket.unsent() == 0 &&
                   Row.Input.empty() && !HasEnded;
   if (Reusable)
-    keep(Id, Row);
+    returnToPool(Id, Row);
   else
     close(Id);
   end(Call, {.Outcome = call_outcome::Complete, .Reason = {}, .End = End});
--- a/src/libhttp1/client_connect.cpp
+++ b/src/libhttp1/client_connect.cpp
@@ -74,13 +74,13 @@
   client_connection &Row = *Connections.find(Id);
   if (!Row.Probed) {
     auto OnConnect = Calls.find(Row.Call)->Events.OnConnect;
-    startUse(Id);
+    sendRequest(Id);
     if (OnConnect)
       OnConnect();
     return;
   }
   auto Probed = std::exchange(Row.Probed, {});
-  keep(Id, Row);
+  returnToPool(Id, Row);
   Probed(probe_result::Listening);
 }
 
--- a/src/libhttp1/client_pool.cpp
+++ b/src/libhttp1/client_pool.cpp
@@ -30,7 +30,9 @@
   return std::nullopt;
 }
 
-void client::state::keep(client_connection_id Id, client_connection &Row) {
+// Closes the connection instead if its pool is full.
+void client::state::returnToPool(client_connection_id Id,
+                                 client_connection &Row) {
   auto Pool = Idle.find(Row.Address);
   if ((Pool == Idle.end() ? 0 : Pool->second.size()) >= Row.MaxIdle) {
     close(Id);
@@ -39,7 +41,7 @@
   Row.Phase = client_phase::Idle;
   Row.Call = {};
   Row.IdleSince = steadyNow();
-  watch(Id, Row);
+  updateInterest(Id, Row);
   Idle[Row.Address].push_back(Id);
 }
 
--- a/src/libhttp1/client_pvt.h
+++ b/src/libhttp1/client_pvt.h
@@ -92,22 +92,24 @@
                                                    const std::string &Via,
                                                    milliseconds Timeout);
   void queueRequest(pvt::client_connection &Row);
-  void send(pvt::client_connection_id Id, call_id Call);
+  void assignCall(pvt::client_connection_id Id, call_id Call);
   void onReady(std::uint64_t Key);
   void onConnected(pvt::client_connection_id Id);
   void onEstablished(pvt::client_connection_id Id);
   void onTunnelReply(pvt::client_connection_id Id);
-  void startUse(pvt::client_connection_id Id);
+  void sendRequest(pvt::client_connection_id Id);
   pvt::io_result receive(pvt::client_connection &Row);
   void onReadable(pvt::client_connection_id Id);
   bool parse(pvt::client_connection_id Id);
   std::string_view excessOf(const pvt::client_connection &Row) const;
   bool onMessageEnd(pvt::client_connection_id Id, answer_end End);
   bool takeHead(pvt::client_connection &Row);
+  void reportHead(pvt::client_connection &Row);
   void flush(pvt::client_connection_id Id);
   void onWriteFailed(pvt::client_connection_id Id);
-  void watch(pvt::client_connection_id Id, pvt::client_connection &Row);
-  void keep(pvt::client_connection_id Id, pvt::client_connection &Row);
+  void updateInterest(pvt::client_connection_id Id,
+                      pvt::client_connection &Row);
+  void returnToPool(pvt::client_connection_id Id, pvt::client_connection &Row);
   void close(pvt::client_connection_id Id);
   void fail(pvt::client_connection_id Id, std::string Reason);
   void failConnect(pvt::client_connection_id Id, connect_failure Failure);
--- a/src/libhttp1/client_requests.cpp
+++ b/src/libhttp1/client_requests.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-void client::state::send(client_connection_id Id, call_id CallId) {
+// Sends the request at once if the connection is established.
+void client::state::assignCall(client_connection_id Id, call_id CallId) {
   client_connection &Row = *Connections.find(Id);
   call_row &Call = *Calls.find(CallId);
   Call.Connection = Id;
@@ -34,7 +35,7 @@
   Row.DroppedBytes = 0;
   ++Row.Uses;
   if (Row.Phase == client_phase::Idle)
-    startUse(Id);
+    sendRequest(Id);
 }
 
 void client::state::queueRequest(client_connection &Row) {
@@ -47,7 +48,7 @@
 }
 
 // Sends the request of the current call over an established connection.
-void client::state::startUse(client_connection_id Id) {
+void client::state::sendRequest(client_connection_id Id) {
   client_connection &Row = *Connections.find(Id);
   Row.Phase = client_phase::Busy;
   queueRequest(Row);
@@ -57,7 +58,7 @@
 void client::state::flush(client_connection_id Id) {
   client_connection *Row = Connections.find(Id);
   if (Row->Socket.flush() != io_result::Failed) {
-    watch(Id, *Row);
+    updateInterest(Id, *Row);
     return;
   }
   // Callbacks of a call are never called inside call().
@@ -72,7 +73,8 @@
     fail(Id, "the connection was lost while the request was written");
 }
 
-void client::state::watch(client_connection_id Id, client_connection &Row) {
+void client::state::updateInterest(client_connection_id Id,
+                                   client_connection &Row) {
   auto Wanted = Row.Socket.unsent() > 0 ? poll_set::interest::ReadWrite
                                         : poll_set::interest::Readable;
   if (Row.Interest == Wanted)
--- a/src/libhttp1/server.cpp
+++ b/src/libhttp1/server.cpp
@@ -23,7 +23,7 @@
   Raw->Budget = Budget;
   if (Budget)
     Raw->Owner = Budget->addOwner([Raw](std::uint64_t Key) {
-      Raw->endForMemory(idOf<server_connection>(Key));
+      Raw->closeForMemory(idOf<server_connection>(Key));
     });
   Raw->Sockets =
       poll_set::create([Raw](std::uint64_t Key) { Raw->onReady(Key); });
@@ -53,8 +53,9 @@
   if (!State->Listener.isOpen())
     return;
   State->Sockets->remove(g_socket_get_fd(State->Listener.socket()));
-  State->Listener.close(
-      [this](handle<GSocket> Socket) { State->take(std::move(Socket)); });
+  State->Listener.close([this](handle<GSocket> Socket) {
+    State->acceptConnection(std::move(Socket));
+  });
 }
 
 void server::closeIdle() {
--- a/src/libhttp1/server_connections.cpp
+++ b/src/libhttp1/server_connections.cpp
@@ -17,8 +17,9 @@
 
 void server::state::onReady(std::uint64_t Key) {
   if (Key == ListenerKey) {
-    Listener.acceptAll(
-        [this](handle<GSocket> Socket) { take(std::move(Socket)); });
+    Listener.acceptAll([this](handle<GSocket> Socket) {
+      acceptConnection(std::move(Socket));
+    });
     return;
   }
   auto Id = idOf<server_connection>(Key);
@@ -51,7 +52,7 @@
     Budget->enforce();
 }
 
-void server::state::take(handle<GSocket> Socket) {
+void server::state::acceptConnection(handle<GSocket> Socket) {
   ++Counters.Accepted;
   if (Connections.size() >= Limits.MaxConnections && !makeRoom())
     return;
@@ -69,7 +70,8 @@
 }
 
 // Updates the polled events for the phase of the connection.
-void server::state::watch(server_connection_id Id, server_connection &Row) {
+void server::state::updateInterest(server_connection_id Id,
+                                   server_connection &Row) {
   bool Full = isFull(Row);
   bool Unsent = Row.Socket.unsent() > 0;
   auto Wanted = poll_set::interest::Readable;
@@ -99,8 +101,8 @@
     Row.Socket.shutdownWrite();
     Row.FinishedWriting = true;
   }
-  watch(Id, Row);
-  account(Row);
+  updateInterest(Id, Row);
+  countHeldBytes(Row);
   return true;
 }
 
--- a/src/libhttp1/server_limits.cpp
+++ b/src/libhttp1/server_limits.cpp
@@ -8,7 +8,7 @@
 
 using namespace pvt;
 
-void server::state::account(server_connection &Row) {
+void server::state::countHeldBytes(server_connection &Row) {
   if (!Budget)
     return;
   bool IsRequest = Row.Phase == server_phase::Receiving && Row.isReading();
@@ -22,7 +22,7 @@
   Budget->set(Row.Memory, Rank, Bytes, steadyNow());
 }
 
-void server::state::endForMemory(server_connection_id Id) {
+void server::state::closeForMemory(server_connection_id Id) {
   server_connection *Row = Connections.find(Id);
   if (!Row)
     return;
--- a/src/libhttp1/server_pvt.h
+++ b/src/libhttp1/server_pvt.h
@@ -103,18 +103,19 @@
   std::array<log_limiter, ClientEnds> LogLimiters;
 
   bool isFull(const pvt::server_connection &Row) const;
-  void account(pvt::server_connection &Row);
-  void endForMemory(pvt::server_connection_id Id);
+  void countHeldBytes(pvt::server_connection &Row);
+  void closeForMemory(pvt::server_connection_id Id);
   bool makeRoom();
   void report(client_end Reason);
   void onReady(std::uint64_t Key);
-  void take(handle<GSocket> Socket);
+  void acceptConnection(handle<GSocket> Socket);
   void process(pvt::server_connection_id Id);
   bool feed(pvt::server_connection_id Id, pvt::server_connection &Row);
   void dispatch(pvt::server_connection_id Id, pvt::server_connection &Row);
   void refuse(pvt::server_connection_id Id, pvt::server_connection &Row,
               int Status, std::string_view Why);
-  void watch(pvt::server_connection_id Id, pvt::server_connection &Row);
+  void updateInterest(pvt::server_connection_id Id,
+                      pvt::server_connection &Row);
   bool flush(pvt::server_connection_id Id, pvt::server_connection &Row);
   void close(pvt::server_connection_id Id);
   void endExchange(exchange_id Id, pvt::server_connection_id Connection,
--- a/src/libhttp1/server_requests.cpp
+++ b/src/libhttp1/server_requests.cpp
@@ -78,8 +78,8 @@
     return;
   if (Row->Input.empty() && Row->Input.capacity() > KeptInputBytes)
     Row->Input = {};
-  watch(Id, *Row);
-  account(*Row);
+  updateInterest(Id, *Row);
+  countHeldBytes(*Row);
 }
 
 bool server::state::feed(server_connection_id Id, server_connection &Row) {
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -51,7 +51,7 @@
   Raw->Listener = std::move(*Listener);
   Raw->Budget.emplace(Settings.MaxHeldBytes);
   Raw->Owner = Raw->Budget->addOwner([Raw](std::uint64_t Key) {
-    Raw->endForMemory(idOf<http_connection_row>(Key));
+    Raw->closeForMemory(idOf<http_connection_row>(Key));
   });
   Raw->Callers = poll_set::create([Raw](std::uint64_t Key) {
     Raw->callerReady(idOf<http_connection_row>(Key));
@@ -68,8 +68,9 @@
                           nullptr);
   Raw->Accepting =
       loop_source::onSocket(Raw->Listener.socket(), G_IO_IN, [Raw] {
-        Raw->Listener.acceptAll(
-            [Raw](handle<GSocket> Socket) { Raw->take(std::move(Socket)); });
+        Raw->Listener.acceptAll([Raw](handle<GSocket> Socket) {
+          Raw->acceptConnection(std::move(Socket));
+        });
         return true;
       });
   Raw->Sweep = loop_source::every(HttpSweepInterval, [Raw] {
@@ -89,8 +90,9 @@
 
 void http_server::stopAccepting() {
   State->Accepting.reset();
-  State->Listener.close(
-      [this](handle<GSocket> Socket) { State->take(std::move(Socket)); });
+  State->Listener.close([this](handle<GSocket> Socket) {
+    State->acceptConnection(std::move(Socket));
+  });
 }
 
 std::size_t http_server::openConnections() const {
--- a/src/libnet/http_server_connections.cpp
+++ b/src/libnet/http_server_connections.cpp
@@ -10,7 +10,7 @@
 
 } // namespace
 
-void http_server::state::take(handle<GSocket> Socket) {
+void http_server::state::acceptConnection(handle<GSocket> Socket) {
   if (Connections.size() < Settings.MaxConnections)
     waitForRequest(std::move(Socket));
 }
--- a/src/libnet/http_server_memory.cpp
+++ b/src/libnet/http_server_memory.cpp
@@ -8,7 +8,7 @@
 
 using namespace pvt;
 
-void http_server::state::account(http_connection_row &Connection) {
+void http_server::state::countHeldBytes(http_connection_row &Connection) {
   const http_exchange_row *Exchange = Exchanges.find(Connection.Exchange);
   std::size_t Bytes =
       Connection.BodyBytes + (Exchange ? Exchange->Buffered : 0);
@@ -20,7 +20,7 @@
 
 // Counts the unsent bytes of an answer. No connection is closed here, as the
 // owner of the exchange may be calling.
-void http_server::state::setBuffered(http_exchange_id Id) {
+void http_server::state::countUnsentBytes(http_exchange_id Id) {
   const http_exchange_row *Exchange = Exchanges.find(Id);
   http_connection_row *Row =
       Exchange ? Connections.find(Exchange->Connection) : nullptr;
@@ -29,7 +29,7 @@
                 Row->BodyBytes + Exchange->Buffered, steadyNow());
 }
 
-void http_server::state::endForMemory(http_connection_id Id) {
+void http_server::state::closeForMemory(http_connection_id Id) {
   http_connection_row *Row = Connections.find(Id);
   if (!Row)
     return;
@@ -43,7 +43,6 @@
     cutOff(Row->Exchange);
   else
     g_socket_shutdown(Row->Socket.get(), TRUE, TRUE, nullptr);
-  Row->Ending = true;
   if (!Row->Reading || soup_server_message_get_status(Row->Reading) != 0)
     return;
   // What the kernel has received is still read, and then dropped. libsoup may
--- a/src/libnet/http_server_pvt.h
+++ b/src/libnet/http_server_pvt.h
@@ -30,7 +30,6 @@
   std::size_t BodyBytes = 0;
   memory_holder_id Memory;
   SoupServerMessage *Reading = nullptr; ///< While its body is read; not owned.
-  bool Ending = false; ///< It was closed for the memory that it takes.
 };
 
 /// User data of a GLib callback: a row of the server. It may outlive the
@@ -62,7 +61,6 @@
   pvt::http_connection_id Connection;
   std::size_t Buffered = 0;
   time_point LastTaken;
-  bool Streaming = false;
   bool Ended = false; ///< Whether the handler has completed the response.
 };
 
@@ -82,22 +80,22 @@
   log_limiter LogLimiter;
 
   ~state();
-  void account(pvt::http_connection_row &Connection);
-  void endForMemory(pvt::http_connection_id Id);
-  void setBuffered(http_exchange_id Id);
+  void countHeldBytes(pvt::http_connection_row &Connection);
+  void closeForMemory(pvt::http_connection_id Id);
+  void countUnsentBytes(http_exchange_id Id);
   void erase(pvt::http_connection_id Id);
-  void take(handle<GSocket> Socket);
+  void acceptConnection(handle<GSocket> Socket);
   void waitForRequest(handle<GSocket> Socket);
   void adopt(pvt::http_connection_id Id);
   pvt::http_connection_id connectionOf(SoupServerMessage *Message) const;
   void checkHeaders(SoupServerMessage *Message);
   void reject(SoupServerMessage *Message, int Status, std::string_view Text);
-  void begin(SoupServerMessage *Message, const char *Path);
+  void dispatch(SoupServerMessage *Message, const char *Path);
   void callerReady(pvt::http_connection_id Id);
   void finished(http_exchange_id Id);
   void cutOff(http_exchange_id Id);
   void sweep();
-  http_exchange_row *open(http_exchange_id Id);
+  http_exchange_row *findOpen(http_exchange_id Id);
 
   static void onEarly(SoupServer *Server, SoupServerMessage *Message,
                       const char *Path, GHashTable *Query, gpointer Data);
--- a/src/libnet/http_server_requests.cpp
+++ b/src/libnet/http_server_requests.cpp
@@ -70,7 +70,7 @@
     Owner->reject(Message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
                   "the body is over the limit");
   else
-    Owner->account(*Connection);
+    Owner->countHeldBytes(*Connection);
 }
 
 void http_server::state::onReadingGone(gpointer Data, GClosure *) {
@@ -112,14 +112,14 @@
 void http_server::state::onRequest(SoupServer * /*Server*/,
                                    SoupServerMessage *Message, const char *Path,
                                    GHashTable * /*Query*/, gpointer Data) {
-  static_cast<state *>(Data)->begin(Message, Path);
+  static_cast<state *>(Data)->dispatch(Message, Path);
 }
 
-void http_server::state::begin(SoupServerMessage *Message, const char *Path) {
+void http_server::state::dispatch(SoupServerMessage *Message,
+                                  const char *Path) {
   if (soup_server_message_get_status(Message) != 0)
     return; // Already rejected.
   http_connection_id Connection = connectionOf(Message);
-  std::string Remote;
   if (http_connection_row *Row = Connections.find(Connection)) {
     Row->ReadingSince.reset();
     Row->Reading = nullptr;
--- a/src/libnet/http_server_responses.cpp
+++ b/src/libnet/http_server_responses.cpp
@@ -32,7 +32,8 @@
 
 } // namespace
 
-http_exchange_row *http_server::state::open(http_exchange_id Id) {
+/// Returns the exchange, or nullptr with NotFound if its response is complete.
+http_exchange_row *http_server::state::findOpen(http_exchange_id Id) {
   http_exchange_row *Exchange = Exchanges.find(Id);
   if (Exchange && !Exchange->Ended)
     return Exchange;
@@ -43,7 +44,7 @@
 bool http_server::respond(http_exchange_id Exchange, int Status,
                           const std::vector<http_header> &Headers,
                           std::string_view Body) {
-  http_exchange_row *Row = State->open(Exchange);
+  http_exchange_row *Row = State->findOpen(Exchange);
   if (!Row)
     return false;
   SoupServerMessage *Message = Row->Message.get();
@@ -55,13 +56,13 @@
   Row->Ended = true;
   soup_message_body_complete(soup_server_message_get_response_body(Message));
   soup_server_message_unpause(Message);
-  State->setBuffered(Exchange);
+  State->countUnsentBytes(Exchange);
   return true;
 }
 
 bool http_server::beginStream(http_exchange_id Exchange, int Status,
                               const std::vector<http_header> &Headers) {
-  http_exchange_row *Row = State->open(Exchange);
+  http_exchange_row *Row = State->findOpen(Exchange);
   if (!Row)
     return false;
   SoupServerMessage *Message = Row->Message.get();
@@ -70,14 +71,13 @@
       soup_server_message_get_response_headers(Message), SOUP_ENCODING_CHUNKED);
   soup_message_body_set_accumulate(
       soup_server_message_get_response_body(Message), FALSE);
-  Row->Streaming = true;
   soup_server_message_unpause(Message);
   return true;
 }
 
 bool http_server::writeChunk(http_exchange_id Exchange,
                              std::string_view Bytes) {
-  http_exchange_row *Row = State->open(Exchange);
+  http_exchange_row *Row = State->findOpen(Exchange);
   if (!Row)
     return false;
   if (Row->Buffered + Bytes.size() > State->Settings.MaxBufferedBytes) {
@@ -86,12 +86,12 @@
   }
   append(*Row, Bytes);
   soup_server_message_unpause(Row->Message.get());
-  State->setBuffered(Exchange);
+  State->countUnsentBytes(Exchange);
   return true;
 }
 
 bool http_server::endStream(http_exchange_id Exchange) {
-  http_exchange_row *Row = State->open(Exchange);
+  http_exchange_row *Row = State->findOpen(Exchange);
   if (!Row)
     return false;
   Row->Ended = true;
@@ -102,7 +102,7 @@
 }
 
 bool http_server::abortStream(http_exchange_id Exchange) {
-  http_exchange_row *Row = State->open(Exchange);
+  http_exchange_row *Row = State->findOpen(Exchange);
   if (!Row)
     return false;
   Row->Ended = true; // The owner aborts it, so OnGone is not called.
@@ -154,7 +154,7 @@
   if (Row) {
     Row->LastActive = steadyNow();
     Row->BodyBytes = 0;
-    account(*Row);
+    countHeldBytes(*Row);
   }
   if (!Ended && Events.OnClientGone)
     Events.OnClientGone(Id);
@@ -169,7 +169,7 @@
     return;
   Exchange->Buffered -= std::min<std::size_t>(Exchange->Buffered, Size);
   Exchange->LastTaken = steadyNow();
-  Owner->setBuffered(Context->Row);
+  Owner->countUnsentBytes(Context->Row);
 }
 
 } // namespace turmerichead
