Disk hosts: a host that is dropped and taken back copies only what is new

Cause: after a copy was finished all positions were forgotten, so that a host that the set dropped and took back, as happens while the set changes often, copied everything again.

Ruled out: that the positions no longer hold. If a copied record has expired meanwhile, the copies restart in the next epoch, as during a copy.

Change: finishCopy() keeps the positions.

--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -244,11 +244,7 @@
     return false;
   state_record State = Store.state();
   State.CaughtUp = true;
-  if (!Store.setState(State))
-    return false;
-  // If this host has to catch up again later, records may have expired.
-  restartCopies();
-  return true;
+  return Store.setState(State);
 }
 
 bool replica_core::sync() {
--- a/src/libturns/replica_core_test.cpp
+++ b/src/libturns/replica_core_test.cpp
@@ -118,6 +118,14 @@
   Cluster.copyOnce("d");
   CHECK(Cluster.at("d").finishCopy());
   CHECK(Cluster.at("d").index().hasTurn("late"));
+  // A host that the set has dropped and taken back copies only what is new.
+  Cluster.Set.Next = Cluster.Set.Members;
+  std::erase(Cluster.Set.Members, hostOf("d"));
+  ++Cluster.Set.Epoch;
+  Cluster.at("d").adoptSet(Cluster.Set);
+  REQUIRE(Cluster.at("d").needsCopy());
+  CHECK(Cluster.copyOnce("d", true) < TurnBytes);
+  CHECK(Cluster.at("d").finishCopy());
 }
 
 TEST_CASE("a_reply_of_an_older_epoch_does_not_finish_a_copy") {
