Explain where a request would be sent without sending it

Cause: operators could see where a request was sent (log "call sent"), but not where one would be sent now, nor which rule decides.

Ruled out: a second implementation of the decisions for reports, which would diverge from that of the calls; a copy of the upstream table for each report, as it leaves open what the original does.

Change: upstream_table::pick() and explain() share prepare(), rankOf(), firstTwo() and prefersSecond(); explain() returns the candidates by rank with penalties by name, predicted times and the age of the samples, and the criterion that decided. The penalties have names. admission::wouldRefuse(), accessOf(), placementOf(), cannotOpen(), overLimitFor(), hasNoPermitFor() and wayTo() are the parts without effects of the steps of a call; relay::where() (relay_where.cpp) uses them on a call that is in no table. quota_requester::emptyFor() and chooseUpstream() no longer create rows. Calls are handled as before.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -21,6 +21,7 @@
 #include "turmerichead/relay_quota.h"
 #include "turmerichead/relay_routes.h"
 #include "turmerichead/relay_upstreams.h"
+#include "turmerichead/relay_where.h"
 #include "turmerichead/turns_client.h"
 
 #include <functional>
@@ -139,6 +140,10 @@
   /// Bytes that callers and upstreams make this host hold.
   std::size_t heldBytes() const;
 
+  /// Reports where a request would be sent now and why. Sends nothing and
+  /// changes nothing.
+  where_answer where(const where_question &Question) const;
+
   /// Updates the gauges in the metrics.
   void publish() const;
 
--- a/src/include/turmerichead/relay_admission.h
+++ b/src/include/turmerichead/relay_admission.h
@@ -102,6 +102,11 @@
                                        const service_capacity &Capacity,
                                        const start_request &Request,
                                        time_point Now);
+  /// Returns what refusal() would return, and changes nothing.
+  std::optional<start_refusal> wouldRefuse(const slowdown_estimator &Estimator,
+                                           const service_capacity &Capacity,
+                                           const start_request &Request,
+                                           time_point Now) const;
 
 private:
   /// Since when new programs are rejected: of rank 0, of all other ranks.
--- a/src/include/turmerichead/relay_quota.h
+++ b/src/include/turmerichead/relay_quota.h
@@ -191,7 +191,10 @@
   std::optional<milliseconds> emptyFor(std::string_view Organisation,
                                        bool StartsProgram,
                                        std::span<const quota_member> Members,
-                                       time_point Now);
+                                       time_point Now) const;
+  /// Whether setLimit() would discard what is known of the members.
+  bool isOutdatedBy(std::string_view Organisation,
+                    const quota_limit &Limit) const;
 
   /// Whether the organisation has lately used far more of its limit than all
   /// organisations on average.
--- a/src/include/turmerichead/relay_upstream_speed.h
+++ b/src/include/turmerichead/relay_upstream_speed.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -33,6 +34,12 @@
   /// Returns the mean with a prior mean that counts as \p PriorSamples. A prior
   /// of 0 is not known. Returns 0 if nothing is known.
   double combined(double PriorMs, double PriorSamples, time_point Now) const;
+  /// Returns the time since the latest sample; nullopt if there is none.
+  std::optional<milliseconds> age(time_point Now) const {
+    if (Count <= 0)
+      return std::nullopt;
+    return Now - LatestAt;
+  }
 
 private:
   double ageFactor(time_point Now) const;
@@ -49,6 +56,9 @@
   const recent_mean &of(time_kind Kind) const {
     return Means[static_cast<std::size_t>(Kind)];
   }
+  /// Returns the time since the latest sample of any kind; nullopt if there is
+  /// none.
+  std::optional<milliseconds> age(time_point Now) const;
 
 private:
   std::array<recent_mean, TimeKinds> Means;
--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -77,6 +77,43 @@
   std::span<const std::string> Tried;
 };
 
+/// The criterion by which a chosen upstream was preferred to the next one.
+enum class choice_rule : std::uint8_t {
+  NoneReady,     ///< No upstream was chosen.
+  OnlyReady,     ///< There was no other candidate.
+  Penalty,       ///< It has fewer or lesser reasons to be avoided.
+  Permit,        ///< Its limit leaves permits earlier.
+  Load,          ///< It has fewer calls in flight for its speed.
+  Home,          ///< It ran the previous turn.
+  Measurement,   ///< Its data centre is to be measured.
+  DataCentre,    ///< Its data centre is this one or clearly faster.
+  WeightedHash,  ///< Rendezvous hash, weighted by speed.
+  Hash,          ///< Rendezvous hash.
+  FinishesFirst, ///< Of the first two it is predicted to finish first.
+};
+/// Returns a description of the rule for operators.
+std::string_view nameOf(choice_rule Rule);
+
+/// A candidate for a call, and what its rank consists of.
+struct ranked_upstream {
+  const upstream_row *Row = nullptr;
+  std::vector<std::string_view> Penalties; ///< Names, the heaviest first.
+  milliseconds BusyFor{0};                 ///< Until its limit leaves permits.
+  /// 0: previous upstream or data centre to measure; 1: this data centre or a
+  /// clearly faster one; 2: another one.
+  int Distance = 0;
+  double TurnMs = 0;   ///< Predicted time of a turn; 0: not known.
+  double FinishMs = 0; ///< The same with the time until a slot is free.
+  std::optional<milliseconds> SamplesAge; ///< Unset: nothing was measured.
+};
+
+/// Where a call would be sent now, and why.
+struct placement_report {
+  std::vector<ranked_upstream> Candidates; ///< By rank, the best first.
+  const upstream_row *Chosen = nullptr;
+  choice_rule Rule = choice_rule::NoneReady;
+};
+
 /// Upstreams by id. Each entry host owns one and uses it in its loop thread.
 class upstream_table {
 public:
@@ -107,6 +144,9 @@
   /// - In a burst, once the slots of a runner are in use, calls go to the next
   ///   runner in the hash order.
   upstream_row *pick(const placement &Placement, time_point Now);
+  /// Reports what pick() would return now and why, and changes no upstream. The
+  /// report is valid until the next change of the table.
+  placement_report explain(const placement &Placement, time_point Now);
 
   /// Returns whether any upstream of the service is ready.
   bool hasReady(std::string_view Service, time_point Now) const;
@@ -174,6 +214,20 @@
   bool isNewChain(const placement &Placement, time_point Now);
   /// Sets Candidates and their estimates.
   void collect(const choice &Choice);
+  /// A candidate and its rank.
+  struct ranked {
+    const candidate *Candidate = nullptr;
+    rank Rank;
+  };
+  struct shortlist {
+    ranked Best;
+    ranked Second;
+  };
+  /// Returns the two candidates with the lowest ranks.
+  shortlist firstTwo(const choice &Choice) const;
+  /// Returns whether the second candidate gets the call.
+  bool prefersSecond(const shortlist &List, const choice &Choice) const;
+  choice_rule ruleOf(const shortlist &List, const choice &Choice) const;
   rank rankOf(const candidate &Candidate, const choice &Choice) const;
   int penaltyOf(const candidate &Candidate, const choice &Choice) const;
   int distanceOf(const candidate &Candidate, const choice &Choice) const;
--- a/src/librelay/admission.cpp
+++ b/src/librelay/admission.cpp
@@ -105,24 +105,34 @@
 }
 
 std::optional<start_refusal>
-admission::refusal(const slowdown_estimator &Estimator,
-                   const service_capacity &Capacity,
-                   const start_request &Request, time_point Now) {
-  std::optional<time_point> &OverloadStart =
-      OverloadedSince[Request.Rank == 0 ? 0 : 1];
+admission::wouldRefuse(const slowdown_estimator &Estimator,
+                       const service_capacity &Capacity,
+                       const start_request &Request, time_point Now) const {
   bool IsBusy = static_cast<double>(Estimator.inFlight()) >=
                 BusyShare * Capacity.slotsPerHost();
   double Slowdown = Estimator.slowdown(Now);
-  if (!IsBusy || Slowdown <= maxSlowdown(Request)) {
-    OverloadStart.reset();
+  if (!IsBusy || Slowdown <= maxSlowdown(Request))
     return std::nullopt;
-  }
-  if (!OverloadStart)
-    OverloadStart = Now;
+  time_point OverloadStart =
+      OverloadedSince[Request.Rank == 0 ? 0 : 1].value_or(Now);
   // The best estimate of the remaining overload is its duration so far.
   milliseconds RetryAfter =
-      std::clamp(Now - *OverloadStart, MinRetryAfter, MaxRetryAfter);
+      std::clamp(Now - OverloadStart, MinRetryAfter, MaxRetryAfter);
   return start_refusal{RetryAfter, Slowdown};
 }
 
+std::optional<start_refusal>
+admission::refusal(const slowdown_estimator &Estimator,
+                   const service_capacity &Capacity,
+                   const start_request &Request, time_point Now) {
+  std::optional<time_point> &OverloadStart =
+      OverloadedSince[Request.Rank == 0 ? 0 : 1];
+  auto Refusal = wouldRefuse(Estimator, Capacity, Request, Now);
+  if (!Refusal)
+    OverloadStart.reset();
+  else if (!OverloadStart)
+    OverloadStart = Now;
+  return Refusal;
+}
+
 } // namespace turmerichead::relay
--- a/src/librelay/quota.cpp
+++ b/src/librelay/quota.cpp
@@ -205,15 +205,24 @@
   row &Row = rowOf(Organisation);
   if (Limit.Version <= Row.Limit.Version)
     return;
-  bool Differs =
-      Limit.PerSecond != Row.Limit.PerSecond || Limit.Burst != Row.Limit.Burst;
+  bool IsOutdated = isOutdatedBy(Organisation, Limit);
   Row.Limit = Limit;
-  if (!Differs)
+  if (!IsOutdated)
     return;
   Row.Slices.clear();
   Row.Held.clear();
 }
 
+bool quota_requester::isOutdatedBy(std::string_view Organisation,
+                                   const quota_limit &Limit) const {
+  auto Entry = Rows.find(Organisation);
+  if (Entry == Rows.end())
+    return true;
+  const quota_limit &Known = Entry->second.Limit;
+  return Limit.Version > Known.Version &&
+         (Limit.PerSecond != Known.PerSecond || Limit.Burst != Known.Burst);
+}
+
 void quota_requester::recordDemand(std::string_view Organisation,
                                    time_point Now) {
   rowOf(Organisation).Demand.add(1, Now);
@@ -393,8 +402,11 @@
 std::optional<milliseconds>
 quota_requester::emptyFor(std::string_view Organisation, bool StartsProgram,
                           std::span<const quota_member> Members,
-                          time_point Now) {
-  const row &Row = rowOf(Organisation);
+                          time_point Now) const {
+  auto Entry = Rows.find(Organisation);
+  if (Entry == Rows.end())
+    return std::nullopt;
+  const row &Row = Entry->second;
   bool Holds = std::any_of(
       Row.Held.begin(), Row.Held.end(),
       [&](const held_tokens &Held) { return Held.ExpiresAt > Now; });
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -33,33 +33,35 @@
   return Result;
 }
 
+const route *relay::impl::routeFor(std::string_view Host,
+                                   std::string_view Target) const {
+  return Routing.match(withoutPort(Host), Target.substr(0, Target.find('?')));
+}
+
 // -- Arrival of calls --------------------------------------------------------
 
 std::optional<http1::early_refusal>
 relay::impl::onRequestHead(std::string_view Target,
                            const http1::header_list &Headers) {
-  if (Routing.Version == 0 || Routing.match(withoutPort(Headers.get("Host")),
-                                            Target.substr(0, Target.find('?'))))
+  if (Routing.Version == 0 || routeFor(Headers.get("Host"), Target))
     return std::nullopt;
   Metrics.add("bodies_refused_total");
-  return http1::early_refusal{http1::status::NotFound, "no route matches"};
+  return http1::early_refusal{http1::status::NotFound,
+                              std::string(NoRouteReason)};
 }
 
 void relay::impl::onRequest(http1::exchange_id Exchange,
                             http1::request &&Request) {
   if (Routing.Version == 0) {
-    respondUnavailable(Exchange, "no configuration is known yet",
-                       Settings.RetryAfter);
+    respondUnavailable(Exchange, NoConfigurationReason, Settings.RetryAfter);
     return;
   }
-  std::string_view Target = Request.Target;
-  const route *Route = Routing.match(withoutPort(Request.Headers.get("Host")),
-                                     Target.substr(0, Target.find('?')));
+  const route *Route = routeFor(Request.Headers.get("Host"), Request.Target);
   if (!Route) {
     log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
                                {"reason", "no route"},
                                {"config", Routing.Version}});
-    respondWithText(Exchange, http1::status::NotFound, "no route matches");
+    respondWithText(Exchange, http1::status::NotFound, NoRouteReason);
     return;
   }
   auto Organisation = authenticate(Exchange, *Route, Request);
@@ -74,14 +76,7 @@
   Call.Exchange = Exchange;
   Call.Request = std::move(Request);
   Call.Params = std::move(*Params);
-  Call.Route = *Route;
-  setOrganisation(Call, std::move(*Organisation));
-  const std::string &Key =
-      Call.Params.Program.empty() ? Call.Params.Id : Call.Params.Program;
-  Call.Service = serviceFor(*Route, Key);
-  const service *Service = Routing.findService(Call.Service);
-  if (Service)
-    Call.TokensPerEvent = Service->TokensPerEvent;
+  setRoute(Call, *Route, std::move(*Organisation));
   Call.Arrived = steadyNow();
   milliseconds Wait =
       std::min(Call.Params.TimeLeft.value_or(DefaultTimeLeft), Route->Timeout);
@@ -100,7 +95,7 @@
   if (refuseQuarantined(Id))
     return;
   if (ExitAt && *ExitAt < Calls.find(Id)->Deadline) {
-    refuse(Id, "the host is stopping");
+    refuse(Id, StoppingReason);
     return;
   }
   // With a budget, the disk hosts know whether it is the first turn of its
@@ -114,6 +109,27 @@
     openTurn(Id);
 }
 
+void relay::impl::setRoute(relay_call &Call, const route &Route,
+                           std::string Organisation) const {
+  Call.Route = Route;
+  setOrganisation(Call, std::move(Organisation));
+  const std::string &Key =
+      Call.Params.Program.empty() ? Call.Params.Id : Call.Params.Program;
+  Call.Service = serviceFor(Route, Key);
+  const service *Service = Routing.findService(Call.Service);
+  if (Service)
+    Call.TokensPerEvent = Service->TokensPerEvent;
+}
+
+access accessOf(const route &Route, bool IsKnown, bool MayBeOutdated) {
+  // A call without its organisation would not find the turns of it.
+  if (Route.IsPublic && (!MayBeOutdated || !Route.KeepsTurns))
+    return IsKnown && !MayBeOutdated ? access::Identified : access::Anonymous;
+  if (MayBeOutdated)
+    return access::Outdated;
+  return IsKnown ? access::Identified : access::Denied;
+}
+
 std::optional<std::string>
 relay::impl::authenticate(http1::exchange_id Exchange, const route &Route,
                           const http1::request &Request) {
@@ -126,17 +142,16 @@
   // may have been removed.
   bool MayBeOutdated =
       Credentials.Key && Settings.KeysAreCurrent && !Settings.KeysAreCurrent();
-  // A call without its organisation would not find the turns of it.
-  if (Route.IsPublic && (!MayBeOutdated || !Route.KeepsTurns))
-    return Name && !MayBeOutdated ? *Name : std::string();
-  if (MayBeOutdated) {
+  access Access = accessOf(Route, Name != nullptr, MayBeOutdated);
+  if (Access == access::Anonymous)
+    return std::string();
+  if (Access == access::Identified)
+    return *Name;
+  if (Access == access::Outdated) {
     Metrics.add("keys_unconfirmed_total");
-    respondUnavailable(Exchange, "the keys in force are not known at present",
-                       Settings.RetryAfter);
+    respondUnavailable(Exchange, KeysOutdatedReason, Settings.RetryAfter);
     return std::nullopt;
   }
-  if (Name)
-    return *Name;
   credential_error Error =
       Credentials.Key ? credential_error::Unknown : Credentials.Error;
   log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
@@ -150,7 +165,7 @@
   return std::nullopt;
 }
 
-void relay::impl::setOrganisation(relay_call &Call, std::string Name) {
+void relay::impl::setOrganisation(relay_call &Call, std::string Name) const {
   if (!Routing.Organisations)
     return;
   Call.Request.Headers.remove("Authorization");
@@ -190,18 +205,22 @@
              {"retry_after_ms", Rejection->RetryAfter.count()}});
   noteShortage(Call.Service);
   Metrics.add("programs_refused_total", "service=\"" + Call.Service + "\"");
-  refuse(Id, "no room for a new program", Rejection->RetryAfter);
+  refuse(Id, NoRoomReason, Rejection->RetryAfter);
   return true;
 }
 
+std::string_view relay::impl::cannotOpen(const relay_call &Call,
+                                         time_point Now) const {
+  if (Turns.set().Epoch == 0)
+    return "no disk hosts are known yet";
+  return Upstreams.hasReady(Call.Service, Now) ? "" : NoUpstreamReason;
+}
+
 void relay::impl::openTurn(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
-  if (Turns.set().Epoch == 0) {
-    refuse(Id, "no disk hosts are known yet");
-    return;
-  }
-  if (!Upstreams.hasReady(Call.Service, steadyNow())) {
-    refuse(Id, "no upstream is ready");
+  std::string_view Reason = cannotOpen(Call, steadyNow());
+  if (!Reason.empty()) {
+    refuse(Id, Reason);
     return;
   }
   std::string Previous =
@@ -482,6 +501,10 @@
 
 std::size_t relay::heldBytes() const { return Impl->Memory.total(); }
 
+where_answer relay::where(const where_question &Question) const {
+  return Impl->where(Question);
+}
+
 void relay::publish() const {
   http1::server_counters Server = Impl->Server->counters();
   http1::client_counters Client = Impl->Client->counters();
--- a/src/librelay/relay_limits.cpp
+++ b/src/librelay/relay_limits.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Upstreams without a permit after which a call is refused.
-constexpr std::size_t MaxPermitsDenied = 4;
 // A refused caller does not come back later than this.
 constexpr milliseconds MaxRetryAfter{3000};
 
@@ -21,6 +19,28 @@
   return Addresses;
 }
 
+permit_wait relay::impl::permitWaitOf(const relay_call &Call,
+                                      const upstream_row &Upstream,
+                                      time_point Now) const {
+  permit_wait Wait;
+  Wait.Rank = Call.Route.Rank;
+  Wait.StartsProgram = Call.StartsProgram;
+  Wait.HasAlternative =
+      Upstreams.hasAlternative(Call.Service, Upstream.Upstream.Id, Now);
+  Wait.IsHome = Upstream.Upstream.Id == Call.PreviousUpstream;
+  Wait.Left = Call.Deadline - Now;
+  return Wait;
+}
+
+bool relay::impl::hasNoPermitFor(const permit_wait &Wait,
+                                 const upstream_row &Upstream, time_point Now) {
+  return Upstream.State.Limit && Upstream.BusyUntil > Now + Wait.longest();
+}
+
+milliseconds relay::impl::retryAfterDenied(milliseconds NextWait) const {
+  return std::clamp(NextWait, Settings.RetryAfter, MaxRetryAfter);
+}
+
 void relay::impl::askPermit(relay_call_id Id, upstream_row &Upstream) {
   relay_call &Call = *Calls.find(Id);
   time_point Now = steadyNow();
@@ -29,15 +49,8 @@
     sendTo(Id, Upstream);
     return;
   }
-  permit_wait Wait;
-  Wait.Rank = Call.Route.Rank;
-  Wait.StartsProgram = Call.StartsProgram;
-  Wait.HasAlternative =
-      Upstreams.hasAlternative(Call.Service, Upstream.Upstream.Id, Now);
-  Wait.IsHome = Upstream.Upstream.Id == Call.PreviousUpstream;
-  Wait.Left = Call.Deadline - Now;
-  milliseconds MaxWait = Wait.longest();
-  if (Upstream.BusyUntil > Now + MaxWait) {
+  permit_wait Wait = permitWaitOf(Call, Upstream, Now);
+  if (hasNoPermitFor(Wait, Upstream, Now)) {
     onPermitDenied(Id, Run, Upstream.BusyUntil - Now);
     return;
   }
@@ -95,8 +108,7 @@
   }
   Metrics.add("limit_calls_refused_total");
   noteShortage(Call.Service);
-  refuse(Id, "the upstreams have reached their limits",
-         std::clamp(NextWait, Settings.RetryAfter, MaxRetryAfter));
+  refuse(Id, LimitsReachedReason, retryAfterDenied(NextWait));
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/relay_links.cpp
+++ b/src/librelay/relay_links.cpp
@@ -26,7 +26,12 @@
     return {};
   if (Links.takeProbe(Address, Now))
     probeLink(Address);
-  return TunnelHosts.pick(Now).value_or("");
+  return wayTo(Address, Now);
+}
+
+std::string relay::impl::wayTo(const std::string &Address,
+                               time_point Now) const {
+  return Links.isLost(Address) ? TunnelHosts.pick(Now).value_or("") : "";
 }
 
 void relay::impl::onConnected(relay_call_id Id, attempt_role Role) {
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -13,8 +13,10 @@
 #include "turmerichead/relay_permit_client.h"
 #include "turmerichead/relay_program_homes.h"
 #include "turmerichead/relay_quota_client.h"
+#include "turmerichead/relay_where.h"
 
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 
 namespace turmerichead::relay {
 
@@ -24,6 +26,33 @@
 inline constexpr std::string_view QuarantineReason =
     "it was under way when several upstreams ended";
 
+/// Reasons of refusals that are also reported without a call.
+inline constexpr std::string_view NoConfigurationReason =
+    "no configuration is known yet";
+inline constexpr std::string_view NoRouteReason = "no route matches";
+inline constexpr std::string_view KeysOutdatedReason =
+    "the keys in force are not known at present";
+inline constexpr std::string_view StoppingReason = "the host is stopping";
+inline constexpr std::string_view NoRoomReason = "no room for a new program";
+inline constexpr std::string_view RateLimitReason =
+    "the rate limit of the organisation is reached";
+inline constexpr std::string_view LimitsReachedReason =
+    "the upstreams have reached their limits";
+inline constexpr std::string_view NoUpstreamReason = "no upstream is ready";
+inline constexpr std::string_view UnreachableReason =
+    "this host reaches no upstream";
+
+/// What the credentials of a request allow.
+enum class access : std::uint8_t {
+  Anonymous,  ///< It is served, and has no organisation.
+  Identified, ///< It is served for the organisation of its key.
+  Outdated,   ///< It can't be decided, as keys may have changed.
+  Denied
+};
+/// \p IsKnown: the key of the request is known; \p MayBeOutdated: it has a key,
+/// and the known keys may not be those in force.
+access accessOf(const route &Route, bool IsKnown, bool MayBeOutdated);
+
 /// Programs whose last upstream a host remembers at least. A host has far fewer
 /// programs at a time; an entry takes some 150 bytes.
 inline constexpr std::size_t MinHomes = 4096;
@@ -35,6 +64,9 @@
   Hedge     ///< The first attempt of a call is slow if it has no head yet.
 };
 
+/// Upstreams without a permit after which a call is refused.
+inline constexpr std::size_t MaxPermitsDenied = 4;
+
 /// A call with less time left is not sent.
 inline constexpr milliseconds MinTimeToSend{5};
 
@@ -97,6 +129,11 @@
   std::optional<http1::early_refusal>
   onRequestHead(std::string_view Target, const http1::header_list &Headers);
   http1::server_limits serverLimits() const;
+  /// Returns the route of a request, or nullptr.
+  const route *routeFor(std::string_view Host, std::string_view Target) const;
+  /// Sets what follows from the route and the organisation of a call.
+  void setRoute(relay_call &Call, const route &Route,
+                std::string Organisation) const;
   void onDeadline(relay_call_id Id);
   /// The process exits although the call has not ended.
   void endAtExit(relay_call_id Id);
@@ -107,12 +144,15 @@
                                           const http1::request &Request);
   /// Assigns the call to an organisation. From then on its request names the
   /// organisation and no longer holds the key.
-  void setOrganisation(relay_call &Call, std::string Name);
+  void setOrganisation(relay_call &Call, std::string Name) const;
   /// Opens the turn at the disk hosts, then sends the call.
   void openTurn(relay_call_id Id);
   /// Refuses a call that starts a program if no program may start now.
   /// \p IsRetry: the program was here before. Returns whether it did.
   bool refuseNewProgram(relay_call_id Id, bool IsRetry);
+  /// Returns the reason why the disk hosts can't be asked to open the turn, or
+  /// an empty string.
+  std::string_view cannotOpen(const relay_call &Call, time_point Now) const;
 
   // -- Upstreams (relay_send.cpp) --
   /// Chooses an upstream and sends the call, or asks for a permit first.
@@ -122,6 +162,12 @@
   service_capacity capacityOf(std::string_view Service, time_point Now) const;
   /// Returns the upstream for the next send, or nullptr if none is ready.
   upstream_row *chooseUpstream(relay_call &Call, time_point Now);
+  /// Sets the upstream that has the prompt of the call in its cache, if this
+  /// host knows it and the disk hosts don't.
+  void findHome(relay_call &Call) const;
+  /// Returns the properties of the call for upstream_table::pick(). They refer
+  /// to the call.
+  placement placementOf(const relay_call &Call, time_point Now) const;
   http1::call_request requestFor(const relay_call &Call,
                                  const upstream_attempt &Attempt) const;
   /// Enters the upstream as that of the attempt, and counts it in flight.
@@ -212,6 +258,13 @@
   // -- Limits of upstreams (relay_limits.cpp) --
   /// Asks for a permit for an upstream that has named a limit.
   void askPermit(relay_call_id Id, upstream_row &Upstream);
+  permit_wait permitWaitOf(const relay_call &Call, const upstream_row &Upstream,
+                           time_point Now) const;
+  /// Whether the limit of the upstream is known to leave no permit in time.
+  static bool hasNoPermitFor(const permit_wait &Wait,
+                             const upstream_row &Upstream, time_point Now);
+  /// Returns when the caller of a call without a permit should retry.
+  milliseconds retryAfterDenied(milliseconds NextWait) const;
   /// The reply to a request for a permit. The call may have ended meanwhile.
   void onPermit(relay_call_id Id, const upstream_run &Run,
                 const permit_result &Result);
@@ -230,6 +283,9 @@
   /// Refuses the call if its organisation is known to have no tokens left, so
   /// that the disk hosts need not open a turn for it. Returns whether it did.
   bool refuseOverLimit(relay_call_id Id);
+  /// Returns the time until the organisation of the call has tokens, if it is
+  /// known to have none and the call may not wait for so long.
+  std::optional<milliseconds> overLimitFor(const relay_call &Call) const;
   /// Sends the call for the first time, once its organisation has a token for
   /// it.
   void startSending(relay_call_id Id);
@@ -250,6 +306,8 @@
   /// Returns the tunnel server for a call to \p Address, or an empty string if
   /// it goes over the host's own link.
   std::string viaFor(const std::string &Address, time_point Now);
+  /// Returns the same, and does not probe the link.
+  std::string wayTo(const std::string &Address, time_point Now) const;
   /// No connection was established for the call: it is sent another way, to
   /// another upstream, or refused.
   void onNotConnected(relay_call_id Id, upstream_attempt &Attempt,
@@ -290,6 +348,23 @@
   /// cause.
   void confirmExit(const upstream &Upstream);
 
+  // -- Reports for operators (relay_where.cpp) --
+  /// Answers where a request would be sent now, and changes nothing.
+  where_answer where(const where_question &Question);
+  /// Chooses as send() does, past upstreams that are known to have no permit.
+  placement_report choose(relay_call &Call, time_point Now);
+  /// Reports whether the call would be refused before an upstream is chosen.
+  where_refusal refusalOf(const relay_call &Call, time_point Now) const;
+  nlohmann::ordered_json describeAdmission(const relay_call &Call,
+                                           const where_refusal &Refusal,
+                                           time_point Now) const;
+  /// \p Via is the tunnel server of the send, as in upstream_attempt.
+  nlohmann::ordered_json report(const where_question &Question,
+                                const relay_call &Call,
+                                const placement_report &Placement,
+                                const where_refusal &Refusal,
+                                std::string_view Via, time_point Now) const;
+
   // -- Ends of calls (relay_end.cpp) --
   /// Answers that the call was not run and will not be. If an upstream may have
   /// run it, answers that it failed. Aborts an answer that has begun.
--- a/src/librelay/relay_quota.cpp
+++ b/src/librelay/relay_quota.cpp
@@ -75,16 +75,26 @@
   const organisation *Organisation = limitedOrganisation(Call);
   if (!Organisation)
     return false;
-  quota_requester &Tokens = Quota.tokens();
-  Tokens.setLimit(Call.Organisation, limitOf(Routing, *Organisation));
-  auto Wait = Tokens.emptyFor(Call.Organisation, Call.StartsProgram,
-                              quotaMembers(), bootNow());
-  if (!Wait || *Wait <= tokenWait(Call))
+  Quota.tokens().setLimit(Call.Organisation, limitOf(Routing, *Organisation));
+  auto Wait = overLimitFor(Call);
+  if (!Wait)
     return false;
   refuseForQuota(Id, *Organisation, {quota_outcome::LimitReached, *Wait});
   return true;
 }
 
+std::optional<milliseconds>
+relay::impl::overLimitFor(const relay_call &Call) const {
+  const organisation *Organisation = limitedOrganisation(Call);
+  const quota_requester &Tokens = Quota.tokens();
+  if (!Organisation ||
+      Tokens.isOutdatedBy(Call.Organisation, limitOf(Routing, *Organisation)))
+    return std::nullopt;
+  auto Wait = Tokens.emptyFor(Call.Organisation, Call.StartsProgram,
+                              quotaMembers(), bootNow());
+  return Wait && *Wait > tokenWait(Call) ? Wait : std::nullopt;
+}
+
 void relay::impl::startSending(relay_call_id Id) {
   const relay_call &Call = *Calls.find(Id);
   const organisation *Organisation = limitedOrganisation(Call);
@@ -126,8 +136,8 @@
                {"version", Routing.Version},
                {"retry_after_ms", Result.RetryAfter.count()}});
   if (IsReached)
-    refuse(Id, "the rate limit of the organisation is reached",
-           Result.RetryAfter, http1::status::TooManyRequests);
+    refuse(Id, RateLimitReason, Result.RetryAfter,
+           http1::status::TooManyRequests);
   else
     refuse(Id, "the usage of the organisation is not known at present",
            Result.RetryAfter);
--- a/src/librelay/relay_quota_test.cpp
+++ b/src/librelay/relay_quota_test.cpp
@@ -128,3 +128,17 @@
   (F.Tools.Connections.empty() ? F.OtherTools : F.Tools).close(0);
   CHECK(turnUntil([&] { return F.sent() == 2; }));
 }
+
+TEST_CASE("a report names the limit that refuses the request") {
+  // Guards against a report that a request above the limit is sent.
+  quota_fixture F(0.1);
+  auto Question =
+      relay::readWhereQuestion("host=h&path=/safe/x&organisation=acme");
+  CHECK(F.Relay->where(*Question).Json.find("\"refused\":false") !=
+        std::string::npos);
+  F.callAndWait(8);
+  CHECK(F.answered("HTTP/1.1 429") > 0);
+  std::string Report = F.Relay->where(*Question).Json;
+  CHECK(Report.find("\"status\":429") != std::string::npos);
+  CHECK(Report.find("the rate limit of the organisation") != std::string::npos);
+}
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -49,7 +49,7 @@
   upstream_row *Upstream = chooseUpstream(Call, Now);
   if (!Upstream) {
     noteShortage(Call.Service);
-    refuse(Id, "no upstream is ready");
+    refuse(Id, NoUpstreamReason);
     return;
   }
   if (Upstream->State.Limit)
@@ -63,7 +63,7 @@
   time_point Now = steadyNow();
   std::string Via = viaFor(Upstream.Upstream.Address, Now);
   if (Via.empty() && Links.reachesNothing()) {
-    refuse(Id, "this host reaches no upstream");
+    refuse(Id, UnreachableReason);
     return;
   }
   bool WasTried = Call.wasSentTo(Upstream.Upstream.Id);
@@ -146,16 +146,27 @@
     return Previous;
   if (!Call.mayGoToAnother())
     return nullptr;
+  findHome(Call);
+  return Upstreams.pick(placementOf(Call, Now), Now);
+}
+
+void relay::impl::findHome(relay_call &Call) const {
+  if (Call.Route.Kind == call_kind::Stream && Call.PreviousUpstream.empty())
+    Call.PreviousUpstream = Homes.find(Call.scoped(Call.Params.Program));
+}
+
+placement relay::impl::placementOf(const relay_call &Call,
+                                   time_point Now) const {
   placement Placement;
   Placement.Service = Call.Service;
   Placement.DataCentre = Settings.DataCentre;
   if (Call.Route.Kind == call_kind::Stream) {
     Placement.AffinityKey = Call.Params.Program;
-    if (Call.PreviousUpstream.empty())
-      Call.PreviousUpstream = Homes.find(Call.scoped(Call.Params.Program));
     Placement.IsNewChain =
         Call.PreviousUpstream.empty() && Call.Params.PreviousTurn.empty();
-    double Events = Loads[Call.Service].Estimator.eventsPerTurn();
+    auto Load = Loads.find(Call.Service);
+    double Events =
+        Load == Loads.end() ? 0 : Load->second.Estimator.eventsPerTurn();
     if (Events > 0)
       Placement.Shape.Events = Events;
   } else {
@@ -167,7 +178,7 @@
   Placement.AvoidsLimits = Call.Denied.size() >= DeniedBeforeAvoided;
   Placement.SpreadKey = Call.Params.Id;
   Placement.Tried = Call.Tried;
-  return Upstreams.pick(Placement, Now);
+  return Placement;
 }
 
 http1::call_request
--- a/src/librelay/upstream_speed.cpp
+++ b/src/librelay/upstream_speed.cpp
@@ -72,6 +72,14 @@
                                             Now);
 }
 
+std::optional<milliseconds> upstream_speed::age(time_point Now) const {
+  std::optional<milliseconds> Age;
+  for (const recent_mean &Mean : Means)
+    if (auto Other = Mean.age(Now))
+      Age = std::min(Age.value_or(*Other), *Other);
+  return Age;
+}
+
 void service_speed::start(const turn_shape &NewShape, time_point NewNow) {
   Shape = NewShape;
   Now = NewNow;
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -3,6 +3,7 @@
 #include "turmerichead/hash.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <utility>
@@ -22,8 +23,13 @@
 // One of this many new chains may start in another data centre to measure it.
 // At 1.5 new chains a second, a host has measured three others after 8 s.
 constexpr std::uint64_t ChainsPerMeasurement = 4;
-// Penalty of an upstream whose limit leaves no permit, above all others.
-constexpr int BusyPenalty = 32;
+// Penalties of upstreams. Each is above the sum of the lower ones.
+constexpr int BusyPenalty = 32; // Its limit leaves no permit.
+constexpr int TriedPenalty = 16;
+constexpr int FailedPenalty = 8;
+constexpr int VanishedPenalty = 4; // Its entry was removed.
+constexpr int FullPenalty = 2;
+constexpr int SlowPenalty = 1;
 // Differences in the time until there are permits that don't count.
 constexpr milliseconds BusyStep{64};
 
@@ -41,6 +47,26 @@
   return Row.Upstream.Service == Service && Row.takesCalls() && !Expired;
 }
 
+/// Returns the names of the penalties in a sum of them, the heaviest first.
+std::vector<std::string_view> namesOfPenalties(int Sum) {
+  constexpr std::array<std::pair<int, std::string_view>, 6> Names = {{
+      {BusyPenalty, "limit reached"},
+      {TriedPenalty, "tried"},
+      {FailedPenalty, "failed"},
+      {VanishedPenalty, "vanished"},
+      {FullPenalty, "full"},
+      {SlowPenalty, "slow"},
+  }};
+  std::vector<std::string_view> Result;
+  for (auto [Penalty, Name] : Names) {
+    if (Sum < Penalty)
+      continue;
+    Result.push_back(Name);
+    Sum -= Penalty;
+  }
+  return Result;
+}
+
 /// Returns how much longer a turn takes than one of \p ReferenceMs; 1 if the
 /// difference is small or not known.
 double slownessOf(double Ms, double ReferenceMs) {
@@ -193,9 +219,10 @@
   bool Busy = contains(Placement.Denied, Id) || isBusy(Row, Choice.Now) ||
               (Placement.AvoidsLimits && Row.State.Limit);
   bool Slow = Candidate.GapMs > Choice.SlowGapMs;
-  return (Busy ? BusyPenalty : 0) + (Tried ? 16 : 0) +
-         (Row.AvoidUntil > Choice.Now ? 8 : 0) + (Row.ExpiresAt ? 4 : 0) +
-         (Full ? 2 : 0) + (Slow ? 1 : 0);
+  return (Busy ? BusyPenalty : 0) + (Tried ? TriedPenalty : 0) +
+         (Row.AvoidUntil > Choice.Now ? FailedPenalty : 0) +
+         (Row.ExpiresAt ? VanishedPenalty : 0) + (Full ? FullPenalty : 0) +
+         (Slow ? SlowPenalty : 0);
 }
 
 int upstream_table::distanceOf(const candidate &Candidate,
@@ -256,31 +283,125 @@
              : isClearlyShorter(SecondMs, BestMs);
 }
 
-upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
-  removeExpired(Now);
-  choice Choice = prepare(Placement, Now);
-  const candidate *Best = nullptr;
-  const candidate *Second = nullptr;
-  rank BestRank;
-  rank SecondRank;
+upstream_table::shortlist upstream_table::firstTwo(const choice &Choice) const {
+  shortlist List;
   for (const candidate &Candidate : Candidates) {
     rank Rank = rankOf(Candidate, Choice);
-    if (!Best || Rank < BestRank) {
-      Second = std::exchange(Best, &Candidate);
-      SecondRank = std::exchange(BestRank, Rank);
-    } else if (!Second || Rank < SecondRank) {
-      Second = &Candidate;
-      SecondRank = Rank;
-    }
+    if (!List.Best.Candidate || Rank < List.Best.Rank)
+      List.Second = std::exchange(List.Best, {&Candidate, Rank});
+    else if (!List.Second.Candidate || Rank < List.Second.Rank)
+      List.Second = {&Candidate, Rank};
   }
-  bool EquallyGood = Second && SecondRank.Penalty == BestRank.Penalty &&
-                     SecondRank.Distance == BestRank.Distance;
+  return List;
+}
+
+bool upstream_table::prefersSecond(const shortlist &List,
+                                   const choice &Choice) const {
+  const auto &[Best, Second] = List;
+  const placement &Placement = Choice.Placement;
+  bool EquallyGood = Second.Candidate &&
+                     Second.Rank.Penalty == Best.Rank.Penalty &&
+                     Second.Rank.Distance == Best.Rank.Distance;
   bool HasNoHome =
       Placement.IsNewChain || Choice.IsNewChain || !Placement.PrefersNear;
-  if (Placement.Shape.IsStream && HasNoHome && EquallyGood &&
-      finishesFirst(*Second, *Best))
-    return Second->Row;
-  return Best ? Best->Row : nullptr;
+  return Placement.Shape.IsStream && HasNoHome && EquallyGood &&
+         finishesFirst(*Second.Candidate, *Best.Candidate);
+}
+
+upstream_row *upstream_table::pick(const placement &Placement, time_point Now) {
+  removeExpired(Now);
+  choice Choice = prepare(Placement, Now);
+  shortlist List = firstTwo(Choice);
+  if (!List.Best.Candidate)
+    return nullptr;
+  return prefersSecond(List, Choice) ? List.Second.Candidate->Row
+                                     : List.Best.Candidate->Row;
+}
+
+choice_rule upstream_table::ruleOf(const shortlist &List,
+                                   const choice &Choice) const {
+  const auto &[Best, Second] = List;
+  if (!Best.Candidate)
+    return choice_rule::NoneReady;
+  if (!Second.Candidate)
+    return choice_rule::OnlyReady;
+  if (prefersSecond(List, Choice))
+    return choice_rule::FinishesFirst;
+  if (Best.Rank.Penalty != Second.Rank.Penalty)
+    return choice_rule::Penalty;
+  if (Best.Rank.Busy != Second.Rank.Busy)
+    return choice_rule::Permit;
+  if (Best.Rank.Load != Second.Rank.Load)
+    return choice_rule::Load;
+  if (Best.Rank.Distance != Second.Rank.Distance) {
+    const upstream &Upstream = Best.Candidate->Row->Upstream;
+    if (Upstream.Id == Choice.Placement.PreviousUpstream)
+      return choice_rule::Home;
+    return Best.Rank.Distance == 0 ? choice_rule::Measurement
+                                   : choice_rule::DataCentre;
+  }
+  return Best.Rank.WeightedHash != Second.Rank.WeightedHash
+             ? choice_rule::WeightedHash
+             : choice_rule::Hash;
+}
+
+// Expired rows are not removed: they are no candidates in any case.
+placement_report upstream_table::explain(const placement &Placement,
+                                         time_point Now) {
+  choice Choice = prepare(Placement, Now);
+  shortlist List = firstTwo(Choice);
+  placement_report Report;
+  Report.Rule = ruleOf(List, Choice);
+  if (List.Best.Candidate)
+    Report.Chosen = prefersSecond(List, Choice) ? List.Second.Candidate->Row
+                                                : List.Best.Candidate->Row;
+  std::vector<ranked> Ranked;
+  for (const candidate &Candidate : Candidates)
+    Ranked.push_back({&Candidate, rankOf(Candidate, Choice)});
+  std::sort(Ranked.begin(), Ranked.end(),
+            [](const ranked &Left, const ranked &Right) {
+              return Left.Rank < Right.Rank;
+            });
+  for (const ranked &Row : Ranked) {
+    ranked_upstream &Candidate = Report.Candidates.emplace_back();
+    Candidate.Row = Row.Candidate->Row;
+    Candidate.Penalties = namesOfPenalties(Row.Rank.Penalty);
+    if (isBusy(*Candidate.Row, Now))
+      Candidate.BusyFor = Candidate.Row->BusyUntil - Now;
+    Candidate.Distance = Row.Rank.Distance;
+    Candidate.TurnMs = turnMs(*Row.Candidate);
+    Candidate.FinishMs = finishMs(*Row.Candidate);
+    Candidate.SamplesAge = Candidate.Row->Speed.age(Now);
+  }
+  return Report;
+}
+
+std::string_view nameOf(choice_rule Rule) {
+  switch (Rule) {
+  case choice_rule::NoneReady:
+    return "no upstream is ready";
+  case choice_rule::OnlyReady:
+    return "the only candidate";
+  case choice_rule::Penalty:
+    return "least penalty";
+  case choice_rule::Permit:
+    return "permits are available earliest";
+  case choice_rule::Load:
+    return "least load";
+  case choice_rule::Home:
+    return "home of the program";
+  case choice_rule::Measurement:
+    return "measurement of another data centre";
+  case choice_rule::DataCentre:
+    return "preferred data centre";
+  case choice_rule::WeightedHash:
+    return "rendezvous hash weighted by speed";
+  case choice_rule::Hash:
+    return "rendezvous hash";
+  case choice_rule::FinishesFirst:
+    return "predicted to finish first of the first two";
+  }
+  return "unknown";
 }
 
 bool upstream_table::hasReady(std::string_view Service, time_point Now) const {
