--- a/src/turmericheadctl/commands.h
+++ b/src/turmericheadctl/commands.h
@@ -18,17 +18,28 @@
   Unknown = 4   ///< The write may or may not have taken effect.
 };
 
+/// The request that the command where asks about, but for options::Host.
+struct where_options {
+  std::string At; ///< "ip:port" of the metrics of an entry host.
+  std::string Path;
+  std::string Organisation;
+  std::string Program;
+  std::string PreviousTurn;
+  std::string Method;
+};
+
 /// What the flags say, for all commands.
 struct options {
   std::string Platform;     ///< "http://ip:port"
   std::string Namespace;    ///< Of the platform's objects.
-  std::string Host;         ///< "ip:port" of any host.
+  std::string Host;         ///< "ip:port" of any host; where: a Host header.
   std::string KeyFile;      ///< Shared key, for drain from another machine.
   std::string Who;          ///< Name written to the audit trail.
   std::uint64_t Expect = 0; ///< Version that the operator changed; 0: newest.
   std::int32_t Lines = 20;
   bool Json = false;
   bool Markdown = false;
+  where_options Where;
 };
 
 using arguments = std::span<const std::string>;
@@ -62,4 +73,7 @@
 /// time went; without a file, of standard input.
 int losses(const options &Options, arguments Rest);
 
+/// where: where an entry host would send a request now, and why.
+int where(const options &Options, arguments Rest);
+
 } // namespace turmerichead::ctl
--- a/src/turmericheadctl/main.cpp
+++ b/src/turmericheadctl/main.cpp
@@ -19,13 +19,20 @@
               "--host where these are not given");
 DEFINE_string(platform, "", "address of the platform, http://ip:port");
 DEFINE_string(namespace, "", "namespace of the platform's objects");
-DEFINE_string(host, "", "address of any host, ip:port");
+DEFINE_string(host, "",
+              "address of any host, ip:port; where: the Host of the request");
 DEFINE_string(key_file, "",
               "file with the shared key, to drain from another machine");
 DEFINE_string(who, "", "apply: name for the audit trail; default: the user");
 DEFINE_uint64(expect, 0, "apply: version that was changed; 0 takes the newest");
 DEFINE_int32(n, 20, "audit: how many of the latest records");
-DEFINE_bool(json, false, "report, status, audit: print JSON");
+DEFINE_bool(json, false, "report, status, audit, where: print JSON");
+DEFINE_string(at, "", "where: address of an entry host's metrics, ip:port");
+DEFINE_string(path, "", "where: path of the request");
+DEFINE_string(organisation, "", "where: name of the caller's organisation");
+DEFINE_string(program, "", "where: id of the program");
+DEFINE_string(previous_turn, "", "where: id of the turn that it continues");
+DEFINE_string(method, "", "where: method of the request");
 DEFINE_bool(markdown, false, "settings: print the page docs/SETTINGS.md");
 
 namespace turmerichead::ctl {
@@ -42,7 +49,7 @@
     command{"report", &report}, command{"audit", &audit},
     command{"drain", &drain},   command{"settings", &settings},
     command{"fields", &fields}, command{"explain", &explain},
-    command{"losses", &losses},
+    command{"losses", &losses}, command{"where", &where},
 };
 
 constexpr const char *Usage = R"(the operator's command line of turmerichead
@@ -55,6 +62,7 @@
   turmericheadctl audit FILE [-n 20]   the latest records of an audit trail
   turmericheadctl explain ID [LOG...]  what logs tell of a call or program
   turmericheadctl losses [LOG...]      what logs tell of all calls' losses
+  turmericheadctl where --at ...       where a request would be sent, and why
   turmericheadctl drain [ADDRESS]      stop a host gracefully
   turmericheadctl settings | fields    tables of settings and entry fields
 
@@ -93,6 +101,8 @@
   Options.Lines = FLAGS_n;
   Options.Json = FLAGS_json;
   Options.Markdown = FLAGS_markdown;
+  Options.Where = {FLAGS_at,      FLAGS_path,          FLAGS_organisation,
+                   FLAGS_program, FLAGS_previous_turn, FLAGS_method};
   if (!g_utf8_validate(Options.Who.c_str(), -1, nullptr)) {
     std::cerr << "--who must be UTF-8\n";
     return BadInput;
--- a/src/turmericheadctl/turmericheadctl_test.sh
+++ b/src/turmericheadctl/turmericheadctl_test.sh
@@ -79,6 +79,11 @@
 expect 1 '' get --platform http://127.0.0.1:1
 expect 1 '' report --host 127.0.0.1:1
 expect 2 'address of a host' status
+# A host that does not answer, or does not know the report, must not look like
+# a decision.
+expect 2 'usage: turmericheadctl where' where --at 127.0.0.1:1 --path /a/
+expect 1 'does not answer' where --at 127.0.0.1:1 --host h --path /a/
+expect 1 'no entry host' where --at "127.0.0.1:$port" --host h --path /a/
 
 cat >"$folder/audit.jsonl" <<'JSON'
 not JSON
