Bound the lines `call refused`, test readers that stop

Cause: a client without a route or a key had the host write and encode one log line for each request; the log's own limit of 400 lines a second then drops the host's other info lines with them. Nothing tested that a reader that stops ends its call at the upstream.

Ruled out: no line at all (operators look for the error and the version), one limit for all reasons (a flood of one reason hides the others).

Change: one line a second for each reason and error, with `omitted`. The relay gives out its memory budget for the servers that other hosts use. Test of a stopped reader, with an answer that pauses and one that goes on, without a deadline of the call.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -138,6 +138,9 @@
   std::size_t callsUnderWay() const;
   /// Bytes that callers and upstreams make this host hold.
   std::size_t heldBytes() const;
+  /// The budget of that memory, for the servers of this host that other hosts
+  /// use. They must not outlive the relay.
+  memory_budget &memory();
 
   /// Updates the gauges in the metrics.
   void publish() const;
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -56,9 +56,7 @@
   const route *Route = Routing.match(withoutPort(Request.Headers.get("Host")),
                                      Target.substr(0, Target.find('?')));
   if (!Route) {
-    log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
-                               {"reason", "no route"},
-                               {"config", Routing.Version}});
+    logRefused(Request, "no route");
     respondWithText(Exchange, http1::status::NotFound, "no route matches");
     return;
   }
@@ -114,6 +112,20 @@
     openTurn(Id);
 }
 
+void relay::impl::logRefused(const http1::request &Request,
+                             std::string_view Reason, std::string_view Error) {
+  log_limiter &Limiter = RefusalLogs[Error.empty() ? Reason : Error];
+  if (!Limiter.allows(steadyNow()))
+    return;
+  nlohmann::json Fields = {{"id", Request.Headers.get(Names.CallId)},
+                           {"reason", Reason},
+                           {"config", Routing.Version},
+                           {"omitted", Limiter.takeOmitted()}};
+  if (!Error.empty())
+    Fields["error"] = Error;
+  log::info("call refused", Fields);
+}
+
 std::optional<std::string>
 relay::impl::authenticate(http1::exchange_id Exchange, const route &Route,
                           const http1::request &Request) {
@@ -139,10 +151,7 @@
     return *Name;
   credential_error Error =
       Credentials.Key ? credential_error::Unknown : Credentials.Error;
-  log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
-                             {"reason", "not authenticated"},
-                             {"error", nameOf(Error)},
-                             {"config", Routing.Version}});
+  logRefused(Request, "not authenticated", nameOf(Error));
   Metrics.add("callers_unauthenticated_total",
               "reason=\"" + std::string(nameOf(Error)) + "\"");
   respondWithText(Exchange, http1::status::Unauthorized, textOf(Error),
@@ -480,6 +489,8 @@
 
 std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
 
+memory_budget &relay::memory() { return Impl->Memory; }
+
 std::size_t relay::heldBytes() const { return Impl->Memory.total(); }
 
 void relay::publish() const {
--- a/src/librelay/relay_memory_test.cpp
+++ b/src/librelay/relay_memory_test.cpp
@@ -2,8 +2,14 @@
 
 #include "call_pvt.h"
 #include "test_relay_pvt.h"
+#include "turmerichead/log.h"
+
+#include <nlohmann/json.hpp>
 
 #include <deque>
+#include <fcntl.h>
+#include <sstream>
+#include <sys/socket.h>
 
 using namespace turmerichead;
 using namespace turmerichead::pvt;
@@ -146,3 +152,92 @@
   REQUIRE(Caller.waitsFor("HTTP/1.1 404"));
   CHECK(F.Metrics.value("bodies_refused_total") == 1);
 }
+
+// A reader that stopped kept its call at the upstream, and the slot there,
+// until the route's timeout. The call here has an hour.
+TEST_CASE("a reader that stops ends the call at its upstream") {
+  constexpr std::size_t PieceBytes = 64U << 10U;
+  // More than the kernel buffers, less than the memory budget.
+  std::size_t Pieces = 96;
+  SUBCASE("the answer pauses") {}
+  SUBCASE("the answer goes on without end") { Pieces = 100'000; }
+  fixture F;
+  relay::routing Routing = routingOf(2);
+  for (relay::route &Route : Routing.Routes)
+    Route.Timeout = milliseconds(3'600'000);
+  F.Relay->setRouting(std::move(Routing));
+  caller Stops(F.Address);
+  int ReceiveBytes = 4096;
+  setsockopt(g_socket_get_fd(Stops.Socket.get()), SOL_SOCKET, SO_RCVBUF,
+             &ReceiveBytes, sizeof(ReceiveBytes));
+  Stops.send("POST /talk/1 HTTP/1.1\r\nHost: h\r\nX-Call: stops\r\n"
+             "X-Left: 3600000\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(F.received(F.Llm, "X-Call: stops"));
+  F.Llm.send(0, streamHead("stops") + chunk("data: 1\n\n"));
+  REQUIRE(Stops.waitsFor("data: 1"));
+  Stops.Readable.reset();
+  const relay::upstream_table &Upstreams = F.Relay->upstreams();
+  CHECK(Upstreams.inFlight("llm") == 1);
+  GSocket *Upstream = F.Llm.Connections[0]->Socket.get();
+  g_socket_set_blocking(Upstream, FALSE);
+  std::string Bytes =
+      chunk("data: " + std::string(PieceBytes - 8, 'x') + "\n\n");
+  std::size_t Sent = 0;
+  REQUIRE(turnUntil([&] {
+    // Partial writes continue where they stopped.
+    for (bool Takes = true; Takes && Sent < Pieces * Bytes.size();) {
+      std::string_view Rest =
+          std::string_view(Bytes).substr(Sent % Bytes.size());
+      gssize Count =
+          g_socket_send(Upstream, Rest.data(), Rest.size(), nullptr, nullptr);
+      Takes = Count > 0;
+      Sent += Takes ? static_cast<std::size_t>(Count) : 0;
+    }
+    return F.Llm.Connections[0]->Closed;
+  }));
+  CHECK(Upstreams.inFlight("llm") == 0);
+  CHECK(F.Relay->callsUnderWay() == 0);
+  REQUIRE(turnUntil([&] { return F.Relay->heldBytes() == 0; }));
+}
+
+// Clients without a route or a key had the host write a line for each request.
+TEST_CASE("refused calls are logged once a second, with the number left out") {
+  constexpr int Requests = 200;
+  std::array<int, 2> Ends{-1, -1};
+  REQUIRE(pipe2(Ends.data(), O_NONBLOCK) == 0);
+  log::open("h", "info", "", Ends[1]);
+  fixture F;
+  std::uint64_t Lines = 0;
+  std::uint64_t Omitted = 0;
+  caller Caller(F.Address);
+  auto Ask = [&] {
+    Caller.Input.clear();
+    Caller.send(F.request("GET", "/nowhere", "c"));
+    REQUIRE(Caller.waitsFor("no route matches"));
+    std::string Text(1U << 16U, '\0');
+    ssize_t Count = read(Ends[0], Text.data(), Text.size());
+    Text.resize(Count > 0 ? static_cast<std::size_t>(Count) : 0);
+    std::istringstream Stream(Text);
+    for (std::string Line; std::getline(Stream, Line);) {
+      auto Json = nlohmann::json::parse(Line);
+      if (Json["event"] != "call refused")
+        continue;
+      CHECK(Json["reason"] == "no route");
+      Omitted += Json["omitted"].get<std::uint64_t>();
+      ++Lines;
+    }
+  };
+  time_point Begin = steadyNow();
+  for (int I = 0; I < Requests; ++I)
+    Ask();
+  turnFor(milliseconds(1100));
+  Ask();
+  constexpr std::int64_t MsPerSecond = 1000;
+  auto Seconds =
+      static_cast<std::uint64_t>((steadyNow() - Begin).count() / MsPerSecond);
+  CHECK(Lines <= Seconds + 1);
+  CHECK(Lines + Omitted == Requests + 1);
+  log::open("h", "error", "");
+  close(Ends[0]);
+  close(Ends[1]);
+}
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "call_pvt.h"
+#include "turmerichead/log_limiter.h"
 #include "turmerichead/memory_budget.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/relay_admission.h"
@@ -78,6 +79,8 @@
   program_homes Homes{MinHomes};
   call_table Calls;
   std::unordered_map<http1::exchange_id, relay_call_id> ByExchange;
+  /// By reason; the names are literals.
+  std::map<std::string_view, log_limiter> RefusalLogs;
 
   impl(relay_settings Settings, header_names Names, turns::client &Turns,
        metrics &Metrics)
@@ -97,6 +100,10 @@
   std::optional<http1::early_refusal>
   onRequestHead(std::string_view Target, const http1::header_list &Headers);
   http1::server_limits serverLimits() const;
+  /// Logs a request that is refused before it becomes a call, at most once a
+  /// second for each reason and \p Error. Both must be literals.
+  void logRefused(const http1::request &Request, std::string_view Reason,
+                  std::string_view Error = {});
   void onDeadline(relay_call_id Id);
   /// The process exits although the call has not ended.
   void endAtExit(relay_call_id Id);
