Count tunnels and links for other hosts in the memory budget

Cause: what an entry host buffers for other hosts was limited by the number of tunnels and connections only: 512 tunnels of 256 KB in each direction, streams of up to 64 MB.

Ruled out: one holder for a whole link (its end breaks all requests of that host), ending inside a callback of the session or the tunnel (rows are in use).

Change: tunnel_server, peer_server and forwarder take a memory_budget. Of a tunnel the unsent bytes of each direction count, of a stream the incomplete request and the unsent response. Above the limit a tunnel is closed, an incomplete request is refused as not run, a response is reset without its end record. A request over MaxMessageBytes or ended for its memory is not given to the handler if its last frame is already there. Not counted: 256 KB at most for each link, and requests while they are forwarded.

The path of a caller's request has no new step; its cost was not measured again.

--- a/src/include/turmerichead/http1_tunnel.h
+++ b/src/include/turmerichead/http1_tunnel.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "turmerichead/clock.h"
+#include "turmerichead/memory_budget.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -48,15 +49,18 @@
 struct tunnel_counters {
   std::uint64_t Opened = 0;   ///< Tunnels whose upstream was reached.
   std::uint64_t Declined = 0; ///< Requests that Resolve or a limit declined.
+  std::uint64_t EndedForMemory = 0;
   std::size_t Open = 0;
 };
 
 /// Accepts tunnels from other hosts. It runs on the event loop of its thread.
 class tunnel_server {
 public:
-  /// Fails with InvalidInput or Unavailable.
+  /// What the tunnels buffer counts in \p Budget, unless that is nullptr; it
+  /// must outlive the server. Fails with InvalidInput or Unavailable.
   static std::optional<tunnel_server> create(tunnel_settings Settings,
-                                             tunnel_events Events);
+                                             tunnel_events Events,
+                                             memory_budget *Budget = nullptr);
 
   std::uint16_t port() const;
   /// Declines new tunnels from now on; open ones go on.
--- a/src/include/turmerichead/net_peer.h
+++ b/src/include/turmerichead/net_peer.h
@@ -28,6 +28,7 @@
 #include "turmerichead/clock.h"
 #include "turmerichead/error.h"
 #include "turmerichead/id.h"
+#include "turmerichead/memory_budget.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -106,6 +107,7 @@
   std::uint64_t Requests = 0;
   std::uint64_t LinksLost = 0;
   std::uint64_t HandshakesRefused = 0;
+  std::uint64_t EndedForMemory = 0; ///< Streams of a server.
   std::size_t OpenLinks = 0;
   std::size_t OpenStreams = 0;
 };
@@ -188,18 +190,22 @@
 /// A server for requests from other hosts.
 class peer_server {
 public:
-  /// Listens on \p Address ("ip:port"; port 0 selects a free port). Fails with
+  /// Listens on \p Address ("ip:port"; port 0 selects a free port). The
+  /// requests that are not complete and the unsent responses count in
+  /// \p Budget, unless that is nullptr; it must outlive the server. Fails with
   /// InvalidInput or Unavailable.
   static std::optional<peer_server> create(std::string_view Address,
                                            peer_settings Settings,
                                            std::string SharedKey,
-                                           peer_server_events Events);
+                                           peer_server_events Events,
+                                           memory_budget *Budget = nullptr);
 
   /// Returns the port that it listens on.
   std::uint16_t port() const;
 
   /// Appends a message to a response. Returns false if the client has left
-  /// (NotFound), or if it reads too slowly and the buffer is full (Refused).
+  /// (NotFound), or if it reads too slowly and the buffer is full or the
+  /// response was ended for its memory (Refused).
   bool write(peer_reply_id Reply, std::string_view Message);
 
   /// Ends a response; the reply id is stale afterwards. Pending messages are
--- a/src/include/turmerichead/turns_forwarder.h
+++ b/src/include/turmerichead/turns_forwarder.h
@@ -31,11 +31,12 @@
 public:
   /// Listens on \p Address and forwards requests over \p Links, which must
   /// outlive the forwarder. \p OnUnhandledRequest receives the requests for
-  /// other paths and has to reply to them. Fails with InvalidInput or
-  /// Unavailable.
+  /// other paths and has to reply to them. \p Budget: see peer_server. Fails
+  /// with InvalidInput or Unavailable.
   static std::optional<forwarder> create(
       std::string_view Address, std::string SharedKey, peer_links &Links,
-      std::function<void(const peer_request_view &Request)> OnUnhandledRequest);
+      std::function<void(const peer_request_view &Request)> OnUnhandledRequest,
+      memory_budget *Budget = nullptr);
 
   /// The server, to reply to the requests that OnUnhandledRequest receives.
   peer_server &server();
--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -3,8 +3,12 @@
 #include "socket_pvt.h"
 #include "tunnel_pvt.h"
 #include "turmerichead/error.h"
+#include "turmerichead/log.h"
+#include "turmerichead/log_limiter.h"
 #include "turmerichead/table.h"
 
+#include <nlohmann/json.hpp>
+
 #include <utility>
 #include <vector>
 
@@ -42,6 +46,8 @@
   std::optional<poll_set::interest> Interest;
   time_point LastBytes;
   time_point OpenedAt;
+  memory_holder_id Memory;
+  bool IsExcess = false; ///< Closed soon for its memory, and not counted.
 
   /// Whether the first line, which names the address, has not been read.
   bool hasNoLine() const {
@@ -55,6 +61,11 @@
 } // namespace
 
 struct tunnel_server::state {
+  state() = default;
+  ~state();
+  state(const state &) = delete;
+  state &operator=(const state &) = delete;
+
   tunnel_settings Settings;
   tunnel_events Events;
   listener Listener;
@@ -63,8 +74,14 @@
   end_table Ends;
   tunnel_counters Counters;
   bool Draining = false;
+  memory_budget *Budget = nullptr;
+  memory_owner_id Owner;
+  std::vector<end_id> Excess; ///< To be closed for the memory that they hold.
+  loop_source ClosingExcess;
+  log_limiter LogLimiter;
 
   void onReady(std::uint64_t Key);
+  void transfer(std::uint64_t Key);
   void accept();
   void limitWithoutLine();
   void readLine(end_id Id);
@@ -75,6 +92,9 @@
   void forward(end_id Id);
   void flush(end_id Id);
   void watch(end_id Id);
+  end_id add(tunnel_end End);
+  void account(end_id Id);
+  void endForMemory(end_id Id);
   void close(end_id Id);
   void closeBoth(end_id Id);
   bool isActive(const tunnel_end &Upstream, time_point Now) const;
@@ -85,6 +105,12 @@
     accept();
     return;
   }
+  transfer(Key);
+  if (Budget)
+    Budget->enforce();
+}
+
+void tunnel_server::state::transfer(std::uint64_t Key) {
   auto Id = idOf<tunnel_end>(Key);
   tunnel_end *End = Ends.find(Id);
   if (!End)
@@ -117,7 +143,7 @@
     tunnel_end End;
     End.Socket = pvt::buffered_socket(std::move(Socket));
     End.OpenedAt = steadyNow();
-    end_id Id = Ends.insert(std::move(End));
+    end_id Id = add(std::move(End));
     watch(Id);
     Deadlines->add(Settings.ConnectTimeout, keyOf(Id), 0);
   });
@@ -183,7 +209,7 @@
   End.Other = PeerId;
   End.Address = Address;
   End.IsControl = IsControl;
-  end_id Id = Ends.insert(std::move(End));
+  end_id Id = add(std::move(End));
   Ends.find(PeerId)->Other = Id;
   watch(Id);
   Deadlines->add(Settings.ConnectTimeout, keyOf(Id), 0);
@@ -273,6 +299,7 @@
 void tunnel_server::state::flush(end_id Id) {
   tunnel_end &End = *Ends.find(Id);
   io_result Result = End.Socket.flush();
+  account(Id);
   bool IsSent = End.Socket.unsent() == 0;
   if (Result == io_result::Failed || (End.Phase == phase::Closing && IsSent)) {
     closeBoth(Id);
@@ -306,6 +333,8 @@
   if (!End)
     return;
   Sockets->remove(End->Socket.descriptor());
+  if (Budget)
+    Budget->release(End->Memory);
   Ends.erase(Id);
 }
 
@@ -315,6 +344,54 @@
   close(OtherId);
 }
 
+// -- Memory ------------------------------------------------------------------
+
+tunnel_server::state::~state() {
+  if (Budget)
+    Budget->removeOwner(Owner);
+}
+
+end_id tunnel_server::state::add(tunnel_end End) {
+  end_id Id = Ends.insert(std::move(End));
+  if (Budget)
+    Ends.find(Id)->Memory = Budget->add(Owner, keyOf(Id));
+  return Id;
+}
+
+// Counts what the connection has not sent yet. The first line of a peer is not
+// counted: its length and the number of connections without one are limited.
+void tunnel_server::state::account(end_id Id) {
+  if (!Budget)
+    return;
+  const tunnel_end &End = *Ends.find(Id);
+  if (End.IsExcess)
+    return;
+  // Bytes to an upstream are those of a call that may be running.
+  auto Rank = End.Side == side::Peer ? memory_rank::Answer : memory_rank::Call;
+  Budget->set(End.Memory, Rank, End.Socket.unsent(), steadyNow());
+}
+
+// Closes the tunnel in the next loop iteration, as the budget may be enforced
+// inside a callback of this server.
+void tunnel_server::state::endForMemory(end_id Id) {
+  ++Counters.EndedForMemory;
+  if (LogLimiter.allows(steadyNow()))
+    log::warn("tunnel ended", {{"reason", "memory"},
+                               {"ended", Counters.EndedForMemory},
+                               {"held_bytes", Budget->total()}});
+  Ends.find(Id)->IsExcess = true;
+  Excess.push_back(Id);
+  if (ClosingExcess)
+    return;
+  ClosingExcess = loop_source::soon([this] {
+    ClosingExcess.reset();
+    for (end_id Next : std::exchange(Excess, {}))
+      if (Ends.find(Next))
+        closeBoth(Next);
+    return false;
+  });
+}
+
 bool tunnel_server::state::isActive(const tunnel_end &Upstream,
                                     time_point Now) const {
   const tunnel_end *Peer = Ends.find(Upstream.Other);
@@ -327,11 +404,16 @@
 // -- Public interface --------------------------------------------------------
 
 std::optional<tunnel_server> tunnel_server::create(tunnel_settings Settings,
-                                                   tunnel_events Events) {
+                                                   tunnel_events Events,
+                                                   memory_budget *Budget) {
   auto State = std::make_unique<state>();
   state *Raw = State.get();
   Raw->Settings = std::move(Settings);
   Raw->Events = std::move(Events);
+  Raw->Budget = Budget;
+  if (Budget)
+    Raw->Owner = Budget->addOwner(
+        [Raw](std::uint64_t Key) { Raw->endForMemory(idOf<tunnel_end>(Key)); });
   auto Listener = listener::open(Raw->Settings.Listen);
   Raw->Sockets =
       poll_set::create([Raw](std::uint64_t Key) { Raw->onReady(Key); });
--- a/src/libhttp1/tunnel_test.cpp
+++ b/src/libhttp1/tunnel_test.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 struct tunnel_fixture {
+  memory_budget Budget; ///< Outlives the server.
   raw_server Upstream;
   std::string Target = addressOf(Upstream.port());
   std::optional<tunnel_server> Server;
@@ -28,7 +29,9 @@
   std::string Body;
   std::optional<call_result> Result;
 
-  explicit tunnel_fixture(std::string ClientKey = "key") {
+  explicit tunnel_fixture(std::string ClientKey = "key",
+                          std::size_t MemoryBytes = 64U << 20U)
+      : Budget(MemoryBytes) {
     tunnel_settings Settings;
     Settings.Listen = "127.0.0.1:0";
     Settings.SharedKey = "key";
@@ -39,7 +42,7 @@
         return std::nullopt;
       return Target;
     };
-    Server = tunnel_server::create(Settings, std::move(Events));
+    Server = tunnel_server::create(Settings, std::move(Events), &Budget);
     Via = addressOf(Server->port());
     client_settings ClientSettings;
     ClientSettings.TunnelKey = std::move(ClientKey);
@@ -174,6 +177,34 @@
   CHECK(F.Body.size() == Size);
 }
 
+// Tunnels were limited in their number only: what they buffered for upstreams
+// or hosts that do not read came on top of the memory budget.
+TEST_CASE("tunnels whose bytes are not read end above the memory budget") {
+  constexpr std::size_t Limit = 1U << 20U;
+  constexpr std::size_t Tunnels = 6;
+  constexpr std::size_t BodyBytes = 10U << 20U;
+  // What one step may add before the budget is enforced.
+  constexpr std::size_t StepBytes = 128U << 10U;
+  tunnel_fixture F("key", Limit);
+  F.Upstream.Reading = false;
+  for (std::size_t I = 0; I < Tunnels; ++I)
+    F.call(std::string(BodyBytes, 'q'));
+  std::size_t MostHeld = 0;
+  REQUIRE(turnUntil([&] {
+    MostHeld = std::max(MostHeld, F.Budget.total());
+    return F.Server->counters().EndedForMemory >= 2;
+  }));
+  turnFor(milliseconds(100));
+  tunnel_counters Counters = F.Server->counters();
+  CHECK(MostHeld <= Limit + StepBytes);
+  CHECK(F.Budget.total() <= Limit);
+  // The others go on.
+  CHECK(Counters.Open == Tunnels - Counters.EndedForMemory);
+  CHECK(Counters.Open >= 2);
+  F.Server.reset();
+  CHECK(F.Budget.total() == 0);
+}
+
 TEST_CASE("a probe through a tunnel tells whether the upstream listens") {
   tunnel_fixture F;
   std::optional<probe_result> Seen;
--- a/src/libnet/peer_server.cpp
+++ b/src/libnet/peer_server.cpp
@@ -1,9 +1,12 @@
 #include "peer_transport_pvt.h"
 
 #include "turmerichead/hash.h"
+#include "turmerichead/log.h"
+#include "turmerichead/log_limiter.h"
 #include "turmerichead/table.h"
 
 #include <msgpack.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <unordered_map>
@@ -29,6 +32,14 @@
   accepted_id Connection;
 };
 
+/// The place of a stream whose memory is counted.
+struct counted_stream {
+  accepted_id Connection;
+  std::int32_t Http2Id = 0;
+  memory_holder_id Memory;
+};
+using counted_id = typed_id<counted_stream>;
+
 /// One request and its response.
 struct server_stream {
   peer_reply_id Reply; ///< Stale once the handler has ended the response.
@@ -40,6 +51,14 @@
   std::size_t OutputSent = 0;
   bool Responding = false;
   bool Ended = false;
+  bool Reset = false; ///< Refused or ended; the rest of it is ignored.
+  counted_id Counted; ///< Unset without a budget.
+
+  std::size_t heldBytes() const {
+    return Headers.size() * sizeof(peer_header) +
+           (Headers.empty() ? 0 : HeaderBytes) + Body.capacity() +
+           Output.capacity();
+  }
 };
 
 enum class proof_phase { Nothing, Greeted, Proved };
@@ -92,6 +111,16 @@
   loop_source Accepting;
   table<std::unique_ptr<accepted_row>> Connections;
   table<peer_reply_row> Replies;
+  memory_budget *Budget = nullptr;
+  memory_owner_id Owner;
+  table<counted_stream> CountedStreams;
+  loop_source Enforcing;
+  log_limiter LogLimiter;
+
+  state() = default;
+  ~state();
+  state(const state &) = delete;
+  state &operator=(const state &) = delete;
 
   accepted_row *find(accepted_id Id) {
     auto *Row = Connections.find(Id);
@@ -110,6 +139,10 @@
   void refuse(accepted_row &Connection, std::int32_t Http2Id);
   void dispatch(accepted_row &Connection, std::int32_t Http2Id);
   server_stream *streamOf(peer_reply_id Reply, accepted_row *&Connection);
+  void account(accepted_row &Connection, std::int32_t Http2Id,
+               server_stream &Stream);
+  void release(const server_stream &Stream);
+  void endForMemory(counted_id Id);
   static void resume(accepted_row &Connection, std::int32_t Http2Id,
                      server_stream &Stream);
 
@@ -207,6 +240,8 @@
   Connections.erase(Id);
   if (Connection->Phase == proof_phase::Proved)
     ++Counters.LinksLost;
+  for (const auto &[Http2Id, Stream] : Connection->Streams)
+    release(Stream);
   for (const auto &[Http2Id, Stream] : Connection->Streams)
     if (Replies.erase(Stream.Reply) && Events.OnGone)
       Events.OnGone(Stream.Reply);
@@ -285,6 +320,7 @@
   std::string Path = std::move(Stream.Path);
   std::string Body = std::move(Stream.Body);
   auto Headers = std::move(Stream.Headers);
+  account(Connection, Http2Id, Stream);
   std::string Host = Connection.Shake.ClientHost;
   Events.OnRequest({Stream.Reply, Host, Path, Body, &Headers});
 }
@@ -317,6 +353,70 @@
   Connection.Transport->scheduleFlush();
 }
 
+// -- Memory ------------------------------------------------------------------
+
+peer_server::state::~state() {
+  if (Budget)
+    Budget->removeOwner(Owner);
+}
+
+// Counts what the stream holds. The budget is enforced in the next loop
+// iteration, as this may be called inside a callback of the session.
+void peer_server::state::account(accepted_row &Connection, std::int32_t Http2Id,
+                                 server_stream &Stream) {
+  if (!Budget)
+    return;
+  if (!Stream.Counted) {
+    accepted_id Id = Connection.Context.Connection;
+    Stream.Counted = CountedStreams.insert({Id, Http2Id, {}});
+    CountedStreams.find(Stream.Counted)->Memory =
+        Budget->add(Owner, keyOf(Stream.Counted));
+  }
+  bool IsRequest = !Stream.Reply && !Stream.Responding;
+  Budget->set(CountedStreams.find(Stream.Counted)->Memory,
+              IsRequest ? memory_rank::Request : memory_rank::Answer,
+              Stream.heldBytes(), steadyNow());
+  if (Enforcing || Budget->hasRoomFor(0))
+    return;
+  Enforcing = loop_source::soon([this] {
+    Enforcing.reset();
+    Budget->enforce();
+    return false;
+  });
+}
+
+void peer_server::state::release(const server_stream &Stream) {
+  counted_stream *Row = CountedStreams.find(Stream.Counted);
+  if (!Row)
+    return;
+  Budget->release(Row->Memory);
+  CountedStreams.erase(Stream.Counted);
+}
+
+// A request that is not complete has not run and is refused as such. A response
+// ends without its end record, so that it does not look complete.
+void peer_server::state::endForMemory(counted_id Id) {
+  const counted_stream &Row = *CountedStreams.find(Id);
+  accepted_row &Connection = *find(Row.Connection);
+  server_stream &Stream = Connection.Streams.at(Row.Http2Id);
+  bool HasRun = static_cast<bool>(Stream.Reply);
+  Stream.Reset = true;
+  Stream.Headers = {};
+  Stream.Body = {};
+  Stream.Output = {};
+  Stream.OutputSent = 0;
+  nghttp2_submit_rst_stream(Connection.Transport->session(), NGHTTP2_FLAG_NONE,
+                            Row.Http2Id,
+                            HasRun ? NGHTTP2_CANCEL : NGHTTP2_REFUSED_STREAM);
+  Connection.Transport->scheduleFlush();
+  ++Counters.EndedForMemory;
+  if (LogLimiter.allows(steadyNow()))
+    log::warn("stream of a host ended", {{"reason", "memory"},
+                                         {"host", Connection.Shake.ClientHost},
+                                         {"ended", Counters.EndedForMemory},
+                                         {"held_bytes", Budget->total()}});
+}
+
 // -- Callbacks of the session ------------------------------------------------
 
 session_handle peer_server::state::newSession(accepted_row &Connection) {
@@ -376,7 +476,7 @@
                                void *User) {
   accepted_row &Connection = connectionOf(User);
   auto Found = Connection.Streams.find(Http2Id);
-  if (Found == Connection.Streams.end())
+  if (Found == Connection.Streams.end() || Found->second.Reset)
     return 0;
   std::size_t Limit = Connection.Phase == proof_phase::Proved
                           ? contextOf(User).Owner->Settings.MaxMessageBytes
@@ -384,24 +484,32 @@
   std::string &Body = Found->second.Body;
   if (Body.size() + Length <= Limit) {
     Body.append(textOf(Bytes, Length));
+    contextOf(User).Owner->account(Connection, Http2Id, Found->second);
     return 0;
   }
   Body = {};
+  Found->second.Reset = true;
   nghttp2_submit_rst_stream(Connection.Transport->session(), NGHTTP2_FLAG_NONE,
                             Http2Id, NGHTTP2_REFUSED_STREAM);
+  contextOf(User).Owner->account(Connection, Http2Id, Found->second);
   return 0;
 }
 
 int peer_server::state::onFrameReceived(nghttp2_session * /*Session*/,
                                         const nghttp2_frame *Frame,
                                         void *User) {
-  bool CanEnd =
-      Frame->hd.type == NGHTTP2_DATA || Frame->hd.type == NGHTTP2_HEADERS;
-  if (!CanEnd || (Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
+  std::int32_t Http2Id = Frame->hd.stream_id;
+  if (Frame->hd.type != NGHTTP2_DATA && Frame->hd.type != NGHTTP2_HEADERS)
     return 0;
   accepted_row &Connection = connectionOf(User);
-  if (Connection.Streams.contains(Frame->hd.stream_id))
-    contextOf(User).Owner->requestRead(Connection, Frame->hd.stream_id);
+  auto Found = Connection.Streams.find(Http2Id);
+  if (Found == Connection.Streams.end() || Found->second.Reset)
+    return 0;
+  state &Owner = *contextOf(User).Owner;
+  if ((Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+    Owner.requestRead(Connection, Http2Id);
+  else if (Frame->hd.type == NGHTTP2_HEADERS)
+    Owner.account(Connection, Http2Id, Found->second);
   return 0;
 }
 
@@ -416,8 +524,9 @@
   if (Found == Connection->Streams.end())
     return 0;
   peer_reply_id Reply = Found->second.Reply;
-  Connection->Streams.erase(Found);
   state &Owner = *Context.Owner;
+  Owner.release(Found->second);
+  Connection->Streams.erase(Found);
   if (Owner.Replies.erase(Reply) && Owner.Events.OnGone)
     Owner.Events.OnGone(Reply);
   return 0;
@@ -440,7 +549,10 @@
   Stream.OutputSent += Count;
   if (Stream.OutputSent == Stream.Output.size()) {
     Stream.Output.clear();
+    if (Stream.Output.capacity() > CompactBytes)
+      Stream.Output.shrink_to_fit();
     Stream.OutputSent = 0;
+    contextOf(User).Owner->account(connectionOf(User), Http2Id, Stream);
     if (Stream.Ended)
       *Flags |= NGHTTP2_DATA_FLAG_EOF;
     else if (Count == 0)
@@ -454,7 +566,8 @@
 std::optional<peer_server> peer_server::create(std::string_view Address,
                                                peer_settings Settings,
                                                std::string SharedKey,
-                                               peer_server_events Events) {
+                                               peer_server_events Events,
+                                               memory_budget *Budget) {
   if (SharedKey.empty())
     return fail(error_code::InvalidInput, "the shared key is empty");
   if (Settings.Host.empty())
@@ -466,6 +579,11 @@
   State->Settings = std::move(Settings);
   State->SharedKey = std::move(SharedKey);
   State->Events = std::move(Events);
+  State->Budget = Budget;
+  if (Budget)
+    State->Owner = Budget->addOwner([Raw = State.get()](std::uint64_t Key) {
+      Raw->endForMemory(idOf<counted_stream>(Key));
+    });
   State->Listener = std::move(*Listener);
   State->Accepting = loop_source::onSocket(
       State->Listener.socket(), G_IO_IN, [Raw = State.get()] {
@@ -490,6 +608,10 @@
   if (!Stream)
     return false;
   std::size_t Waiting = Stream->Output.size() - Stream->OutputSent;
+  if (Stream->Reset) {
+    fail(error_code::Refused, "the response was ended for its memory");
+    return false;
+  }
   if (Waiting + Message.size() > State->Settings.MaxBufferedBytes) {
     fail(error_code::Refused, "the asker reads too slowly");
     return false;
@@ -504,6 +626,7 @@
   Packer.pack_bin(static_cast<std::uint32_t>(Message.size()));
   Packer.pack_bin_body(Message.data(),
                        static_cast<std::uint32_t>(Message.size()));
+  State->account(*Connection, State->Replies.find(Reply)->Http2Id, *Stream);
   state::resume(*Connection, State->Replies.find(Reply)->Http2Id, *Stream);
   return true;
 }
@@ -513,6 +636,10 @@
   server_stream *Stream = State->streamOf(Reply, Connection);
   if (!Stream)
     return false;
+  if (Stream->Reset) {
+    State->Replies.erase(Reply);
+    return false;
+  }
   Status.Text.resize(std::min(Status.Text.size(), MaxStatusTextBytes));
   string_sink Sink{Stream->Output};
   msgpack::packer<string_sink> Packer(Sink);
--- a/src/libnet/peer_test.cpp
+++ b/src/libnet/peer_test.cpp
@@ -2,6 +2,7 @@
 
 #include "test_loop_pvt.h"
 
+#include <limits>
 #include <map>
 
 using namespace turmerichead;
@@ -17,22 +18,28 @@
   return Settings;
 }
 
+constexpr std::size_t Unlimited = std::numeric_limits<std::size_t>::max();
+
 /// A server whose handler is given per path, and links to it.
 struct pair_of_hosts {
+  memory_budget Budget; ///< Outlives the server.
   std::map<std::string, std::function<void(const peer_request_view &)>> Paths;
   std::vector<peer_reply_id> Gone;
   std::optional<peer_server> Server;
   std::optional<peer_links> Links;
 
   explicit pair_of_hosts(const peer_settings &ServerSettings = settingsOf("b"),
-                         const std::string &ServerKey = "key") {
+                         const std::string &ServerKey = "key",
+                         std::size_t MemoryBytes = Unlimited)
+      : Budget(MemoryBytes) {
     Server = peer_server::create(
         "127.0.0.1:0", ServerSettings, ServerKey,
         {.OnRequest =
              [this](const peer_request_view &Request) {
                Paths.at(std::string(Request.Path))(Request);
              },
-         .OnGone = [this](peer_reply_id Id) { Gone.push_back(Id); }});
+         .OnGone = [this](peer_reply_id Id) { Gone.push_back(Id); }},
+        &Budget);
     REQUIRE(Server);
     Links = peer_links::create(settingsOf("a"), "key");
     REQUIRE(Links);
@@ -85,6 +92,68 @@
   CHECK(Hosts.Gone.empty());
 }
 
+namespace {
+
+constexpr std::size_t SmallBudget = 1U << 20U;
+constexpr std::size_t LargeMessages = 6;
+
+} // namespace
+
+// What links held for other hosts came on top of the memory budget.
+TEST_CASE("requests that are not complete are refused above the budget") {
+  constexpr std::size_t BodyBytes = 800'000;
+  pair_of_hosts Hosts(settingsOf("b"), "key", SmallBudget);
+  std::size_t Handled = 0;
+  Hosts.Paths["/store"] = [&](const peer_request_view &Request) {
+    CHECK(Request.Body == std::string(BodyBytes, 'x'));
+    ++Handled;
+    Hosts.Server->end(Request.Reply, {});
+  };
+  std::vector<outcome> Outcomes(LargeMessages);
+  for (outcome &Outcome : Outcomes)
+    ask(*Hosts.Links, Outcome, {"/store", {}, std::string(BodyBytes, 'x')});
+  REQUIRE(turnUntil([&] { return Hosts.Links->counters().OpenStreams == 0; }));
+  std::size_t Refused = 0;
+  for (const outcome &Outcome : Outcomes)
+    if (Outcome.Result->Code == error_code::Refused) {
+      CHECK_FALSE(Outcome.Result->Sent);
+      ++Refused;
+    }
+  CHECK(Refused > 0);
+  CHECK(Handled == LargeMessages - Refused);
+  CHECK(Hosts.Server->counters().EndedForMemory == Refused);
+  REQUIRE(turnUntil([&] { return Hosts.Budget.total() == 0; }));
+}
+
+// As above, for responses.
+TEST_CASE("responses that are not read end above the budget") {
+  constexpr std::size_t MessageBytes = 800'000;
+  pair_of_hosts Hosts(settingsOf("b"), "key", SmallBudget);
+  std::vector<peer_reply_id> Replies;
+  Hosts.Paths["/fetch"] = [&](const peer_request_view &Request) {
+    Replies.push_back(Request.Reply);
+  };
+  std::vector<outcome> Outcomes(LargeMessages);
+  for (outcome &Outcome : Outcomes)
+    ask(*Hosts.Links, Outcome, {"/fetch", {}, {}});
+  REQUIRE(turnUntil([&] { return Replies.size() == LargeMessages; }));
+  for (peer_reply_id Reply : Replies)
+    CHECK(Hosts.Server->write(Reply, std::string(MessageBytes, 'y')));
+  REQUIRE(turnUntil([&] {
+    std::uint64_t Ended = Hosts.Server->counters().EndedForMemory;
+    return Ended > 0 && Hosts.Gone.size() == Ended;
+  }));
+  for (peer_reply_id Reply : Replies)
+    Hosts.Server->end(Reply, {});
+  REQUIRE(turnUntil([&] { return Hosts.Links->counters().OpenStreams == 0; }));
+  std::size_t Complete = 0;
+  for (const outcome &Outcome : Outcomes)
+    Complete += Outcome.Result->Code == error_code::None ? 1 : 0;
+  CHECK(Complete > 0);
+  CHECK(Complete + Hosts.Server->counters().EndedForMemory == LargeMessages);
+  REQUIRE(turnUntil([&] { return Hosts.Budget.total() == 0; }));
+}
+
 TEST_CASE("a thousand streams with crossed answers share one link") {
   pair_of_hosts Hosts;
   std::vector<std::pair<peer_reply_id, std::string>> Waiting;
--- a/src/libturns/forwarder.cpp
+++ b/src/libturns/forwarder.cpp
@@ -46,14 +46,16 @@
 
 std::optional<forwarder> forwarder::create(
     std::string_view Address, std::string SharedKey, peer_links &Links,
-    std::function<void(const peer_request_view &Request)> OnUnhandledRequest) {
+    std::function<void(const peer_request_view &Request)> OnUnhandledRequest,
+    memory_budget *Budget) {
   auto Impl =
       std::make_unique<impl>(impl{Links, std::move(OnUnhandledRequest), {}});
   impl *Raw = Impl.get();
   Raw->Server = peer_server::create(
       Address, linkSettings(std::string(Address)), std::move(SharedKey),
       {[Raw](const peer_request_view &Request) { Raw->onRequest(Request); },
-       [](peer_reply_id) {}});
+       [](peer_reply_id) {}},
+      Budget);
   if (!Raw->Server)
     return std::nullopt;
   return forwarder(std::move(Impl));
