All groups of hostile clients beside ordinary programs with long answers

Cause: in a trial the case run by hand exceeded 88 MB when ordinary programs had long answers too.

Change: that load is the second subcase; the vector of threads reserves its size (linter).

--- a/testsuite/fleet/hostile_clients_test.cpp
+++ b/testsuite/fleet/hostile_clients_test.cpp
@@ -586,8 +586,11 @@
   constexpr int Programs = 16;
   fleet_settings Settings = settingsFor("all");
   Settings.MemoryMb = SmallestHostMb;
-  Settings.AnswerBytes = KeptAnswerBytes;
-  Settings.LongAnswersTo = "hostile-";
+  SUBCASE("ordinary answers are short") {
+    Settings.AnswerBytes = KeptAnswerBytes;
+    Settings.LongAnswersTo = "hostile-";
+  }
+  SUBCASE("ordinary answers are long") { Settings.AnswerBytes = 256U << 10U; }
   Settings.RunnerEvents = 20;
   fixture F(Settings);
   std::vector<client_plan> Plans;
@@ -631,6 +634,7 @@
   std::atomic<std::size_t> Opened = 0;
   std::atomic<std::size_t> Running = Plans.size();
   std::vector<std::thread> Crowds;
+  Crowds.reserve(Plans.size());
   time_point End = steadyNow() + AttackTime;
   for (const client_plan &Plan : Plans)
     Crowds.emplace_back([&Opened, &Running, &Plan, End] {
