--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -58,9 +58,7 @@
   }
   const route *Route = routeFor(Request.Headers.get("Host"), Request.Target);
   if (!Route) {
-    log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
-                               {"reason", "no route"},
-                               {"config", Routing.Version}});
+    logRefused(Request, "no route");
     respondWithText(Exchange, http1::status::NotFound, NoRouteReason);
     return;
   }
@@ -130,6 +128,20 @@
   return IsKnown ? access::Identified : access::Denied;
 }
 
+void relay::impl::logRefused(const http1::request &Request,
+                             std::string_view Reason, std::string_view Error) {
+  log_limiter &Limiter = RefusalLogs[Error.empty() ? Reason : Error];
+  if (!Limiter.allows(steadyNow()))
+    return;
+  nlohmann::json Fields = {{"id", Request.Headers.get(Names.CallId)},
+                           {"reason", Reason},
+                           {"config", Routing.Version},
+                           {"omitted", Limiter.takeOmitted()}};
+  if (!Error.empty())
+    Fields["error"] = Error;
+  log::info("call refused", Fields);
+}
+
 std::optional<std::string>
 relay::impl::authenticate(http1::exchange_id Exchange, const route &Route,
                           const http1::request &Request) {
@@ -154,10 +166,7 @@
   }
   credential_error Error =
       Credentials.Key ? credential_error::Unknown : Credentials.Error;
-  log::info("call refused", {{"id", Request.Headers.get(Names.CallId)},
-                             {"reason", "not authenticated"},
-                             {"error", nameOf(Error)},
-                             {"config", Routing.Version}});
+  logRefused(Request, "not authenticated", nameOf(Error));
   Metrics.add("callers_unauthenticated_total",
               "reason=\"" + std::string(nameOf(Error)) + "\"");
   respondWithText(Exchange, http1::status::Unauthorized, textOf(Error),
@@ -499,6 +508,8 @@
 
 std::size_t relay::callsUnderWay() const { return Impl->Calls.size(); }
 
+memory_budget &relay::memory() { return Impl->Memory; }
+
 std::size_t relay::heldBytes() const { return Impl->Memory.total(); }
 
 where_answer relay::where(const where_question &Question) const {
--- a/src/librelay/relay_where_test.cpp
+++ b/src/librelay/relay_where_test.cpp
@@ -145,7 +145,7 @@
   Placement.Service = "s";
   placement_report Report = Table.explain(Placement, Now);
   CHECK(Report.Candidates.at(0).Penalties ==
-        std::vector<std::string_view>{"failed", "full"});
+        std::vector<std::string_view>{"failed or silent", "full"});
   CHECK(Report.Rule == choice_rule::OnlyReady);
 }
 
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -59,7 +59,7 @@
   constexpr std::array<std::pair<int, std::string_view>, 6> Names = {{
       {BusyPenalty, "limit reached"},
       {TriedPenalty, "tried"},
-      {FailedPenalty, "failed"},
+      {FailedPenalty, "failed or silent"},
       {VanishedPenalty, "vanished"},
       {FullPenalty, "full"},
       {SlowPenalty, "slow"},
