--- a/src/include/turmerichead/relay_upstreams.h
+++ b/src/include/turmerichead/relay_upstreams.h
@@ -169,8 +169,12 @@
   std::uint32_t readySlots(std::string_view Service, time_point Now) const;
 
   /// Returns how many calls of this host are in flight at the upstreams of a
-  /// service, without those at silent ones.
-  std::size_t inFlight(std::string_view Service, time_point Now) const;
+  /// service.
+  std::size_t inFlight(std::string_view Service) const;
+  /// Returns the same without calls at silent upstreams, which take no capacity
+  /// from others.
+  std::size_t inFlightAtAnswering(std::string_view Service,
+                                  time_point Now) const;
 
   /// Returns the state of a run, which need not be registered; nullptr if
   /// another run of the upstream is.
--- a/src/librelay/relay_hedge.cpp
+++ b/src/librelay/relay_hedge.cpp
@@ -26,7 +26,8 @@
   // With the attempt itself, a host whose share of the slots is below one would
   // always count as busy.
   std::size_t Others =
-      std::max<std::size_t>(Upstreams.inFlight(Call.Service, steadyNow()), 1) -
+      std::max<std::size_t>(
+          Upstreams.inFlightAtAnswering(Call.Service, steadyNow()), 1) -
       1;
   auto Delay = Hedging->recordFirst(Others);
   if (Delay && *Delay < Call.Deadline - Call.Current.SentAt)
--- a/src/librelay/relay_hedge_test.cpp
+++ b/src/librelay/relay_hedge_test.cpp
@@ -58,9 +58,7 @@
     return Metrics.value("hedges_total",
                          "result=\"" + std::string(Result) + "\"");
   }
-  std::size_t inFlight() const {
-    return Relay->upstreams().inFlight("tools", steadyNow());
-  }
+  std::size_t inFlight() const { return Relay->upstreams().inFlight("tools"); }
 };
 
 constexpr std::string_view NotRun = "X-Not-Run: 1\r\n";
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -462,8 +462,15 @@
   return Slots;
 }
 
-std::size_t upstream_table::inFlight(std::string_view Service,
-                                     time_point Now) const {
+std::size_t upstream_table::inFlight(std::string_view Service) const {
+  std::size_t Count = 0;
+  for (const auto &[Id, Row] : Rows)
+    Count += Row.Upstream.Service == Service ? Row.InFlight : 0;
+  return Count;
+}
+
+std::size_t upstream_table::inFlightAtAnswering(std::string_view Service,
+                                                time_point Now) const {
   std::size_t Count = 0;
   time_point ActiveSince = activeSince(Service, Now);
   for (const auto &[Id, Row] : Rows)
