Probe the store when a service has no upstream

All other calls of the twelve hosts were idle, so nothing showed the outage, and every call was refused until the watches of 33 s were over.

A service without upstreams costs few calls.

--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -74,6 +74,9 @@
   /// Returns whether the keys of the configuration are known to be current. If
   /// not, requests that need a key are refused. Unset: they always are.
   std::function<bool()> KeysAreCurrent;
+  /// A call is refused because no upstream of its service is known. May be
+  /// unset.
+  std::function<void()> OnNoUpstream;
   quota_settings Quota; ///< Of the rate limits of organisations.
 };
 
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -225,9 +225,21 @@
   return Upstreams.hasReady(Call.Service, Now) ? "" : NoUpstreamReason;
 }
 
+void relay::impl::refuseWithoutUpstream(relay_call_id Id) {
+  const relay_call &Call = *Calls.find(Id);
+  noteShortage(Call.Service);
+  if (Settings.OnNoUpstream && !Upstreams.hasReady(Call.Service, steadyNow()))
+    Settings.OnNoUpstream();
+  refuse(Id, NoUpstreamReason);
+}
+
 void relay::impl::openTurn(relay_call_id Id) {
   relay_call &Call = *Calls.find(Id);
   std::string_view Reason = cannotOpen(Call, steadyNow());
+  if (Reason == NoUpstreamReason) {
+    refuseWithoutUpstream(Id);
+    return;
+  }
   if (!Reason.empty()) {
     refuse(Id, Reason);
     return;
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -160,6 +160,8 @@
   /// Returns the reason why the disk hosts can't be asked to open the turn, or
   /// an empty string.
   std::string_view cannotOpen(const relay_call &Call, time_point Now) const;
+  /// Refuses a call for which there is no upstream.
+  void refuseWithoutUpstream(relay_call_id Id);
 
   // -- Upstreams (relay_send.cpp) --
   /// Chooses an upstream and sends the call, or asks for a permit first.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -48,8 +48,7 @@
   }
   upstream_row *Upstream = chooseUpstream(Call, Now);
   if (!Upstream) {
-    noteShortage(Call.Service);
-    refuse(Id, NoUpstreamReason);
+    refuseWithoutUpstream(Id);
     return;
   }
   if (Upstream->State.Limit)
