Mend what a newcomer stumbled on

A wait in which no upstream of a service answered does not count as silence when the call ends, nor during the pause, and a restarted upstream is not silent. Deferred actions end with their object, as the header says.

--- a/src/include/turmerichead/net_loop.h
+++ b/src/include/turmerichead/net_loop.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <queue>
 #include <string>
@@ -70,6 +71,7 @@
 private:
   std::vector<action> Actions;
   loop_source Source;
+  std::shared_ptr<int> Lifetime = std::make_shared<int>();
 };
 
 /// Polls many sockets with one event source. A GLib loop iteration takes time
--- a/src/include/turmerichead/relay.h
+++ b/src/include/turmerichead/relay.h
@@ -74,7 +74,7 @@
   /// Returns whether the keys of the configuration are known to be current. If
   /// not, requests that need a key are refused. Unset: they always are.
   std::function<bool()> KeysAreCurrent;
-  /// A call is refused because no upstream of its service is known. May be
+  /// A call is refused because no upstream of its service is ready. May be
   /// unset.
   std::function<void()> OnNoUpstream;
   quota_settings Quota; ///< Of the rate limits of organisations.
--- a/src/include/turmerichead/relay_issuing.h
+++ b/src/include/turmerichead/relay_issuing.h
@@ -59,12 +59,12 @@
   void recordReply(std::string_view Address);
 
 private:
-  struct row {
+  struct avoidance {
     time_point Until;
-    milliseconds Time{0}; ///< Of the last avoidance.
+    milliseconds Duration{0};
   };
   milliseconds FirstTime;
-  std::map<std::string, row, std::less<>> Rows; ///< By address.
+  std::map<std::string, avoidance, std::less<>> Avoidances; ///< By address.
 };
 
 } // namespace turmerichead::relay
--- a/src/include/turmerichead/relay_quota.h
+++ b/src/include/turmerichead/relay_quota.h
@@ -246,7 +246,8 @@
   bool takeLocalShare(row &Row, std::size_t Hosts, time_point Now);
 
   quota_settings Settings;
-  /// A member that has just started replies once it knows the disk set.
+  /// Short at first: a member that has just started fails only until it knows
+  /// the disk set.
   member_avoidance Avoidance{milliseconds(250)};
   std::map<std::string, row, std::less<>> Rows; ///< By organisation.
 };
--- a/src/include/turmerichead/relay_upstream_silence.h
+++ b/src/include/turmerichead/relay_upstream_silence.h
@@ -22,8 +22,11 @@
       ActiveSince = Now;
     LastAnswerAt = Now;
   }
-  /// Returns since when answers have come without a longer pause.
-  time_point activeSince() const { return ActiveSince; }
+  /// Returns since when answers have come without a longer pause; \p Now while
+  /// there is one.
+  time_point activeSince(time_point Now) const {
+    return Now - LastAnswerAt > MaxPause ? Now : ActiveSince;
+  }
 
 private:
   time_point LastAnswerAt;
@@ -43,13 +46,19 @@
       WaitingSince = Now;
     LastSentAt = Now;
   }
-  /// A call has ended, and \p Others are still in flight.
-  void recordEnd(std::size_t Others, time_point Now) {
+  /// A call has ended, and \p Others are still in flight. The service answers
+  /// since \p ActiveSince.
+  void recordEnd(std::size_t Others, time_point ActiveSince, time_point Now) {
     if (Others > 0)
       return;
-    Waited += Now - WaitingSince;
+    Waited = waited(1, ActiveSince, Now);
     WaitedUntil = Now;
   }
+  /// The upstream is another process now.
+  void restart() {
+    Waited = milliseconds(0);
+    LastSentAt = {};
+  }
   /// A part of an answer has arrived.
   void recordAnswer(time_point Now) {
     WaitingSince = Now;
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -100,8 +100,12 @@
     Source.reset();
     // An action may add others, or destroy this object.
     auto Due = std::exchange(Actions, {});
-    for (action &Each : Due)
+    std::weak_ptr<int> Owner = Lifetime;
+    for (action &Each : Due) {
       Each();
+      if (Owner.expired())
+        break;
+    }
     return false;
   });
 }
--- a/src/librelay/issuing.cpp
+++ b/src/librelay/issuing.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 constexpr double MsPerSecond = 1000;
-// A failure after this time without one is the first in a row again.
-constexpr milliseconds RowTime{10'000};
+constexpr milliseconds ForgetFailuresAfter{10'000};
 
 milliseconds roundUp(double Ms) {
   return milliseconds(static_cast<std::int64_t>(std::ceil(Ms)));
@@ -53,25 +52,26 @@
 }
 
 time_point member_avoidance::avoidedUntil(std::string_view Address) const {
-  auto Row = Rows.find(Address);
-  return Row == Rows.end() ? time_point() : Row->second.Until;
+  auto Entry = Avoidances.find(Address);
+  return Entry == Avoidances.end() ? time_point() : Entry->second.Until;
 }
 
 void member_avoidance::recordFailure(std::string_view Address, time_point Now) {
-  std::erase_if(
-      Rows, [&](const auto &Row) { return Now - Row.second.Until >= RowTime; });
-  row &Row = Rows[std::string(Address)];
+  std::erase_if(Avoidances, [&](const auto &Entry) {
+    return Now - Entry.second.Until >= ForgetFailuresAfter;
+  });
+  avoidance &Avoidance = Avoidances[std::string(Address)];
   // Requests that were sent together fail together.
-  if (Row.Until > Now)
+  if (Avoidance.Until > Now)
     return;
-  Row.Time = std::clamp(Row.Time * 2, FirstTime, MaxTime);
-  Row.Until = Now + Row.Time;
+  Avoidance.Duration = std::clamp(Avoidance.Duration * 2, FirstTime, MaxTime);
+  Avoidance.Until = Now + Avoidance.Duration;
 }
 
 void member_avoidance::recordReply(std::string_view Address) {
-  auto Row = Rows.find(Address);
-  if (Row != Rows.end())
-    Rows.erase(Row);
+  auto Entry = Avoidances.find(Address);
+  if (Entry != Avoidances.end())
+    Avoidances.erase(Entry);
 }
 
 } // namespace turmerichead::relay
--- a/src/librelay/quota.cpp
+++ b/src/librelay/quota.cpp
@@ -371,11 +371,11 @@
     bool IsAvoided = Avoidance.isAvoided(Member.Address, Now);
     AllReached = AllReached && !IsAvoided;
     OneReached = OneReached || !IsAvoided;
-    time_point AskedAt =
+    time_point MayAskAt =
         std::max(Avoidance.avoidedUntil(Member.Address),
                  IsAvoided ? time_point()
                            : emptyUntil(Row, Member.Address, StartsProgram));
-    Wait = std::min(Wait.value_or(AskedAt - Now), AskedAt - Now);
+    Wait = std::min(Wait.value_or(MayAskAt - Now), MayAskAt - Now);
   }
   if (!OneReached && !Members.empty() && takeLocalShare(Row, Hosts, Now))
     return {quota_outcome::Granted, milliseconds(0)};
--- a/src/librelay/upstreams.cpp
+++ b/src/librelay/upstreams.cpp
@@ -102,6 +102,7 @@
   Row->second.ExpiresAt.reset();
   if (Restarted) {
     Row->second.AvoidUntil = {};
+    Row->second.Silence.restart();
     Row->second.Speed = {};
     Row->second.State = {};
     Row->second.BusyUntil = {};
@@ -236,7 +237,7 @@
 time_point upstream_table::activeSince(std::string_view Service,
                                        time_point Now) const {
   auto Activity = Activities.find(Service);
-  return Activity == Activities.end() ? Now : Activity->second.activeSince();
+  return Activity == Activities.end() ? Now : Activity->second.activeSince(Now);
 }
 
 bool upstream_table::isSilent(const candidate &Candidate,
@@ -490,7 +491,8 @@
   if (!Row || Row->InFlight == 0)
     return;
   --Row->InFlight;
-  Row->Silence.recordEnd(Row->InFlight, Now);
+  Row->Silence.recordEnd(Row->InFlight, activeSince(Row->Upstream.Service, Now),
+                         Now);
 }
 
 void upstream_table::recordAnswer(std::string_view Id, time_point Now) {
