--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -315,9 +315,10 @@
   // A small machine forwarded everything for a host without links to the disk
   // hosts, and for others that had chosen it too.
   fixture F;
-  std::vector<std::string> Forwarders;
-  for (int I = 0; I < 12; ++I)
-    Forwarders.push_back("10.0.1." + std::to_string(I) + ":1");
+  constexpr std::size_t Hosts = 12;
+  std::vector<std::string> Forwarders(Hosts);
+  for (std::size_t I = 0; I < Hosts; ++I)
+    Forwarders[I] = "10.0.1." + std::to_string(I) + ":1";
   F.Turns->setForwarders(Forwarders);
   std::set<std::string> Used;
   for (int I = 0; I < 20; ++I) {
