--- a/src/librelay/quota.cpp
+++ b/src/librelay/quota.cpp
@@ -49,6 +49,10 @@
   return static_cast<double>(Time.count()) / MsPerSecond;
 }
 
+bool differs(const quota_limit &Left, const quota_limit &Right) {
+  return Left.PerSecond != Right.PerSecond || Left.Burst != Right.Burst;
+}
+
 } // namespace
 
 // -- Counting ----------------------------------------------------------------
@@ -204,9 +208,9 @@
   row &Row = rowOf(Organisation);
   if (Limit.Version <= Row.Limit.Version)
     return;
-  bool IsOutdated = isOutdatedBy(Organisation, Limit);
+  bool Differs = differs(Limit, Row.Limit);
   Row.Limit = Limit;
-  if (!IsOutdated)
+  if (!Differs)
     return;
   Row.Slices.clear();
   Row.Held.clear();
@@ -218,8 +222,7 @@
   if (Entry == Rows.end())
     return true;
   const quota_limit &Known = Entry->second.Limit;
-  return Limit.Version > Known.Version &&
-         (Limit.PerSecond != Known.PerSecond || Limit.Burst != Known.Burst);
+  return Limit.Version > Known.Version && differs(Limit, Known);
 }
 
 void quota_requester::recordDemand(std::string_view Organisation,
