Own interface: SIGHUP does not end the daemon

Callers saw their connections reset. The daemon had no handler of SIGHUP, so that the signal's default action ended it. Its settings are not read again, so it ignores the signal now. By reading; no test of its own yet.

--- a/src/turmerichead/main.cpp
+++ b/src/turmerichead/main.cpp
@@ -6,6 +6,7 @@
 #include "turmerichead/log.h"
 #include "turmerichead/settings.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -67,6 +68,8 @@
     std::cout << FLAGS_settings << ": good\n";
     return 0;
   }
+  // The settings are not read again, and SIGHUP must not end the host.
+  std::signal(SIGHUP, SIG_IGN);
   log::open(Settings->Host.Id, Settings->Log.Level, Settings->Log.AuditFile);
   auto Host = host::create(std::move(*Settings));
   if (!Host) {
