--- a/src/include/turmerichead/net_loop.h
+++ b/src/include/turmerichead/net_loop.h
@@ -167,7 +167,7 @@
 class listener {
 public:
   /// Listens on \p Address ("ip:port", port 0 takes a free one). Fails with
-  /// InvalidInput or Unavailable.
+  /// InvalidInput, Conflict (the address is in use) or Unavailable.
   static std::optional<listener> open(std::string_view Address);
 
   GSocket *socket() const { return Socket.get(); }
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -48,6 +48,14 @@
   return handle<GSocket>::adopt(Socket);
 }
 
+// Takes ownership of \p Error.
+std::nullopt_t failToListen(GError *Error) {
+  bool InUse =
+      g_error_matches(Error, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE) != FALSE;
+  return fail(InUse ? error_code::Conflict : error_code::Unavailable,
+              takeText(Error));
+}
+
 } // namespace
 
 loop_source loop_source::adopt(GSource *Source, action Action,
@@ -258,10 +266,10 @@
     return std::nullopt;
   GError *Error = nullptr;
   if (!g_socket_bind(Socket->get(), Parsed->get(), TRUE, &Error))
-    return fail(error_code::Unavailable, takeText(Error));
+    return failToListen(Error);
   g_socket_set_listen_backlog(Socket->get(), ListenBacklog);
   if (!g_socket_listen(Socket->get(), &Error))
-    return fail(error_code::Unavailable, takeText(Error));
+    return failToListen(Error);
   listener Result;
   Result.Port = localPort(Socket->get());
   Result.Socket = std::move(*Socket);
