--- a/testsuite/fleet/start_test.cpp
+++ b/testsuite/fleet/start_test.cpp
@@ -91,7 +91,7 @@
   bool hasStarted() const {
     std::ifstream File(Folder + "/log");
     for (std::string Line; std::getline(File, Line);)
-      if (Line.find("\"event\":\"started\"") != std::string::npos)
+      if (Line.find(R"("event":"started")") != std::string::npos)
         return true;
     return false;
   }
