--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -2,6 +2,8 @@
 
 #include "turmerichead/hash.h"
 
+#include <algorithm>
+#include <cmath>
 #include <memory>
 
 namespace turmerichead::fleet_harness {
@@ -9,11 +11,10 @@
 namespace {
 
 constexpr milliseconds PatienceOver{1500};
-constexpr milliseconds Pause{40};
-constexpr int TurnsOfAProgram = 4;
+constexpr milliseconds ArrivalInterval{20};
 constexpr int MaxFailures = 3;
-// Tokens: enough for two turns and a half, and for all.
-constexpr std::uint64_t SmallBudget = 15;
+// Enough for two turns and a half, and for all.
+constexpr double SmallBudgetTurns = 2.5;
 constexpr std::uint64_t AmpleBudget = 1000;
 
 std::string newAttempt() {
@@ -25,6 +26,13 @@
   return std::to_string(hash64(Text));
 }
 
+/// Fills a line up to \p Bytes.
+std::string line(std::string Text, std::size_t Bytes) {
+  if (Text.size() + 1 < Bytes)
+    Text.resize(Bytes - 1, '.');
+  return Text + "\n";
+}
+
 http1::call_request toCall(fleet &Fleet, const std::string &Entry,
                            const caller_request &Request,
                            const std::string &Attempt) {
@@ -109,12 +117,58 @@
 // -- Programs ----------------------------------------------------------------
 
 sound_traffic::sound_traffic(fleet &Fleet, int Count, std::uint64_t Seed,
-                             caller_observer Observer)
+                             caller_observer Observer, double Rate)
     : Fleet(Fleet), Random(Seed), Programs(static_cast<std::size_t>(Count)),
       Timers(static_cast<std::size_t>(Count)), Observer(std::move(Observer)),
-      Live(Count) {
-  for (std::size_t I = 0; I < Programs.size(); ++I)
+      Open(Rate > 0) {
+  for (std::size_t I = 0; I < Programs.size() && Open; ++I)
+    Idle.push_back(I);
+  for (std::size_t I = 0; I < Programs.size() && !Open; ++I) {
+    ++Live;
     later(I);
+  }
+  constexpr double MsPerS = 1000;
+  double Mean = Rate * Fleet.shape().programsPerSecond() *
+                static_cast<double>(ArrivalInterval.count()) / MsPerS;
+  if (Open)
+    Arrivals = loop_source::every(ArrivalInterval, [this, Mean] {
+      arrive(Mean);
+      return !Stopping;
+    });
+}
+
+// Begins so many programs in the mean.
+void sound_traffic::arrive(double Mean) {
+  int Count = Stopping ? 0 : std::poisson_distribution<int>(Mean)(Random);
+  for (; Count > 0 && !Idle.empty(); --Count) {
+    std::size_t Index = Idle.back();
+    Idle.pop_back();
+    ++Live;
+    Programs[Index] = {};
+    begin(Programs[Index]);
+    later(Index);
+  }
+}
+
+void sound_traffic::begin(program &Program) {
+  const site_shape &Shape = Fleet.shape();
+  std::vector<double> Weights;
+  for (const program_shape &Row : Shape.Programs)
+    Weights.push_back(Open ? Row.PerSecond : 1);
+  std::discrete_distribution<std::size_t> Kind(Weights.begin(), Weights.end());
+  Program.Shape = &Shape.Programs[Kind(Random)];
+  Program.Name = "p" + std::to_string(++Serial);
+  std::exponential_distribution<double> Turns(1 / Program.Shape->MeanTurns);
+  Program.Turns = Program.Shape->MaxTurns;
+  if (Program.Shape->MeanTurns < Program.Shape->MaxTurns)
+    Program.Turns = std::clamp(static_cast<int>(std::lround(Turns(Random))), 1,
+                               Program.Shape->MaxTurns);
+  const route_shape &Route = Shape.Routes[Program.Shape->Route];
+  int Events = Shape.findService(Route.Service)->Events;
+  constexpr unsigned PoorOneIn = 5;
+  Program.Budget = Random() % PoorOneIn == 0
+                       ? static_cast<std::uint64_t>(SmallBudgetTurns * Events)
+                       : AmpleBudget;
 }
 
 std::string sound_traffic::anyEntry() {
@@ -123,31 +177,47 @@
 }
 
 void sound_traffic::later(std::size_t Index) {
+  const program_shape *Shape = Programs[Index].Shape;
+  milliseconds Pause = Shape ? Shape->Pause : program_shape().Pause;
   Timers[Index] = loop_source::every(Pause, [this, Index] {
     next(Index);
     return false;
   });
 }
 
+// The route of the next tool call; null if a turn is next.
+const route_shape *sound_traffic::chooseCall(const program &Program) {
+  double Sum = 1;
+  for (const tool_use &Tool : Program.Shape->Tools)
+    Sum += Tool.PerTurn;
+  double At = std::uniform_real_distribution<double>(0, Sum)(Random);
+  for (const tool_use &Tool : Program.Shape->Tools) {
+    if (At < Tool.PerTurn)
+      return &Fleet.shape().Routes[Tool.Route];
+    At -= Tool.PerTurn;
+  }
+  return nullptr;
+}
+
 void sound_traffic::next(std::size_t Index) {
   program &Program = Programs[Index];
-  if (Program.Turn >= TurnsOfAProgram || Program.Failures >= MaxFailures ||
-      Program.Spent || Program.Name.empty()) {
-    if (Stopping) {
-      --Live;
-      return;
-    }
+  bool Over = Program.Name.empty() || Program.Turn >= Program.Turns ||
+              Program.Failures >= MaxFailures || Program.Spent;
+  if (Over && (Stopping || Open)) {
+    --Live;
+    Idle.push_back(Index);
+    return;
+  }
+  if (Over) {
     Program = {};
-    Program.Name = "p" + std::to_string(++Serial);
-    constexpr unsigned PoorOneIn = 5;
-    Program.Budget = Random() % PoorOneIn == 0 ? SmallBudget : AmpleBudget;
+    begin(Program);
   }
   std::string Entry = anyEntry();
-  constexpr unsigned CallsOneIn = 3;
+  const route_shape *Call = chooseCall(Program);
   if (Entry.empty())
     later(Index);
-  else if (Random() % CallsOneIn == 0)
-    call(Index, Entry);
+  else if (Call)
+    call(Index, Entry, *Call);
   else
     turn(Index, Entry);
 }
@@ -173,19 +243,22 @@
 
 void sound_traffic::turn(std::size_t Index, const std::string &Entry) {
   program &Program = Programs[Index];
+  const route_shape &Route = Fleet.shape().Routes[Program.Shape->Route];
   caller_request Request;
-  Request.Host = fleet::PlanHost;
-  Request.Path = "/turn/";
+  Request.Host = Route.Host;
+  Request.Path = Route.Path;
+  Request.TimeLeft = Route.TimeLeft;
   Request.Caller = Fleet.lastingKey(Index);
   Request.Program = Program.Name;
   Request.PreviousTurn = Program.Previous;
   Request.Body =
-      "input " + std::to_string(Program.Turn) + " of " + Program.Name + "\n";
+      line("input " + std::to_string(Program.Turn) + " of " + Program.Name,
+           Program.Turn == 0 ? Route.BodyBytes : Program.Shape->LaterBodyBytes);
   Request.Budget = Program.Budget;
-  Request.MostTokens =
-      static_cast<std::uint64_t>(Fleet.settings().RunnerEvents);
+  Request.MostTokens = static_cast<std::uint64_t>(
+      Fleet.shape().findService(Route.Service)->Events);
   std::string Given = Program.Chain + Request.Body;
-  if (Fleet.settings().Resumable) {
+  if (Route.Resumable) {
     Request.PreviousTurn.clear();
     Request.Body = Given;
   }
@@ -209,18 +282,22 @@
        });
 }
 
-void sound_traffic::call(std::size_t Index, const std::string &Entry) {
+void sound_traffic::call(std::size_t Index, const std::string &Entry,
+                         const route_shape &Route) {
   program &Program = Programs[Index];
-  bool Look = Random() % 2 == 0;
+  bool Look = Route.Kind == route_kind::Safe;
   caller_request Request;
   Request.Method = Look ? "GET" : "POST";
-  Request.Host = fleet::ToolHost;
-  Request.Path = Look ? "/look/slot" : "/book/slot";
+  Request.Host = Route.Host;
+  Request.Path = Route.Path;
+  Request.TimeLeft = Route.TimeLeft;
   Request.Caller = Fleet.lastingKey(Index);
   Request.Program = Program.Name;
   if (!Look)
-    Request.Body = "book " + std::to_string(++Serial);
+    Request.Body = line("book " + std::to_string(++Serial), Route.BodyBytes);
   std::string Wanted = markOf(Request.Body);
+  std::size_t Bytes = Fleet.shape().findService(Route.Service)->AnswerBytes;
+  Wanted.resize(std::max(Wanted.size(), Bytes), '.');
   send(Fleet, Entry, Request,
        [this, Index, Wanted, Entry, Request](const caller_answer &Answer) {
          judge(Entry, Request, Answer);
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -59,11 +59,14 @@
   std::uint64_t Wrong = 0; ///< Complete, but not its own answer.
 };
 
-/// Programs of a few turns and calls, one after the other, until stopped.
+/// Programs of the fleet's shape, with a few turns and calls, until stopped.
 class sound_traffic {
 public:
+  /// \p Programs run at once, one after the other. With a \p Rate, that many
+  /// times the programs of the shape begin in a second, \p Programs at once at
+  /// most.
   sound_traffic(fleet &Fleet, int Programs, std::uint64_t Seed,
-                caller_observer Observer = {});
+                caller_observer Observer = {}, double Rate = 0);
   void stop() { Stopping = true; }
   bool ended() const { return Live == 0; }
   const sound_counts &counts() const { return Counts; }
@@ -71,6 +74,8 @@
 private:
   struct program {
     std::string Name;
+    const program_shape *Shape = nullptr;
+    int Turns = 0;     ///< Wanted.
     std::string Chain; ///< What the runner was given and has said.
     std::string Previous;
     std::uint64_t Budget = 0;
@@ -78,9 +83,13 @@
     int Failures = 0;
     bool Spent = false; ///< Told 402.
   };
+  void begin(program &Program);
+  void arrive(double Mean);
   void next(std::size_t Index);
+  const route_shape *chooseCall(const program &Program);
   void turn(std::size_t Index, const std::string &Entry);
-  void call(std::size_t Index, const std::string &Entry);
+  void call(std::size_t Index, const std::string &Entry,
+            const route_shape &Route);
   void judge(const std::string &Entry, const caller_request &Request,
              const caller_answer &Answer);
   void later(std::size_t Index);
@@ -91,10 +100,13 @@
   std::mt19937_64 Random;
   std::vector<program> Programs;
   std::vector<loop_source> Timers;
+  std::vector<std::size_t> Idle; ///< Places of programs that may arrive.
+  loop_source Arrivals;
   caller_observer Observer;
   sound_counts Counts;
   int Live = 0;
   std::uint64_t Serial = 0;
+  bool Open = false; ///< Programs begin at a rate.
   bool Stopping = false;
 };
 
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -3,6 +3,7 @@
 #include "turmerichead/error.h"
 
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -30,7 +31,14 @@
 constexpr milliseconds StartBound{20000};
 constexpr milliseconds ReviveInterval{50};
 
-void dieWithParent(gpointer /*Data*/) { prctl(PR_SET_PDEATHSIG, SIGKILL); }
+// In the child. \p Data has the limit of descriptors; 0: none.
+void prepareChild(gpointer Data) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  auto Descriptors = static_cast<rlim_t>(GPOINTER_TO_SIZE(Data));
+  rlimit Limit = {Descriptors, Descriptors};
+  if (Descriptors > 0)
+    setrlimit(RLIMIT_NOFILE, &Limit);
+}
 
 /// Takes relays out of use. Operations of theirs may still be under way, so
 /// that they are kept until the process ends.
@@ -47,18 +55,42 @@
   return std::string(Prefix) + "-" + std::to_string(Number);
 }
 
-json routeOf(const char *Name, const char *Host, const char *Path,
-             const char *Kind, const char *Service, int Attempts) {
-  constexpr int TimeoutMs = 4000;
-  return {{"name", Name},
-          {"host", Host},
-          {"path_prefix", Path},
-          {"kind", Kind},
-          {"service", Service},
-          {"attempts", Attempts},
-          {"priority", 0},
-          {"timeout_ms", TimeoutMs},
-          {"target_latency_ms", 500}};
+const char *nameOf(route_kind Kind) {
+  switch (Kind) {
+  case route_kind::Safe:
+    return "safe";
+  case route_kind::Unsafe:
+    return "unsafe";
+  case route_kind::Stream:
+    break;
+  }
+  return "streaming";
+}
+
+json toJson(const route_shape &Route) {
+  json Row = {{"name", Route.Name},
+              {"host", Route.Host},
+              {"path_prefix", Route.PathPrefix},
+              {"kind", nameOf(Route.Kind)},
+              {"service", Route.Service},
+              {"attempts", Route.Attempts},
+              {"priority", Route.Priority},
+              {"timeout_ms", Route.Timeout.count()},
+              {"target_latency_ms", Route.Target.count()}};
+  if (Route.Kind == route_kind::Stream) {
+    Row["retain_context"] = !Route.Resumable;
+    Row["resumable"] = Route.Resumable;
+    Row["retention_s"] = Route.RetentionS;
+  }
+  return Row;
+}
+
+json toJson(const service_shape &Service) {
+  json Row = {{"name", Service.Name},
+              {"connection_limit", Service.Connections}};
+  if (Service.Streams)
+    Row["engine"] = {{"tokens_per_event", 1}};
+  return Row;
 }
 
 } // namespace
@@ -86,8 +118,74 @@
                        [&](std::int64_t At) { return At > Third + ContactMs; });
 }
 
+site_shape usualShape(const fleet_settings &Settings) {
+  site_shape Shape;
+  auto DataCentre = [&](int Number) {
+    return numbered("dc", Number % Settings.DataCentres);
+  };
+  for (int I = 0; I < Settings.DataCentres; ++I)
+    Shape.DataCentres.push_back(DataCentre(I));
+  constexpr std::uint64_t DiskMb = 200;
+  for (int I = 0; I < Settings.Entries; ++I)
+    Shape.Entries.push_back({DataCentre(I), 1, {}});
+  for (int I = 0; I < Settings.Disks; ++I)
+    Shape.Disks.push_back({DataCentre(I), 1, {0, 0, 0, DiskMb}});
+  service_shape Llm{"llm", true, {}};
+  service_shape Book{"book", false, {}};
+  for (int I = 0; I < Settings.Runners; ++I)
+    Llm.Upstreams.push_back({DataCentre(I), 1});
+  for (int I = 0; I < Settings.Tools; ++I)
+    Book.Upstreams.push_back({DataCentre(I), 1});
+  Llm.Events = Settings.RunnerEvents;
+  Llm.AnswerBytes = Settings.AnswerBytes;
+  // A plain answer has the limit of bodies.
+  Book.AnswerBytes = std::min(Settings.AnswerBytes, Settings.BodyBytes - 64);
+  Llm.EventGap = Book.EventGap = Settings.EventGap;
+  Shape.Services = {Llm, Book};
+  route_shape Plan{"plan", route_kind::Stream, fleet::PlanHost,
+                   "/",    "/turn/",           "llm"};
+  route_shape Look{"look",   route_kind::Safe, fleet::ToolHost,
+                   "/look/", "/look/slot",     "book"};
+  route_shape BookRoute{"book",   route_kind::Unsafe, fleet::ToolHost,
+                        "/book/", "/book/slot",       "book"};
+  Plan.Resumable = Settings.Resumable;
+  Plan.Attempts = Look.Attempts = BookRoute.Attempts = Settings.Attempts;
+  Shape.Routes = {Plan, Look, BookRoute};
+  program_shape Program;
+  constexpr double CallsPerTurn = 0.25;
+  Program.Tools = {{1, CallsPerTurn}, {2, CallsPerTurn}};
+  Shape.Programs = {Program};
+  Shape.DiskFaults = Settings.DiskFaults;
+  return Shape;
+}
+
+bool process_end::isOwn() const {
+  if (OverMemory || Asked == 0)
+    return true;
+  if (Signal != 0)
+    return Signal != Asked;
+  return Asked != SIGTERM || Status != 0;
+}
+
+std::string process_end::toText() const {
+  std::string How = Signal != 0
+                        ? "by signal " + std::to_string(Signal)
+                        : "with status " + std::to_string(Status.value_or(-1));
+  return Name + ", start " + std::to_string(Start) + ", ended " + How +
+         " after " + std::to_string(Age.count()) + " ms" +
+         (OverMemory   ? ", over its memory"
+          : Asked != 0 ? ", sent signal " + std::to_string(Asked)
+                       : "");
+}
+
 fleet::fleet(fleet_settings Given)
-    : Settings(std::move(Given)), Http(http1::client::create({})) {
+    : Settings(std::move(Given)),
+      Shape(Settings.Site ? *Settings.Site : usualShape(Settings)),
+      Limits([this](const std::string &Name) {
+        if (member *Member = find(Name))
+          Member->End->OverMemory = true;
+      }),
+      Http(http1::client::create({})) {
   static unsigned Fleets = 0;
   Number = Fleets++;
   std::error_code Ignored;
@@ -144,11 +242,6 @@
          g_subprocess_get_identifier(Member->Process.get()) != nullptr;
 }
 
-std::string fleet::dataCentreOf(const std::string &Name) const {
-  int Number = std::stoi(Name.substr(Name.rfind('-') + 1));
-  return numbered("dc", Number % Settings.DataCentres);
-}
-
 std::string fleet::callerAddress(const std::string &Entry) {
   int Port = Settings.Links ? CallerLinkPort : CallerPort;
   return find(Entry)->Ip + ":" + std::to_string(Port);
@@ -210,7 +303,7 @@
   std::error_code Ignored;
   if (Disk)
     std::filesystem::create_directories(Folder, Ignored);
-  json Limits = {{"disk_mb", Disk ? 200 : 0}};
+  json Limits = {{"disk_mb", Member.Limits.DiskMb}};
   if (Settings.MemoryMb > 0)
     Limits["memory_mb"] = Settings.MemoryMb;
   if (Settings.FileDescriptors > 0)
@@ -219,25 +312,69 @@
       {"node_name", Member.Name},
       {"serves", {Disk ? "storage" : "front"}},
       {"ip_address", Member.Ip},
-      {"zone", dataCentreOf(Member.Name)},
+      {"zone", Member.DataCentre},
       {"listen", {{"front", At(CallerPort)}, {"ready", At(ReadyPort)}}},
       {"internal_port_range", {FirstPeerPort, LastPeerPort}},
       {"seeds", Seeds},
       {"bootstrap", Fresh},
       {"limits", Limits},
       {"data_directory", Disk ? json(Folder) : json()},
-      {"fault_tolerance", {{"machines", Settings.DiskFaults}}},
+      {"fault_tolerance", {{"machines", Shape.DiskFaults}}},
       {"bounds", {{"grace_s", 8}}},
       {"platform", {{"address", storeAddress(Member)}}}};
   if (Settings.Organisations > 0) {
     Root["bounds"]["strict_revocation"] = true;
     Root["bounds"]["revoke_ms"] = Settings.RevocationTime.count();
   }
+  if (Shape.Bounds)
+    addSiteSettings(Member, Root);
   std::string File = Settings.Scratch + "/" + Member.Name + ".json";
   std::ofstream(File) << Root.dump(2);
   return File;
 }
 
+// What the settings file of a site's host has beyond that of other fleets.
+void fleet::addSiteSettings(const member &Member, json &Root) const {
+  bool Disk = Member.Role == role::Disk;
+  Root["machine_class"] = Disk ? "storage" : "front";
+  Root["role"] = Disk ? "disk" : "entry";
+  if (!Disk)
+    Root["serves"].push_back("control");
+  Root["listen"]["control"] = Member.Ip + ":" + std::to_string(ControlPort);
+  Root["counts_toward_loss"] = Disk;
+  Root["zones"] = json::object();
+  for (const std::string &Name : Shape.DataCentres)
+    Root["zones"][Name] = "region";
+  Root["limits"]["cpu_share"] = Member.Limits.CpuShare;
+  Root["limits"]["cores"] = 1;
+  Root["limits"]["memory_mb"] = Member.Limits.MemoryMb;
+  Root["limits"]["file_descriptors"] = Member.Limits.FileDescriptors;
+  Root["fault_tolerance"]["zones"] = 0;
+  Root["fault_tolerance"]["regions"] = 0;
+  Root["discovery"] = "platform";
+  Root["entry"] = "virtual_ip";
+  Root["contracts"] = {"base",  "drain",  "config", "cost",    "recover",
+                       "agent", "stream", "engine", "platform"};
+  Root["heartbeat_interval_ms"] = Shape.Bounds->HeartbeatMs;
+  Root["platform"]["form"] = "objects";
+  json &Bounds = Root["bounds"];
+  Bounds["catch_up_s"] = Shape.Bounds->CatchUpS;
+  Bounds["contact_ms"] = Shape.Bounds->ContactMs;
+  Bounds["ack_timeout_ms"] = Shape.Bounds->AckTimeoutMs;
+  Bounds["drain_ms"] = Shape.Bounds->DrainMs;
+  Bounds["config_apply_ms"] = Shape.Bounds->ConfigApplyMs;
+  Bounds["outer_ms"] = Shape.Bounds->OuterMs;
+  Bounds["pass_ms"] = Shape.Bounds->PassMs;
+  Bounds["grace_s"] = Shape.Bounds->GraceS;
+  Bounds["recovery_s"] = Shape.Bounds->RecoveryS;
+  Bounds["finish_s"] = Shape.Bounds->FinishS;
+}
+
+void fleet::rewriteSettings(const std::string &Name) {
+  if (const member *Member = find(Name))
+    writeSettings(*Member, false);
+}
+
 std::vector<std::string> fleet::commandOf(member &Member) {
   std::string Store = Members.at("store").Ip + ":" + std::to_string(StorePort);
   switch (Member.Role) {
@@ -253,22 +390,19 @@
   case role::Tool:
     break;
   }
-  bool Runner = Member.Role == role::Runner;
-  // A plain answer has the limit of bodies.
-  std::size_t AnswerBytes =
-      Runner ? Settings.AnswerBytes
-             : std::min(Settings.AnswerBytes, Settings.BodyBytes - 64);
+  const service_shape &Service = *Shape.findService(Member.Service);
   return {Settings.Bin + "/standin_upstream",
           "--id=i-" + Member.Name + "-" + std::to_string(Member.Starts),
           "--address=" + Member.Ip + ":" + std::to_string(UpstreamPort),
           "--store=" + Store,
-          std::string("--service=") + (Runner ? "llm" : "book"),
-          "--data_centre=" + dataCentreOf(Member.Name),
+          "--service=" + Service.Name,
+          "--data_centre=" + Member.DataCentre,
           "--runs=" + Settings.Scratch + "/runs.jsonl",
-          std::string("--streams=") + (Runner ? "true" : "false"),
-          "--events=" + std::to_string(Settings.RunnerEvents),
-          "--gap_ms=" + std::to_string(Settings.EventGap.count()),
-          "--answer_bytes=" + std::to_string(AnswerBytes),
+          std::string("--streams=") + (Service.Streams ? "true" : "false"),
+          "--slots=" + std::to_string(Service.Slots),
+          "--events=" + std::to_string(Service.Events),
+          "--gap_ms=" + std::to_string(Service.EventGap.count()),
+          "--answer_bytes=" + std::to_string(Service.AnswerBytes),
           "--long_answers_to=" + Settings.LongAnswersTo,
           "--seed=" + std::to_string(Settings.Seed + NextIp)};
 }
@@ -288,8 +422,10 @@
   std::string Log = Settings.Scratch + "/" + Member.Name + "." +
                     std::to_string(Member.Starts) + ".log";
   g_subprocess_launcher_set_stdout_file_path(Launcher.get(), Log.c_str());
-  g_subprocess_launcher_set_child_setup(Launcher.get(), dieWithParent, nullptr,
-                                        nullptr);
+  std::size_t Descriptors =
+      Settings.HoldsLimits ? Member.Limits.FileDescriptors : 0;
+  g_subprocess_launcher_set_child_setup(Launcher.get(), prepareChild,
+                                        GSIZE_TO_POINTER(Descriptors), nullptr);
   if (Member.Role == role::Entry || Member.Role == role::Disk)
     g_subprocess_launcher_setenv(Launcher.get(), "TURMERICHEAD_CONFIG",
                                  writeSettings(Member, Fresh).c_str(), TRUE);
@@ -305,9 +441,53 @@
     fail(error_code::Unavailable, takeText(Reason));
     return false;
   }
+  watchEnd(Member);
+  bool Host = Member.Role == role::Entry || Member.Role == role::Disk;
+  if (Host && Settings.HoldsLimits)
+    Limits.add(Member.Name, pidOf(Member.Name), Member.Limits);
   return true;
 }
 
+// Notes how the process of \p Member ends.
+void fleet::watchEnd(member &Member) {
+  struct watch {
+    fleet &Fleet;
+    std::weak_ptr<const bool> Alive;
+    std::shared_ptr<process_end> End;
+    time_point StartedAt;
+  };
+  Member.End = std::make_shared<process_end>();
+  Member.End->Name = Member.Name;
+  Member.End->Role = Member.Role;
+  Member.End->Start = Member.Starts;
+  auto *Watch = new watch{*this, Alive, Member.End, Member.StartedAt};
+  g_subprocess_wait_async(
+      Member.Process.get(), nullptr,
+      [](GObject *Source, GAsyncResult *Result, gpointer Data) {
+        std::unique_ptr<watch> Watch(static_cast<watch *>(Data));
+        GSubprocess *Process = G_SUBPROCESS(Source);
+        g_subprocess_wait_finish(Process, Result, nullptr);
+        if (Watch->Alive.expired())
+          return;
+        process_end &End = *Watch->End;
+        End.AtMs = wallMs();
+        End.Age = steadyNow() - Watch->StartedAt;
+        if (g_subprocess_get_if_exited(Process))
+          End.Status = g_subprocess_get_exit_status(Process);
+        else
+          End.Signal = g_subprocess_get_term_sig(Process);
+        Watch->Fleet.noteEnd(Watch->End);
+      },
+      Watch);
+}
+
+void fleet::noteEnd(const std::shared_ptr<process_end> &End) {
+  const member *Member = find(End->Name);
+  if (Member && Member->End == End)
+    Limits.remove(End->Name);
+  Ends.push_back(*End);
+}
+
 void fleet::useOther(const std::string &Name, bool UsesOther) {
   role Role = Name.starts_with("disk") ? role::Disk : role::Entry;
   place(Name, Role).UsesOther = UsesOther;
@@ -319,9 +499,15 @@
 }
 
 std::string fleet::addHost(role Role) {
-  std::string Name =
-      numbered(Role == role::Entry ? "entry" : "disk", NextNumber[Role]++);
-  spawn(place(Name, Role), false);
+  bool Entry = Role == role::Entry;
+  int Number = NextNumber[Role]++;
+  std::string Name = numbered(Entry ? "entry" : "disk", Number);
+  member &Member = place(Name, Role);
+  auto Count = static_cast<int>(Shape.DataCentres.size());
+  Member.DataCentre =
+      Shape.DataCentres[static_cast<std::size_t>(Number % Count)];
+  Member.Limits = (Entry ? Shape.Entries : Shape.Disks).front().Limits;
+  spawn(Member, false);
   return Name;
 }
 
@@ -335,9 +521,13 @@
   member *Member = find(Name);
   if (!isRunning(Name))
     return;
+  if (Number == SIGKILL || Number == SIGTERM)
+    Member->End->Asked = Number;
   g_subprocess_send_signal(Member->Process.get(), Number);
-  if (Number == SIGSTOP || Number == SIGCONT)
-    Member->Stopped = Number == SIGSTOP;
+  if (Number != SIGSTOP && Number != SIGCONT)
+    return;
+  Member->Stopped = Number == SIGSTOP;
+  Limits.setFrozen(Name, Member->Stopped);
 }
 
 void fleet::kill(const std::string &Name) {
@@ -366,18 +556,33 @@
 
 // -- The whole ---------------------------------------------------------------
 
+void fleet::placeHosts(role Role, const std::vector<host_group> &Groups) {
+  const char *Prefix = Role == role::Entry ? "entry" : "disk";
+  for (const host_group &Group : Groups)
+    for (int I = 0; I < Group.Count; ++I) {
+      member &Member = place(numbered(Prefix, NextNumber[Role]++), Role);
+      Member.DataCentre = Group.DataCentre;
+      Member.Limits = Group.Limits;
+    }
+}
+
+void fleet::placeUpstreams(const service_shape &Service) {
+  role Role = Service.Streams ? role::Runner : role::Tool;
+  const char *Prefix = Service.Streams ? "runner" : "tool";
+  for (const upstream_group &Group : Service.Upstreams)
+    for (int I = 0; I < Group.Count; ++I) {
+      member &Member = place(numbered(Prefix, NextNumber[Role]++), Role);
+      Member.DataCentre = Group.DataCentre;
+      Member.Service = Service.Name;
+    }
+}
+
 bool fleet::start() {
   place("store", role::Store);
-  for (int I = 0; I < Settings.Entries; ++I)
-    place(numbered("entry", I), role::Entry);
-  for (int I = 0; I < Settings.Disks; ++I)
-    place(numbered("disk", I), role::Disk);
-  NextNumber[role::Entry] = Settings.Entries;
-  NextNumber[role::Disk] = Settings.Disks;
-  for (int I = 0; I < Settings.Runners; ++I)
-    place(numbered("runner", I), role::Runner);
-  for (int I = 0; I < Settings.Tools; ++I)
-    place(numbered("tool", I), role::Tool);
+  placeHosts(role::Entry, Shape.Entries);
+  placeHosts(role::Disk, Shape.Disks);
+  for (const service_shape &Service : Shape.Services)
+    placeUpstreams(Service);
   if (!spawn(Members.at("store"), true))
     return false;
   pause(milliseconds(100));
@@ -489,29 +694,30 @@
 }
 
 std::int64_t fleet::putConfiguration() {
-  std::string Own = versionHost(Routes);
-  constexpr int RetentionS = 30;
-  int Attempts = Settings.Attempts;
-  json Plan = routeOf("plan", PlanHost, "/", "streaming", "llm", Attempts);
-  Plan["retain_context"] = !Settings.Resumable;
-  Plan["resumable"] = Settings.Resumable;
-  Plan["retention_s"] = RetentionS;
-  json Spec = {
-      {"version", ++ConfigVersion},
-      {"routes",
-       {Plan, routeOf("own", Own.c_str(), "/look/", "safe", "book", Attempts),
-        routeOf("look", ToolHost, "/look/", "safe", "book", Attempts),
-        routeOf("book", ToolHost, "/book/", "unsafe", "book", Attempts)}},
-      {"services",
-       {{{"name", "llm"},
-         {"connection_limit", 200},
-         {"engine", {{"tokens_per_event", 1}}}},
-        {{"name", "book"}, {"connection_limit", 200}}}},
-      {"limits",
-       {{"header_bytes", 16384},
-        {"body_bytes", Settings.BodyBytes},
-        {"header_timeout_ms", Settings.HeaderTimeout.count()},
-        {"idle_timeout_ms", Settings.IdleTimeout.count()}}}};
+  json RouteRows = json::array();
+  for (const route_shape &Route : Shape.Routes)
+    RouteRows.push_back(toJson(Route));
+  auto Look = std::find_if(
+      Shape.Routes.begin(), Shape.Routes.end(),
+      [](const route_shape &Row) { return Row.Kind == route_kind::Safe; });
+  if (Look != Shape.Routes.end()) {
+    route_shape Own = *Look;
+    Own.Name = "own";
+    Own.Host = versionHost(Routes);
+    Own.PathPrefix = "/look/";
+    RouteRows.push_back(toJson(Own));
+  }
+  json ServiceRows = json::array();
+  for (const service_shape &Service : Shape.Services)
+    ServiceRows.push_back(toJson(Service));
+  json Spec = {{"version", ++ConfigVersion},
+               {"routes", RouteRows},
+               {"services", ServiceRows},
+               {"limits",
+                {{"header_bytes", 16384},
+                 {"body_bytes", Settings.BodyBytes},
+                 {"header_timeout_ms", Settings.HeaderTimeout.count()},
+                 {"idle_timeout_ms", Settings.IdleTimeout.count()}}}};
   if (Settings.Organisations > 0)
     Spec["tenants"] = organisationsToJson();
   Configuring = true;
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -9,6 +9,8 @@
 /// All processes end with the fleet.
 #pragma once
 
+#include "process_limits.h"
+#include "site_shape.h"
 #include "tcp_link.h"
 #include "turmerichead/handle.h"
 #include "turmerichead/http1_client.h"
@@ -46,6 +48,11 @@
   std::size_t BodyBytes = 1U << 20U; ///< Limit for bodies of callers.
   milliseconds HeaderTimeout{5000};
   milliseconds IdleTimeout{30000};
+  /// Takes the place of the numbers of hosts and upstreams, their answers and
+  /// their routes.
+  std::optional<site_shape> Site;
+  /// Whether hosts are held to the limits of the site from outside.
+  bool HoldsLimits = false;
   /// Limits of the processes in their settings; 0: not given.
   std::uint64_t MemoryMb = 0;
   std::uint64_t FileDescriptors = 0;
@@ -60,11 +67,33 @@
 
 enum class role { Store, Entry, Disk, Runner, Tool };
 
+/// How a process has ended.
+struct process_end {
+  std::string Name;
+  role Role = role::Entry;
+  int Start = 0;         ///< Number of the start, as in the name of its log.
+  std::int64_t AtMs = 0; ///< Time of day
+  milliseconds Age{0};   ///< Since it was started.
+  std::optional<int> Status; ///< If it has exited.
+  int Signal = 0;            ///< That ended it; 0: none.
+  int Asked = 0; ///< SIGKILL or SIGTERM that the test has sent; 0: none.
+  bool OverMemory = false; ///< Killed by the test for its memory.
+
+  /// Whether the process has ended by itself: not by a signal of the test, or
+  /// otherwise than the signal asks for.
+  bool isOwn() const;
+  std::string toText() const;
+};
+
 /// One process, or the place of one that has ended.
 struct member {
   std::string Name;
   role Role = role::Entry;
   std::string Ip;
+  std::string DataCentre;
+  std::string Service; ///< Of an upstream.
+  host_limits Limits;
+  std::shared_ptr<process_end> End; ///< Of the current start.
   int Starts = 0;
   handle<GSubprocess> Process;
   bool Stopped = false; ///< By SIGSTOP.
@@ -112,8 +141,8 @@
 
 class fleet {
 public:
-  static constexpr const char *PlanHost = "plans.example";
-  static constexpr const char *ToolHost = "tools.example";
+  static constexpr const char *PlanHost = site_shape::PlanHost;
+  static constexpr const char *ToolHost = site_shape::ToolHost;
 
   explicit fleet(fleet_settings Settings);
   ~fleet();
@@ -125,6 +154,13 @@
   bool start();
 
   const fleet_settings &settings() const { return Settings; }
+  const site_shape &shape() const { return Shape; }
+  /// All processes that have ended so far.
+  const std::vector<process_end> &ends() const { return Ends; }
+  /// What hosts that are held to limits have used.
+  const std::map<std::string, process_usage> &usage() const {
+    return Limits.usage();
+  }
   member *find(const std::string &Name);
   std::vector<std::string> names(role Role) const;
   bool isRunning(const std::string &Name);
@@ -150,6 +186,8 @@
 
   void kill(const std::string &Name);
   void signal(const std::string &Name, int Number);
+  /// Writes the settings file of a host again, in place.
+  void rewriteSettings(const std::string &Name);
   /// Kills a disk host and empties its disk.
   void wipe(const std::string &Name);
 
@@ -188,18 +226,25 @@
 
 private:
   member &place(const std::string &Name, role Role);
+  void placeHosts(role Role, const std::vector<host_group> &Groups);
+  void placeUpstreams(const service_shape &Service);
   bool openLinks(member &Member);
   std::string storeAddress(const member &Member) const;
   std::vector<std::string> commandOf(member &Member);
   std::string writeSettings(const member &Member, bool Fresh) const;
   bool spawn(member &Member, bool Fresh);
   void reviveUpstreams();
-  std::string dataCentreOf(const std::string &Name) const;
+  void watchEnd(member &Member);
+  void noteEnd(const std::shared_ptr<process_end> &End);
+  void addSiteSettings(const member &Member, nlohmann::json &Root) const;
   std::int64_t putConfiguration();
   nlohmann::json organisationsToJson() const;
 
   fleet_settings Settings;
+  site_shape Shape;
   std::map<std::string, member> Members;
+  std::vector<process_end> Ends;
+  limit_keeper Limits;
   std::optional<http1::client> Http;
   std::shared_ptr<const bool> Alive = std::make_shared<bool>(true);
   std::uint64_t ConfigVersion = 0;
@@ -212,4 +257,7 @@
   loop_source Reviver;
 };
 
+/// The shape of a fleet without a site file.
+site_shape usualShape(const fleet_settings &Settings);
+
 } // namespace turmerichead::fleet_harness
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -5,9 +5,12 @@
 ///     soak --seed 1 --runs 50        # seeds 1 to 50
 ///     soak --seed 7 --minimize       # the fewest faults that still fail
 ///     soak --seed 7 --only 3,8       # these faults of the plan alone
+///     soak --site FILE               # the hosts and programs of a site file
+///     soak --site FILE --restarts 9  # its hosts end and start again
 ///
 /// Exit codes: 0 no promise was broken, 1 one was, 2 bad flags or no fleet.
 
+#include "restarts.h"
 #include "soak.h"
 
 #include "turmerichead/error.h"
@@ -32,6 +35,12 @@
 DEFINE_bool(resumable, false, "Streams may be resumed and are not stored");
 DEFINE_int32(organisations, -1,
              "Organisations whose callers need keys; -1: 3 for one seed in 4");
+DEFINE_string(site, "", "Site file whose shape the fleet has");
+DEFINE_double(rate, 1, "Times the programs of the site file");
+DEFINE_bool(hold_limits, true, "Hold the hosts of a site to its limits");
+DEFINE_uint64(restarts, 0,
+              "Times that hosts of the site end and start again, "
+              "in place of faults");
 DEFINE_string(only, "", "Numbers of faults to play, with commas");
 DEFINE_bool(minimize, false, "Look for the fewest faults that still fail");
 DEFINE_string(report, "", "File for a picture and a table of the last run");
@@ -51,8 +60,15 @@
   return Seed % OneIn == OneIn - 1 ? Usual : 0;
 }
 
+/// The shape of --site.
+std::optional<fleet_harness::site_shape> Site;
+
 soak_settings settingsFor(std::uint64_t Seed) {
   soak_settings Settings;
+  Settings.Fleet.Site = Site;
+  Settings.Fleet.HoldsLimits = Site && FLAGS_hold_limits;
+  Settings.Rate = Site ? FLAGS_rate : 0;
+  Settings.EndsWithFault = Site.has_value();
   Settings.Fleet.Bin = FLAGS_bin;
   Settings.Fleet.Scratch = FLAGS_scratch + "/" + std::to_string(Seed);
   Settings.Fleet.Entries = FLAGS_entries;
@@ -65,7 +81,8 @@
   Settings.Fleet.Seed = Seed;
   Settings.Fleet.Links = true;
   Settings.Fleet.Organisations = organisationsFor(Seed);
-  Settings.Programs = FLAGS_programs;
+  constexpr int MostPrograms = 500;
+  Settings.Programs = Site ? MostPrograms : FLAGS_programs;
   constexpr std::int64_t MsPerSecond = 1000;
   Settings.Plan.Seed = Seed;
   Settings.Plan.LengthMs =
@@ -81,6 +98,17 @@
   std::string Only;
   for (std::size_t Number : Settings.Only)
     Only += (Only.empty() ? "" : ",") + std::to_string(Number);
+  if (Site) {
+    std::ostringstream Rate;
+    Rate << FLAGS_rate;
+    return "soak --site " + FLAGS_site + " --rate " + Rate.str() + " --seed " +
+           std::to_string(Settings.Plan.Seed) + " --seconds " +
+           std::to_string(FLAGS_seconds) + " --pause_ms " +
+           std::to_string(FLAGS_pause_ms) + " --organisations " +
+           std::to_string(Settings.Fleet.Organisations) +
+           (FLAGS_hold_limits ? "" : " --nohold_limits") +
+           (Only.empty() ? "" : " --only " + Only);
+  }
   return "soak --seed " + std::to_string(Settings.Plan.Seed) + " --seconds " +
          std::to_string(FLAGS_seconds) + " --pause_ms " +
          std::to_string(FLAGS_pause_ms) + " --entries " +
@@ -98,26 +126,53 @@
 
 enum class verdict { Good, Broken, NoFleet };
 
+verdict printViolations(const oracle &Seen) {
+  for (const violation &Row : Seen.violations())
+    std::cout << "  " << Row.Rule << ": " << Row.Text << "\n";
+  return Seen.violations().empty() ? verdict::Good : verdict::Broken;
+}
+
+// What hosts that are held to limits have used.
+void printUsage(const fleet_harness::fleet &Fleet) {
+  for (const auto &[Name, Usage] : Fleet.usage())
+    std::cout << "  " << Name << ": " << Usage.PeakMemoryMb << " MB, "
+              << Usage.Cpu.count() << " ms of processor time, held for "
+              << Usage.Held.count() << " ms\n";
+}
+
+verdict playRestarts(std::uint64_t Seed) {
+  soak_settings Settings = settingsFor(Seed);
+  restart_series Series({Settings.Fleet, static_cast<int>(FLAGS_restarts),
+                         Settings.Programs, Settings.Rate, Seed});
+  bool Started = Series.play();
+  const restart_counts &Counts = Series.counts();
+  std::cout << "seed " << Seed << ": " << Counts.Rounds << " restarts; "
+            << Counts.Starts << " starts, " << Counts.Kills << " kills, "
+            << Counts.Terms << " SIGTERM, " << Counts.Hangups << " SIGHUP; "
+            << Counts.OwnEnds << " own ends, " << Counts.Hangs << " hung, "
+            << Counts.NotReady << " not ready\n";
+  if (!Started)
+    std::cout << "  no fleet: " << lastError().Text << "\n";
+  printUsage(Series.fleet());
+  verdict Verdict = printViolations(Series.seen());
+  return Started ? Verdict : verdict::NoFleet;
+}
+
 verdict playOne(const soak_settings &Settings) {
   soak_run Run(Settings);
   if (!Run.play()) {
     std::cerr << "no fleet: " << lastError().Text << "\n";
     return verdict::NoFleet;
   }
-  slice Sum;
-  for (const auto &[Number, Slice] : Run.seen().slices()) {
-    Sum.Answered += Slice.Answered;
-    Sum.Refused += Slice.Refused;
-    Sum.Broken += Slice.Broken;
-  }
+  slice Sum = Run.seen().sumSince(milliseconds(0));
   const auto &Violations = Run.seen().violations();
   std::cout << "seed " << Settings.Plan.Seed << ": " << Run.plan().size()
             << " faults, " << Sum.Answered << " answered, " << Sum.Refused
             << " refused, " << Sum.Broken << " broken; "
             << (Violations.empty() ? "no promise broken" : "BROKEN")
             << std::endl;
-  for (const violation &Row : Violations)
-    std::cout << "  " << Row.Rule << ": " << Row.Text << "\n";
+  printUsage(Run.fleet());
+  printViolations(Run.seen());
   if (!Violations.empty())
     std::cout << "  again: " << commandOf(Settings)
               << "\n  timeline: " << Run.timelineFile() << std::endl;
@@ -158,11 +213,20 @@
     std::string Self = Arguments[0];
     FLAGS_bin = Self.substr(0, Self.rfind('/'));
   }
+  if (!FLAGS_site.empty()) {
+    findings Findings;
+    Site = fleet_harness::site_shape::load(FLAGS_site, Findings);
+    std::cerr << Findings.toText();
+    if (!Site)
+      return 2;
+  }
   if (FLAGS_minimize)
     return minimize(settingsFor(FLAGS_seed));
   int Code = 0;
   for (std::uint64_t I = 0; I < FLAGS_runs; ++I) {
-    verdict Verdict = playOne(settingsFor(FLAGS_seed + I));
+    std::uint64_t Seed = FLAGS_seed + I;
+    verdict Verdict = Site && FLAGS_restarts > 0 ? playRestarts(Seed)
+                                                 : playOne(settingsFor(Seed));
     if (Verdict != verdict::Good)
       Code = Verdict == verdict::NoFleet ? 2 : std::max(Code, 1);
   }
--- a/testsuite/soak/oracle.cpp
+++ b/testsuite/soak/oracle.cpp
@@ -65,6 +65,40 @@
                            " was answered whole and is not known");
 }
 
+// Hosts end when they are told to, and as they are told.
+void oracle::judgeEnds(const std::vector<fleet_harness::process_end> &Ends) {
+  using fleet_harness::role;
+  for (const fleet_harness::process_end &End : Ends) {
+    bool Host = End.Role == role::Entry || End.Role == role::Disk;
+    if (Host && End.isOwn())
+      fail("own ends", End.toText());
+  }
+}
+
+void oracle::judgeRecovery(const slice &Before, const slice &After) {
+  constexpr int Part = 4;
+  bool Served = Before.total() > 0 && Before.Answered * Part >= Before.total();
+  bool ServedAgain =
+      After.total() > 0 && After.Answered * Part >= After.total();
+  if (Served && !ServedAgain)
+    fail("recovery after the final fault",
+         std::to_string(After.Answered) + " of " +
+             std::to_string(After.total()) + " requests are answered, " +
+             std::to_string(Before.Answered) + " of " +
+             std::to_string(Before.total()) + " before the fault");
+}
+
+slice oracle::sumSince(milliseconds From) const {
+  slice Sum;
+  for (const auto &[Number, Slice] : Slices)
+    if (Number * SliceTime >= From) {
+      Sum.Answered += Slice.Answered;
+      Sum.Refused += Slice.Refused;
+      Sum.Broken += Slice.Broken;
+    }
+  return Sum;
+}
+
 void oracle::judge(const std::vector<fleet_harness::run_line> &Runs) {
   runs_by_attempt RunsOf;
   for (const fleet_harness::run_line &Line : Runs) {
@@ -104,8 +138,9 @@
     if (Attempt == Attempts.end())
       continue;
     const std::string &Path = Attempt->second.Path;
+    const fleet_harness::route_shape *Route = Shape.findRoute(Path);
     bool MayRunAgain =
-        Path.starts_with("/look/") || (Resumable && Path.starts_with("/turn/"));
+        Path.starts_with("/look/") || (Route && Route->Resumable);
     if (Lines.size() > 1 && !MayRunAgain)
       fail("at most once",
            Id + " ran " + std::to_string(Lines.size()) + " times");
@@ -123,7 +158,11 @@
     for (const fleet_harness::run_line *Line : Lines)
       if (Disturbed.count(Line->Upstream) == 0)
         Upstreams.insert(Line->Upstream);
-    if (Upstreams.size() <= MaxUpstreams || Attempts.count(Id) == 0)
+    auto Attempt = Attempts.find(Id);
+    const fleet_harness::route_shape *Route =
+        Attempt == Attempts.end() ? nullptr
+                                  : Shape.findRoute(Attempt->second.Path);
+    if (!Route || Upstreams.size() <= static_cast<std::size_t>(Route->Attempts))
       continue;
     ++Count;
     Example = Id;
@@ -141,7 +180,7 @@
   std::string Example;
   for (const auto &[Id, Lines] : RunsOf) {
     auto Attempt = Attempts.find(Id);
-    if (Attempt == Attempts.end() || Attempt->second.Path == "/turn/")
+    if (Attempt == Attempts.end() || Attempt->second.Path.starts_with("/turn/"))
       continue;
     std::int64_t FirstEnd = Lines.front()->AtMs + Lines.front()->LeftMs;
     for (const fleet_harness::run_line *Line : Lines) {
--- a/testsuite/soak/oracle.h
+++ b/testsuite/soak/oracle.h
@@ -36,11 +36,8 @@
 public:
   static constexpr milliseconds SliceTime{250};
 
-  /// \p Routes has the attempts of the routes and whether streams may be
-  /// resumed.
-  explicit oracle(const fleet_harness::fleet_settings &Routes)
-      : MaxUpstreams(static_cast<std::size_t>(Routes.Attempts)),
-        Resumable(Routes.Resumable) {}
+  /// \p Shape has the routes, and outlives the oracle.
+  explicit oracle(const fleet_harness::site_shape &Shape) : Shape(Shape) {}
 
   /// An answer that a caller got, \p At after the start of traffic.
   /// \p EntryWasCalm: nothing disturbed its entry host from a while before the
@@ -60,6 +57,14 @@
   /// Compares with what the upstreams have told.
   void judge(const std::vector<fleet_harness::run_line> &Runs);
 
+  /// Judges how processes of hosts have ended.
+  void judgeEnds(const std::vector<fleet_harness::process_end> &Ends);
+  /// Judges what is served some time after a fault of all hosts, by what was
+  /// served before it.
+  void judgeRecovery(const slice &Before, const slice &After);
+  /// What ended \p From on after the start of traffic.
+  slice sumSince(milliseconds From) const;
+
   const std::vector<violation> &violations() const { return Violations; }
   const std::map<std::int64_t, slice> &slices() const { return Slices; }
 
@@ -84,8 +89,7 @@
   void judgeOrganisations(const runs_by_attempt &RunsOf);
   void judgeLeaving(const std::vector<fleet_harness::run_line> &Runs);
 
-  std::size_t MaxUpstreams;
-  bool Resumable;
+  const fleet_harness::site_shape &Shape;
   std::set<std::string> Disturbed; ///< Ids of upstreams.
   std::map<std::string, attempt> Attempts;
   std::set<std::string> WholeTurns;
--- a/testsuite/soak/plan.cpp
+++ b/testsuite/soak/plan.cpp
@@ -67,6 +67,18 @@
   return Plan;
 }
 
+final_fault makeFinalFault(std::uint64_t Seed) {
+  constexpr std::uint64_t LeastMs = 500;
+  constexpr std::uint64_t SpreadMs = 1500;
+  // Another sequence than that of the plan.
+  std::mt19937_64 Random(~Seed);
+  final_fault Fault;
+  Fault.LosesDisks = Random() % 2 == 0;
+  Fault.DownMs = static_cast<std::int64_t>(LeastMs + Random() % SpreadMs);
+  Fault.Target = static_cast<std::uint32_t>(Random() % 1000);
+  return Fault;
+}
+
 std::string describe(const fault &Fault) {
   return std::string(nameOf(Fault.Kind)) + " at " + std::to_string(Fault.AtMs) +
          " ms for " + std::to_string(Fault.ForMs) + " ms, target " +
--- a/testsuite/soak/plan.h
+++ b/testsuite/soak/plan.h
@@ -62,6 +62,15 @@
 /// take more disks at once than the set bears.
 std::vector<fault> makePlan(const plan_settings &Settings);
 
+/// All hosts are killed at the end of a run and come back.
+struct final_fault {
+  bool LosesDisks = false; ///< As many as the site bears.
+  std::int64_t DownMs = 500;
+  std::uint32_t Target = 0; ///< The first disk that is lost.
+};
+
+final_fault makeFinalFault(std::uint64_t Seed);
+
 /// One line a fault.
 std::string describe(const fault &Fault);
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -9,6 +9,7 @@
 namespace turmerichead::soak {
 
 using fleet_harness::role;
+using fleet_harness::route_kind;
 using fleet_harness::wallMs;
 
 namespace {
@@ -19,13 +20,15 @@
 constexpr milliseconds ApplyTime{3000}; ///< Of a configuration, with contact.
 constexpr milliseconds VisitPause{250};
 constexpr milliseconds RestartPause{200};
+/// An entry host is ready so long after its start.
+constexpr milliseconds ReadyBound{10'000};
 constexpr milliseconds LeaveTime{3500};
 
 } // namespace
 
 soak_run::soak_run(soak_settings Given)
     : Settings(std::move(Given)), Plan(makePlan(Settings.Plan)),
-      Fleet(Settings.Fleet), Oracle(Settings.Fleet) {
+      Fleet(Settings.Fleet), Oracle(Fleet.shape()) {
   if (!Settings.Only.empty()) {
     std::vector<fault> Kept;
     for (std::size_t I = 0; I < Plan.size(); ++I)
@@ -66,7 +69,8 @@
              const fleet_harness::caller_request &Request,
              const fleet_harness::caller_answer &Answer) {
         Oracle.note(now(), Request, Answer, wasCalm(Entry, Answer.Took));
-      });
+      },
+      Settings.Rate);
   if (Settings.Fleet.Organisations > 0)
     Keys.emplace(Fleet, Oracle, Settings.Plan.Seed);
   milliseconds End{0};
@@ -98,6 +102,8 @@
     Keys->stopChanges();
   Fleet.pause(Recovery);
   judgeEnd();
+  if (Settings.EndsWithFault)
+    endWithFault();
   Traffic.stop();
   Fleet.wait(Recovery,
              [&] { return Traffic.ended() && (!Keys || Keys->ended()); });
@@ -110,6 +116,7 @@
                     " were refused for ends that they did not cause");
   std::vector<fleet_harness::run_line> Runs = Fleet.runs();
   Oracle.judge(Runs);
+  Oracle.judgeEnds(Fleet.ends());
   if (Keys)
     Keys->judge(Runs);
   for (const violation &Row : Oracle.violations())
@@ -127,19 +134,47 @@
   Fleet.pause(Measured);
   if (Keys)
     Keys->judgeEnd(KeysFrom);
-  slice Sum;
-  for (const auto &[Number, Slice] : Oracle.slices())
-    if (Number * oracle::SliceTime >= From) {
-      Sum.Answered += Slice.Answered;
-      Sum.Refused += Slice.Refused;
-      Sum.Broken += Slice.Broken;
-    }
+  slice Sum = Oracle.sumSince(From);
   if (Sum.total() == 0 || Sum.Answered < LeastAnswered * Sum.total())
     Oracle.fail("recovery", std::to_string(Sum.Answered) + " of " +
                                 std::to_string(Sum.total()) +
                                 " requests are answered after all is over");
 }
 
+// All hosts are killed right after a configuration was acknowledged.
+void soak_run::endWithFault() {
+  final_fault Fault = makeFinalFault(Settings.Plan.Seed);
+  slice Before = Oracle.sumSince(now() - Measured);
+  Fleet.configure(++Version);
+  for (const std::string &Name : Fleet.names(role::Entry))
+    DisturbedUntil[Name] = steadyNow() + Recovery;
+  tell("final fault",
+       {{"loses_disks", Fault.LosesDisks}, {"down_ms", Fault.DownMs}});
+  killAll({role::Entry, role::Disk});
+  for (int I = 0; Fault.LosesDisks && I < Fleet.shape().DiskFaults; ++I)
+    Fleet.wipe(pick(role::Disk, Fault.Target + static_cast<std::uint32_t>(I)));
+  Fleet.pause(milliseconds(Fault.DownMs));
+  for (role Role : {role::Disk, role::Entry})
+    for (const std::string &Name : Fleet.names(Role))
+      restart(Name);
+  tell("all are back", {});
+  time_point Back = steadyNow();
+  for (const std::string &Name : Fleet.names(role::Entry))
+    if (!Fleet.waitReady(Name, Back + ReadyBound - steadyNow()))
+      Oracle.fail("start", Name + " is not ready");
+  // Requests that were sent before do not count.
+  constexpr milliseconds LongestRequest{5500};
+  Fleet.pause(Back + Recovery + LongestRequest - steadyNow());
+  milliseconds From = now();
+  Fleet.pause(Measured);
+  slice After = Oracle.sumSince(From);
+  tell("after the final fault", {{"answered", After.Answered},
+                                 {"of", After.total()},
+                                 {"answered_before", Before.Answered},
+                                 {"of_before", Before.total()}});
+  Oracle.judgeRecovery(Before, After);
+}
+
 std::vector<recovery> soak_run::recoveries() const {
   constexpr int LeastSeen = 5;
   std::vector<recovery> Result;
@@ -473,9 +508,14 @@
 soak_run::ender soak_run::crasher() {
   fleet_harness::caller_request Request;
   bool Stream = ++CrasherNumber % 2 == 0;
-  Request.Host =
-      Stream ? fleet_harness::fleet::PlanHost : fleet_harness::fleet::ToolHost;
-  Request.Path = Stream ? "/turn/" : "/book/slot";
+  route_kind Kind = Stream ? route_kind::Stream : route_kind::Unsafe;
+  const auto &Routes = Fleet.shape().Routes;
+  auto Route = std::find_if(Routes.begin(), Routes.end(),
+                            [&](const auto &Row) { return Row.Kind == Kind; });
+  if (Route == Routes.end())
+    return {};
+  Request.Host = Route->Host;
+  Request.Path = Route->Path;
   Request.Caller = Fleet.lastingKey(CrasherNumber);
   Request.Program = "crasher-" + std::to_string(CrasherNumber);
   Request.Body = "crash-midway " + Request.Program + "\n";
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -18,6 +18,9 @@
   fleet_harness::fleet_settings Fleet;
   plan_settings Plan;
   int Programs = 16;
+  /// Times the programs of the fleet's shape; 0: Programs run at all times.
+  double Rate = 0;
+  bool EndsWithFault = false; ///< See final_fault.
   std::set<std::size_t> Only; ///< Faults to play; all if empty.
 };
 
@@ -35,6 +38,7 @@
   /// Plays the run. False if the fleet could not be started.
   bool play();
 
+  const fleet_harness::fleet &fleet() const { return Fleet; }
   const std::vector<fault> &plan() const { return Plan; }
   const oracle &seen() const { return Oracle; }
   std::vector<recovery> recoveries() const;
@@ -64,8 +68,8 @@
   bool wasCalm(const std::string &Entry, milliseconds Took) const;
   std::string pick(fleet_harness::role Role, std::uint32_t Target);
   void killAll(std::initializer_list<fleet_harness::role> Roles);
-  bool finish();
   void judgeEnd();
+  void endWithFault();
   void tell(std::string_view What, nlohmann::json Fields);
   milliseconds now() const { return steadyNow() - Start; }
   void after(milliseconds Delay, std::function<void()> Action);
@@ -73,7 +77,7 @@
   soak_settings Settings;
   std::vector<fault> Plan;
   fleet_harness::fleet Fleet;
-  oracle Oracle;
+  oracle Oracle;                   ///< Reads the fleet's shape.
   std::optional<key_callers> Keys; ///< If the fleet has organisations.
   std::ofstream Timeline;
   time_point Start;
