--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -200,6 +200,9 @@
       g_subprocess_force_exit(Member.Process.get());
     retire(Member);
   }
+  std::error_code Ignored;
+  if (!Settings.DiskRoot.empty())
+    std::filesystem::remove_all(diskRoot(), Ignored);
 }
 
 // -- Members -----------------------------------------------------------------
@@ -258,6 +261,17 @@
   return find(Name)->Ip + ":" + std::to_string(Number);
 }
 
+bool fleet::takesSignals(const std::string &Name) {
+  std::ifstream File("/proc/" + std::to_string(pidOf(Name)) + "/status");
+  constexpr int Base = 16;
+  for (std::string Line; std::getline(File, Line);)
+    for (std::string_view Key : {"SigIgn:", "SigCgt:"})
+      if (Line.starts_with(Key) &&
+          std::stoull(Line.substr(Key.size()), nullptr, Base) != 0)
+        return true;
+  return false;
+}
+
 int fleet::pidOf(const std::string &Name) {
   return isRunning(Name)
              ? std::atoi(g_subprocess_get_identifier(find(Name)->Process.get()))
@@ -292,6 +306,13 @@
 
 // -- Processes ---------------------------------------------------------------
 
+std::string fleet::diskRoot() const {
+  if (Settings.DiskRoot.empty())
+    return Settings.Scratch;
+  return Settings.DiskRoot + "/turmerichead-" + std::to_string(getpid()) + "-" +
+         std::to_string(Number);
+}
+
 std::string fleet::writeSettings(const member &Member, bool Fresh) const {
   bool Disk = Member.Role == role::Disk;
   json Seeds = json::array();
@@ -299,7 +320,7 @@
     if (Other.Role == role::Entry && Seeds.size() < 3)
       Seeds.push_back(Other.Ip + ":" + std::to_string(ControlPort));
   auto At = [&](int Port) { return Member.Ip + ":" + std::to_string(Port); };
-  std::string Folder = Settings.Scratch + "/" + Member.Name + ".disk";
+  std::string Folder = diskRoot() + "/" + Member.Name + ".disk";
   std::error_code Ignored;
   if (Disk)
     std::filesystem::create_directories(Folder, Ignored);
@@ -328,7 +349,7 @@
   }
   if (Shape.Bounds)
     addSiteSettings(Member, Root);
-  std::string File = Settings.Scratch + "/" + Member.Name + ".json";
+  std::string File = settingsFile(Member.Name);
   std::ofstream(File) << Root.dump(2);
   return File;
 }
@@ -370,6 +391,10 @@
   Bounds["finish_s"] = Shape.Bounds->FinishS;
 }
 
+std::string fleet::settingsFile(const std::string &Name) const {
+  return Settings.Scratch + "/" + Name + ".json";
+}
+
 void fleet::rewriteSettings(const std::string &Name) {
   if (const member *Member = find(Name))
     writeSettings(*Member, false);
@@ -538,7 +563,7 @@
 void fleet::wipe(const std::string &Name) {
   kill(Name);
   std::error_code Ignored;
-  std::filesystem::remove_all(Settings.Scratch + "/" + Name + ".disk", Ignored);
+  std::filesystem::remove_all(diskRoot() + "/" + Name + ".disk", Ignored);
 }
 
 // Upstreams that have ended by themselves come back under a new id.
@@ -697,10 +722,7 @@
   json RouteRows = json::array();
   for (const route_shape &Route : Shape.Routes)
     RouteRows.push_back(toJson(Route));
-  auto Look = std::find_if(
-      Shape.Routes.begin(), Shape.Routes.end(),
-      [](const route_shape &Row) { return Row.Kind == route_kind::Safe; });
-  if (Look != Shape.Routes.end()) {
+  if (const route_shape *Look = Shape.findRoute(route_kind::Safe)) {
     route_shape Own = *Look;
     Own.Name = "own";
     Own.Host = versionHost(Routes);
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -28,8 +28,11 @@
 namespace turmerichead::fleet_harness {
 
 struct fleet_settings {
-  std::string Scratch;     ///< Emptied at the start.
-  std::string Bin;         ///< Where the programs are.
+  std::string Scratch; ///< Emptied at the start.
+  std::string Bin;     ///< Where the programs are.
+  /// Folder below which the disks of hosts are, in one of this fleet's own that
+  /// goes with it. If empty, they are in Scratch and stay.
+  std::string DiskRoot;
   std::string OtherDaemon; ///< The daemon of another version; see useOther().
   int Entries = 3;
   int Disks = 3;
@@ -170,6 +173,9 @@
   /// "ip:port" of a port of the host \p Name that is not for callers.
   enum class host_port { Ready, Peer, Tunnel, Metrics };
   std::string addressOf(const std::string &Name, host_port Port);
+  /// Whether a member runs and its program has begun to set how it takes
+  /// signals. Before that, while it is being loaded, any signal ends it.
+  bool takesSignals(const std::string &Name);
   /// Process id of a member that runs, or 0.
   int pidOf(const std::string &Name);
 
@@ -186,8 +192,11 @@
 
   void kill(const std::string &Name);
   void signal(const std::string &Name, int Number);
+  /// The folder that has the disks of all hosts.
+  std::string diskRoot() const;
   /// Writes the settings file of a host again, in place.
   void rewriteSettings(const std::string &Name);
+  std::string settingsFile(const std::string &Name) const;
   /// Kills a disk host and empties its disk.
   void wipe(const std::string &Name);
 
--- a/testsuite/fleet/site_shape.cpp
+++ b/testsuite/fleet/site_shape.cpp
@@ -291,6 +291,12 @@
   return Best;
 }
 
+const route_shape *site_shape::findRoute(route_kind Kind) const {
+  auto Row = std::find_if(Routes.begin(), Routes.end(),
+                          [&](const auto &R) { return R.Kind == Kind; });
+  return Row == Routes.end() ? nullptr : &*Row;
+}
+
 double site_shape::programsPerSecond() const {
   double Sum = 0;
   for (const program_shape &Row : Programs)
--- a/testsuite/fleet/site_shape.h
+++ b/testsuite/fleet/site_shape.h
@@ -121,6 +121,8 @@
   const service_shape *findService(std::string_view Name) const;
   /// The route of requests to \p Path; null if there is none.
   const route_shape *findRoute(std::string_view Path) const;
+  /// The first route of a kind; null if there is none.
+  const route_shape *findRoute(route_kind Kind) const;
   /// Programs that begin in a second.
   double programsPerSecond() const;
 };
--- /dev/null
+++ b/testsuite/fleet/start_test.cpp
@@ -0,0 +1,67 @@
+// Starts of hosts, as a supervisor sees them: a process that ends without
+// having been told to is a fault.
+
+#include "fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <fstream>
+
+using namespace turmerichead;
+using namespace turmerichead::fleet_harness;
+
+namespace {
+
+fleet_settings settingsFor(const char *Scratch) {
+  fleet_settings Settings;
+  Settings.Bin = FLEET_BIN;
+  Settings.Scratch = std::string(FLEET_SCRATCH) + "/" + Scratch;
+  return Settings;
+}
+
+std::string ownEnds(const fleet &Fleet) {
+  std::string Text;
+  for (const process_end &End : Fleet.ends())
+    if (End.isOwn())
+      Text += End.toText() + "\n";
+  return Text;
+}
+
+constexpr milliseconds ReadyBound{10'000};
+
+} // namespace
+
+TEST_CASE("hangup_ends_a_host_that_starts") {
+  fleet Fleet(settingsFor("hangup"));
+  REQUIRE(Fleet.start());
+  constexpr int Times = 5;
+  for (int I = 0; I < Times; ++I)
+    for (const char *Name : {"entry-0", "disk-0"}) {
+      Fleet.kill(Name);
+      REQUIRE(Fleet.startMember(Name));
+      REQUIRE(Fleet.wait(ReadyBound, [&] { return Fleet.takesSignals(Name); }));
+      Fleet.signal(Name, SIGHUP);
+      Fleet.pause(milliseconds(300));
+      CHECK(Fleet.isRunning(Name));
+    }
+  CHECK(ownEnds(Fleet) == "");
+}
+
+TEST_CASE("host_does_not_start_while_its_settings_are_written") {
+  fleet Fleet(settingsFor("settings"));
+  REQUIRE(Fleet.start());
+  for (const char *Name : {"entry-0", "disk-0"}) {
+    std::string File = Fleet.settingsFile(Name);
+    Fleet.kill(Name);
+    REQUIRE(Fleet.startMember(Name));
+    // The process has not read it yet, as it is still being loaded.
+    std::ofstream(File, std::ios::trunc) << "{\"node_name\": ";
+    Fleet.pause(milliseconds(200));
+    Fleet.rewriteSettings(Name);
+    Fleet.pause(milliseconds(500));
+    CHECK(Fleet.isRunning(Name));
+  }
+  CHECK(ownEnds(Fleet) == "");
+  CHECK(Fleet.waitReady("entry-0", ReadyBound));
+}
--- a/testsuite/soak/keys.cpp
+++ b/testsuite/soak/keys.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace turmerichead::soak {
@@ -88,11 +89,16 @@
       Hosts, [&](const std::string &Name) { return !Fleet.isRunning(Name); });
   if (Hosts.empty())
     return;
+  using fleet_harness::route_kind;
   bool Look = Random() % 2 == 0;
+  const fleet_harness::route_shape *Route =
+      Fleet.shape().findRoute(Look ? route_kind::Safe : route_kind::Unsafe);
+  if (!Route)
+    return;
   fleet_harness::caller_request Request;
   Request.Method = Look ? "GET" : "POST";
-  Request.Host = fleet::ToolHost;
-  Request.Path = Look ? "/look/slot" : "/book/slot";
+  Request.Host = Route->Host;
+  Request.Path = Route->Path;
   Request.Body = Look ? "" : "book by key " + std::to_string(++Serial);
   Request.Caller.Key = choose();
   attempt Attempt{Request.Caller.Key, wallMs(), 0, 0};
@@ -179,16 +185,20 @@
 // Searches the logs of all processes and the disks of disk hosts for keys.
 void key_callers::judgeFiles() {
   namespace fs = std::filesystem;
-  for (const auto &File :
-       fs::recursive_directory_iterator(Fleet.settings().Scratch)) {
-    if (!File.is_regular_file())
-      continue;
-    std::ifstream Input(File.path(), std::ios::binary);
-    std::stringstream Text;
-    Text << Input.rdbuf();
-    if (Text.str().find(fleet::KeyPrefix) != std::string::npos)
-      Oracle.fail("keys", File.path().string() + " contains a key");
-  }
+  std::set<std::string> Folders = {Fleet.settings().Scratch, Fleet.diskRoot()};
+  for (const std::string &Folder : Folders)
+    for (const auto &File : fs::recursive_directory_iterator(Folder))
+      judgeFile(File);
+}
+
+void key_callers::judgeFile(const std::filesystem::directory_entry &File) {
+  if (!File.is_regular_file())
+    return;
+  std::ifstream Input(File.path(), std::ios::binary);
+  std::stringstream Text;
+  Text << Input.rdbuf();
+  if (Text.str().find(fleet::KeyPrefix) != std::string::npos)
+    Oracle.fail("keys", File.path().string() + " contains a key");
 }
 
 } // namespace turmerichead::soak
--- a/testsuite/soak/keys.h
+++ b/testsuite/soak/keys.h
@@ -5,6 +5,7 @@
 
 #include "oracle.h"
 
+#include <filesystem>
 #include <map>
 #include <random>
 #include <string>
@@ -50,6 +51,7 @@
   void judgeAnswer(const std::string &Id, const attempt &Attempt);
   void judgeRun(const attempt &Attempt, const fleet_harness::run_line &Line);
   void judgeFiles();
+  void judgeFile(const std::filesystem::directory_entry &File);
 
   fleet_harness::fleet &Fleet;
   oracle &Oracle;
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -45,6 +45,7 @@
 DEFINE_bool(minimize, false, "Look for the fewest faults that still fail");
 DEFINE_string(report, "", "File for a picture and a table of the last run");
 DEFINE_string(bin, "", "Folder of the programs");
+DEFINE_string(disk_root, "", "Folder for the disks; in the scratch if empty");
 DEFINE_string(scratch, "/tmp/turmerichead-soak", "Folder for logs");
 
 namespace {
@@ -71,6 +72,7 @@
   Settings.EndsWithFault = Site.has_value();
   Settings.Fleet.Bin = FLAGS_bin;
   Settings.Fleet.Scratch = FLAGS_scratch + "/" + std::to_string(Seed);
+  Settings.Fleet.DiskRoot = FLAGS_disk_root;
   Settings.Fleet.Entries = FLAGS_entries;
   Settings.Fleet.Disks = FLAGS_disks;
   Settings.Fleet.DiskFaults = FLAGS_disk_faults;
@@ -107,6 +109,7 @@
            std::to_string(FLAGS_pause_ms) + " --organisations " +
            std::to_string(Settings.Fleet.Organisations) +
            (FLAGS_hold_limits ? "" : " --nohold_limits") +
+           (FLAGS_disk_root.empty() ? "" : " --disk_root " + FLAGS_disk_root) +
            (Only.empty() ? "" : " --only " + Only);
   }
   return "soak --seed " + std::to_string(Settings.Plan.Seed) + " --seconds " +
--- a/testsuite/soak/restarts.cpp
+++ b/testsuite/soak/restarts.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds ReadyBound{10'000};
 /// After a SIGTERM: the grace of hosts and some time more.
 constexpr milliseconds StopBound{10'000};
+/// A program is loaded by then.
+constexpr milliseconds LoadTime{500};
 constexpr milliseconds SlowStore{1500};
 constexpr milliseconds RewriteInterval{3};
 
@@ -124,6 +126,9 @@
   for (const std::string &Name : Round.Hosts) {
     if (Round.RewritesSettings)
       Fleet.rewriteSettings(Name);
+    Fleet.wait(LoadTime, [&] { return Fleet.takesSignals(Name); });
+    if (!Fleet.takesSignals(Name))
+      continue;
     Fleet.signal(Name, SIGHUP);
     ++Counts.Hangups;
   }
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -509,10 +509,8 @@
   fleet_harness::caller_request Request;
   bool Stream = ++CrasherNumber % 2 == 0;
   route_kind Kind = Stream ? route_kind::Stream : route_kind::Unsafe;
-  const auto &Routes = Fleet.shape().Routes;
-  auto Route = std::find_if(Routes.begin(), Routes.end(),
-                            [&](const auto &Row) { return Row.Kind == Kind; });
-  if (Route == Routes.end())
+  const fleet_harness::route_shape *Route = Fleet.shape().findRoute(Kind);
+  if (!Route)
     return {};
   Request.Host = Route->Host;
   Request.Path = Route->Path;
