--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <memory>
+#include <sstream>
 
 namespace turmerichead::fleet_harness {
 
@@ -74,6 +75,19 @@
   return Lines;
 }
 
+bool isWhole(const std::string &Stream, const std::string &Mark, int Events) {
+  std::stringstream Lines(dataOf(Stream));
+  std::string Line;
+  for (int I = 1; I <= Events; ++I) {
+    std::string Begin = Mark + "-" + std::to_string(I);
+    bool Own = std::getline(Lines, Line) && Line.starts_with(Begin) &&
+               Line.find_first_not_of('.', Begin.size()) == std::string::npos;
+    if (!Own)
+      return false;
+  }
+  return !std::getline(Lines, Line);
+}
+
 void send(fleet &Fleet, const std::string &Entry, const caller_request &Request,
           std::function<void(const caller_answer &)> Done) {
   struct under_way {
@@ -267,7 +281,10 @@
          judge(Entry, Request, Answer);
          program &Program = Programs[Index];
          bool Good = Answer.Status == http1::status::Ok && Answer.Complete;
-         if (Good && Answer.Signature != markOf(Given))
+         bool Own = Answer.Signature == markOf(Given) &&
+                    isWhole(Answer.Body, markOf(Given),
+                            static_cast<int>(Request.MostTokens));
+         if (Good && !Own)
            ++Counts.Wrong;
          if (Good) {
            Program.Chain = Given + dataOf(Answer.Body);
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -38,6 +38,10 @@
 /// The data of the events of a stream, one a line.
 std::string dataOf(const std::string &Stream);
 
+/// Whether \p Stream has the events 1 to \p Events of one upstream's answer
+/// with the signature \p Mark, each once and in order.
+bool isWhole(const std::string &Stream, const std::string &Mark, int Events);
+
 /// Sends \p Request through \p Entry; \p Done is called once. An answer that
 /// has not ended some time after the request's own is given up.
 void send(fleet &Fleet, const std::string &Entry, const caller_request &Request,
--- a/testsuite/fleet/site_shape.cpp
+++ b/testsuite/fleet/site_shape.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace turmerichead::fleet_harness {
 
@@ -51,8 +52,8 @@
     return Value.value_or(0);
   }
 
-  template <typename action>
-  void forEachRow(const table &Table, const char *Key, action Action) {
+  void forEachRow(const table &Table, const char *Key,
+                  const std::function<void(const table &)> &Action) {
     const toml::array *Rows = Table[Key].as_array();
     if (!Rows)
       return add(Table, Key, "is not a list of tables");
--- a/testsuite/soak/oracle_test.cpp
+++ b/testsuite/soak/oracle_test.cpp
@@ -100,6 +100,20 @@
   }
 }
 
+TEST_CASE("streams with a missing, repeated or foreign event are not whole") {
+  using fleet_harness::isWhole;
+  std::string First = "id: 1\ndata: 77-1\n\n";
+  std::string Second = "id: 2\ndata: 77-2....\n\n";
+  std::string Foreign = "id: 2\ndata: 78-2\n\n";
+  CHECK(isWhole(First + Second, "77", 2));
+  CHECK_FALSE(isWhole(First, "77", 2));
+  CHECK_FALSE(isWhole(Second + First, "77", 2));
+  CHECK_FALSE(isWhole(First + First + Second, "77", 2));
+  CHECK_FALSE(isWhole(First + Second + Second, "77", 2));
+  CHECK_FALSE(isWhole(First + Foreign, "77", 2));
+  CHECK_FALSE(isWhole(First + "data: 77-20\n\n", "77", 2));
+}
+
 TEST_CASE("final faults lose disks for some seeds and are short") {
   int Losing = 0;
   constexpr std::uint64_t Seeds = 100;
