--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -1,8 +1,10 @@
 #include "fleet.h"
 
+#include "fleet_pvt.h"
 #include "turmerichead/error.h"
 
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -16,21 +18,17 @@
 
 namespace {
 
-constexpr int StorePort = 8142;
-constexpr int StoreControlPort = 8143;
-constexpr int CallerPort = 8149;
-constexpr int CallerLinkPort = 8150;
-constexpr int StoreLinkPort = 8151;
-constexpr int ReadyPort = 8141;
-constexpr int ControlPort = 8144;
-constexpr int FirstPeerPort = 7380;
-constexpr int LastPeerPort = 7395;
-constexpr int MetricsPort = 9464;
-constexpr int UpstreamPort = 8500;
 constexpr milliseconds StartBound{20000};
 constexpr milliseconds ReviveInterval{50};
 
-void dieWithParent(gpointer /*Data*/) { prctl(PR_SET_PDEATHSIG, SIGKILL); }
+// In the child. \p Data has the limit of descriptors; 0: none.
+void prepareChild(gpointer Data) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  auto Descriptors = static_cast<rlim_t>(GPOINTER_TO_SIZE(Data));
+  rlimit Limit = {Descriptors, Descriptors};
+  if (Descriptors > 0)
+    setrlimit(RLIMIT_NOFILE, &Limit);
+}
 
 /// Takes relays out of use. Operations of theirs may still be under way, so
 /// that they are kept until the process ends.
@@ -43,51 +41,16 @@
     }
 }
 
-std::string numbered(const char *Prefix, int Number) {
-  return std::string(Prefix) + "-" + std::to_string(Number);
-}
-
-json routeOf(const char *Name, const char *Host, const char *Path,
-             const char *Kind, const char *Service, int Attempts) {
-  constexpr int TimeoutMs = 4000;
-  return {{"name", Name},
-          {"host", Host},
-          {"path_prefix", Path},
-          {"kind", Kind},
-          {"service", Service},
-          {"attempts", Attempts},
-          {"priority", 0},
-          {"timeout_ms", TimeoutMs},
-          {"target_latency_ms", 500}};
-}
-
 } // namespace
 
-std::int64_t wallMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
-void crash_record::add(const run_line &Line) {
-  if (Line.What == "crash")
-    Ends.push_back(Line.AtMs);
-  if (Line.What == "run")
-    Sends.push_back(Line.AtMs);
-}
-
-std::ptrdiff_t crash_record::lateSends() const {
-  constexpr std::size_t MaxEnds = 3;
-  constexpr std::int64_t ContactMs = 3000;
-  if (Ends.size() < MaxEnds)
-    return 0;
-  std::int64_t Third = Ends[MaxEnds - 1];
-  return std::count_if(Sends.begin(), Sends.end(),
-                       [&](std::int64_t At) { return At > Third + ContactMs; });
-}
-
 fleet::fleet(fleet_settings Given)
-    : Settings(std::move(Given)), Http(http1::client::create({})) {
+    : Settings(std::move(Given)),
+      Shape(Settings.Site ? *Settings.Site : usualShape(Settings)),
+      Limits([this](const std::string &Name) {
+        if (member *Member = find(Name))
+          Member->End->OverMemory = true;
+      }),
+      Http(http1::client::create({})) {
   static unsigned Fleets = 0;
   Number = Fleets++;
   std::error_code Ignored;
@@ -102,6 +65,9 @@
       g_subprocess_force_exit(Member.Process.get());
     retire(Member);
   }
+  std::error_code Ignored;
+  if (!Settings.DiskRoot.empty())
+    std::filesystem::remove_all(diskRoot(), Ignored);
 }
 
 // -- Members -----------------------------------------------------------------
@@ -144,11 +110,6 @@
          g_subprocess_get_identifier(Member->Process.get()) != nullptr;
 }
 
-std::string fleet::dataCentreOf(const std::string &Name) const {
-  int Number = std::stoi(Name.substr(Name.rfind('-') + 1));
-  return numbered("dc", Number % Settings.DataCentres);
-}
-
 std::string fleet::callerAddress(const std::string &Entry) {
   int Port = Settings.Links ? CallerLinkPort : CallerPort;
   return find(Entry)->Ip + ":" + std::to_string(Port);
@@ -165,6 +126,17 @@
   return find(Name)->Ip + ":" + std::to_string(Number);
 }
 
+bool fleet::takesSignals(const std::string &Name) {
+  std::ifstream File("/proc/" + std::to_string(pidOf(Name)) + "/status");
+  constexpr int Base = 16;
+  for (std::string Line; std::getline(File, Line);)
+    for (std::string_view Key : {"SigIgn:", "SigCgt:"})
+      if (Line.starts_with(Key) &&
+          std::stoull(Line.substr(Key.size()), nullptr, Base) != 0)
+        return true;
+  return false;
+}
+
 int fleet::pidOf(const std::string &Name) {
   return isRunning(Name)
              ? std::atoi(g_subprocess_get_identifier(find(Name)->Process.get()))
@@ -199,45 +171,6 @@
 
 // -- Processes ---------------------------------------------------------------
 
-std::string fleet::writeSettings(const member &Member, bool Fresh) const {
-  bool Disk = Member.Role == role::Disk;
-  json Seeds = json::array();
-  for (const auto &[Name, Other] : Members)
-    if (Other.Role == role::Entry && Seeds.size() < 3)
-      Seeds.push_back(Other.Ip + ":" + std::to_string(ControlPort));
-  auto At = [&](int Port) { return Member.Ip + ":" + std::to_string(Port); };
-  std::string Folder = Settings.Scratch + "/" + Member.Name + ".disk";
-  std::error_code Ignored;
-  if (Disk)
-    std::filesystem::create_directories(Folder, Ignored);
-  json Limits = {{"disk_mb", Disk ? 200 : 0}};
-  if (Settings.MemoryMb > 0)
-    Limits["memory_mb"] = Settings.MemoryMb;
-  if (Settings.FileDescriptors > 0)
-    Limits["file_descriptors"] = Settings.FileDescriptors;
-  json Root = {
-      {"node_name", Member.Name},
-      {"serves", {Disk ? "storage" : "front"}},
-      {"ip_address", Member.Ip},
-      {"zone", dataCentreOf(Member.Name)},
-      {"listen", {{"front", At(CallerPort)}, {"ready", At(ReadyPort)}}},
-      {"internal_port_range", {FirstPeerPort, LastPeerPort}},
-      {"seeds", Seeds},
-      {"bootstrap", Fresh},
-      {"limits", Limits},
-      {"data_directory", Disk ? json(Folder) : json()},
-      {"fault_tolerance", {{"machines", Settings.DiskFaults}}},
-      {"bounds", {{"grace_s", 8}}},
-      {"platform", {{"address", storeAddress(Member)}}}};
-  if (Settings.Organisations > 0) {
-    Root["bounds"]["strict_revocation"] = true;
-    Root["bounds"]["revoke_ms"] = Settings.RevocationTime.count();
-  }
-  std::string File = Settings.Scratch + "/" + Member.Name + ".json";
-  std::ofstream(File) << Root.dump(2);
-  return File;
-}
-
 std::vector<std::string> fleet::commandOf(member &Member) {
   std::string Store = Members.at("store").Ip + ":" + std::to_string(StorePort);
   switch (Member.Role) {
@@ -253,22 +186,19 @@
   case role::Tool:
     break;
   }
-  bool Runner = Member.Role == role::Runner;
-  // A plain answer has the limit of bodies.
-  std::size_t AnswerBytes =
-      Runner ? Settings.AnswerBytes
-             : std::min(Settings.AnswerBytes, Settings.BodyBytes - 64);
+  const service_shape &Service = *Shape.findService(Member.Service);
   return {Settings.Bin + "/standin_upstream",
           "--id=i-" + Member.Name + "-" + std::to_string(Member.Starts),
           "--address=" + Member.Ip + ":" + std::to_string(UpstreamPort),
           "--store=" + Store,
-          std::string("--service=") + (Runner ? "llm" : "book"),
-          "--data_centre=" + dataCentreOf(Member.Name),
+          "--service=" + Service.Name,
+          "--data_centre=" + Member.DataCentre,
           "--runs=" + Settings.Scratch + "/runs.jsonl",
-          std::string("--streams=") + (Runner ? "true" : "false"),
-          "--events=" + std::to_string(Settings.RunnerEvents),
-          "--gap_ms=" + std::to_string(Settings.EventGap.count()),
-          "--answer_bytes=" + std::to_string(AnswerBytes),
+          std::string("--streams=") + (Service.Streams ? "true" : "false"),
+          "--slots=" + std::to_string(Service.Slots),
+          "--events=" + std::to_string(Service.Events),
+          "--gap_ms=" + std::to_string(Service.EventGap.count()),
+          "--answer_bytes=" + std::to_string(Service.AnswerBytes),
           "--long_answers_to=" + Settings.LongAnswersTo,
           "--seed=" + std::to_string(Settings.Seed + NextIp)};
 }
@@ -288,8 +218,10 @@
   std::string Log = Settings.Scratch + "/" + Member.Name + "." +
                     std::to_string(Member.Starts) + ".log";
   g_subprocess_launcher_set_stdout_file_path(Launcher.get(), Log.c_str());
-  g_subprocess_launcher_set_child_setup(Launcher.get(), dieWithParent, nullptr,
-                                        nullptr);
+  std::size_t Descriptors =
+      Settings.HoldsLimits ? Member.Limits.FileDescriptors : 0;
+  g_subprocess_launcher_set_child_setup(Launcher.get(), prepareChild,
+                                        GSIZE_TO_POINTER(Descriptors), nullptr);
   if (Member.Role == role::Entry || Member.Role == role::Disk)
     g_subprocess_launcher_setenv(Launcher.get(), "TURMERICHEAD_CONFIG",
                                  writeSettings(Member, Fresh).c_str(), TRUE);
@@ -305,9 +237,53 @@
     fail(error_code::Unavailable, takeText(Reason));
     return false;
   }
+  watchEnd(Member);
+  bool Host = Member.Role == role::Entry || Member.Role == role::Disk;
+  if (Host && Settings.HoldsLimits)
+    Limits.add(Member.Name, pidOf(Member.Name), Member.Limits);
   return true;
 }
 
+// Notes how the process of \p Member ends.
+void fleet::watchEnd(member &Member) {
+  struct watch {
+    fleet &Fleet;
+    std::weak_ptr<const bool> Alive;
+    std::shared_ptr<process_end> End;
+    time_point StartedAt;
+  };
+  Member.End = std::make_shared<process_end>();
+  Member.End->Name = Member.Name;
+  Member.End->Role = Member.Role;
+  Member.End->Start = Member.Starts;
+  auto *Watch = new watch{*this, Alive, Member.End, Member.StartedAt};
+  g_subprocess_wait_async(
+      Member.Process.get(), nullptr,
+      [](GObject *Source, GAsyncResult *Result, gpointer Data) {
+        std::unique_ptr<watch> Watch(static_cast<watch *>(Data));
+        GSubprocess *Process = G_SUBPROCESS(Source);
+        g_subprocess_wait_finish(Process, Result, nullptr);
+        if (Watch->Alive.expired())
+          return;
+        process_end &End = *Watch->End;
+        End.AtMs = wallMs();
+        End.Age = steadyNow() - Watch->StartedAt;
+        if (g_subprocess_get_if_exited(Process))
+          End.Status = g_subprocess_get_exit_status(Process);
+        else
+          End.Signal = g_subprocess_get_term_sig(Process);
+        Watch->Fleet.noteEnd(Watch->End);
+      },
+      Watch);
+}
+
+void fleet::noteEnd(const std::shared_ptr<process_end> &End) {
+  const member *Member = find(End->Name);
+  if (Member && Member->End == End)
+    Limits.remove(End->Name);
+  Ends.push_back(*End);
+}
+
 void fleet::useOther(const std::string &Name, bool UsesOther) {
   role Role = Name.starts_with("disk") ? role::Disk : role::Entry;
   place(Name, Role).UsesOther = UsesOther;
@@ -319,9 +295,15 @@
 }
 
 std::string fleet::addHost(role Role) {
-  std::string Name =
-      numbered(Role == role::Entry ? "entry" : "disk", NextNumber[Role]++);
-  spawn(place(Name, Role), false);
+  bool Entry = Role == role::Entry;
+  int Number = NextNumber[Role]++;
+  std::string Name = numbered(Entry ? "entry" : "disk", Number);
+  member &Member = place(Name, Role);
+  auto Count = static_cast<int>(Shape.DataCentres.size());
+  Member.DataCentre =
+      Shape.DataCentres[static_cast<std::size_t>(Number % Count)];
+  Member.Limits = (Entry ? Shape.Entries : Shape.Disks).front().Limits;
+  spawn(Member, false);
   return Name;
 }
 
@@ -335,9 +317,13 @@
   member *Member = find(Name);
   if (!isRunning(Name))
     return;
+  if (Number == SIGKILL || Number == SIGTERM)
+    Member->End->Asked = Number;
   g_subprocess_send_signal(Member->Process.get(), Number);
-  if (Number == SIGSTOP || Number == SIGCONT)
-    Member->Stopped = Number == SIGSTOP;
+  if (Number != SIGSTOP && Number != SIGCONT)
+    return;
+  Member->Stopped = Number == SIGSTOP;
+  Limits.setFrozen(Name, Member->Stopped);
 }
 
 void fleet::kill(const std::string &Name) {
@@ -348,7 +334,7 @@
 void fleet::wipe(const std::string &Name) {
   kill(Name);
   std::error_code Ignored;
-  std::filesystem::remove_all(Settings.Scratch + "/" + Name + ".disk", Ignored);
+  std::filesystem::remove_all(diskRoot() + "/" + Name + ".disk", Ignored);
 }
 
 // Upstreams that have ended by themselves come back under a new id.
@@ -366,18 +352,33 @@
 
 // -- The whole ---------------------------------------------------------------
 
+void fleet::placeHosts(role Role, const std::vector<host_group> &Groups) {
+  const char *Prefix = Role == role::Entry ? "entry" : "disk";
+  for (const host_group &Group : Groups)
+    for (int I = 0; I < Group.Count; ++I) {
+      member &Member = place(numbered(Prefix, NextNumber[Role]++), Role);
+      Member.DataCentre = Group.DataCentre;
+      Member.Limits = Group.Limits;
+    }
+}
+
+void fleet::placeUpstreams(const service_shape &Service) {
+  role Role = Service.Streams ? role::Runner : role::Tool;
+  const char *Prefix = Service.Streams ? "runner" : "tool";
+  for (const upstream_group &Group : Service.Upstreams)
+    for (int I = 0; I < Group.Count; ++I) {
+      member &Member = place(numbered(Prefix, NextNumber[Role]++), Role);
+      Member.DataCentre = Group.DataCentre;
+      Member.Service = Service.Name;
+    }
+}
+
 bool fleet::start() {
   place("store", role::Store);
-  for (int I = 0; I < Settings.Entries; ++I)
-    place(numbered("entry", I), role::Entry);
-  for (int I = 0; I < Settings.Disks; ++I)
-    place(numbered("disk", I), role::Disk);
-  NextNumber[role::Entry] = Settings.Entries;
-  NextNumber[role::Disk] = Settings.Disks;
-  for (int I = 0; I < Settings.Runners; ++I)
-    place(numbered("runner", I), role::Runner);
-  for (int I = 0; I < Settings.Tools; ++I)
-    place(numbered("tool", I), role::Tool);
+  placeHosts(role::Entry, Shape.Entries);
+  placeHosts(role::Disk, Shape.Disks);
+  for (const service_shape &Service : Shape.Services)
+    placeUpstreams(Service);
   if (!spawn(Members.at("store"), true))
     return false;
   pause(milliseconds(100));
@@ -450,95 +451,6 @@
   return AnsweredAt;
 }
 
-std::string fleet::versionHost(std::uint64_t Routes) {
-  return "v" + std::to_string(Routes) + ".example";
-}
-
-std::string fleet::organisation(std::size_t Number) const {
-  auto Count = static_cast<std::size_t>(Settings.Organisations);
-  return Count == 0 ? "" : "org-" + std::to_string(Number % Count);
-}
-
-organisation_key fleet::lastingKey(std::size_t Caller) const {
-  std::string Organisation = organisation(Caller);
-  return {Organisation,
-          Organisation.empty() ? "" : KeyPrefix + Organisation + "-lasting"};
-}
-
-void fleet::configure(std::uint64_t NewRoutes) {
-  Routes = NewRoutes;
-  putConfiguration();
-}
-
-std::int64_t fleet::putKeys(std::vector<organisation_key> Keys) {
-  AddedKeys = std::move(Keys);
-  return putConfiguration();
-}
-
-json fleet::organisationsToJson() const {
-  json Rows = json::array();
-  for (int I = 0; I < Settings.Organisations; ++I) {
-    organisation_key Lasting = lastingKey(static_cast<std::size_t>(I));
-    json Keys = {Lasting.Key};
-    for (const organisation_key &Key : AddedKeys)
-      if (Key.Organisation == Lasting.Organisation)
-        Keys.push_back(Key.Key);
-    Rows.push_back({{"name", Lasting.Organisation}, {"api_keys", Keys}});
-  }
-  return Rows;
-}
-
-std::int64_t fleet::putConfiguration() {
-  std::string Own = versionHost(Routes);
-  constexpr int RetentionS = 30;
-  int Attempts = Settings.Attempts;
-  json Plan = routeOf("plan", PlanHost, "/", "streaming", "llm", Attempts);
-  Plan["retain_context"] = !Settings.Resumable;
-  Plan["resumable"] = Settings.Resumable;
-  Plan["retention_s"] = RetentionS;
-  json Spec = {
-      {"version", ++ConfigVersion},
-      {"routes",
-       {Plan, routeOf("own", Own.c_str(), "/look/", "safe", "book", Attempts),
-        routeOf("look", ToolHost, "/look/", "safe", "book", Attempts),
-        routeOf("book", ToolHost, "/book/", "unsafe", "book", Attempts)}},
-      {"services",
-       {{{"name", "llm"},
-         {"connection_limit", 200},
-         {"engine", {{"tokens_per_event", 1}}}},
-        {{"name", "book"}, {"connection_limit", 200}}}},
-      {"limits",
-       {{"header_bytes", 16384},
-        {"body_bytes", Settings.BodyBytes},
-        {"header_timeout_ms", Settings.HeaderTimeout.count()},
-        {"idle_timeout_ms", Settings.IdleTimeout.count()}}}};
-  if (Settings.Organisations > 0)
-    Spec["tenants"] = organisationsToJson();
-  Configuring = true;
-  std::int64_t At =
-      order("store",
-            {{"put", {{"kind", "config"}, {"name", "main"}, {"spec", Spec}}}});
-  Configuring = false;
-  return At;
-}
-
-std::vector<run_line> fleet::runs() const {
-  std::vector<run_line> Lines;
-  std::ifstream File(Settings.Scratch + "/runs.jsonl");
-  for (std::string Text; std::getline(File, Text);) {
-    json Line = json::parse(Text, nullptr, false);
-    if (!Line.is_object())
-      continue;
-    Lines.push_back(
-        {Line.value("at", std::int64_t(0)), Line.value("upstream", ""),
-         Line.value("service", ""), Line.value("what", ""),
-         Line.value("attempt", ""), Line.value("crash", ""),
-         Line.value("input", ""), Line.value("left_ms", std::int64_t(-1)),
-         Line.value("organisation", ""), Line.value("has_key", false)});
-  }
-  return Lines;
-}
-
 bool fleet::wait(milliseconds Bound, const std::function<bool()> &Reached) {
   time_point End = steadyNow() + Bound;
   auto Tick = loop_source::every(milliseconds(5), [] { return true; });
