Libraries: the main loop and its sockets become libloop

libhttp1 used libnet for loop.cpp alone. With the loop in a library below both, libnet can use libhttp1's client.

--- a/src/libnet/loop_test.cpp
+++ b/src/libloop/loop_test.cpp
@@ -1,4 +1,4 @@
-#include "test_loop_pvt.h"
+#include "../libnet/test_loop_pvt.h"
 
 using namespace turmerichead;
 using namespace turmerichead::pvt;
