Fleet: a process is loaded once it sets a standard signal

takesSignals() took a signal of the C library, which is set at the first thread and so before main(), for the process's own: the case failed in two of six runs on the fixed code, for signals that came before any code of ours.

--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -129,10 +129,13 @@
 bool fleet::takesSignals(const std::string &Name) {
   std::ifstream File("/proc/" + std::to_string(pidOf(Name)) + "/status");
   constexpr int Base = 16;
+  // Signals from 32 on are the C library's, which sets them before main().
+  constexpr std::uint64_t StandardSignals = (std::uint64_t(1) << 31U) - 1;
   for (std::string Line; std::getline(File, Line);)
     for (std::string_view Key : {"SigIgn:", "SigCgt:"})
       if (Line.starts_with(Key) &&
-          std::stoull(Line.substr(Key.size()), nullptr, Base) != 0)
+          (std::stoull(Line.substr(Key.size()), nullptr, Base) &
+           StandardSignals) != 0)
         return true;
   return false;
 }
