MIXED: a cache blob that ends with its connection is not imported

Seen: a runner that ends while it exports a program's cache closes its connection in order; the part of the blob was imported by the other runner, and the cache at the first one released. A blob shows no end of its own, so only a length or the last chunk makes it whole. Otherwise the call goes on without the move.

mixed_part_of_a_cache_imported_by_another_runner failed before: the part was sent to the other runner.

--- a/src/libhost/cache_move.cpp
+++ b/src/libhost/cache_move.cpp
@@ -31,6 +31,12 @@
   return Result.Code == error_code::None && Result.Status == HttpOk;
 }
 
+/// A blob does not show its end. If it ends with its connection, the runner may
+/// have ended while it was writing.
+bool hasWholeBlob(const http_result &Result) {
+  return wentWell(Result) && Result.End != http1::answer_end::Connection;
+}
+
 } // namespace
 
 void releaseCacheAt(host_context &Context, const std::string &Program,
@@ -76,7 +82,7 @@
        .OnChunk = [Blob](std::string_view Bytes) { *Blob += Bytes; },
        .OnEnd =
            [Import, Done](const http_result &Result) {
-             wentWell(Result) ? Import() : Done();
+             hasWholeBlob(Result) ? Import() : Done();
            }});
 }
 
