MIXED: an encoded answer is not passed on as if it were plain

Seen: a tool that compresses its answer without being asked; http_client passed the bytes on and its callers keep only Content-Type, so that the caller of the tool got them as JSON. Requests now ask for no coding, and an answer with one is lost, as in the relay.

mixed_encoded_body_passed_on_without_its_coding failed before.

--- a/src/include/turmerichead/net_http.h
+++ b/src/include/turmerichead/net_http.h
@@ -178,9 +178,9 @@
 /// How a call ended.
 struct http_result {
   /// None if a complete response was read, with any status. Otherwise
-  /// Unavailable (no connection, lost, or a response that HTTP does not allow),
-  /// Timeout, Refused (the response is over the limit) or InvalidInput (the
-  /// URL, the method or a header).
+  /// Unavailable (no connection, lost, or a response that HTTP does not allow
+  /// or that has a content coding), Timeout, Refused (the response is over the
+  /// limit) or InvalidInput (the URL, the method or a header).
   error_code Code = error_code::None;
   std::string Text;
   int Status = 0; ///< 0 without response headers.
--- a/src/libnet/http_answers_test.cpp
+++ b/src/libnet/http_answers_test.cpp
@@ -253,3 +253,16 @@
   CHECK(Answer.Result->Status == 413);
   CHECK(Answer.Body == "ok");
 }
+
+// The coding is not passed on, so that callers would take the bytes as they
+// are.
+TEST_CASE("mixed_encoded_body_passed_on_without_its_coding") {
+  std::string Start = "HTTP/1.1 200 OK\r\nContent-Encoding: ";
+  received_answer Encoded = answerWith(Start + "gzip\r\n" + SizedBody);
+  CHECK(Encoded.Result->Code == error_code::Unavailable);
+  CHECK(Encoded.Result->Sent);
+  CHECK(Encoded.Body.empty());
+  received_answer Plain = answerWith(Start + "identity\r\n" + SizedBody);
+  CHECK(Plain.Result->Code == error_code::None);
+  CHECK(Plain.Body == "ok");
+}
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -16,6 +16,13 @@
 constexpr int WholeDeadline = 0;
 constexpr int FirstByteDeadline = 1;
 
+/// Returns whether the body has a content coding, which nobody here decodes.
+bool isEncoded(const http1::response_head &Head) {
+  constexpr std::string_view NoCoding = "identity";
+  const std::string *Coding = Head.Headers.find("Content-Encoding");
+  return Coding && !http1::equalNames(*Coding, NoCoding);
+}
+
 } // namespace
 
 /// A call that has not ended.
@@ -106,6 +113,10 @@
   http_call_row &Call = *Calls.find(Id);
   Call.Begun = true;
   Call.Status = Head.Status;
+  if (isEncoded(Head)) {
+    abort(Id, error_code::Unavailable, "the response is encoded");
+    return;
+  }
   auto Events = Call.Events;
   if (!Events->OnHeaders)
     return;
--- a/src/libnet/http_client_request.cpp
+++ b/src/libnet/http_client_request.cpp
@@ -86,6 +86,7 @@
   Call.Method = Request.Method;
   Call.FreshConnection = Request.FreshConnection;
   Call.Headers.add("Host", Call.Address);
+  Call.Headers.add("Accept-Encoding", "identity");
   if (!Request.Body.empty()) {
     Call.Headers.add("Content-Type", Request.ContentType);
     Call.Body.push_back(Request.Body);
