--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -56,7 +56,7 @@
   void onEnd(http_call_id Id, const http1::call_result &Result);
   void abort(http_call_id Id, error_code Code, std::string Text);
   void erase(http_call_id Id);
-  void end(http_call_id Id, http_result Result);
+  void end(http_call_id Id, const http_result &Result);
 };
 
 http_client::state::state(const http_client_settings &Settings,
@@ -164,7 +164,7 @@
   Result.Status = Calls.find(Id)->Status;
   Result.Sent = Http1.hasSent(Call);
   Http1.cancel(Call);
-  end(Id, std::move(Result));
+  end(Id, Result);
 }
 
 /// Removes a call, and starts those that have waited for its slot.
@@ -180,7 +180,7 @@
     start(Next);
 }
 
-void http_client::state::end(http_call_id Id, http_result Result) {
+void http_client::state::end(http_call_id Id, const http_result &Result) {
   auto Events = Calls.find(Id)->Events;
   erase(Id);
   if (Events->OnEnd)
