--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -16,6 +16,13 @@
 constexpr int WholeDeadline = 0;
 constexpr int FirstByteDeadline = 1;
 
+/// Returns whether the body has a content coding, which nobody here decodes.
+bool isEncoded(const http1::response_head &Head) {
+  constexpr std::string_view NoCoding = "identity";
+  const std::string *Coding = Head.Headers.find("Content-Encoding");
+  return Coding && !http1::equalNames(*Coding, NoCoding);
+}
+
 } // namespace
 
 /// A call that has not ended.
@@ -49,7 +56,7 @@
   void onEnd(http_call_id Id, const http1::call_result &Result);
   void abort(http_call_id Id, error_code Code, std::string Text);
   void erase(http_call_id Id);
-  void end(http_call_id Id, http_result Result);
+  void end(http_call_id Id, const http_result &Result);
 };
 
 http_client::state::state(const http_client_settings &Settings,
@@ -106,6 +113,10 @@
   http_call_row &Call = *Calls.find(Id);
   Call.Begun = true;
   Call.Status = Head.Status;
+  if (isEncoded(Head)) {
+    abort(Id, error_code::Unavailable, "the response is encoded");
+    return;
+  }
   auto Events = Call.Events;
   if (!Events->OnHeaders)
     return;
@@ -153,7 +164,7 @@
   Result.Status = Calls.find(Id)->Status;
   Result.Sent = Http1.hasSent(Call);
   Http1.cancel(Call);
-  end(Id, std::move(Result));
+  end(Id, Result);
 }
 
 /// Removes a call, and starts those that have waited for its slot.
@@ -169,7 +180,7 @@
     start(Next);
 }
 
-void http_client::state::end(http_call_id Id, http_result Result) {
+void http_client::state::end(http_call_id Id, const http_result &Result) {
   auto Events = Calls.find(Id)->Events;
   erase(Id);
   if (Events->OnEnd)
