An answer that its connection ends needs a request that was received

Seen by callers: 200 with part of a body, as a complete answer, when the upstream answered a long upload at once without a length and its connection was then reset.

Cause: an end of connection ended the message whatever had become of the request. It was taken for orderly (a) while bytes of the request were unsent, (b) while they were in the send buffer of the kernel, and (c) after a write had failed: the write takes the error of the socket, so the next read returns an ordinary end. The tunnel server sent the frame of the orderly end in the cases (a) and (b).

Fix: client::state::onConnectionEnd() alone decides whether an end ends the answer. buffered_socket::isDelivered() tells whether the peer has acknowledged all bytes (SIOCOUTQ) and no write failed. The tunnel server asks the same, and whether bytes of its peer wait to be read. Answers with a length or a last chunk are whole as before.

Ruled out: a reset that the read itself sees, which was 502 before.

--- a/src/libhttp1/client_answers.cpp
+++ b/src/libhttp1/client_answers.cpp
@@ -73,14 +73,27 @@
     if (!Ended || !Open || !Row || Row->Call != Call)
       return;
   }
-  response_sink Sink{*Row, false, {}};
-  if (!Row->Skipping && Row->Parser.inMessage() &&
-      Row->Parser.feedEnd(Sink) == feed_result::Paused) {
-    Row->KeepAlive = false;
-    onMessageEnd(Id, answer_end::Connection);
+  onConnectionEnd(Id);
+}
+
+// Decides whether an orderly end of the connection ends the answer. While the
+// upstream has not received the whole request, it may follow or hide a reset:
+// a failed write takes the error of the socket, and the next read sees an
+// ordinary end.
+void client::state::onConnectionEnd(client_connection_id Id) {
+  client_connection &Row = *Connections.find(Id);
+  if (!Row.Socket.isDelivered()) {
+    fail(Id, "the connection ended before the request was received");
+    return;
+  }
+  response_sink Sink{Row, false, {}};
+  if (Row.Skipping || !Row.Parser.inMessage() ||
+      Row.Parser.feedEnd(Sink) != feed_result::Paused) {
+    fail(Id, "the connection ended before the answer was complete");
     return;
   }
-  fail(Id, "the connection ended before the answer was complete");
+  Row.KeepAlive = false;
+  onMessageEnd(Id, answer_end::Connection);
 }
 
 // Reads the available bytes. Returns false if the connection was closed or has
--- a/src/libhttp1/client_pvt.h
+++ b/src/libhttp1/client_pvt.h
@@ -100,6 +100,7 @@
   void sendRequest(pvt::client_connection_id Id);
   pvt::io_result receive(pvt::client_connection &Row);
   void onReadable(pvt::client_connection_id Id);
+  void onConnectionEnd(pvt::client_connection_id Id);
   bool parse(pvt::client_connection_id Id);
   std::string_view excessOf(const pvt::client_connection &Row) const;
   bool onMessageEnd(pvt::client_connection_id Id, answer_end End);
--- a/src/libhttp1/client_test.cpp
+++ b/src/libhttp1/client_test.cpp
@@ -7,6 +7,7 @@
 using namespace turmerichead::http1;
 using turmerichead::pvt::addressOf;
 using turmerichead::pvt::raw_server;
+using turmerichead::pvt::turnFor;
 using turmerichead::pvt::turnUntil;
 
 namespace {
@@ -291,6 +292,99 @@
   CHECK(F.Client->counters().OpenConnections == 0);
 }
 
+namespace {
+
+constexpr std::string_view HeadWithoutLength =
+    "HTTP/1.1 200 OK\r\nX-Id: r2\r\n\r\n";
+
+/// Makes the server reset a connection when it closes it.
+void resetOnClose(raw_server &Server, std::size_t Index) {
+  linger Hard{1, 0};
+  setsockopt(g_socket_get_fd(Server.Connections[Index]->Socket.get()),
+             SOL_SOCKET, SO_LINGER, &Hard, sizeof(Hard));
+}
+
+/// For connections that are accepted from now on.
+void limitReceiveBuffer(raw_server &Server) {
+  int Bytes = 4096;
+  setsockopt(g_socket_get_fd(Server.socket()), SOL_SOCKET, SO_RCVBUF, &Bytes,
+             sizeof(Bytes));
+}
+
+void endWriting(raw_server &Server, std::size_t Index) {
+  g_socket_shutdown(Server.Connections[Index]->Socket.get(), FALSE, TRUE,
+                    nullptr);
+}
+
+} // namespace
+
+TEST_CASE("an answer without a length that was reset during the upload is not "
+          "complete") {
+  // More than the kernel buffers, and less: then only the kernel knows that
+  // the upstream has not received all of it.
+  for (std::size_t UploadBytes : {32U << 20U, 1U << 20U})
+    for (bool Kept : {false, true})
+      for (bool IsResetAtOnce : {false, true}) {
+        CAPTURE(UploadBytes);
+        CAPTURE(Kept);
+        CAPTURE(IsResetAtOnce);
+        fixture F;
+        limitReceiveBuffer(F.Server);
+        if (Kept) {
+          outcome First;
+          F.call(First, "r1");
+          REQUIRE(F.received(0, "X-Id: r1"));
+          F.Server.send(0, answerTo("r1", "one"));
+          REQUIRE(turnUntil([&] { return First.isComplete(); }));
+        }
+        F.Server.Reading = false;
+        outcome Outcome;
+        F.call(Outcome, "r2", "POST", std::string(UploadBytes, 'u'));
+        turnFor(milliseconds(50)); // The buffers fill.
+        REQUIRE(F.Server.Connections.size() == 1);
+        F.Server.send(0, std::string(HeadWithoutLength) + "a part");
+        if (IsResetAtOnce) {
+          resetOnClose(F.Server, 0);
+          F.Server.close(0);
+        } else {
+          REQUIRE(turnUntil([&] { return Outcome.Body == "a part"; }));
+          endWriting(F.Server, 0);
+        }
+        REQUIRE(turnUntil([&] { return Outcome.Result.has_value(); }));
+        CHECK(Outcome.Result->Outcome == call_outcome::Broken);
+        CHECK(F.Client->counters().OpenConnections == 0);
+      }
+}
+
+TEST_CASE(
+    "an answer without a length is complete once the upload is received") {
+  fixture F;
+  outcome Outcome;
+  F.call(Outcome, "r2", "POST", std::string(4U << 20U, 'u') + "last");
+  REQUIRE(F.received(0, "last"));
+  F.Server.send(0, std::string(HeadWithoutLength) + "all of it");
+  F.Server.close(0);
+  REQUIRE(turnUntil([&] { return Outcome.Result.has_value(); }));
+  CHECK(Outcome.isComplete());
+  CHECK(Outcome.Result->End == answer_end::Connection);
+  CHECK(Outcome.Body == "all of it");
+}
+
+TEST_CASE("an answer with a length is complete although the upload is not") {
+  fixture F;
+  F.Server.Reading = false;
+  outcome Outcome;
+  F.call(Outcome, "r2", "POST", std::string(32U << 20U, 'u'));
+  REQUIRE(turnUntil([&] { return F.Server.Connections.size() == 1; }));
+  turnFor(milliseconds(50));
+  F.Server.send(0, answerTo("r2", "early"));
+  resetOnClose(F.Server, 0);
+  F.Server.close(0);
+  REQUIRE(turnUntil([&] { return Outcome.Result.has_value(); }));
+  CHECK(Outcome.isComplete());
+  CHECK(Outcome.Body == "early");
+}
+
 TEST_CASE("an idle connection is used only within the declared time") {
   fixture F;
   outcome First;
--- a/src/libhttp1/socket.cpp
+++ b/src/libhttp1/socket.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <utility>
@@ -60,9 +62,12 @@
     Message.msg_iov = Vectors.data();
     Message.msg_iovlen = Count;
     ssize_t Written = sendmsg(descriptor(), &Message, MSG_NOSIGNAL);
-    if (Written < 0)
-      return wouldBlock(errno) || errno == EINTR ? io_result::Blocked
-                                                 : io_result::Failed;
+    if (Written < 0) {
+      if (wouldBlock(errno) || errno == EINTR)
+        return io_result::Blocked;
+      WriteFailed = true;
+      return io_result::Failed;
+    }
     auto Left = static_cast<std::size_t>(Written);
     Unsent -= Left;
     Sent += Left;
@@ -80,6 +85,17 @@
   return io_result::Done;
 }
 
+bool buffered_socket::isDelivered() const {
+  int InKernel = 0;
+  return !WriteFailed && Unsent == 0 &&
+         ioctl(descriptor(), SIOCOUTQ, &InKernel) == 0 && InKernel == 0;
+}
+
+bool buffered_socket::hasInput() const {
+  int Waiting = 0;
+  return ioctl(descriptor(), FIONREAD, &Waiting) != 0 || Waiting > 0;
+}
+
 buffered_socket::connect_result buffered_socket::connectResult() const {
   GError *Reason = nullptr;
   if (g_socket_check_connect_result(Socket.get(), &Reason))
--- a/src/libhttp1/socket_pvt.h
+++ b/src/libhttp1/socket_pvt.h
@@ -40,6 +40,12 @@
   /// Sends buffered bytes. Done means that the buffer is empty.
   io_result flush();
   std::size_t unsent() const { return Unsent; }
+  /// Returns whether the peer has acknowledged all bytes that were queued. A
+  /// write that failed, or bytes that are still in the send buffer of the
+  /// kernel, say that it has not.
+  bool isDelivered() const;
+  /// Returns whether bytes of the peer wait to be read.
+  bool hasInput() const;
   /// Returns the number of bytes written since the socket was opened.
   std::uint64_t sent() const { return Sent; }
 
@@ -57,6 +63,7 @@
   std::size_t FrontOffset = 0;
   std::size_t Unsent = 0;
   std::uint64_t Sent = 0;
+  bool WriteFailed = false;
 };
 
 } // namespace turmerichead::http1::pvt
--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -58,6 +58,12 @@
 using end_table = table<tunnel_end>;
 using end_id = end_table::id;
 
+/// Returns whether the end of an upstream's connection is orderly: it has
+/// received all bytes of its peer. See client::state::onConnectionEnd().
+bool endsInOrder(const tunnel_end &Upstream, const tunnel_end &Peer) {
+  return Upstream.Socket.isDelivered() && !Peer.Socket.hasInput();
+}
+
 } // namespace
 
 struct tunnel_server::state {
@@ -280,7 +286,7 @@
     flush(OtherId);
     return;
   case io_result::Ended:
-    if (!FromUpstream)
+    if (!FromUpstream || !endsInOrder(End, Other))
       break;
     Other.Socket.queue(pvt::tunnelFrame({}));
     Other.Phase = phase::Closing;
--- a/src/libhttp1/tunnel_test.cpp
+++ b/src/libhttp1/tunnel_test.cpp
@@ -138,6 +138,45 @@
   CHECK(F.Result->Outcome == Wanted);
 }
 
+TEST_CASE("an answer without a length that was reset during the upload through "
+          "a tunnel is not complete") {
+  // More than all buffers take, and less than those of the tunnel.
+  for (std::size_t UploadBytes : {32U << 20U, 1U << 20U})
+    for (bool Kept : {false, true})
+      for (bool IsResetAtOnce : {false, true}) {
+        CAPTURE(UploadBytes);
+        CAPTURE(Kept);
+        CAPTURE(IsResetAtOnce);
+        tunnel_fixture F;
+        int BufferBytes = 4096;
+        setsockopt(g_socket_get_fd(F.Upstream.socket()), SOL_SOCKET, SO_RCVBUF,
+                   &BufferBytes, sizeof(BufferBytes));
+        if (Kept) {
+          F.call("one");
+          REQUIRE(F.received("one"));
+          F.Upstream.send(0, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+          REQUIRE(F.ended());
+        }
+        F.Upstream.Reading = false;
+        F.call(std::string(UploadBytes, 'u'));
+        turnFor(milliseconds(100)); // The buffers fill.
+        REQUIRE(F.Upstream.Connections.size() == 1);
+        F.Upstream.send(0, "HTTP/1.1 200 OK\r\n\r\na part");
+        if (IsResetAtOnce) {
+          linger Hard{1, 0};
+          setsockopt(g_socket_get_fd(F.Upstream.Connections[0]->Socket.get()),
+                     SOL_SOCKET, SO_LINGER, &Hard, sizeof(Hard));
+          F.Upstream.close(0);
+        } else {
+          REQUIRE(turnUntil([&] { return F.Body == "a part"; }));
+          g_socket_shutdown(F.Upstream.Connections[0]->Socket.get(), FALSE,
+                            TRUE, nullptr);
+        }
+        REQUIRE(F.ended());
+        CHECK(F.Result->Outcome == call_outcome::Broken);
+      }
+}
+
 TEST_CASE("a cancelled call closes the connection to the upstream") {
   tunnel_fixture F;
   call_id Id = F.call("text");
--- a/src/libnet/test_loop_pvt.h
+++ b/src/libnet/test_loop_pvt.h
@@ -77,6 +77,8 @@
   }
 
   std::uint16_t port() const { return Listener.port(); }
+  /// The listening socket, whose buffer sizes accepted ones inherit.
+  GSocket *socket() const { return Listener.socket(); }
 
   void send(std::size_t Index, std::string_view Bytes) {
     g_socket_send(Connections[Index]->Socket.get(), Bytes.data(), Bytes.size(),
--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -2,6 +2,8 @@
 
 #include "test_relay_pvt.h"
 
+#include <sys/socket.h>
+
 using namespace turmerichead;
 using namespace turmerichead::pvt;
 
@@ -236,3 +238,37 @@
   F.Relay->publish();
   CHECK(F.Metrics.value("upstream_connections", "") == 1);
 }
+
+TEST_CASE("an answer without a length that was reset during the upload is not "
+          "passed on as complete") {
+  for (std::string Path : {"/book/1", "/safe/1", "/talk/1"}) {
+    CAPTURE(Path);
+    bool Streams = Path == "/talk/1";
+    fixture F;
+    raw_server &Server = Streams ? F.Llm : F.Tools;
+    int BufferBytes = 4096;
+    setsockopt(g_socket_get_fd(Server.socket()), SOL_SOCKET, SO_RCVBUF,
+               &BufferBytes, sizeof(BufferBytes));
+    Server.Reading = false;
+    caller Caller(F.Address);
+    std::string Unsent =
+        F.request("POST", Path, "c1", "", std::string(1U << 20U, 'u'));
+    REQUIRE(turnUntil([&] {
+      gssize Count = g_socket_send(Caller.Socket.get(), Unsent.data(),
+                                   Unsent.size(), nullptr, nullptr);
+      Unsent.erase(0, Count > 0 ? static_cast<std::size_t>(Count) : 0);
+      return Unsent.empty();
+    }));
+    REQUIRE(turnUntil([&] { return Server.Connections.size() == 1; }));
+    turnFor(milliseconds(50)); // The buffers fill.
+    Server.send(0, "HTTP/1.1 200 OK\r\nX-Call: c1\r\n\r\ndata: part\n\n");
+    turnFor(milliseconds(50));
+    g_socket_shutdown(Server.Connections[0]->Socket.get(), FALSE, TRUE,
+                      nullptr);
+    REQUIRE(Caller.waitsFor(Streams ? "no such text" : "\r\n\r\n"));
+    if (Streams)
+      CHECK(!Caller.has("0\r\n\r\n"));
+    else
+      CHECK(Caller.has("HTTP/1.1 5")); // A repeat may end otherwise.
+  }
+}
