Answers and requests are read strictly, by a reader of our own

Seen by callers: heads and framings that RFC 9110 and 9112 forbid came through as 200 with a signature, some with a body that was not the upstream's: status 600 and 999, HTTP/0.9, 1.2 and 2.0, folded lines, bare LF, other transfer codings than chunked (with 'chunked, gzip' the framing became the body), two arbitrary bytes behind a chunk, control bytes in extensions and trailers.

Cause: http_parser is lenient as the distribution builds it, and is no longer maintained.

Fix: grammar_pvt.h reads each kind of line strictly, and the framing; the push parser behind message_parser only collects lines and counts bytes. Both answers and requests use it; http1::client (calls, hedges, tunnels, resumed streams) and http1::server need no other change. Bounds are as before; a line of a chunk or a trailer is now limited as well. A refusal names its reason in the log line 'call failed at upstream' and in the metric upstream_answers_refused_total{reason}; it is Broken as before, so it counts against the upstream.

http_parser frames an answer 304 or 204 with Content-Length as one with a body and would wait for it; the new reader ends it with its head (RFC 9112, 6.3). Upgrades: a 101 is refused as before; requests that ask for an upgrade, which got 400, are now served without it.

--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -94,6 +94,7 @@
   std::string Reason; ///< Readable text; empty if complete.
   connect_failure Failure = connect_failure::None; ///< Only with NotSent.
   answer_end End = answer_end::Length;             ///< Only with Complete.
+  message_fault Fault = message_fault::None;       ///< Only with Broken.
 };
 
 /// Result of a probe.
--- a/src/include/turmerichead/http1_message.h
+++ b/src/include/turmerichead/http1_message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,25 @@
 /// Trailer, Upgrade, Expect and the Proxy headers.
 void removeHopByHop(header_list &Headers);
 
+/// Why a message was refused. The names are labels of a metric.
+enum class message_fault : std::uint8_t {
+  None,
+  StartLine, ///< The status line or request line, or the status.
+  Field,     ///< A field line of the head.
+  LineEnd,   ///< A line does not end with CR LF.
+  Length,    ///< Content-Length.
+  Coding,    ///< Transfer-Encoding, or a length beside it.
+  ChunkLine, ///< The size of a chunk, or its extensions.
+  ChunkEnd,  ///< No CR LF behind the bytes of a chunk.
+  Trailer,
+  HeadTooLarge,
+  Cut,        ///< The connection ended inside the message.
+  Undelivered ///< The connection ended before the request was received.
+};
+std::string_view nameOf(message_fault Fault);
+/// Returns a readable text.
+std::string_view textOf(message_fault Fault);
+
 struct request {
   std::string Method;
   std::string Target; ///< Path and query, as on the request line.
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -44,13 +44,15 @@
     flush(Id);
 }
 
-void client::state::fail(client_connection_id Id, std::string Reason) {
+void client::state::fail(client_connection_id Id, std::string Reason,
+                         message_fault Fault) {
   client_connection &Row = *Connections.find(Id);
   call_id Call = Row.Call;
   bool Sent = Row.Socket.sent() > Row.SentBefore;
   close(Id);
   end(Call, {.Outcome = Sent ? call_outcome::Broken : call_outcome::NotSent,
-             .Reason = std::move(Reason)});
+             .Reason = std::move(Reason),
+             .Fault = Fault});
 }
 
 void client::state::end(call_id Id, const call_result &Result) {
--- a/src/libhttp1/client_answers.cpp
+++ b/src/libhttp1/client_answers.cpp
@@ -83,13 +83,14 @@
 void client::state::onConnectionEnd(client_connection_id Id) {
   client_connection &Row = *Connections.find(Id);
   if (!Row.Socket.isDelivered()) {
-    fail(Id, "the connection ended before the request was received");
+    fail(Id, std::string(textOf(message_fault::Undelivered)),
+         message_fault::Undelivered);
     return;
   }
   response_sink Sink{Row, false, {}};
   if (Row.Skipping || !Row.Parser.inMessage() ||
       Row.Parser.feedEnd(Sink) != feed_result::Paused) {
-    fail(Id, "the connection ended before the answer was complete");
+    fail(Id, std::string(textOf(message_fault::Cut)), message_fault::Cut);
     return;
   }
   Row.KeepAlive = false;
@@ -108,8 +109,9 @@
     Row->MessageBytes += Used;
     Row->BodyBytes += Sink.Bytes.size();
     if (Result == feed_result::Bad || Result == feed_result::HeaderTooLarge) {
-      fail(Id, "the answer cannot be read: " +
-                   std::string(Row->Parser.errorText()));
+      message_fault Fault = Row->Parser.fault();
+      fail(Id, "the answer cannot be read: " + std::string(textOf(Fault)),
+           Fault);
       return false;
     }
     call_id CallId = Row->Call;
--- a/src/libhttp1/client_pvt.h
+++ b/src/libhttp1/client_pvt.h
@@ -32,7 +32,7 @@
 /// client.
 struct client_connection {
   buffered_socket Socket;
-  message_parser Parser{HTTP_RESPONSE, 0};
+  message_parser Parser{message_kind::Response, 0};
   std::string Address; ///< See poolKey().
   /// Set on a connection by way of a tunnel server.
   std::optional<tunnel_decoder> Tunnel;
@@ -112,7 +112,8 @@
                       pvt::client_connection &Row);
   void returnToPool(pvt::client_connection_id Id, pvt::client_connection &Row);
   void close(pvt::client_connection_id Id);
-  void fail(pvt::client_connection_id Id, std::string Reason);
+  void fail(pvt::client_connection_id Id, std::string Reason,
+            message_fault Fault = message_fault::None);
   void failConnect(pvt::client_connection_id Id, connect_failure Failure);
   void end(call_id Id, const call_result &Result);
   void failLater(call_id Id, std::string Reason);
--- a/src/libhttp1/message.cpp
+++ b/src/libhttp1/message.cpp
@@ -120,6 +120,37 @@
     Headers.remove(Name);
 }
 
+namespace {
+
+struct fault_row {
+  std::string_view Name;
+  std::string_view Text;
+};
+
+const fault_row &rowOf(message_fault Fault) {
+  static constexpr std::array<fault_row, 12> Rows = {{
+      {"none", "nothing is wrong"},
+      {"start_line", "the first line is invalid"},
+      {"field", "a field line is invalid"},
+      {"line_end", "a line does not end with CR LF"},
+      {"length", "Content-Length is invalid"},
+      {"coding", "Transfer-Encoding is invalid"},
+      {"chunk_line", "the first line of a chunk is invalid"},
+      {"chunk_end", "a chunk does not end with CR LF"},
+      {"trailer", "a trailer is invalid"},
+      {"head_too_large", "the headers are over the limit"},
+      {"cut", "the connection ended before the answer was complete"},
+      {"undelivered", "the connection ended before the request was received"},
+  }};
+  return Rows.at(static_cast<std::size_t>(Fault));
+}
+
+} // namespace
+
+std::string_view nameOf(message_fault Fault) { return rowOf(Fault).Name; }
+
+std::string_view textOf(message_fault Fault) { return rowOf(Fault).Text; }
+
 std::string_view reasonOf(int Status) {
   constexpr int FirstStatus = 100;
   constexpr int LastStatus = 599;
--- a/src/libhttp1/parser.cpp
+++ b/src/libhttp1/parser.cpp
@@ -1,83 +1,196 @@
 #include "parser_pvt.h"
 
-#include <limits>
-
 namespace turmerichead::http1::pvt {
 
 namespace {
 
-// Bytes of a header line in addition to name and value: colon, space, CR, LF.
+// Bytes of a field line in addition to name and value: colon, space, CR, LF.
 constexpr std::size_t LineOverheadBytes = 4;
+constexpr std::size_t LineEndBytes = 2;
+constexpr int FirstFinalStatus = 200;
+constexpr int SwitchingProtocols = 101;
 
-// The limit of http_parser is global for the process. It is disabled, because
-// each parser has its own limit.
-constexpr std::uint32_t LibraryMaxHeadBytes = 16U << 20U;
+bool allowsBody(int Status) {
+  return Status >= FirstFinalStatus && Status != status::NoContent &&
+         Status != status::NotModified;
+}
 
 } // namespace
 
-message_parser::message_parser(http_parser_type Type, std::size_t MaxHeadBytes)
-    : Parser(std::make_unique<http_parser>()), Type(Type),
-      MaxHeadBytes(MaxHeadBytes) {
-  http_parser_set_max_header_size(LibraryMaxHeadBytes);
-  restart();
-}
-
 void message_parser::restart() {
-  http_parser_init(Parser.get(), Type);
   Head = {};
-  LastWasValue = false;
-  TooLarge = false;
+  Line.clear();
+  Part = part::StartLine;
+  Fault = message_fault::None;
+  Method.clear();
+  Status = 0;
+  IsHttp10 = false;
+  KeepsAlive = false;
   InMessage = false;
-  Ended = false;
   HeadDone = false;
-  TotalBytes.reset();
+  Framing = {};
+  BytesLeft = 0;
 }
 
-std::optional<std::uint64_t> message_parser::declaredLength() const {
-  if ((Parser->flags & F_CONTENTLENGTH) == 0)
-    return std::nullopt;
-  return Parser->content_length;
+void message_parser::fail(message_fault Why) {
+  Part = part::Failed;
+  Fault = Why;
 }
 
-std::string_view message_parser::errorText() const {
-  if (TooLarge)
-    return "the headers are over the limit";
-  return http_errno_description(HTTP_PARSER_ERRNO(Parser.get()));
+// Appends bytes up to the end of the current line and returns their number.
+std::size_t message_parser::takeLinePart(std::string_view Bytes,
+                                         bool &IsWhole) {
+  std::size_t End = Bytes.find('\n');
+  bool HasEnd = End != std::string_view::npos;
+  std::size_t Count = HasEnd ? End + 1 : Bytes.size();
+  Line.append(Bytes.substr(0, Count));
+  bool IsInHead = Part == part::StartLine || Part == part::Fields;
+  std::size_t Earlier = IsInHead ? Head.Bytes : 0;
+  if (Earlier + Line.size() > MaxHeadBytes + LineEndBytes) {
+    fail(message_fault::HeadTooLarge);
+    return Count;
+  }
+  // The end of a line before a request does not begin one.
+  InMessage = InMessage || (Line != "\r" && Line != "\r\n") ||
+              Kind == message_kind::Response;
+  IsWhole = HasEnd;
+  return Count;
 }
 
-bool message_parser::addHeadBytes(std::size_t Count) {
-  Head.Bytes += Count;
-  TooLarge = Head.Bytes > MaxHeadBytes;
-  return !TooLarge;
+void message_parser::takeLine(std::string_view Text) {
+  if (!Text.ends_with("\r\n")) {
+    fail(message_fault::LineEnd);
+    return;
+  }
+  Text.remove_suffix(LineEndBytes);
+  switch (Part) {
+  case part::StartLine:
+    takeStartLine(Text);
+    break;
+  case part::Fields:
+    takeField(Text);
+    break;
+  case part::ChunkLine:
+    takeChunkLine(Text);
+    break;
+  case part::ChunkEnd:
+    Part = part::ChunkLine;
+    if (!Text.empty())
+      fail(message_fault::ChunkEnd);
+    break;
+  case part::Trailers:
+    takeTrailer(Text);
+    break;
+  case part::Body:
+  case part::ChunkBytes:
+  case part::End:
+  case part::Failed:
+    break;
+  }
 }
 
-int message_parser::onUrl(const char *Data, std::size_t Size) {
-  Head.Target.append(Data, Size);
-  return addHeadBytes(Size) ? 0 : 1;
+void message_parser::takeStartLine(std::string_view Text) {
+  Part = part::Fields;
+  if (Kind == message_kind::Response) {
+    auto Read = readStatusLine(Text);
+    if (!Read || Read->Status == SwitchingProtocols) {
+      fail(message_fault::StartLine);
+      return;
+    }
+    Status = Read->Status;
+    IsHttp10 = Read->IsHttp10;
+    return;
+  }
+  if (Text.empty()) {
+    // RFC 9112, 2.2: servers ignore empty lines before a request.
+    Part = part::StartLine;
+    Head.Bytes += LineEndBytes;
+    return;
+  }
+  auto Read = readRequestLine(Text);
+  if (!Read) {
+    fail(message_fault::StartLine);
+    return;
+  }
+  Method = std::move(Read->Method);
+  Head.Target = std::move(Read->Target);
+  Head.Bytes += Head.Target.size();
+  IsHttp10 = Read->IsHttp10;
 }
 
-int message_parser::onField(const char *Data, std::size_t Size) {
-  if (HeadDone)
-    return 0;
-  // Unless built in strict mode, http_parser accepts names with spaces, which
-  // other implementations may read as another header.
-  if (std::string_view(Data, Size).find(' ') != std::string_view::npos)
-    return 1;
-  if (Head.Headers.rows().empty() || LastWasValue) {
-    Head.Headers.add({}, {});
-    Head.Bytes += LineOverheadBytes;
+void message_parser::takeField(std::string_view Text) {
+  if (Text.empty()) {
+    endHead();
+    return;
+  }
+  auto Field = readFieldLine(Text);
+  if (!Field) {
+    fail(message_fault::Field);
+    return;
   }
-  LastWasValue = false;
-  Head.Headers.rows().back().Name.append(Data, Size);
-  return addHeadBytes(Size) ? 0 : 1;
+  Head.Headers.add(Field->Name, Field->Value);
+  Head.Bytes +=
+      std::max(Field->Name.size() + Field->Value.size() + LineOverheadBytes,
+               Text.size() + LineEndBytes);
+  if (Head.Bytes > MaxHeadBytes)
+    fail(message_fault::HeadTooLarge);
 }
 
-int message_parser::onValue(const char *Data, std::size_t Size) {
-  if (HeadDone)
-    return 0;
-  LastWasValue = true;
-  Head.Headers.rows().back().Value.append(Data, Size);
-  return addHeadBytes(Size) ? 0 : 1;
+void message_parser::endHead() {
+  Framing = readFraming(Head.Headers, IsHttp10);
+  if (Framing.Fault != message_fault::None) {
+    fail(Framing.Fault);
+    return;
+  }
+  bool IsResponse = Kind == message_kind::Response;
+  if (IsResponse && (NoBody || !allowsBody(Status)))
+    Framing.Body = body_framing::None;
+  else if (IsResponse && Framing.Body == body_framing::None)
+    Framing.Body = body_framing::UntilEnd;
+  KeepsAlive = allowsReuse(Head.Headers, IsHttp10) &&
+               Framing.Body != body_framing::UntilEnd;
+  HeadDone = true;
+  Part = part::Body;
+  switch (Framing.Body) {
+  case body_framing::None:
+    break;
+  case body_framing::Length:
+    BytesLeft = *Framing.Length;
+    break;
+  case body_framing::Chunked:
+    Part = part::ChunkLine;
+    break;
+  case body_framing::UntilEnd:
+    BytesLeft = std::numeric_limits<std::uint64_t>::max();
+    break;
+  }
+  if (Part == part::Body)
+    endBytes();
+}
+
+// Ends the body or a chunk whose last byte has been read.
+void message_parser::endBytes() {
+  if (BytesLeft == 0)
+    Part = Part == part::Body ? part::End : part::ChunkEnd;
+}
+
+void message_parser::takeChunkLine(std::string_view Text) {
+  auto Size = readChunkLine(Text);
+  if (!Size) {
+    fail(message_fault::ChunkLine);
+    return;
+  }
+  BytesLeft = *Size;
+  Part = BytesLeft == 0 ? part::Trailers : part::ChunkBytes;
+}
+
+void message_parser::takeTrailer(std::string_view Text) {
+  if (Text.empty()) {
+    Part = part::End;
+    return;
+  }
+  if (!readFieldLine(Text))
+    fail(message_fault::Trailer);
 }
 
 } // namespace turmerichead::http1::pvt
--- a/src/libhttp1/parser_pvt.h
+++ b/src/libhttp1/parser_pvt.h
@@ -1,16 +1,17 @@
 /// \file
-/// A C++ wrapper of the push parser http_parser.
+/// A push parser of HTTP/1.1 messages that refuses whatever the grammar does
+/// not allow; see grammar_pvt.h.
 #pragma once
 
-#include "turmerichead/http1_message.h"
+#include "grammar_pvt.h"
 
+#include <algorithm>
 #include <cstdint>
-#include <http_parser.h>
 #include <limits>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace turmerichead::http1::pvt {
 
@@ -29,6 +30,8 @@
   Bad
 };
 
+enum class message_kind : std::uint8_t { Request, Response };
+
 /// The head of a message that is being read.
 struct message_head {
   std::string Target;
@@ -37,10 +40,12 @@
 };
 
 /// Parses one direction of a connection. It stops after each message, so that
-/// the owner decides about the bytes after it.
+/// the owner decides about the bytes after it. After a failure it reads nothing
+/// until restart().
 class message_parser {
 public:
-  message_parser(http_parser_type Type, std::size_t MaxHeadBytes);
+  message_parser(message_kind Kind, std::size_t MaxHeadBytes)
+      : Kind(Kind), MaxHeadBytes(MaxHeadBytes) {}
 
   /// Prepares for the next message on the same connection.
   void restart();
@@ -51,37 +56,30 @@
 
   /// Signals the end of the connection, which completes a message without a
   /// declared length. Returns Bad if a message was truncated.
-  template <parser_sink Sink> feed_result feedEnd(Sink &S) {
-    std::size_t Used = 0;
-    return run(S, nullptr, 0, Used);
-  }
+  template <parser_sink Sink> feed_result feedEnd(Sink &S);
 
   message_head &head() { return Head; }
-  int status() const { return static_cast<int>(Parser->status_code); }
-  std::string method() const {
-    return http_method_str(static_cast<http_method>(Parser->method));
-  }
-  bool isHttp10() const {
-    return Parser->http_major < 1 ||
-           (Parser->http_major == 1 && Parser->http_minor == 0);
-  }
+  int status() const { return Status; }
+  const std::string &method() const { return Method; }
+  bool isHttp10() const { return IsHttp10; }
   /// Returns whether the head allows the connection to be reused. Valid in
   /// onHead and onMessage.
-  bool keepsAlive() const { return http_should_keep_alive(Parser.get()) != 0; }
+  bool keepsAlive() const { return KeepsAlive; }
   /// Returns the declared length, or nullopt.
-  std::optional<std::uint64_t> declaredLength() const;
+  std::optional<std::uint64_t> declaredLength() const { return Framing.Length; }
   /// Returns the bytes that the head takes: its text, and a row for each field,
   /// which is far larger than the text of a short one.
   std::size_t heldBytes() const {
-    return Head.Bytes + Head.Headers.rows().capacity() * sizeof(header);
+    return Head.Bytes + Line.capacity() +
+           Head.Headers.rows().capacity() * sizeof(header);
   }
   /// Returns the declared length, or the largest number.
   std::uint64_t bodyBytesBound() const {
-    return TotalBytes.value_or(std::numeric_limits<std::uint64_t>::max());
+    return Framing.Length.value_or(std::numeric_limits<std::uint64_t>::max());
   }
-  bool isChunked() const { return (Parser->flags & F_CHUNKED) != 0; }
+  bool isChunked() const { return Framing.Body == body_framing::Chunked; }
   /// Returns why the last feed() failed.
-  std::string_view errorText() const;
+  message_fault fault() const { return Fault; }
   void setMaxHeadBytes(std::size_t Bytes) { MaxHeadBytes = Bytes; }
   /// Set for the response to a HEAD request, which has no body.
   void setNoBody(bool Value) { NoBody = Value; }
@@ -89,110 +87,91 @@
   bool inMessage() const { return InMessage; }
 
 private:
-  template <parser_sink Sink>
-  feed_result run(Sink &S, const char *Data, std::size_t Size,
-                  std::size_t &Used);
-  bool addHeadBytes(std::size_t Count);
-  int onField(const char *Data, std::size_t Size);
-  int onValue(const char *Data, std::size_t Size);
-  int onUrl(const char *Data, std::size_t Size);
-
-  std::unique_ptr<http_parser> Parser;
-  http_parser_type Type;
-  message_head Head;
+  enum class part : std::uint8_t {
+    StartLine,
+    Fields,
+    Body,      ///< Of a length or up to the end of the connection.
+    ChunkLine, ///< Size and extensions.
+    ChunkBytes,
+    ChunkEnd, ///< CR LF behind the bytes of a chunk.
+    Trailers,
+    End, ///< The message is complete.
+    Failed
+  };
+
+  bool isInBytes() const {
+    return Part == part::Body || Part == part::ChunkBytes;
+  }
+  std::size_t takeLinePart(std::string_view Bytes, bool &IsWhole);
+  void takeLine(std::string_view Text);
+  void takeStartLine(std::string_view Text);
+  void takeField(std::string_view Text);
+  void takeChunkLine(std::string_view Text);
+  void takeTrailer(std::string_view Text);
+  void endHead();
+  void endBytes();
+  void fail(message_fault Why);
+
+  message_kind Kind;
   std::size_t MaxHeadBytes;
-  bool LastWasValue = false;
-  bool TooLarge = false;
-  bool InMessage = false;
-  bool Ended = false;
   bool NoBody = false;
-  bool HeadDone = false;
-  std::optional<std::uint64_t> TotalBytes; ///< Declared length of the body.
-
-  template <typename Sink> friend struct callbacks;
-};
-
-/// User data of the C callbacks: the parser and its owner.
-template <typename Sink> struct callbacks {
-  message_parser *Parser;
-  Sink *Owner;
-
-  static callbacks &of(http_parser *Raw) {
-    return *static_cast<callbacks *>(Raw->data);
-  }
-  static int begin(http_parser *Raw) {
-    of(Raw).Parser->InMessage = true;
-    return 0;
-  }
-  static int url(http_parser *Raw, const char *Data, std::size_t Size) {
-    return of(Raw).Parser->onUrl(Data, Size);
-  }
-  static int field(http_parser *Raw, const char *Data, std::size_t Size) {
-    return of(Raw).Parser->onField(Data, Size);
-  }
-  static int value(http_parser *Raw, const char *Data, std::size_t Size) {
-    return of(Raw).Parser->onValue(Data, Size);
-  }
-  static int head(http_parser *Raw) {
-    of(Raw).Parser->HeadDone = true;
-    of(Raw).Parser->TotalBytes = of(Raw).Parser->declaredLength();
-    of(Raw).Owner->onHead();
-    return of(Raw).Parser->NoBody ? 1 : 0;
-  }
-  static int body(http_parser *Raw, const char *Data, std::size_t Size) {
-    of(Raw).Owner->onBody({Data, Size});
-    return 0;
-  }
-  static int message(http_parser *Raw) {
-    of(Raw).Parser->InMessage = false;
-    of(Raw).Parser->Ended = true;
-    http_parser_pause(Raw, 1);
-    return 0;
-  }
-  static const http_parser_settings &settings() {
-    static const http_parser_settings Settings = [] {
-      http_parser_settings Value{};
-      http_parser_settings_init(&Value);
-      Value.on_message_begin = begin;
-      Value.on_url = url;
-      Value.on_header_field = field;
-      Value.on_header_value = value;
-      Value.on_headers_complete = head;
-      Value.on_body = body;
-      Value.on_message_complete = message;
-      return Value;
-    }();
-    return Settings;
-  }
+  message_head Head;
+  std::string Line; ///< Received of the current line.
+  part Part = part::StartLine;
+  message_fault Fault = message_fault::None;
+  std::string Method;
+  int Status = 0;
+  bool IsHttp10 = false;
+  bool KeepsAlive = false;
+  bool InMessage = false;
+  bool HeadDone = false; ///< Set by endHead() until onHead was called.
+  framing Framing;
+  std::uint64_t BytesLeft = 0; ///< Of the body or the chunk.
 };
 
 template <parser_sink Sink>
 feed_result message_parser::feed(Sink &S, std::string_view Bytes,
                                  std::size_t &Used) {
   Used = 0;
-  if (Bytes.empty())
+  while (Part != part::End && Part != part::Failed && Used < Bytes.size()) {
+    std::string_view Rest = Bytes.substr(Used);
+    if (isInBytes()) {
+      auto Count = static_cast<std::size_t>(
+          std::min<std::uint64_t>(BytesLeft, Rest.size()));
+      S.onBody(Rest.substr(0, Count));
+      Used += Count;
+      BytesLeft -= Count;
+      endBytes();
+      continue;
+    }
+    bool IsWhole = false;
+    Used += takeLinePart(Rest, IsWhole);
+    if (!IsWhole)
+      continue;
+    takeLine(Line);
+    Line.clear();
+    if (std::exchange(HeadDone, false))
+      S.onHead();
+  }
+  if (Part == part::Failed)
+    return Fault == message_fault::HeadTooLarge ? feed_result::HeaderTooLarge
+                                                : feed_result::Bad;
+  if (Part != part::End)
     return feed_result::Fine;
-  return run(S, Bytes.data(), Bytes.size(), Used);
+  InMessage = false;
+  S.onMessage();
+  return feed_result::Paused;
 }
 
-template <parser_sink Sink>
-feed_result message_parser::run(Sink &S, const char *Data, std::size_t Size,
-                                std::size_t &Used) {
-  callbacks<Sink> Context{this, &S};
-  Parser->data = &Context;
-  Used = http_parser_execute(Parser.get(), &callbacks<Sink>::settings(), Data,
-                             Size);
-  Parser->data = nullptr;
-  if (TooLarge)
-    return feed_result::HeaderTooLarge;
-  if (Ended) {
-    Ended = false;
-    S.onMessage();
-    return feed_result::Paused;
-  }
-  if (HTTP_PARSER_ERRNO(Parser.get()) != HPE_OK || Parser->upgrade)
+template <parser_sink Sink> feed_result message_parser::feedEnd(Sink &S) {
+  if (Part != part::Body || Framing.Body != body_framing::UntilEnd) {
+    fail(message_fault::Cut);
     return feed_result::Bad;
-  return feed_result::Fine;
+  }
+  Part = part::End;
+  InMessage = false;
+  S.onMessage();
+  return feed_result::Paused;
 }
 
 } // namespace turmerichead::http1::pvt
--- a/src/libhttp1/parser_test.cpp
+++ b/src/libhttp1/parser_test.cpp
@@ -30,7 +30,7 @@
 // Feeds the bytes in pieces that end at the given places.
 outcome parseIn(std::string_view Bytes, std::vector<std::size_t> Cuts) {
   constexpr std::size_t MaxHeadBytes = 4096;
-  message_parser Parser(HTTP_REQUEST, MaxHeadBytes);
+  message_parser Parser(message_kind::Request, MaxHeadBytes);
   kept_sink Sink;
   outcome Outcome;
   Cuts.push_back(Bytes.size());
--- a/src/libhttp1/server_pvt.h
+++ b/src/libhttp1/server_pvt.h
@@ -31,7 +31,7 @@
 /// A connection of a client. Owned by the server.
 struct server_connection {
   buffered_socket Socket;
-  message_parser Parser{HTTP_REQUEST, 0};
+  message_parser Parser{message_kind::Request, 0};
   std::string Input;
   std::string Body;
   server_phase Phase = server_phase::Receiving;
--- a/src/libhttp1/server_requests.cpp
+++ b/src/libhttp1/server_requests.cpp
@@ -98,7 +98,7 @@
     refuse(Id, Row, status::HeadersTooLarge, "the headers are over the limit");
     return false;
   case feed_result::Bad:
-    refuse(Id, Row, status::BadRequest, Row.Parser.errorText());
+    refuse(Id, Row, status::BadRequest, textOf(Row.Parser.fault()));
     return false;
   case feed_result::Paused:
     dispatch(Id, Row);
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -538,6 +538,9 @@
     return;
   }
   Upstreams.recordFailure(Attempt.UpstreamId, Now);
+  if (Result.Fault != http1::message_fault::None)
+    Metrics.add("upstream_answers_refused_total",
+                "reason=\"" + std::string(nameOf(Result.Fault)) + "\"");
   Call.MayHaveRun = true;
   Call.Permit.reset();
   recordAbort(Call, Attempt, abort_kind::Broken);
