A full log of a disk host is maintained, opened again and freed

Callers got 503 "too few disk hosts answered" for every turn once the disks were full, for good. Every append was refused above the maximum size, also those of compaction and of the state, which is written before a segment is removed and at each start. So nothing could be freed after the records had expired, a new disk set could not be stored, and a host could not start again (exit 1 in a loop). A compaction that failed midway left its copies in the log.

Records now have a purpose. The log refuses new turns first, then the ends of turns, then copied records, and never its upkeep, which is bounded by a segment. With three members a host that catches up gets at most 1.5 times as many records as a member may have, so that they fit. All segments without live records are removed at once, without an append where the state is in another segment. A state that a failed sync has discarded is written again with the next one.

--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -36,6 +36,16 @@
   std::uint64_t MaxBytes = 0; ///< Of all segments together; 0: no limit.
 };
 
+/// What a record is appended for. A log that fills up refuses the first of
+/// these first, so that work in progress can end, a host that catches up has
+/// room for what it copies, and the log itself can always be maintained.
+enum class record_purpose : std::uint8_t {
+  NewWork,    ///< The start of a turn.
+  Completion, ///< The end of a turn that has been started.
+  Copy,       ///< A record that other hosts have accepted.
+  Upkeep      ///< The host's state and compaction; never refused.
+};
+
 /// The result of reading a log when it is opened.
 struct log_recovery {
   std::uint64_t Records = 0; ///< Valid records.
@@ -59,8 +69,13 @@
   open(log_settings Settings, const visitor &Visit, log_recovery &Recovery);
 
   /// Appends a record to the buffer and returns its position. Fails with
-  /// Refused if the log would exceed MaxBytes.
-  std::optional<log_position> append(std::string_view Bytes);
+  /// Refused if the log would exceed its limit for \p Purpose.
+  std::optional<log_position>
+  append(std::string_view Bytes,
+         record_purpose Purpose = record_purpose::Completion);
+
+  /// Whether append() would refuse a record of \p Size bytes.
+  bool refuses(record_purpose Purpose, std::uint64_t Size) const;
 
   /// Makes all appended records durable. Returns false, with Unavailable, if
   /// writing or syncing fails; the records that were appended since the last
--- a/src/include/turmerichead/turns_record_store.h
+++ b/src/include/turmerichead/turns_record_store.h
@@ -23,14 +23,15 @@
   open(record_store_settings Settings, time_point Now, log_recovery &Recovery);
 
   const state_record &state() const { return State; }
-  /// Stores a new state. Returns false, with the reason, if the log refuses the
-  /// record.
-  bool setState(const state_record &Value);
+  /// Stores a new state, also in a full log.
+  void setState(const state_record &Value);
 
   /// Stores a record; a turn that is already stored is skipped. Returns false,
   /// with the reason, if the log refuses the record.
-  bool add(const turn_record &Turn, time_point Now);
-  bool add(const spend_record &Spend, time_point Now);
+  bool add(const turn_record &Turn, time_point Now,
+           record_purpose Purpose = record_purpose::Completion);
+  bool add(const spend_record &Spend, time_point Now,
+           record_purpose Purpose = record_purpose::Completion);
   /// Stores an encoded record from the log of another host. State records are
   /// skipped, and so are records that add no information: a host that catches
   /// up receives most records from every other host. Returns false, with the
@@ -51,9 +52,10 @@
   /// that catches up. Fails like record_log::scan().
   std::optional<copy_reply> copyFrom(log_position From, std::size_t MaxBytes);
 
-  /// Removes expired records from the index and compacts at most one segment.
-  /// Call it about once a second. Returns false, with the reason, if reading or
-  /// writing the log fails.
+  /// Removes expired records from the index and the segments without live
+  /// records, and compacts at most one more segment. Call it about once a
+  /// second. Returns false, with the reason, if reading or writing the log
+  /// fails.
   bool compact(time_point Now);
 
   /// Returns whether all records before \p Position are durable.
@@ -65,18 +67,27 @@
     return Log.end().Offset - Log.syncedEnd().Offset;
   }
 
-  /// Size of the log.
+  /// Size of the log, and its maximum; 0: no maximum.
   std::uint64_t bytes() const { return Log.bytes(); }
+  std::uint64_t maxBytes() const { return Log.maxBytes(); }
+  /// Whether the log has no room for new turns.
+  bool isFull() const { return Log.refuses(record_purpose::NewWork, 0); }
 
 private:
   explicit record_store(record_log Log) : Log(std::move(Log)) {}
+  /// Removes the segments without live records; the newest one stays.
+  bool removeDeadSegments();
   /// Copies the live records of a segment to the end of the log and removes the
   /// segment.
   bool compactSegment(std::uint64_t Segment);
+  /// Stores the state again unless it is on disk outside of \p Segment.
+  bool keepState(std::uint64_t Segment);
 
   record_log Log;
   turn_index Index;
   state_record State;
+  /// Segment with the newest state record; 0: it is not in the log.
+  std::uint64_t StateSegment = 0;
 };
 
 } // namespace turmerichead::turns
--- a/src/include/turmerichead/turns_records.h
+++ b/src/include/turmerichead/turns_records.h
@@ -90,7 +90,8 @@
   Ok,
   OverBudget, ///< Not reserved: this host's sum alone exceeds the budget.
   OldSet,     ///< Refused; the reply contains the host's set.
-  Failed      ///< The log refused a write or can't be read.
+  Failed,     ///< The log can't be read or written.
+  Full        ///< Not stored: the log has no room for it.
 };
 
 /// The reply to an open_request or a lookup_request.
--- a/src/include/turmerichead/turns_replica.h
+++ b/src/include/turmerichead/turns_replica.h
@@ -52,6 +52,9 @@
   std::uint64_t SyncFailures = 0;
   std::uint64_t RefusedOldSet = 0;
   std::uint64_t CopiedRecords = 0;
+  std::uint64_t LogBytes = 0;
+  std::uint64_t MaxLogBytes = 0; ///< 0: no maximum.
+  bool IsLogFull = false;        ///< Whether new turns are refused.
 };
 
 /// Runs on the event loop of its thread.
--- a/src/include/turmerichead/turns_replica_core.h
+++ b/src/include/turmerichead/turns_replica_core.h
@@ -105,6 +105,11 @@
   /// Removes expired records; see record_store::compact().
   bool compact(time_point Now);
   std::uint64_t copiedRecords() const { return Copied; }
+  /// Size of the log and its maximum.
+  std::uint64_t logBytes() const { return Store.bytes(); }
+  std::uint64_t maxLogBytes() const { return Store.maxBytes(); }
+  /// Whether the log has no room for new turns.
+  bool isFull() const { return Store.isFull(); }
 
 private:
   /// Adopts the set of a request if it is newer. Returns false if the request
--- a/src/libturns/client_open.cpp
+++ b/src/libturns/client_open.cpp
@@ -144,6 +144,9 @@
   case decision::SecondRound:
     startSecondRound(Id);
     return;
+  case decision::DisksFull:
+    finishOpen(Id, open_outcome::Unknown, "the disk hosts are full");
+    return;
   case decision::OverBudget:
     finishOpen(Id, open_outcome::OverBudget, "the budget is spent");
     return;
--- a/src/libturns/index.cpp
+++ b/src/libturns/index.cpp
@@ -87,6 +87,16 @@
                 [&](const auto &Row) { return Row.second.RetainUntil < Now; });
 }
 
+std::set<std::uint64_t> turn_index::liveSegments() const {
+  std::set<std::uint64_t> Segments;
+  for (const auto &[Id, Row] : Turns)
+    Segments.insert(Row.Position.Segment);
+  for (const auto &[Name, Program] : Programs)
+    for (const auto &[Attempt, Entry] : Program.Attempts)
+      Segments.insert(Entry.Position.Segment);
+  return Segments;
+}
+
 std::vector<live_record>
 turn_index::findLiveRecords(std::uint64_t Segment) const {
   std::vector<live_record> Live;
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
+#include <limits>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
@@ -25,6 +26,27 @@
 constexpr std::string_view Prefix = "segment-";
 constexpr std::string_view Suffix = ".log";
 
+// A new turn is refused above 60 % of the maximum size, its end above 66 %. A
+// host that catches up stores the turns of all members, each of which is on
+// more than half of them: 1.5 times the size of their logs with three members.
+constexpr std::uint64_t NewWorkPercent = 60;
+constexpr std::uint64_t CompletionPercent = 66;
+constexpr std::uint64_t Hundred = 100;
+
+std::uint64_t limitFor(record_purpose Purpose, std::uint64_t MaxBytes) {
+  switch (Purpose) {
+  case record_purpose::NewWork:
+    return MaxBytes / Hundred * NewWorkPercent;
+  case record_purpose::Completion:
+    return MaxBytes / Hundred * CompletionPercent;
+  case record_purpose::Copy:
+    return MaxBytes;
+  case record_purpose::Upkeep:
+    break;
+  }
+  return std::numeric_limits<std::uint64_t>::max();
+}
+
 std::string errnoText(std::string_view What) {
   return std::string(What) + ": " + std::strerror(errno);
 }
@@ -196,10 +218,16 @@
   return true;
 }
 
-std::optional<log_position> record_log::append(std::string_view Bytes) {
-  std::uint64_t Size = RecordHeaderBytes + Bytes.size();
-  if (Settings.MaxBytes > 0 && TotalBytes + Size > Settings.MaxBytes)
+bool record_log::refuses(record_purpose Purpose, std::uint64_t Size) const {
+  return Settings.MaxBytes > 0 && TotalBytes + RecordHeaderBytes + Size >
+                                      limitFor(Purpose, Settings.MaxBytes);
+}
+
+std::optional<log_position> record_log::append(std::string_view Bytes,
+                                               record_purpose Purpose) {
+  if (refuses(Purpose, Bytes.size()))
     return fail(error_code::Refused, "the log has reached its maximum size");
+  std::uint64_t Size = RecordHeaderBytes + Bytes.size();
   auto &[Number, Segment] = *Segments.rbegin();
   log_position Position{Number, Segment.Size,
                         static_cast<std::uint32_t>(Bytes.size())};
--- a/src/libturns/log_test.cpp
+++ b/src/libturns/log_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <rapidcheck.h>
 #include <unistd.h>
 
@@ -173,3 +174,48 @@
     RC_ASSERT(Again.Log.has_value());
   }));
 }
+
+TEST_CASE("a power loss that kept later writes and lost earlier ones is no "
+          "damage") {
+  // After a power loss each write since the last sync is present, missing (as
+  // zeros) or torn, each by itself.
+  constexpr std::size_t BlockBytes = 64;
+  CHECK(rc::check([=](std::uint32_t Seed) {
+    std::mt19937 Random(Seed);
+    temporary_folder Folder;
+    std::vector<std::string> Synced;
+    std::uint64_t SyncedSize = 0;
+    {
+      opened_log First(Folder.Path, 1U << 20U);
+      for (int I = 0; I < 5; ++I) {
+        Synced.push_back(std::string(Random() % 100, 's'));
+        REQUIRE(First.Log->append(Synced.back()));
+      }
+      REQUIRE(First.Log->sync());
+      SyncedSize = First.Log->end().Offset;
+      for (int I = 0; I < 20; ++I)
+        REQUIRE(First.Log->append(std::string(Random() % 100, 'u')));
+      REQUIRE(First.Log->sync());
+    }
+    std::string File = newestNonEmptySegment(Folder.Path);
+    std::uint64_t Size = std::filesystem::file_size(File);
+    std::fstream Stream(File, std::ios::in | std::ios::out | std::ios::binary);
+    for (std::uint64_t At = SyncedSize; At < Size; At += BlockBytes) {
+      if (Random() % 2 == 0)
+        continue;
+      Stream.seekp(static_cast<std::streamoff>(At));
+      Stream << std::string(std::min<std::uint64_t>(BlockBytes, Size - At),
+                            '\0');
+    }
+    Stream.close();
+    for (int I = 0; I < 2; ++I) {
+      opened_log Again(Folder.Path, 1U << 20U);
+      RC_ASSERT(!Again.Recovery.Damaged);
+      RC_ASSERT(Again.Records.size() >= Synced.size());
+      for (std::size_t J = 0; J < Synced.size(); ++J)
+        RC_ASSERT(Again.Records[J] == Synced[J]);
+      for (std::size_t J = Synced.size(); J < Again.Records.size(); ++J)
+        RC_ASSERT(Again.Records[J].find('\0') == std::string::npos);
+    }
+  }));
+}
--- a/src/libturns/quorum.cpp
+++ b/src/libturns/quorum.cpp
@@ -14,6 +14,10 @@
   return Reply.Status == static_cast<std::uint8_t>(reply_status::OverBudget);
 }
 
+bool isFull(const open_reply &Reply) {
+  return Reply.Status == static_cast<std::uint8_t>(reply_status::Full);
+}
+
 } // namespace
 
 void reservation_quorum::mergeRows(const open_reply &Reply) {
@@ -27,9 +31,11 @@
 
 void reservation_quorum::onReply(std::string_view Address,
                                  const open_reply &Reply) {
-  if (!isOk(Reply) && !isOverBudget(Reply))
+  if (!isOk(Reply) && !isOverBudget(Reply) && !isFull(Reply))
     return;
   Replied.emplace(Address);
+  if (isFull(Reply))
+    FullHosts.emplace(Address);
   if (isOk(Reply))
     Persisted.emplace(Address);
   if (Reply.CaughtUp)
@@ -60,6 +66,11 @@
   auto IsPersisted = [&](std::string_view Address) {
     return Persisted.contains(Address);
   };
+  auto HasRoom = [&](std::string_view Address) {
+    return !FullHosts.contains(Address);
+  };
+  if (!isWriteQuorum(Set, HasRoom))
+    return decision::DisksFull;
   if (!isReadQuorum(Set, IsCaughtUp))
     return decision::Pending;
   if (spent() + Tokens > Budget)
--- a/src/libturns/quorum_pvt.h
+++ b/src/libturns/quorum_pvt.h
@@ -27,7 +27,8 @@
     AwaitStragglers, ///< A majority has it; wait briefly for the others.
     SecondRound,     ///< A majority has it; read the reservations again.
     Granted,
-    OverBudget
+    OverBudget,
+    DisksFull ///< Too many members have no room for it.
   };
 
   reservation_quorum(disk_set Set, std::uint64_t Tokens, std::uint64_t Budget)
@@ -62,6 +63,7 @@
   std::uint64_t Budget;
   std::set<std::string, std::less<>> Replied;
   std::set<std::string, std::less<>> Persisted; ///< Hosts that have it on disk.
+  std::set<std::string, std::less<>> FullHosts;
   std::set<std::string, std::less<>> CaughtUpHosts; ///< Replied as caught up.
   /// Hosts that replied to the second read as caught up.
   std::set<std::string, std::less<>> SecondReplies;
--- a/src/libturns/quorum_test.cpp
+++ b/src/libturns/quorum_test.cpp
@@ -182,3 +182,14 @@
   CHECK(!Search.onReply("b:1", "t2", true, {true, "", "[1][2]", ""}));
   CHECK(Search.wanted() == "t1");
 }
+
+TEST_CASE("a_reservation_that_full_disks_refuse_is_decided_without_a_timeout") {
+  // Callers waited for the timeout of the open.
+  open_reply Full = ok();
+  Full.Status = static_cast<std::uint8_t>(reply_status::Full);
+  reservation_quorum Quorum(Set, 10, 100);
+  Quorum.onReply("a:1", Full);
+  CHECK(Quorum.decide(false) == decision::Pending);
+  Quorum.onReply("b:1", Full);
+  CHECK(Quorum.decide(false) == decision::DisksFull);
+}
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -60,25 +60,30 @@
     Store.State.CaughtUp = false;
   // Each start begins a new segment, which has to contain the state: the older
   // segments may be removed.
-  if (!Store.setState(Store.State) || !Store.sync())
+  Store.setState(Store.State);
+  if (!Store.sync())
     return std::nullopt;
   return Store;
 }
 
-bool record_store::setState(const state_record &Value) {
+void record_store::setState(const state_record &Value) {
   State = Value;
-  return Log.append(packRecord(record_kind::State, State)).has_value();
+  auto Position =
+      Log.append(packRecord(record_kind::State, State), record_purpose::Upkeep);
+  StateSegment = Position ? Position->Segment : 0;
 }
 
-bool record_store::add(const turn_record &Turn, time_point Now) {
+bool record_store::add(const turn_record &Turn, time_point Now,
+                       record_purpose Purpose) {
   if (Index.hasTurn(Turn.Id))
     return true;
-  auto Position = Log.append(packRecord(record_kind::Turn, Turn));
+  auto Position = Log.append(packRecord(record_kind::Turn, Turn), Purpose);
   return Position && (Index.addTurn(Turn, *Position, Now), true);
 }
 
-bool record_store::add(const spend_record &Spend, time_point Now) {
-  auto Position = Log.append(packRecord(record_kind::Spend, Spend));
+bool record_store::add(const spend_record &Spend, time_point Now,
+                       record_purpose Purpose) {
+  auto Position = Log.append(packRecord(record_kind::Spend, Spend), Purpose);
   return Position && (Index.addSpend(Spend, *Position, Now), true);
 }
 
@@ -91,17 +96,21 @@
     if (Known && Index.hasTurn(Known->Id))
       return true;
     auto Turn = unpackRecord<turn_record>(Bytes);
-    return Turn && add(*Turn, Now);
+    return Turn && add(*Turn, Now, record_purpose::Copy);
   }
   auto Spend = unpackRecord<spend_record>(Bytes);
   if (Spend && Index.hasSpend(*Spend))
     return true;
-  return Spend && add(*Spend, Now);
+  return Spend && add(*Spend, Now, record_purpose::Copy);
 }
 
 bool record_store::sync() {
+  // A failed sync may have discarded the newest state.
+  if (StateSegment == 0)
+    setState(State);
   if (Log.sync())
     return true;
+  StateSegment = 0;
   Index.removeTurnsFrom(Log.end());
   return false;
 }
@@ -149,35 +158,57 @@
 
 bool record_store::compactSegment(std::uint64_t Segment) {
   std::vector<live_record> Live = Index.findLiveRecords(Segment);
-  std::vector<log_position> Positions;
+  // All are read before the first one is copied: copies that a failed read
+  // leaves behind would fill the log.
+  std::vector<std::string> Records;
   for (const live_record &Record : Live) {
     auto Bytes = Log.read(Record.Position);
-    auto Position = Bytes ? Log.append(*Bytes) : std::nullopt;
+    if (!Bytes)
+      return false;
+    Records.push_back(std::move(*Bytes));
+  }
+  std::vector<log_position> Positions;
+  for (const std::string &Bytes : Records) {
+    auto Position = Log.append(Bytes, record_purpose::Upkeep);
     if (!Position)
       return false;
     Positions.push_back(*Position);
   }
-  if (!Log.sync())
+  if (!sync())
     return false;
   for (std::size_t I = 0; I < Live.size(); ++I)
     Index.relocate(Live[I], Positions[I]);
   return Log.remove(Segment);
 }
 
+bool record_store::keepState(std::uint64_t Segment) {
+  if (StateSegment != 0 && StateSegment != Segment)
+    return true;
+  setState(State);
+  return sync();
+}
+
+bool record_store::removeDeadSegments() {
+  std::set<std::uint64_t> Live = Index.liveSegments();
+  std::vector<std::uint64_t> Segments = Log.segments();
+  Segments.pop_back();
+  for (std::uint64_t Segment : Segments)
+    if (!Live.contains(Segment) && !(keepState(Segment) && Log.remove(Segment)))
+      return false;
+  return true;
+}
+
 bool record_store::compact(time_point Now) {
   Index.expire(Now);
-  std::vector<std::uint64_t> Segments = Log.segments();
-  if (Segments.size() < 2)
-    return true;
-  std::uint64_t Oldest = Segments.front();
-  bool HasNoLiveRecords = Index.findLiveRecords(Oldest).empty();
+  if (!removeDeadSegments())
+    return false;
   bool AboveThreshold =
       Log.maxBytes() > 0 &&
       Log.bytes() * Hundred > Log.maxBytes() * CompactAbovePercent;
-  if (!HasNoLiveRecords && !AboveThreshold)
+  std::vector<std::uint64_t> Segments = Log.segments();
+  if (Segments.size() < 2 || !AboveThreshold)
     return true;
-  // The state is written again first, since it may be in the removed segment.
-  return setState(State) && Log.sync() && compactSegment(Oldest);
+  return keepState(Segments.front()) && compactSegment(Segments.front());
 }
 
 } // namespace turmerichead::turns
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -80,6 +80,20 @@
   return Synced;
 }
 
+void replica::impl::compact() {
+  if (syncNow() && !Core->compact(steadyNow()))
+    log::error("failed to compact log", {{"reason", lastError().Text}});
+  logIfFull();
+}
+
+void replica::impl::logIfFull() {
+  if (Core->isFull() == LoggedFull)
+    return;
+  LoggedFull = Core->isFull();
+  log::warn(LoggedFull ? "log is full" : "log has room again",
+            {{"bytes", Core->logBytes()}, {"max_bytes", Core->maxLogBytes()}});
+}
+
 template <typename Message, typename Handler>
 void replica::impl::serve(const peer_request_view &Request, Handler Handle) {
   auto Value = unpack<Message>(Request.Body);
@@ -150,6 +164,9 @@
                            {"torn_bytes", Recovery.TornBytes},
                            {"damaged", Recovery.Damaged},
                            {"damage", Recovery.DamageText},
+                           {"bytes", Raw->Core->logBytes()},
+                           {"max_bytes", Raw->Core->maxLogBytes()},
+                           {"full", Raw->Core->isFull()},
                            {"epoch", Raw->Core->set().Epoch},
                            {"caught_up", Raw->Core->caughtUp()}});
   peer_settings Peer = linkSettings(Raw->Settings.Self.Address);
@@ -165,8 +182,7 @@
     return true;
   });
   Raw->CompactionTimer = loop_source::every(CompactionInterval, [Raw] {
-    if (Raw->syncNow() && !Raw->Core->compact(steadyNow()))
-      log::error("failed to compact log", {{"reason", lastError().Text}});
+    Raw->compact();
     return true;
   });
   return replica(std::move(Impl));
@@ -188,6 +204,9 @@
 replica_counters replica::counters() const {
   replica_counters Counters = Impl->Counters;
   Counters.CopiedRecords = Impl->Core->copiedRecords();
+  Counters.LogBytes = Impl->Core->logBytes();
+  Counters.MaxLogBytes = Impl->Core->maxLogBytes();
+  Counters.IsLogFull = Impl->Core->isFull();
   return Counters;
 }
 const turn_index &replica::index() const { return Impl->Core->index(); }
--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -53,7 +53,8 @@
   // A host that is not an old member may have missed writes of the others.
   if (!hasAddress(Set.Members, Self.Address))
     State.CaughtUp = false;
-  return Store.setState(State);
+  Store.setState(State);
+  return true;
 }
 
 core_reply<open_reply> replica_core::open(const open_request &Request,
@@ -78,8 +79,8 @@
     Reply.Status = codeOf(reply_status::OverBudget);
     return {std::move(Reply)};
   }
-  if (!Store.add(Request.Spend, Now)) {
-    Reply.Status = codeOf(reply_status::Failed);
+  if (!Store.add(Request.Spend, Now, record_purpose::NewWork)) {
+    Reply.Status = codeOf(reply_status::Full);
     return {std::move(Reply)};
   }
   return {std::move(Reply), true};
@@ -94,7 +95,7 @@
   bool Kept = (!HasBudget || Store.add(Request.Spend, Now)) &&
               (!Request.HasTurn || Store.add(Request.Turn, Now));
   if (!Kept) {
-    Reply.Status = codeOf(reply_status::Failed);
+    Reply.Status = codeOf(reply_status::Full);
     return {Reply};
   }
   return {Reply, true};
@@ -244,7 +245,8 @@
     return false;
   state_record State = Store.state();
   State.CaughtUp = true;
-  return Store.setState(State);
+  Store.setState(State);
+  return true;
 }
 
 bool replica_core::sync() {
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -31,6 +31,7 @@
   loop_source ScheduledSync;
   loop_source CompactionTimer;
   std::uint64_t LoggedEpoch = 0; ///< Epoch of the set that was last logged.
+  bool LoggedFull = false;       ///< Whether the log was last reported as full.
 
   void onRequest(const peer_request_view &Request);
   /// Decodes a request and passes it to \p Handle, which has to reply. Replies
@@ -42,6 +43,8 @@
   void sendReply(peer_reply_id Id, const core_reply<Reply> &Value);
   /// Logs a newly adopted set and schedules a sync.
   void handleSetChange();
+  void compact();
+  void logIfFull();
   /// Schedules one sync for all requests that are handled until then.
   void scheduleSync();
   /// Syncs the disk and sends all pending replies. Every sync has to go through
