An empty disk among used ones is no first start, whatever the settings say

When all hosts were started with bootstrap true and one disk was empty, its host counted as caught up.

bootstrap now only says that this may be the first start of all. The host stores that, asks the other disk hosts by ping, and counts as caught up once a read quorum with itself is at its first start. Hosts store the ids of the disks that they have counted, so that restarts and lost replies don't leave anyone waiting. A host that denies makes the asking one copy. The fields are optional; hosts of the version before neither confirm nor deny. The disk hosts ping each other as soon as they know of each other, so the first start is confirmed when the first set arrives.

--- a/src/include/turmerichead/turns_record_store.h
+++ b/src/include/turmerichead/turns_record_store.h
@@ -11,6 +11,9 @@
   /// Whether the whole system starts for the first time, so that an empty disk
   /// is expected. Otherwise an empty disk has lost acknowledged records.
   bool FirstStart = false;
+  /// Whether other members have to confirm FirstStart before an empty disk
+  /// counts as caught up; see replica_core::ping().
+  bool ConfirmFirstStart = false;
 };
 
 /// Stores records in the log and looks them up in the index. Changes are
--- a/src/include/turmerichead/turns_records.h
+++ b/src/include/turmerichead/turns_records.h
@@ -46,7 +46,13 @@
   disk_set Set; ///< Newest known set; requests with an older one are refused.
   bool CaughtUp =
       false; ///< Whether it has all writes that it ever acknowledged.
-  MSGPACK_DEFINE(Set, CaughtUp)
+  /// Whether this is the first start of all, according to the settings only:
+  /// the other members have not confirmed it.
+  bool IsFirstStart = false;
+  std::uint64_t DiskId = 0; ///< Chosen when the disk was empty; 0: unknown.
+  /// Ids of the other disks that were empty at the first start of all.
+  std::vector<std::uint64_t> FirstDisks;
+  MSGPACK_DEFINE(Set, CaughtUp, IsFirstStart, DiskId, FirstDisks)
 };
 
 enum class record_kind : std::uint8_t { Turn = 1, Spend = 2, State = 3 };
@@ -159,14 +165,19 @@
 /// Checks that a host replies, and exchanges the newest sets.
 struct ping_request {
   disk_set Set;
-  MSGPACK_DEFINE(Set)
+  std::uint64_t DiskId = 0; ///< 0 from hosts that do not send it.
+  /// Whether the host asks for a confirmation of the first start of all.
+  bool IsFirstStart = false;
+  MSGPACK_DEFINE(Set, DiskId, IsFirstStart)
 };
 
 /// The reply to a ping_request.
 struct ping_reply {
   disk_set Set;
   bool CaughtUp = false;
-  MSGPACK_DEFINE(Set, CaughtUp)
+  std::uint64_t DiskId = 0;  ///< 0 from hosts that do not send it.
+  bool IsFirstStart = false; ///< Whether it confirms that of the request.
+  MSGPACK_DEFINE(Set, CaughtUp, DiskId, IsFirstStart)
 };
 
 /// Encodes a record for the log: one byte for its kind, then msgpack.
--- a/src/include/turmerichead/turns_replica_core.h
+++ b/src/include/turmerichead/turns_replica_core.h
@@ -9,6 +9,7 @@
 #include "turmerichead/turns_record_store.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -64,6 +65,20 @@
   /// catching up. Fails with Corrupt if the log can't be read.
   std::optional<core_reply<copy_reply>> copy(const copy_request &Request);
 
+  // -- The first start of all --
+  //
+  // The settings may name the first start of all again after a disk was lost.
+  // So a host with an empty disk counts as caught up only once a read quorum,
+  // with itself, is at its first start too. Any member that is not, and does
+  // not know the disk from its own first start, makes it copy instead.
+
+  /// Whether the first start of all has yet to be confirmed.
+  bool isFirstStart() const { return Store.state().IsFirstStart; }
+  ping_request pingRequest() const;
+  /// Adopts the set of a ping from \p Address and replies to it.
+  ping_reply ping(std::string_view Address, const ping_request &Request);
+  void onPingReply(std::string_view Address, const ping_reply &Reply);
+
   // -- Catching up with the other members --
 
   /// Whether the host must copy records from other members before its replies
@@ -115,12 +130,17 @@
   /// Adopts the set of a request if it is newer. Returns false if the request
   /// has to be refused.
   bool acceptSet(const disk_set &Set);
+  /// Notes that the host at \p Address is at its first start too.
+  void addFirstDisk(std::string_view Address, std::uint64_t DiskId);
+  void confirmFirstStart();
   static void restart(copy_progress &Progress);
   void restartCopies();
 
   disk_host Self;
   record_store Store;
   std::uint64_t LogId;
+  /// Addresses of other hosts at their first start.
+  std::set<std::string, std::less<>> AtFirstStart;
   std::map<std::string, copy_progress, std::less<>> Copies; ///< By address.
   std::uint64_t CopyEpoch = 0; ///< Epoch in which copies may be finished.
   /// Whether records have expired since the copies began.
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -2,6 +2,8 @@
 
 #include "turmerichead/error.h"
 
+#include <random>
+
 namespace turmerichead::turns {
 
 namespace {
@@ -18,6 +20,11 @@
   MSGPACK_DEFINE(Id)
 };
 
+std::uint64_t newDiskId() {
+  std::random_device Device;
+  return std::uniform_int_distribution<std::uint64_t>(1)(Device);
+}
+
 } // namespace
 
 std::optional<record_store> record_store::open(record_store_settings Settings,
@@ -54,10 +61,15 @@
   record_store Store(std::move(*Log));
   Store.Index = std::move(Index);
   Store.State = State;
-  if (Recovery.Records == 0)
-    Store.State.CaughtUp = Settings.FirstStart;
+  if (Recovery.Records == 0) {
+    Store.State.CaughtUp = Settings.FirstStart && !Settings.ConfirmFirstStart;
+    Store.State.IsFirstStart =
+        Settings.FirstStart && Settings.ConfirmFirstStart;
+  }
   if (Recovery.Damaged)
     Store.State.CaughtUp = false;
+  if (Store.State.DiskId == 0)
+    Store.State.DiskId = newDiskId();
   // Each start begins a new segment, which has to contain the state: the older
   // segments may be removed.
   Store.setState(Store.State);
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -80,6 +80,15 @@
   return Synced;
 }
 
+// A host that asks for confirmation may be confirmed or refused at any ping.
+void replica::impl::handleFirstStart() {
+  if (!std::exchange(AwaitsFirstStart, Core->isFirstStart()) ||
+      AwaitsFirstStart)
+    return;
+  log::info("first start decided", {{"confirmed", Core->caughtUp()}});
+  scheduleSync();
+}
+
 void replica::impl::compact() {
   if (syncNow() && !Core->compact(steadyNow()))
     log::error("failed to compact log", {{"reason", lastError().Text}});
@@ -137,8 +146,8 @@
     });
   } else if (Request.Path == PingPath) {
     serve<ping_request>(Request, [&](const ping_request &Value) {
-      Core->adoptSet(Value.Set);
-      sendReply(Id, pack(ping_reply{Core->set(), Core->caughtUp()}));
+      sendReply(Id, pack(Core->ping(Request.Host, Value)));
+      handleFirstStart();
     });
   } else if (Events.OnUnhandledRequest) {
     Events.OnUnhandledRequest(Request);
@@ -155,6 +164,7 @@
   impl *Raw = Impl.get();
   Raw->Settings = std::move(Settings);
   Raw->Events = std::move(Events);
+  Raw->Settings.Store.ConfirmFirstStart = true;
   log_recovery Recovery;
   auto Store = record_store::open(Raw->Settings.Store, steadyNow(), Recovery);
   if (!Store)
@@ -168,7 +178,9 @@
                            {"max_bytes", Raw->Core->maxLogBytes()},
                            {"full", Raw->Core->isFull()},
                            {"epoch", Raw->Core->set().Epoch},
-                           {"caught_up", Raw->Core->caughtUp()}});
+                           {"caught_up", Raw->Core->caughtUp()},
+                           {"first_start", Raw->Core->isFirstStart()}});
+  Raw->AwaitsFirstStart = Raw->Core->isFirstStart();
   peer_settings Peer = linkSettings(Raw->Settings.Self.Address);
   Raw->Links = peer_links::create(Peer, Raw->Settings.SharedKey);
   Raw->Server = peer_server::create(
@@ -191,12 +203,17 @@
 void replica::updateSet(const disk_set &Set) {
   Impl->Core->adoptSet(Set);
   Impl->handleSetChange();
+  Impl->handleFirstStart();
+  if (Impl->AwaitsFirstStart)
+    Impl->pingForFirstStart();
 }
 
 void replica::setHosts(std::vector<disk_host> Registered,
                        std::vector<std::string> Retiring) {
   Impl->Registered = std::move(Registered);
   Impl->Retiring = std::move(Retiring);
+  if (Impl->AwaitsFirstStart)
+    Impl->pingForFirstStart();
 }
 
 const disk_set &replica::set() const { return Impl->Core->set(); }
--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -51,9 +51,12 @@
   state_record State = Store.state();
   State.Set = Set;
   // A host that is not an old member may have missed writes of the others.
-  if (!hasAddress(Set.Members, Self.Address))
+  if (!hasAddress(Set.Members, Self.Address)) {
     State.CaughtUp = false;
+    State.IsFirstStart = false;
+  }
   Store.setState(State);
+  confirmFirstStart();
   return true;
 }
 
@@ -148,6 +151,65 @@
   return core_reply<copy_reply>{std::move(*Batch), NeedsSync};
 }
 
+// -- The first start of all ---------------------------------------------------
+
+ping_request replica_core::pingRequest() const {
+  return {set(), Store.state().DiskId, isFirstStart()};
+}
+
+ping_reply replica_core::ping(std::string_view Address,
+                              const ping_request &Request) {
+  adoptSet(Request.Set);
+  const std::vector<std::uint64_t> &Known = Store.state().FirstDisks;
+  bool KnowsDisk =
+      std::find(Known.begin(), Known.end(), Request.DiskId) != Known.end();
+  bool Confirms = Request.IsFirstStart && Request.DiskId != 0 &&
+                  (isFirstStart() || KnowsDisk);
+  if (Confirms && isFirstStart())
+    addFirstDisk(Address, Request.DiskId);
+  return {set(), caughtUp(), Store.state().DiskId, Confirms};
+}
+
+void replica_core::onPingReply(std::string_view Address,
+                               const ping_reply &Reply) {
+  adoptSet(Reply.Set);
+  if (!isFirstStart() || Reply.DiskId == 0)
+    return;
+  if (Reply.IsFirstStart) {
+    addFirstDisk(Address, Reply.DiskId);
+    return;
+  }
+  state_record State = Store.state();
+  State.IsFirstStart = false;
+  Store.setState(State);
+}
+
+// The ids are stored: after a restart this host still has to confirm the first
+// start of a host that has counted on it.
+void replica_core::addFirstDisk(std::string_view Address,
+                                std::uint64_t DiskId) {
+  AtFirstStart.emplace(Address);
+  state_record State = Store.state();
+  std::vector<std::uint64_t> &Known = State.FirstDisks;
+  if (std::find(Known.begin(), Known.end(), DiskId) == Known.end()) {
+    Known.push_back(DiskId);
+    Store.setState(State);
+  }
+  confirmFirstStart();
+}
+
+void replica_core::confirmFirstStart() {
+  auto IsAtFirstStart = [&](std::string_view Address) {
+    return Address == Self.Address || AtFirstStart.contains(Address);
+  };
+  if (!isFirstStart() || !isReadQuorum(set(), IsAtFirstStart))
+    return;
+  state_record State = Store.state();
+  State.IsFirstStart = false;
+  State.CaughtUp = true;
+  Store.setState(State);
+}
+
 // -- Catching up with the other members ---------------------------------------
 
 void replica_core::restart(copy_progress &Progress) {
@@ -245,6 +307,7 @@
     return false;
   state_record State = Store.state();
   State.CaughtUp = true;
+  State.IsFirstStart = false;
   Store.setState(State);
   return true;
 }
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -43,6 +43,10 @@
   void sendReply(peer_reply_id Id, const core_reply<Reply> &Value);
   /// Logs a newly adopted set and schedules a sync.
   void handleSetChange();
+  bool AwaitsFirstStart = false; ///< Whether it has yet to be confirmed.
+
+  /// Logs and stores the end of the wait for a confirmed first start.
+  void handleFirstStart();
   void compact();
   void logIfFull();
   /// Schedules one sync for all requests that are handled until then.
@@ -59,6 +63,9 @@
 
   void onTick();
   void pingMembers();
+  /// Pings the disk hosts that may confirm the first start of all.
+  void pingForFirstStart();
+  void ping(const std::string &Address);
   void propose();
   std::vector<std::string> findUnresponsiveHosts() const;
   /// \p RetriesFailed: see replica_core::copyRequests().
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -27,6 +27,8 @@
                 steadyNow());
   if (IsMonitoring)
     pingMembers();
+  if (AwaitsFirstStart)
+    pingForFirstStart();
   propose();
   if (Core->needsCopy())
     requestCopies(true);
@@ -35,21 +37,31 @@
 // -- Monitoring and proposals -------------------------------------------------
 
 void replica::impl::pingMembers() {
-  for (const disk_host &Host : Core->set().allMembers()) {
-    if (Host.Address == Settings.Self.Address)
-      continue;
-    Links->setAddress(Host.Address, Host.Address);
-    std::string Address = Host.Address;
-    Links->send(Address,
-                {std::string(PingPath), {}, pack(ping_request{Core->set()})},
-                {[this, Address](std::string_view Bytes) {
-                   Monitor.recordReply(Address, steadyNow());
-                   auto Reply = unpack<ping_reply>(Bytes);
-                   if (Reply && Reply->Set.Epoch > Core->set().Epoch)
-                     Core->adoptSet(Reply->Set);
-                 },
-                 [](const peer_result &) {}});
-  }
+  for (const disk_host &Host : Core->set().allMembers())
+    if (Host.Address != Settings.Self.Address)
+      ping(Host.Address);
+}
+
+void replica::impl::pingForFirstStart() {
+  std::vector<disk_host> Hosts = Core->set().allMembers();
+  for (const disk_host &Host : Registered)
+    if (!hasAddress(Hosts, Host.Address))
+      Hosts.push_back(Host);
+  for (const disk_host &Host : Hosts)
+    if (Host.Address != Settings.Self.Address)
+      ping(Host.Address);
+}
+
+void replica::impl::ping(const std::string &Address) {
+  Links->setAddress(Address, Address);
+  Links->send(Address, {std::string(PingPath), {}, pack(Core->pingRequest())},
+              {[this, Address](std::string_view Bytes) {
+                 Monitor.recordReply(Address, steadyNow());
+                 if (auto Reply = unpack<ping_reply>(Bytes))
+                   Core->onPingReply(Address, *Reply);
+                 handleFirstStart();
+               },
+               [](const peer_result &) {}});
 }
 
 std::vector<std::string> replica::impl::findUnresponsiveHosts() const {
