--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -80,6 +80,29 @@
   return Synced;
 }
 
+// A host that asks for confirmation may be confirmed or refused at any ping.
+void replica::impl::handleFirstStart() {
+  if (!std::exchange(AwaitsFirstStart, Core->isFirstStart()) ||
+      AwaitsFirstStart)
+    return;
+  log::info("first start decided", {{"confirmed", Core->caughtUp()}});
+  scheduleSync();
+}
+
+void replica::impl::compact() {
+  if (syncNow() && !Core->compact(steadyNow()))
+    log::error("failed to compact log", {{"reason", lastError().Text}});
+  logIfFull();
+}
+
+void replica::impl::logIfFull() {
+  if (Core->isFull() == LoggedFull)
+    return;
+  LoggedFull = Core->isFull();
+  log::warn(LoggedFull ? "log is full" : "log has room again",
+            {{"bytes", Core->logBytes()}, {"max_bytes", Core->maxLogBytes()}});
+}
+
 template <typename Message, typename Handler>
 void replica::impl::serve(const peer_request_view &Request, Handler Handle) {
   auto Value = unpack<Message>(Request.Body);
@@ -123,8 +146,8 @@
     });
   } else if (Request.Path == PingPath) {
     serve<ping_request>(Request, [&](const ping_request &Value) {
-      Core->adoptSet(Value.Set);
-      sendReply(Id, pack(ping_reply{Core->set(), Core->caughtUp()}));
+      sendReply(Id, pack(Core->ping(Request.Host, Value)));
+      handleFirstStart();
     });
   } else if (Events.OnUnhandledRequest) {
     Events.OnUnhandledRequest(Request);
@@ -141,6 +164,7 @@
   impl *Raw = Impl.get();
   Raw->Settings = std::move(Settings);
   Raw->Events = std::move(Events);
+  Raw->Settings.Store.ConfirmFirstStart = true;
   log_recovery Recovery;
   auto Store = record_store::open(Raw->Settings.Store, steadyNow(), Recovery);
   if (!Store)
@@ -150,8 +174,13 @@
                            {"torn_bytes", Recovery.TornBytes},
                            {"damaged", Recovery.Damaged},
                            {"damage", Recovery.DamageText},
+                           {"bytes", Raw->Core->logBytes()},
+                           {"max_bytes", Raw->Core->maxLogBytes()},
+                           {"full", Raw->Core->isFull()},
                            {"epoch", Raw->Core->set().Epoch},
-                           {"caught_up", Raw->Core->caughtUp()}});
+                           {"caught_up", Raw->Core->caughtUp()},
+                           {"first_start", Raw->Core->isFirstStart()}});
+  Raw->AwaitsFirstStart = Raw->Core->isFirstStart();
   peer_settings Peer = linkSettings(Raw->Settings.Self.Address);
   Raw->Links = peer_links::create(Peer, Raw->Settings.SharedKey);
   Raw->Server = peer_server::create(
@@ -165,8 +194,7 @@
     return true;
   });
   Raw->CompactionTimer = loop_source::every(CompactionInterval, [Raw] {
-    if (Raw->syncNow() && !Raw->Core->compact(steadyNow()))
-      log::error("failed to compact log", {{"reason", lastError().Text}});
+    Raw->compact();
     return true;
   });
   return replica(std::move(Impl));
@@ -175,12 +203,17 @@
 void replica::updateSet(const disk_set &Set) {
   Impl->Core->adoptSet(Set);
   Impl->handleSetChange();
+  Impl->handleFirstStart();
+  if (Impl->AwaitsFirstStart)
+    Impl->pingForFirstStart();
 }
 
 void replica::setHosts(std::vector<disk_host> Registered,
                        std::vector<std::string> Retiring) {
   Impl->Registered = std::move(Registered);
   Impl->Retiring = std::move(Retiring);
+  if (Impl->AwaitsFirstStart)
+    Impl->pingForFirstStart();
 }
 
 const disk_set &replica::set() const { return Impl->Core->set(); }
@@ -188,6 +221,9 @@
 replica_counters replica::counters() const {
   replica_counters Counters = Impl->Counters;
   Counters.CopiedRecords = Impl->Core->copiedRecords();
+  Counters.LogBytes = Impl->Core->logBytes();
+  Counters.MaxLogBytes = Impl->Core->maxLogBytes();
+  Counters.IsLogFull = Impl->Core->isFull();
   return Counters;
 }
 const turn_index &replica::index() const { return Impl->Core->index(); }
