--- a/testsuite/soak/restarts.cpp
+++ b/testsuite/soak/restarts.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds ReadyBound{10'000};
+/// For a host that is asked after another has used the time up.
+constexpr milliseconds QuestionTime{1000};
 /// After a SIGTERM: the grace of hosts and some time more.
 constexpr milliseconds StopBound{10'000};
 /// A program is loaded by then.
@@ -132,11 +134,9 @@
     Fleet.signal(Name, SIGHUP);
     ++Counts.Hangups;
   }
-  // One that has ended by it is started again, as its supervisor would.
   constexpr milliseconds EndTime{100};
   Fleet.pause(EndTime);
-  for (const std::string &Name : Round.Hosts)
-    Counts.Starts += Fleet.startMember(Name);
+  superviseHosts();
 }
 
 void restart_series::end(const round &Round) {
@@ -202,10 +202,18 @@
   Fleet.order("store", {{"mood", Mood}});
 }
 
+// A host that has ended by itself is started again, as its supervisor would.
+void restart_series::superviseHosts() {
+  for (role Role : {role::Entry, role::Disk})
+    for (const std::string &Name : Fleet.names(Role))
+      Counts.Starts += Fleet.startMember(Name);
+}
+
 void restart_series::awaitReady(milliseconds Bound) {
+  superviseHosts();
   time_point End = steadyNow() + Bound;
   for (const std::string &Name : Fleet.names(role::Entry)) {
-    milliseconds Left = std::max(End - steadyNow(), milliseconds(1));
+    milliseconds Left = std::max(End - steadyNow(), QuestionTime);
     if (Fleet.waitReady(Name, Left))
       continue;
     ++Counts.NotReady;
--- a/testsuite/soak/restarts.h
+++ b/testsuite/soak/restarts.h
@@ -67,6 +67,7 @@
   void end(const round &Round);
   std::vector<held_port> holdPorts(const round &Round);
   void startAgain(const round &Round);
+  void superviseHosts();
   void awaitReady(milliseconds Bound);
   void setStore(store_state State);
   void rewriteFor(const round &Round, milliseconds Time);
