A cut stream to an HTTP/1.0 caller is reset

Seen by callers that speak HTTP/1.0: a stream that was aborted ended like a complete one. Cause: such an answer has no length and no chunks, and abort() closed its connection in order. The new case of libhttp1_test failed before. Found by reading; not seen in a run of the whole system.

--- a/src/libhttp1/server_responses.cpp
+++ b/src/libhttp1/server_responses.cpp
@@ -123,9 +123,12 @@
   if (!Exchange)
     return;
   server_connection_id Connection = Exchange->Connection;
-  State->Exchanges.erase(Id);
-  if (server_connection *Row = State->Connections.find(Connection))
+  if (server_connection *Row = State->Connections.find(Connection)) {
     Row->Exchange = {};
+    if (Exchange->Begun && Exchange->Http10)
+      Row->Socket.resetOnClose();
+  }
+  State->Exchanges.erase(Id);
   State->close(Connection);
 }
 
--- a/src/libhttp1/server_test.cpp
+++ b/src/libhttp1/server_test.cpp
@@ -22,6 +22,7 @@
                                       nullptr, nullptr);
       if (Count <= 0) {
         Closed = true;
+        IsReset = Count < 0;
         return false;
       }
       Input.append(Bytes, 0, static_cast<std::size_t>(Count));
@@ -44,6 +45,7 @@
   loop_source Readable;
   std::string Input;
   bool Closed = false;
+  bool IsReset = false; ///< Closed without an orderly end.
 };
 
 /// A server that keeps the requests it was given.
@@ -187,6 +189,26 @@
   }
 }
 
+// The end of the connection is all that ends an answer of unknown length to
+// HTTP/1.0.
+TEST_CASE("a stream to an HTTP/1.0 caller that is cut does not look complete") {
+  fixture F;
+  raw_caller Caller(F.Server->port());
+  Caller.send("GET /a HTTP/1.0\r\n\r\n");
+  REQUIRE(turnUntil([&] { return F.Ids.size() == 1; }));
+  CHECK(F.Server->begin(F.Ids[0], 200, {}));
+  CHECK(F.Server->write(F.Ids[0], "data: 1\n\n"));
+  REQUIRE(turnUntil([&] { return Caller.has("data: 1"); }));
+  bool IsReset = false;
+  SUBCASE("aborted") {
+    F.Server->abort(F.Ids[0]);
+    IsReset = true;
+  }
+  SUBCASE("finished") { F.Server->finish(F.Ids[0]); }
+  REQUIRE(turnUntil([&] { return Caller.Closed; }));
+  CHECK(Caller.IsReset == IsReset);
+}
+
 TEST_CASE("a caller that leaves is told of, and its exchange is stale") {
   fixture F;
   raw_caller Caller(F.Server->port());
--- a/src/libhttp1/socket.cpp
+++ b/src/libhttp1/socket.cpp
@@ -110,6 +110,11 @@
   g_socket_shutdown(Socket.get(), FALSE, TRUE, nullptr);
 }
 
+void buffered_socket::resetOnClose() {
+  linger Hard{1, 0};
+  setsockopt(descriptor(), SOL_SOCKET, SO_LINGER, &Hard, sizeof(Hard));
+}
+
 void buffered_socket::close() {
   if (!Socket)
     return;
--- a/src/libhttp1/socket_pvt.h
+++ b/src/libhttp1/socket_pvt.h
@@ -55,6 +55,8 @@
 
   /// Shuts down the outgoing direction.
   void shutdownWrite();
+  /// Makes close() reset the connection, so that the peer sees no orderly end.
+  void resetOnClose();
   void close();
 
 private:
