--- a/src/librelay/relay_test.cpp
+++ b/src/librelay/relay_test.cpp
@@ -272,3 +272,30 @@
       CHECK(Caller.has("HTTP/1.1 5")); // A repeat may end otherwise.
   }
 }
+
+TEST_CASE("an answer that breaks the grammar ends the call and is counted") {
+  fixture F;
+  caller Caller(F.Address);
+  Caller.send(F.request("POST", "/book/1", "c1", "", "text"));
+  REQUIRE(F.received(F.Tools, "text"));
+  std::string Reason;
+  std::string Answer;
+  SUBCASE("status") {
+    Answer = answerTo("c1", "body", "600 Odd");
+    Reason = "start_line";
+  }
+  SUBCASE("folded line") {
+    Answer = answerTo("c1", "body", "200 OK", "X-A: 1\r\n 2\r\n");
+    Reason = "field";
+  }
+  SUBCASE("two codings") {
+    Answer = answerTo("c1", "body", "200 OK",
+                      "Transfer-Encoding: chunked, gzip\r\n");
+    Reason = "coding";
+  }
+  F.Tools.send(0, Answer);
+  REQUIRE(Caller.waitsFor("\r\n\r\n"));
+  CHECK(Caller.has("HTTP/1.1 502"));
+  CHECK(F.Metrics.value("upstream_answers_refused_total",
+                        "reason=\"" + Reason + "\"") == 1);
+}
