--- a/src/libhttp1/parser.cpp
+++ b/src/libhttp1/parser.cpp
@@ -7,6 +7,8 @@
 // Bytes of a field line in addition to name and value: colon, space, CR, LF.
 constexpr std::size_t LineOverheadBytes = 4;
 constexpr std::size_t LineEndBytes = 2;
+// A longer buffer is freed, as many idle connections would hold one each.
+constexpr std::size_t KeptLineBytes = 512;
 constexpr int FirstFinalStatus = 200;
 constexpr int SwitchingProtocols = 101;
 
@@ -19,6 +21,8 @@
 
 void message_parser::restart() {
   Head = {};
+  if (Line.capacity() > KeptLineBytes)
+    Line = {};
   Line.clear();
   Part = part::StartLine;
   Fault = message_fault::None;
