A member that is not confirmed at the first start copies at once

librelay_test failed (the runner gets the chain, with one disk host lost): the replica that started last was denied, as the other two had confirmed each other already, and waited up to 250 ms for the tick before it copied from them; one of them was lost meanwhile. It now requests the copies with the denial.

--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -87,6 +87,10 @@
     return;
   log::info("first start decided", {{"confirmed", Core->caughtUp()}});
   scheduleSync();
+  // A member that starts last at the first start copies from the others, which
+  // have nothing yet; it must not lag behind until the next tick.
+  if (Core->needsCopy())
+    requestCopies(true);
 }
 
 void replica::impl::compact() {
