--- a/src/include/turmerichead/turns_replica_core.h
+++ b/src/include/turmerichead/turns_replica_core.h
@@ -120,6 +120,10 @@
   /// Removes expired records; see record_store::compact().
   bool compact(time_point Now);
   std::uint64_t copiedRecords() const { return Copied; }
+  /// Replies to copy requests that had records, and the size of these, also of
+  /// those that were known.
+  std::uint64_t copyReplies() const { return CopyReplies; }
+  std::uint64_t copiedBytes() const { return CopiedBytes; }
   /// Size of the log and its maximum.
   std::uint64_t logBytes() const { return Store.bytes(); }
   std::uint64_t maxLogBytes() const { return Store.maxBytes(); }
@@ -146,6 +150,8 @@
   /// Whether records have expired since the copies began.
   bool HasExpiredRecords = false;
   std::uint64_t Copied = 0; ///< Records copied since the start.
+  std::uint64_t CopyReplies = 0;
+  std::uint64_t CopiedBytes = 0;
 };
 
 } // namespace turmerichead::turns
--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -277,7 +277,9 @@
     if (!Store.addEncoded(Record, Now))
       return false;
     ++Copied;
+    CopiedBytes += Record.size();
   }
+  CopyReplies += Reply.Records.empty() ? 0 : 1;
   Progress.Log = Reply.Log;
   Progress.Next = {Reply.Segment, Reply.Offset, 0};
   Progress.Failed = false;
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -68,6 +68,8 @@
   void ping(const std::string &Address);
   void propose();
   std::vector<std::string> findUnresponsiveHosts() const;
+  time_point CopyLoggedAt;
+  void logCopyProgress();
   /// \p RetriesFailed: see replica_core::copyRequests().
   void requestCopies(bool RetriesFailed);
 };
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -30,8 +30,10 @@
   if (AwaitsFirstStart)
     pingForFirstStart();
   propose();
-  if (Core->needsCopy())
+  if (Core->needsCopy()) {
     requestCopies(true);
+    logCopyProgress();
+  }
 }
 
 // -- Monitoring and proposals -------------------------------------------------
@@ -98,6 +100,19 @@
 
 // -- Copying records ----------------------------------------------------------
 
+void replica::impl::logCopyProgress() {
+  constexpr milliseconds ProgressInterval{1000};
+  time_point Now = steadyNow();
+  if (Now - CopyLoggedAt < ProgressInterval)
+    return;
+  CopyLoggedAt = Now;
+  log::info("copying records", {{"epoch", Core->set().Epoch},
+                                {"records", Core->copiedRecords()},
+                                {"bytes", Core->copiedBytes()},
+                                {"replies", Core->copyReplies()},
+                                {"syncs", Counters.Syncs}});
+}
+
 void replica::impl::requestCopies(bool RetriesFailed) {
   for (auto &[Address, Request] : Core->copyRequests(RetriesFailed)) {
     std::uint64_t Epoch = Request.Set.Epoch;
@@ -127,7 +142,9 @@
   if (syncNow())
     log::info("replica caught up", {{"epoch", Core->set().Epoch},
                                     {"turns", Core->index().turnCount()},
-                                    {"records", Core->copiedRecords()}});
+                                    {"records", Core->copiedRecords()},
+                                    {"bytes", Core->copiedBytes()},
+                                    {"replies", Core->copyReplies()}});
 }
 
 } // namespace turmerichead::turns
