--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -44,6 +44,8 @@
   /// Time after which a silent connection counts as failed.
   milliseconds SilenceTimeout{4000};
   std::string TunnelKey = {}; ///< Shared with the tunnel servers.
+  /// Local address of connections, "ip:port"; empty: the system's choice.
+  std::string SourceAddress = {};
 };
 
 struct call_request {
--- a/src/include/turmerichead/net_loop.h
+++ b/src/include/turmerichead/net_loop.h
@@ -156,9 +156,10 @@
 /// Parses "ip:port" or "[ip6]:port". Fails with InvalidInput.
 std::optional<handle<GSocketAddress>> parseAddress(std::string_view Text);
 
-/// Starts to connect; the socket becomes writable when it succeeds or fails.
-/// Fails with Unavailable.
-std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address);
+/// Starts to connect, from the local address \p Source unless it is null; the
+/// socket becomes writable when it succeeds or fails. Fails with Unavailable.
+std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address,
+                                            GSocketAddress *Source = nullptr);
 
 /// Accepts a connection; nullopt if none is pending.
 std::optional<handle<GSocket>> acceptFrom(GSocket *Listener);
--- a/src/libhttp1/client_connect.cpp
+++ b/src/libhttp1/client_connect.cpp
@@ -30,7 +30,14 @@
   auto Address = parseAddress(Via.empty() ? Target : Via);
   if (!Address)
     return std::nullopt;
-  auto Socket = beginConnect(Address->get());
+  handle<GSocketAddress> Source;
+  if (!Settings.SourceAddress.empty()) {
+    auto Parsed = parseAddress(Settings.SourceAddress);
+    if (!Parsed)
+      return std::nullopt;
+    Source = std::move(*Parsed);
+  }
+  auto Socket = beginConnect(Address->get(), Source.get());
   if (!Socket)
     return std::nullopt;
   ++Counters.Opened;
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -225,12 +225,15 @@
   return handle<GSocketAddress>::adopt(Address);
 }
 
-std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address) {
+std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address,
+                                            GSocketAddress *Source) {
   auto Socket = newSocket(Address);
   if (!Socket)
     return std::nullopt;
   setNoDelay(Socket->get());
   GError *Error = nullptr;
+  if (Source && !g_socket_bind(Socket->get(), Source, FALSE, &Error))
+    return fail(error_code::Unavailable, takeText(Error));
   if (g_socket_connect(Socket->get(), Address, nullptr, &Error))
     return Socket;
   if (!g_error_matches(Error, G_IO_ERROR, G_IO_ERROR_PENDING))
--- a/testsuite/fleet/callers.cpp
+++ b/testsuite/fleet/callers.cpp
@@ -48,6 +48,8 @@
     Call.Headers.add("Token-Budget", std::to_string(Request.Budget));
     Call.Headers.add("Token-Usage", "10," + std::to_string(Request.MostTokens));
   }
+  if (!Request.CrashMark.empty())
+    Call.Headers.add("Crash-Mark", Request.CrashMark);
   if (!Request.Body.empty())
     Call.Body.push_back(Request.Body);
   return Call;
@@ -85,25 +87,28 @@
     Row->GiveUp.reset();
     Done(Row->Answer);
   };
-  Row->Call = Fleet.http().call(
-      toCall(Fleet, Entry, Request, Row->Answer.Attempt),
-      {[Row](const http1::response_head &Head) {
-         Row->Answer.Status = Head.Status;
-         Row->Answer.Signature = Head.Headers.get("Response-Signature");
-       },
-       [Row](std::string_view Bytes) { Row->Answer.Body += Bytes; },
-       [End](const http1::call_result &Result) {
-         End(Result.Outcome == http1::call_outcome::Complete);
-       }});
-  Row->GiveUp = loop_source::every(Request.TimeLeft + PatienceOver,
-                                   [Row, End, &Fleet, Alive = Fleet.alive()] {
-                                     if (Alive.expired())
-                                       return false;
-                                     Fleet.http().cancel(Row->Call);
-                                     Row->Answer.GivenUp = true;
-                                     End(false);
-                                     return false;
-                                   });
+  Row->Call =
+      Fleet.httpFrom(Request.SourceIp)
+          .call(toCall(Fleet, Entry, Request, Row->Answer.Attempt),
+                {[Row](const http1::response_head &Head) {
+                   Row->Answer.Status = Head.Status;
+                   Row->Answer.Signature =
+                       Head.Headers.get("Response-Signature");
+                 },
+                 [Row](std::string_view Bytes) { Row->Answer.Body += Bytes; },
+                 [End](const http1::call_result &Result) {
+                   End(Result.Outcome == http1::call_outcome::Complete);
+                 }});
+  Row->GiveUp = loop_source::every(
+      Request.TimeLeft + PatienceOver,
+      [Row, End, &Fleet, SourceIp = Request.SourceIp, Alive = Fleet.alive()] {
+        if (Alive.expired())
+          return false;
+        Fleet.httpFrom(SourceIp).cancel(Row->Call);
+        Row->Answer.GivenUp = true;
+        End(false);
+        return false;
+      });
 }
 
 // -- Programs ----------------------------------------------------------------
--- a/testsuite/fleet/callers.h
+++ b/testsuite/fleet/callers.h
@@ -23,6 +23,8 @@
   std::uint64_t MostTokens = 0;
   milliseconds TimeLeft{3000};
   organisation_key Caller;
+  std::string SourceIp;  ///< Address of the caller; empty: any.
+  std::string CrashMark; ///< See standin::CrashHeader; empty: none.
 };
 
 struct caller_answer {
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -171,6 +171,18 @@
              : 0;
 }
 
+http1::client &fleet::httpFrom(const std::string &SourceIp) {
+  if (SourceIp.empty())
+    return http();
+  auto Row = SourceClients.find(SourceIp);
+  if (Row == SourceClients.end()) {
+    http1::client_settings From;
+    From.SourceAddress = SourceIp + ":0";
+    Row = SourceClients.emplace(SourceIp, *http1::client::create(From)).first;
+  }
+  return Row->second;
+}
+
 std::string fleet::storeAddress(const member &Member) const {
   if (Member.StoreLink)
     return Member.Ip + ":" + std::to_string(StoreLinkPort);
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -179,6 +179,9 @@
   std::vector<run_line> runs() const;
 
   http1::client &http() { return *Http; }
+  /// Returns the client of callers at the address \p SourceIp; http() if it is
+  /// empty.
+  http1::client &httpFrom(const std::string &SourceIp);
   /// Expires with the fleet, for timers that may outlive it.
   std::weak_ptr<const bool> alive() const { return Alive; }
 
@@ -201,6 +204,7 @@
   fleet_settings Settings;
   std::map<std::string, member> Members;
   std::optional<http1::client> Http;
+  std::map<std::string, http1::client> SourceClients; ///< By source address.
   std::shared_ptr<const bool> Alive = std::make_shared<bool>(true);
   std::uint64_t ConfigVersion = 0;
   std::uint64_t Routes = 0; ///< See configure().
--- a/testsuite/standins/upstream_engine.cpp
+++ b/testsuite/standins/upstream_engine.cpp
@@ -27,6 +27,8 @@
 }
 
 std::string crashOf(const http1::request &Request) {
+  if (const std::string *Mark = Request.Headers.find(CrashHeader))
+    return *Mark;
   for (std::string_view Mark : {CrashAtOnceMark, CrashMidwayMark})
     if (Request.Body.find(Mark) != std::string::npos ||
         Request.Target.find(Mark) != std::string::npos)
@@ -203,7 +205,7 @@
     Server->respond(Id, ServerError, Headers, "an error of the upstream");
     return;
   }
-  if (!Settings.Streams || Run.Crash == CrashAtOnceMark) {
+  if (!Settings.Streams || Run.Crash.starts_with(CrashAtOnceMark)) {
     Runs.push_back(std::move(Run));
     return;
   }
@@ -266,13 +268,13 @@
       steadyNow() +
       milliseconds(static_cast<std::int64_t>(
           static_cast<double>(Settings.EventGap.count()) * Bad.SlowFactor));
-  if (Run.Crash == CrashAtOnceMark)
+  if (Run.Crash.starts_with(CrashAtOnceMark))
     crash(Run);
   if (!Settings.Streams) {
     answerPlain(Run);
     return true;
   }
-  if (Run.Crash == CrashMidwayMark && Run.Sent == Settings.Events / 2)
+  if (Run.Crash.starts_with(CrashMidwayMark) && Run.Sent == Settings.Events / 2)
     crash(Run);
   ++Run.Sent;
   std::string Data = Run.Mark + "-" + std::to_string(Run.Sent);
@@ -293,7 +295,7 @@
   http1::header_list Headers = {{"Request-Attempt-Id", Run.Attempt},
                                 {"Response-Signature", Run.Mark}};
   addNotices(Headers);
-  if (Run.Crash == CrashMidwayMark) {
+  if (Run.Crash.starts_with(CrashMidwayMark)) {
     Server->begin(Run.Exchange, http1::status::Ok, Headers);
     Server->write(Run.Exchange, "half of an ans");
     crash(Run);
--- a/testsuite/standins/upstream_engine.h
+++ b/testsuite/standins/upstream_engine.h
@@ -19,6 +19,9 @@
 
 namespace turmerichead::standin {
 
+/// Names one of the marks below, for requests without a body. What follows the
+/// mark tells such requests apart in reports.
+inline constexpr std::string_view CrashHeader = "Crash-Mark";
 /// Ends the process before the first byte of an answer.
 inline constexpr std::string_view CrashAtOnceMark = "crash-at-once";
 /// Ends the process in the middle of the answer.
