Recognize a crashing request by its caller, method, target and body

Callers saw, on real processes, that a request which ends its upstreams was sent on and on. Without a body it was known by its program only, so under ever new programs each visit was a new request: 6 to 23 late sends in 30 visits, where the rule allows three.

A request now has four fingerprints: program, caller, content, and without a body method and target. The caller is the organisation or the address of the connection. For all but the first, an end counts only if its request was sent 250 ms after the end before, also across hosts, and content and target need three callers. Their quarantine is a circuit breaker with one probe at a time over all entry hosts. The new fields of crash records are optional.

Ruled out: ends that were not recognised (each was recorded, under another fingerprint). The soak's crasher has forms without a body; its check was not run against the old code.

--- a/src/include/turmerichead/http1_message.h
+++ b/src/include/turmerichead/http1_message.h
@@ -64,6 +64,7 @@
   std::string Target; ///< Path and query, as on the request line.
   header_list Headers;
   std::string Body;
+  std::string PeerIp = {}; ///< IP address of the client; empty: not known.
 };
 
 struct response_head {
--- a/src/include/turmerichead/net_loop.h
+++ b/src/include/turmerichead/net_loop.h
@@ -161,6 +161,10 @@
 std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address,
                                             GSocketAddress *Source = nullptr);
 
+/// Returns the IP address of the peer of a connected socket; empty if it is not
+/// known.
+std::string peerIpOf(GSocket *Socket);
+
 /// Accepts a connection; nullopt if none is pending.
 std::optional<handle<GSocket>> acceptFrom(GSocket *Listener);
 
--- a/src/include/turmerichead/sched_poison.h
+++ b/src/include/turmerichead/sched_poison.h
@@ -36,6 +36,9 @@
   milliseconds Age{0};
   std::string Upstream{}; ///< Name, for reports only; may be empty.
   std::string SeenBy{};   ///< Host that recorded it; may be empty.
+  /// Time from the send of the request to the crash; 0 if it is not known.
+  milliseconds Duration{0};
+  std::uint64_t Caller = 0; ///< Hash of its caller; 0 if it is not known.
 };
 
 /// A crash and how long this host has known of it.
@@ -112,11 +115,16 @@
 
 private:
   struct crash_row {
-    std::uint64_t Incident;
     time_point At;
     time_point LearnedAt;
-    std::string Upstream;
-    std::string SeenBy;
+    crash_record Record; ///< Its age is that when it was learned.
+
+    std::uint64_t incident() const { return Record.Incident; }
+    crash_record recordAt(time_point Now) const {
+      crash_record Aged = Record;
+      Aged.Age = Now - At;
+      return Aged;
+    }
   };
   struct row {
     std::vector<crash_row> Crashes;
--- a/src/libhttp1/server_connections.cpp
+++ b/src/libhttp1/server_connections.cpp
@@ -58,6 +58,7 @@
     return;
   setSilenceTimeout(Socket.get(), SilenceTimeout);
   server_connection Row;
+  Row.PeerIp = peerIpOf(Socket.get());
   Row.Socket = buffered_socket(std::move(Socket));
   Row.Parser.setMaxHeadBytes(Limits.HeaderBytes);
   Row.Since = steadyNow();
--- a/src/libhttp1/server_pvt.h
+++ b/src/libhttp1/server_pvt.h
@@ -32,6 +32,7 @@
 struct server_connection {
   buffered_socket Socket;
   message_parser Parser{HTTP_REQUEST, 0};
+  std::string PeerIp; ///< See request::PeerIp.
   std::string Input;
   std::string Body;
   server_phase Phase = server_phase::Receiving;
--- a/src/libhttp1/server_requests.cpp
+++ b/src/libhttp1/server_requests.cpp
@@ -123,6 +123,7 @@
   Request.Target = std::move(Row.Parser.head().Target);
   Request.Headers = std::move(Row.Parser.head().Headers);
   Request.Body = std::exchange(Row.Body, {});
+  Request.PeerIp = Row.PeerIp;
   exchange_row Exchange;
   Exchange.Connection = Id;
   Exchange.Http10 = Row.Parser.isHttp10();
--- a/src/libnet/loop.cpp
+++ b/src/libnet/loop.cpp
@@ -242,6 +242,19 @@
   return Socket;
 }
 
+std::string peerIpOf(GSocket *Socket) {
+  auto Address = handle<GSocketAddress>::adopt(
+      g_socket_get_remote_address(Socket, nullptr));
+  if (!Address || !G_IS_INET_SOCKET_ADDRESS(Address.get()))
+    return {};
+  GInetAddress *Ip =
+      g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(Address.get()));
+  char *Text = g_inet_address_to_string(Ip);
+  std::string Result(Text);
+  g_free(Text);
+  return Result;
+}
+
 std::optional<handle<GSocket>> acceptFrom(GSocket *Listener) {
   GError *Error = nullptr;
   GSocket *Socket = g_socket_accept(Listener, nullptr, &Error);
--- a/src/librelay/crash_gossip.cpp
+++ b/src/librelay/crash_gossip.cpp
@@ -45,6 +45,7 @@
                             std::vector<std::string> NewEntryHosts) {
   DiskHosts = std::move(NewDiskHosts);
   EntryHosts = std::move(NewEntryHosts);
+  Table.setHosts(EntryHosts, Settings.Self);
   for (const std::string &Address : EntryHosts)
     UnlistedPeers.erase(Address);
   std::erase_if(Peers, [&](const auto &Row) {
--- a/src/librelay/crash_tracker.cpp
+++ b/src/librelay/crash_tracker.cpp
@@ -3,6 +3,8 @@
 #include "turmerichead/hash.h"
 
 #include <algorithm>
+#include <array>
+#include <set>
 
 namespace turmerichead::relay {
 
@@ -11,11 +13,24 @@
 // Crashes after which a request is quarantined.
 constexpr int MaxCrashes = 3;
 constexpr milliseconds CrashRetention{600'000};
-// Requests of many programs may share a body. While a body is quarantined, no
-// run can succeed and clear it, so a quarantine by content alone expires soon.
-constexpr milliseconds ContentCrashRetention{60'000};
 constexpr std::size_t MaxRows = 4096;
 
+// A request with a shared fingerprint counts if it was sent this long after the
+// crash before. Retries of sound requests follow at once, and upstreams that
+// crash together take them along.
+constexpr milliseconds MinTimeAfterCrash{250};
+// Time from the last crash of a shared fingerprint to its first probe.
+constexpr milliseconds FirstProbeDelay{20'000};
+// Failed probes after which a quarantine lasts until the crashes expire.
+constexpr std::size_t MaxProbes = 2;
+// Time in which one host may probe. It covers the run of the probe and the time
+// until all hosts know of its crash.
+constexpr milliseconds ProbeTurn{4000};
+
+constexpr std::array<fingerprint_kind, 4> Kinds = {
+    fingerprint_kind::Program, fingerprint_kind::Caller,
+    fingerprint_kind::Content, fingerprint_kind::Target};
+
 // Maximum time from an aborted call to the evidence that its upstream has
 // exited. Entries expire and processes restart within seconds.
 constexpr milliseconds EvidenceWindow{15'000};
@@ -32,6 +47,19 @@
   return Settings;
 }
 
+/// Returns the number of callers of the requests. One that is not known counts
+/// as another.
+std::size_t callerCount(std::span<const sched::known_crash> Crashes) {
+  std::set<std::uint64_t> Known;
+  std::size_t Unknown = 0;
+  for (const sched::known_crash &Row : Crashes)
+    if (Row.Crash.Caller == 0)
+      ++Unknown;
+    else
+      Known.insert(Row.Crash.Caller);
+  return Known.size() + Unknown;
+}
+
 /// Returns the id of one start of an upstream process. All hosts compute the
 /// same id.
 std::uint64_t instanceIdOf(const upstream &Upstream) {
@@ -53,57 +81,195 @@
 crash_tracker::crash_tracker(std::string Self)
     : Self(std::move(Self)), Table(settings()) {}
 
-call_fingerprints crash_tracker::fingerprintsOf(std::string_view Program,
-                                                std::string_view Target,
-                                                std::string_view Body) {
-  std::uint64_t Content = hash64(Target, hash64(Body));
+std::string_view nameOf(fingerprint_kind Kind) {
+  switch (Kind) {
+  case fingerprint_kind::Program:
+    return "program";
+  case fingerprint_kind::Caller:
+    return "caller";
+  case fingerprint_kind::Content:
+    return "content";
+  case fingerprint_kind::Target:
+    return "target";
+  }
+  return "unknown";
+}
+
+// -- Fingerprints ------------------------------------------------------------
+
+std::uint64_t call_fingerprints::valueOf(fingerprint_kind Kind) const {
+  switch (Kind) {
+  case fingerprint_kind::Program:
+    return Exact;
+  case fingerprint_kind::Caller:
+    return Caller;
+  case fingerprint_kind::Content:
+    return Content;
+  case fingerprint_kind::Target:
+    return Target;
+  }
+  return 0;
+}
+
+void call_fingerprints::dropShared(const call_fingerprints &Cleared) {
+  for (auto Value : {&call_fingerprints::Caller, &call_fingerprints::Content,
+                     &call_fingerprints::Target})
+    if (this->*Value == Cleared.*Value)
+      this->*Value = 0;
+}
+
+call_fingerprints
+crash_tracker::fingerprintsOf(const request_identity &Request) {
+  std::uint64_t Content = hash64(Request.Target, hash64(Request.Body));
+  std::uint64_t WithMethod = hash64(Request.Method, Content);
   call_fingerprints Fingerprints;
-  Fingerprints.Exact = hash64(Program, Content);
-  if (!Body.empty())
+  Fingerprints.Exact = hash64(Request.Program, Content);
+  if (!Request.Body.empty())
     Fingerprints.Content = Content;
+  else if (!Request.Method.empty())
+    Fingerprints.Target = hash64("target", WithMethod);
+  if (!Request.Caller.empty()) {
+    Fingerprints.CallerId = hash64(Request.Caller);
+    Fingerprints.Caller = hash64("caller", Fingerprints.CallerId ^ WithMethod);
+  }
   return Fingerprints;
 }
 
+call_fingerprints crash_tracker::fingerprintsOf(std::string_view Program,
+                                                std::string_view Target,
+                                                std::string_view Body) {
+  return fingerprintsOf({Program, {}, {}, Target, Body});
+}
+
+// -- Quarantine --------------------------------------------------------------
+
+void crash_tracker::setHosts(std::span<const std::string> Hosts,
+                             std::string_view OwnName) {
+  HostCount = Hosts.size();
+  OwnTurn.reset();
+  if (std::ranges::find(Hosts, OwnName) != Hosts.end())
+    OwnTurn = std::ranges::count_if(
+        Hosts, [&](const std::string &Name) { return Name < OwnName; });
+}
+
 std::optional<quarantine_status>
 crash_tracker::quarantineOf(const call_fingerprints &Fingerprints,
                             time_point Now) const {
   if (Table.size() == 0)
     return std::nullopt;
-  auto CheckFingerprint =
-      [&](std::uint64_t Fingerprint,
-          milliseconds Retention) -> std::optional<quarantine_status> {
-    auto Crashes = Table.crashes(Fingerprint, Now);
-    std::erase_if(Crashes, [&](const sched::known_crash &Row) {
-      return Row.Crash.Age >= Retention;
-    });
-    if (Crashes.size() < static_cast<std::size_t>(MaxCrashes))
-      return std::nullopt;
-    // The quarantine ends when the oldest of the last MaxCrashes crashes
-    // expires.
-    const auto &OldestCounted = Crashes[Crashes.size() - MaxCrashes];
-    return quarantine_status{Retention - OldestCounted.Crash.Age,
-                             std::move(Crashes)};
-  };
-  if (auto Quarantine = CheckFingerprint(Fingerprints.Exact, CrashRetention))
-    return Quarantine;
-  return CheckFingerprint(Fingerprints.Content, ContentCrashRetention);
+  for (fingerprint_kind Kind : Kinds) {
+    std::uint64_t Value = Fingerprints.valueOf(Kind);
+    auto Quarantine = isShared(Kind) ? sharedQuarantine(Kind, Value, Now)
+                                     : programQuarantine(Value, Now);
+    if (Quarantine)
+      return Quarantine;
+  }
+  return std::nullopt;
+}
+
+std::optional<quarantine_status>
+crash_tracker::programQuarantine(std::uint64_t Fingerprint,
+                                 time_point Now) const {
+  auto Crashes = Table.crashes(Fingerprint, Now);
+  if (Crashes.size() < MaxCrashes)
+    return std::nullopt;
+  // The quarantine ends when the oldest of the last MaxCrashes crashes expires.
+  milliseconds Age = Crashes[Crashes.size() - MaxCrashes].Crash.Age;
+  return quarantine_status{fingerprint_kind::Program, CrashRetention - Age,
+                           std::move(Crashes)};
+}
+
+std::vector<sched::known_crash>
+crash_tracker::countedCrashes(fingerprint_kind Kind, std::uint64_t Fingerprint,
+                              time_point Now) const {
+  std::vector<sched::known_crash> Counted;
+  for (sched::known_crash &Row : Table.crashes(Fingerprint, Now)) {
+    milliseconds SentAge = Row.Crash.Age + Row.Crash.Duration;
+    if (Counted.empty() ||
+        SentAge + MinTimeAfterCrash <= Counted.back().Crash.Age)
+      Counted.push_back(std::move(Row));
+  }
+  if (Counted.size() < MaxCrashes)
+    return {};
+  if (Kind != fingerprint_kind::Caller && callerCount(Counted) < MaxCrashes)
+    return {};
+  return Counted;
+}
+
+std::optional<quarantine_status> crash_tracker::sharedQuarantine(
+    fingerprint_kind Kind, std::uint64_t Fingerprint, time_point Now) const {
+  auto Crashes = countedCrashes(Kind, Fingerprint, Now);
+  if (Crashes.empty())
+    return std::nullopt;
+  milliseconds SinceLast = Crashes.back().Crash.Age;
+  std::size_t FailedProbes = Crashes.size() - MaxCrashes;
+  milliseconds ExpiresIn =
+      CrashRetention - Crashes[Crashes.size() - MaxCrashes].Crash.Age;
+  if (FailedProbes < MaxProbes) {
+    milliseconds Delay = FirstProbeDelay * (1 << FailedProbes);
+    ExpiresIn = SinceLast < Delay
+                    ? Delay - SinceLast
+                    : timeUntilProbe(Fingerprint, SinceLast - Delay, Now);
+  }
+  if (ExpiresIn <= milliseconds(0))
+    return std::nullopt;
+  return quarantine_status{Kind, ExpiresIn, std::move(Crashes)};
+}
+
+milliseconds crash_tracker::timeUntilProbe(std::uint64_t Fingerprint,
+                                           milliseconds HalfOpenFor,
+                                           time_point Now) const {
+  if (HostCount > 0) {
+    auto Turn = static_cast<std::uint64_t>(HalfOpenFor / ProbeTurn);
+    if (OwnTurn != (Fingerprint + Turn) % HostCount)
+      return ProbeTurn - HalfOpenFor % ProbeTurn;
+  }
+  auto Probe = Probes.find(Fingerprint);
+  return Probe == Probes.end() ? milliseconds(0)
+                               : ProbeTurn - (Now - Probe->second);
+}
+
+void crash_tracker::recordSend(const call_fingerprints &Fingerprints,
+                               time_point Now) {
+  if (Table.size() == 0)
+    return;
+  std::erase_if(Probes,
+                [&](const auto &Row) { return Now - Row.second >= ProbeTurn; });
+  for (fingerprint_kind Kind : Kinds) {
+    std::uint64_t Value = Fingerprints.valueOf(Kind);
+    if (isShared(Kind) && !countedCrashes(Kind, Value, Now).empty())
+      Probes[Value] = Now;
+  }
+}
+
+bool crash_tracker::isSuspect(const call_fingerprints &Fingerprints,
+                              time_point Now) const {
+  return std::ranges::any_of(Kinds, [&](fingerprint_kind Kind) {
+    return !Table.crashes(Fingerprints.valueOf(Kind), Now).empty();
+  });
+}
+
+// -- Evidence ----------------------------------------------------------------
+
+bool crash_tracker::followsKnownCrashes(std::uint64_t Fingerprint,
+                                        const sched::crash_record &Crash,
+                                        time_point Now) const {
+  auto Known = Table.crashes(Fingerprint, Now);
+  return Known.empty() || Crash.Age + Crash.Duration <= Known.back().Crash.Age;
 }
 
 void crash_tracker::recordCrash(const aborted_call &Call, time_point Now,
                                 std::vector<std::uint64_t> &Changed) {
-  sched::crash_record Crash{Call.InstanceId, milliseconds(0), Call.Upstream,
-                            Self};
-  if (Table.recordCrash(Call.Fingerprints.Exact, Crash, Now))
-    Changed.push_back(Call.Fingerprints.Exact);
-  // Many requests with the same body may be in flight when several upstreams
-  // crash together. Only a request sent after the last recorded crash is new
-  // evidence.
-  auto KnownCrashes = Table.crashes(Call.Fingerprints.Content, Now);
-  bool SentAfterLastCrash =
-      KnownCrashes.empty() || Now - KnownCrashes.back().Crash.Age < Call.SentAt;
-  if (SentAfterLastCrash &&
-      Table.recordCrash(Call.Fingerprints.Content, Crash, Now))
-    Changed.push_back(Call.Fingerprints.Content);
+  sched::crash_record Crash{Call.InstanceId,       Now - Call.At,
+                            Call.Upstream,         Self,
+                            Call.At - Call.SentAt, Call.Fingerprints.CallerId};
+  for (fingerprint_kind Kind : Kinds) {
+    std::uint64_t Value = Call.Fingerprints.valueOf(Kind);
+    if (isShared(Kind) && !followsKnownCrashes(Value, Crash, Now))
+      continue;
+    if (Table.recordCrash(Value, Crash, Now))
+      Changed.push_back(Value);
+  }
 }
 
 std::vector<std::uint64_t>
@@ -182,11 +348,13 @@
 crash_tracker::recordSuccess(const call_fingerprints &Fingerprints,
                              time_point Now) {
   std::vector<std::uint64_t> Changed;
+  for (aborted_call &Call : AbortedCalls)
+    Call.Fingerprints.dropShared(Fingerprints);
   if (Table.size() == 0)
     return Changed;
-  for (std::uint64_t Fingerprint : {Fingerprints.Exact, Fingerprints.Content})
-    if (Table.recordSuccess(Fingerprint, Now))
-      Changed.push_back(Fingerprint);
+  for (fingerprint_kind Kind : Kinds)
+    if (Table.recordSuccess(Fingerprints.valueOf(Kind), Now))
+      Changed.push_back(Fingerprints.valueOf(Kind));
   return Changed;
 }
 
--- a/src/librelay/crash_tracker_test.cpp
+++ b/src/librelay/crash_tracker_test.cpp
@@ -214,6 +214,165 @@
   CHECK(CrashTracker.crashesOf(Call(9).Content, {1100}).size() == 1);
 }
 
+// A request without a body, of another program each time.
+call_fingerprints bodiless(std::int64_t I, std::string_view Caller) {
+  return crash_tracker::fingerprintsOf(
+      {"p" + std::to_string(I), Caller, "GET", "/look/", {}});
+}
+
+// The crashes of three requests without a body, at 1, 2 and 3 s.
+void crashThrice(crash_tracker &CrashTracker,
+                 const std::vector<std::string> &Callers) {
+  for (std::int64_t I = 0; I < 3; ++I) {
+    auto Call = bodiless(I, Callers[static_cast<std::size_t>(I)]);
+    CHECK(!refused(CrashTracker, Call, 1000 * I));
+    crash(CrashTracker, Call, "u" + std::to_string(I), 1000 * (I + 1));
+  }
+}
+
+TEST_CASE("budget_request_without_body_under_ever_new_programs") {
+  // Without a body it was known by its program only.
+  crash_tracker CrashTracker("h");
+  crashThrice(CrashTracker, {"c", "c", "c"});
+  auto Quarantine = CrashTracker.quarantineOf(bodiless(9, "c"), {4000});
+  REQUIRE(Quarantine);
+  CHECK(Quarantine->Kind == fingerprint_kind::Caller);
+  CHECK(Quarantine->Crashes.size() == 3);
+  // Sound requests of other callers are neither refused, nor do they end it.
+  CHECK(!refused(CrashTracker, bodiless(10, "d"), 4000));
+  CrashTracker.recordSuccess(bodiless(10, "d"), {4500});
+  CHECK(refused(CrashTracker, bodiless(11, "c"), 5000));
+  // Another method or target is another request.
+  CHECK(!refused(CrashTracker,
+                 crash_tracker::fingerprintsOf({"p", "c", "PUT", "/look/", {}}),
+                 5000));
+}
+
+TEST_CASE("budget_request_without_body_from_ever_new_callers") {
+  crash_tracker CrashTracker("h");
+  crashThrice(CrashTracker, {"c", "d", "e"});
+  auto Quarantine = CrashTracker.quarantineOf(bodiless(9, "f"), {4000});
+  REQUIRE(Quarantine);
+  CHECK(Quarantine->Kind == fingerprint_kind::Target);
+  SUBCASE("a probe that succeeds ends it") {
+    CHECK(refused(CrashTracker, bodiless(9, "f"), 22'900));
+    CHECK(!refused(CrashTracker, bodiless(9, "f"), 23'100));
+    CrashTracker.recordSend(bodiless(9, "f"), {23'100});
+    CHECK(refused(CrashTracker, bodiless(10, "g"), 23'200));
+    CrashTracker.recordSuccess(bodiless(9, "f"), {23'300});
+    CHECK(!refused(CrashTracker, bodiless(10, "g"), 23'400));
+  }
+  SUBCASE("a probe that crashes its upstream doubles it") {
+    CrashTracker.recordSend(bodiless(9, "f"), {23'100});
+    crash(CrashTracker, bodiless(9, "f"), "u3", 23'200);
+    CHECK(refused(CrashTracker, bodiless(10, "g"), 63'000));
+    CHECK(!refused(CrashTracker, bodiless(10, "g"), 63'300));
+    CrashTracker.recordSend(bodiless(10, "g"), {63'300});
+    crash(CrashTracker, bodiless(10, "g"), "u4", 63'400);
+    // No more probes: it lasts until the crashes expire.
+    for (std::int64_t At = 64'000; At < 600'000; At += 1000)
+      CHECK(refused(CrashTracker, bodiless(11, "h"), At));
+  }
+}
+
+TEST_CASE("retries of one sound request are no three crashes") {
+  // Three upstreams crashed within milliseconds, and each retry met the next.
+  crash_tracker CrashTracker("h");
+  for (std::int64_t I = 0; I < 3; ++I)
+    crash(CrashTracker, bodiless(1, "c"), "u" + std::to_string(I),
+          1000 + 60 * I);
+  CHECK(!refused(CrashTracker, bodiless(2, "c"), 1300));
+}
+
+TEST_CASE("one crashing caller quarantines no path for others") {
+  // A sound request of the same path was in flight at one of its crashes.
+  crash_tracker CrashTracker("h");
+  crashThrice(CrashTracker, {"c", "d", "c"});
+  crash(CrashTracker, bodiless(4, "c"), "u4", 4000);
+  CHECK(refused(CrashTracker, bodiless(5, "c"), 5000));
+  CHECK(!refused(CrashTracker, bodiless(6, "d"), 5000));
+  CHECK(!refused(CrashTracker, bodiless(7, "e"), 5000));
+}
+
+TEST_CASE("at most one host at a time probes a quarantined request") {
+  const std::vector<std::string> Names = {"h0", "h1", "h2", "h3"};
+  std::vector<crash_tracker> Hosts;
+  for (const std::string &Name : Names) {
+    Hosts.emplace_back(Name);
+    Hosts.back().setHosts(Names, Name);
+  }
+  crashThrice(Hosts[0], {"c", "d", "e"});
+  for (crash_tracker &Host : Hosts)
+    Host.merge(Hosts[0].entriesWithAtLeast(1, {3100}), {3100});
+  std::vector<int> ProbesOf(Hosts.size());
+  for (std::int64_t At = 4000; At < 23'000 + 4 * 4000; At += 100) {
+    int Probes = 0;
+    for (std::size_t I = 0; I < Hosts.size(); ++I) {
+      if (refused(Hosts[I], bodiless(At, "f"), At))
+        continue;
+      Hosts[I].recordSend(bodiless(At, "f"), {At});
+      ++ProbesOf[I];
+      ++Probes;
+    }
+    CHECK(Probes <= (At < 23'000 ? 0 : 1));
+  }
+  CHECK(ProbesOf == std::vector<int>{1, 1, 1, 1});
+}
+
+TEST_CASE("an outage that several hosts see quarantines no sound request") {
+  // Each host saw only one of the crashes; put together they seemed to follow
+  // each other.
+  std::vector<crash_tracker> Hosts;
+  for (std::int64_t I = 0; I < 6; ++I)
+    Hosts.emplace_back("h" + std::to_string(I));
+  auto CallOf = [](std::int64_t I, std::string_view Body) {
+    return crash_tracker::fingerprintsOf({"p" + std::to_string(I),
+                                          "c" + std::to_string(I), "GET",
+                                          "/look/", Body});
+  };
+  for (std::string_view Body : {"", "the same"}) {
+    for (std::int64_t I = 0; I < 6; ++I) {
+      upstream Upstream = upstreamAt("u" + std::to_string(I));
+      Hosts[static_cast<std::size_t>(I)].recordAbort(
+          Upstream, CallOf(I, Body), abort_kind::Broken, {900 + I}, {1000 + I});
+      Hosts[static_cast<std::size_t>(I)].recordExit(
+          Upstream, exit_evidence::ConnectionRefused, {1150 + 10 * I});
+    }
+    for (crash_tracker &Host : Hosts)
+      Hosts[0].merge(Host.entriesWithAtLeast(1, {1300}), {1300});
+    CHECK(!refused(Hosts[0], CallOf(9, Body), 1400));
+  }
+}
+
+TEST_CASE("a run that succeeds before the evidence of a crash clears it") {
+  crash_tracker CrashTracker("h");
+  for (std::int64_t I = 0; I < 4; ++I) {
+    std::int64_t At = 1000 * I;
+    upstream Upstream = upstreamAt("u" + std::to_string(I));
+    CrashTracker.recordAbort(Upstream, bodiless(I, "c"), abort_kind::Broken,
+                             {At}, {At + 20});
+    CrashTracker.recordSuccess(bodiless(100 + I, "c"), {At + 50});
+    CrashTracker.recordExit(Upstream, exit_evidence::ConnectionRefused,
+                            {At + 150});
+  }
+  CHECK(CrashTracker.crashesOf(bodiless(0, "c").Target, {4000}).empty());
+  CHECK(!refused(CrashTracker, bodiless(9, "c"), 4000));
+}
+
+TEST_CASE("records of requests with all fingerprints stay within the bounds") {
+  crash_tracker CrashTracker("a-host-with-a-long-name");
+  for (std::int64_t I = 0; I < 10'000; ++I) {
+    auto Call = crash_tracker::fingerprintsOf(
+        {"p" + std::to_string(I), "10.0.0." + std::to_string(I), "GET",
+         "/look/" + std::to_string(I), "body"});
+    crash(CrashTracker, Call, "upstream-" + std::to_string(I), 1000 + I);
+  }
+  CHECK(CrashTracker.size() <= 4096);
+  auto Bytes =
+      sched::encodePoisonEntries(CrashTracker.entriesWithAtLeast(1, {12'000}));
+  CHECK(Bytes.size() < 400'000);
+}
+
 TEST_CASE("among many crashes only the request that causes them is refused") {
   // Runners crash one after the other with all turns in flight, more often than
   // in practice, while the crashing request is sent through all hosts.
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -79,8 +79,7 @@
   milliseconds Wait =
       std::min(Call.Params.TimeLeft.value_or(DefaultTimeLeft), Route->Timeout);
   Call.Deadline = Call.Arrived + Wait;
-  Call.Fingerprints = crash_tracker::fingerprintsOf(
-      Call.scoped(Call.Params.Program), Call.Request.Target, Call.Request.Body);
+  Call.Fingerprints = fingerprintsOf(Call);
   bool NeedsOpening = Call.isKept() || Call.hasBudget();
   Call.HeadBytes = Call.Request.Headers.heldBytes();
   relay_call_id Id = Calls.insert(std::move(Call));
--- a/src/librelay/relay_hedge.cpp
+++ b/src/librelay/relay_hedge.cpp
@@ -55,11 +55,8 @@
 
 upstream_row *relay::impl::chooseHedge(relay_call &Call, time_point Now) {
   // A request that has crashed an upstream is not sent to two at a time.
-  bool IsSuspect =
-      CrashTracker.quarantineOf(Call.Fingerprints, Now) ||
-      !CrashTracker.crashesOf(Call.Fingerprints.Exact, Now).empty() ||
-      !CrashTracker.crashesOf(Call.Fingerprints.Content, Now).empty();
-  if (IsSuspect || Upstreams.hasLimits(Call.Service, Now))
+  if (CrashTracker.isSuspect(Call.Fingerprints, Now) ||
+      Upstreams.hasLimits(Call.Service, Now))
     return nullptr;
   upstream_row *Row = chooseUpstream(Call, Now);
   bool IsFree = Row && !Call.wasSentTo(Row->Upstream.Id) &&
--- a/src/librelay/relay_pvt.h
+++ b/src/librelay/relay_pvt.h
@@ -337,6 +337,7 @@
   void leaveLostLink(const std::string &Address);
 
   // -- Crashes of upstreams (relay_suspects.cpp) --
+  static call_fingerprints fingerprintsOf(const relay_call &Call);
   /// Refuses the call if it is quarantined. Returns whether it did.
   bool refuseQuarantined(relay_call_id Id);
   /// Records that the call ended at an upstream without a complete answer.
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -109,6 +109,7 @@
   Attempt.SentTo = Upstream.Upstream;
   Attempt.SentAt = steadyNow();
   Upstreams.recordSent(Upstream, Attempt.SentAt);
+  CrashTracker.recordSend(Call.Fingerprints, Attempt.SentAt);
   Call.Tried.push_back(Attempt.UpstreamId);
 }
 
@@ -528,6 +529,8 @@
              {"upstream", Attempt.UpstreamId},
              {"via", Attempt.Via},
              {"fingerprint", toHex(Call.Fingerprints.Exact)},
+             {"caller_fingerprint", toHex(Call.Fingerprints.Caller)},
+             {"target_fingerprint", toHex(Call.Fingerprints.Target)},
              {"reason", Result.Reason},
              {"phase", nameOf(Call.Phase)},
              {"events", Call.EventCount},
--- a/src/librelay/relay_suspects.cpp
+++ b/src/librelay/relay_suspects.cpp
@@ -20,6 +20,15 @@
 
 } // namespace
 
+call_fingerprints relay::impl::fingerprintsOf(const relay_call &Call) {
+  std::string Program = Call.scoped(Call.Params.Program);
+  const std::string &Caller =
+      Call.Organisation.empty() ? Call.Request.PeerIp : Call.Organisation;
+  return crash_tracker::fingerprintsOf({Program, Caller, Call.Request.Method,
+                                        Call.Request.Target,
+                                        Call.Request.Body});
+}
+
 bool relay::impl::refuseQuarantined(relay_call_id Id) {
   const relay_call &Call = *Calls.find(Id);
   auto Quarantine = CrashTracker.quarantineOf(Call.Fingerprints, steadyNow());
@@ -30,6 +39,9 @@
              {"program", Call.Params.Program},
              {"fingerprint", toHex(Call.Fingerprints.Exact)},
              {"content", toHex(Call.Fingerprints.Content)},
+             {"caller_fingerprint", toHex(Call.Fingerprints.Caller)},
+             {"target_fingerprint", toHex(Call.Fingerprints.Target)},
+             {"quarantined_by", nameOf(Quarantine->Kind)},
              {"lapses_in_ms", Quarantine->ExpiresIn.count()},
              {"ends", describeCrashes(Quarantine->Crashes)}});
   Metrics.add("requests_condemned_total");
--- a/src/libsched/poison.cpp
+++ b/src/libsched/poison.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Limits of a row and of a received message. A few crashes quarantine a
-// fingerprint, so further ones need not be stored.
+// fingerprint, so older ones need not be stored.
 constexpr std::size_t MaxStoredCrashes = 8;
 constexpr std::size_t MaxNameBytes = 256;
 
@@ -22,7 +22,10 @@
   std::int64_t AgeMs = 0;
   std::string Upstream;
   std::string SeenBy;
-  MSGPACK_DEFINE(Incident, AgeMs, Upstream, SeenBy)
+  // Hosts of earlier versions neither send nor read the fields from here on.
+  std::int64_t DurationMs = 0;
+  std::uint64_t Caller = 0;
+  MSGPACK_DEFINE(Incident, AgeMs, Upstream, SeenBy, DurationMs, Caller)
 };
 
 struct entry_message {
@@ -40,8 +43,9 @@
     entry_message Message;
     Message.Fingerprint = Entry.Fingerprint;
     for (const crash_record &Crash : Entry.Crashes)
-      Message.Crashes.push_back(
-          {Crash.Incident, Crash.Age.count(), Crash.Upstream, Crash.SeenBy});
+      Message.Crashes.push_back({Crash.Incident, Crash.Age.count(),
+                                 Crash.Upstream, Crash.SeenBy,
+                                 Crash.Duration.count(), Crash.Caller});
     if (Entry.ClearedAge)
       Message.ClearedAgeMs = Entry.ClearedAge->count();
     Messages.push_back(std::move(Message));
@@ -59,11 +63,13 @@
     poison_entry Entry;
     Entry.Fingerprint = Message.Fingerprint;
     for (const crash_message &Crash : Message.Crashes) {
-      if (Crash.AgeMs < 0 || Crash.Upstream.size() > MaxNameBytes ||
+      if (Crash.AgeMs < 0 || Crash.DurationMs < 0 ||
+          Crash.Upstream.size() > MaxNameBytes ||
           Crash.SeenBy.size() > MaxNameBytes)
         return fail(error_code::Corrupt, "crash record out of range");
       Entry.Crashes.push_back({Crash.Incident, milliseconds(Crash.AgeMs),
-                               Crash.Upstream, Crash.SeenBy});
+                               Crash.Upstream, Crash.SeenBy,
+                               milliseconds(Crash.DurationMs), Crash.Caller});
     }
     if (Message.ClearedAgeMs >= 0)
       Entry.ClearedAge = milliseconds(Message.ClearedAgeMs);
@@ -100,11 +106,16 @@
   if (Crash.Age >= Settings.KeepFor || (Row.ClearedAt && At < *Row.ClearedAt))
     return false;
   auto Known =
-      std::ranges::find(Row.Crashes, Crash.Incident, &crash_row::Incident);
-  if (Known != Row.Crashes.end() || Row.Crashes.size() >= MaxStoredCrashes)
+      std::ranges::find(Row.Crashes, Crash.Incident, &crash_row::incident);
+  if (Known != Row.Crashes.end())
     return false;
-  Row.Crashes.push_back(
-      {Crash.Incident, At, Now, Crash.Upstream, Crash.SeenBy});
+  if (Row.Crashes.size() >= MaxStoredCrashes) {
+    auto Oldest = std::ranges::min_element(Row.Crashes, {}, &crash_row::At);
+    if (At <= Oldest->At)
+      return false;
+    Row.Crashes.erase(Oldest);
+  }
+  Row.Crashes.push_back({At, Now, Crash});
   return true;
 }
 
@@ -139,8 +150,7 @@
     return Result;
   for (const crash_row &Row : Found->second.Crashes)
     if (Now - Row.At < Settings.KeepFor)
-      Result.push_back({{Row.Incident, Now - Row.At, Row.Upstream, Row.SeenBy},
-                        Now - Row.LearnedAt});
+      Result.push_back({Row.recordAt(Now), Now - Row.LearnedAt});
   std::ranges::sort(Result, std::greater(),
                     [](const known_crash &Row) { return Row.Crash.Age; });
   return Result;
@@ -152,8 +162,7 @@
   poison_entry Entry{Fingerprint, {}, std::nullopt};
   for (const crash_row &Crash : Row.Crashes)
     if (Now - Crash.At < Settings.KeepFor)
-      Entry.Crashes.push_back(
-          {Crash.Incident, Now - Crash.At, Crash.Upstream, Crash.SeenBy});
+      Entry.Crashes.push_back(Crash.recordAt(Now));
   if (Row.ClearedAt && Now - *Row.ClearedAt < Settings.KeepFor)
     Entry.ClearedAge = Now - *Row.ClearedAt;
   if (Entry.Crashes.empty() && !Entry.ClearedAge)
--- a/src/turmericheadctl/explain.cpp
+++ b/src/turmericheadctl/explain.cpp
@@ -28,7 +28,8 @@
 /// Returns the fingerprints in a line.
 std::vector<std::string> printsOn(const nlohmann::ordered_json &Line) {
   std::vector<std::string> Prints;
-  for (const char *Key : {"fingerprint", "content"})
+  for (const char *Key :
+       {"fingerprint", "content", "caller_fingerprint", "target_fingerprint"})
     if (auto Print = Line.find(Key); Print != Line.end() && Print->is_string())
       Prints.push_back(Print->get<std::string>());
   return Prints;
--- a/testsuite/soak/oracle.cpp
+++ b/testsuite/soak/oracle.cpp
@@ -186,7 +186,7 @@
   std::map<std::string, fleet_harness::crash_record> Records;
   for (const fleet_harness::run_line &Line : Runs)
     if (!Line.Crash.empty())
-      Records[Line.Service + " " + Line.Input].add(Line);
+      Records[Line.Service + " " + Line.Crash].add(Line);
   for (const auto &[Name, Row] : Records)
     if (Row.lateSends() > fleet_harness::crash_record::MaxLateSends)
       fail("ends by one request",
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -473,16 +473,27 @@
 soak_run::ender soak_run::crasher() {
   fleet_harness::caller_request Request;
   bool Stream = ++CrasherNumber % 2 == 0;
+  // Two forms of four have no body and come under ever new programs.
+  bool HasBody = CrasherNumber % 4 < 2;
   Request.Host =
       Stream ? fleet_harness::fleet::PlanHost : fleet_harness::fleet::ToolHost;
   Request.Path = Stream ? "/turn/" : "/book/slot";
   Request.Caller = Fleet.lastingKey(CrasherNumber);
   Request.Program = "crasher-" + std::to_string(CrasherNumber);
-  Request.Body = "crash-midway " + Request.Program + "\n";
-  Crashers.push_back(loop_source::every(VisitPause, [this, Request] {
-    visit(Request);
-    return true;
-  }));
+  Request.CrashMark = "crash-midway " + Request.Program;
+  if (HasBody)
+    Request.Body = Request.CrashMark + "\n";
+  else
+    Request.SourceIp = "127.0.8." + std::to_string(CrasherNumber);
+  int Visits = 0;
+  Crashers.push_back(loop_source::every(
+      VisitPause, [this, Request, HasBody, Visits]() mutable {
+        fleet_harness::caller_request Sent = Request;
+        if (!HasBody)
+          Sent.Program += "-" + std::to_string(++Visits);
+        visit(Sent);
+        return true;
+      }));
   return {}; // It comes until all else is over.
 }
 
