--- a/src/include/turmerichead/http1_message.h
+++ b/src/include/turmerichead/http1_message.h
@@ -2,6 +2,8 @@
 /// Value types for HTTP/1.1 messages.
 #pragma once
 
+#include "turmerichead/clock.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -84,6 +86,10 @@
   std::string Target; ///< Path and query, as on the request line.
   header_list Headers;
   std::string Body;
+  std::string PeerIp = {}; ///< IP address of the client; empty: not known.
+  /// Time from the arrival of its last byte at this host until it was read. It
+  /// is long if the process was not scheduled meanwhile.
+  milliseconds Waited{0};
 };
 
 struct response_head {
--- a/src/libloop/loop.cpp
+++ b/src/libloop/loop.cpp
@@ -233,12 +233,15 @@
   return handle<GSocketAddress>::adopt(Address);
 }
 
-std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address) {
+std::optional<handle<GSocket>> beginConnect(GSocketAddress *Address,
+                                            GSocketAddress *Source) {
   auto Socket = newSocket(Address);
   if (!Socket)
     return std::nullopt;
   setNoDelay(Socket->get());
   GError *Error = nullptr;
+  if (Source && !g_socket_bind(Socket->get(), Source, FALSE, &Error))
+    return fail(error_code::Unavailable, takeText(Error));
   if (g_socket_connect(Socket->get(), Address, nullptr, &Error))
     return Socket;
   if (!g_error_matches(Error, G_IO_ERROR, G_IO_ERROR_PENDING))
@@ -247,6 +250,19 @@
   return Socket;
 }
 
+std::string peerIpOf(GSocket *Socket) {
+  auto Address = handle<GSocketAddress>::adopt(
+      g_socket_get_remote_address(Socket, nullptr));
+  if (!Address || !G_IS_INET_SOCKET_ADDRESS(Address.get()))
+    return {};
+  GInetAddress *Ip =
+      g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(Address.get()));
+  char *Text = g_inet_address_to_string(Ip);
+  std::string Result(Text);
+  g_free(Text);
+  return Result;
+}
+
 std::optional<handle<GSocket>> acceptFrom(GSocket *Listener) {
   GError *Error = nullptr;
   GSocket *Socket = g_socket_accept(Listener, nullptr, &Error);
