A first start is not denied by hosts that copy, nor its log cut by a retry

Found in review. A disk host that was denied its first start, and a spare one, denied others in turn, so that members could wait for each other for good; only a host that has caught up denies now. A start that was repeated for a busy port opened, and could cut, the log of the process that held it; the port comes first now. A damaged log is no first start.

--- a/src/libturns/first_start_test.cpp
+++ b/src/libturns/first_start_test.cpp
@@ -1,5 +1,8 @@
 // Whether a disk host with an empty disk counts as caught up.
 
+#include "turmerichead/error.h"
+#include "turmerichead/net_loop.h"
+#include "turmerichead/turns_replica.h"
 #include "turmerichead/turns_replica_core.h"
 
 #include <doctest/doctest.h>
@@ -128,3 +131,45 @@
   Cluster.ping("a", "b");
   CHECK(Cluster.at("a").caughtUp());
 }
+
+// A host that was denied while it copied itself denied the others for good.
+TEST_CASE(
+    "a_first_start_does_not_end_with_two_hosts_that_wait_for_each_other") {
+  starting_cluster Cluster;
+  Cluster.start("a");
+  Cluster.start("b");
+  Cluster.ping("b", "a", true);
+  CHECK(Cluster.at("a").caughtUp());
+  Cluster.start("c");
+  Cluster.ping("c", "a");
+  Cluster.ping("b", "c");
+  Cluster.ping("b", "a");
+  CHECK(Cluster.at("b").caughtUp());
+  CHECK(Cluster.at("c").needsCopy());
+}
+
+TEST_CASE("a_spare_disk_host_does_not_prevent_a_first_start") {
+  starting_cluster Cluster;
+  for (const char *Name : {"a", "b", "c", "d"})
+    Cluster.start(Name);
+  for (const char *Name : {"a", "b", "c"})
+    Cluster.ping(Name, "d");
+  Cluster.ping("a", "b");
+  CHECK(Cluster.at("a").caughtUp());
+}
+
+// An earlier process still wrote to the log that a start read and cut.
+TEST_CASE("a_start_leaves_the_log_alone_while_its_port_is_in_use") {
+  starting_cluster Cluster;
+  auto Port = listener::open("127.0.0.1:0");
+  REQUIRE_MESSAGE(Port, lastError().Text);
+  replica_settings Settings;
+  Settings.Self.Address = "127.0.0.1:" + std::to_string(Port->port());
+  Settings.Store.Log.Folder = Cluster.Root + "/log";
+  Settings.SharedKey = "key";
+  CHECK(!replica::create(Settings, {}));
+  CHECK(lastError().Code == error_code::Conflict);
+  CHECK(!std::filesystem::exists(Settings.Store.Log.Folder));
+  Port.reset();
+  CHECK(replica::create(Settings, {}));
+}
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -66,8 +66,10 @@
     Store.State.IsFirstStart =
         Settings.FirstStart && Settings.ConfirmFirstStart;
   }
-  if (Recovery.Damaged)
+  if (Recovery.Damaged) {
     Store.State.CaughtUp = false;
+    Store.State.IsFirstStart = false;
+  }
   if (Store.State.DiskId == 0)
     Store.State.DiskId = newDiskId();
   // Each start begins a new segment, which has to contain the state: the older
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -168,6 +168,15 @@
   impl *Raw = Impl.get();
   Raw->Settings = std::move(Settings);
   Raw->Events = std::move(Events);
+  // The port comes first: a process that still holds it may write to the log.
+  peer_settings Peer = linkSettings(Raw->Settings.Self.Address);
+  Raw->Links = peer_links::create(Peer, Raw->Settings.SharedKey);
+  Raw->Server = peer_server::create(
+      Raw->Settings.Self.Address, Peer, Raw->Settings.SharedKey,
+      {[Raw](const peer_request_view &Request) { Raw->onRequest(Request); },
+       [](peer_reply_id) {}});
+  if (!Raw->Links || !Raw->Server)
+    return std::nullopt;
   Raw->Settings.Store.ConfirmFirstStart = true;
   log_recovery Recovery;
   auto Store = record_store::open(Raw->Settings.Store, steadyNow(), Recovery);
@@ -185,14 +194,6 @@
                            {"caught_up", Raw->Core->caughtUp()},
                            {"first_start", Raw->Core->isFirstStart()}});
   Raw->AwaitsFirstStart = Raw->Core->isFirstStart();
-  peer_settings Peer = linkSettings(Raw->Settings.Self.Address);
-  Raw->Links = peer_links::create(Peer, Raw->Settings.SharedKey);
-  Raw->Server = peer_server::create(
-      Raw->Settings.Self.Address, Peer, Raw->Settings.SharedKey,
-      {[Raw](const peer_request_view &Request) { Raw->onRequest(Request); },
-       [](peer_reply_id) {}});
-  if (!Raw->Links || !Raw->Server)
-    return std::nullopt;
   Raw->TickTimer = loop_source::every(TickInterval, [Raw] {
     Raw->onTick();
     return true;
--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -179,6 +179,9 @@
     addFirstDisk(Address, Reply.DiskId);
     return;
   }
+  // A host that is copying itself can't tell whether disks were in use.
+  if (!Reply.CaughtUp)
+    return;
   state_record State = Store.state();
   State.IsFirstStart = false;
   Store.setState(State);
