Tunnels deliver what came before an end out of order; blanks before chunk extensions

Found in review, by reading: since the fix of answers that end during an upload, a tunnel dropped unsent bytes of a whole answer with a length. It flushes them now, without the frame of the end.

--- a/src/libhttp1/grammar.cpp
+++ b/src/libhttp1/grammar.cpp
@@ -167,9 +167,12 @@
 }
 
 std::optional<std::uint64_t> readChunkLine(std::string_view Line) {
-  std::size_t SizeEnd = std::min(Line.find(';'), Line.size());
+  std::size_t SizeEnd = std::min(Line.find_first_of("; \t"), Line.size());
   auto Size = readNumber(Line.substr(0, SizeEnd), Hexadecimal);
   Line.remove_prefix(SizeEnd);
+  // Blanks may stand before an extension, but not without one.
+  if (Line.find(';') != std::string_view::npos)
+    take(Line, isBlank);
   while (takeChar(Line, ';'))
     if (!takeExtension(Line))
       return std::nullopt;
--- a/src/libhttp1/grammar_test.cpp
+++ b/src/libhttp1/grammar_test.cpp
@@ -127,6 +127,7 @@
       {fields("CONTENT-LENGTH:2 \r\n"), fault::None, "ab"},
       {fields("Transfer-Encoding: CHUNKED\r\n", "1\r\na\r\n000\r\n\r\n"),
        fault::None, "a"},
+      {chunked("2 \t;x\r\nab\r\n0\r\n\r\n"), fault::None, "ab"},
       {chunked("2;x;y=z ; w = \"q\\\"\t\"\r\nab\r\n0;e\r\nT: 1\r\n\r\n"),
        fault::None, "ab"},
       {first("HTTP/1.1 000 OK"), fault::StartLine},
--- a/src/libhttp1/tunnel_server.cpp
+++ b/src/libhttp1/tunnel_server.cpp
@@ -286,9 +286,12 @@
     flush(OtherId);
     return;
   case io_result::Ended:
-    if (!FromUpstream || !endsInOrder(End, Other))
+    if (!FromUpstream)
       break;
-    Other.Socket.queue(pvt::tunnelFrame({}));
+    // Without the frame, an answer that only the end of its connection ends
+    // does not look complete; one with a length is delivered whole.
+    if (endsInOrder(End, Other))
+      Other.Socket.queue(pvt::tunnelFrame({}));
     Other.Phase = phase::Closing;
     Other.Other = {};
     close(Id);
