--- a/src/turmerichead/main.cpp
+++ b/src/turmerichead/main.cpp
@@ -58,6 +58,8 @@
     std::cerr << "--settings FILE is needed; --help shows the settings\n";
     return ExitBadInput;
   }
+  // The settings are not read again, and SIGHUP must not end the host.
+  std::signal(SIGHUP, SIG_IGN);
   findings Findings;
   auto Settings = host_settings::load(FLAGS_settings, Findings);
   if (!Settings) {
@@ -68,8 +70,6 @@
     std::cout << FLAGS_settings << ": good\n";
     return 0;
   }
-  // The settings are not read again, and SIGHUP must not end the host.
-  std::signal(SIGHUP, SIG_IGN);
   log::open(Settings->Host.Id, Settings->Log.Level, Settings->Log.AuditFile);
   auto Host = host::create(std::move(*Settings));
   if (!Host) {
