--- a/src/libturns/log_test.cpp
+++ b/src/libturns/log_test.cpp
@@ -188,7 +188,7 @@
     {
       opened_log First(Folder.Path, 1U << 20U);
       for (int I = 0; I < 5; ++I) {
-        Synced.push_back(std::string(Random() % 100, 's'));
+        Synced.emplace_back(Random() % 100, 's');
         REQUIRE(First.Log->append(Synced.back()));
       }
       REQUIRE(First.Log->sync());
--- a/testsuite/fleet/crashing_request_without_body_test.cpp
+++ b/testsuite/fleet/crashing_request_without_body_test.cpp
@@ -171,9 +171,11 @@
   REQUIRE(Fleet.start());
   std::vector<std::string> Callers;
   constexpr int CallerCount = 7;
+  Callers.reserve(CallerCount);
   for (int I = 0; I < CallerCount; ++I)
     Callers.push_back("127.0.8." + std::to_string(I + 1));
   std::vector<crashing_visits> Crashers;
+  Crashers.reserve(std::size(Forms));
   for (const request_form &Form : Forms)
     Crashers.emplace_back(Form, Callers);
   constexpr int Rounds = 45;
