--- a/src/libhttp1/grammar.cpp
+++ b/src/libhttp1/grammar.cpp
@@ -42,14 +42,6 @@
   return std::all_of(Text.begin(), Text.end(), Matches);
 }
 
-std::string_view trimmed(std::string_view Text) {
-  while (!Text.empty() && isBlank(Text.front()))
-    Text.remove_prefix(1);
-  while (!Text.empty() && isBlank(Text.back()))
-    Text.remove_suffix(1);
-  return Text;
-}
-
 /// Returns whether the version is 1.0, or nullopt if it is not read.
 std::optional<bool> readVersion(std::string_view Text) {
   if (Text != Http11 && Text != Http10)
@@ -119,6 +111,14 @@
 
 } // namespace
 
+std::string_view trimmed(std::string_view Text) {
+  while (!Text.empty() && isBlank(Text.front()))
+    Text.remove_prefix(1);
+  while (!Text.empty() && isBlank(Text.back()))
+    Text.remove_suffix(1);
+  return Text;
+}
+
 std::optional<request_line> readRequestLine(std::string_view Line) {
   std::size_t MethodEnd = Line.find(' ');
   std::size_t TargetEnd = Line.rfind(' ');
--- a/src/libhttp1/grammar_pvt.h
+++ b/src/libhttp1/grammar_pvt.h
@@ -15,6 +15,9 @@
 
 namespace turmerichead::http1::pvt {
 
+/// Returns \p Text without the blanks around it.
+std::string_view trimmed(std::string_view Text);
+
 struct request_line {
   std::string Method;
   std::string Target;
--- a/src/libhttp1/message.cpp
+++ b/src/libhttp1/message.cpp
@@ -1,5 +1,7 @@
 #include "turmerichead/http1_message.h"
 
+#include "grammar_pvt.h"
+
 #include <algorithm>
 #include <array>
 #include <glib.h>
@@ -9,14 +11,6 @@
 
 namespace {
 
-std::string_view trimmed(std::string_view Text) {
-  while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t'))
-    Text.remove_prefix(1);
-  while (!Text.empty() && (Text.back() == ' ' || Text.back() == '\t'))
-    Text.remove_suffix(1);
-  return Text;
-}
-
 std::string lower(std::string_view Text) {
   std::string Result(Text);
   for (char &Letter : Result)
@@ -28,7 +22,7 @@
 void forEachToken(std::string_view List, Visitor Visit) {
   while (!List.empty()) {
     std::size_t Comma = List.find(',');
-    Visit(trimmed(List.substr(0, Comma)));
+    Visit(pvt::trimmed(List.substr(0, Comma)));
     if (Comma == std::string_view::npos)
       return;
     List.remove_prefix(Comma + 1);
