libhttp1 server: one name for an answer that only its connection ends

close() and abort() each tested the same two flags before they reset a connection. No change of behaviour: libhttp1_test 54 of 54, 1132 checks; format and linter clean.

--- a/src/libhttp1/server_connections.cpp
+++ b/src/libhttp1/server_connections.cpp
@@ -114,8 +114,7 @@
   Sockets->remove(Row->Socket.descriptor());
   exchange_id Exchange = Row->Exchange;
   const exchange_row *Open = Exchanges.find(Exchange);
-  // Its answer has no other mark of its end.
-  if (Open && Open->Begun && Open->Http10)
+  if (Open && Open->endsWithConnection())
     Row->Socket.resetOnClose();
   if (Budget)
     Budget->release(Row->Memory);
--- a/src/libhttp1/server_pvt.h
+++ b/src/libhttp1/server_pvt.h
@@ -77,6 +77,10 @@
   bool Http10 = false;
   bool HeadOnly = false; ///< Whether the method of the request is HEAD.
   bool Begun = false;
+
+  /// Whether only the end of the connection marks the end of the answer, so
+  /// that a cut answer needs a reset.
+  bool endsWithConnection() const { return Begun && Http10; }
 };
 
 struct server::state {
--- a/src/libhttp1/server_responses.cpp
+++ b/src/libhttp1/server_responses.cpp
@@ -125,7 +125,7 @@
   server_connection_id Connection = Exchange->Connection;
   if (server_connection *Row = State->Connections.find(Connection)) {
     Row->Exchange = {};
-    if (Exchange->Begun && Exchange->Http10)
+    if (Exchange->endsWithConnection())
       Row->Socket.resetOnClose();
   }
   State->Exchanges.erase(Id);
