Log what a copy of records costs on both hosts

The logs could not tell whether a copy is bounded by the time that disk hosts wait for their disks, by their processor time, or by what has to be copied. The line 'copying records' now has the time of all syncs and the processor time, and each source logs once a second what it has sent. No logic changed.

--- a/src/include/turmerichead/turns_replica.h
+++ b/src/include/turmerichead/turns_replica.h
@@ -50,6 +50,7 @@
   std::uint64_t Closes = 0;
   std::uint64_t Syncs = 0;
   std::uint64_t SyncFailures = 0;
+  milliseconds SyncTime{0}; ///< For which the thread has waited for syncs.
   std::uint64_t RefusedOldSet = 0;
   std::uint64_t CopiedRecords = 0;
   std::uint64_t LogBytes = 0;
--- a/src/include/turmerichead/turns_replica_core.h
+++ b/src/include/turmerichead/turns_replica_core.h
@@ -124,6 +124,8 @@
   /// those that were known.
   std::uint64_t copyReplies() const { return CopyReplies; }
   std::uint64_t copiedBytes() const { return CopiedBytes; }
+  /// Size of the records that were sent to hosts that copy.
+  std::uint64_t sentBytes() const { return SentBytes; }
   /// Size of the log and its maximum.
   std::uint64_t logBytes() const { return Store.bytes(); }
   std::uint64_t maxLogBytes() const { return Store.maxBytes(); }
@@ -152,6 +154,7 @@
   std::uint64_t Copied = 0; ///< Records copied since the start.
   std::uint64_t CopyReplies = 0;
   std::uint64_t CopiedBytes = 0;
+  std::uint64_t SentBytes = 0;
 };
 
 } // namespace turmerichead::turns
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -70,7 +70,9 @@
 bool replica::impl::syncNow() {
   ScheduledSync.reset();
   ++Counters.Syncs;
+  time_point Started = steadyNow();
   bool Synced = Core->sync();
+  Counters.SyncTime += steadyNow() - Started;
   if (!Synced) {
     ++Counters.SyncFailures;
     log::error("failed to sync log", {{"reason", lastError().Text}});
@@ -147,6 +149,7 @@
         sendReply(Id, *Reply);
       else
         Server->end(Id, {error_code::Corrupt, lastError().Text});
+      logSentRecords();
     });
   } else if (Request.Path == PingPath) {
     serve<ping_request>(Request, [&](const ping_request &Value) {
--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -141,6 +141,8 @@
   auto Batch = Store.copyFrom(From, CopyBatchBytes);
   if (!Batch)
     return std::nullopt;
+  for (const std::string &Record : Batch->Records)
+    SentBytes += Record.size();
   Batch->CaughtUp = true;
   Batch->Log = LogId;
   // The adopted set has to be on disk before the copy counts, which it does at
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -70,6 +70,9 @@
   std::vector<std::string> findUnresponsiveHosts() const;
   time_point CopyLoggedAt;
   void logCopyProgress();
+  time_point SentLoggedAt;
+  /// Logs at most once a second what was sent to hosts that copy.
+  void logSentRecords();
   /// \p RetriesFailed: see replica_core::copyRequests().
   void requestCopies(bool RetriesFailed);
 };
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -5,6 +5,7 @@
 
 #include "turmerichead/log.h"
 
+#include <ctime>
 #include <nlohmann/json.hpp>
 
 namespace turmerichead::turns {
@@ -16,6 +17,22 @@
 // waiting for the disk. The limit bounds the memory of the log's buffer.
 constexpr std::uint64_t MaxUnsyncedCopyBytes = 4U << 20U;
 
+// Whether the progress that was last logged at LoggedAt is to be logged again.
+bool isDue(time_point &LoggedAt) {
+  constexpr milliseconds ProgressInterval{1000};
+  time_point Now = steadyNow();
+  if (Now - LoggedAt < ProgressInterval)
+    return false;
+  LoggedAt = Now;
+  return true;
+}
+
+// Processor time of this process.
+std::int64_t processorMs() {
+  constexpr std::int64_t ClocksPerMs = CLOCKS_PER_SEC / 1000;
+  return std::clock() / ClocksPerMs;
+}
+
 } // namespace
 
 void replica::impl::onTick() {
@@ -101,16 +118,29 @@
 // -- Copying records ----------------------------------------------------------
 
 void replica::impl::logCopyProgress() {
-  constexpr milliseconds ProgressInterval{1000};
-  time_point Now = steadyNow();
-  if (Now - CopyLoggedAt < ProgressInterval)
+  if (!isDue(CopyLoggedAt))
     return;
-  CopyLoggedAt = Now;
   log::info("copying records", {{"epoch", Core->set().Epoch},
                                 {"records", Core->copiedRecords()},
                                 {"bytes", Core->copiedBytes()},
                                 {"replies", Core->copyReplies()},
-                                {"syncs", Counters.Syncs}});
+                                {"syncs", Counters.Syncs},
+                                {"sync_ms", Counters.SyncTime.count()},
+                                {"processor_ms", processorMs()}});
+}
+
+void replica::impl::logSentRecords() {
+  if (!isDue(SentLoggedAt))
+    return;
+  log::info("sending records to a host that copies",
+            {{"epoch", Core->set().Epoch},
+             {"bytes", Core->sentBytes()},
+             {"log_bytes", Core->logBytes()},
+             {"opens", Counters.Opens},
+             {"closes", Counters.Closes},
+             {"syncs", Counters.Syncs},
+             {"sync_ms", Counters.SyncTime.count()},
+             {"processor_ms", processorMs()}});
 }
 
 void replica::impl::requestCopies(bool RetriesFailed) {
