RECOVER at scale: spread turns over the members by program

A turn went to the member of the same data centre and then to the first members in order. Hosts of the same rank are now ordered by a hash of the program, so that each member stores three fifths, and a chain stays on the same hosts. The test fails with the order before (5000 of 5000 programs on each of three members, at most 7 in 10 allowed).

--- a/src/libturns/client.cpp
+++ b/src/libturns/client.cpp
@@ -45,13 +45,12 @@
   Deadlines->add(Delay, keyOf(Id), static_cast<int>(Kind));
 }
 
-// Members in this host's data centre first, unresponsive ones last.
 std::vector<disk_host>
-client::impl::membersByPreference(const disk_set &Members) const {
-  return sortedByRank(Members.allMembers(), [this](const disk_host &Host) {
-    return (isUnresponsive(Host.Address) ? 2 : 0) +
-           (Host.DataCentre == Settings.DataCentre ? 0 : 1);
-  });
+client::impl::membersByPreference(const operation_row &Row) const {
+  return hostsForProgram(
+      Row.Set.allMembers(), Settings.DataCentre,
+      std::visit([](const auto &Kind) { return Kind.Call.Program; }, Row.Kind),
+      [this](std::string_view Address) { return isUnresponsive(Address); });
 }
 
 // -- Sending to disk hosts ----------------------------------------------------
--- a/src/libturns/client_close.cpp
+++ b/src/libturns/client_close.cpp
@@ -16,7 +16,7 @@
                      true, RetentionMs};
   std::size_t Copies = 0;
   bool IncludeTurnForAll = Close.ToAllMembers || Row.Set.isJoint();
-  for (const disk_host &Host : membersByPreference(Row.Set)) {
+  for (const disk_host &Host : membersByPreference(Row)) {
     if (Close.AckedAt.contains(Host.Address))
       continue;
     Request.HasTurn =
--- a/src/libturns/client_open.cpp
+++ b/src/libturns/client_open.cpp
@@ -30,7 +30,7 @@
                    false,
                    static_cast<std::uint64_t>(Open.Call.Retention.count())};
   Request.Budget = Open.Call.Budget;
-  for (const disk_host &Host : membersByPreference(Row.Set)) {
+  for (const disk_host &Host : membersByPreference(Row)) {
     if (Open.Quorum.hasReplied(Host.Address))
       continue;
     bool RequestsChain =
@@ -50,7 +50,7 @@
   auto &Open = std::get<open_operation>(Row.Kind);
   if (Open.Chain.isComplete())
     return;
-  for (const disk_host &Host : membersByPreference(Row.Set)) {
+  for (const disk_host &Host : membersByPreference(Row)) {
     if (Open.Chain.wasAsked(Host.Address))
       continue;
     Open.Chain.markAsked(Host.Address);
--- a/src/libturns/client_pvt.h
+++ b/src/libturns/client_pvt.h
@@ -66,7 +66,8 @@
 
   void setDeadline(operation_id Id, milliseconds Delay, deadline_kind Kind);
   void onDeadline(operation_id Id, deadline_kind Kind);
-  std::vector<disk_host> membersByPreference(const disk_set &Members) const;
+  /// Returns the members of the operation's set, see hostsForProgram().
+  std::vector<disk_host> membersByPreference(const operation_row &Row) const;
   bool isUnresponsive(std::string_view Address) const;
   /// Returns the forwarder for requests to a disk host, or nullopt if none
   /// replies. Near ones come first.
--- a/src/libturns/rank_test.cpp
+++ b/src/libturns/rank_test.cpp
@@ -39,3 +39,32 @@
     CHECK(Sorted == Expected);
   }
 }
+
+TEST_CASE("the_first_members_stored_the_turns_of_all_programs") {
+  // Their logs grew faster than a host that catches up could copy them.
+  constexpr int Programs = 5000;
+  constexpr std::size_t QuorumSize = 3;
+  std::vector<disk_host> Members;
+  for (const char *Name : {"a", "b", "c", "d", "e"})
+    Members.push_back({Name, std::string(Name) + ":1", "x"});
+  std::map<std::string, int> Stored;
+  auto Responds = [](std::string_view) { return false; };
+  for (int I = 0; I < Programs; ++I) {
+    std::string Program = "p" + std::to_string(I);
+    auto Hosts = hostsForProgram(Members, "x", Program, Responds);
+    CHECK(hostsForProgram(Members, "x", Program, Responds) == Hosts);
+    for (std::size_t At = 0; At < QuorumSize; ++At)
+      ++Stored[Hosts[At].Name];
+  }
+  for (const disk_host &Host : Members)
+    CHECK(Stored[Host.Name] < Programs * 7 / 10);
+}
+
+TEST_CASE("hosts_of_the_data_centre_come_first_and_unresponsive_ones_last") {
+  std::vector<disk_host> Members = {
+      {"a", "a:1", "x"}, {"b", "b:1", "y"}, {"c", "c:1", "x"}};
+  auto IsFirst = [](std::string_view Address) { return Address == "a:1"; };
+  auto Hosts = hostsForProgram(Members, "x", "p", IsFirst);
+  CHECK(Hosts[0].Name == "c");
+  CHECK(Hosts[2].Name == "a");
+}
