RECOVER at scale: choose the first disk set once no other disk host registers

The first set was proposed as soon as 2f+1 disk hosts had registered. It waits for a second without another registration. The test fails without the condition.

--- a/src/include/turmerichead/turns_replica.h
+++ b/src/include/turmerichead/turns_replica.h
@@ -32,6 +32,8 @@
   std::string SharedKey; ///< Authenticates the links between hosts.
   /// A host that has not replied for this time counts as unresponsive.
   milliseconds UnresponsiveAfter{1500};
+  /// The first set is chosen once no disk host has registered for this time.
+  milliseconds RegisterTime{1000};
 };
 
 /// Callbacks of a replica, on the event loop.
--- a/src/include/turmerichead/turns_set.h
+++ b/src/include/turmerichead/turns_set.h
@@ -86,6 +86,8 @@
   disk_host Self;
   bool SelfCaughtUp = false;
   std::vector<disk_host> Registered; ///< All disk hosts, including this one.
+  /// Whether Registered has not changed for replica_settings::RegisterTime.
+  bool IsRegisteredSettled = false;
   /// Addresses of the hosts that have not replied for
   /// replica_settings::UnresponsiveAfter.
   std::vector<std::string> Unresponsive;
@@ -94,7 +96,9 @@
 
 /// Returns the set that this host should propose now; nullopt if there is
 /// nothing to change. The rules:
-/// - The first set is created once 2f+1 hosts are registered.
+/// - The first set is created once 2f+1 hosts are registered, and no other one
+///   has registered for a while: the first ones may all be in the data centre
+///   that is nearest to the platform.
 /// - A host outside the set replaces a member that is unresponsive or is to
 ///   retire. The set is joint until the new host has caught up.
 /// - A joint set whose joining host has become unresponsive is rolled back to
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -218,6 +218,8 @@
 
 void replica::setHosts(std::vector<disk_host> Registered,
                        std::vector<std::string> Retiring) {
+  if (Impl->Registered != Registered)
+    Impl->RegisteredAt = steadyNow();
   Impl->Registered = std::move(Registered);
   Impl->Retiring = std::move(Retiring);
   if (Impl->AwaitsFirstStart)
--- a/src/libturns/replica_core_fuzz_test.cpp
+++ b/src/libturns/replica_core_fuzz_test.cpp
@@ -140,6 +140,7 @@
     for (const disk_host &Host : View.Set.allMembers())
       if (!runningCore(Host.Address))
         View.Unresponsive.push_back(Host.Address);
+    View.IsRegisteredSettled = true;
     View.Retiring = Retiring;
     return View;
   }
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -57,6 +57,7 @@
 
   // -- Membership and copying (replica_set.cpp) --
   std::vector<disk_host> Registered;
+  time_point RegisteredAt; ///< When Registered changed last.
   std::vector<std::string> Retiring;
   host_monitor Monitor{Settings.UnresponsiveAfter};
   loop_source TickTimer;
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -107,6 +107,8 @@
   View.Self = Settings.Self;
   View.SelfCaughtUp = Core->caughtUp();
   View.Registered = Registered;
+  View.IsRegisteredSettled =
+      steadyNow() - RegisteredAt >= Settings.RegisterTime;
   View.Retiring = Retiring;
   if (View.Set.Epoch > 0)
     View.Unresponsive = findUnresponsiveHosts();
--- a/src/libturns/set.cpp
+++ b/src/libturns/set.cpp
@@ -40,7 +40,7 @@
 
 std::optional<disk_set> initialSet(const set_view &View) {
   std::size_t Wanted = 2 * static_cast<std::size_t>(View.Faults) + 1;
-  if (View.Registered.size() < Wanted)
+  if (View.Registered.size() < Wanted || !View.IsRegisteredSettled)
     return std::nullopt;
   return disk_set{
       1, View.Faults + 1, chooseMembers(View.Registered, Wanted), {}};
--- a/src/libturns/set_test.cpp
+++ b/src/libturns/set_test.cpp
@@ -22,6 +22,7 @@
   View.Self = Self;
   View.SelfCaughtUp = true;
   View.Registered = {A, B, C, D};
+  View.IsRegisteredSettled = true;
   return View;
 }
 
@@ -101,3 +102,16 @@
   CHECK(!isReadQuorum(Joint, Has({D, B})));
   CHECK(!isWriteQuorum(disk_set(), Has({A, B, C})));
 }
+
+TEST_CASE("the_first_set_was_chosen_before_the_other_data_centres_registered") {
+  const disk_host E = host("e", "x");
+  set_view View = viewOf(A, {});
+  View.Registered = {A, D, E};
+  View.IsRegisteredSettled = false;
+  CHECK(!proposeSet(View));
+  View.Registered = {A, B, C, D, E};
+  View.IsRegisteredSettled = true;
+  auto Set = proposeSet(View);
+  REQUIRE(Set);
+  CHECK(Set->Members == std::vector<disk_host>{A, B, C});
+}
