RECOVER at scale: leave turns where a quorum of other members has them

Members now list their logs to the end before any turn is requested, and a turn that a quorum of other members has listed is left there. Members that are being replaced do not count. So a copy also ends whatever the rate at which turns are stored: what follows the ends of the logs in an epoch is sent to this host too.

Why it is safe: of 2f+1 members f+1 have each committed turn, or have lost their disks and not caught up; a host that leaves a turn with f+1 others keeps that true.

--- a/src/libturns/copy_plan.cpp
+++ b/src/libturns/copy_plan.cpp
@@ -1,6 +1,6 @@
 #include "turmerichead/turns_copy_plan.h"
 
-#include <iterator>
+#include <bit>
 
 namespace turmerichead::turns {
 
@@ -11,7 +11,57 @@
 
 } // namespace
 
+// -- The members --------------------------------------------------------------
+
+void copy_plan::updateSet(const disk_set &NewSet) {
+  if (Set.Epoch == NewSet.Epoch)
+    return;
+  Set = NewSet;
+  removeFormerMembers();
+  for (const disk_host &Host : Set.Members)
+    sourceOf(Host.Address);
+  Lasting = lastingMembers();
+  for (auto &[Address, Source] : Sources) {
+    Source.AtEnd = false;
+    bool IsAtStart = Source.Next == log_position();
+    if (Source.Log == 0 && !IsAtStart)
+      restart(Source);
+  }
+}
+
+void copy_plan::removeFormerMembers() {
+  for (auto &[Address, Source] : Sources)
+    if (!hasAddress(Set.Members, Address))
+      restart(Source);
+  // A reply that is still to come must not count if the host returns.
+  std::erase_if(Sources, [this](const auto &Row) {
+    return !hasAddress(Set.Members, Row.first) && !Row.second.RequestPending;
+  });
+}
+
+copy_plan::source &copy_plan::sourceOf(const std::string &Address) {
+  auto [Row, IsNew] = Sources.try_emplace(Address);
+  if (!IsNew)
+    return Row->second;
+  source_mask Used = 0;
+  for (const auto &Other : Sources)
+    Used |= Other.second.Bit;
+  Row->second.Bit = source_mask(1) << std::countr_one(Used);
+  return Row->second;
+}
+
+copy_plan::source_mask copy_plan::lastingMembers() const {
+  source_mask Mask = 0;
+  for (const auto &[Address, Source] : Sources)
+    if (hasAddress(Set.Members, Address) &&
+        (!Set.isJoint() || hasAddress(Set.Next, Address)))
+      Mask |= Source.Bit;
+  return Mask;
+}
+
 void copy_plan::restart(source &Source) {
+  for (turn_row &Turn : Turns)
+    Turn.Holders &= ~Source.Bit;
   Source.Next = {};
   Source.Log = 0;
   Source.AtEnd = false;
@@ -20,109 +70,112 @@
 }
 
 void copy_plan::restart() {
-  for (auto &[Address, Source] : Sources)
-    restart(Source);
-}
-
-void copy_plan::beginEpoch(std::uint64_t NewEpoch) {
-  if (Epoch == NewEpoch)
-    return;
-  Epoch = NewEpoch;
   for (auto &[Address, Source] : Sources) {
-    Source.AtEnd = false;
-    bool IsAtStart = Source.Next == log_position();
-    if (Source.Log == 0 && !IsAtStart)
-      restart(Source);
+    restart(Source);
+    Source.Requested.clear();
   }
+  TurnNumbers.clear();
+  Turns.clear();
 }
 
-void copy_plan::dropStoredTurns(source &Source, const turn_index &Index) {
-  while (!Source.Listed.empty() && Index.hasTurn(Source.Listed.front().Id))
-    Source.Listed.pop_front();
+// -- Requests -----------------------------------------------------------------
+
+bool copy_plan::isResolved(const turn_row &Turn,
+                           const turn_index &Index) const {
+  auto Holders = std::popcount(Turn.Holders & Lasting);
+  return static_cast<std::uint32_t>(Holders) >= Set.QuorumSize ||
+         Index.hasTurn(Turn.Id);
 }
 
 void copy_plan::chooseTurns(source &Source, const turn_index &Index) {
-  std::deque<listed_turn> Skipped;
+  std::vector<turn_number> Skipped; // Requested from other members.
   std::uint64_t Bytes = 0;
   while (!Source.Listed.empty() && Bytes < MaxRequestedBytes) {
-    listed_turn Turn = std::move(Source.Listed.front());
+    turn_number Number = Source.Listed.front();
     Source.Listed.pop_front();
-    if (Index.hasTurn(Turn.Id))
+    turn_row &Turn = Turns[Number];
+    if (isResolved(Turn, Index))
       continue;
-    if (InProgress.contains(Turn.Id)) {
-      Skipped.push_back(std::move(Turn));
+    if (Turn.IsRequested) {
+      Skipped.push_back(Number);
       continue;
     }
     Bytes += Turn.Bytes;
-    InProgress.insert(Turn.Id);
-    Source.Requested.push_back(std::move(Turn));
+    Turn.IsRequested = true;
+    Source.Requested.push_back(Number);
   }
-  Source.Listed.insert(Source.Listed.begin(),
-                       std::make_move_iterator(Skipped.begin()),
-                       std::make_move_iterator(Skipped.end()));
-}
-
-copy_request copy_plan::nextRequest(source &Source, const disk_set &Set,
-                                    const turn_index &Index) {
-  copy_request Request{
-      Set, Source.Next.Segment, Source.Next.Offset, Source.Log, true, {}};
-  chooseTurns(Source, Index);
-  for (const listed_turn &Turn : Source.Requested)
-    Request.Turns.push_back(Turn.Id);
-  return Request;
+  Source.Listed.insert(Source.Listed.begin(), Skipped.begin(), Skipped.end());
 }
 
 std::vector<std::pair<std::string, copy_request>>
-copy_plan::requests(const disk_set &Set, std::string_view Self,
-                    bool RetriesFailed, const turn_index &Index) {
+copy_plan::requests(std::string_view Self, bool RetriesFailed,
+                    const turn_index &Index) {
   std::vector<std::pair<std::string, copy_request>> Requests;
-  for (const disk_host &Host : Set.Members) {
-    source &Source = Sources[Host.Address];
-    if (Host.Address == Self || Source.RequestPending ||
-        (Source.Failed && !RetriesFailed) || isDone(Host.Address, Index))
-      continue;
-    copy_request Request = nextRequest(Source, Set, Index);
-    // All that is left was requested from other members.
-    if (Source.AtEnd && Request.Turns.empty())
+  for (auto &[Address, Source] : Sources) {
+    if (Address == Self || !hasAddress(Set.Members, Address) ||
+        Source.RequestPending || (Source.Failed && !RetriesFailed))
       continue;
+    copy_request Request{
+        Set, Source.Next.Segment, Source.Next.Offset, Source.Log, true, {}};
+    if (Source.AtEnd) {
+      chooseTurns(Source, Index);
+      for (turn_number Number : Source.Requested)
+        Request.Turns.push_back(Turns[Number].Id);
+      if (Request.Turns.empty())
+        continue;
+    }
     Source.RequestPending = true;
     Source.Failed = true; // Until a usable reply arrives.
-    Requests.emplace_back(Host.Address, std::move(Request));
+    Requests.emplace_back(Address, std::move(Request));
   }
   return Requests;
 }
 
-copy_step copy_plan::onReply(std::string_view Address,
-                             std::uint64_t RequestEpoch,
+// -- Replies ------------------------------------------------------------------
+
+void copy_plan::addListed(source &Source,
+                          const std::vector<listed_turn> &Listed) {
+  for (const listed_turn &Turn : Listed) {
+    auto Known = TurnNumbers.find(Turn.Id);
+    if (Known == TurnNumbers.end()) {
+      auto Number = static_cast<turn_number>(Turns.size());
+      Turns.push_back({Turn.Id, Turn.Bytes});
+      Known = TurnNumbers.emplace(Turns.back().Id, Number).first;
+    }
+    Turns[Known->second].Holders |= Source.Bit;
+    Source.Listed.push_back(Known->second);
+  }
+}
+
+copy_step copy_plan::onReply(std::string_view Address, std::uint64_t Epoch,
                              const copy_reply &Reply) {
   auto Row = Sources.find(Address);
   if (Row == Sources.end())
-    return copy_step::Ignored;
+    return copy_step::Ignore;
   source &Source = Row->second;
   // A host that is still catching up may lack writes that it acknowledged.
   if (Source.IgnoresReply || Reply.Status != 0 || !Reply.CaughtUp)
-    return copy_step::Ignored;
+    return copy_step::Ignore;
   Source.Failed = false;
   bool IsAtStart = Source.Next == log_position();
   if (Reply.Log != Source.Log && !IsAtStart) {
     // The other host has restarted, so the position no longer holds.
     restart(Source);
-    return copy_step::Ignored;
+    return copy_step::Ignore;
   }
   if (!Source.Requested.empty()) {
     // Turns that are not in the reply have expired there.
-    for (const listed_turn &Turn : Source.Requested)
-      InProgress.erase(Turn.Id);
+    for (turn_number Number : Source.Requested)
+      Turns[Number].IsRequested = false;
     Source.Requested.clear();
-    return copy_step::Accepted;
+    return copy_step::Store;
   }
   Source.Log = Reply.Log;
   Source.Next = {Reply.Segment, Reply.Offset, 0};
   // In an older epoch, writes could follow that this host does not receive.
-  Source.AtEnd = Reply.AtEnd && RequestEpoch == Epoch;
-  Source.Listed.insert(Source.Listed.end(), Reply.Turns.begin(),
-                       Reply.Turns.end());
-  return copy_step::Accepted;
+  Source.AtEnd = Reply.AtEnd && Epoch == Set.Epoch;
+  addListed(Source, Reply.Turns);
+  return copy_step::Store;
 }
 
 void copy_plan::onNewerSet(std::string_view Address) {
@@ -138,10 +191,10 @@
   source &Source = Row->second;
   // Turns that were not received are requested again, here or from another
   // member. After a restart of the copy they will be listed again.
-  for (listed_turn &Turn : Source.Requested) {
-    InProgress.erase(Turn.Id);
+  for (turn_number Number : Source.Requested) {
+    Turns[Number].IsRequested = false;
     if (!Source.IgnoresReply)
-      Source.Listed.push_front(std::move(Turn));
+      Source.Listed.push_front(Number);
   }
   Source.Requested.clear();
   Source.RequestPending = false;
@@ -153,7 +206,9 @@
   if (Row == Sources.end())
     return false;
   source &Source = Row->second;
-  dropStoredTurns(Source, Index);
+  while (!Source.Listed.empty() &&
+         isResolved(Turns[Source.Listed.front()], Index))
+    Source.Listed.pop_front();
   return Source.AtEnd && Source.Listed.empty() && Source.Requested.empty();
 }
 
--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -247,8 +247,8 @@
 replica_core::copyRequests(bool RetriesFailed) {
   if (Copies.epoch() != set().Epoch && HasExpiredRecords)
     restartCopies();
-  Copies.beginEpoch(set().Epoch);
-  return Copies.requests(set(), Self.Address, RetriesFailed, index());
+  Copies.updateSet(set());
+  return Copies.requests(Self.Address, RetriesFailed, index());
 }
 
 bool replica_core::onCopyReply(std::string_view Address, std::uint64_t Epoch,
@@ -258,7 +258,7 @@
       Copies.onNewerSet(Address);
     return true;
   }
-  if (Copies.onReply(Address, Epoch, Reply) == copy_step::Ignored)
+  if (Copies.onReply(Address, Epoch, Reply) == copy_step::Ignore)
     return true;
   for (const std::string &Record : Reply.Records) {
     if (!Store.addEncoded(Record, Now))
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -5,7 +5,6 @@
 
 #include "turmerichead/log.h"
 
-#include <ctime>
 #include <nlohmann/json.hpp>
 
 namespace turmerichead::turns {
@@ -27,12 +26,6 @@
   return true;
 }
 
-// Processor time of this process.
-std::int64_t processorMs() {
-  constexpr std::int64_t ClocksPerMs = CLOCKS_PER_SEC / 1000;
-  return std::clock() / ClocksPerMs;
-}
-
 } // namespace
 
 void replica::impl::onTick() {
@@ -127,8 +120,7 @@
                                 {"bytes", Core->copiedBytes()},
                                 {"replies", Core->copyReplies()},
                                 {"syncs", Counters.Syncs},
-                                {"sync_ms", Counters.SyncTime.count()},
-                                {"processor_ms", processorMs()}});
+                                {"sync_ms", Counters.SyncTime.count()}});
 }
 
 void replica::impl::logSentRecords() {
@@ -141,8 +133,7 @@
              {"opens", Counters.Opens},
              {"closes", Counters.Closes},
              {"syncs", Counters.Syncs},
-             {"sync_ms", Counters.SyncTime.count()},
-             {"processor_ms", processorMs()}});
+             {"sync_ms", Counters.SyncTime.count()}});
 }
 
 void replica::impl::requestCopies(bool RetriesFailed) {
