--- a/src/include/turmerichead/turns_index.h
+++ b/src/include/turmerichead/turns_index.h
@@ -56,6 +56,8 @@
   std::optional<log_position> turnPosition(std::string_view Id) const;
   /// Whether addSpend() of the record would return false.
   bool hasSpend(const spend_record &Spend) const;
+  /// Whether the record at \p Position is the newest of its attempt.
+  bool isNewest(const spend_record &Spend, const log_position &Position) const;
 
   /// Returns the tokens that the other attempts of \p Program have reserved or
   /// spent.
@@ -108,6 +110,9 @@
   using text_map =
       std::unordered_map<std::string, Row, text_hash, std::equal_to<>>;
 
+  /// Returns the entry of the record's attempt; nullptr if there is none.
+  const spend_entry *findSpend(const spend_record &Spend) const;
+
   text_map<turn_row> Turns;
   text_map<program_row> Programs;
 };
--- a/src/include/turmerichead/turns_record_store.h
+++ b/src/include/turmerichead/turns_record_store.h
@@ -54,7 +54,8 @@
   /// Returns the records from \p From on, about \p MaxBytes of them, for a host
   /// that catches up. Fails like record_log::scan().
   std::optional<copy_reply> copyFrom(log_position From, std::size_t MaxBytes);
-  /// As copyFrom(), but lists turns in place of returning their records.
+  /// As copyFrom(), but lists turns in place of returning their records, and
+  /// leaves out what later records have replaced.
   std::optional<copy_reply> listFrom(log_position From, std::size_t MaxBytes);
   /// Reads the encoded record of a turn. Fails with NotFound if it is not
   /// stored, and like record_log::read().
@@ -83,6 +84,10 @@
 
 private:
   explicit record_store(record_log Log) : Log(std::move(Log)) {}
+  /// Adds what a host that catches up needs of a record to \p Reply, and
+  /// returns its size.
+  std::size_t listRecord(copy_reply &Reply, const log_position &Position,
+                         std::string_view Record) const;
   /// Removes the segments without live records; the newest one stays.
   bool removeDeadSegments();
   /// Copies the live records of a segment to the end of the log and removes the
--- a/src/libturns/index.cpp
+++ b/src/libturns/index.cpp
@@ -36,14 +36,24 @@
   return true;
 }
 
-bool turn_index::hasSpend(const spend_record &Spend) const {
+const turn_index::spend_entry *
+turn_index::findSpend(const spend_record &Spend) const {
   auto Program = Programs.find(Spend.Program);
   if (Program == Programs.end())
-    return false;
+    return nullptr;
   auto Entry = Program->second.Attempts.find(Spend.Attempt);
-  if (Entry == Program->second.Attempts.end())
-    return false;
-  return Entry->second.isStored() && (Entry->second.Settled || !Spend.Settled);
+  return Entry == Program->second.Attempts.end() ? nullptr : &Entry->second;
+}
+
+bool turn_index::hasSpend(const spend_record &Spend) const {
+  const spend_entry *Entry = findSpend(Spend);
+  return Entry && Entry->isStored() && (Entry->Settled || !Spend.Settled);
+}
+
+bool turn_index::isNewest(const spend_record &Spend,
+                          const log_position &Position) const {
+  const spend_entry *Entry = findSpend(Spend);
+  return Entry && Entry->Position == Position;
 }
 
 chain_lookup turn_index::findChain(std::string_view Id) const {
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -121,12 +121,16 @@
     if (Known && Index.hasTurn(Known->Id))
       return true;
     auto Turn = unpackRecord<turn_record>(Bytes);
-    return Turn && add(*Turn, Now, record_purpose::Copy);
+    auto Position =
+        Turn ? Log.append(Bytes, record_purpose::Copy) : std::nullopt;
+    return Position && (Index.addTurn(*Turn, *Position, Now), true);
   }
   auto Spend = unpackRecord<spend_record>(Bytes);
   if (Spend && Index.hasSpend(*Spend))
     return true;
-  return Spend && add(*Spend, Now, record_purpose::Copy);
+  auto Position =
+      Spend ? Log.append(Bytes, record_purpose::Copy) : std::nullopt;
+  return Position && (Index.addSpend(*Spend, *Position, Now), true);
 }
 
 bool record_store::sync() {
@@ -178,26 +182,37 @@
   return Reply;
 }
 
+std::size_t record_store::listRecord(copy_reply &Reply,
+                                     const log_position &Position,
+                                     std::string_view Record) const {
+  auto Kind = kindOf(Record);
+  if (Kind == record_kind::Turn) {
+    auto Turn = unpackRecord<turn_id>(Record);
+    if (!Turn)
+      return 0;
+    Reply.Turns.push_back({Turn->Id, Record.size()});
+    return Turn->Id.size();
+  }
+  auto Spend = Kind == record_kind::Spend ? unpackRecord<spend_record>(Record)
+                                          : std::nullopt;
+  // What has replaced this record follows in the log.
+  if (!Spend || !Index.isNewest(*Spend, Position))
+    return 0;
+  Reply.Records.emplace_back(Record);
+  return Record.size();
+}
+
 std::optional<copy_reply> record_store::listFrom(log_position From,
                                                  std::size_t MaxBytes) {
   copy_reply Reply;
   std::size_t Bytes = 0;
   std::size_t ScannedBytes = 0;
-  auto Next =
-      Log.scan(From, [&](const log_position &, std::string_view Record) {
+  auto Next = Log.scan(
+      From, [&](const log_position &Position, std::string_view Record) {
         if (Bytes >= MaxBytes || ScannedBytes >= MaxScannedBytes)
           return false;
         ScannedBytes += Record.size();
-        auto Kind = kindOf(Record);
-        auto Turn = Kind == record_kind::Turn ? unpackRecord<turn_id>(Record)
-                                              : std::nullopt;
-        if (Turn) {
-          Bytes += Turn->Id.size();
-          Reply.Turns.push_back({std::move(Turn->Id), Record.size()});
-        } else if (Kind != record_kind::State) {
-          Bytes += Record.size();
-          Reply.Records.emplace_back(Record);
-        }
+        Bytes += listRecord(Reply, Position, Record);
         return true;
       });
   if (!Next)
--- a/src/libturns/replica_core_test.cpp
+++ b/src/libturns/replica_core_test.cpp
@@ -363,3 +363,26 @@
   CHECK(Core.isCopyComplete());
   CHECK(Core.index().hasTurn("only"));
 }
+
+TEST_CASE("reservations_that_are_settled_are_not_copied") {
+  copy_cluster Cluster;
+  for (const char *Name : {"a", "b", "c"}) {
+    open_request Open;
+    Open.Set = Cluster.Set;
+    Open.Spend = {"p", "xlate", 50, false, RetentionMs};
+    Open.Budget = 1'000'000;
+    REQUIRE(Cluster.at(Name).open(Open, {0}).Value.Status == 0);
+    Open.Spend.Attempt = "open";
+    REQUIRE(Cluster.at(Name).open(Open, {0}).Value.Status == 0);
+    Cluster.write(Name, "late", false);
+  }
+  auto Reply = Cluster.at("a").copy({Cluster.Set, 0, 0, 0, true, {}});
+  REQUIRE(Reply);
+  CHECK(Reply->Value.AtEnd);
+  // One of each settled attempt, and the reservation that is open.
+  CHECK(Reply->Value.Records.size() == TurnCount + 2);
+  while (!Cluster.at("d").isCopyComplete())
+    Cluster.copyOnce("d", true);
+  CHECK(Cluster.at("d").index().listOtherAttempts("p", "").size() ==
+        TurnCount + 2);
+}
