--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -27,8 +27,9 @@
 constexpr std::string_view Suffix = ".log";
 
 // A new turn is refused above 60 % of the maximum size, its end above 66 %. A
-// host that catches up stores the turns of all members, each of which is on
-// more than half of them: 1.5 times the size of their logs with three members.
+// host that catches up stores at most the turns of all members, each of which
+// is on more than half of them: 1.5 times the size of their logs with three
+// members.
 constexpr std::uint64_t NewWorkPercent = 60;
 constexpr std::uint64_t CompletionPercent = 66;
 constexpr std::uint64_t Hundred = 100;
