RECOVER at scale: request turns over several links

The turns of a request are now divided among four links of the host that catches up. Copying has a file of its own; the request may have 4 MB, and a list looks at 16 MB of the log.

--- a/src/libturns/copy_plan.cpp
+++ b/src/libturns/copy_plan.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// The reply holds up the other requests to that member while it is sent.
-constexpr std::uint64_t MaxRequestedBytes = 1U << 20U;
+// Bounds the memory of the replies. The request is divided among several links.
+constexpr std::uint64_t MaxRequestedBytes = 4U << 20U;
 
 } // namespace
 
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t Hundred = 100;
 
 // Reading holds up other requests.
-constexpr std::size_t MaxScannedBytes = 8U << 20U;
+constexpr std::size_t MaxScannedBytes = 16U << 20U;
 
 /// The first field of a turn_record, to recognise a turn that is stored.
 struct turn_id {
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -1,6 +1,6 @@
 /// \file
-/// The implementation of a replica: serving requests, copying records, and
-/// monitoring the set.
+/// The implementation of a replica: serving requests, monitoring the set, and
+/// copying records.
 #pragma once
 
 #include "monitor_pvt.h"
@@ -9,6 +9,7 @@
 #include "turmerichead/turns_replica_core.h"
 
 #include <map>
+#include <vector>
 
 namespace turmerichead::turns {
 
@@ -55,7 +56,7 @@
   /// this function: after a failed sync no pending write may be acknowledged.
   bool syncNow();
 
-  // -- Membership and copying (replica_set.cpp) --
+  // -- Membership (replica_set.cpp) --
   std::vector<disk_host> Registered;
   time_point RegisteredAt; ///< When Registered changed last.
   std::vector<std::string> Retiring;
@@ -69,13 +70,31 @@
   void ping(const std::string &Address);
   void propose();
   std::vector<std::string> findUnresponsiveHosts() const;
+
+  // -- Copying records (replica_copy.cpp) --
+  /// A request to one member, whose turns are divided among several links.
+  struct pending_copy {
+    std::uint64_t Epoch = 0;
+    std::uint64_t Log = 0; ///< copy_request::Log
+    std::size_t Parts = 0;
+    std::size_t PendingParts = 0;
+    std::vector<copy_reply> Replies;
+  };
+  /// By address.
+  std::map<std::string, pending_copy, std::less<>> CopyReplies;
+  std::vector<peer_links> CopyLinks; ///< Empty until records are copied.
   time_point CopyLoggedAt;
-  void logCopyProgress();
   time_point SentLoggedAt;
+
+  bool openCopyLinks();
+  /// Sends the next requests. \p RetriesFailed: see
+  /// replica_core::copyRequests().
+  void requestCopies(bool RetriesFailed);
+  void sendCopyRequest(const std::string &Address, const copy_request &Request);
+  void onCopyPartEnded(const std::string &Address);
+  void logCopyProgress();
   /// Logs at most once a second what was sent to hosts that copy.
   void logSentRecords();
-  /// \p RetriesFailed: see replica_core::copyRequests().
-  void requestCopies(bool RetriesFailed);
 };
 
 } // namespace turmerichead::turns
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -1,33 +1,10 @@
-// The membership of the replica in the disk set: detects unresponsive hosts,
-// proposes changes of the set and copies records from other members.
+// The membership of the replica in the disk set: detects unresponsive hosts and
+// proposes changes of the set.
 
 #include "replica_pvt.h"
 
-#include "turmerichead/log.h"
-
-#include <nlohmann/json.hpp>
-
 namespace turmerichead::turns {
 
-namespace {
-
-// Copied records are not acknowledged to anyone, so they are synced in large
-// groups: with a sync for each reply, the time to catch up was mostly spent
-// waiting for the disk. The limit bounds the memory of the log's buffer.
-constexpr std::uint64_t MaxUnsyncedCopyBytes = 4U << 20U;
-
-// Whether the progress that was last logged at LoggedAt is to be logged again.
-bool isDue(time_point &LoggedAt) {
-  constexpr milliseconds ProgressInterval{1000};
-  time_point Now = steadyNow();
-  if (Now - LoggedAt < ProgressInterval)
-    return false;
-  LoggedAt = Now;
-  return true;
-}
-
-} // namespace
-
 void replica::impl::onTick() {
   const disk_set &Set = Core->set();
   // The members of a set that is not joint never propose a change, so they need
@@ -110,64 +87,4 @@
     Events.OnPropose(*Proposal);
 }
 
-// -- Copying records ----------------------------------------------------------
-
-void replica::impl::logCopyProgress() {
-  if (!isDue(CopyLoggedAt))
-    return;
-  log::info("copying records", {{"epoch", Core->set().Epoch},
-                                {"records", Core->copiedRecords()},
-                                {"bytes", Core->copiedBytes()},
-                                {"replies", Core->copyReplies()},
-                                {"syncs", Counters.Syncs},
-                                {"sync_ms", Counters.SyncTime.count()}});
-}
-
-void replica::impl::logSentRecords() {
-  if (!isDue(SentLoggedAt))
-    return;
-  log::info("sending records to a host that copies",
-            {{"epoch", Core->set().Epoch},
-             {"bytes", Core->sentBytes()},
-             {"log_bytes", Core->logBytes()},
-             {"opens", Counters.Opens},
-             {"closes", Counters.Closes},
-             {"syncs", Counters.Syncs},
-             {"sync_ms", Counters.SyncTime.count()}});
-}
-
-void replica::impl::requestCopies(bool RetriesFailed) {
-  for (auto &[Address, Request] : Core->copyRequests(RetriesFailed)) {
-    std::uint64_t Epoch = Request.Set.Epoch;
-    Links->setAddress(Address, Address);
-    Links->send(Address, {std::string(CopyPath), {}, pack(Request)},
-                {[this, Address = Address, Epoch](std::string_view Bytes) {
-                   auto Reply = unpack<copy_reply>(Bytes);
-                   if (!Reply ||
-                       !Core->onCopyReply(Address, Epoch, *Reply, steadyNow()))
-                     log::error(
-                         "failed to store copied records",
-                         {{"address", Address}, {"reason", lastError().Text}});
-                   handleSetChange();
-                 },
-                 [this, Address = Address](const peer_result &) {
-                   Core->onCopyEnded(Address);
-                   // A request that failed is repeated at the next tick: to a
-                   // host that is down, requests fail without any delay.
-                   if (Core->needsCopy())
-                     requestCopies(false);
-                 }});
-  }
-  if (Core->unsyncedBytes() > MaxUnsyncedCopyBytes && !syncNow())
-    return;
-  if (!Core->isCopyComplete() || !syncNow() || !Core->finishCopy())
-    return;
-  if (syncNow())
-    log::info("replica caught up", {{"epoch", Core->set().Epoch},
-                                    {"turns", Core->index().turnCount()},
-                                    {"records", Core->copiedRecords()},
-                                    {"bytes", Core->copiedBytes()},
-                                    {"replies", Core->copyReplies()}});
-}
-
 } // namespace turmerichead::turns
