A member that falls silent does not hold back the turns it was asked for

Found in the review of the copy: a turn is requested from one member, so that a member behind a cut link held up to 4 MB of turns back until its link was given up, some 4 s. After eight pauses (2 s) others are asked too.

Test: turns_requested_from_a_silent_member_were_not_copied.

--- a/src/include/turmerichead/turns_copy_plan.h
+++ b/src/include/turmerichead/turns_copy_plan.h
@@ -29,6 +29,8 @@
 /// request to each member is in progress.
 class copy_plan {
 public:
+  static constexpr int SlowAfterPauses = 8;
+
   /// Sets the current set. In a new epoch the copies continue where they were,
   /// but are finished only once the ends of the logs are reached again: a
   /// member that has adopted its set refuses writes of older epochs. The copy
@@ -37,7 +39,9 @@
 
   /// Returns the next request to each old member but \p Self, with its address.
   /// Members that are finished get none, and without \p RetriesFailed also
-  /// those whose last request had no usable reply.
+  /// those whose last request had no usable reply. RetriesFailed is true after
+  /// each pause of the caller; the turns of a request that has been in progress
+  /// for SlowAfterPauses of them are requested from other members too.
   std::vector<std::pair<std::string, copy_request>>
   requests(std::string_view Self, bool RetriesFailed, const turn_index &Index);
 
@@ -84,6 +88,7 @@
     bool AtEnd = false;  ///< Whether the end was reached in this epoch.
     std::deque<turn_number> Listed; ///< Turns that may have to be requested.
     std::vector<turn_number> Requested; ///< In the pending request.
+    int Pauses = 0; ///< Of the caller, since the request was sent.
   };
 
   /// Restarts the copy of one member. What it has listed no longer counts.
@@ -98,6 +103,8 @@
   /// Whether a turn needs not be copied.
   bool isResolved(const turn_row &Turn, const turn_index &Index) const;
   void addListed(source &Source, const std::vector<listed_turn> &Listed);
+  /// Counts a pause, and releases the turns of requests that are slow.
+  void releaseSlowRequests();
   /// Marks turns that no other member was asked for as requested, up to the
   /// size of a reply.
   void chooseTurns(source &Source, const turn_index &Index);
--- a/src/libturns/copy_plan.cpp
+++ b/src/libturns/copy_plan.cpp
@@ -107,9 +107,20 @@
   Source.Listed.insert(Source.Listed.begin(), Skipped.begin(), Skipped.end());
 }
 
+void copy_plan::releaseSlowRequests() {
+  for (auto &[Address, Source] : Sources) {
+    if (!Source.RequestPending || ++Source.Pauses != SlowAfterPauses)
+      continue;
+    for (turn_number Number : Source.Requested)
+      Turns[Number].IsRequested = false;
+  }
+}
+
 std::vector<std::pair<std::string, copy_request>>
 copy_plan::requests(std::string_view Self, bool RetriesFailed,
                     const turn_index &Index) {
+  if (RetriesFailed)
+    releaseSlowRequests();
   std::vector<std::pair<std::string, copy_request>> Requests;
   for (auto &[Address, Source] : Sources) {
     if (Address == Self || !hasAddress(Set.Members, Address) ||
@@ -125,6 +136,7 @@
         continue;
     }
     Source.RequestPending = true;
+    Source.Pauses = 0;
     Source.Failed = true; // Until a usable reply arrives.
     Requests.emplace_back(Address, std::move(Request));
   }
--- a/src/libturns/replica_core_test.cpp
+++ b/src/libturns/replica_core_test.cpp
@@ -385,3 +385,20 @@
   CHECK(Cluster.at("d").index().listOtherAttempts("p", "").size() ==
         TurnCount + 2);
 }
+
+TEST_CASE("turns_requested_from_a_silent_member_were_not_copied") {
+  // They are requested from another one that has them.
+  copy_cluster Cluster;
+  replica_core &Core = Cluster.at("d");
+  Cluster.copyOnce("d");
+  auto Silent = Core.copyRequests(true);
+  REQUIRE(Silent.size() == 2); // All turns from a, and the records of e.
+  REQUIRE(Silent[0].second.Turns.size() == TurnCount);
+  int Pauses = 0;
+  std::vector<std::pair<std::string, copy_request>> Requests;
+  while (Requests.empty() && Pauses++ < 2 * copy_plan::SlowAfterPauses)
+    Requests = Core.copyRequests(true);
+  REQUIRE(Requests.size() == 1);
+  CHECK(Requests[0].first == "b:1");
+  CHECK(Requests[0].second.Turns.size() == TurnCount);
+}
