A copy that does not fit on the disk is not complete

Found in the review of the copy: a reply whose records the full log refused had already been counted as received, so that the host would have counted as caught up without them, and turns that were kept could be told to be absent. The copies restart then, after a pause.

--- a/src/include/turmerichead/turns_copy_plan.h
+++ b/src/include/turmerichead/turns_copy_plan.h
@@ -48,6 +48,9 @@
   /// Takes a reply from \p Address to a request of \p Epoch.
   copy_step onReply(std::string_view Address, std::uint64_t Epoch,
                     const copy_reply &Reply);
+  /// Notes that the reply could not be used, so that the next request waits
+  /// for a pause.
+  void onUnusableReply(std::string_view Address);
   /// Notes that a member has refused a request and sent a newer set.
   void onNewerSet(std::string_view Address);
   /// Notes that the request to \p Address has ended, with or without a reply.
--- a/src/libturns/copy_plan.cpp
+++ b/src/libturns/copy_plan.cpp
@@ -190,6 +190,12 @@
   return copy_step::Store;
 }
 
+void copy_plan::onUnusableReply(std::string_view Address) {
+  auto Row = Sources.find(Address);
+  if (Row != Sources.end())
+    Row->second.Failed = true;
+}
+
 void copy_plan::onNewerSet(std::string_view Address) {
   auto Row = Sources.find(Address);
   if (Row != Sources.end())
--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -261,8 +261,12 @@
   if (Copies.onReply(Address, Epoch, Reply) == copy_step::Ignore)
     return true;
   for (const std::string &Record : Reply.Records) {
-    if (!Store.addEncoded(Record, Now))
+    if (!Store.addEncoded(Record, Now)) {
+      // The plan counts the records as received.
+      restartCopies();
+      Copies.onUnusableReply(Address);
       return false;
+    }
     ++Copied;
     CopiedBytes += Record.size();
   }
