--- a/src/include/turmerichead/turns_index.h
+++ b/src/include/turmerichead/turns_index.h
@@ -9,7 +9,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -67,8 +66,8 @@
   /// Removes expired turns and programs. Call it about once a second.
   void expire(time_point Now);
 
-  /// Returns the segments with indexed records.
-  std::set<std::uint64_t> liveSegments() const;
+  /// Returns the size of the indexed records of each segment that has any.
+  std::map<std::uint64_t, std::uint64_t> liveBytes() const;
   /// Returns the indexed records of a segment.
   std::vector<live_record> findLiveRecords(std::uint64_t Segment) const;
 
--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -104,6 +104,8 @@
   /// Size of all segments, with buffered records.
   std::uint64_t bytes() const { return TotalBytes; }
   std::uint64_t maxBytes() const { return Settings.MaxBytes; }
+  /// Size of one segment; 0 if there is none.
+  std::uint64_t bytes(std::uint64_t Segment) const;
 
   /// Removes a segment. Returns false if it is the newest, does not exist or
   /// its file can't be removed.
--- a/src/include/turmerichead/turns_record_store.h
+++ b/src/include/turmerichead/turns_record_store.h
@@ -88,8 +88,14 @@
   /// returns its size.
   std::size_t listRecord(copy_reply &Reply, const log_position &Position,
                          std::string_view Record) const;
+  /// Size of the live records by segment.
+  using live_bytes = std::map<std::uint64_t, std::uint64_t>;
+
   /// Removes the segments without live records; the newest one stays.
-  bool removeDeadSegments();
+  bool removeDeadSegments(const live_bytes &Live);
+  /// Returns the oldest segment that is worth compacting; nullopt if there is
+  /// none.
+  std::optional<std::uint64_t> segmentToCompact(const live_bytes &Live) const;
   /// Copies the live records of a segment to the end of the log and removes the
   /// segment.
   bool compactSegment(std::uint64_t Segment);
--- a/src/libturns/index.cpp
+++ b/src/libturns/index.cpp
@@ -105,14 +105,14 @@
                 [&](const auto &Row) { return Row.second.RetainUntil < Now; });
 }
 
-std::set<std::uint64_t> turn_index::liveSegments() const {
-  std::set<std::uint64_t> Segments;
+std::map<std::uint64_t, std::uint64_t> turn_index::liveBytes() const {
+  std::map<std::uint64_t, std::uint64_t> Bytes;
   for (const auto &[Id, Row] : Turns)
-    Segments.insert(Row.Position.Segment);
+    Bytes[Row.Position.Segment] += Row.Position.Size;
   for (const auto &[Name, Program] : Programs)
     for (const auto &[Attempt, Entry] : Program.Attempts)
-      Segments.insert(Entry.Position.Segment);
-  return Segments;
+      Bytes[Entry.Position.Segment] += Entry.Position.Size;
+  return Bytes;
 }
 
 std::vector<live_record>
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -26,12 +26,12 @@
 constexpr std::string_view Prefix = "segment-";
 constexpr std::string_view Suffix = ".log";
 
-// A new turn is refused above 60 % of the maximum size, its end above 66 %. A
-// host that catches up stores at most the turns of all members, each of which
-// is on more than half of them: 1.5 times the size of their logs with three
-// members.
-constexpr std::uint64_t NewWorkPercent = 60;
-constexpr std::uint64_t CompletionPercent = 66;
+// A new turn is refused above 75 % of the maximum size, its end above 80 %. A
+// host that catches up stores the turns that it has lost, about as many as each
+// other member has. If two members catch up at the same time, each stores up to
+// 1.5 times as many.
+constexpr std::uint64_t NewWorkPercent = 75;
+constexpr std::uint64_t CompletionPercent = 80;
 constexpr std::uint64_t Hundred = 100;
 
 std::uint64_t limitFor(record_purpose Purpose, std::uint64_t MaxBytes) {
@@ -379,6 +379,11 @@
   return Numbers;
 }
 
+std::uint64_t record_log::bytes(std::uint64_t Segment) const {
+  auto Row = Segments.find(Segment);
+  return Row == Segments.end() ? 0 : Row->second.Size;
+}
+
 bool record_log::remove(std::uint64_t Number) {
   auto Segment = Segments.find(Number);
   if (Segment == Segments.end() || Number == Segments.rbegin()->first)
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -8,10 +8,12 @@
 
 namespace {
 
-// If the log uses more than this share of its maximum size, the oldest segment
-// is compacted even if it has live records, so that expired records never fill
-// the log.
+// If the log uses more than this share of its maximum size, segments with live
+// records are compacted too, so that expired records never fill the log.
 constexpr std::uint64_t CompactAbovePercent = 50;
+// Segments with a larger share of live records are left alone: writing these
+// again would gain little room.
+constexpr std::uint64_t CompactBelowLivePercent = 75;
 constexpr std::uint64_t Hundred = 100;
 
 // Reading holds up other requests.
@@ -260,8 +262,7 @@
   return sync();
 }
 
-bool record_store::removeDeadSegments() {
-  std::set<std::uint64_t> Live = Index.liveSegments();
+bool record_store::removeDeadSegments(const live_bytes &Live) {
   std::vector<std::uint64_t> Segments = Log.segments();
   Segments.pop_back();
   for (std::uint64_t Segment : Segments)
@@ -270,17 +271,31 @@
   return true;
 }
 
-bool record_store::compact(time_point Now) {
-  Index.expire(Now);
-  if (!removeDeadSegments())
-    return false;
+std::optional<std::uint64_t>
+record_store::segmentToCompact(const live_bytes &Live) const {
   bool AboveThreshold =
       Log.maxBytes() > 0 &&
       Log.bytes() * Hundred > Log.maxBytes() * CompactAbovePercent;
+  if (!AboveThreshold)
+    return std::nullopt;
   std::vector<std::uint64_t> Segments = Log.segments();
-  if (Segments.size() < 2 || !AboveThreshold)
-    return true;
-  return keepState(Segments.front()) && compactSegment(Segments.front());
+  Segments.pop_back();
+  for (std::uint64_t Segment : Segments) {
+    auto Row = Live.find(Segment);
+    std::uint64_t Bytes = Row == Live.end() ? 0 : Row->second;
+    if (Bytes * Hundred < Log.bytes(Segment) * CompactBelowLivePercent)
+      return Segment;
+  }
+  return std::nullopt;
+}
+
+bool record_store::compact(time_point Now) {
+  Index.expire(Now);
+  live_bytes Live = Index.liveBytes();
+  if (!removeDeadSegments(Live))
+    return false;
+  auto Segment = segmentToCompact(Live);
+  return !Segment || (keepState(*Segment) && compactSegment(*Segment));
 }
 
 } // namespace turmerichead::turns
