--- a/src/libturns/replica_copy.cpp
+++ b/src/libturns/replica_copy.cpp
@@ -101,7 +101,7 @@
 void replica::impl::sendCopyRequest(const std::string &Address,
                                     const copy_request &Request) {
   std::vector<copy_request> Parts = splitRequest(Request);
-  CopyReplies[Address] = {
+  PendingCopies[Address] = {
       Request.Set.Epoch, Request.Log, Parts.size(), Parts.size(), {}};
   for (std::size_t I = 0; I < Parts.size(); ++I) {
     CopyLinks[I].setAddress(Address, Address);
@@ -109,7 +109,7 @@
         Address, {std::string(CopyPath), {}, pack(Parts[I])},
         {[this, Address](std::string_view Bytes) {
            if (auto Reply = unpack<copy_reply>(Bytes))
-             CopyReplies[Address].Replies.push_back(std::move(*Reply));
+             PendingCopies[Address].Replies.push_back(std::move(*Reply));
            else
              log::error("failed to decode copied records",
                         {{"address", Address}, {"reason", lastError().Text}});
@@ -119,7 +119,7 @@
 }
 
 void replica::impl::onCopyPartEnded(const std::string &Address) {
-  pending_copy &Copy = CopyReplies[Address];
+  pending_copy &Copy = PendingCopies[Address];
   if (--Copy.PendingParts > 0)
     return;
   bool IsComplete = Copy.Replies.size() == Copy.Parts;
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -81,7 +81,7 @@
     std::vector<copy_reply> Replies;
   };
   /// By address.
-  std::map<std::string, pending_copy, std::less<>> CopyReplies;
+  std::map<std::string, pending_copy, std::less<>> PendingCopies;
   std::vector<peer_links> CopyLinks; ///< Empty until records are copied.
   time_point CopyLoggedAt;
   time_point SentLoggedAt;
