--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -16,8 +16,8 @@
 constexpr std::uint64_t CompactBelowLivePercent = 75;
 constexpr std::uint64_t Hundred = 100;
 
-// Reading holds up other requests.
-constexpr std::size_t MaxScannedBytes = 16U << 20U;
+// Reading a part of the log holds up the other requests of the host.
+constexpr std::size_t MaxScannedBytes = 4U << 20U;
 
 /// The first field of a turn_record, to recognise a turn that is stored.
 struct turn_id {
