--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include "disk_image.h"
 #include "fleet_pvt.h"
 #include "turmerichead/error.h"
 
@@ -11,6 +12,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <random>
 
 namespace turmerichead::fleet_harness {
 
@@ -193,7 +195,12 @@
     return {Settings.Bin + "/standin_store", "--address=" + Store,
             "--control=" + Member.Ip + ":" + std::to_string(StoreControlPort)};
   case role::Entry:
+    return {Member.UsesOther ? Settings.OtherDaemon
+                             : Settings.Bin + "/turmerichead",
+            "--platform"};
   case role::Disk:
+    if (!Member.UsesOther && Settings.RecordsDisks)
+      return {Settings.Bin + "/turmerichead_recorded", "--platform"};
     return {Member.UsesOther ? Settings.OtherDaemon
                              : Settings.Bin + "/turmerichead",
             "--platform"};
@@ -240,6 +247,12 @@
   if (Member.Role == role::Entry || Member.Role == role::Disk)
     g_subprocess_launcher_setenv(Launcher.get(), "TURMERICHEAD_CONFIG",
                                  writeSettings(Member, Fresh).c_str(), TRUE);
+  if (Member.Role == role::Disk && Settings.RecordsDisks) {
+    g_subprocess_launcher_setenv(Launcher.get(), disk_standin::FolderVariable,
+                                 diskFolder(Member.Name).c_str(), TRUE);
+    g_subprocess_launcher_setenv(Launcher.get(), disk_standin::JournalVariable,
+                                 journalOf(Member.Name).c_str(), TRUE);
+  }
   std::vector<const char *> Arguments;
   Arguments.reserve(Command.size() + 1);
   for (const std::string &Argument : Command)
@@ -349,7 +362,34 @@
 void fleet::wipe(const std::string &Name) {
   kill(Name);
   std::error_code Ignored;
-  std::filesystem::remove_all(diskRoot() + "/" + Name + ".disk", Ignored);
+  std::filesystem::remove_all(diskFolder(Name), Ignored);
+  std::filesystem::remove(journalOf(Name), Ignored);
+}
+
+std::string fleet::journalOf(const std::string &Name) const {
+  return diskFolder(Name) + ".journal";
+}
+
+void fleet::losePower(const std::string &Name, std::uint64_t Seed) {
+  kill(Name);
+  if (find(Name)->Role != role::Disk || !Settings.RecordsDisks)
+    return;
+  std::mt19937_64 Random(Seed);
+  disk_standin::disk_image Disk =
+      disk_standin::readJournal(diskFolder(Name), journalOf(Name));
+  Disk.losePower(Random, Random() % 4 == 0
+                             ? disk_standin::power_loss::KeepsNone
+                             : disk_standin::power_loss::KeepsSome);
+  disk_standin::writeJournal(Disk, journalOf(Name));
+}
+
+void fleet::setDiskFull(const std::string &Name, bool IsFull) {
+  std::string Mark = journalOf(Name) + disk_standin::FullSuffix;
+  std::error_code Ignored;
+  if (IsFull)
+    std::ofstream(Mark) << "full";
+  else
+    std::filesystem::remove(Mark, Ignored);
 }
 
 // Upstreams that have ended by themselves come back under a new id.
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -34,6 +34,8 @@
   /// goes with it. If empty, they are in Scratch and stay.
   std::string DiskRoot;
   std::string OtherDaemon; ///< The daemon of another version; see useOther().
+  /// Whether disks may lose power; see losePower().
+  bool RecordsDisks = false;
   int Entries = 3;
   int Disks = 3;
   int DiskFaults = 1;
@@ -199,6 +201,12 @@
   std::string settingsFile(const std::string &Name) const;
   /// Kills a disk host and empties its disk.
   void wipe(const std::string &Name);
+  /// Kills a host, whose disk loses what no sync has covered: all of it or
+  /// some, as chosen from \p Seed.
+  void losePower(const std::string &Name, std::uint64_t Seed);
+  /// Sets whether the disk of a host takes no more bytes (ENOSPC).
+  void setDiskFull(const std::string &Name, bool IsFull);
+  std::string diskFolder(const std::string &Name) const;
 
   /// Orders to the store's stand-in, or to an upstream's. Returns the time of
   /// day of the answer in milliseconds; 0 if there was none.
@@ -243,6 +251,7 @@
   bool openLinks(member &Member);
   std::string storeAddress(const member &Member) const;
   std::vector<std::string> commandOf(member &Member);
+  std::string journalOf(const std::string &Name) const;
   std::string writeSettings(const member &Member, bool Fresh) const;
   bool spawn(member &Member, bool Fresh);
   void reviveUpstreams();
--- a/testsuite/fleet/fleet_config.cpp
+++ b/testsuite/fleet/fleet_config.cpp
@@ -106,6 +106,10 @@
          std::to_string(Number);
 }
 
+std::string fleet::diskFolder(const std::string &Name) const {
+  return diskRoot() + "/" + Name + ".disk";
+}
+
 std::string fleet::writeSettings(const member &Member, bool Fresh) const {
   bool Disk = Member.Role == role::Disk;
   json Seeds = json::array();
@@ -113,7 +117,7 @@
     if (Other.Role == role::Entry && Seeds.size() < 3)
       Seeds.push_back(Other.Ip + ":" + std::to_string(ControlPort));
   auto At = [&](int Port) { return Member.Ip + ":" + std::to_string(Port); };
-  std::string Folder = diskRoot() + "/" + Member.Name + ".disk";
+  std::string Folder = diskFolder(Member.Name);
   std::error_code Ignored;
   if (Disk)
     std::filesystem::create_directories(Folder, Ignored);
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -41,6 +41,9 @@
 DEFINE_uint64(restarts, 0,
               "Times that hosts of the site end and start again, "
               "in place of faults");
+DEFINE_bool(power_loss, false,
+            "Hosts lose power in place of some kills, after kills of disk "
+            "hosts");
 DEFINE_string(only, "", "Numbers of faults to play, with commas");
 DEFINE_bool(minimize, false, "Look for the fewest faults that still fail");
 DEFINE_string(report, "", "File for a picture and a table of the last run");
@@ -70,6 +73,8 @@
   Settings.Fleet.HoldsLimits = Site && FLAGS_hold_limits;
   Settings.Rate = Site ? FLAGS_rate : 0;
   Settings.EndsWithFault = Site.has_value();
+  Settings.LosesPower = FLAGS_power_loss;
+  Settings.Fleet.RecordsDisks = FLAGS_power_loss;
   Settings.Fleet.Bin = FLAGS_bin;
   Settings.Fleet.Scratch = FLAGS_scratch + "/" + std::to_string(Seed);
   Settings.Fleet.DiskRoot = FLAGS_disk_root;
@@ -109,6 +114,7 @@
            std::to_string(FLAGS_pause_ms) + " --organisations " +
            std::to_string(Settings.Fleet.Organisations) +
            (FLAGS_hold_limits ? "" : " --nohold_limits") +
+           (FLAGS_power_loss ? " --power_loss" : "") +
            (FLAGS_disk_root.empty() ? "" : " --disk_root " + FLAGS_disk_root) +
            (Only.empty() ? "" : " --only " + Only);
   }
@@ -124,6 +130,7 @@
          std::to_string(FLAGS_attempts) + " --organisations " +
          std::to_string(Settings.Fleet.Organisations) +
          (FLAGS_resumable ? " --resumable" : "") +
+         (FLAGS_power_loss ? " --power_loss" : "") +
          (Only.empty() ? "" : " --only " + Only);
 }
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -141,16 +141,40 @@
                                 " requests are answered after all is over");
 }
 
+void soak_run::stopAllHosts(std::uint32_t Target) {
+  killAll({role::Entry, role::Disk});
+  if (!Settings.LosesPower)
+    return;
+  for (const std::string &Name : Fleet.names(role::Disk))
+    Fleet.losePower(Name, Settings.Plan.Seed + Target++);
+}
+
+// What a process wrote before it was killed is in its files, but on the disk
+// only once somebody has synced it.
+void soak_run::killDisksInTurn() {
+  constexpr milliseconds DownTime{500};
+  constexpr milliseconds CatchUpTime{5000};
+  for (const std::string &Name : Fleet.names(role::Disk)) {
+    tell("killed", {{"host", Name}});
+    Fleet.kill(Name);
+    Fleet.pause(DownTime);
+    restart(Name);
+    Fleet.pause(CatchUpTime);
+  }
+}
+
 // All hosts are killed right after a configuration was acknowledged.
 void soak_run::endWithFault() {
   final_fault Fault = makeFinalFault(Settings.Plan.Seed);
+  if (Settings.LosesPower)
+    killDisksInTurn();
   slice Before = Oracle.sumSince(now() - Measured);
   Fleet.configure(++Version);
   for (const std::string &Name : Fleet.names(role::Entry))
     DisturbedUntil[Name] = steadyNow() + Recovery;
   tell("final fault",
        {{"loses_disks", Fault.LosesDisks}, {"down_ms", Fault.DownMs}});
-  killAll({role::Entry, role::Disk});
+  stopAllHosts(Fault.Target);
   for (int I = 0; Fault.LosesDisks && I < Fleet.shape().DiskFaults; ++I)
     Fleet.wipe(pick(role::Disk, Fault.Target + static_cast<std::uint32_t>(I)));
   Fleet.pause(milliseconds(Fault.DownMs));
@@ -294,7 +318,10 @@
       Fleet.remove(Entry);
     return [this] { Fleet.addHost(role::Entry); };
   case fault_kind::KillDisk:
-    Fleet.kill(Disk);
+    if (Settings.LosesPower && Fault.Target % 2 == 0)
+      Fleet.losePower(Disk, Settings.Plan.Seed + Fault.Target);
+    else
+      Fleet.kill(Disk);
     return [this, Disk] { restart(Disk); };
   case fault_kind::FreezeDisk:
     return freeze(Disk);
@@ -305,7 +332,7 @@
     break;
   }
   if (Fault.Kind == fault_kind::KillAllHosts)
-    killAll({role::Entry, role::Disk});
+    stopAllHosts(Fault.Target);
   else
     killAll({role::Entry});
   return [this] {
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -21,6 +21,10 @@
   /// Times the programs of the fleet's shape; 0: Programs run at all times.
   double Rate = 0;
   bool EndsWithFault = false; ///< See final_fault.
+  /// Whether hosts lose power in place of every other kill of a disk host and
+  /// of all kills of all hosts. Before the final fault each disk host is killed
+  /// in turn.
+  bool LosesPower = false;
   std::set<std::size_t> Only; ///< Faults to play; all if empty.
 };
 
@@ -68,6 +72,9 @@
   bool wasCalm(const std::string &Entry, milliseconds Took) const;
   std::string pick(fleet_harness::role Role, std::uint32_t Target);
   void killAll(std::initializer_list<fleet_harness::role> Roles);
+  /// Kills all hosts, or takes their power.
+  void stopAllHosts(std::uint32_t Target);
+  void killDisksInTurn();
   void judgeEnd();
   void endWithFault();
   void tell(std::string_view What, nlohmann::json Fields);
