--- a/src/include/turmerichead/turns_copy_plan.h
+++ b/src/include/turmerichead/turns_copy_plan.h
@@ -60,6 +60,14 @@
   /// none of its turns has to be copied any more.
   bool isDone(std::string_view Address, const turn_index &Index);
 
+  /// Addresses of the old members whose logs have yet to be copied, and of
+  /// those that have not caught up themselves.
+  struct waiting_for {
+    std::vector<std::string> Unread;
+    std::vector<std::string> Incomplete;
+  };
+  waiting_for waitingFor(std::string_view Self, const turn_index &Index);
+
   /// Starts all copies again, as copied records may be lost or expired.
   void restart();
 
@@ -89,6 +97,7 @@
     bool IgnoresReply = false;
     bool Failed = false; ///< Whether the last request had no usable reply.
     bool AtEnd = false;  ///< Whether the end was reached in this epoch.
+    bool IsIncomplete = false; ///< Whether the host said it has not caught up.
     std::deque<turn_number> Listed; ///< Turns that may have to be requested.
     std::vector<turn_number> Requested; ///< In the pending request.
     int Pauses = 0; ///< Of the caller, since the request was sent.
--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -52,8 +52,9 @@
   /// Bytes after the last valid record of a segment. The newest segment is
   /// truncated there.
   std::uint64_t TornBytes = 0;
-  bool Damaged = false;   ///< Synced records are lost.
-  std::string DamageText; ///< File and offset of the damage.
+  std::uint64_t Segments = 0; ///< That were read.
+  bool Damaged = false;       ///< Synced records are lost.
+  std::string DamageText;     ///< File and offset of the damage.
 };
 
 /// An open log with its segment files. Not synchronized: use it in one thread.
--- a/src/include/turmerichead/turns_replica_core.h
+++ b/src/include/turmerichead/turns_replica_core.h
@@ -94,6 +94,10 @@
   /// Notes that the request to \p Address has ended, with or without a reply.
   void onCopyEnded(std::string_view Address);
 
+  /// The old members that this host waits for.
+  copy_plan::waiting_for waitingFor() {
+    return Copies.waitingFor(Self.Address, index());
+  }
   /// Whether a read quorum has been copied completely.
   bool isCopyComplete();
   /// Sets CaughtUp once a read quorum has been copied completely. Call it after
--- a/src/libturns/copy_plan.cpp
+++ b/src/libturns/copy_plan.cpp
@@ -165,8 +165,11 @@
   if (Row == Sources.end())
     return copy_step::Ignore;
   source &Source = Row->second;
+  if (Source.IgnoresReply || Reply.Status != 0)
+    return copy_step::Ignore;
+  Source.IsIncomplete = !Reply.CaughtUp;
   // A host that is still catching up may lack writes that it acknowledged.
-  if (Source.IgnoresReply || Reply.Status != 0 || !Reply.CaughtUp)
+  if (Source.IsIncomplete)
     return copy_step::Ignore;
   Source.Failed = false;
   bool IsAtStart = Source.Next == log_position();
@@ -219,6 +222,20 @@
   Source.IgnoresReply = false;
 }
 
+copy_plan::waiting_for copy_plan::waitingFor(std::string_view Self,
+                                             const turn_index &Index) {
+  waiting_for Hosts;
+  for (const auto &[Address, Source] : Sources) {
+    if (Address == Self || !hasAddress(Set.Members, Address))
+      continue;
+    if (!isDone(Address, Index))
+      Hosts.Unread.push_back(Address);
+    if (Source.IsIncomplete)
+      Hosts.Incomplete.push_back(Address);
+  }
+  return Hosts;
+}
+
 bool copy_plan::isDone(std::string_view Address, const turn_index &Index) {
   auto Row = Sources.find(Address);
   if (Row == Sources.end())
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -191,6 +191,7 @@
   for (std::uint64_t Number : Numbers)
     if (!Log.load(Number, Number == Numbers.back(), Visit, Recovery))
       return std::nullopt;
+  Recovery.Segments = Numbers.size();
   // Each start begins a new segment, so that a torn end is never overwritten.
   std::uint64_t Next = Numbers.empty() ? 1 : Numbers.back() + 1;
   if (!Log.startSegment(Next))
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -187,6 +187,7 @@
     return std::nullopt;
   Raw->Core.emplace(Raw->Settings.Self, std::move(*Store), newLogId());
   log::info("log opened", {{"records", Recovery.Records},
+                           {"segments", Recovery.Segments},
                            {"torn_bytes", Recovery.TornBytes},
                            {"damaged", Recovery.Damaged},
                            {"damage", Recovery.DamageText},
--- a/src/libturns/replica_copy.cpp
+++ b/src/libturns/replica_copy.cpp
@@ -66,7 +66,10 @@
 void replica::impl::logCopyProgress() {
   if (!isDue(CopyLoggedAt))
     return;
+  copy_plan::waiting_for Hosts = Core->waitingFor();
   log::info("copying records", {{"epoch", Core->set().Epoch},
+                                {"unread_hosts", Hosts.Unread},
+                                {"incomplete_hosts", Hosts.Incomplete},
                                 {"records", Core->copiedRecords()},
                                 {"bytes", Core->copiedBytes()},
                                 {"replies", Core->copyReplies()},
--- a/testsuite/disk/disk_image.h
+++ b/testsuite/disk/disk_image.h
@@ -114,7 +114,8 @@
 /// incomplete.
 std::optional<disk_operation> decodeOperation(std::string_view &Bytes);
 
-// -- Journals of processes; see disk_recorder.h --------------------------------
+// -- Journals of processes; see disk_recorder.h
+// --------------------------------
 
 /// Folder whose files are recorded.
 inline constexpr const char *FolderVariable = "DISK_RECORDER_FOLDER";
--- a/testsuite/disk/disk_recorder.cpp
+++ b/testsuite/disk/disk_recorder.cpp
@@ -3,8 +3,8 @@
 #include <array>
 #include <cerrno>
 #include <climits>
-#include <cstdint>
 #include <cstdarg>
+#include <cstdint>
 #include <cstdlib>
 #include <dlfcn.h>
 #include <fcntl.h>
@@ -67,11 +67,10 @@
   if (!Folder || !Journal)
     return {};
   journal_writer Writer(Folder, Journal);
-  return {Folder,
-          [Writer](const disk_operation &Operation) {
-            Writer.append(Operation);
-          },
-          std::string(Journal) + FullSuffix, SIZE_MAX};
+  return {
+      Folder,
+      [Writer](const disk_operation &Operation) { Writer.append(Operation); },
+      std::string(Journal) + FullSuffix, SIZE_MAX};
 }
 
 /// Is not recording until its own set-up, which reads files, is complete.
@@ -139,8 +138,8 @@
   bool Changes = (Flags & (O_CREAT | O_TRUNC)) != 0 && records(Path);
   auto Descriptor =
       static_cast<int>(syscall(SYS_openat, AT_FDCWD, Path, Flags, Mode));
-  auto File = Changes && Descriptor >= 0 ? recordedFile(Descriptor)
-                                         : std::nullopt;
+  auto File =
+      Changes && Descriptor >= 0 ? recordedFile(Descriptor) : std::nullopt;
   if (File && !Exists)
     record({disk_operation_kind::Create, File->Inode, 0, File->Path, {}});
   else if (File && (Flags & O_TRUNC) != 0)
@@ -157,7 +156,8 @@
   }
   ssize_t Count = syscall(SYS_pwrite64, Descriptor, Data, Size, Offset);
   if (File && Count > 0)
-    record({disk_operation_kind::Write, File->Inode,
+    record({disk_operation_kind::Write,
+            File->Inode,
             static_cast<std::uint64_t>(Offset),
             {},
             std::string(static_cast<const char *>(Data),
