RECOVER: a start syncs what it has read of the log

Callers got 503 to everything for good: a disk host is killed under load, runs again, and some time later all hosts lose power and one disk is lost.

Cause: a killed process loses nothing that it wrote, so its successor read records that no sync had covered, believed them, and began a new segment; no later sync covers the old one. The power loss tore it, which counts as damage as it is not the newest segment any more, and a second host had to copy. A turn that was known but not synced was also acknowledged again without being written, and the power loss took it.

Class: what outlives a process is taken for durable. Each start now syncs every segment that it reads, whoever wrote it, so the state that it returns holds after a power loss.

Evidence: power_loss_test.cpp on the disk stand-in.

--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -6,6 +6,9 @@
 /// loss the end of the newest segment may be torn: it is truncated at the first
 /// invalid record, which can only lose records that were never synced. An
 /// invalid record anywhere else is reported as damage.
+///
+/// A process that was killed leaves records that it wrote and did not sync. So
+/// open() syncs all that it reads: what it returns is durable.
 #pragma once
 
 #include "turmerichead/hash.h"
@@ -52,7 +55,7 @@
   /// Bytes after the last valid record of a segment. The newest segment is
   /// truncated there.
   std::uint64_t TornBytes = 0;
-  std::uint64_t Segments = 0; ///< That were read.
+  std::uint64_t Segments = 0; ///< That were read and synced.
   bool Damaged = false;       ///< Synced records are lost.
   std::string DamageText;     ///< File and offset of the damage.
 };
@@ -120,7 +123,7 @@
   record_log() = default;
   std::string pathOf(std::uint64_t Segment) const;
   bool startSegment(std::uint64_t Number);
-  /// Reads a segment and calls \p Visit for its records.
+  /// Reads and syncs a segment and calls \p Visit for its records.
   bool load(std::uint64_t Number, bool Newest, const visitor &Visit,
             log_recovery &Recovery);
   std::string invalidRecordText(std::uint64_t Segment,
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -208,7 +208,8 @@
     return false;
   }
   std::string Text(static_cast<std::size_t>(Status.st_size), '\0');
-  if (!readAt(Descriptor, 0, Text.data(), Text.size())) {
+  if (!readAt(Descriptor, 0, Text.data(), Text.size()) ||
+      fsync(Descriptor) != 0) {
     close(Descriptor);
     fail(error_code::Unavailable, errnoText(pathOf(Number)));
     return false;
--- /dev/null
+++ b/src/libturns/power_loss_test.cpp
@@ -0,0 +1,142 @@
+// Processes that are killed before a power loss: what their successors have
+// read must not be lost or torn afterwards.
+
+#include "disk_recorder.h"
+#include "turmerichead/error.h"
+#include "turmerichead/turns_replica_core.h"
+
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+using namespace turmerichead;
+using namespace turmerichead::turns;
+using disk_standin::power_loss;
+
+namespace {
+
+/// A disk whose files are recorded, and that may lose power.
+class recorded_disk {
+public:
+  recorded_disk() : Path(newFolder()), Image(Path) { record(); }
+  ~recorded_disk() {
+    disk_standin::recordDisk({}, {});
+    std::filesystem::remove_all(Path);
+  }
+  recorded_disk(const recorded_disk &) = delete;
+  recorded_disk &operator=(const recorded_disk &) = delete;
+
+  const std::string &path() const { return Path; }
+  void losePower(std::uint64_t Seed, power_loss Kind) {
+    std::mt19937_64 Random(Seed);
+    disk_standin::recordDisk({}, {});
+    Image.losePower(Random, Kind);
+    record();
+  }
+
+private:
+  static std::string newFolder() {
+    std::string Template =
+        (std::filesystem::temp_directory_path() / "diskXXXXXX").string();
+    return mkdtemp(Template.data());
+  }
+  void record() {
+    disk_standin::recordDisk(
+        Path, [this](const disk_standin::disk_operation &Operation) {
+          Image.apply(Operation);
+        });
+  }
+
+  std::string Path;
+  disk_standin::disk_image Image;
+};
+
+/// A log with the records that it contained when it was opened.
+struct opened_log {
+  std::vector<std::string> Records;
+  log_recovery Recovery;
+  std::optional<record_log> Log;
+
+  explicit opened_log(const recorded_disk &Disk, std::uint64_t SegmentBytes) {
+    Log = record_log::open(
+        {Disk.path(), SegmentBytes, 0},
+        [this](const log_position &, std::string_view Bytes) {
+          Records.emplace_back(Bytes);
+        },
+        Recovery);
+    REQUIRE_MESSAGE(Log, lastError().Text);
+  }
+  void append(const std::string &Record) {
+    Position = Log->append(Record);
+    REQUIRE(Position);
+  }
+  /// Writes what was appended, without a sync.
+  void write() { REQUIRE(Log->read(*Position)); }
+
+private:
+  std::optional<log_position> Position;
+};
+
+constexpr std::uint64_t LargeSegment = 1U << 20U;
+constexpr std::uint64_t Seeds = 50;
+
+std::size_t countOf(const std::vector<std::string> &Records,
+                    const std::string &Record) {
+  return static_cast<std::size_t>(
+      std::count(Records.begin(), Records.end(), Record));
+}
+
+} // namespace
+
+TEST_CASE("the_disk_stand_in_loses_only_what_no_sync_has_covered") {
+  recorded_disk Disk;
+  {
+    opened_log Log(Disk, LargeSegment);
+    Log.append("synced");
+    REQUIRE(Log.Log->sync());
+    Log.append("written");
+    Log.write();
+  }
+  Disk.losePower(1, power_loss::KeepsNone);
+  CHECK(opened_log(Disk, LargeSegment).Records ==
+        std::vector<std::string>{"synced"});
+}
+
+// A repeated write is acknowledged without a sync if the record is known.
+TEST_CASE("records_that_a_start_has_read_were_lost_with_the_power") {
+  recorded_disk Disk;
+  {
+    opened_log Killed(Disk, LargeSegment);
+    Killed.append("unsynced");
+    Killed.write();
+  }
+  REQUIRE(opened_log(Disk, LargeSegment).Records.size() == 1);
+  Disk.losePower(1, power_loss::KeepsNone);
+  CHECK(opened_log(Disk, LargeSegment).Records ==
+        std::vector<std::string>{"unsynced"});
+}
+
+TEST_CASE("the_segment_of_a_killed_process_counted_as_damaged_after_a_power_"
+          "loss") {
+  for (std::uint64_t Seed = 0; Seed < Seeds; ++Seed) {
+    recorded_disk Disk;
+    {
+      opened_log Killed(Disk, LargeSegment);
+      Killed.append(std::string(100, 'a'));
+      REQUIRE(Killed.Log->sync());
+      Killed.append(std::string(100, 'b'));
+      Killed.write();
+    }
+    {
+      opened_log Next(Disk, LargeSegment);
+      Next.append(std::string(100, 'c'));
+      REQUIRE(Next.Log->sync());
+    }
+    Disk.losePower(Seed, power_loss::KeepsSome);
+    opened_log Last(Disk, LargeSegment);
+    CHECK(!Last.Recovery.Damaged);
+    CHECK(countOf(Last.Records, std::string(100, 'a')) == 1);
+    CHECK(countOf(Last.Records, std::string(100, 'c')) == 1);
+  }
+}
