RECOVER: damage is reported once, and only for records that were synced

- If the segment that follows a full one could not be written (no room), its empty file stayed, and the log went on in the full one.
After a power loss that one had a torn end and was not the newest file: damage, although nothing that was synced is lost.
An invalid end is damage now only if a later segment has records, as a segment gets records only once the ones before it are synced.
- Invalid bytes of a damaged segment stayed in its file.
A host that had copied what was lost found the same damage at its next start and had to copy again, so that hosts without a lost disk added up until two members waited for each other.
The invalid end is truncated now, once the state that says so is on the disk.

Evidence: power_loss_test.cpp.

--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -3,9 +3,9 @@
 ///
 /// Each record is preceded by its length and checksum. Appended records are
 /// buffered and are durable only once sync() has returned true. After a power
-/// loss the end of the newest segment may be torn: it is truncated at the first
-/// invalid record, which can only lose records that were never synced. An
-/// invalid record anywhere else is reported as damage.
+/// loss the end of the newest segment that has records may be torn: it is
+/// truncated at the first invalid record, which can only lose records that were
+/// never synced. An invalid record anywhere else is reported as damage.
 ///
 /// A process that was killed leaves records that it wrote and did not sync. So
 /// open() syncs all that it reads: what it returns is durable.
@@ -52,8 +52,7 @@
 /// The result of reading a log when it is opened.
 struct log_recovery {
   std::uint64_t Records = 0; ///< Valid records.
-  /// Bytes after the last valid record of a segment. The newest segment is
-  /// truncated there.
+  /// Bytes after the last valid record of a segment.
   std::uint64_t TornBytes = 0;
   std::uint64_t Segments = 0; ///< That were read and synced.
   bool Damaged = false;       ///< Synced records are lost.
@@ -68,10 +67,16 @@
 
   /// Opens the log in a folder, which is created if it does not exist, and
   /// calls \p Visit for each record in order. Fails with Unavailable if the
-  /// folder can't be used.
+  /// folder can't be used. If the log is damaged, the invalid bytes stay in its
+  /// files until removeInvalidEnds().
   static std::optional<record_log>
   open(log_settings Settings, const visitor &Visit, log_recovery &Recovery);
 
+  /// Truncates the files of segments that end with invalid bytes. Damage is not
+  /// reported again after that, so its effect has to be stored before. Returns
+  /// false, with Unavailable, if that fails.
+  bool removeInvalidEnds();
+
   /// Appends a record to the buffer and returns its position. Fails with
   /// Refused if the log would exceed its limit for \p Purpose.
   std::optional<log_position>
@@ -124,8 +129,10 @@
   std::string pathOf(std::uint64_t Segment) const;
   bool startSegment(std::uint64_t Number);
   /// Reads and syncs a segment and calls \p Visit for its records.
-  bool load(std::uint64_t Number, bool Newest, const visitor &Visit,
+  bool load(std::uint64_t Number, const visitor &Visit,
             log_recovery &Recovery);
+  void reportDamage(log_recovery &Recovery) const;
+  bool removeInvalidEnd(std::uint64_t Number);
   std::string invalidRecordText(std::uint64_t Segment,
                                 std::uint64_t Offset) const;
   bool writeBuffer();
@@ -136,6 +143,7 @@
   struct segment {
     int Descriptor = -1;
     std::uint64_t Size = 0; ///< Written and buffered bytes.
+    bool HasInvalidEnd = false; ///< Whether invalid bytes follow in the file.
   };
   log_settings Settings;
   std::map<std::uint64_t, segment> Segments;
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -189,9 +189,11 @@
       Numbers.push_back(*Number);
   std::sort(Numbers.begin(), Numbers.end());
   for (std::uint64_t Number : Numbers)
-    if (!Log.load(Number, Number == Numbers.back(), Visit, Recovery))
+    if (!Log.load(Number, Visit, Recovery))
       return std::nullopt;
   Recovery.Segments = Numbers.size();
+  if (!Recovery.Damaged && !Log.removeInvalidEnds())
+    return std::nullopt;
   // Each start begins a new segment, so that a torn end is never overwritten.
   std::uint64_t Next = Numbers.empty() ? 1 : Numbers.back() + 1;
   if (!Log.startSegment(Next))
@@ -199,7 +201,7 @@
   return Log;
 }
 
-bool record_log::load(std::uint64_t Number, bool Newest, const visitor &Visit,
+bool record_log::load(std::uint64_t Number, const visitor &Visit,
                       log_recovery &Recovery) {
   int Descriptor = ::open(pathOf(Number).c_str(), O_RDWR | O_CLOEXEC);
   struct stat Status {};
@@ -220,32 +222,52 @@
     auto Bytes = recordAt(Text, Offset);
     if (!Bytes)
       break;
+    if (Offset == FileHeaderBytes)
+      reportDamage(Recovery);
     ++Recovery.Records;
     Visit({Number, Offset, static_cast<std::uint32_t>(Bytes->size())}, *Bytes);
     Offset += RecordHeaderBytes + Bytes->size();
   }
   std::size_t ValidBytes = HasHeader ? Offset : 0;
-  if (ValidBytes < Text.size()) {
-    Recovery.TornBytes += Text.size() - ValidBytes;
-    if (!Newest) {
-      Recovery.Damaged = true;
-      Recovery.DamageText = pathOf(Number) + ": invalid record at byte " +
-                            std::to_string(ValidBytes);
-    }
-    // Truncate the torn end: at the next start this segment is not the newest,
-    // and invalid bytes in it would count as damage.
-    if (Newest && (ftruncate(Descriptor, static_cast<off_t>(ValidBytes)) != 0 ||
-                   fsync(Descriptor) != 0)) {
-      close(Descriptor);
-      fail(error_code::Unavailable, errnoText(pathOf(Number)));
-      return false;
-    }
-  }
-  Segments[Number] = {Descriptor, ValidBytes};
+  bool HasInvalidEnd = ValidBytes < Text.size();
+  Segments[Number] = {Descriptor, ValidBytes, HasInvalidEnd};
+  Recovery.TornBytes += Text.size() - ValidBytes;
   TotalBytes += ValidBytes;
   return true;
 }
 
+// A segment gets records only once the ones before it are synced, so that an
+// invalid end is damage only if another segment with records follows.
+void record_log::reportDamage(log_recovery &Recovery) const {
+  for (const auto &[Number, Segment] : Segments) {
+    if (!Segment.HasInvalidEnd || Recovery.Damaged)
+      continue;
+    Recovery.Damaged = true;
+    Recovery.DamageText = pathOf(Number) + ": invalid record at byte " +
+                          std::to_string(Segment.Size);
+  }
+}
+
+bool record_log::removeInvalidEnd(std::uint64_t Number) {
+  segment &Segment = Segments[Number];
+  if (!Segment.HasInvalidEnd)
+    return true;
+  if (ftruncate(Segment.Descriptor, static_cast<off_t>(Segment.Size)) != 0 ||
+      fsync(Segment.Descriptor) != 0) {
+    fail(error_code::Unavailable, errnoText(pathOf(Number)));
+    return false;
+  }
+  Segment.HasInvalidEnd = false;
+  return true;
+}
+
+bool record_log::removeInvalidEnds() {
+  std::vector<std::uint64_t> Numbers = segments();
+  return std::all_of(
+      Numbers.begin(), Numbers.end(),
+      [this](std::uint64_t Number) { return removeInvalidEnd(Number); });
+}
+
 bool record_log::startSegment(std::uint64_t Number) {
   int Descriptor = ::open(pathOf(Number).c_str(),
                           O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0640);
@@ -256,7 +278,7 @@
       close(Descriptor);
     return false;
   }
-  Segments[Number] = {Descriptor, FileHeaderBytes};
+  Segments[Number] = {Descriptor, FileHeaderBytes, false};
   SyncedSize = FileHeaderBytes;
   TotalBytes += FileHeaderBytes;
   return true;
--- a/src/libturns/power_loss_test.cpp
+++ b/src/libturns/power_loss_test.cpp
@@ -140,3 +140,67 @@
     CHECK(countOf(Last.Records, std::string(100, 'c')) == 1);
   }
 }
+
+TEST_CASE("a_segment_counted_as_damaged_as_its_successor_could_not_be_"
+          "written") {
+  constexpr std::uint64_t SmallSegment = 64;
+  for (std::uint64_t Seed = 0; Seed < Seeds; ++Seed) {
+    recorded_disk Disk;
+    {
+      opened_log Log(Disk, SmallSegment);
+      Log.append(std::string(100, 'a'));
+      Log.write();
+      disk_standin::setDiskRoom(0);
+      REQUIRE(Log.Log->sync());
+      disk_standin::setDiskRoom(SIZE_MAX);
+      Log.append(std::string(100, 'b'));
+      Log.write();
+    }
+    Disk.losePower(Seed, power_loss::KeepsSome);
+    opened_log Last(Disk, SmallSegment);
+    CHECK(!Last.Recovery.Damaged);
+    CHECK(countOf(Last.Records, std::string(100, 'a')) == 1);
+  }
+}
+
+TEST_CASE("a_host_that_had_copied_what_was_damaged_copied_again_at_each_"
+          "start") {
+  recorded_disk Disk;
+  auto Open = [&] {
+    log_recovery Recovery;
+    auto Store =
+        record_store::open({{Disk.path(), 16, 0}, true, false}, {0}, Recovery);
+    REQUIRE(Store);
+    return std::pair(std::move(*Store), Recovery.Damaged);
+  };
+  {
+    auto [Store, Damaged] = Open();
+    REQUIRE(
+        Store.add(turn_record{"t1", "", "p", 60'000, "in", "out", "r"}, {0}));
+    REQUIRE(Store.sync());
+    CHECK(Store.state().CaughtUp);
+  }
+  std::fstream File(Disk.path() + "/segment-0000000001.log",
+                    std::ios::in | std::ios::out | std::ios::binary);
+  File.seekp(24);
+  File.put('#');
+  File.close();
+  {
+    auto [Store, Damaged] = Open();
+    CHECK(Damaged);
+    CHECK(!Store.state().CaughtUp);
+  }
+  {
+    // It still has to copy, although nothing is damaged any more.
+    auto [Store, Damaged] = Open();
+    CHECK(!Damaged);
+    CHECK(!Store.state().CaughtUp);
+    state_record State = Store.state();
+    State.CaughtUp = true;
+    Store.setState(State);
+    REQUIRE(Store.sync());
+  }
+  auto [Store, Damaged] = Open();
+  CHECK(!Damaged);
+  CHECK(Store.state().CaughtUp);
+}
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -88,7 +88,9 @@
   // Each start begins a new segment, which has to contain the state: the older
   // segments may be removed.
   Store.setState(Store.State);
-  if (!Store.sync())
+  // The state says what damage means for this host, so it is stored before the
+  // invalid bytes go.
+  if (!Store.sync() || !Store.Log.removeInvalidEnds())
     return std::nullopt;
   return Store;
 }
