--- a/testsuite/disk/disk_image.h
+++ b/testsuite/disk/disk_image.h
@@ -123,6 +123,8 @@
 /// with FullSuffix exists, the disk takes no more bytes (ENOSPC).
 inline constexpr const char *JournalVariable = "DISK_RECORDER_JOURNAL";
 inline constexpr const char *FullSuffix = ".full";
+/// Time that a sync of the disk takes, in milliseconds.
+inline constexpr const char *SyncTimeVariable = "DISK_RECORDER_SYNC_MS";
 
 /// Reads a journal into an image of \p Folder.
 disk_image readJournal(const std::string &Folder, const std::string &Journal);
--- a/testsuite/disk/disk_recorder.cpp
+++ b/testsuite/disk/disk_recorder.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <climits>
 #include <cstdarg>
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include <iterator>
 #include <sys/stat.h>
 #include <sys/syscall.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -26,6 +28,7 @@
   std::function<void(const disk_operation &)> Sink;
   std::string FullMark; ///< See FullSuffix; empty: none.
   std::size_t Room = SIZE_MAX;
+  std::chrono::milliseconds SyncTime{0};
 };
 
 /// Appends to a journal, which a killed process may have left incomplete.
@@ -67,10 +70,12 @@
   if (!Folder || !Journal)
     return {};
   journal_writer Writer(Folder, Journal);
+  const char *SyncMs = std::getenv(SyncTimeVariable);
   return {
       Folder,
       [Writer](const disk_operation &Operation) { Writer.append(Operation); },
-      std::string(Journal) + FullSuffix, SIZE_MAX};
+      std::string(Journal) + FullSuffix, SIZE_MAX,
+      std::chrono::milliseconds(SyncMs ? std::atoi(SyncMs) : 0)};
 }
 
 /// Is not recording until its own set-up, which reads files, is complete.
@@ -179,6 +184,9 @@
 
 int syncRecorded(int Descriptor, long Call) {
   auto File = recordedFile(Descriptor);
+  // A process that is killed meanwhile has not synced.
+  if (File)
+    std::this_thread::sleep_for(theRecorder().SyncTime);
   auto Result = static_cast<int>(syscall(Call, Descriptor));
   if (!File || Result != 0)
     return Result;
@@ -193,7 +201,7 @@
 
 void recordDisk(std::string Folder,
                 std::function<void(const disk_operation &)> Sink) {
-  theRecorder() = {std::move(Folder), std::move(Sink), {}, SIZE_MAX};
+  theRecorder() = {std::move(Folder), std::move(Sink), {}, SIZE_MAX, {}};
 }
 
 void setDiskRoom(std::size_t Bytes) { theRecorder().Room = Bytes; }
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -22,6 +22,8 @@
 
 constexpr milliseconds StartBound{20000};
 constexpr milliseconds ReviveInterval{50};
+// Of a recorded disk.
+constexpr milliseconds SyncTime{5};
 
 // In the child. \p Data has the limit of descriptors; 0: none.
 void prepareChild(gpointer Data) {
@@ -252,6 +254,9 @@
                                  diskFolder(Member.Name).c_str(), TRUE);
     g_subprocess_launcher_setenv(Launcher.get(), disk_standin::JournalVariable,
                                  journalOf(Member.Name).c_str(), TRUE);
+    g_subprocess_launcher_setenv(Launcher.get(), disk_standin::SyncTimeVariable,
+                                 std::to_string(SyncTime.count()).c_str(),
+                                 TRUE);
   }
   std::vector<const char *> Arguments;
   Arguments.reserve(Command.size() + 1);
