RECOVER: members that must copy no longer wait for each other for good

Callers got 503 'too few disk hosts answered' for good, whatever the reason for which f+1 members had to copy: a second lost disk, damage, or kills before the first start was complete. Each waited for f+1 members that had caught up, which could not come.

Class: a wait for what can't come. It ends now once the logs of all other old members have been read to their ends in the epoch: all that any member still has is here then. A member that has not caught up sends what it has only to one that asks for it, which it does only if too few others may have caught up. A member that is down is still waited for, and hosts that are at the first start of all confirm each other as before.

What no member has may have existed. Such a host says so (MayLackRecords, stored, and passed on to hosts that copy from it) until the longest known retention time has passed; a turn that it does not have counts neither as absent (404) nor as present, and the call ends with 503 at once when all members have answered. New programs are served at once.

--- a/src/include/turmerichead/turns_copy_plan.h
+++ b/src/include/turmerichead/turns_copy_plan.h
@@ -8,6 +8,9 @@
 /// log up to its end, and sends all other records. Then the turns that this
 /// host lacks are requested, each from one member that has listed it. Turns
 /// that a quorum of other members has listed are left there.
+///
+/// A member that has not caught up sends what it has only if fewer members than
+/// a quorum have caught up: no other one has more then.
 #pragma once
 
 #include "turmerichead/turns_index.h"
@@ -57,8 +60,15 @@
   void onEnded(std::string_view Address);
 
   /// Whether the end of the log of \p Address was reached in this epoch, and
-  /// none of its turns has to be copied any more.
+  /// none of its turns has to be copied any more. Its host need not have caught
+  /// up.
+  bool isRead(std::string_view Address, const turn_index &Index);
+  /// Whether isRead() holds and the host has all that it ever acknowledged.
   bool isDone(std::string_view Address, const turn_index &Index);
+  /// Whether the log of a host that has caught up may lack records.
+  bool mayLackRecords(std::string_view Address) const;
+  /// Number of the old members that are at the first start of all.
+  std::uint32_t countAtFirstStart() const;
 
   /// Addresses of the old members whose logs have yet to be copied, and of
   /// those that have not caught up themselves.
@@ -97,7 +107,10 @@
     bool IgnoresReply = false;
     bool Failed = false; ///< Whether the last request had no usable reply.
     bool AtEnd = false;  ///< Whether the end was reached in this epoch.
-    bool IsIncomplete = false; ///< Whether the host said it has not caught up.
+    // What the host has last said of itself.
+    bool IsIncomplete = false; ///< It has not caught up.
+    bool IsAtFirstStart = false;
+    bool MayLackRecords = false;
     std::deque<turn_number> Listed; ///< Turns that may have to be requested.
     std::vector<turn_number> Requested; ///< In the pending request.
     int Pauses = 0; ///< Of the caller, since the request was sent.
@@ -112,6 +125,8 @@
   /// The members whose copies of a turn remain after a change of the set that
   /// is in progress.
   source_mask lastingMembers() const;
+  /// Whether too few members have caught up for a read quorum.
+  bool needsIncomplete(std::string_view Self) const;
   /// Whether a turn needs not be copied.
   bool isResolved(const turn_row &Turn, const turn_index &Index) const;
   void addListed(source &Source, const std::vector<listed_turn> &Listed);
--- a/src/include/turmerichead/turns_index.h
+++ b/src/include/turmerichead/turns_index.h
@@ -79,6 +79,10 @@
   /// Updates the position of a record that was copied to another segment.
   void relocate(const live_record &Record, const log_position &Position);
 
+  /// The longest retention time of all records that were added, expired ones
+  /// included.
+  milliseconds longestRetention() const { return LongestRetention; }
+
   std::size_t turnCount() const { return Turns.size(); }
   std::size_t programCount() const { return Programs.size(); }
 
@@ -112,6 +116,7 @@
   /// Returns the entry of the record's attempt; nullptr if there is none.
   const spend_entry *findSpend(const spend_record &Spend) const;
 
+  milliseconds LongestRetention{0};
   text_map<turn_row> Turns;
   text_map<program_row> Programs;
 };
--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -129,8 +129,7 @@
   std::string pathOf(std::uint64_t Segment) const;
   bool startSegment(std::uint64_t Number);
   /// Reads and syncs a segment and calls \p Visit for its records.
-  bool load(std::uint64_t Number, const visitor &Visit,
-            log_recovery &Recovery);
+  bool load(std::uint64_t Number, const visitor &Visit, log_recovery &Recovery);
   void reportDamage(log_recovery &Recovery) const;
   bool removeInvalidEnd(std::uint64_t Number);
   std::string invalidRecordText(std::uint64_t Segment,
@@ -142,7 +141,7 @@
 
   struct segment {
     int Descriptor = -1;
-    std::uint64_t Size = 0; ///< Written and buffered bytes.
+    std::uint64_t Size = 0;     ///< Written and buffered bytes.
     bool HasInvalidEnd = false; ///< Whether invalid bytes follow in the file.
   };
   log_settings Settings;
--- a/src/include/turmerichead/turns_records.h
+++ b/src/include/turmerichead/turns_records.h
@@ -52,7 +52,11 @@
   std::uint64_t DiskId = 0; ///< Chosen when the disk was empty; 0: unknown.
   /// Ids of the other disks that were empty at the first start of all.
   std::vector<std::uint64_t> FirstDisks;
-  MSGPACK_DEFINE(Set, CaughtUp, IsFirstStart, DiskId, FirstDisks)
+  /// Whether it has caught up although records may be lost on all members; see
+  /// replica_core::finishCopy().
+  bool MayLackRecords = false;
+  MSGPACK_DEFINE(Set, CaughtUp, IsFirstStart, DiskId, FirstDisks,
+                 MayLackRecords)
 };
 
 enum class record_kind : std::uint8_t { Turn = 1, Spend = 2, State = 3 };
@@ -107,7 +111,10 @@
   bool CaughtUp = false;   ///< Whether OtherAttempts and Chain are complete.
   std::vector<spend_row> OtherAttempts; ///< Of the program.
   chain_part Chain;
-  MSGPACK_DEFINE(Status, Set, CaughtUp, OtherAttempts, Chain)
+  /// Whether a turn that is not found may have existed; see
+  /// state_record::MayLackRecords.
+  bool MayLackTurns = false;
+  MSGPACK_DEFINE(Status, Set, CaughtUp, OtherAttempts, Chain, MayLackTurns)
 };
 
 /// Requests only a chain (ChainPath) or only the attempts of a program
@@ -158,7 +165,9 @@
   /// Ids of turns to send; the position is then not used. Only for a host that
   /// has listed them.
   std::vector<std::string> Turns;
-  MSGPACK_DEFINE(Set, Segment, Offset, Log, ListsTurns, Turns)
+  /// Whether a host that has not caught up itself should send what it has.
+  bool FromIncomplete = false;
+  MSGPACK_DEFINE(Set, Segment, Offset, Log, ListsTurns, Turns, FromIncomplete)
 };
 
 /// The reply to a copy_request.
@@ -171,11 +180,14 @@
   bool AtEnd = false;               ///< Whether the end of the log is reached.
   std::vector<std::string> Records; ///< Encoded as in the log.
   /// Identifies the log and the start of the process that has it open;
-  /// positions hold for this log only. 0 from hosts that do not send it.
+  /// positions hold for this log only. 0 from hosts that do not send it, and
+  /// from a host that has not caught up and sends no records.
   std::uint64_t Log = 0;
   std::vector<listed_turn> Turns; ///< If copy_request::ListsTurns is true.
+  bool IsAtFirstStart = false;    ///< See state_record::IsFirstStart.
+  bool MayLackRecords = false;    ///< See state_record::MayLackRecords.
   MSGPACK_DEFINE(Status, Set, CaughtUp, Segment, Offset, AtEnd, Records, Log,
-                 Turns)
+                 Turns, IsAtFirstStart, MayLackRecords)
 };
 
 /// Checks that a host replies, and exchanges the newest sets.
--- a/src/include/turmerichead/turns_replica_core.h
+++ b/src/include/turmerichead/turns_replica_core.h
@@ -98,19 +98,24 @@
   copy_plan::waiting_for waitingFor() {
     return Copies.waitingFor(Self.Address, index());
   }
-  /// Whether a read quorum has been copied completely.
+  /// Whether nothing is left to wait for: a read quorum of hosts that have
+  /// caught up was copied completely, or the logs of all other old members
+  /// were. Then all that any member still has is here, and more cannot come.
   bool isCopyComplete();
-  /// Sets CaughtUp once a read quorum has been copied completely. Call it after
-  /// a successful sync(). Returns whether CaughtUp was set now; then call
-  /// sync() again.
+  /// Sets CaughtUp once isCopyComplete(). Without a read quorum, records may be
+  /// lost for good, and MayLackRecords is set until the longest retention time
+  /// has passed. Call it after a successful sync(). Returns whether CaughtUp
+  /// was set now; then call sync() again.
   bool finishCopy();
+  bool mayLackRecords() const { return Store.state().MayLackRecords; }
 
   /// See record_store::sync(). If it fails, all copies restart, since copied
   /// records may be lost.
   bool sync();
   /// Size of the records that wait for a sync.
   std::uint64_t unsyncedBytes() const { return Store.unsyncedBytes(); }
-  /// Removes expired records; see record_store::compact().
+  /// Removes expired records; see record_store::compact(). Ends MayLackRecords
+  /// once all records that may be lost have expired.
   bool compact(time_point Now);
   std::uint64_t copiedRecords() const { return Copied; }
   /// Replies to copy requests that had records, and the size of these, also of
@@ -135,6 +140,12 @@
   void addFirstDisk(std::string_view Address, std::uint64_t DiskId);
   void confirmFirstStart();
   void restartCopies();
+  /// Whether a read quorum of hosts that have caught up was copied.
+  bool hasReadQuorum();
+  bool hasReadAllMembers();
+  /// Adds what a host that copies has to know of this one.
+  void describeSelf(copy_reply &Reply) const;
+  void expireLostRecords(time_point Now);
 
   disk_host Self;
   record_store Store;
@@ -144,6 +155,8 @@
   copy_plan Copies;
   /// Whether records have expired since the copies began.
   bool HasExpiredRecords = false;
+  /// When MayLackRecords ends; set at the first check after a start.
+  std::optional<time_point> LostRecordsExpireAt;
   std::uint64_t Copied = 0; ///< Records copied since the start.
   std::uint64_t CopyReplies = 0;
   std::uint64_t CopiedBytes = 0;
--- a/src/libturns/client_open.cpp
+++ b/src/libturns/client_open.cpp
@@ -92,7 +92,8 @@
   bool Readable =
       Reply.Status != static_cast<std::uint8_t>(reply_status::Failed);
   if (Readable)
-    Open.Chain.onReply(Address, Asked, Reply.CaughtUp, Reply.Chain);
+    Open.Chain.onReply(Address, Asked, Reply.CaughtUp, Reply.Chain,
+                       Reply.MayLackTurns);
   if (!Open.Chain.isComplete() && !Open.Chain.isAbsent(Row.Set))
     requestChain(Id);
   decideOpen(Id);
@@ -131,6 +132,12 @@
                "turn " + Open.Chain.wanted() + " of its chain is missing");
     return;
   }
+  if (Open.Chain.mayBeLost(Row.Set)) {
+    finishOpen(Id, open_outcome::Unknown,
+               "no disk host has turn " + Open.Chain.wanted() +
+                   ", and disk hosts have lost records");
+    return;
+  }
   using decision = reservation_quorum::decision;
   decision Decision = decision::Granted;
   if (Open.Call.Budget > 0)
--- a/src/libturns/copy_plan.cpp
+++ b/src/libturns/copy_plan.cpp
@@ -1,5 +1,6 @@
 #include "turmerichead/turns_copy_plan.h"
 
+#include <algorithm>
 #include <bit>
 
 namespace turmerichead::turns {
@@ -107,6 +108,14 @@
   Source.Listed.insert(Source.Listed.begin(), Skipped.begin(), Skipped.end());
 }
 
+bool copy_plan::needsIncomplete(std::string_view Self) const {
+  auto MayBeComplete = [&](std::string_view Address) {
+    auto Row = Sources.find(Address);
+    return Address != Self && Row != Sources.end() && !Row->second.IsIncomplete;
+  };
+  return !isReadQuorum(Set, MayBeComplete);
+}
+
 void copy_plan::releaseSlowRequests() {
   for (auto &[Address, Source] : Sources) {
     if (!Source.RequestPending || ++Source.Pauses != SlowAfterPauses)
@@ -121,18 +130,22 @@
                     const turn_index &Index) {
   if (RetriesFailed)
     releaseSlowRequests();
+  bool NeedsIncomplete = needsIncomplete(Self);
   std::vector<std::pair<std::string, copy_request>> Requests;
   for (auto &[Address, Source] : Sources) {
     if (Address == Self || !hasAddress(Set.Members, Address) ||
         Source.RequestPending || (Source.Failed && !RetriesFailed))
       continue;
     copy_request Request{
-        Set, Source.Next.Segment, Source.Next.Offset, Source.Log, true, {}};
+        Set, Source.Next.Segment, Source.Next.Offset, Source.Log, true,
+        {},  NeedsIncomplete};
     if (Source.AtEnd) {
       chooseTurns(Source, Index);
       for (turn_number Number : Source.Requested)
         Request.Turns.push_back(Turns[Number].Id);
-      if (Request.Turns.empty())
+      // After each pause the host may have caught up.
+      bool ChecksState = Source.IsIncomplete && RetriesFailed;
+      if (Request.Turns.empty() && !ChecksState)
         continue;
     }
     Source.RequestPending = true;
@@ -168,8 +181,10 @@
   if (Source.IgnoresReply || Reply.Status != 0)
     return copy_step::Ignore;
   Source.IsIncomplete = !Reply.CaughtUp;
-  // A host that is still catching up may lack writes that it acknowledged.
-  if (Source.IsIncomplete)
+  Source.IsAtFirstStart = Reply.IsAtFirstStart;
+  Source.MayLackRecords = Reply.MayLackRecords;
+  bool HasRecords = Reply.CaughtUp || Reply.Log != 0;
+  if (!HasRecords)
     return copy_step::Ignore;
   Source.Failed = false;
   bool IsAtStart = Source.Next == log_position();
@@ -228,7 +243,7 @@
   for (const auto &[Address, Source] : Sources) {
     if (Address == Self || !hasAddress(Set.Members, Address))
       continue;
-    if (!isDone(Address, Index))
+    if (!isRead(Address, Index))
       Hosts.Unread.push_back(Address);
     if (Source.IsIncomplete)
       Hosts.Incomplete.push_back(Address);
@@ -237,6 +252,23 @@
 }
 
 bool copy_plan::isDone(std::string_view Address, const turn_index &Index) {
+  // A host that is still catching up may lack writes that it acknowledged.
+  return isRead(Address, Index) && !Sources.find(Address)->second.IsIncomplete;
+}
+
+bool copy_plan::mayLackRecords(std::string_view Address) const {
+  auto Row = Sources.find(Address);
+  return Row != Sources.end() && Row->second.MayLackRecords;
+}
+
+std::uint32_t copy_plan::countAtFirstStart() const {
+  auto Count =
+      std::count_if(Sources.begin(), Sources.end(),
+                    [](const auto &Row) { return Row.second.IsAtFirstStart; });
+  return static_cast<std::uint32_t>(Count);
+}
+
+bool copy_plan::isRead(std::string_view Address, const turn_index &Index) {
   auto Row = Sources.find(Address);
   if (Row == Sources.end())
     return false;
--- a/src/libturns/index.cpp
+++ b/src/libturns/index.cpp
@@ -7,6 +7,7 @@
 bool turn_index::addTurn(const turn_record &Turn, const log_position &Position,
                          time_point Now) {
   milliseconds Retention(Turn.RetentionMs);
+  LongestRetention = std::max(LongestRetention, Retention);
   auto [Row, New] = Turns.try_emplace(
       Turn.Id, turn_row{Position, Turn.Previous, Retention, {}});
   Row->second.RetainUntil = std::max(Row->second.RetainUntil, Now + Retention);
@@ -21,9 +22,10 @@
 
 bool turn_index::addSpend(const spend_record &Spend,
                           const log_position &Position, time_point Now) {
+  milliseconds Retention(Spend.RetentionMs);
+  LongestRetention = std::max(LongestRetention, Retention);
   program_row &Program = Programs[Spend.Program];
-  Program.RetainUntil =
-      std::max(Program.RetainUntil, Now + milliseconds(Spend.RetentionMs));
+  Program.RetainUntil = std::max(Program.RetainUntil, Now + Retention);
   auto [Entry, New] = Program.Attempts.try_emplace(
       Spend.Attempt, spend_entry{Position, Spend.Tokens, Spend.Settled});
   if (New)
--- a/src/libturns/quorum.cpp
+++ b/src/libturns/quorum.cpp
@@ -93,12 +93,16 @@
 }
 
 bool chain_search::onReply(std::string_view Address, std::string_view AskedFor,
-                           bool CaughtUp, const chain_part &Part) {
+                           bool CaughtUp, const chain_part &Part,
+                           bool MayLackTurns) {
   if (Wanted.empty() || AskedFor != Wanted)
     return false;
-  if (!Part.Found) {
+  auto AddReport = [&] {
     if (CaughtUp)
-      ReportedMissing.emplace(Address);
+      (MayLackTurns ? MayHaveLost : ReportedMissing).emplace(Address);
+  };
+  if (!Part.Found) {
+    AddReport();
     return false;
   }
   Bytes.insert(0, Part.Bytes);
@@ -107,11 +111,11 @@
   Wanted = Part.Missing;
   Asked.clear();
   ReportedMissing.clear();
+  MayHaveLost.clear();
   // This host has no older part of the chain: its reply contains all that it
   // has.
   Asked.emplace(Address);
-  if (CaughtUp)
-    ReportedMissing.emplace(Address);
+  AddReport();
   return true;
 }
 
@@ -122,6 +126,15 @@
          });
 }
 
+bool chain_search::mayBeLost(const disk_set &Set) const {
+  return !Wanted.empty() && !isAbsent(Set) &&
+         std::all_of(Set.Members.begin(), Set.Members.end(),
+                     [&](const disk_host &Host) {
+                       return ReportedMissing.contains(Host.Address) ||
+                              MayHaveLost.contains(Host.Address);
+                     });
+}
+
 bool chain_search::isBroken(const disk_set &Set) const {
   return Wanted != Requested && !Wanted.empty() &&
          isReadQuorum(Set, [&](std::string_view Address) {
--- a/src/libturns/quorum_pvt.h
+++ b/src/libturns/quorum_pvt.h
@@ -87,9 +87,10 @@
   const std::string &upstream() const { return Upstream; }
 
   /// Adds the reply of a host to a request for turn \p Asked. Returns true if
-  /// it contains a part of the chain that was missing.
+  /// it contains a part of the chain that was missing. \p MayLackTurns: see
+  /// open_reply.
   bool onReply(std::string_view Address, std::string_view Asked, bool CaughtUp,
-               const chain_part &Part);
+               const chain_part &Part, bool MayLackTurns = false);
 
   /// Whether the wanted turn was requested from a host.
   bool wasAsked(std::string_view Address) const {
@@ -100,6 +101,8 @@
 
   /// Whether a read quorum confirms that the requested turn does not exist.
   bool isAbsent(const disk_set &Set) const;
+  /// Whether no old member has the requested turn, but it may be lost.
+  bool mayBeLost(const disk_set &Set) const;
   /// Whether a read quorum confirms that an earlier turn of the chain is lost.
   bool isBroken(const disk_set &Set) const;
 
@@ -111,6 +114,8 @@
   std::set<std::string, std::less<>> Asked; ///< Hosts asked for Wanted.
   /// Hosts that have caught up and do not have Wanted.
   std::set<std::string, std::less<>> ReportedMissing;
+  /// Hosts that do not have Wanted, but may have lost it.
+  std::set<std::string, std::less<>> MayHaveLost;
 };
 
 } // namespace turmerichead::turns
--- a/src/libturns/replica_copy.cpp
+++ b/src/libturns/replica_copy.cpp
@@ -48,10 +48,10 @@
 // Joins the replies to the parts of a request. If one has none of the turns,
 // because the member has restarted or refuses the request, it stands for all.
 copy_reply joinReplies(std::vector<copy_reply> Replies, std::uint64_t Log) {
-  auto Refusal = std::find_if(
-      Replies.begin(), Replies.end(), [&](const copy_reply &Reply) {
-        return Reply.Status != 0 || !Reply.CaughtUp || Reply.Log != Log;
-      });
+  auto Refusal = std::find_if(Replies.begin(), Replies.end(),
+                              [&](const copy_reply &Reply) {
+                                return Reply.Status != 0 || Reply.Log != Log;
+                              });
   if (Refusal != Replies.end())
     return std::move(*Refusal);
   copy_reply Joined = std::move(Replies.front());
@@ -155,11 +155,13 @@
   if (!Core->isCopyComplete() || !syncNow() || !Core->finishCopy())
     return;
   if (syncNow())
-    log::info("replica caught up", {{"epoch", Core->set().Epoch},
-                                    {"turns", Core->index().turnCount()},
-                                    {"records", Core->copiedRecords()},
-                                    {"bytes", Core->copiedBytes()},
-                                    {"replies", Core->copyReplies()}});
+    log::info("replica caught up",
+              {{"epoch", Core->set().Epoch},
+               {"may_lack_records", Core->mayLackRecords()},
+               {"turns", Core->index().turnCount()},
+               {"records", Core->copiedRecords()},
+               {"bytes", Core->copiedBytes()},
+               {"replies", Core->copyReplies()}});
 }
 
 } // namespace turmerichead::turns
--- a/src/libturns/replica_core.cpp
+++ b/src/libturns/replica_core.cpp
@@ -10,6 +10,10 @@
 // catching up took a sixth to a half longer at 20 ms a sync, with 2 MB as long.
 constexpr std::size_t CopyBatchBytes = 1U << 20U;
 
+// For which lost records count as retained if no record of a deployment is left
+// that has a retention time.
+constexpr milliseconds UnknownRetention{600'000};
+
 std::uint8_t codeOf(reply_status Status) {
   return static_cast<std::uint8_t>(Status);
 }
@@ -66,6 +70,7 @@
     return {oldSetReply<open_reply>(set())};
   open_reply Reply;
   Reply.CaughtUp = caughtUp();
+  Reply.MayLackTurns = mayLackRecords();
   if (!Request.Previous.empty()) {
     // If the chain can't be read here, the client requests it from another
     // host.
@@ -109,6 +114,7 @@
     return oldSetReply<open_reply>(set());
   open_reply Reply;
   Reply.CaughtUp = caughtUp();
+  Reply.MayLackTurns = mayLackRecords();
   if (auto Part = Store.chain(Request.Previous))
     Reply.Chain = std::move(*Part);
   else
@@ -130,11 +136,13 @@
 replica_core::copy(const copy_request &Request) {
   if (!acceptSet(Request.Set))
     return core_reply<copy_reply>{oldSetReply<copy_reply>(set())};
-  // The other host ignores records from a host that has not caught up. Two
-  // hosts that catch up at the same time would send each other all they have in
-  // vain.
-  if (!caughtUp())
-    return core_reply<copy_reply>{};
+  // Two hosts that catch up at the same time would send each other all they
+  // have in vain if others have more.
+  if (!caughtUp() && !Request.FromIncomplete) {
+    core_reply<copy_reply> Reply;
+    Reply.Value.IsAtFirstStart = isFirstStart();
+    return Reply;
+  }
   if (!Request.Turns.empty())
     return copyTurns(Request);
   log_position From{Request.Segment, Request.Offset, 0};
@@ -146,8 +154,7 @@
     return std::nullopt;
   for (const std::string &Record : Batch->Records)
     SentBytes += Record.size();
-  Batch->CaughtUp = true;
-  Batch->Log = LogId;
+  describeSelf(*Batch);
   // The adopted set has to be on disk before the copy counts, which it does at
   // the end of the log. Records that are not on disk may still be discarded,
   // and others stored at their positions.
@@ -156,12 +163,18 @@
   return core_reply<copy_reply>{std::move(*Batch), NeedsSync};
 }
 
+void replica_core::describeSelf(copy_reply &Reply) const {
+  Reply.CaughtUp = caughtUp();
+  Reply.Log = LogId;
+  Reply.IsAtFirstStart = isFirstStart();
+  Reply.MayLackRecords = mayLackRecords();
+}
+
 // The turns were listed before, so the reply need not wait for a sync.
 std::optional<core_reply<copy_reply>>
 replica_core::copyTurns(const copy_request &Request) {
   copy_reply Reply;
-  Reply.CaughtUp = true;
-  Reply.Log = LogId;
+  describeSelf(Reply);
   for (const std::string &Id : Request.Turns) {
     if (!index().hasTurn(Id))
       continue;
@@ -278,24 +291,60 @@
   Copies.onEnded(Address);
 }
 
-bool replica_core::isCopyComplete() {
-  auto IsDone = [&](std::string_view Address) {
+bool replica_core::hasReadQuorum() {
+  return isReadQuorum(set(), [&](std::string_view Address) {
     return Copies.isDone(Address, index());
-  };
+  });
+}
+
+bool replica_core::hasReadAllMembers() {
+  // Hosts that are at the first start of all may still confirm each other.
+  std::uint32_t AtFirstStart =
+      Copies.countAtFirstStart() + (isFirstStart() ? 1 : 0);
+  if (AtFirstStart >= set().QuorumSize)
+    return false;
+  const std::vector<disk_host> &Members = set().Members;
+  return std::all_of(Members.begin(), Members.end(),
+                     [&](const disk_host &Host) {
+                       return Host.Address == Self.Address ||
+                              Copies.isRead(Host.Address, index());
+                     });
+}
+
+bool replica_core::isCopyComplete() {
   return needsCopy() && Copies.epoch() == set().Epoch &&
-         isReadQuorum(set(), IsDone);
+         (hasReadQuorum() || hasReadAllMembers());
 }
 
 bool replica_core::finishCopy() {
   if (!isCopyComplete())
     return false;
+  bool HasQuorum = isReadQuorum(set(), [&](std::string_view Address) {
+    return Copies.isDone(Address, index()) && !Copies.mayLackRecords(Address);
+  });
   state_record State = Store.state();
   State.CaughtUp = true;
   State.IsFirstStart = false;
+  State.MayLackRecords = !HasQuorum;
   Store.setState(State);
+  LostRecordsExpireAt.reset();
   return true;
 }
 
+void replica_core::expireLostRecords(time_point Now) {
+  if (!mayLackRecords())
+    return;
+  if (!LostRecordsExpireAt) {
+    milliseconds Known = index().longestRetention();
+    LostRecordsExpireAt = Now + (Known.count() > 0 ? Known : UnknownRetention);
+  }
+  if (Now < *LostRecordsExpireAt)
+    return;
+  state_record State = Store.state();
+  State.MayLackRecords = false;
+  Store.setState(State);
+}
+
 bool replica_core::sync() {
   if (Store.sync())
     return true;
@@ -306,6 +355,7 @@
 bool replica_core::compact(time_point Now) {
   auto Count = [&] { return index().turnCount() + index().programCount(); };
   std::size_t Before = Count();
+  expireLostRecords(Now);
   bool Compacted = Store.compact(Now);
   HasExpiredRecords = HasExpiredRecords || Count() < Before;
   return Compacted;
