RECOVER between real processes: power lost after kills, more disks lost than are borne

The fuzz of disk hosts takes the power of one or all of them, also right after writes that no sync has covered, and a new case cuts a history of killed processes after each of its operations.

--- a/src/libturns/power_loss_test.cpp
+++ b/src/libturns/power_loss_test.cpp
@@ -204,3 +204,99 @@
   CHECK(!Damaged);
   CHECK(Store.state().CaughtUp);
 }
+
+namespace {
+
+/// A record that was durable once so many operations had been done.
+struct acknowledged_record {
+  std::size_t Operations = 0;
+  std::string Record;
+};
+
+/// What several processes, each killed at some point, do to the same disk.
+struct disk_history {
+  std::vector<disk_standin::disk_operation> Operations;
+  std::vector<acknowledged_record> Acknowledged;
+
+  void acknowledge(const std::vector<std::string> &Records) {
+    for (const std::string &Record : Records)
+      Acknowledged.push_back({Operations.size(), Record});
+  }
+};
+
+disk_history runKilledProcesses(const std::string &Folder,
+                                std::mt19937_64 &Random) {
+  constexpr int Processes = 4;
+  constexpr int Steps = 12;
+  constexpr std::uint64_t SmallSegment = 300;
+  disk_history History;
+  disk_standin::recordDisk(Folder,
+                           [&](const disk_standin::disk_operation &Operation) {
+                             History.Operations.push_back(Operation);
+                           });
+  int Number = 0;
+  for (int Process = 0; Process < Processes; ++Process) {
+    std::vector<std::string> Unsynced;
+    log_recovery Recovery;
+    auto Log = record_log::open(
+        {Folder, SmallSegment, 0},
+        [&](const log_position &, std::string_view Bytes) {
+          Unsynced.emplace_back(Bytes);
+        },
+        Recovery);
+    REQUIRE(Log);
+    CHECK(!Recovery.Damaged);
+    // What a start has read is believed from then on.
+    History.acknowledge(std::exchange(Unsynced, {}));
+    for (int Step = 0; Step < Steps; ++Step) {
+      std::string Record = std::to_string(++Number);
+      Record += std::string(Random() % 100, 'r');
+      auto Position = Log->append(Record);
+      REQUIRE(Position);
+      Unsynced.push_back(Record);
+      if (Random() % 2 == 0)
+        CHECK(Log->read(*Position)); // Writes the buffer.
+      if (Random() % 2 == 0) {
+        REQUIRE(Log->sync());
+        History.acknowledge(std::exchange(Unsynced, {}));
+      }
+    }
+  }
+  disk_standin::recordDisk({}, {});
+  return History;
+}
+
+/// Opens the log after a power loss that followed the first \p Count operations
+/// and checks that it has all that was acknowledged until then.
+void checkAfterPowerLoss(const std::string &Folder, const disk_history &History,
+                         std::size_t Count, std::mt19937_64 &Random) {
+  disk_standin::disk_image Image(Folder);
+  for (std::size_t I = 0; I < Count; ++I)
+    Image.apply(History.Operations[I]);
+  Image.losePower(Random);
+  std::vector<std::string> Records;
+  log_recovery Recovery;
+  REQUIRE(record_log::open(
+      {Folder, LargeSegment, 0},
+      [&](const log_position &, std::string_view Bytes) {
+        Records.emplace_back(Bytes);
+      },
+      Recovery));
+  CHECK(!Recovery.Damaged);
+  for (const acknowledged_record &Row : History.Acknowledged)
+    if (Row.Operations <= Count)
+      CHECK(countOf(Records, Row.Record) == 1);
+}
+
+} // namespace
+
+TEST_CASE("a_power_loss_after_any_operation_keeps_what_was_acknowledged") {
+  constexpr std::uint64_t Histories = 5;
+  for (std::uint64_t Seed = 0; Seed < Histories; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    recorded_disk Disk;
+    disk_history History = runKilledProcesses(Disk.path(), Random);
+    for (std::size_t I = 0; I <= History.Operations.size(); ++I)
+      checkAfterPowerLoss(Disk.path(), History, I, Random);
+  }
+}
--- a/src/libturns/replica_core_fuzz_test.cpp
+++ b/src/libturns/replica_core_fuzz_test.cpp
@@ -1,7 +1,8 @@
-// Runs disk hosts through random crashes, wiped disks, replacements,
-// retirements and delayed messages, and compares them with a model of the
-// acknowledged writes.
+// Runs disk hosts through random crashes, power losses, wiped disks,
+// replacements, retirements and delayed messages, and compares them with a
+// model of the acknowledged writes.
 
+#include "disk_recorder.h"
 #include "quorum_pvt.h"
 #include "turmerichead/turns_replica_core.h"
 
@@ -63,6 +64,7 @@
     std::string Template =
         (std::filesystem::temp_directory_path() / "replicasXXXXXX").string();
     Root = mkdtemp(Template.data());
+    recordDisks();
     for (std::size_t I = 0; I < HostCount; ++I)
       Machines.push_back(newMachine());
     for (disk_machine &Machine : Machines)
@@ -73,6 +75,7 @@
   }
   ~disk_cluster() {
     Machines.clear();
+    disk_standin::recordDisk({}, {});
     std::filesystem::remove_all(Root);
   }
 
@@ -99,7 +102,26 @@
             false};
   }
 
+  void recordDisks() {
+    disk_standin::recordDisk(
+        Root, [this](const disk_standin::disk_operation &Operation) {
+          for (auto &[Folder, Disk] : Disks)
+            Disk.apply(Operation);
+        });
+  }
+
+  template <typename Function>
+  void changeDisk(const disk_machine &Machine, Function Change) {
+    disk_standin::recordDisk({}, {});
+    Change(Disks.at(Machine.Folder));
+    recordDisks();
+  }
+  void wipeDisk(const disk_machine &Machine) {
+    changeDisk(Machine, [](disk_standin::disk_image &Disk) { Disk.wipe(); });
+  }
+
   void start(disk_machine &Machine, bool First) {
+    Disks.try_emplace(Machine.Folder, Machine.Folder);
     log_recovery Recovery;
     auto Store =
         record_store::open({{Machine.Folder, 2048, 0}, First}, {0}, Recovery);
@@ -172,7 +194,7 @@
   }
 
   void runRandomStep() {
-    switch (randomBelow(16)) {
+    switch (randomBelow(17)) {
     case 0:
       crash();
       break;
@@ -211,13 +233,50 @@
     case 13:
       checkRandomChain();
       break;
+    case 14:
+      losePower();
+      break;
     default:
       deliver();
       break;
     }
   }
 
-  void crash() { randomMachine().Core.reset(); }
+  void crash() {
+    disk_machine &Machine = randomMachine();
+    if (chance(50))
+      writeWithoutSync(Machine);
+    Machine.Core.reset();
+  }
+
+  // Reading a record writes what was appended.
+  void writeWithoutSync(disk_machine &Machine) {
+    if (!Machine.Core || Writes.empty())
+      return;
+    const pending_write &Write = Writes[randomBelow(Writes.size())];
+    Machine.Core->close(requestFor(Write), {0});
+    Machine.Core->chain({Write.Set, {}, {}, Write.Turn.Id});
+  }
+
+  // The power of one host, or of all.
+  void losePower() {
+    bool IsOfAll = chance(30);
+    std::size_t One = randomBelow(Machines.size());
+    for (std::size_t I = 0; I < Machines.size(); ++I)
+      if (IsOfAll || I == One)
+        losePower(Machines[I]);
+  }
+
+  void losePower(disk_machine &Machine) {
+    if (Machine.Removed)
+      return;
+    if (chance(50))
+      writeWithoutSync(Machine);
+    Machine.Core.reset();
+    std::mt19937_64 Loss(Random());
+    changeDisk(Machine,
+               [&](disk_standin::disk_image &Disk) { Disk.losePower(Loss); });
+  }
 
   void restart() {
     disk_machine &Machine = randomMachine();
@@ -233,7 +292,7 @@
     if (Machine.Removed || !mayLoseDisk(Machine))
       return;
     Machine.Core.reset();
-    std::filesystem::remove_all(Machine.Folder);
+    wipeDisk(Machine);
     dropAcks(Machine.Host.Address);
   }
 
@@ -243,7 +302,7 @@
       return;
     Machine.Core.reset();
     Machine.Removed = true;
-    std::filesystem::remove_all(Machine.Folder);
+    wipeDisk(Machine);
     dropAcks(Machine.Host.Address);
     Machines.push_back(newMachine());
     start(Machines.back(), false);
@@ -259,7 +318,7 @@
         continue;
       Machine.Core.reset();
       Machine.Removed = true;
-      std::filesystem::remove_all(Machine.Folder);
+      wipeDisk(Machine);
       Machines.push_back(newMachine());
       start(Machines.back(), false);
       Retiring.clear();
@@ -371,6 +430,14 @@
       deliverSpend(randomBelow(Spends.size()));
   }
 
+  static close_request requestFor(const pending_write &Write) {
+    close_request Request;
+    Request.Set = Write.Set;
+    Request.HasTurn = true;
+    Request.Turn = Write.Turn;
+    return Request;
+  }
+
   void deliverWrite(std::size_t Index) {
     pending_write &Write = Writes[Index];
     if (Write.WriteTargets.empty()) {
@@ -382,11 +449,7 @@
     replica_core *Core = runningCore(Address);
     if (!Core)
       return;
-    close_request Request;
-    Request.Set = Write.Set;
-    Request.HasTurn = true;
-    Request.Turn = Write.Turn;
-    auto Reply = Core->close(Request, {0});
+    auto Reply = Core->close(requestFor(Write), {0});
     if (Reply.Value.Status != 0 || chance(10) || !Core->sync())
       return;
     Write.AckedBy.push_back(Address);
@@ -542,6 +605,7 @@
   int NameCount = 0;
   std::uint64_t StartCount = 0;
   int Turns = 0;
+  std::map<std::string, disk_standin::disk_image> Disks; ///< By folder.
   std::vector<disk_machine> Machines;
   disk_set Stored;   ///< The set on the platform.
   disk_set EntrySet; ///< The set that an entry host knows.
--- a/testsuite/disk/disk_image.cpp
+++ b/testsuite/disk/disk_image.cpp
@@ -33,6 +33,15 @@
     applyWrite(Bytes, Change.Offset, Change.Data);
 }
 
+/// Applies a part of an unsynced write.
+void tearWrite(std::string &Bytes, const disk_operation &Change,
+               std::mt19937_64 &Random) {
+  if (Change.Kind != disk_operation_kind::Write || Change.Data.size() < 2)
+    return;
+  std::uint64_t Size = 1 + below(Random, Change.Data.size() - 1);
+  applyWrite(Bytes, Change.Offset, Change.Data.substr(0, Size));
+}
+
 /// Applies what a power loss leaves of an unsynced write or truncation.
 void applyInPart(std::string &Bytes, const disk_operation &Change,
                  std::mt19937_64 &Random) {
@@ -164,6 +173,8 @@
     for (const disk_operation &Change : Files[Number].Pending)
       if (KeepsSome)
         applyInPart(Bytes, Change, Random);
+      else if (Kind == power_loss::TearsAll)
+        tearWrite(Bytes, Change, Random);
   }
   rewriteFiles(Contents);
 }
--- a/testsuite/disk/disk_image.h
+++ b/testsuite/disk/disk_image.h
@@ -47,6 +47,7 @@
 /// Which unsynced changes survive a power loss.
 enum class power_loss : std::uint8_t {
   KeepsNone,
+  TearsAll, ///< Of each write a part is kept; other changes are lost.
   KeepsSome ///< Each change by itself is kept, lost or torn.
 };
 
--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -1,6 +1,5 @@
 #include "fleet.h"
 
-#include "disk_image.h"
 #include "fleet_pvt.h"
 #include "turmerichead/error.h"
 
@@ -375,16 +374,18 @@
   return diskFolder(Name) + ".journal";
 }
 
-void fleet::losePower(const std::string &Name, std::uint64_t Seed) {
+void fleet::losePower(const std::string &Name, std::uint64_t Seed,
+                      std::optional<disk_standin::power_loss> Kind) {
+  using disk_standin::power_loss;
   kill(Name);
   if (find(Name)->Role != role::Disk || !Settings.RecordsDisks)
     return;
   std::mt19937_64 Random(Seed);
+  if (!Kind)
+    Kind = Random() % 4 == 0 ? power_loss::KeepsNone : power_loss::KeepsSome;
   disk_standin::disk_image Disk =
       disk_standin::readJournal(diskFolder(Name), journalOf(Name));
-  Disk.losePower(Random, Random() % 4 == 0
-                             ? disk_standin::power_loss::KeepsNone
-                             : disk_standin::power_loss::KeepsSome);
+  Disk.losePower(Random, *Kind);
   disk_standin::writeJournal(Disk, journalOf(Name));
 }
 
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -9,6 +9,7 @@
 /// All processes end with the fleet.
 #pragma once
 
+#include "disk_image.h"
 #include "process_limits.h"
 #include "site_shape.h"
 #include "tcp_link.h"
@@ -201,9 +202,10 @@
   std::string settingsFile(const std::string &Name) const;
   /// Kills a disk host and empties its disk.
   void wipe(const std::string &Name);
-  /// Kills a host, whose disk loses what no sync has covered: all of it or
-  /// some, as chosen from \p Seed.
-  void losePower(const std::string &Name, std::uint64_t Seed);
+  /// Kills a host, whose disk loses what no sync has covered: as \p Kind says,
+  /// or all or some of it, as chosen from \p Seed.
+  void losePower(const std::string &Name, std::uint64_t Seed,
+                 std::optional<disk_standin::power_loss> Kind = std::nullopt);
   /// Sets whether the disk of a host takes no more bytes (ENOSPC).
   void setDiskFull(const std::string &Name, bool IsFull);
   std::string diskFolder(const std::string &Name) const;
--- a/testsuite/soak/oracle.cpp
+++ b/testsuite/soak/oracle.cpp
@@ -39,8 +39,11 @@
                               Answer.Status,
                               Unanswered,
                               EntryWasCalm};
-  if (Request.Host == fleet_harness::fleet::PlanHost)
+  if (Request.Host == fleet_harness::fleet::PlanHost) {
+    ++Slice.Turns;
+    Slice.TurnsAnswered += Answered ? 1 : 0;
     judgeTurn(Request, Answer);
+  }
   if (Answer.Status == http1::status::BadRequest)
     fail("answers", Answer.Attempt + ": a proper request was answered 400");
   if (Answer.Status == http1::status::Unauthorized)
@@ -82,6 +85,13 @@
   bool Served = Before.total() > 0 && Before.Answered * Part >= Before.total();
   bool ServedAgain =
       After.total() > 0 && After.Answered * Part >= After.total();
+  bool TurnsServedAgain =
+      Before.TurnsAnswered == 0 ||
+      (After.Turns > 0 && After.TurnsAnswered * Part >= After.Turns);
+  if (Served && !TurnsServedAgain)
+    fail("recovery after the final fault",
+         std::to_string(After.TurnsAnswered) + " of " +
+             std::to_string(After.Turns) + " turns are answered");
   if (Served && !ServedAgain)
     fail("recovery after the final fault",
          std::to_string(After.Answered) + " of " +
@@ -97,6 +107,8 @@
       Sum.Answered += Slice.Answered;
       Sum.Refused += Slice.Refused;
       Sum.Broken += Slice.Broken;
+      Sum.Turns += Slice.Turns;
+      Sum.TurnsAnswered += Slice.TurnsAnswered;
     }
   return Sum;
 }
--- a/testsuite/soak/oracle.h
+++ b/testsuite/soak/oracle.h
@@ -29,6 +29,9 @@
   int Answered = 0;
   int Refused = 0;
   int Broken = 0;
+  // Those of them that need the disk hosts.
+  int Turns = 0;
+  int TurnsAnswered = 0;
   int total() const { return Answered + Refused + Broken; }
 };
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -194,6 +194,8 @@
   slice After = Oracle.sumSince(From);
   tell("after the final fault", {{"answered", After.Answered},
                                  {"of", After.total()},
+                                 {"turns", After.Turns},
+                                 {"turns_answered", After.TurnsAnswered},
                                  {"answered_before", Before.Answered},
                                  {"of_before", Before.total()}});
   Oracle.judgeRecovery(Before, After);
