FAULT: the limit of file sizes no longer ends a process

What was seen: an entry host whose output is a file at the kernel's limit ended by SIGXFSZ with its next log line, and at each start again.

Cause: the signal was not handled, as SIGPIPE is. Class: the kernel's way to report a failed write ends a process that could go on. Both daemons ignore it now. Next in the same way: a log segment at the limit failed each further sync, so that a disk host refused everything from then on. After a failed sync the log goes on in a new segment, which also leaves behind a file whose pages may differ from the disk.

Evidence: 'file_size_limit_ends_hosts' (own end by signal 25 on, none now) and 'a_log_at_the_file_size_limit_took_no_more_records'.

--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -88,7 +88,8 @@
 
   /// Makes all appended records durable. Returns false, with Unavailable, if
   /// writing or syncing fails; the records that were appended since the last
-  /// successful sync are then discarded.
+  /// successful sync are then discarded, and a new segment is started if
+  /// possible.
   bool sync();
 
   /// Reads the bytes of a record. Fails with NotFound if its segment was
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -274,8 +274,10 @@
   if (Descriptor < 0 || !writeAt(Descriptor, 0, Magic) ||
       fsync(Descriptor) != 0 || !syncFolder(Settings.Folder)) {
     fail(error_code::Unavailable, errnoText(pathOf(Number)));
-    if (Descriptor >= 0)
+    if (Descriptor >= 0) {
       close(Descriptor);
+      unlink(pathOf(Number).c_str());
+    }
     return false;
   }
   Segments[Number] = {Descriptor, FileHeaderBytes, false};
@@ -330,8 +332,12 @@
   if (Newest.Size == SyncedSize)
     return true;
   if (!writeBuffer() || fdatasync(Newest.Descriptor) != 0) {
-    fail(error_code::Unavailable, errnoText("failed to write the log"));
+    error Reason{error_code::Unavailable, errnoText("failed to write the log")};
     discardUnsynced();
+    // The file may have reached its limit, and what it holds in memory may
+    // differ from the disk by now.
+    startSegment(Segments.rbegin()->first + 1);
+    fail(Reason.Code, Reason.Text);
     return false;
   }
   SyncedSize = Newest.Size;
--- a/src/libturns/log_test.cpp
+++ b/src/libturns/log_test.cpp
@@ -2,11 +2,13 @@
 
 #include "turmerichead/error.h"
 
+#include <csignal>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
 #include <random>
 #include <rapidcheck.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace turmerichead;
@@ -219,3 +221,29 @@
     }
   }));
 }
+
+TEST_CASE("a_log_at_the_file_size_limit_took_no_more_records") {
+  constexpr rlim_t FileLimit = 64U << 10U;
+  constexpr std::size_t RecordBytes = 10U << 10U;
+  constexpr int Count = 30;
+  temporary_folder Folder;
+  opened_log Opened(Folder.Path, 1U << 20U);
+  rlimit Old{};
+  getrlimit(RLIMIT_FSIZE, &Old);
+  auto *Handler = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit Small{FileLimit, Old.rlim_max};
+  setrlimit(RLIMIT_FSIZE, &Small);
+  int Synced = 0;
+  for (int I = 0; I < Count; ++I) {
+    REQUIRE(Opened.Log->append(std::string(RecordBytes, 'x')));
+    Synced += Opened.Log->sync() ? 1 : 0;
+  }
+  setrlimit(RLIMIT_FSIZE, &Old);
+  std::signal(SIGXFSZ, Handler);
+  // One fails for each file that is full.
+  CHECK(Synced >= Count - Count / 6 - 1);
+  Opened.Log.reset();
+  opened_log Again(Folder.Path, 1U << 20U);
+  CHECK(Again.Records.size() == static_cast<std::size_t>(Synced));
+  CHECK(!Again.Recovery.Damaged);
+}
--- a/src/libturns/record_store.cpp
+++ b/src/libturns/record_store.cpp
@@ -141,10 +141,11 @@
   // A failed sync may have discarded the newest state.
   if (StateSegment == 0)
     setState(State);
+  log_position SyncedEnd = Log.syncedEnd();
   if (Log.sync())
     return true;
   StateSegment = 0;
-  Index.removeTurnsFrom(Log.end());
+  Index.removeTurnsFrom(SyncedEnd);
   return false;
 }
 
--- a/src/turmerichead/main.cpp
+++ b/src/turmerichead/main.cpp
@@ -58,8 +58,10 @@
     std::cerr << "--settings FILE is needed; --help shows the settings\n";
     return ExitBadInput;
   }
-  // The settings are not read again, and SIGHUP must not end the host.
-  std::signal(SIGHUP, SIG_IGN);
+  // The settings are not read again, and neither SIGHUP nor a log file at its
+  // limit must end the host.
+  for (int Number : {SIGHUP, SIGXFSZ})
+    std::signal(Number, SIG_IGN);
   findings Findings;
   auto Settings = host_settings::load(FLAGS_settings, Findings);
   if (!Settings) {
--- a/testsuite/fleet/start_test.cpp
+++ b/testsuite/fleet/start_test.cpp
@@ -1,12 +1,14 @@
 // Starts of hosts, as a supervisor sees them: a process that ends without
 // having been told to is a fault.
 
-#include "fleet.h"
+#include "judge_sound.h"
 
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
 
 using namespace turmerichead;
 using namespace turmerichead::fleet_harness;
@@ -65,3 +67,38 @@
   CHECK(ownEnds(Fleet) == "");
   CHECK(Fleet.waitReady("entry-0", ReadyBound));
 }
+
+namespace {
+
+std::string logOf(fleet &Fleet, const std::string &Name) {
+  return Fleet.settings().Scratch + "/" + Name + "." +
+         std::to_string(Fleet.find(Name)->Starts) + ".log";
+}
+
+/// Limits the size to which a process that runs may write files.
+void limitFiles(fleet &Fleet, const std::string &Name, rlim_t Bytes) {
+  rlimit Limit{Bytes, Bytes};
+  REQUIRE(prlimit(Fleet.pidOf(Name), RLIMIT_FSIZE, &Limit, nullptr) == 0);
+}
+
+} // namespace
+
+TEST_CASE("file_size_limit_ends_hosts") {
+  // SIGXFSZ ended the processes. The log of a disk host did not go on in
+  // another file.
+  fleet Fleet(settingsFor("file-size"));
+  REQUIRE(Fleet.start());
+  constexpr rlim_t SegmentLimit = 256U << 10U;
+  for (const std::string &Name : Fleet.names(role::Disk))
+    limitFiles(Fleet, Name, SegmentLimit);
+  limitFiles(Fleet, "entry-0",
+             std::filesystem::file_size(logOf(Fleet, "entry-0")));
+  constexpr int Programs = 24;
+  constexpr milliseconds Time{8000};
+  sound_traffic Traffic(Fleet, Programs, 1);
+  Fleet.pause(Time);
+  judgeSound(Traffic);
+  CHECK(ownEnds(Fleet) == "");
+  for (const char *Name : {"entry-0", "disk-0"})
+    CHECK(Fleet.isRunning(Name));
+}
