FAULT: a start waits for a port, a disk or an address as long as it takes

What was seen: a successor that is started while the process before still ends its streams (grace time 8 s) ended by itself with status 1 after 5 s, so that nobody served. A disk host whose disk took no bytes ended at once, 6 ms after each start.

Cause: a start gave up on conditions outside of the process that may still pass. Class: giving up on what still may come; an end by itself is only followed by the next start. While a port is in use nothing is accepted on the others.

--- a/src/include/turmerichead/net_loop.h
+++ b/src/include/turmerichead/net_loop.h
@@ -175,6 +175,10 @@
   /// InvalidInput, Conflict (the address is in use) or Unavailable.
   static std::optional<listener> open(std::string_view Address);
 
+  /// Whether open() would find the address free. Nothing is accepted there.
+  /// If not, fails like open().
+  static bool isFree(std::string_view Address);
+
   GSocket *socket() const { return Socket.get(); }
   std::uint16_t port() const { return Port; }
   bool isOpen() const { return static_cast<bool>(Socket); }
--- a/src/libloop/loop.cpp
+++ b/src/libloop/loop.cpp
@@ -273,7 +273,9 @@
   return handle<GSocket>::adopt(Socket);
 }
 
-std::optional<listener> listener::open(std::string_view Address) {
+namespace {
+
+std::optional<handle<GSocket>> bindSocket(std::string_view Address) {
   auto Parsed = parseAddress(Address);
   if (!Parsed)
     return std::nullopt;
@@ -283,6 +285,20 @@
   GError *Error = nullptr;
   if (!g_socket_bind(Socket->get(), Parsed->get(), TRUE, &Error))
     return failToListen(Error);
+  return Socket;
+}
+
+} // namespace
+
+bool listener::isFree(std::string_view Address) {
+  return bindSocket(Address).has_value();
+}
+
+std::optional<listener> listener::open(std::string_view Address) {
+  auto Socket = bindSocket(Address);
+  if (!Socket)
+    return std::nullopt;
+  GError *Error = nullptr;
   g_socket_set_listen_backlog(Socket->get(), ListenBacklog);
   if (!g_socket_listen(Socket->get(), &Error))
     return failToListen(Error);
--- a/testsuite/fleet/lone_start_test.cpp
+++ b/testsuite/fleet/lone_start_test.cpp
@@ -160,7 +160,21 @@
   CHECK(Host.waitStarted());
 }
 
-// Settings that stay wrong, and ports that stay in use, are told in the end.
+// The process before may take its whole grace time to end.
+TEST_CASE("start_waits_as_long_as_a_graceful_shutdown_may_take") {
+  constexpr milliseconds FinishTime{10000};
+  lone_host Host("grace");
+  Host.writeSettings(Host.settings());
+  auto Holder = listener::open(Host.at(CallerPort));
+  REQUIRE_MESSAGE(Holder, lastError().Text);
+  Host.start();
+  pause(FinishTime);
+  REQUIRE(Host.isRunning());
+  Holder.reset();
+  CHECK(Host.waitStarted());
+}
+
+// Settings that stay wrong are told in the end.
 TEST_CASE("start_gives_up_when_its_settings_stay_missing") {
   lone_host Host("missing");
   Host.start();
--- a/testsuite/fleet/start_test.cpp
+++ b/testsuite/fleet/start_test.cpp
@@ -75,6 +75,14 @@
          std::to_string(Fleet.find(Name)->Starts) + ".log";
 }
 
+bool hasStarted(fleet &Fleet, const std::string &Name) {
+  std::ifstream File(logOf(Fleet, Name));
+  for (std::string Line; std::getline(File, Line);)
+    if (Line.find(R"("event":"started")") != std::string::npos)
+      return true;
+  return false;
+}
+
 /// Limits the size to which a process that runs may write files.
 void limitFiles(fleet &Fleet, const std::string &Name, rlim_t Bytes) {
   rlimit Limit{Bytes, Bytes};
@@ -83,6 +91,23 @@
 
 } // namespace
 
+TEST_CASE("disk_without_room_ends_a_host_that_starts") {
+  fleet_settings Settings = settingsFor("no-room");
+  Settings.RecordsDisks = true;
+  fleet Fleet(Settings);
+  REQUIRE(Fleet.start());
+  Fleet.kill("disk-1");
+  Fleet.setDiskFull("disk-1", true);
+  REQUIRE(Fleet.startMember("disk-1"));
+  constexpr milliseconds FullTime{3000};
+  Fleet.pause(FullTime);
+  CHECK(Fleet.isRunning("disk-1"));
+  CHECK(!hasStarted(Fleet, "disk-1"));
+  Fleet.setDiskFull("disk-1", false);
+  CHECK(Fleet.wait(ReadyBound, [&] { return hasStarted(Fleet, "disk-1"); }));
+  CHECK(ownEnds(Fleet) == "");
+}
+
 TEST_CASE("file_size_limit_ends_hosts") {
   // SIGXFSZ ended the processes. The log of a disk host did not go on in
   // another file.
