--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -334,9 +334,10 @@
   if (!writeBuffer() || fdatasync(Newest.Descriptor) != 0) {
     error Reason{error_code::Unavailable, errnoText("failed to write the log")};
     discardUnsynced();
-    // The file may have reached its limit, and what it holds in memory may
-    // differ from the disk by now.
-    startSegment(Segments.rbegin()->first + 1);
+    // The file may have reached its limit, and its pages in memory may differ
+    // from the disk by now.
+    if (SyncedSize > FileHeaderBytes)
+      startSegment(Segments.rbegin()->first + 1);
     fail(Reason.Code, Reason.Text);
     return false;
   }
