--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -3,9 +3,12 @@
 ///
 /// Each record is preceded by its length and checksum. Appended records are
 /// buffered and are durable only once sync() has returned true. After a power
-/// loss the end of the newest segment may be torn: it is truncated at the first
-/// invalid record, which can only lose records that were never synced. An
-/// invalid record anywhere else is reported as damage.
+/// loss the end of the newest segment that has records may be torn: it is
+/// truncated at the first invalid record, which can only lose records that were
+/// never synced. An invalid record anywhere else is reported as damage.
+///
+/// A process that was killed leaves records that it wrote and did not sync. So
+/// open() syncs all that it reads: what it returns is durable.
 #pragma once
 
 #include "turmerichead/hash.h"
@@ -49,11 +52,11 @@
 /// The result of reading a log when it is opened.
 struct log_recovery {
   std::uint64_t Records = 0; ///< Valid records.
-  /// Bytes after the last valid record of a segment. The newest segment is
-  /// truncated there.
+  /// Bytes after the last valid record of a segment.
   std::uint64_t TornBytes = 0;
-  bool Damaged = false;   ///< Synced records are lost.
-  std::string DamageText; ///< File and offset of the damage.
+  std::uint64_t Segments = 0; ///< That were read and synced.
+  bool Damaged = false;       ///< Synced records are lost.
+  std::string DamageText;     ///< File and offset of the damage.
 };
 
 /// An open log with its segment files. Not synchronized: use it in one thread.
@@ -64,10 +67,16 @@
 
   /// Opens the log in a folder, which is created if it does not exist, and
   /// calls \p Visit for each record in order. Fails with Unavailable if the
-  /// folder can't be used.
+  /// folder can't be used. If the log is damaged, the invalid bytes stay in its
+  /// files until removeInvalidEnds().
   static std::optional<record_log>
   open(log_settings Settings, const visitor &Visit, log_recovery &Recovery);
 
+  /// Truncates the files of segments that end with invalid bytes. Damage is not
+  /// reported again after that, so its effect has to be stored before. Returns
+  /// false, with Unavailable, if that fails.
+  bool removeInvalidEnds();
+
   /// Appends a record to the buffer and returns its position. Fails with
   /// Refused if the log would exceed its limit for \p Purpose.
   std::optional<log_position>
@@ -79,7 +88,8 @@
 
   /// Makes all appended records durable. Returns false, with Unavailable, if
   /// writing or syncing fails; the records that were appended since the last
-  /// successful sync are then discarded.
+  /// successful sync are then discarded, and a new segment is started if
+  /// possible.
   bool sync();
 
   /// Reads the bytes of a record. Fails with NotFound if its segment was
@@ -119,9 +129,10 @@
   record_log() = default;
   std::string pathOf(std::uint64_t Segment) const;
   bool startSegment(std::uint64_t Number);
-  /// Reads a segment and calls \p Visit for its records.
-  bool load(std::uint64_t Number, bool Newest, const visitor &Visit,
-            log_recovery &Recovery);
+  /// Reads and syncs a segment and calls \p Visit for its records.
+  bool load(std::uint64_t Number, const visitor &Visit, log_recovery &Recovery);
+  void reportDamage(log_recovery &Recovery) const;
+  bool removeInvalidEnd(std::uint64_t Number);
   std::string invalidRecordText(std::uint64_t Segment,
                                 std::uint64_t Offset) const;
   bool writeBuffer();
@@ -131,7 +142,8 @@
 
   struct segment {
     int Descriptor = -1;
-    std::uint64_t Size = 0; ///< Written and buffered bytes.
+    std::uint64_t Size = 0;     ///< Written and buffered bytes.
+    bool HasInvalidEnd = false; ///< Whether invalid bytes follow in the file.
   };
   log_settings Settings;
   std::map<std::uint64_t, segment> Segments;
