RECOVER: discarded bytes of a failed sync are removed before the next segment

The new segment after a failed sync left the old one with bytes that were written and then truncated without a sync. A power loss brought them back, torn, before a segment with records: damage again. The truncation is synced now, and while that fails no other segment is started, after a full one neither.

--- a/src/include/turmerichead/turns_log.h
+++ b/src/include/turmerichead/turns_log.h
@@ -137,7 +137,8 @@
                                 std::uint64_t Offset) const;
   bool writeBuffer();
   /// Discards the records that were appended since the last successful sync.
-  void discardUnsynced();
+  /// Returns whether the file has none of their bytes any more, on disk too.
+  bool discardUnsynced();
   int descriptorOf(std::uint64_t Segment);
 
   struct segment {
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -316,15 +316,13 @@
   return true;
 }
 
-void record_log::discardUnsynced() {
-  segment &Newest = Segments.rbegin()->second;
+bool record_log::discardUnsynced() {
+  auto &[Number, Newest] = *Segments.rbegin();
   TotalBytes -= Newest.Size - SyncedSize;
   Newest.Size = SyncedSize;
+  Newest.HasInvalidEnd = true;
   Buffer.clear();
-  // The result does not matter: if the truncation fails, the remaining bytes
-  // are invalid or belong to records that were never acknowledged.
-  [[maybe_unused]] int Ignored =
-      ftruncate(Newest.Descriptor, static_cast<off_t>(SyncedSize));
+  return removeInvalidEnd(Number);
 }
 
 bool record_log::sync() {
@@ -333,17 +331,18 @@
     return true;
   if (!writeBuffer() || fdatasync(Newest.Descriptor) != 0) {
     error Reason{error_code::Unavailable, errnoText("failed to write the log")};
-    discardUnsynced();
     // The file may have reached its limit, and its pages in memory may differ
-    // from the disk by now.
-    if (SyncedSize > FileHeaderBytes)
+    // from the disk by now. While invalid bytes may follow its records, no
+    // other segment may get any.
+    if (discardUnsynced() && SyncedSize > FileHeaderBytes)
       startSegment(Segments.rbegin()->first + 1);
     fail(Reason.Code, Reason.Text);
     return false;
   }
   SyncedSize = Newest.Size;
-  if (Newest.Size >= Settings.SegmentBytes)
-    startSegment(Segments.rbegin()->first + 1);
+  std::uint64_t Number = Segments.rbegin()->first;
+  if (Newest.Size >= Settings.SegmentBytes && removeInvalidEnd(Number))
+    startSegment(Number + 1);
   return true;
 }
 
--- a/src/libturns/power_loss_test.cpp
+++ b/src/libturns/power_loss_test.cpp
@@ -224,6 +224,15 @@
   }
 };
 
+/// Appends a record for which the disk has no room, but for another segment.
+void failSync(record_log &Log) {
+  constexpr std::size_t Room = 20;
+  REQUIRE(Log.append(std::string(2 * Room, 'f')));
+  disk_standin::setDiskRoom(Room);
+  CHECK(!Log.sync());
+  disk_standin::setDiskRoom(SIZE_MAX);
+}
+
 disk_history runKilledProcesses(const std::string &Folder,
                                 std::mt19937_64 &Random) {
   constexpr int Processes = 4;
@@ -256,7 +265,10 @@
       Unsynced.push_back(Record);
       if (Random() % 2 == 0)
         CHECK(Log->read(*Position)); // Writes the buffer.
-      if (Random() % 2 == 0) {
+      if (Random() % 6 == 0) {
+        failSync(*Log);
+        Unsynced.clear();
+      } else if (Random() % 2 == 0) {
         REQUIRE(Log->sync());
         History.acknowledge(std::exchange(Unsynced, {}));
       }
