--- a/testsuite/disk/disk_image.cpp
+++ b/testsuite/disk/disk_image.cpp
@@ -69,7 +69,7 @@
 
 std::string readFile(const std::string &Path) {
   std::ifstream File(Path, std::ios::binary);
-  return std::string(std::istreambuf_iterator<char>(File), {});
+  return {std::istreambuf_iterator<char>(File), {}};
 }
 
 std::uint64_t inodeOf(const std::string &Path) {
--- a/testsuite/disk/disk_recorder.cpp
+++ b/testsuite/disk/disk_recorder.cpp
@@ -94,9 +94,7 @@
           Path[Recorder.Folder.size()] == '/');
 }
 
-void record(disk_operation Operation) {
-  theRecorder().Sink(std::move(Operation));
-}
+void record(const disk_operation &Operation) { theRecorder().Sink(Operation); }
 
 /// Whether the disk has no room for \p Size more bytes.
 bool isFull(std::size_t Size) {
