--- a/testsuite/disk/disk_image.cpp
+++ b/testsuite/disk/disk_image.cpp
@@ -199,13 +199,6 @@
   DurableNames = Names;
 }
 
-std::size_t disk_image::unsyncedChanges() const {
-  std::size_t Count = 0;
-  for (const file &File : Files)
-    Count += File.Pending.size();
-  return Count;
-}
-
 std::vector<disk_operation> disk_image::missingOperations() const {
   std::vector<disk_operation> Operations;
   std::error_code Error;
@@ -294,8 +287,7 @@
 
 disk_image readJournal(const std::string &Folder, const std::string &Journal) {
   disk_image Image(Folder);
-  std::ifstream File(Journal, std::ios::binary);
-  std::string Bytes(std::istreambuf_iterator<char>(File), {});
+  std::string Bytes = readFile(Journal);
   std::string_view Rest = Bytes;
   while (auto Operation = decodeOperation(Rest))
     Image.apply(*Operation);
--- a/testsuite/disk/disk_image.h
+++ b/testsuite/disk/disk_image.h
@@ -67,9 +67,6 @@
   /// Removes all files, as a new disk has none.
   void wipe();
 
-  /// Writes and truncations that no sync has covered.
-  std::size_t unsyncedChanges() const;
-
   /// Operations that lead from this image to the files as they are: a process
   /// may have been killed between a change and its record.
   std::vector<disk_operation> missingOperations() const;
