--- /dev/null
+++ b/review/6/case.cc
@@ -0,0 +1,208 @@
+// A chain of turns is lost, although each of its turns followed the one before
+// within retention_s: a storage machine was down for seconds at the second turn.
+
+#include "harness.hh"
+
+using namespace review;
+
+namespace {
+
+constexpr std::uint64_t Events = 6;
+constexpr int Lines = 24;
+
+/// One line of turns. It comes through one zone first and then through another.
+struct line_of_turns {
+  std::string Program;
+  int Zone = 0;
+  std::string Given; ///< What the runner is to receive before the new input.
+  std::string Previous;
+  std::vector<std::string> Attempts; ///< Of the current turn.
+  bool Answered = true;
+  bool Wrong = false;
+  int Status = 0;
+};
+
+class run {
+public:
+  run(fleet &Fleet, record &Record) : Fleet(Fleet), Record(Record) {}
+
+  /// Sends turn \p Number of each line, and waits until all have ended.
+  void turn(std::vector<line_of_turns> &Rows, int Number, int ZoneShift) {
+    Open = 0;
+    for (line_of_turns &Row : Rows) {
+      if (!Row.Answered)
+        continue;
+      ++Open;
+      Row.Answered = false;
+      Row.Attempts.clear();
+      trySend(Row, Number, ZoneShift, 0);
+    }
+    Fleet.wait(milliseconds(40'000), [&] { return Open == 0; });
+  }
+
+private:
+  // A turn: two client attempts, and sent again from its start twice.
+  void trySend(line_of_turns &Row, int Number, int ZoneShift, int Try) {
+    constexpr int AttemptsPerSend = 2;
+    constexpr int MostTries = 3 * AttemptsPerSend;
+    request Request;
+    Request.Host = fleet::PlanHost;
+    Request.Path = "/turn/";
+    Request.Program = Row.Program;
+    Request.Session = "s-" + Row.Program;
+    Request.PreviousTurn = Row.Previous;
+    Request.Body =
+        "input " + std::to_string(Number) + " of " + Row.Program + "\n";
+    Request.Budget = 100 * Events;
+    Request.MostTokens = Events;
+    Request.ProgramTimeLeft = milliseconds(200'000);
+    Request.IdPrefix = Row.Program + "-t" + std::to_string(Number);
+    // The first attempt in the zone of the line; retries reach other nodes.
+    std::string Entry =
+        "entry-" + std::to_string((Row.Zone + ZoneShift + Try) % 3);
+    std::string Given = Row.Given + Request.Body;
+    sendOnce(Fleet, Entry, Request, Request.TimeLeft,
+             [=, this, &Row](const attempt &Attempt) {
+               Row.Attempts.push_back(Attempt.Id);
+               Row.Status = Attempt.Status;
+               bool Whole =
+                   Attempt.Status == 200 && Attempt.Complete &&
+                   isWhole(Attempt.Body, std::to_string(hash64(Given)),
+                           static_cast<int>(Events));
+               if (Attempt.Status == 200 && Attempt.Complete && !Whole)
+                 Row.Wrong = true;
+               Record.line(Attempt.Id + " at " + Entry + " previous \"" +
+                           Row.Previous + "\": " +
+                           std::to_string(Attempt.Status) +
+                           (Attempt.Complete ? " complete" : " not complete") +
+                           (Attempt.Status == 200
+                                ? ""
+                                : " " + Attempt.Body.substr(
+                                            0, Attempt.Body.find('\n'))));
+               if (Whole) {
+                 Row.Answered = true;
+                 Row.Given = Given + dataOf(Attempt.Body);
+                 Row.Previous = Attempt.Id;
+               }
+               if (Whole || Attempt.Status == 404 || Try + 1 >= MostTries) {
+                 --Open;
+                 return;
+               }
+               auto Wait = std::max(
+                   milliseconds(static_cast<int>(Attempt.RetryAfterS * 1000)),
+                   milliseconds(300));
+               Timers.push_back(
+                   loop_source::every(Wait, [=, this, &Row] {
+                     trySend(Row, Number, ZoneShift, Try + 1);
+                     return false;
+                   }));
+             });
+  }
+
+  fleet &Fleet;
+  record &Record;
+  int Open = 0;
+  std::vector<loop_source> Timers;
+};
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  if (Count < 3)
+    return CannotRun;
+  scratch Scratch;
+  record Record(Arguments[2]);
+  fleet_settings Settings = settingsFor(Arguments[1], Scratch.Path);
+  Settings.Site = smallShape(Settings);
+  fleet Fleet(Settings);
+  if (!Fleet.start()) {
+    Record.line("the deployment does not start: " + lastError().Text);
+    return CannotRun;
+  }
+  Record.line("all processes run");
+  std::vector<line_of_turns> Rows(Lines);
+  for (int I = 0; I < Lines; ++I) {
+    Rows[static_cast<std::size_t>(I)].Program = "p" + std::to_string(I);
+    Rows[static_cast<std::size_t>(I)].Zone = I % 3;
+  }
+  run Run(Fleet, Record);
+  auto StepFrom = steadyNow();
+  auto At = [&](int Ms) {
+    Fleet.wait(milliseconds(120'000),
+               [&] { return steadyNow() >= StepFrom + milliseconds(Ms); });
+  };
+  Run.turn(Rows, 1, 0);
+  if (hasTrouble()) {
+    Fleet.kill("disk-0");
+    Record.line("disk-0 killed");
+  }
+  Fleet.pause(milliseconds(300));
+  StepFrom = steadyNow();
+  Run.turn(Rows, 2, 0);
+  At(2400);
+  if (hasTrouble()) {
+    Fleet.startMember("disk-0");
+    Record.line("disk-0 started again, with its disk");
+  }
+  // From here on through another zone.
+  At(8000);
+  Run.turn(Rows, 3, 1);
+  At(9500);
+  Run.turn(Rows, 4, 1);
+  At(60'000);
+  Run.turn(Rows, 5, 1);
+  At(84'000);
+  std::vector<line_of_turns> Fresh(20);
+  for (std::size_t I = 0; I < Fresh.size(); ++I) {
+    Fresh[I].Program = "n" + std::to_string(I);
+    Fresh[I].Zone = static_cast<int>(I % 3);
+  }
+  int Ended = 0;
+  for (const line_of_turns &Row : Rows)
+    Ended += Row.Answered ? 0 : 1;
+  Record.line(std::to_string(Ended) + " of " + std::to_string(Lines) +
+              " lines ended before the sixth turn");
+  if (Ended > Lines / 3)
+    return CannotRun;
+  std::vector<line_of_turns> Alive;
+  for (const line_of_turns &Row : Rows)
+    if (Row.Answered)
+      Alive.push_back(Row);
+  Run.turn(Alive, 6, 1);
+  Run.turn(Fresh, 1, 0);
+  std::set<std::string> Ran;
+  for (const run_line &Line : Fleet.runs())
+    if (Line.What == "run")
+      Ran.insert(Line.Attempt);
+  auto Reached = [&](const line_of_turns &Row) {
+    for (const std::string &Id : Row.Attempts)
+      if (Ran.contains(Id))
+        return true;
+    return false;
+  };
+  int FreshReached = 0;
+  for (const line_of_turns &Row : Fresh)
+    FreshReached += Reached(Row) ? 1 : 0;
+  int Lost = 0;
+  int Absent = 0;
+  int Wrong = 0;
+  for (const line_of_turns &Row : Alive) {
+    Absent += Row.Status == 404 || Row.Status == 410 ? 1 : 0;
+    Wrong += Row.Wrong ? 1 : 0;
+    if (Reached(Row) || Row.Attempts.size() < 5)
+      continue;
+    ++Lost;
+    Record.line("lost: " + Row.Program + ", which goes on from " +
+                Row.Previous + ", reached no runner in " +
+                std::to_string(Row.Attempts.size()) + " tries");
+  }
+  Record.line(std::to_string(Lost) + " of " + std::to_string(Alive.size()) +
+              " turns reached no runner, " + std::to_string(Absent) +
+              " were told 404 or 410, " + std::to_string(Wrong) +
+              " got a wrong answer; " + std::to_string(FreshReached) + " of " +
+              std::to_string(Fresh.size()) + " first turns reached one");
+  bool FreshServed = FreshReached * 10 >= static_cast<int>(Fresh.size()) * 9;
+  bool IsBroken = Absent > 0 || (Lost > 0 && FreshServed);
+  Record.line(IsBroken ? "LOST is broken" : "LOST held");
+  return IsBroken ? Broken : Held;
+}
