--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -139,7 +139,7 @@
   Fleet.pause(milliseconds(300));
   StepFrom = steadyNow();
   Run.turn(Rows, 2, 0);
-  At(2400);
+  At(1800);
   if (hasTrouble()) {
     Fleet.startMember("disk-0");
     Record.line("disk-0 started again, with its disk");
