--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,5 +1,6 @@
 // A chain of turns is lost, although each of its turns followed the one before
-// within retention_s: a storage machine was down for seconds at the second turn.
+// within retention_s: a storage machine was down for seconds at the second
+// turn.
 
 #include "harness.hh"
 
@@ -61,42 +62,40 @@
     std::string Entry =
         "entry-" + std::to_string((Row.Zone + ZoneShift + Try) % 3);
     std::string Given = Row.Given + Request.Body;
-    sendOnce(Fleet, Entry, Request, Request.TimeLeft,
-             [=, this, &Row](const attempt &Attempt) {
-               Row.Attempts.push_back(Attempt.Id);
-               Row.Status = Attempt.Status;
-               bool Whole =
-                   Attempt.Status == 200 && Attempt.Complete &&
-                   isWhole(Attempt.Body, std::to_string(hash64(Given)),
-                           static_cast<int>(Events));
-               if (Attempt.Status == 200 && Attempt.Complete && !Whole)
-                 Row.Wrong = true;
-               Record.line(Attempt.Id + " at " + Entry + " previous \"" +
-                           Row.Previous + "\": " +
-                           std::to_string(Attempt.Status) +
-                           (Attempt.Complete ? " complete" : " not complete") +
-                           (Attempt.Status == 200
-                                ? ""
-                                : " " + Attempt.Body.substr(
-                                            0, Attempt.Body.find('\n'))));
-               if (Whole) {
-                 Row.Answered = true;
-                 Row.Given = Given + dataOf(Attempt.Body);
-                 Row.Previous = Attempt.Id;
-               }
-               if (Whole || Attempt.Status == 404 || Try + 1 >= MostTries) {
-                 --Open;
-                 return;
-               }
-               auto Wait = std::max(
-                   milliseconds(static_cast<int>(Attempt.RetryAfterS * 1000)),
-                   milliseconds(300));
-               Timers.push_back(
-                   loop_source::every(Wait, [=, this, &Row] {
-                     trySend(Row, Number, ZoneShift, Try + 1);
-                     return false;
-                   }));
-             });
+    sendOnce(
+        Fleet, Entry, Request, Request.TimeLeft,
+        [=, this, &Row](const attempt &Attempt) {
+          Row.Attempts.push_back(Attempt.Id);
+          Row.Status = Attempt.Status;
+          bool Whole = Attempt.Status == 200 && Attempt.Complete &&
+                       isWhole(Attempt.Body, std::to_string(hash64(Given)),
+                               static_cast<int>(Events));
+          if (Attempt.Status == 200 && Attempt.Complete && !Whole)
+            Row.Wrong = true;
+          Record.line(
+              Attempt.Id + " at " + Entry + " previous \"" + Row.Previous +
+              "\": " + std::to_string(Attempt.Status) +
+              (Attempt.Complete ? " complete" : " not complete") +
+              (Attempt.Status == 200
+                   ? ""
+                   : " " + Attempt.Body.substr(0, Attempt.Body.find('\n'))));
+          if (Whole) {
+            Row.Answered = true;
+            Row.Given = Given + dataOf(Attempt.Body);
+            Row.Previous = Attempt.Id;
+          }
+          if (Whole || Attempt.Status == 404 || Try + 1 >= MostTries) {
+            --Open;
+            return;
+          }
+          auto Wait = std::max(
+              milliseconds(static_cast<int>(Attempt.RetryAfterS * 1000)),
+              milliseconds(300));
+          Timers.push_back(loop_source::every(Wait, [=, this, &Row] {
+            trySend(Row, Number, ZoneShift, Try + 1);
+            return false;
+          }));
+        });
   }
 
   fleet &Fleet;
