--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -171,8 +171,8 @@
   Run.turn(Fresh, 1, 0);
   std::set<std::string> Ran;
   for (const run_line &Line : Fleet.runs())
-    if (Line.What == "run")
-      Ran.insert(Line.Attempt);
+    if (Line.What == "run" && Ran.insert(Line.Attempt).second)
+      Record.line(Line.Attempt + " ran at " + Line.Upstream);
   auto Reached = [&](const line_of_turns &Row) {
     for (const std::string &Id : Row.Attempts)
       if (Ran.contains(Id))
