--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,10 @@
 cd "$(dirname "$0")/../.." || exit 2
 case=target/review-2/bin/review_case_6
 [ -x "$case" ] && [ -x target/build/bin/turmerichead ] || exit 2
-# All that the case has started ends with it.
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
+# All processes that the case has started end with it.
 timeout -k 2 115 "$case" "$PWD/target/review-2/run" review/6/record.txt
 status=$?
 [ $status -le 2 ] || status=2
