Review cases 6 and 8: sources named main.cc, which the first review's build leaves alone

review/build.sh compiles each review/N/case.cc by itself with the compiler alone. The sources of cases 6 and 8 need the fleet's library, so that the script ended with an error after it had built cases 3 to 5.

--- a/review/cases-2.cmake
+++ b/review/cases-2.cmake
@@ -1,8 +1,8 @@
-# One program a case, review/N/case.cc, beside the stand-ins.
+# One program a case, review/N/main.cc, beside the stand-ins.
 add_custom_target(review_cases)
 add_dependencies(review_cases standin_store standin_upstream)
 foreach(number RANGE 6 10)
-  set(source ${CMAKE_SOURCE_DIR}/review/${number}/case.cc)
+  set(source ${CMAKE_SOURCE_DIR}/review/${number}/main.cc)
   if(EXISTS ${source})
     add_executable(review_case_${number} ${source})
     target_include_directories(review_case_${number} PRIVATE
