--- a/review/lines-2.hh
+++ b/review/lines-2.hh
@@ -11,7 +11,8 @@
 inline constexpr int Lines = 24;
 inline constexpr int FreshLines = 20;
 inline constexpr milliseconds RetentionTime{60'000};
-inline constexpr milliseconds ProgramTime{200'000};
+// 1.9 times the 84 s that a program takes here, as on the sheet.
+inline constexpr milliseconds ProgramTime{160'000};
 // As on the sheet. All lines at once take under half of them.
 inline constexpr int Runners = 9;
 inline constexpr std::uint32_t Slots = 32;
