BUDGET: hosts get the earlier attempts of a program that they lack

What callers could see: a program gets more tokens than its budget. Its first attempt is on a and b, as c was down; its second one 59 s later on b and c, as a was cut off; 2 s after that a drops the first one. While b is down, a and c grant a third attempt against the second one alone.

Ruled out: a host that is frozen or killed for a moment does not do this (requests wait in its socket; a start counts retention anew). Quotas and permits are not stored, and expire by their own time.

Change: the replies to a reservation say which attempts each host knows. When the reservation is granted, each host that replied gets the ones that it lacks, as reservations by the message that settles an attempt, which each build knows. A settlement has priority over them. Usually none is lacking, and nothing is sent; the new metric turns_repaired_attempts counts them. They are not awaited: until the next attempt, such a record may be lost on its way.

Test: budget_of_a_program_in_use_was_lost_as_a_member_had_a_part_of_it. Without the repair it failed: the third attempt was granted.

--- a/src/include/turmerichead/turns_client.h
+++ b/src/include/turmerichead/turns_client.h
@@ -98,10 +98,12 @@
 struct client_counters {
   std::uint64_t Opens = 0;
   std::uint64_t SecondRounds = 0; ///< Opens that read the reservations again.
-  std::uint64_t Forwarded = 0;    ///< Requests sent through a forwarder.
-  std::uint64_t Unknown = 0;      ///< Opens that ended as Unknown.
-  std::uint64_t NotKept = 0;      ///< Closes that timed out.
-  std::size_t InProgress = 0;     ///< Opens and closes.
+  /// Records of earlier attempts that were sent to hosts that lacked them.
+  std::uint64_t RepairedAttempts = 0;
+  std::uint64_t Forwarded = 0; ///< Requests sent through a forwarder.
+  std::uint64_t Unknown = 0;   ///< Opens that ended as Unknown.
+  std::uint64_t NotKept = 0;   ///< Closes that timed out.
+  std::size_t InProgress = 0;  ///< Opens and closes.
 };
 
 struct operation_row;
--- a/src/libturns/client_open.cpp
+++ b/src/libturns/client_open.cpp
@@ -4,6 +4,15 @@
 
 namespace turmerichead::turns {
 
+namespace {
+
+spend_record reservationOf(const open_call &Call) {
+  return {Call.Program, Call.Attempt, Call.Tokens, false,
+          static_cast<std::uint64_t>(Call.Retention.count())};
+}
+
+} // namespace
+
 void client::impl::startOpen(operation_id Id) {
   operation_row &Row = *Operations.find(Id);
   Row.Set = Set;
@@ -26,9 +35,7 @@
   bool First = true;
   open_request Request;
   Request.Set = Row.Set;
-  Request.Spend = {Open.Call.Program, Open.Call.Attempt, Open.Call.Tokens,
-                   false,
-                   static_cast<std::uint64_t>(Open.Call.Retention.count())};
+  Request.Spend = reservationOf(Open.Call);
   Request.Budget = Open.Call.Budget;
   for (const disk_host &Host : membersByPreference(Row)) {
     if (Open.Quorum.hasReplied(Host.Address))
@@ -160,8 +167,25 @@
   case decision::Granted:
     break;
   }
-  if (Open.Chain.isComplete())
-    finishOpen(Id, open_outcome::Granted, {});
+  if (!Open.Chain.isComplete())
+    return;
+  repairSpending(Row);
+  finishOpen(Id, open_outcome::Granted, {});
+}
+
+// A host that has missed earlier attempts of the program gets them now: another
+// host that has them may miss this attempt, and let them expire.
+void client::impl::repairSpending(const operation_row &Row) {
+  const auto &Open = std::get<open_operation>(Row.Kind);
+  close_request Request;
+  Request.Set = Row.Set;
+  for (auto &Unknown : Open.Quorum.unknownAttempts(reservationOf(Open.Call))) {
+    ++Counters.RepairedAttempts;
+    // Settled or not: a settlement that arrives later replaces this record.
+    Request.Spend = std::move(Unknown.Record);
+    transmit(Unknown.Address, {std::string(ClosePath), {}, pack(Request)},
+             [](std::string_view) {});
+  }
 }
 
 void client::impl::finishOpen(operation_id Id, open_outcome Outcome,
--- a/src/libturns/client_pvt.h
+++ b/src/libturns/client_pvt.h
@@ -101,6 +101,8 @@
   void onSpentReply(operation_id Id, const std::string &Address,
                     const open_reply &Reply);
   void decideOpen(operation_id Id);
+  /// Sends the earlier attempts of a program to the hosts that lack them.
+  void repairSpending(const operation_row &Row);
   void finishOpen(operation_id Id, open_outcome Outcome, std::string Reason);
 
   void startClose(operation_id Id);
--- a/src/libturns/lost_members_test.cpp
+++ b/src/libturns/lost_members_test.cpp
@@ -1,6 +1,6 @@
 // Members that have to copy while fewer than a read quorum have caught up: they
-// waited for each other for good. Chains whose turns are on different members:
-// they were lost while they were in use.
+// waited for each other for good. Chains and programs whose records are on
+// different members: they were lost while they were in use.
 
 #include "quorum_pvt.h"
 #include "test_repair_pvt.h"
@@ -97,6 +97,27 @@
     pvt::exchangeRepairs(Repairs, at(Name), Repairs.start(Turn, Set, Now), Now,
                          Deliver);
   }
+  /// Reserves 40 of 100 tokens at members, and sends them what they lack.
+  reservation_quorum::decision reserve(const std::string &Names,
+                                       const std::string &Attempt) {
+    open_request Request;
+    Request.Set = Set;
+    Request.Spend = {"p", Attempt, 40, false, RetentionMs};
+    Request.Budget = 100;
+    reservation_quorum Quorum(Set, 40, 100);
+    for (char Name : Names) {
+      auto Reply = at(std::string(1, Name)).open(Request, Now);
+      Quorum.onReply(std::string(1, Name) + ":1", Reply.Value);
+      Quorum.onSecondReply(std::string(1, Name) + ":1", Reply.Value);
+    }
+    close_request Repair;
+    Repair.Set = Set;
+    for (const auto &Unknown : Quorum.unknownAttempts(Request.Spend)) {
+      Repair.Spend = Unknown.Record;
+      at(Unknown.Address.substr(0, 1)).close(Repair, Now);
+    }
+    return Quorum.decide(true);
+  }
   void passTime(milliseconds Pause) {
     Now = Now + Pause;
     for (auto &[Name, Core] : Cores)
@@ -331,3 +352,17 @@
   Cluster.copyAll();
   CHECK(Cluster.search("3", "abc").takeBytes() == "123");
 }
+
+// A member that missed the later attempts of a program let the first one
+// expire, and another one had never had it.
+TEST_CASE("budget_of_a_program_in_use_was_lost_as_a_member_had_a_part_of_it") {
+  using decision = reservation_quorum::decision;
+  small_cluster Cluster;
+  Cluster.startAll(start_kind::FirstStart);
+  CHECK(Cluster.reserve("ab", "1") == decision::Granted);
+  Cluster.passTime(milliseconds(RetentionMs - 1));
+  CHECK(Cluster.reserve("bc", "2") == decision::Granted);
+  Cluster.passTime(milliseconds(2));
+  CHECK(Cluster.at("a").index().programCount() == 0);
+  CHECK(Cluster.reserve("ac", "3") == decision::OverBudget);
+}
--- a/src/libturns/quorum.cpp
+++ b/src/libturns/quorum.cpp
@@ -38,8 +38,12 @@
     FullHosts.emplace(Address);
   if (isOk(Reply))
     Persisted.emplace(Address);
-  if (Reply.CaughtUp)
+  if (Reply.CaughtUp) {
     CaughtUpHosts.emplace(Address);
+    text_set &Known = KnownAttempts[std::string(Address)];
+    for (const spend_row &Row : Reply.OtherAttempts)
+      Known.insert(Row.Attempt);
+  }
   mergeRows(Reply);
 }
 
@@ -58,6 +62,17 @@
   return Sum;
 }
 
+std::vector<reservation_quorum::unknown_attempt>
+reservation_quorum::unknownAttempts(const spend_record &Own) const {
+  std::vector<unknown_attempt> Unknown;
+  for (const auto &[Address, Known] : KnownAttempts)
+    for (const auto &[Attempt, Spent] : Rows)
+      if (!Known.contains(Attempt))
+        Unknown.push_back(
+            {Address, {Own.Program, Attempt, Spent, false, Own.RetentionMs}});
+  return Unknown;
+}
+
 reservation_quorum::decision
 reservation_quorum::decide(bool StragglersTimedOut) const {
   auto IsCaughtUp = [&](std::string_view Address) {
--- a/src/libturns/quorum_pvt.h
+++ b/src/libturns/quorum_pvt.h
@@ -22,6 +22,12 @@
 /// one on disk.
 class reservation_quorum {
 public:
+  /// An attempt that a host which has caught up did not know of.
+  struct unknown_attempt {
+    std::string Address;
+    spend_record Record; ///< A reservation, to be stored there.
+  };
+
   enum class decision : std::uint8_t {
     Pending,         ///< Too few replies so far.
     AwaitStragglers, ///< A majority has it; wait briefly for the others.
@@ -55,7 +61,12 @@
   /// Number of other attempts in the replies so far.
   std::size_t otherAttempts() const { return Rows.size(); }
 
+  /// Returns the attempts that hosts lack, but that are known from the reply of
+  /// another one. \p Own: the reservation of this attempt.
+  std::vector<unknown_attempt> unknownAttempts(const spend_record &Own) const;
+
 private:
+  using text_set = std::set<std::string, std::less<>>;
   void mergeRows(const open_reply &Reply);
 
   disk_set Set;
@@ -65,6 +76,8 @@
   std::set<std::string, std::less<>> Persisted; ///< Hosts that have it on disk.
   std::set<std::string, std::less<>> FullHosts;
   std::set<std::string, std::less<>> CaughtUpHosts; ///< Replied as caught up.
+  /// The other attempts that these hosts know, by address.
+  std::map<std::string, text_set, std::less<>> KnownAttempts;
   /// Hosts that replied to the second read as caught up.
   std::set<std::string, std::less<>> SecondReplies;
   std::map<std::string, std::uint64_t> Rows; ///< Tokens by other attempt.
--- a/src/libturns/replica_core_fuzz_test.cpp
+++ b/src/libturns/replica_core_fuzz_test.cpp
@@ -22,13 +22,13 @@
 
 constexpr std::size_t HostCount = 5;
 constexpr std::uint64_t Budget = 100;
-constexpr std::uint64_t TurnTokens = 30;
-constexpr std::uint64_t SpendRetentionMs = 3'600'000;
-/// For which an acknowledged turn can be continued.
+constexpr std::uint64_t TurnTokens = 40;
+/// For which an acknowledged turn can be continued, and the tokens of a program
+/// count.
 constexpr milliseconds Retention{60'000};
 constexpr milliseconds LongestTurn{4'000};
 /// Of the records, as in relay::routing::recordRetention().
-constexpr std::uint64_t TurnRetentionMs = 74'000;
+constexpr std::uint64_t RecordRetentionMs = 74'000;
 /// Hosts that are connected complete their chains in a longer time.
 constexpr std::uint64_t LongestMessageMs = 500;
 constexpr std::uint64_t LongestPauseMs = 15'000;
@@ -66,9 +66,16 @@
   time_point OwedUntil;
 };
 
+/// The tokens that were granted to a program.
+struct granted_tokens {
+  std::uint64_t Tokens = 0;
+  time_point OwedUntil;
+};
+
 /// A reservation that is being written to the disk hosts.
 struct pending_spend {
   disk_set Set;
+  time_point BeganAt;
   spend_record Spend;
   std::vector<std::string> WriteTargets;
   std::vector<std::string> ReadTargets;
@@ -222,7 +229,7 @@
       disrupt();
       return;
     }
-    switch (randomBelow(18)) {
+    switch (randomBelow(20)) {
     case 0:
     case 1:
       restart();
@@ -256,6 +263,10 @@
     case 14:
       appendTurn();
       break;
+    case 15:
+    case 16:
+      appendSpend();
+      break;
     default:
       deliver();
       break;
@@ -299,6 +310,11 @@
 
   void advance(milliseconds Pause) {
     Now = Now + Pause;
+    std::erase_if(Spends, [&](const pending_spend &Spend) {
+      return Now - Spend.BeganAt > LongestTurn;
+    });
+    std::erase_if(Granted,
+                  [&](const auto &Row) { return Now >= Row.second.OwedUntil; });
     std::erase_if(Writes, [&](const pending_write &Write) {
       return Now - Write.BeganAt > LongestTurn;
     });
@@ -508,7 +524,7 @@
       Write.Chain = Row->second.Chain;
     }
     Write.BeganAt = Now;
-    Write.Turn.RetentionMs = TurnRetentionMs;
+    Write.Turn.RetentionMs = RecordRetentionMs;
     Write.Turn.Input = "<" + Write.Turn.Id + ">";
     Write.Turn.Output = std::string(randomBelow(400), 'o');
     Write.Chain += Write.Turn.Input + Write.Turn.Output;
@@ -519,9 +535,10 @@
   void beginSpend() {
     pending_spend Spend;
     Spend.Set = chooseSet();
+    Spend.BeganAt = Now;
     Spend.Spend = {"p" + std::to_string(randomBelow(3)),
                    "a" + std::to_string(++Turns), TurnTokens, false,
-                   SpendRetentionMs};
+                   RecordRetentionMs};
     Spend.WriteTargets = shuffled(Spend.Set);
     Spend.ReadTargets = shuffled(Spend.Set);
     Spend.Quorum = reservation_quorum(Spend.Set, TurnTokens, Budget);
@@ -537,6 +554,14 @@
       deliverWrite(Writes.size() - 1);
   }
 
+  // Reserves tokens at as few members as it needs.
+  void appendSpend() {
+    beginSpend();
+    std::string Attempt = Spends.back().Spend.Attempt;
+    while (!Spends.empty() && Spends.back().Spend.Attempt == Attempt)
+      deliverSpend(Spends.size() - 1);
+  }
+
   void deliver() {
     if (!Writes.empty() && chance(60))
       deliverWrite(randomBelow(Writes.size()));
@@ -616,14 +641,30 @@
     }
     if (Spend.Quorum.decide(true) != decision::Granted)
       return;
-    Granted[Spend.Spend.Program] += TurnTokens;
+    granted_tokens &Program = Granted[Spend.Spend.Program];
+    Program.Tokens += TurnTokens;
+    Program.OwedUntil = Now + Retention;
+    repairSpending(Spend);
     Spends.erase(Spends.begin() + static_cast<std::ptrdiff_t>(Index));
     checkBudgets();
   }
 
+  void repairSpending(const pending_spend &Spend) {
+    close_request Request;
+    Request.Set = Spend.Set;
+    for (const auto &Unknown : Spend.Quorum.unknownAttempts(Spend.Spend)) {
+      replica_core *Core = runningCore(Unknown.Address);
+      if (!Core)
+        continue;
+      Request.Spend = Unknown.Record;
+      Core->close(Request, Now);
+      Core->sync();
+    }
+  }
+
   void checkBudgets() {
     for (const auto &[Program, Spent] : Granted)
-      RC_ASSERT(Spent <= Budget);
+      RC_ASSERT(Spent.Tokens <= Budget);
   }
 
   // Reads the chain of a turn from hosts in the given order; nullopt if it is
@@ -737,7 +778,7 @@
   std::vector<pending_copy> Copies;
   std::map<std::string, acknowledged_turn> Acknowledged; ///< By turn.
   time_point Now{1};
-  std::map<std::string, std::uint64_t> Granted;
+  std::map<std::string, granted_tokens> Granted;
 };
 
 } // namespace
