Tests of chains: a disk host that has synced its state, steps of the fuzz as a table

chain_in_use_was_lost_as_a_member_had_a_part_of_it passed with the fetching turned off: its host was stopped before it had stored that it had caught up, so that it copied everything at its next start. A turn runs first now.

The steps of the disk hosts' fuzz were two long switches; they are two tables of weights.

--- a/src/librelay/relay_turns_test.cpp
+++ b/src/librelay/relay_turns_test.cpp
@@ -90,13 +90,16 @@
                streamHead(Id) + chunk("data: a\n\n") + std::string(StreamEnd));
     REQUIRE(Caller.waitsFor("0\r\n\r\n"));
   };
+  RunTurn("t0", "X-Program: p\r\n");
   F.Disks.Replicas[0].reset();
   RunTurn("t1", "X-Program: p\r\n");
   RunTurn("t2", "X-Program: p\r\nX-Previous: t1\r\n");
   F.Disks.start(0);
+  REQUIRE(F.Disks.Replicas[0]->caughtUp());
   F.Disks.Replicas[1].reset();
   RunTurn("t3", "X-Program: p\r\nX-Previous: t2\r\n");
-  CHECK(F.Disks.Replicas[0]->index().turnCount() == 3);
+  for (const char *Id : {"t1", "t2", "t3"})
+    CHECK(F.Disks.Replicas[0]->index().hasTurn(Id));
   CHECK(F.Disks.Replicas[0]->index().missingCount() == 0);
   CHECK(F.Disks.Replicas[0]->counters().IncompleteChains == 0);
 }
--- a/src/libturns/replica_core_fuzz_test.cpp
+++ b/src/libturns/replica_core_fuzz_test.cpp
@@ -8,11 +8,13 @@
 #include "test_repair_pvt.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <numeric>
 #include <random>
 #include <rapidcheck.h>
+#include <span>
 #include <unistd.h>
 
 using namespace turmerichead;
@@ -224,78 +226,55 @@
     std::erase_if(Spends, [&](const pending_spend &) { return true; });
   }
 
-  void runRandomStep() {
-    if (chance(DisruptionPercent)) {
-      disrupt();
-      return;
-    }
-    switch (randomBelow(20)) {
-    case 0:
-    case 1:
-      restart();
-      break;
-    case 2:
-      deliverSet(randomMachine());
-      break;
-    case 3:
-    case 4:
-      propose();
-      break;
-    case 5:
-    case 6:
-      copyUnreliably();
-      break;
-    case 7:
-      beginWrite();
-      break;
-    case 8:
-      beginSpend();
-      break;
-    case 9:
-      checkRandomChain();
-      break;
-    case 10:
-    case 11:
-      passTime();
-      break;
-    case 12:
-    case 13:
-    case 14:
-      appendTurn();
-      break;
-    case 15:
-    case 16:
-      appendSpend();
-      break;
-    default:
-      deliver();
-      break;
-    }
+  struct weighted_step {
+    std::size_t Weight;
+    void (disk_cluster::*Run)();
+  };
+
+  void runOneOf(std::span<const weighted_step> Steps) {
+    std::size_t Sum = 0;
+    for (const weighted_step &Step : Steps)
+      Sum += Step.Weight;
+    std::size_t Drawn = randomBelow(Sum);
+    auto Step = Steps.begin();
+    for (; Drawn >= Step->Weight; ++Step)
+      Drawn -= Step->Weight;
+    (this->*Step->Run)();
   }
 
-  void disrupt() {
-    switch (randomBelow(6)) {
-    case 0:
-      crash();
-      break;
-    case 1:
-      wipe();
-      break;
-    case 2:
-      replace();
-      break;
-    case 3:
-      if (chance(20))
-        Retiring = {randomMachine().Host.Name};
-      finishRetirement();
-      break;
-    case 4:
-      losePower();
-      break;
-    default:
-      cutOff();
-      break;
-    }
+  void runRandomStep() {
+    using c = disk_cluster;
+    static constexpr std::array<weighted_step, 6> Disruptions{
+        {{1, &c::crash},
+         {1, &c::wipe},
+         {1, &c::replace},
+         {1, &c::retire},
+         {1, &c::losePower},
+         {1, &c::cutOff}}};
+    static constexpr std::array<weighted_step, 11> Others{
+        {{2, &c::restart},
+         {1, &c::deliverSetToOne},
+         {2, &c::propose},
+         {2, &c::copyUnreliably},
+         {1, &c::beginWrite},
+         {1, &c::beginSpend},
+         {1, &c::checkRandomChain},
+         {2, &c::passTime},
+         {3, &c::appendTurn},
+         {2, &c::appendSpend},
+         {3, &c::deliver}}};
+    if (chance(DisruptionPercent))
+      runOneOf(Disruptions);
+    else
+      runOneOf(Others);
+  }
+
+  void deliverSetToOne() { deliverSet(randomMachine()); }
+
+  void retire() {
+    if (chance(20))
+      Retiring = {randomMachine().Host.Name};
+    finishRetirement();
   }
 
   void passTime() {
