A chain that is a cycle has an end on disk hosts

Clients choose the ids of turns. A host that stored a turn without its chain, and gets that chain later, could hold two turns that continue each other if a client has used an id twice; the walk over a chain was bounded, but named a turn as missing that the host has, so that its repair would have been started again without end. The walk now ends such a chain.

Test: "a chain that is a cycle has an end".

--- a/src/libturns/index.cpp
+++ b/src/libturns/index.cpp
@@ -82,7 +82,7 @@
 }
 
 // Clients choose the ids of turns, so that a chain of a client that uses an id
-// twice may be a cycle.
+// twice may be a cycle. Such a chain ends where it began.
 template <typename Visitor>
 std::string_view turn_index::walkChain(std::string_view Id,
                                        Visitor Visit) const {
@@ -93,7 +93,7 @@
     Visit(Row->first, Row->second);
     Id = Row->second.Previous;
   }
-  return Id;
+  return hasTurn(Id) ? std::string_view() : Id;
 }
 
 chain_lookup turn_index::findChain(std::string_view Id) const {
--- a/src/libturns/records_test.cpp
+++ b/src/libturns/records_test.cpp
@@ -33,6 +33,15 @@
   CHECK(kindOf("\x09rest") == std::nullopt);
 }
 
+TEST_CASE("a chain that is a cycle has an end") {
+  turn_index Index;
+  Index.addTurn({"1", "2", "p", 1000, "", "", ""}, {1, 0, 1}, {0});
+  Index.addTurn({"2", "1", "p", 1000, "", "", ""}, {1, 1, 1}, {0});
+  CHECK(Index.firstMissing("2").empty());
+  CHECK(Index.missingCount() == 0);
+  CHECK(Index.findChain("2").Positions.size() == 2);
+}
+
 TEST_CASE("a record store removes expired records and frees their disk space") {
   std::string Template =
       (std::filesystem::temp_directory_path() / "storeXXXXXX").string();
