RECOVER: the successor of a lost member took the place of a retiring one

A retirement waits for a spare host; another member is lost for good, and its successor comes. It replaces the retiring member, which lives; the retirement is reported as completed and the host is taken away. The set then has a member that never comes back, and bears no loss.

Change: a retiring member is replaced only once all others have replied to the host that replaces it. A member that is lost counts as unresponsive before that, and has priority; the retirement waits for the next spare host.

Test: "a retirement waits while another member may be lost", for which the code before has no answer: the view had no word for such a member.

--- a/src/include/turmerichead/turns_set.h
+++ b/src/include/turmerichead/turns_set.h
@@ -91,6 +91,9 @@
   /// Addresses of the hosts that have not replied for
   /// replica_settings::UnresponsiveAfter.
   std::vector<std::string> Unresponsive;
+  /// Addresses of the members that have not replied to this host yet, and may
+  /// be lost although they do not count as unresponsive.
+  std::vector<std::string> Unheard;
   std::vector<std::string> Retiring; ///< Names of the hosts that are to retire.
 };
 
@@ -99,8 +102,10 @@
 /// - The first set is created once 2f+1 hosts are registered, and no other one
 ///   has registered for a while: the first ones may all be in the data centre
 ///   that is nearest to the platform.
-/// - A host outside the set replaces a member that is unresponsive or is to
-///   retire. The set is joint until the new host has caught up.
+/// - A host outside the set replaces a member that is unresponsive, or else one
+///   that is to retire, once it has heard of all others: a retirement waits for
+///   a spare host, a lost member does not. The set is joint until the new host
+///   has caught up.
 /// - A joint set whose joining host has become unresponsive is rolled back to
 ///   its old members.
 /// - A set never shrinks.
--- a/src/libturns/monitor_pvt.h
+++ b/src/libturns/monitor_pvt.h
@@ -24,30 +24,41 @@
 
   /// Sets the hosts that are pinged from now on, and forgets all others.
   void watch(std::span<const disk_host> Hosts, time_point Now) {
-    std::erase_if(HeardAt, [&](const auto &Row) {
+    std::erase_if(Watched, [&](const auto &Row) {
       return !hasAddress(Hosts, Row.first);
     });
     for (const disk_host &Host : Hosts)
-      HeardAt.try_emplace(Host.Address, Now);
+      Watched.try_emplace(Host.Address, watched_host{Now, false});
   }
 
   /// Records a reply. Ignored if the host is not watched.
   void recordReply(std::string_view Address, time_point Now) {
-    auto Row = HeardAt.find(Address);
-    if (Row != HeardAt.end())
-      Row->second = std::max(Row->second, Now);
+    auto Row = Watched.find(Address);
+    if (Row != Watched.end())
+      Row->second = {std::max(Row->second.HeardAt, Now), true};
   }
 
   /// Whether the host is responsive; false if it is not watched.
   bool responds(std::string_view Address, time_point Now) const {
-    auto Row = HeardAt.find(Address);
-    return Row != HeardAt.end() && Now - Row->second < UnresponsiveAfter;
+    auto Row = Watched.find(Address);
+    return Row != Watched.end() &&
+           Now - Row->second.HeardAt < UnresponsiveAfter;
+  }
+
+  /// Whether the host has replied since it is watched.
+  bool hasReplied(std::string_view Address) const {
+    auto Row = Watched.find(Address);
+    return Row != Watched.end() && Row->second.HasReplied;
   }
 
 private:
+  struct watched_host {
+    time_point HeardAt; ///< When it last replied or was first pinged.
+    bool HasReplied = false;
+  };
+
   milliseconds UnresponsiveAfter;
-  /// By address, when it last replied or was first pinged.
-  std::map<std::string, time_point, std::less<>> HeardAt;
+  std::map<std::string, watched_host, std::less<>> Watched; ///< By address.
 };
 
 } // namespace turmerichead::turns
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -83,6 +83,9 @@
   View.Retiring = Retiring;
   if (View.Set.Epoch > 0)
     View.Unresponsive = findUnresponsiveHosts();
+  for (const disk_host &Host : View.Set.Members)
+    if (!Monitor.hasReplied(Host.Address))
+      View.Unheard.push_back(Host.Address);
   auto Proposal = proposeSet(View);
   if (Proposal)
     Events.OnPropose(*Proposal);
--- a/src/libturns/set.cpp
+++ b/src/libturns/set.cpp
@@ -80,9 +80,13 @@
   });
   if (Unresponsive)
     return Unresponsive;
-  return Find([&](const disk_host &Host) {
+  auto IsRetiring = [&](const disk_host &Host) {
     return contains(View.Retiring, Host.Name);
+  };
+  bool MayBeLost = Find([&](const disk_host &Host) {
+    return contains(View.Unheard, Host.Address) && !IsRetiring(Host);
   });
+  return MayBeLost ? nullptr : Find(IsRetiring);
 }
 
 } // namespace
--- a/src/libturns/set_test.cpp
+++ b/src/libturns/set_test.cpp
@@ -60,6 +60,16 @@
   CHECK(proposeSet(View) == Joint);
 }
 
+// review/7: the successor of a lost member took the place of a retiring one.
+TEST_CASE("a retirement waits while another member may be lost") {
+  set_view View = viewOf(D, Stable);
+  View.Retiring = {"b"};
+  View.Unheard = {A.Address, B.Address};
+  CHECK(!proposeSet(View));
+  View.Unresponsive = {A.Address};
+  CHECK(proposeSet(View) == Joint);
+}
+
 TEST_CASE("a retiring host replaces no member") {
   set_view View = viewOf(D, Stable);
   View.Retiring = {"a", "d"};
