--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -11,6 +11,7 @@
 #include "turmerichead/turns_replica_core.h"
 
 #include <map>
+#include <span>
 #include <vector>
 
 namespace turmerichead::turns {
@@ -120,7 +121,7 @@
   void logIncompleteChain(const turn_record &Turn, std::string_view Missing);
   /// Starts the repair of missing turns of chains that are stored.
   void repairStoredChains();
-  void sendRepairRequests(std::vector<chain_repair::request> Requests);
+  void sendRepairRequests(std::span<const chain_repair::request> Requests);
   void onRepairReply(const std::string &Turn, const std::string &Address,
                      const copy_reply &Reply);
 };
--- a/src/libturns/replica_repair.cpp
+++ b/src/libturns/replica_repair.cpp
@@ -86,7 +86,7 @@
 }
 
 void replica::impl::sendRepairRequests(
-    std::vector<chain_repair::request> Requests) {
+    std::span<const chain_repair::request> Requests) {
   for (const chain_repair::request &Request : Requests) {
     Links->setAddress(Request.Address, Request.Address);
     Links->send(
