Disk hosts copy a request to store a turn only if it has to wait

Found by reading the change again: each request was copied, with its turn, before it was known whether turns of its chain are missing, which is rare. An index function that nothing calls is removed. No behaviour is meant to change.

libturns_test and chain_in_use_was_lost_as_a_member_had_a_part_of_it pass.

--- a/src/include/turmerichead/turns_index.h
+++ b/src/include/turmerichead/turns_index.h
@@ -60,7 +60,6 @@
   std::string_view firstMissing(std::string_view Id) const;
   /// Returns the missing turns, in no order.
   std::vector<std::string> missingTurns() const;
-  bool isMissing(std::string_view Id) const;
   /// Returns where a turn is stored; nullopt if it is not.
   std::optional<log_position> turnPosition(std::string_view Id) const;
   /// Whether addSpend() of the record would return false.
--- a/src/libturns/index.cpp
+++ b/src/libturns/index.cpp
@@ -130,10 +130,6 @@
   return Ids;
 }
 
-bool turn_index::isMissing(std::string_view Id) const {
-  return Missing.find(Id) != Missing.end();
-}
-
 std::optional<log_position>
 turn_index::turnPosition(std::string_view Id) const {
   auto Row = Turns.find(Id);
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -117,7 +117,8 @@
   /// Stores the delayed turns whose chains are complete or can't be completed.
   void storeDelayedTurns();
   /// Whether a turn has to wait for the repair of its chain, which is started.
-  bool awaitsRepair(const delayed_close &Close);
+  /// \p DueAt: see delayed_close.
+  bool awaitsRepair(const close_request &Request, time_point DueAt);
   void logIncompleteChain(const turn_record &Turn, std::string_view Missing);
   /// Starts the repair of missing turns of chains that are stored.
   void repairStoredChains();
--- a/src/libturns/replica_repair.cpp
+++ b/src/libturns/replica_repair.cpp
@@ -24,12 +24,13 @@
 } // namespace
 
 void replica::impl::close(peer_reply_id Reply, const close_request &Request) {
-  delayed_close Close{Reply, Request, steadyNow() + MaxCloseDelay};
-  if (DelayedCloses.size() >= MaxDelayedCloses || !awaitsRepair(Close)) {
+  time_point DueAt = steadyNow() + MaxCloseDelay;
+  if (DelayedCloses.size() >= MaxDelayedCloses ||
+      !awaitsRepair(Request, DueAt)) {
     closeNow(Reply, Request);
     return;
   }
-  DelayedCloses.push_back(std::move(Close));
+  DelayedCloses.push_back({Reply, Request, DueAt});
   if (DelayedCloseTimer)
     return;
   DelayedCloseTimer = loop_source::every(DelayedCloseInterval, [this] {
@@ -41,7 +42,7 @@
 void replica::impl::storeDelayedTurns() {
   std::vector<delayed_close> Closes = std::exchange(DelayedCloses, {});
   for (delayed_close &Close : Closes) {
-    if (awaitsRepair(Close))
+    if (awaitsRepair(Close.Request, Close.DueAt))
       DelayedCloses.push_back(std::move(Close));
     else
       closeNow(Close.Reply, Close.Request);
@@ -51,15 +52,16 @@
     DelayedCloseTimer.reset();
 }
 
-bool replica::impl::awaitsRepair(const delayed_close &Close) {
-  std::string Missing = Core->missingBefore(Close.Request);
+bool replica::impl::awaitsRepair(const close_request &Request,
+                                 time_point DueAt) {
+  std::string Missing = Core->missingBefore(Request);
   if (Missing.empty())
     return false;
   time_point Now = steadyNow();
   sendRepairRequests(Repairs.start(Missing, Core->set(), Now));
-  if (Now < Close.DueAt && !Repairs.wasNotFound(Missing))
+  if (Now < DueAt && !Repairs.wasNotFound(Missing))
     return true;
-  logIncompleteChain(Close.Request.Turn, Missing);
+  logIncompleteChain(Request.Turn, Missing);
   return false;
 }
 
