Stand-in of the store: lists in pages, targets decoded strictly

It answered each list in one page and never read `after`, so that no test could see what a name at the end of a page does. "look" returns an object.

--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -490,6 +490,10 @@
 }
 
 std::int64_t fleet::order(const std::string &Name, const json &Order) {
+  return ask(Name, Order).AtMs;
+}
+
+order_reply fleet::ask(const std::string &Name, const json &Order) {
   member *Member = find(Name);
   http1::call_request Request;
   int Port = Member->Role == role::Store ? StoreControlPort : UpstreamPort;
@@ -498,18 +502,20 @@
   Request.Target = "/control";
   Request.Body.push_back(Order.dump());
   bool Done = false;
-  std::int64_t AnsweredAt = 0;
+  order_reply Reply;
+  std::string Text;
   auto Id =
       http().call(std::move(Request),
-                  {[](const http1::response_head &) {}, [](std::string_view) {},
+                  {[](const http1::response_head &) {},
+                   [&](std::string_view Bytes) { Text += Bytes; },
                    [&](const http1::call_result &Result) {
                      Done = true;
                      if (Result.Outcome == http1::call_outcome::Complete)
-                       AnsweredAt = wallMs();
+                       Reply = {wallMs(), json::parse(Text, nullptr, false)};
                    }});
   if (!wait(milliseconds(3000), [&] { return Done; }))
     http().cancel(Id);
-  return AnsweredAt;
+  return Reply;
 }
 
 bool fleet::wait(milliseconds Bound, const std::function<bool()> &Reached) {
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -145,6 +145,12 @@
   std::ptrdiff_t lateSends() const;
 };
 
+/// The answer of a stand-in to an order.
+struct order_reply {
+  std::int64_t AtMs = 0; ///< Time of day; 0 if there was no answer.
+  nlohmann::json Body;   ///< Discarded if it is not JSON.
+};
+
 class fleet {
 public:
   static constexpr const char *PlanHost = site_shape::PlanHost;
@@ -213,6 +219,8 @@
   /// Orders to the store's stand-in, or to an upstream's. Returns the time of
   /// day of the answer in milliseconds; 0 if there was none.
   std::int64_t order(const std::string &Name, const nlohmann::json &Order);
+  /// The same, and returns the whole answer.
+  order_reply ask(const std::string &Name, const nlohmann::json &Order);
 
   /// Puts a configuration in force. Each \p Routes has a route that the others
   /// have not, under versionHost().
--- a/testsuite/standins/object_store.h
+++ b/testsuite/standins/object_store.h
@@ -3,6 +3,7 @@
 /// the same process, or as a process of its own (store_main.cpp).
 #pragma once
 
+#include "store_target.h"
 #include "turmerichead/http1_server.h"
 #include "turmerichead/net_loop.h"
 
@@ -11,6 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace turmerichead::standin {
@@ -57,6 +59,16 @@
               {"status", std::move(Status)}};
     note(Kind, Object, false);
   }
+  /// Writes the status of an object that exists.
+  void putStatus(const std::string &Kind, const std::string &Name,
+                 nlohmann::json Status) {
+    nlohmann::json &Object = Objects[{Kind, Name}];
+    if (Object["status"] == Status)
+      return;
+    Object["status"] = std::move(Status);
+    Object["metadata"]["revision"] = ++Revision;
+    note(Kind, Object, false);
+  }
   void remove(const std::string &Kind, const std::string &Name) {
     auto Row = Objects.find({Kind, Name});
     if (Row == Objects.end())
@@ -74,10 +86,15 @@
     for (watcher &Row : std::exchange(Watchers, {}))
       Server->abort(Row.Id);
   }
-  nlohmann::json specOf(const std::string &Kind, const std::string &Name) {
+  /// Returns an object, or null.
+  nlohmann::json objectAt(const std::string &Kind,
+                          const std::string &Name) const {
     auto Row = Objects.find({Kind, Name});
-    return Row == Objects.end() ? nlohmann::json()
-                                : Row->second["specification"];
+    return Row == Objects.end() ? nlohmann::json() : Row->second;
+  }
+  nlohmann::json specOf(const std::string &Kind,
+                        const std::string &Name) const {
+    return objectAt(Kind, Name).value("specification", nlohmann::json());
   }
   /// Removes the objects of a kind that nobody has written for \p Silence.
   void lapse(const std::string &Kind, milliseconds Silence) {
@@ -101,13 +118,23 @@
       watch(Row);
   }
 
-  /// Returns the page that a list of \p Kind gets now.
-  nlohmann::json listOf(const std::string &Kind) const {
+  /// Returns the page that a list of \p Kind gets now, with the names after
+  /// \p After.
+  nlohmann::json listOf(const std::string &Kind,
+                        const std::string &After = {}) const {
     nlohmann::json Items = nlohmann::json::array();
-    for (const auto &[Key, Object] : Objects)
-      if (Key.first == Kind)
-        Items.push_back(Object);
-    return {{"items", Items}, {"has_more", false}, {"current_rev", Revision}};
+    std::size_t Bytes = 0;
+    bool HasMore = false;
+    for (auto Row = Objects.upper_bound({Kind, After});
+         Row != Objects.end() && Row->first.first == Kind; ++Row) {
+      Bytes += Row->second.dump().size();
+      HasMore = Items.size() == MaxPageRows ||
+                (Bytes > MaxPageBytes && !Items.empty());
+      if (HasMore)
+        break;
+      Items.push_back(Row->second);
+    }
+    return {{"items", Items}, {"has_more", HasMore}, {"current_rev", Revision}};
   }
   /// Whether a list waits for answerLists(); see HoldsLists.
   bool hasHeldList() const { return !HeldLists.empty(); }
@@ -119,6 +146,15 @@
 
   mood Mood = mood::Fine;
   bool HoldsLists = false; ///< Lists wait for answerLists().
+  /// A list is split into pages of so many objects, or of this size unless a
+  /// single object is larger.
+  std::size_t MaxPageRows = 500;
+  std::size_t MaxPageBytes = 1U << 20U;
+  /// Longer targets get 414.
+  std::size_t MaxTargetBytes = 8000;
+  /// Stands for the byte 0xFF, which no text in UTF-8 has, in names and
+  /// values: what the store sends and decodes has the byte.
+  static constexpr std::string_view NoTextMark = "\xF4\x8F\xBF\xBF";
   std::function<void(const http1::request &)> OnRequest;
   std::optional<http1::server> Server;
 
@@ -135,22 +171,12 @@
     nlohmann::json Event;
   };
 
-  static std::optional<std::uint64_t> parameter(const std::string &Target,
-                                                const std::string &Name) {
-    std::size_t At = Target.find(Name + "=");
-    if (At == std::string::npos)
-      return std::nullopt;
-    return std::stoull(Target.substr(At + Name.size() + 1));
-  }
-
-  void putStatus(const std::string &Kind, const std::string &Name,
-                 nlohmann::json Status) {
-    nlohmann::json &Object = Objects[{Kind, Name}];
-    if (Object["status"] == Status)
-      return;
-    Object["status"] = std::move(Status);
-    Object["metadata"]["revision"] = ++Revision;
-    note(Kind, Object, false);
+  static std::string replaced(std::string Text, std::string_view From,
+                              std::string_view To) {
+    for (std::size_t At = Text.find(From); At != std::string::npos;
+         At = Text.find(From, At + To.size()))
+      Text.replace(At, From.size(), To);
+    return Text;
   }
 
   void note(const std::string &Kind, const nlohmann::json &Object,
@@ -174,7 +200,7 @@
 
   void reply(http1::exchange_id Id, int Status, const nlohmann::json &Body) {
     Server->respond(Id, Status, {{"Content-Type", "application/json"}},
-                    Body.dump());
+                    replaced(Body.dump(), NoTextMark, NoTextByte));
   }
 
   void serve(http1::exchange_id Id, const http1::request &Request) {
@@ -188,37 +214,55 @@
       reply(Id, 503, nullptr);
       return;
     }
-    std::string Path = Request.Target.substr(0, Request.Target.find('?'));
-    std::string Rest = Path.substr(std::string("/objects/").size());
-    std::string Kind = Rest.substr(0, Rest.find('/'));
-    std::string Name =
-        Rest.size() > Kind.size() ? Rest.substr(Kind.size() + 1) : "";
-    if (Request.Method == "GET" && parameter(Request.Target, "watch")) {
-      std::uint64_t Since = *parameter(Request.Target, "watch");
-      if (Since < HistoryFrom)
-        reply(Id, 410, nullptr);
-      else
-        watch({Id, Kind, Since,
-               steadyNow() +
-                   milliseconds(*parameter(Request.Target, "wait_ms"))});
+    if (Request.Target.size() > MaxTargetBytes) {
+      reply(Id, 414, nullptr);
       return;
     }
-    if (Request.Method == "GET") {
-      if (HoldsLists)
-        HeldLists.push_back(Id);
-      else
-        reply(Id, 200, listOf(Kind));
+    auto Target = readStoreTarget(Request.Target);
+    if (!Target) {
+      reply(Id, 400, nullptr);
       return;
     }
-    write(Id, Request, Kind, Name);
+    Target->Name = replaced(Target->Name, NoTextByte, NoTextMark);
+    if (Request.Method != "GET")
+      write(Id, Request, *Target);
+    else if (Target->Query.contains("watch"))
+      startWatch(Id, *Target);
+    else if (Target->Name.empty())
+      list(Id, *Target);
+    else
+      get(Id, *Target);
+  }
+
+  void startWatch(http1::exchange_id Id, store_target &Target) {
+    std::uint64_t Since = std::stoull(Target.Query["watch"]);
+    milliseconds Wait(std::stoll(Target.Query["wait_ms"]));
+    if (Since < HistoryFrom)
+      reply(Id, 410, nullptr);
+    else
+      watch({Id, Target.Kind, Since, steadyNow() + Wait});
+  }
+
+  void list(http1::exchange_id Id, store_target &Target) {
+    std::string After = replaced(Target.Query["after"], NoTextByte, NoTextMark);
+    if (HoldsLists)
+      HeldLists.push_back(Id);
+    else
+      reply(Id, 200, listOf(Target.Kind, After));
+  }
+
+  void get(http1::exchange_id Id, const store_target &Target) {
+    auto Row = Objects.find({Target.Kind, Target.Name});
+    if (Row == Objects.end())
+      reply(Id, 404, nullptr);
+    else
+      reply(Id, 200, Row->second);
   }
 
   void write(http1::exchange_id Id, const http1::request &Request,
-             const std::string &Kind, std::string Name) {
-    constexpr std::string_view StatusEnd = "/status";
-    bool StatusOnly = Name.ends_with(StatusEnd);
-    if (StatusOnly)
-      Name.resize(Name.size() - StatusEnd.size());
+             const store_target &Target) {
+    const std::string &Kind = Target.Kind;
+    std::string Name = Target.Name;
     auto Body = nlohmann::json::parse(Request.Body, nullptr, false);
     bool Creates = Request.Method == "POST";
     if (Creates)
@@ -243,7 +287,7 @@
       return;
     }
     WrittenAt[{Kind, Name}] = steadyNow();
-    if (StatusOnly)
+    if (Target.IsStatus)
       putStatus(Kind, Name, Body["status"]);
     else
       put(Kind, Name, Body["specification"]);
@@ -253,6 +297,8 @@
     reply(Id, 200, Objects[{Kind, Name}]);
   }
 
+  static constexpr std::string_view NoTextByte = "\xFF";
+
   std::map<std::pair<std::string, std::string>, nlohmann::json> Objects;
   std::vector<change> History;
   std::vector<watcher> Watchers;
--- a/testsuite/standins/store_main.cpp
+++ b/testsuite/standins/store_main.cpp
@@ -2,8 +2,9 @@
 /// Stand-in for the platform's object store, as a process.
 ///
 /// `POST /control` takes {"mood": "fine"|"busy"|"silent"|"reset"|"lossy",
-/// "forget_history": true, "lapse_ms": N, "put": {"kind", "name", "spec"},
-/// "remove": {"kind", "name"}}; `GET /control` tells how many calls there were.
+/// "forget_history": true, "put": {"kind", "name", "spec", "status"},
+/// "remove": {"kind", "name"}, "page_rows": N, "look": {"kind", "name"}}. The
+/// answer has the number of calls so far, and the "object" that was looked up.
 
 #include "object_store.h"
 
@@ -34,7 +35,8 @@
   return Text == "lossy" ? object_store::mood::Lossy : object_store::mood::Fine;
 }
 
-void obey(object_store &Store, const nlohmann::json &Order) {
+/// Carries out an order and returns the object that it asks for, or null.
+nlohmann::json obey(object_store &Store, const nlohmann::json &Order) {
   if (Order.contains("mood")) {
     Store.Mood = moodNamed(Order["mood"].get<std::string>());
     if (Store.Mood != object_store::mood::Fine)
@@ -42,12 +44,23 @@
   }
   if (Order.value("forget_history", false))
     Store.forgetHistory();
-  if (auto Put = Order.find("put"); Put != Order.end())
-    Store.put((*Put)["kind"].get<std::string>(),
-              (*Put)["name"].get<std::string>(), (*Put)["spec"]);
+  if (auto Put = Order.find("put"); Put != Order.end()) {
+    std::string Kind = (*Put)["kind"].get<std::string>();
+    std::string Name = (*Put)["name"].get<std::string>();
+    Store.put(Kind, Name, (*Put)["spec"]);
+    if (Put->contains("status"))
+      Store.putStatus(Kind, Name, (*Put)["status"]);
+  }
   if (auto Gone = Order.find("remove"); Gone != Order.end())
     Store.remove((*Gone)["kind"].get<std::string>(),
                  (*Gone)["name"].get<std::string>());
+  if (auto Rows = Order.find("page_rows"); Rows != Order.end())
+    Store.MaxPageRows = Rows->get<std::size_t>();
+  auto Look = Order.find("look");
+  if (Look == Order.end())
+    return nullptr;
+  return Store.objectAt((*Look)["kind"].get<std::string>(),
+                        (*Look)["name"].get<std::string>());
 }
 
 } // namespace
@@ -63,10 +76,10 @@
       FLAGS_control, {},
       {[&](http1::exchange_id Id, http1::request &&Request) {
          auto Order = nlohmann::json::parse(Request.Body, nullptr, false);
+         nlohmann::json Reply = {{"calls", Calls}};
          if (Order.is_object())
-           obey(Store, Order);
-         Control->respond(Id, http1::status::Ok, {},
-                          nlohmann::json{{"calls", Calls}}.dump());
+           Reply["object"] = obey(Store, Order);
+         Control->respond(Id, http1::status::Ok, {}, Reply.dump());
        },
        [](http1::exchange_id) {}});
   if (!Store.Server || !Control) {
