Metrics: one place escapes the values of labels

The name of a service comes from entries that others write; a quotation mark or a line feed in it made the whole page of metrics unreadable. metricLabel() escapes as the exposition format asks. Its test has no counterpart on the code before, where there was nothing to call.

--- a/src/include/turmerichead/metrics.h
+++ b/src/include/turmerichead/metrics.h
@@ -10,10 +10,14 @@
 
 namespace turmerichead {
 
+/// Returns `NAME="VALUE"`, with \p Value of any bytes escaped, as one label of
+/// a series. Labels are separated by commas.
+std::string metricLabel(std::string_view Name, std::string_view Value);
+
 /// All metrics of a process. A series is created by its first use. Labels have
 /// the syntax of the exposition format: `rank="urgent",entry="yard"`.
 ///
-///     Metrics.add("calls_total", R"(rank="urgent")");
+///     Metrics.add("calls_total", metricLabel("rank", "urgent"));
 ///     Metrics.observe("call_ms", "", 12.5);
 class metrics {
 public:
--- a/src/libbase/base_test.cpp
+++ b/src/libbase/base_test.cpp
@@ -134,3 +134,13 @@
   close(Ends[0]);
   close(Ends[1]);
 }
+
+TEST_CASE("metric_label_escapes_names_of_other_writers") {
+  CHECK(metricLabel("service", "a\"b\\c\nd{e}") ==
+        "service=\"a\\\"b\\\\c\\nd{e}\"");
+  metrics Metrics;
+  Metrics.set("streams", metricLabel("service", "x\"} 9\ny"), 1);
+  CHECK(Metrics.toPrometheus() ==
+        "# TYPE turmerichead_streams gauge\n"
+        "turmerichead_streams{service=\"x\\\"} 9\\ny\"} 1\n");
+}
--- a/src/libbase/metrics.cpp
+++ b/src/libbase/metrics.cpp
@@ -59,6 +59,21 @@
 
 } // namespace
 
+std::string metricLabel(std::string_view Name, std::string_view Value) {
+  std::string Label(Name);
+  Label += "=\"";
+  for (char Byte : Value) {
+    if (Byte == '"' || Byte == '\\')
+      Label += '\\';
+    if (Byte == '\n')
+      Label += "\\n";
+    else
+      Label += Byte;
+  }
+  Label += '"';
+  return Label;
+}
+
 struct metrics::state {
   std::map<series_key, simple_series> Simple;
   std::map<series_key, prometheus::Histogram> Histograms;
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -128,8 +128,7 @@
 void http_front::fail(http_exchange_id Exchange, int Status,
                       std::string_view Code, std::string_view Message,
                       std::string_view Place) {
-  Context.Metrics.add("requests_refused_total",
-                      "code=\"" + std::string(Code) + '"');
+  Context.Metrics.add("requests_refused_total", metricLabel("code", Code));
   Server->respond(Exchange, Status, jsonHeaders(),
                   errorJson(Code, Message, "not_run", Place, 0));
 }
--- a/src/libhost/gates.cpp
+++ b/src/libhost/gates.cpp
@@ -302,8 +302,8 @@
   for (const auto &[Id, Row] : Rows) {
     sched::gate_snapshot Snapshot = Row.Gate.snapshot(steadyNow());
     for (sched::rank Rank : {sched::rank::Urgent, sched::rank::Ordinary}) {
-      std::string Labels = "group=\"" + Id + "\",rank=\"" +
-                           std::string(sched::nameOf(Rank)) + '"';
+      std::string Labels = metricLabel("group", Id) + "," +
+                           metricLabel("rank", sched::nameOf(Rank));
       std::size_t I = sched::indexOf(Rank);
       Context.Metrics.set("gate_queued", Labels,
                           static_cast<double>(Snapshot.Queued[I]));
@@ -314,7 +314,7 @@
       Context.Metrics.set("gate_refused", Labels,
                           static_cast<double>(Snapshot.Refused[I]));
     }
-    std::string Group = "group=\"" + Id + '"';
+    std::string Group = metricLabel("group", Id);
     Context.Metrics.set("gate_ordinary_share", Group,
                         Snapshot.OrdinaryShareUnderPressure);
     Context.Metrics.set("gate_prefill_tokens", Group,
--- a/src/libhost/holder.cpp
+++ b/src/libhost/holder.cpp
@@ -261,11 +261,11 @@
   if (!Context.Recorder || End.Moved)
     return;
   auto Outcome = static_cast<call_outcome>(End.Outcome);
-  Context.Metrics.add("calls_total",
-                      "outcome=\"" + std::string(nameOf(Outcome)) +
-                          "\",rank=\"" + std::string(nameOf(Row.Rank)) + '"');
+  Context.Metrics.add("calls_total", metricLabel("outcome", nameOf(Outcome)) +
+                                         "," +
+                                         metricLabel("rank", nameOf(Row.Rank)));
   Context.Metrics.observe(
-      "call_ms", "rank=\"" + std::string(nameOf(Row.Rank)) + '"',
+      "call_ms", metricLabel("rank", nameOf(Row.Rank)),
       static_cast<double>((steadyNow() - Row.Since).count()));
   Context.Recorder->count(Row.Entry, Row.Rank, steadyNow(),
                           [&](entry_counters &Counters) {
--- a/src/libhost/reporter.cpp
+++ b/src/libhost/reporter.cpp
@@ -100,7 +100,7 @@
   platform_counters Counters = Context.Platform->counters();
   for (std::size_t I = 0; I < PlatformVerbCount; ++I) {
     auto Verb = static_cast<platform_verb>(I);
-    std::string Label = "verb=\"" + std::string(nameOf(Verb)) + '"';
+    std::string Label = metricLabel("verb", nameOf(Verb));
     Context.Metrics.set("platform_calls", Label,
                         static_cast<double>(Counters.of(Verb).Calls));
     Context.Metrics.set("platform_calls_failed", Label,
--- a/src/librelay/relay.cpp
+++ b/src/librelay/relay.cpp
@@ -170,7 +170,7 @@
       Credentials.Key ? credential_error::Unknown : Credentials.Error;
   logRefused(Request, "not authenticated", nameOf(Error));
   Metrics.add("callers_unauthenticated_total",
-              "reason=\"" + std::string(nameOf(Error)) + "\"");
+              metricLabel("reason", nameOf(Error)));
   respondWithText(Exchange, http1::status::Unauthorized, textOf(Error),
                   {{"WWW-Authenticate", "Bearer"}});
   return std::nullopt;
@@ -215,7 +215,7 @@
              {"hosts", Capacity.Hosts},
              {"retry_after_ms", Rejection->RetryAfter.count()}});
   noteShortage(Call.Service);
-  Metrics.add("programs_refused_total", "service=\"" + Call.Service + "\"");
+  Metrics.add("programs_refused_total", metricLabel("service", Call.Service));
   refuse(Id, NoRoomReason, Rejection->RetryAfter);
   return true;
 }
@@ -541,8 +541,7 @@
   for (std::size_t I = 0; I < http1::ClientEnds; ++I)
     Impl->Metrics.set(
         "clients_ended",
-        "reason=\"" + std::string(nameOf(static_cast<http1::client_end>(I))) +
-            "\"",
+        metricLabel("reason", nameOf(static_cast<http1::client_end>(I))),
         static_cast<double>(Server.Ended.at(I)));
   Impl->Metrics.set("upstream_connections", "",
                     static_cast<double>(Client.OpenConnections));
@@ -558,7 +557,7 @@
                     static_cast<double>(Impl->Calls.size()));
   Impl->publishRefused();
   for (const auto &[Service, Load] : Impl->Loads) {
-    std::string Labels = "service=\"" + Service + "\"";
+    std::string Labels = metricLabel("service", Service);
     Impl->Metrics.set("service_streams", Labels,
                       static_cast<double>(Load.Estimator.inFlight()));
     Impl->Metrics.set("service_stretch", Labels,
--- a/src/librelay/relay_end.cpp
+++ b/src/librelay/relay_end.cpp
@@ -136,8 +136,8 @@
   if (Call.Current.Streams)
     Line["unfinished_bytes"] = Call.Events.unfinished();
   log::info("call ended", Line);
-  std::string Labels = "kind=\"" + std::string(nameOf(Call.Route.Kind)) +
-                       "\",status=\"" + std::to_string(Status) + "\"";
+  std::string Labels = metricLabel("kind", nameOf(Call.Route.Kind)) + "," +
+                       metricLabel("status", std::to_string(Status));
   Metrics.add("calls_total", Labels);
   Metrics.observe("call_ms", Labels, static_cast<double>(TookMs));
   releaseUpstream(Call, Call.Current);
--- a/src/librelay/relay_quota.cpp
+++ b/src/librelay/relay_quota.cpp
@@ -36,17 +36,6 @@
   return {Routing.Version, Organisation.RatePerSecond, Organisation.Burst};
 }
 
-/// Escapes \p Text as the value of a label of a metric.
-std::string labelValue(std::string_view Text) {
-  std::string Result;
-  for (char Byte : Text) {
-    if (Byte == '"' || Byte == '\\')
-      Result += '\\';
-    Result += Byte;
-  }
-  return Result;
-}
-
 } // namespace
 
 const organisation *
@@ -127,7 +116,7 @@
                                  const quota_result &Result) {
   bool IsReached = Result.Outcome == quota_outcome::LimitReached;
   Metrics.add("organisation_refused_total",
-              "reason=\"" + std::string(nameOf(Result.Outcome)) + "\"");
+              metricLabel("reason", nameOf(Result.Outcome)));
   if (Quota.tokens().recordRefusal(Organisation.Name, bootNow()))
     log::info(IsReached ? "rate limit reached" : "usage is not known",
               {{"organisation", Organisation.Name},
@@ -159,7 +148,7 @@
   constexpr std::string_view Name = "organisation_refused";
   Metrics.clear(Name);
   for (const auto &[Organisation, Count] : Quota.tokens().mostRefused())
-    Metrics.set(Name, "organisation=\"" + labelValue(Organisation) + "\"",
+    Metrics.set(Name, metricLabel("organisation", Organisation),
                 static_cast<double>(Count));
 }
 
--- a/src/librelay/relay_send.cpp
+++ b/src/librelay/relay_send.cpp
@@ -378,8 +378,7 @@
     return;
   }
   Attempt.AnswerEnd = Result.End;
-  Metrics.add("upstream_answers_total",
-              "end=\"" + std::string(nameOf(Result.End)) + "\"");
+  Metrics.add("upstream_answers_total", metricLabel("end", nameOf(Result.End)));
   if (Attempt.NotRun) {
     onNotRun(Id, Attempt);
     return;
@@ -543,7 +542,7 @@
   Upstreams.recordFailure(Attempt.UpstreamId, Now);
   if (Result.Fault != http1::message_fault::None)
     Metrics.add("upstream_answers_refused_total",
-                "reason=\"" + std::string(nameOf(Result.Fault)) + "\"");
+                metricLabel("reason", nameOf(Result.Fault)));
   Call.MayHaveRun = true;
   Call.Permit.reset();
   recordAbort(Call, Attempt, abort_kind::Broken);
