A request whose target or headers the grammar does not permit is not sent

The client wrote targets and header values as they stand. The name of an upstream's entry, which another writer may choose, goes into a header of each request to it: with CR LF in it, the upstream read further header lines, or another request. The client now checks what it sends by the grammar by which the server reads, and the call ends with NotSent. Test: request_with_a_text_of_others_that_its_grammar_does_not_permit; on the code before, the requests are sent as they stand (the code has no check).

--- a/src/include/turmerichead/http1_client.h
+++ b/src/include/turmerichead/http1_client.h
@@ -70,7 +70,8 @@
 
 enum class call_outcome : std::uint8_t {
   Complete, ///< The complete answer has been received.
-  NotSent,  ///< No byte of the request was sent; this is certain.
+  NotSent,  ///< No byte of the request was sent; this is certain. Also for a
+            ///< request whose target or headers the grammar does not permit.
   Broken    ///< Sent at least in part; the answer is missing or truncated.
 };
 
--- a/src/libhttp1/client.cpp
+++ b/src/libhttp1/client.cpp
@@ -98,6 +98,10 @@
   ++State->Counters.Calls;
   call_id Id = State->Calls.insert({std::move(Request), std::move(Events), {}});
   const call_request &Stored = State->Calls.find(Id)->Request;
+  if (!isSendable(Stored)) {
+    State->failLater(Id, "the target or a header is not valid");
+    return Id;
+  }
   std::optional<client_connection_id> Connection;
   if (!Stored.FreshConnection)
     Connection = State->takeIdle(poolKey(Stored.Address, Stored.Via));
--- a/src/libhttp1/client_pvt.h
+++ b/src/libhttp1/client_pvt.h
@@ -68,6 +68,10 @@
 
 } // namespace pvt
 
+/// Whether the target and the headers of \p Request are what the grammar
+/// permits, so that no text of others becomes a part of the request's own.
+bool isSendable(const call_request &Request);
+
 struct call_row {
   call_request Request;
   call_events Events;
--- a/src/libhttp1/client_requests.cpp
+++ b/src/libhttp1/client_requests.cpp
@@ -1,4 +1,7 @@
 #include "client_pvt.h"
+#include "grammar_pvt.h"
+
+#include <algorithm>
 
 namespace turmerichead::http1 {
 
@@ -23,6 +26,13 @@
 
 } // namespace
 
+bool isSendable(const call_request &Request) {
+  return isTarget(Request.Target) &&
+         std::all_of(
+             Request.Headers.rows().begin(), Request.Headers.rows().end(),
+             [](const header &Row) { return isField(Row.Name, Row.Value); });
+}
+
 // Sends the request at once if the connection is established.
 void client::state::assignCall(client_connection_id Id, call_id CallId) {
   client_connection &Row = *Connections.find(Id);
--- a/src/libhttp1/client_test.cpp
+++ b/src/libhttp1/client_test.cpp
@@ -520,3 +520,25 @@
   REQUIRE(turnUntil([&] { return Result.has_value(); }));
   CHECK(*Result == probe_result::Unknown);
 }
+
+TEST_CASE("request_with_a_text_of_others_that_its_grammar_does_not_permit") {
+  fixture F;
+  call_request Request;
+  Request.Address = addressOf(F.Server.port());
+  Request.Method = "GET";
+  Request.Target = "/t";
+  Request.Headers = {{"Host", "h"}};
+  SUBCASE("line break in a value") {
+    Request.Headers.add("X-Id", "a\r\nX-Other: b");
+  }
+  SUBCASE("control byte in a value") { Request.Headers.add("X-Id", "a\x01"); }
+  SUBCASE("blank in a name") { Request.Headers.add("X Id", "a"); }
+  SUBCASE("blank in the target") { Request.Target = "/a b"; }
+  SUBCASE("line break in the target") { Request.Target = "/a\r\nX: b"; }
+  SUBCASE("no target") { Request.Target.clear(); }
+  outcome Outcome;
+  F.Client->call(std::move(Request), Outcome.events());
+  REQUIRE(turnUntil([&] { return Outcome.Result.has_value(); }));
+  CHECK(Outcome.Result->Outcome == call_outcome::NotSent);
+  CHECK(F.Server.Connections.empty());
+}
--- a/src/libhttp1/grammar.cpp
+++ b/src/libhttp1/grammar.cpp
@@ -119,6 +119,16 @@
   return Text;
 }
 
+bool isTarget(std::string_view Target) {
+  return !Target.empty() &&
+         (Target.front() == '/' || Target == "*" || isAlpha(Target.front())) &&
+         isAll(Target, isVisible);
+}
+
+bool isField(std::string_view Name, std::string_view Value) {
+  return !Name.empty() && isAll(Name, isTokenChar) && isAll(Value, isText);
+}
+
 std::optional<request_line> readRequestLine(std::string_view Line) {
   std::size_t MethodEnd = Line.find(' ');
   std::size_t TargetEnd = Line.rfind(' ');
@@ -132,10 +142,7 @@
       !Method.empty() && Method != "CONNECT" && isAll(Method, [](char Letter) {
         return isUpper(Letter) || Letter == '-';
       });
-  bool IsTarget =
-      (Target.front() == '/' || Target == "*" || isAlpha(Target.front())) &&
-      isAll(Target, isVisible);
-  if (!IsHttp10 || !IsMethod || !IsTarget)
+  if (!IsHttp10 || !IsMethod || !isTarget(Target))
     return std::nullopt;
   return request_line{std::string(Method), std::string(Target), *IsHttp10};
 }
--- a/src/libhttp1/grammar_pvt.h
+++ b/src/libhttp1/grammar_pvt.h
@@ -38,6 +38,10 @@
   std::string_view Name;
   std::string_view Value; ///< Without blanks around it.
 };
+/// Whether \p Target may stand in a request line.
+bool isTarget(std::string_view Target);
+/// Whether \p Name and \p Value may stand in a field line.
+bool isField(std::string_view Name, std::string_view Value);
 /// Accepts no folded lines and no blanks before the colon.
 std::optional<field_line> readFieldLine(std::string_view Line);
 
