FAULT: a field of another type in an entry ended all hosts that read it

What callers saw: with one entry of another writer in the list of retirements, whose status is {"state": 7}, all disk hosts ended by themselves, at once and at each start after it; requests without turns were answered, turns were refused.

Cause: nlohmann's value() throws where the field has another type, or the object is none, and nothing catches it: SIGABRT, with a line on standard error and none in the log. Class: a value of others read by a function that throws. The same function read the phase of hosts, annotations of entries, the load and the cache events of runners, and streamed completions in the own interface: there, a host entry whose status is a text ended all three hosts (testsuite/odd_objects, failed before with type_error.306 at a1, b1 and c1).

Fields of others are now read by json_fields.h alone, which moves from platform/ to libbase; chat.cpp's own copy of textAt() is gone.

--- a/platform/json_fields.h
+++ b/src/include/turmerichead/json_fields.h
@@ -1,6 +1,7 @@
 /// \file
-/// Reads single fields of the platform's objects. A field that is missing, of
-/// another type or out of range is treated as absent.
+/// Reads single fields of JSON that others have written. A field that is
+/// missing, of another type or out of range is treated as absent, as is each
+/// field of what is not an object.
 #pragma once
 
 #include "turmerichead/clock.h"
@@ -9,9 +10,13 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
-namespace turmerichead::platform {
+namespace turmerichead {
+
+/// Returns the value of a field; null if it is absent.
+const nlohmann::json &valueAt(const nlohmann::json &Json, std::string_view Key);
 
 /// Returns a string field; empty if it is absent.
 std::string textAt(const nlohmann::json &Json, const char *Key);
@@ -57,4 +62,4 @@
   return std::in_range<Integer>(Whole) ? static_cast<Integer>(Whole) : Default;
 }
 
-} // namespace turmerichead::platform
+} // namespace turmerichead
--- a/platform/json_fields.cpp
+++ b/src/libbase/json_fields.cpp
@@ -1,11 +1,17 @@
-#include "json_fields.h"
+#include "turmerichead/json_fields.h"
 
 #include <cmath>
 
-namespace turmerichead::platform {
+namespace turmerichead {
 
 using nlohmann::json;
 
+const json &valueAt(const json &Json, std::string_view Key) {
+  static const json Absent;
+  auto Value = Json.find(Key);
+  return Value == Json.end() ? Absent : *Value;
+}
+
 std::string textAt(const json &Json, const char *Key) {
   auto Value = Json.find(Key);
   if (Value == Json.end() || !Value->is_string())
@@ -45,4 +51,4 @@
   return Value != Json.end() && Value->is_boolean() && Value->get<bool>();
 }
 
-} // namespace turmerichead::platform
+} // namespace turmerichead
--- a/src/libhost/chat.cpp
+++ b/src/libhost/chat.cpp
@@ -1,6 +1,7 @@
 #include "chat_pvt.h"
 
 #include "turmerichead/error.h"
+#include "turmerichead/json_fields.h"
 
 #include <algorithm>
 
@@ -17,13 +18,6 @@
   return Found->get<std::uint64_t>();
 }
 
-std::string textAt(const json &Object, const char *Key) {
-  auto Found = Object.find(Key);
-  if (Found == Object.end() || !Found->is_string())
-    return "";
-  return Found->get<std::string>();
-}
-
 chat_usage parseUsage(const json &Object) {
   chat_usage Usage;
   Usage.PromptTokens = countAt(Object, "prompt_tokens");
@@ -40,10 +34,10 @@
 }
 
 json chunkBase(const json &Completion) {
-  return {{"id", Completion.value("id", "")},
+  return {{"id", textAt(Completion, "id")},
           {"object", "chat.completion.chunk"},
-          {"created", Completion.value("created", 0)},
-          {"model", Completion.value("model", "")}};
+          {"created", countAt(Completion, "created")},
+          {"model", textAt(Completion, "model")}};
 }
 
 } // namespace
--- a/src/libhost/gate_runners.cpp
+++ b/src/libhost/gate_runners.cpp
@@ -4,6 +4,7 @@
 #include "gates_pvt.h"
 
 #include "cache_move_pvt.h"
+#include "turmerichead/json_fields.h"
 
 #include <algorithm>
 #include <memory>
@@ -64,12 +65,11 @@
                        if (Row == Rows.end() || !Value.is_object())
                          return;
                        sched::load_report Load;
-                       Load.Running = Value.value("running", 0);
-                       Load.Waiting = Value.value("waiting", 0);
+                       Load.Running = integerAt<int>(Value, "running", 0);
+                       Load.Waiting = integerAt<int>(Value, "waiting", 0);
                        Load.CacheUsed =
-                           Value.value("cache_tokens", std::int64_t{0});
-                       Load.Age =
-                           milliseconds(Value.value("age_ms", std::int64_t{0}));
+                           integerAt<std::int64_t>(Value, "cache_tokens", 0);
+                       Load.Age = millisecondsAt(Value, "age_ms", {});
                        Row->second.Gate.reportLoad(Runner, Load, steadyNow());
                      }));
 }
@@ -89,13 +89,14 @@
           if (!Item.is_object())
             continue;
           sched::cache_event Event;
-          std::string Kind = Item.value("type", "stored");
-          Event.Kind = Kind == "stored" ? sched::cache_event::kind::Stored
-                                        : sched::cache_event::kind::Evicted;
-          Event.Program = Item.value("program", "");
-          Event.Tokens = Item.value("tokens", std::int64_t{0});
+          std::string Kind = textAt(Item, "type");
+          Event.Kind = Kind.empty() || Kind == "stored"
+                           ? sched::cache_event::kind::Stored
+                           : sched::cache_event::kind::Evicted;
+          Event.Program = textAt(Item, "program");
+          Event.Tokens = integerAt<std::int64_t>(Item, "tokens", 0);
           Row->second.Gate.cacheEvent(Runner, Event, steadyNow());
-          auto Sequence = Item.value("number", std::uint64_t{0});
+          auto Sequence = integerAt<std::uint64_t>(Item, "number", 0);
           EventCursor[Runner] = std::max(EventCursor[Runner], Sequence);
         }
       }));
@@ -122,7 +123,7 @@
         if (!Value.is_object() || !Value.contains("programs") ||
             !Value["programs"].is_object())
           return;
-        noteCapacity(Runner, Value.value("max_tokens", std::int64_t{0}));
+        noteCapacity(Runner, integerAt<std::int64_t>(Value, "max_tokens", 0));
         std::vector<std::string> Listed;
         for (const auto &[Program, Tokens] : Value["programs"].items())
           Listed.push_back(Program);
--- a/src/libhost/holder_commands.cpp
+++ b/src/libhost/holder_commands.cpp
@@ -3,6 +3,7 @@
 #include "holder_pvt.h"
 
 #include "platform_objects_pvt.h"
+#include "turmerichead/json_fields.h"
 #include "turmerichead/log.h"
 
 #include <algorithm>
@@ -108,8 +109,9 @@
   } else if (Row.Streamed) {
     nlohmann::json Answer = nlohmann::json::parse(End.Body, nullptr, false);
     std::string Content;
-    if (Answer.is_object() && Answer.contains("choices"))
-      Content = Answer["choices"][0]["message"].value("content", "");
+    const nlohmann::json &Choices = valueAt(Answer, "choices");
+    if (Choices.is_array() && !Choices.empty())
+      Content = textAt(valueAt(Choices.front(), "message"), "content");
     if (!Row.Partial)
       End.StreamedBytes = static_cast<std::int64_t>(Content.size());
     else if (Content.starts_with(*Row.Partial))
@@ -136,8 +138,7 @@
     std::int64_t Took = wallNowMs() - Row.WallStartMs;
     bool InTime = !Program || Program->Target.count() == 0 ||
                   Took <= Program->Target.count();
-    Context.Metrics.observe("program_ms",
-                            "rank=\"" + std::string(nameOf(Row.Rank)) + '"',
+    Context.Metrics.observe("program_ms", metricLabel("rank", nameOf(Row.Rank)),
                             static_cast<double>(Took));
     if (Context.Recorder)
       Context.Recorder->count(Row.Entry, Row.Rank, steadyNow(),
--- a/src/libhost/watcher.cpp
+++ b/src/libhost/watcher.cpp
@@ -1,5 +1,6 @@
 #include "watcher_pvt.h"
 
+#include "turmerichead/json_fields.h"
 #include "turmerichead/log.h"
 
 #include <glib.h>
@@ -13,7 +14,7 @@
 namespace {
 
 constexpr milliseconds SaveDelay{1000};
-constexpr std::string_view ChangedByKey = "turmerichead.io/changed-by";
+constexpr const char *ChangedByKey = "turmerichead.io/changed-by";
 
 config_item itemOf(const json &Object) {
   config_item Item;
@@ -21,9 +22,8 @@
   Item.Version = versionOf(Object);
   if (Object.contains("spec"))
     Item.Spec = Object["spec"].dump();
-  const json &Meta = Object["metadata"];
-  if (Meta.contains("annotations") && Meta["annotations"].is_object())
-    Item.ChangedBy = Meta["annotations"].value(std::string(ChangedByKey), "");
+  const json &Annotations = valueAt(valueAt(Object, "metadata"), "annotations");
+  Item.ChangedBy = textAt(Annotations, ChangedByKey);
   return Item;
 }
 
@@ -244,8 +244,11 @@
 
 void watcher::onHost(platform_change Change, const json &Object) {
   std::string Phase = "gone";
-  if (Change != platform_change::Deleted && Object.contains("status"))
-    Phase = Object["status"].value("phase", "live");
+  if (Change != platform_change::Deleted && Object.contains("status")) {
+    Phase = textAt(Object["status"], "phase");
+    if (Phase.empty())
+      Phase = "live";
+  }
   HostPhases[nameOfObject(Object)] = Phase;
   hintGone();
 }
