RECOVER: an entry with an odd name hid the rest of a list

What callers saw: an entry of another writer, named with &, +, #, % or a blank, at the end of a page of `servers`; after a restart of all hosts almost no request was served.

Beside it, a list that made no progress was requested again at once and for ever.

--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -191,27 +191,22 @@
       Writes(Settings.WritesPerSecond, Settings.WriteBurst),
       Random(Settings.Seed), Self(std::make_shared<state *>(this)) {}
 
-std::string platform_client::state::urlOf(std::string_view Plural,
-                                          std::string_view Name) const {
-  std::string Url = Settings.BaseUrl;
-  Url += "/apis/turmerichead.io/v1/namespaces/" + Settings.Namespace + '/';
-  Url += Plural;
-  if (Name.empty())
-    return Url;
-  gchar *Escaped =
-      g_uri_escape_string(std::string(Name).c_str(), nullptr, FALSE);
-  Url += '/';
-  Url += Escaped;
-  g_free(Escaped);
+request_target platform_client::state::urlOf(std::string_view Plural,
+                                             std::string_view Name) const {
+  request_target Url(Settings.BaseUrl);
+  Url.segment("apis").segment("turmerichead.io").segment("v1");
+  Url.segment("namespaces").segment(Settings.Namespace).segment(Plural);
+  if (!Name.empty())
+    Url.segment(Name);
   return Url;
 }
 
 http_request platform_client::state::newRequest(std::string Method,
-                                                std::string Url,
+                                                const request_target &Url,
                                                 milliseconds Timeout) const {
   http_request Request;
   Request.Method = std::move(Method);
-  Request.Url = std::move(Url);
+  Request.Url = Url.text();
   Request.Headers = {{"X-Turmerichead-Host", Settings.Host}};
   Request.Timeout = Timeout;
   return Request;
@@ -334,14 +329,10 @@
 // -- Lists -------------------------------------------------------------------
 
 void platform_client::state::nextPage(const std::shared_ptr<list_job> &Job) {
-  std::string Url = urlOf(Job->Plural);
-  Url += "?limit=" + std::to_string(Settings.PageSize);
-  if (!Job->Continue.empty()) {
-    gchar *Escaped = g_uri_escape_string(Job->Continue.c_str(), nullptr, FALSE);
-    Url += "&continue=";
-    Url += Escaped;
-    g_free(Escaped);
-  }
+  request_target Url = urlOf(Job->Plural);
+  Url.parameter("limit", std::to_string(Settings.PageSize));
+  if (!Job->Continue.empty())
+    Url.parameter("continue", Job->Continue);
   call(platform_verb::List, newRequest("GET", Url, Settings.ListTimeout),
        [this, Job](const raw_answer &Answer) { takePage(Job, Answer); });
 }
@@ -355,6 +346,7 @@
     Job->Restarted = true;
     Job->Items.clear();
     Job->Continue.clear();
+    Job->Continues.clear();
     nextPage(Job);
     return;
   }
@@ -376,6 +368,12 @@
   for (json &Item : Page["items"])
     Job->Items.push_back(std::move(Item));
   Job->Continue = metadataOf(Page, "continue");
+  if (!Job->Continue.empty() && !Job->Continues.insert(Job->Continue).second) {
+    Reply.Outcome = platform_outcome::Unavailable;
+    Reply.Text = "the list returns to an earlier page";
+    Job->Done(Reply);
+    return;
+  }
   if (!Job->Continue.empty()) {
     nextPage(Job);
     return;
--- a/src/libnet/platform_pvt.h
+++ b/src/libnet/platform_pvt.h
@@ -4,11 +4,13 @@
 
 #include "turmerichead/net_loop.h"
 #include "turmerichead/net_platform.h"
+#include "turmerichead/request_target.h"
 #include "turmerichead/table.h"
 
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 
 namespace turmerichead {
 
@@ -61,6 +63,7 @@
   platform_list_callback Done;
   std::vector<nlohmann::json> Items;
   std::string Continue;
+  std::set<std::string> Continues; ///< All values of Continue.
   bool Restarted = false;
 };
 
@@ -101,8 +104,9 @@
   state(const platform_settings &Settings, http_client &Http);
 
   // Calls.
-  std::string urlOf(std::string_view Plural, std::string_view Name = {}) const;
-  http_request newRequest(std::string Method, std::string Url,
+  request_target urlOf(std::string_view Plural,
+                       std::string_view Name = {}) const;
+  http_request newRequest(std::string Method, const request_target &Url,
                           milliseconds Timeout) const;
   void call(platform_verb Verb, http_request Request,
             std::function<void(const pvt::raw_answer &Answer)> Done);
--- a/src/libnet/platform_watch.cpp
+++ b/src/libnet/platform_watch.cpp
@@ -176,10 +176,10 @@
   Row.LastHeard = steadyNow();
   Row.OpenedAt = Row.LastHeard;
   ++countersOf(platform_verb::Watch).Calls;
-  std::string Url = urlOf(Row.Plural);
-  Url += "?watch=true&allowWatchBookmarks=true&resourceVersion=";
-  Url += std::to_string(Row.Version);
-  http_request Request = newRequest("GET", std::move(Url), milliseconds(0));
+  request_target Url = urlOf(Row.Plural);
+  Url.parameter("watch", "true").parameter("allowWatchBookmarks", "true");
+  Url.parameter("resourceVersion", std::to_string(Row.Version));
+  http_request Request = newRequest("GET", Url, milliseconds(0));
   Request.FirstByteTimeout = Settings.Timeout;
   Request.MaxBodyBytes = std::numeric_limits<std::size_t>::max();
   std::weak_ptr<state *> Weak = Self;
--- a/testsuite/fleet/foreign_entries_test.cpp
+++ b/testsuite/fleet/foreign_entries_test.cpp
@@ -13,6 +13,9 @@
 
 using nlohmann::json;
 
+const std::vector<std::string> Kinds = {"servers", "config",
+                                        "turmerichead-hosts", "retirements"};
+
 void put(fleet &Fleet, const std::string &Kind, const std::string &Name,
          const json &Spec, const json &Status = nullptr) {
   json Entry = {{"kind", Kind}, {"name", Name}, {"spec", Spec}};
@@ -21,6 +24,12 @@
   Fleet.order("store", {{"put", Entry}});
 }
 
+json objectAt(fleet &Fleet, const std::string &Kind, const std::string &Name) {
+  json Answer =
+      Fleet.ask("store", {{"look", {{"kind", Kind}, {"name", Name}}}}).Body;
+  return Answer.is_object() ? Answer["object"] : json();
+}
+
 void restartAll(fleet &Fleet) {
   killAll(Fleet);
   startAll(Fleet, false);
@@ -35,6 +44,33 @@
 
 } // namespace
 
+TEST_CASE("recover_entry_with_an_odd_name_hides_the_rest_of_a_list") {
+  fleet Fleet(recoverySettings("odd-names"));
+  REQUIRE(Fleet.start());
+  Fleet.order("store", {{"page_rows", 1}});
+  for (const std::string &Kind : Kinds)
+    for (const char *Name : {"a a", "a#a", "a%41", "a%zz", "a&b", "a+a"})
+      put(Fleet, Kind, Name, {{"slots", "many"}});
+  judgeRecovery(Fleet, [&] { restartAll(Fleet); });
+  CHECK(ownEnds(Fleet) == 0);
+}
+
+TEST_CASE("retirement_beside_an_odd_name_has_no_status") {
+  fleet Fleet(recoverySettings("odd-retirement"));
+  REQUIRE(Fleet.start());
+  Fleet.order("store", {{"page_rows", 1}});
+  for (const char *Name : {"a", "a&b", "a?b/status", "../config/main"})
+    put(Fleet, "retirements", Name, {{"duration_s", 30}});
+  json Config = objectAt(Fleet, "config", "main");
+  restartAll(Fleet);
+  put(Fleet, "retirements", "disk-0", {{"duration_s", 30}});
+  constexpr milliseconds Bound{15'000};
+  CHECK(Fleet.wait(Bound, [&] {
+    return objectAt(Fleet, "retirements", "disk-0")["status"].is_object();
+  }));
+  CHECK(objectAt(Fleet, "config", "main") == Config);
+}
+
 TEST_CASE("fault_status_of_another_type_ends_disk_hosts") {
   fleet Fleet(recoverySettings("odd-status"));
   REQUIRE(Fleet.start());
