FAULT: one entry of the largest size took the memory of a host

An entry may be 1 MiB. One of 300,000 empty objects takes some 33 MB once it is decoded, and the feed copied it up to three times: to check its revision, to hide keys, and to report it; disk hosts kept the decoded specification of each retirement besides. Class: copies of what others size.

The soak writes odd entries to all kinds while faults and restarts go on, on lists of one to four rows a page.

--- /dev/null
+++ b/testsuite/fleet/foreign_entries.h
@@ -0,0 +1,35 @@
+/// \file
+/// Writes entries of another writer into the store of a fleet.
+#pragma once
+
+#include "fleet.h"
+
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace turmerichead::fleet_harness {
+
+/// Keeps odd entries in all kinds of the store while it lives: some always, the
+/// others written, changed and removed in turn. The store's lists have a few
+/// rows a page from then on, so that each entry ends a page at times.
+class foreign_entries {
+public:
+  foreign_entries(fleet &Fleet, std::uint64_t Seed);
+
+  /// The kinds of the store that hosts read.
+  static const std::vector<std::string> &kinds();
+
+private:
+  void change();
+  void put(const std::string &Kind, const std::string &Name);
+
+  fleet &Fleet;
+  std::mt19937_64 Random;
+  std::set<std::pair<std::string, std::string>> Present; ///< Kind and name.
+  loop_source Changes;
+};
+
+} // namespace turmerichead::fleet_harness
--- a/testsuite/fleet/foreign_entries_test.cpp
+++ b/testsuite/fleet/foreign_entries_test.cpp
@@ -1,5 +1,7 @@
 // Entries of another writer in the store, over real processes.
 
+#include "foreign_entries.h"
+#include "hostile_crowd.h"
 #include "judge_recovery.h"
 
 #include <doctest/doctest.h>
@@ -13,9 +15,6 @@
 
 using nlohmann::json;
 
-const std::vector<std::string> Kinds = {"servers", "config",
-                                        "turmerichead-hosts", "retirements"};
-
 void put(fleet &Fleet, const std::string &Kind, const std::string &Name,
          const json &Spec, const json &Status = nullptr) {
   json Entry = {{"kind", Kind}, {"name", Name}, {"spec", Spec}};
@@ -48,7 +47,7 @@
   fleet Fleet(recoverySettings("odd-names"));
   REQUIRE(Fleet.start());
   Fleet.order("store", {{"page_rows", 1}});
-  for (const std::string &Kind : Kinds)
+  for (const std::string &Kind : foreign_entries::kinds())
     for (const char *Name : {"a a", "a#a", "a%41", "a%zz", "a&b", "a+a"})
       put(Fleet, Kind, Name, {{"slots", "many"}});
   judgeRecovery(Fleet, [&] { restartAll(Fleet); });
@@ -82,3 +81,28 @@
   judgeRecovery(Fleet, [&] { restartAll(Fleet); });
   CHECK(ownEnds(Fleet) == 0);
 }
+
+TEST_CASE("fault_entry_of_the_largest_size_takes_the_memory_of_a_host") {
+  // The smallest hosts of all deployments.
+  constexpr std::uint64_t MemoryMb = 88;
+  constexpr std::size_t BytesPerMb = 1U << 20U;
+  // Of all JSON of a size, this takes the most memory once it is decoded.
+  constexpr std::size_t Objects = 300'000;
+  fleet_settings Settings = recoverySettings("large-entry");
+  Settings.MemoryMb = MemoryMb;
+  fleet Fleet(Settings);
+  REQUIRE(Fleet.start());
+  json Spec = json::array();
+  for (std::size_t I = 0; I < Objects; ++I)
+    Spec.push_back(json::object());
+  for (const std::string &Kind : foreign_entries::kinds())
+    put(Fleet, Kind, "large", Spec);
+  judgeRecovery(Fleet, [&] { restartAll(Fleet); });
+  CHECK(ownEnds(Fleet) == 0);
+  for (role Role : {role::Entry, role::Disk})
+    for (const std::string &Name : Fleet.names(Role)) {
+      std::size_t Peak = peakMemoryOf(Fleet.pidOf(Name));
+      MESSAGE(Name << ": " << Peak / BytesPerMb << " MB");
+      CHECK(Peak < MemoryMb * BytesPerMb);
+    }
+}
--- a/testsuite/soak/restarts.cpp
+++ b/testsuite/soak/restarts.cpp
@@ -1,5 +1,7 @@
 #include "restarts.h"
 
+#include "foreign_entries.h"
+
 #include <algorithm>
 
 namespace turmerichead::soak {
@@ -55,6 +57,7 @@
         Oracle.note(steadyNow() - Start, Request, Answer, false);
       },
       Settings.Rate);
+  fleet_harness::foreign_entries Foreign(Fleet, Settings.Seed);
   for (int I = 0; I < Settings.Rounds && Fleet.isRunning("store"); ++I)
     play(draw());
   awaitReady(ReadyBound);
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -1,5 +1,7 @@
 #include "soak.h"
 
+#include "foreign_entries.h"
+
 #include "turmerichead/error.h"
 
 #include <algorithm>
@@ -73,6 +75,7 @@
       Settings.Rate);
   if (Settings.Fleet.Organisations > 0)
     Keys.emplace(Fleet, Oracle, Settings.Plan.Seed);
+  fleet_harness::foreign_entries Foreign(Fleet, Settings.Plan.Seed);
   milliseconds End{0};
   for (const fault &Fault : Plan) {
     ++UnderWay;
