Known red: the disk set overwritten by another writer; ctl builds its URL by request_target

Disk hosts hold the set on their disks; to write it back safely, a host has to learn from a quorum of its members that none has a newer one, or two different sets of one epoch could arise.

--- a/src/turmericheadctl/where.cpp
+++ b/src/turmericheadctl/where.cpp
@@ -5,8 +5,7 @@
 
 #include "turmerichead/endpoint.h"
 #include "turmerichead/error.h"
-
-#include <glib.h>
+#include "turmerichead/request_target.h"
 
 #include <array>
 #include <iomanip>
@@ -21,8 +20,8 @@
 
 constexpr milliseconds CallTimeout{5'000};
 
-/// Returns the parameters of the request as a query.
-std::string queryOf(const options &Options) {
+/// Returns the URL of the question at the host \p Address.
+std::string urlOf(const std::string &Address, const options &Options) {
   const where_options &Where = Options.Where;
   const std::array<std::pair<std::string_view, const std::string *>, 6>
       Parameters = {{{"host", &Options.Host},
@@ -31,16 +30,12 @@
                      {"program", &Where.Program},
                      {"previous_turn", &Where.PreviousTurn},
                      {"method", &Where.Method}}};
-  std::string Query;
-  for (const auto &[Name, Value] : Parameters) {
-    if (Value->empty())
-      continue;
-    std::unique_ptr<char, decltype(&g_free)> Escaped(
-        g_uri_escape_string(Value->c_str(), nullptr, FALSE), &g_free);
-    Query.append(Query.empty() ? "" : "&").append(Name).append("=");
-    Query += Escaped.get();
-  }
-  return Query;
+  request_target Url("http://" + Address);
+  Url.segment("where");
+  for (const auto &[Name, Value] : Parameters)
+    if (!Value->empty())
+      Url.parameter(Name, *Value);
+  return Url.text();
 }
 
 /// Returns a field as text: "-" if it is missing or null, and numbers without
@@ -186,7 +181,7 @@
   }
   http_request Request;
   Request.Method = "GET";
-  Request.Url = "http://" + Endpoint->toText() + "/where?" + queryOf(Options);
+  Request.Url = urlOf(Endpoint->toText(), Options);
   Request.Timeout = CallTimeout;
   response Response = fetch(Request);
   constexpr int Ok = 200;
--- a/testsuite/fleet/foreign_entries_test.cpp
+++ b/testsuite/fleet/foreign_entries_test.cpp
@@ -106,3 +106,13 @@
       CHECK(Peak < MemoryMb * BytesPerMb);
     }
 }
+
+TEST_CASE("recover_disk_set_overwritten_by_another_writer") {
+  fleet Fleet(recoverySettings("odd-disk-set"));
+  REQUIRE(Fleet.start());
+  judgeRecovery(Fleet, [&] {
+    put(Fleet, "turmerichead-hosts", "disk-set", {{"epoch", "odd"}});
+    restartAll(Fleet);
+  });
+  CHECK(ownEnds(Fleet) == 0);
+}
