--- a/src/libbase/request_target_test.cpp
+++ b/src/libbase/request_target_test.cpp
@@ -17,7 +17,7 @@
                                           "abcdefghijklmnopqrstuvwxyz"
                                           "0123456789-._~";
   if (Unreserved.find(static_cast<char>(Byte)) != std::string_view::npos)
-    return std::string(1, static_cast<char>(Byte));
+    return {static_cast<char>(Byte)};
   std::string Text(4, '\0');
   std::snprintf(Text.data(), Text.size(), "%%%02X", Byte);
   Text.resize(3);
