--- a/tools/check.sh
+++ b/tools/check.sh
@@ -6,7 +6,6 @@
 tools/install-deps.sh
 tools/build.sh
 build=${BUILD_DIR:-build}
-known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null || true)
 set +e
 ctest --test-dir "$build" --output-on-failure -j "${TEST_JOBS:-8}" \
   --output-junit "$PWD/$build/ctest.xml"
@@ -16,7 +15,7 @@
 failed=$(sed -n '/^[0-9]*:/s/^[0-9]*://p' "$build/Testing/Temporary/LastTestsFailed.log")
 unknown=0
 for test in $failed; do
-  if printf '%s\n' "$known" | grep -qxF "$test"; then
+  if tools/is_known_red.sh "$test"; then
     echo "known red: $test (see KNOWN-RED.txt)"
   else
     echo "failed: $test"
