RECOVER: the disk set in the store, overwritten by another writer

Cause: members keep the set on their disks, but none wrote it back, and entry hosts know the set from the store alone. Class: state that lasts in two places and is repaired in one direction only.

A member whose store lacks its set for 2 s asks the members, and writes the set back at the revision of the object in the way once a read quorum knows no newer one. set_restore_pvt.h says why that is safe, and why joint sets are left alone. The epoch skips those that members can have missed.

--- a/src/include/turmerichead/turns_replica.h
+++ b/src/include/turmerichead/turns_replica.h
@@ -30,6 +30,8 @@
   std::uint32_t Faults = 1; ///< f: disks that may be lost at the same time.
   record_store_settings Store;
   std::string SharedKey; ///< Authenticates the links between hosts.
+  /// A set that the platform lacks for this time is written there again.
+  milliseconds RestoreDelay{2000};
   /// A host that has not replied for this time counts as unresponsive.
   milliseconds UnresponsiveAfter{1500};
   /// The first set is chosen once no disk host has registered for this time.
@@ -42,6 +44,10 @@
   /// platform by this one. Called repeatedly until updateSet() brings a newer
   /// set.
   std::function<void(const disk_set &Proposal)> OnPropose;
+  /// Requests that the owner writes this set to the platform, which no longer
+  /// holds the set of the members, in place of the object of \p Revision.
+  /// Called repeatedly until setPlatformSet() brings another object.
+  std::function<void(const disk_set &Set, std::uint64_t Revision)> OnRestore;
   /// Receives the requests for paths that the replica does not serve.
   std::function<void(const peer_request_view &Request)> OnUnhandledRequest;
 };
@@ -78,6 +84,9 @@
   /// Adopts a set from the platform if it is newer than the current one.
   void updateSet(const disk_set &Set);
 
+  /// Sets what the platform holds; nullopt if that is not known at present.
+  void setPlatformSet(const std::optional<platform_set> &Stored);
+
   /// Sets the list of all disk hosts and the names of those that are to retire.
   void setHosts(std::vector<disk_host> Registered,
                 std::vector<std::string> Retiring);
--- a/src/include/turmerichead/turns_set.h
+++ b/src/include/turmerichead/turns_set.h
@@ -48,6 +48,13 @@
   std::vector<disk_host> allMembers() const;
 };
 
+/// What the platform holds as the disk set.
+struct platform_set {
+  std::uint64_t Epoch = 0;    ///< 0: there is none, or it can't be decoded.
+  std::uint64_t Revision = 0; ///< Of the object; 0: there is none.
+  friend bool operator==(const platform_set &, const platform_set &) = default;
+};
+
 /// Whether one of \p Hosts has \p Address.
 bool hasAddress(std::span<const disk_host> Hosts, std::string_view Address);
 
@@ -111,4 +118,10 @@
 /// - A set never shrinks.
 std::optional<disk_set> proposeSet(const set_view &View);
 
+/// Returns the set to write to the platform after \p Set was lost there: the
+/// same members, with an epoch that no set can have that was stored unknown to
+/// a read quorum of them. \p Random makes the epoch differ from that of another
+/// restored set that was lost again.
+disk_set restoredSet(const disk_set &Set, std::uint32_t Random);
+
 } // namespace turmerichead::turns
--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -232,6 +232,10 @@
     Impl->pingForFirstStart();
 }
 
+void replica::setPlatformSet(const std::optional<platform_set> &Stored) {
+  Impl->PlatformSet = Stored;
+}
+
 const disk_set &replica::set() const { return Impl->Core->set(); }
 bool replica::caughtUp() const { return Impl->Core->caughtUp(); }
 replica_counters replica::counters() const {
--- a/src/libturns/replica_core_fuzz_test.cpp
+++ b/src/libturns/replica_core_fuzz_test.cpp
@@ -1,10 +1,12 @@
 // Runs disk hosts through random crashes, power losses, wiped disks,
-// replacements, retirements, partitions and delayed messages, and compares them
-// with a model of the acknowledged writes. Time passes, so that records expire
-// while other turns of their chains are still needed.
+// replacements, retirements, partitions, delayed messages and losses of the set
+// on the platform, and compares them with a model of the acknowledged writes.
+// Time passes, so that records expire while other turns of their chains are
+// still needed.
 
 #include "disk_recorder.h"
 #include "quorum_pvt.h"
+#include "set_restore_pvt.h"
 #include "test_repair_pvt.h"
 
 #include <algorithm>
@@ -34,6 +36,8 @@
 /// Hosts that are connected complete their chains in a longer time.
 constexpr std::uint64_t LongestMessageMs = 500;
 constexpr std::uint64_t LongestPauseMs = 15'000;
+/// In which the hosts restore a lost set by themselves in the end.
+constexpr int RestoreRounds = 20;
 
 struct disk_machine {
   disk_host Host;
@@ -163,7 +167,7 @@
 
   // The host receives the set from the platform.
   void deliverSet(disk_machine &Machine) {
-    if (Machine.Core && Machine.Core->adoptSet(Stored))
+    if (!IsSetLost && Machine.Core && Machine.Core->adoptSet(Stored))
       Machine.Core->sync();
   }
 
@@ -244,15 +248,17 @@
 
   void runRandomStep() {
     using c = disk_cluster;
-    static constexpr std::array<weighted_step, 6> Disruptions{
+    static constexpr std::array<weighted_step, 7> Disruptions{
         {{1, &c::crash},
          {1, &c::wipe},
          {1, &c::replace},
          {1, &c::retire},
          {1, &c::losePower},
+         {1, &c::loseSet},
          {1, &c::cutOff}}};
-    static constexpr std::array<weighted_step, 11> Others{
+    static constexpr std::array<weighted_step, 12> Others{
         {{2, &c::restart},
+         {1, &c::restoreSetUnreliably},
          {1, &c::deliverSetToOne},
          {2, &c::propose},
          {2, &c::copyUnreliably},
@@ -425,12 +431,50 @@
     if (!Machine.Core)
       return;
     auto Proposal = proposeSet(viewOf(Machine));
-    if (!Proposal || Proposal->Epoch != Stored.Epoch + 1)
+    if (!Proposal || IsSetLost || Proposal->Epoch != Stored.Epoch + 1)
       return;
     Stored = *Proposal;
     deliverSet(Machine);
   }
 
+  // Another writer overwrites the set on the platform, often one that few hosts
+  // know yet.
+  void loseSet() {
+    for (int I = 0; I < 3; ++I)
+      propose();
+    IsSetLost = true;
+  }
+
+  void restoreSetUnreliably() { restoreSet(randomMachine(), 70); }
+
+  // A host that knows an older set asks its members, of which not all reply.
+  void restoreSet(disk_machine &Machine, unsigned ArrivalPercent) {
+    if (!IsSetLost || !Machine.Core || Machine.IsCutOff)
+      return;
+    replica_core &Core = *Machine.Core;
+    set_restore Restore{milliseconds(0)};
+    Restore.update(platform_set{}, Core.set(), Now);
+    if (!Restore.isNeeded())
+      return;
+    Restore.onReply(Restore.round(), Machine.Host.Address, Core.set(),
+                    Core.caughtUp());
+    for (const disk_host &Host : Restore.set().Members) {
+      replica_core *Member = runningCore(Host.Address);
+      if (!Member || Member == &Core || !chance(ArrivalPercent))
+        continue;
+      ping_reply Reply = Member->ping(Machine.Host.Address, Core.pingRequest());
+      Member->sync();
+      Core.onPingReply(Host.Address, Reply);
+      Core.sync();
+      Restore.onReply(Restore.round(), Host.Address, Reply.Set, Reply.CaughtUp);
+    }
+    Restore.update(platform_set{}, Core.set(), Now);
+    if (!Restore.isConfirmed(Now))
+      return;
+    Stored = restoredSet(Restore.set(), Random());
+    IsSetLost = false;
+  }
+
   void copyUnreliably() {
     disk_machine &Machine = randomMachine();
     if (!Machine.Core || !Machine.Core->needsCopy())
@@ -703,16 +747,21 @@
     for (disk_machine &Machine : Machines)
       if (!Machine.Removed && !Machine.Core)
         start(Machine, false);
-    for (int Round = 0; Round < 60; ++Round)
+    for (int Round = 0; Round < 60; ++Round) {
+      // The operator writes a joint set back.
+      if (Round == RestoreRounds)
+        IsSetLost = false;
       for (disk_machine &Machine : Machines) {
         if (!Machine.Core)
           continue;
+        restoreSet(Machine, 100);
         deliverSet(Machine);
         catchUp(Machine);
         auto Proposal = proposeSet(viewOf(Machine));
-        if (Proposal && Proposal->Epoch == Stored.Epoch + 1)
+        if (Proposal && !IsSetLost && Proposal->Epoch == Stored.Epoch + 1)
           Stored = *Proposal;
       }
+    }
     EntrySet = Stored;
     for (const disk_host &Host : Stored.Members) {
       replica_core *Core = runningCore(Host.Address);
@@ -749,8 +798,9 @@
   int Turns = 0;
   std::map<std::string, disk_standin::disk_image> Disks; ///< By folder.
   std::vector<disk_machine> Machines;
-  disk_set Stored;   ///< The set on the platform.
-  disk_set EntrySet; ///< The set that an entry host knows.
+  disk_set Stored;        ///< The last set on the platform.
+  bool IsSetLost = false; ///< Whether the platform no longer holds it.
+  disk_set EntrySet;      ///< The set that an entry host knows.
   std::vector<std::string> Retiring;
   std::vector<pending_write> Writes;
   std::vector<pending_spend> Spends;
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -5,6 +5,7 @@
 
 #include "chain_repair_pvt.h"
 #include "monitor_pvt.h"
+#include "set_restore_pvt.h"
 #include "turmerichead/log_limiter.h"
 #include "turmerichead/net_loop.h"
 #include "turmerichead/turns_replica.h"
@@ -75,6 +76,12 @@
   void propose();
   std::vector<std::string> findUnresponsiveHosts() const;
 
+  std::optional<platform_set> PlatformSet;
+  set_restore Restore{Settings.RestoreDelay};
+
+  /// Writes the set to the platform again if it is lost there.
+  void restoreSet();
+
   // -- Copying records (replica_copy.cpp) --
   /// A request to one member, whose turns are divided among several links.
   struct pending_copy {
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -3,20 +3,24 @@
 
 #include "replica_pvt.h"
 
+#include <random>
+
 namespace turmerichead::turns {
 
 void replica::impl::onTick() {
   const disk_set &Set = Core->set();
   // The members of a set that is not joint never propose a change, so they need
   // not monitor other hosts.
+  Restore.update(PlatformSet, Set, steadyNow());
   bool IsMonitoring = Set.Epoch > 0 && (Set.isJoint() || !Core->isMember());
   Monitor.watch(IsMonitoring ? Set.allMembers() : std::vector<disk_host>(),
                 steadyNow());
-  if (IsMonitoring)
+  if (IsMonitoring || Restore.isNeeded())
     pingMembers();
   if (AwaitsFirstStart)
     pingForFirstStart();
   propose();
+  restoreSet();
   if (Core->needsCopy()) {
     requestCopies(true);
     logCopyProgress();
@@ -44,14 +48,17 @@
 
 void replica::impl::ping(const std::string &Address) {
   Links->setAddress(Address, Address);
-  Links->send(Address, {std::string(PingPath), {}, pack(Core->pingRequest())},
-              {[this, Address](std::string_view Bytes) {
-                 Monitor.recordReply(Address, steadyNow());
-                 if (auto Reply = unpack<ping_reply>(Bytes))
-                   Core->onPingReply(Address, *Reply);
-                 handleFirstStart();
-               },
-               [](const peer_result &) {}});
+  Links->send(
+      Address, {std::string(PingPath), {}, pack(Core->pingRequest())},
+      {[this, Address, Round = Restore.round()](std::string_view Bytes) {
+         Monitor.recordReply(Address, steadyNow());
+         if (auto Reply = unpack<ping_reply>(Bytes)) {
+           Core->onPingReply(Address, *Reply);
+           Restore.onReply(Round, Address, Reply->Set, Reply->CaughtUp);
+         }
+         handleFirstStart();
+       },
+       [](const peer_result &) {}});
 }
 
 std::vector<std::string> replica::impl::findUnresponsiveHosts() const {
@@ -91,4 +98,18 @@
     Events.OnPropose(*Proposal);
 }
 
+// -- Restoring a set that the platform has lost -------------------------------
+
+void replica::impl::restoreSet() {
+  if (!Restore.isNeeded())
+    return;
+  Restore.onReply(Restore.round(), Settings.Self.Address, Core->set(),
+                  Core->caughtUp());
+  if (!Restore.isConfirmed(steadyNow()))
+    return;
+  std::random_device Device;
+  Events.OnRestore(restoredSet(Restore.set(), Device()),
+                   Restore.stored().Revision);
+}
+
 } // namespace turmerichead::turns
--- a/src/libturns/set.cpp
+++ b/src/libturns/set.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+/// Epochs that a restored set skips at least. A set that no quorum knows is
+/// seldom followed by another one.
+constexpr std::uint64_t SkippedEpochs = 1U << 20U;
+
 bool contains(std::span<const std::string> Texts, std::string_view Text) {
   return std::find(Texts.begin(), Texts.end(), Text) != Texts.end();
 }
@@ -123,4 +127,10 @@
   return nextSet(View.Set, View.Set.Members, std::move(Next));
 }
 
+disk_set restoredSet(const disk_set &Set, std::uint32_t Random) {
+  disk_set Restored = Set;
+  Restored.Epoch += SkippedEpochs + Random % SkippedEpochs;
+  return Restored;
+}
+
 } // namespace turmerichead::turns
--- a/testsuite/fleet/foreign_entries_test.cpp
+++ b/testsuite/fleet/foreign_entries_test.cpp
@@ -116,3 +116,15 @@
   });
   CHECK(ownEnds(Fleet) == 0);
 }
+
+TEST_CASE("recover_disk_set_deleted_by_another_writer") {
+  fleet Fleet(recoverySettings("no-disk-set"));
+  REQUIRE(Fleet.start());
+  judgeRecovery(Fleet, [&] {
+    Fleet.order(
+        "store",
+        {{"remove", {{"kind", "turmerichead-hosts"}, {"name", "disk-set"}}}});
+    restartAll(Fleet);
+  });
+  CHECK(ownEnds(Fleet) == 0);
+}
