BUDGET: a resumed stream that ends its runners was recognized too late

Cause: an end counted for the caller's request only if the request was sent 250 ms after the end before. A stream is resumed some 5 ms after the end, so that the three ends of one attempt counted as one. Class: a guard against requests that are in flight together, applied to one request that follows itself.

The guard is for requests that can't be told apart: without a body, or of several callers. The same request of one caller, with a body, counts each end that its send follows. As before the quarantine is a breaker: a probe after 20 s may show that the request is sound, and no other caller is refused.

--- a/src/include/turmerichead/relay_crash_tracker.h
+++ b/src/include/turmerichead/relay_crash_tracker.h
@@ -62,6 +62,7 @@
   std::uint64_t CallerId = 0; ///< Hash of the caller alone.
 
   std::uint64_t valueOf(fingerprint_kind Kind) const;
+  bool hasBody() const { return Content != 0; }
   /// Sets shared ones to 0 that are also in \p Cleared.
   void dropShared(const call_fingerprints &Cleared);
 };
@@ -109,10 +110,11 @@
   /// shared fingerprint only crashes of which one request was sent well after
   /// the crash of the one before count, as requests that are in flight together
   /// prove nothing of each other, and unless it is that of a caller, they must
-  /// come from three callers. Its quarantine works like a circuit breaker:
-  /// after a time one host sends one request as a probe. A success ends the
-  /// quarantine, another crash doubles its time. After a few failed probes it
-  /// lasts until the crashes expire.
+  /// come from three callers. The same request of one caller, with a body, may
+  /// also follow at once, as a resumed stream does. Its quarantine works like a
+  /// circuit breaker: after a time one host sends one request as a probe. A
+  /// success ends the quarantine, another crash doubles its time. After a few
+  /// failed probes it lasts until the crashes expire.
   std::optional<quarantine_status>
   quarantineOf(const call_fingerprints &Fingerprints, time_point Now) const;
 
@@ -195,14 +197,14 @@
                            time_point Now) const;
   std::optional<quarantine_status> programQuarantine(std::uint64_t Fingerprint,
                                                      time_point Now) const;
-  std::optional<quarantine_status> sharedQuarantine(fingerprint_kind Kind,
-                                                    std::uint64_t Fingerprint,
-                                                    time_point Now) const;
+  std::optional<quarantine_status>
+  sharedQuarantine(const call_fingerprints &Fingerprints, fingerprint_kind Kind,
+                   time_point Now) const;
   /// Returns the crashes of a shared fingerprint that count, the oldest first;
   /// none if there are too few for a quarantine.
-  std::vector<sched::known_crash> countedCrashes(fingerprint_kind Kind,
-                                                 std::uint64_t Fingerprint,
-                                                 time_point Now) const;
+  std::vector<sched::known_crash>
+  countedCrashes(const call_fingerprints &Fingerprints, fingerprint_kind Kind,
+                 time_point Now) const;
   /// Returns the time until this host may send a probe, given the time since
   /// all hosts may; 0 if it may now.
   milliseconds timeUntilProbe(std::uint64_t Fingerprint,
--- a/src/librelay/crash_tracker.cpp
+++ b/src/librelay/crash_tracker.cpp
@@ -16,8 +16,9 @@
 constexpr std::size_t MaxRows = 4096;
 
 // A request with a shared fingerprint counts if it was sent this long after the
-// crash before. Retries of sound requests follow at once, and upstreams that
-// crash together take them along.
+// crash before, unless its body tells it from the other requests of its caller.
+// Retries of sound requests follow at once, and upstreams that crash together
+// take them along.
 constexpr milliseconds MinTimeAfterCrash{250};
 // Time from the last crash of a shared fingerprint to its first probe.
 constexpr milliseconds FirstProbeDelay{20'000};
@@ -159,7 +160,7 @@
     return std::nullopt;
   for (fingerprint_kind Kind : Kinds) {
     std::uint64_t Value = Fingerprints.valueOf(Kind);
-    auto Quarantine = isShared(Kind) ? sharedQuarantine(Kind, Value, Now)
+    auto Quarantine = isShared(Kind) ? sharedQuarantine(Fingerprints, Kind, Now)
                                      : programQuarantine(Value, Now);
     if (Quarantine)
       return Quarantine;
@@ -180,13 +181,16 @@
 }
 
 std::vector<sched::known_crash>
-crash_tracker::countedCrashes(fingerprint_kind Kind, std::uint64_t Fingerprint,
-                              time_point Now) const {
+crash_tracker::countedCrashes(const call_fingerprints &Fingerprints,
+                              fingerprint_kind Kind, time_point Now) const {
+  bool IsOneRequest =
+      Kind == fingerprint_kind::Caller && Fingerprints.hasBody();
+  milliseconds MinTime = IsOneRequest ? milliseconds(0) : MinTimeAfterCrash;
   std::vector<sched::known_crash> Counted;
-  for (sched::known_crash &Row : Table.crashes(Fingerprint, Now)) {
+  for (sched::known_crash &Row :
+       Table.crashes(Fingerprints.valueOf(Kind), Now)) {
     milliseconds SentAge = Row.Crash.Age + Row.Crash.Duration;
-    if (Counted.empty() ||
-        SentAge + MinTimeAfterCrash <= Counted.back().Crash.Age)
+    if (Counted.empty() || SentAge + MinTime <= Counted.back().Crash.Age)
       Counted.push_back(std::move(Row));
   }
   if (Counted.size() < MaxCrashes)
@@ -196,9 +200,10 @@
   return Counted;
 }
 
-std::optional<quarantine_status> crash_tracker::sharedQuarantine(
-    fingerprint_kind Kind, std::uint64_t Fingerprint, time_point Now) const {
-  auto Crashes = countedCrashes(Kind, Fingerprint, Now);
+std::optional<quarantine_status>
+crash_tracker::sharedQuarantine(const call_fingerprints &Fingerprints,
+                                fingerprint_kind Kind, time_point Now) const {
+  auto Crashes = countedCrashes(Fingerprints, Kind, Now);
   if (Crashes.empty())
     return std::nullopt;
   milliseconds SinceLast = Crashes.back().Crash.Age;
@@ -207,9 +212,9 @@
       CrashRetention - Crashes[Crashes.size() - MaxCrashes].Crash.Age;
   if (FailedProbes < MaxProbes) {
     milliseconds Delay = FirstProbeDelay * (1 << FailedProbes);
-    ExpiresIn = SinceLast < Delay
-                    ? Delay - SinceLast
-                    : timeUntilProbe(Fingerprint, SinceLast - Delay, Now);
+    ExpiresIn = SinceLast < Delay ? Delay - SinceLast
+                                  : timeUntilProbe(Fingerprints.valueOf(Kind),
+                                                   SinceLast - Delay, Now);
   }
   if (ExpiresIn <= milliseconds(0))
     return std::nullopt;
@@ -236,9 +241,8 @@
   std::erase_if(Probes,
                 [&](const auto &Row) { return Now - Row.second >= ProbeTurn; });
   for (fingerprint_kind Kind : Kinds) {
-    std::uint64_t Value = Fingerprints.valueOf(Kind);
-    if (isShared(Kind) && !countedCrashes(Kind, Value, Now).empty())
-      Probes[Value] = Now;
+    if (isShared(Kind) && !countedCrashes(Fingerprints, Kind, Now).empty())
+      Probes[Fingerprints.valueOf(Kind)] = Now;
   }
 }
 
--- a/src/librelay/crash_tracker_test.cpp
+++ b/src/librelay/crash_tracker_test.cpp
@@ -275,6 +275,27 @@
   }
 }
 
+TEST_CASE("budget_stream_that_is_resumed_at_once_under_ever_new_programs") {
+  // The three crashes of one attempt counted as one, as a resumed stream is
+  // sent again within milliseconds.
+  crash_tracker CrashTracker("h");
+  auto CallOf = [](std::string_view Program, std::string_view Caller,
+                   std::string_view Body) {
+    return crash_tracker::fingerprintsOf(
+        {Program, Caller, "POST", "/chat/", Body});
+  };
+  for (std::int64_t I = 0; I < 3; ++I)
+    crash(CrashTracker, CallOf("p", "c", "body"), "u" + std::to_string(I),
+          1000 + 60 * I);
+  auto Quarantine = CrashTracker.quarantineOf(CallOf("q", "c", "body"), {1300});
+  REQUIRE(Quarantine);
+  CHECK(Quarantine->Kind == fingerprint_kind::Caller);
+  CHECK(!refused(CrashTracker, CallOf("q", "d", "body"), 1300));
+  CHECK(!refused(CrashTracker, CallOf("q", "c", "other"), 1300));
+  // A probe may show that it is sound.
+  CHECK(!refused(CrashTracker, CallOf("q", "c", "body"), 21'200));
+}
+
 TEST_CASE("retries of one sound request are no three crashes") {
   // Three upstreams crashed within milliseconds, and each retry met the next.
   crash_tracker CrashTracker("h");
