Known red: several entries of the largest size in the store

The case of one entry is as before. OnRestore goes to the end of replica_events, as others initialize the earlier members in order.

--- a/src/include/turmerichead/turns_replica.h
+++ b/src/include/turmerichead/turns_replica.h
@@ -44,12 +44,14 @@
   /// platform by this one. Called repeatedly until updateSet() brings a newer
   /// set.
   std::function<void(const disk_set &Proposal)> OnPropose;
-  /// Requests that the owner writes this set to the platform, which no longer
-  /// holds the set of the members, in place of the object of \p Revision.
-  /// Called repeatedly until setPlatformSet() brings another object.
-  std::function<void(const disk_set &Set, std::uint64_t Revision)> OnRestore;
   /// Receives the requests for paths that the replica does not serve.
   std::function<void(const peer_request_view &Request)> OnUnhandledRequest;
+  /// Requests that the owner writes this set to the platform, which no longer
+  /// holds the set of the members, in place of the object of \p Revision.
+  /// Called repeatedly until setPlatformSet() brings another object. May be
+  /// unset where setPlatformSet() is not called.
+  std::function<void(const disk_set &Set, std::uint64_t Revision)> OnRestore =
+      nullptr;
 };
 
 /// Counters since the start, for the metrics.
--- a/testsuite/fleet/foreign_entries_test.cpp
+++ b/testsuite/fleet/foreign_entries_test.cpp
@@ -41,6 +41,34 @@
                     [](const process_end &End) { return End.isOwn(); }));
 }
 
+/// Restarts all hosts while \p Count entries of the largest size stand in each
+/// kind, and checks the service and the memory of the hosts.
+void judgeLargeEntries(const char *Name, int Count) {
+  // The smallest hosts of all deployments.
+  constexpr std::uint64_t MemoryMb = 88;
+  constexpr std::size_t BytesPerMb = 1U << 20U;
+  // Of all JSON of a size, this takes the most memory once it is decoded.
+  constexpr std::size_t Objects = 300'000;
+  fleet_settings Settings = recoverySettings(Name);
+  Settings.MemoryMb = MemoryMb;
+  fleet Fleet(Settings);
+  REQUIRE(Fleet.start());
+  json Spec = json::array();
+  for (std::size_t I = 0; I < Objects; ++I)
+    Spec.push_back(json::object());
+  for (const std::string &Kind : foreign_entries::kinds())
+    for (int I = 0; I < Count; ++I)
+      put(Fleet, Kind, "large" + std::to_string(I), Spec);
+  judgeRecovery(Fleet, [&] { restartAll(Fleet); });
+  CHECK(ownEnds(Fleet) == 0);
+  for (role Role : {role::Entry, role::Disk})
+    for (const std::string &Host : Fleet.names(Role)) {
+      std::size_t Peak = peakMemoryOf(Fleet.pidOf(Host));
+      MESSAGE(Host << ": " << Peak / BytesPerMb << " MB");
+      CHECK(Peak < MemoryMb * BytesPerMb);
+    }
+}
+
 } // namespace
 
 TEST_CASE("recover_entry_with_an_odd_name_hides_the_rest_of_a_list") {
@@ -83,28 +111,12 @@
 }
 
 TEST_CASE("fault_entry_of_the_largest_size_takes_the_memory_of_a_host") {
-  // The smallest hosts of all deployments.
-  constexpr std::uint64_t MemoryMb = 88;
-  constexpr std::size_t BytesPerMb = 1U << 20U;
-  // Of all JSON of a size, this takes the most memory once it is decoded.
-  constexpr std::size_t Objects = 300'000;
-  fleet_settings Settings = recoverySettings("large-entry");
-  Settings.MemoryMb = MemoryMb;
-  fleet Fleet(Settings);
-  REQUIRE(Fleet.start());
-  json Spec = json::array();
-  for (std::size_t I = 0; I < Objects; ++I)
-    Spec.push_back(json::object());
-  for (const std::string &Kind : foreign_entries::kinds())
-    put(Fleet, Kind, "large", Spec);
-  judgeRecovery(Fleet, [&] { restartAll(Fleet); });
-  CHECK(ownEnds(Fleet) == 0);
-  for (role Role : {role::Entry, role::Disk})
-    for (const std::string &Name : Fleet.names(Role)) {
-      std::size_t Peak = peakMemoryOf(Fleet.pidOf(Name));
-      MESSAGE(Name << ": " << Peak / BytesPerMb << " MB");
-      CHECK(Peak < MemoryMb * BytesPerMb);
-    }
+  judgeLargeEntries("large-entry", 1);
+}
+
+TEST_CASE("fault_many_entries_of_the_largest_size") {
+  constexpr int Entries = 6;
+  judgeLargeEntries("large-entries", Entries);
 }
 
 TEST_CASE("recover_disk_set_overwritten_by_another_writer") {
