--- a/testsuite/fleet/foreign_entries.cpp
+++ b/testsuite/fleet/foreign_entries.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr milliseconds ChangeInterval{400};
+constexpr milliseconds LossInterval{5000};
+constexpr const char *SetKind = "turmerichead-hosts";
+constexpr const char *SetName = "disk-set";
 constexpr std::uint64_t MaxPageRows = 4;
 
 template <typename Item>
@@ -47,6 +50,31 @@
   put(Kind, Name);
 }
 
+void foreign_entries::loseDiskSets() {
+  Losses = loop_source::every(LossInterval, [this] {
+    loseDiskSet();
+    return true;
+  });
+}
+
+void foreign_entries::loseDiskSet() {
+  nlohmann::json Target = {{"kind", SetKind}, {"name", SetName}};
+  nlohmann::json Answer = Fleet.ask("store", {{"look", Target}}).Body;
+  if (!Answer.is_object() || !Answer["object"].is_object())
+    return;
+  nlohmann::json Spec = Answer["object"]["specification"];
+  bool IsStable =
+      Spec.is_object() && Spec["next"].is_array() && Spec["next"].empty();
+  if (!IsStable)
+    return;
+  if (Random() % 2 == 0) {
+    Fleet.order("store", {{"remove", Target}});
+    return;
+  }
+  Target["spec"] = {{"epoch", "odd"}};
+  Fleet.order("store", {{"put", Target}});
+}
+
 void foreign_entries::put(const std::string &Kind, const std::string &Name) {
   std::vector<nlohmann::json> Values = standin::oddValues();
   Present.insert({Kind, Name});
--- a/testsuite/fleet/foreign_entries.h
+++ b/testsuite/fleet/foreign_entries.h
@@ -19,17 +19,23 @@
 public:
   foreign_entries(fleet &Fleet, std::uint64_t Seed);
 
+  /// From now on also overwrites or deletes the disk set at times, unless it is
+  /// joint: a joint set is not restored.
+  void loseDiskSets();
+
   /// The kinds of the store that hosts read.
   static const std::vector<std::string> &kinds();
 
 private:
   void change();
+  void loseDiskSet();
   void put(const std::string &Kind, const std::string &Name);
 
   fleet &Fleet;
   std::mt19937_64 Random;
   std::set<std::pair<std::string, std::string>> Present; ///< Kind and name.
   loop_source Changes;
+  loop_source Losses; ///< Of the disk set.
 };
 
 } // namespace turmerichead::fleet_harness
--- a/testsuite/soak/main.cpp
+++ b/testsuite/soak/main.cpp
@@ -44,6 +44,8 @@
 DEFINE_bool(power_loss, false,
             "Hosts lose power in place of some kills, after kills of disk "
             "hosts");
+DEFINE_bool(lose_disk_set, false,
+            "Another writer overwrites or deletes the disk set at times");
 DEFINE_string(only, "", "Numbers of faults to play, with commas");
 DEFINE_bool(minimize, false, "Look for the fewest faults that still fail");
 DEFINE_string(report, "", "File for a picture and a table of the last run");
@@ -75,6 +77,7 @@
   Settings.EndsWithFault = Site.has_value();
   Settings.LosesPower = FLAGS_power_loss;
   Settings.Fleet.RecordsDisks = FLAGS_power_loss;
+  Settings.LosesDiskSet = FLAGS_lose_disk_set;
   Settings.Fleet.Bin = FLAGS_bin;
   Settings.Fleet.Scratch = FLAGS_scratch + "/" + std::to_string(Seed);
   Settings.Fleet.DiskRoot = FLAGS_disk_root;
@@ -115,6 +118,7 @@
            std::to_string(Settings.Fleet.Organisations) +
            (FLAGS_hold_limits ? "" : " --nohold_limits") +
            (FLAGS_power_loss ? " --power_loss" : "") +
+           (FLAGS_lose_disk_set ? " --lose_disk_set" : "") +
            (FLAGS_disk_root.empty() ? "" : " --disk_root " + FLAGS_disk_root) +
            (Only.empty() ? "" : " --only " + Only);
   }
@@ -131,6 +135,7 @@
          std::to_string(Settings.Fleet.Organisations) +
          (FLAGS_resumable ? " --resumable" : "") +
          (FLAGS_power_loss ? " --power_loss" : "") +
+         (FLAGS_lose_disk_set ? " --lose_disk_set" : "") +
          (Only.empty() ? "" : " --only " + Only);
 }
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -76,6 +76,8 @@
   if (Settings.Fleet.Organisations > 0)
     Keys.emplace(Fleet, Oracle, Settings.Plan.Seed);
   fleet_harness::foreign_entries Foreign(Fleet, Settings.Plan.Seed);
+  if (Settings.LosesDiskSet)
+    Foreign.loseDiskSets();
   milliseconds End{0};
   for (const fault &Fault : Plan) {
     ++UnderWay;
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -25,6 +25,8 @@
   /// of all kills of all hosts. Before the final fault each disk host is killed
   /// in turn.
   bool LosesPower = false;
+  /// Whether another writer overwrites or deletes the disk set at times.
+  bool LosesDiskSet = false;
   std::set<std::size_t> Only; ///< Faults to play; all if empty.
 };
 
