RECOVER: members that start last after a common fault were replaced

The set was joint for 7 s, in which 112 MB were copied and each turn was written to six members in place of three, until the disks were full and no turn was served.

Cause: silence counted from a host's own first ping, although the cause was common to all members. Now a host reports others as unresponsive only once a read quorum has replied to it for as long as a host may be silent. Only hosts that have just begun to ping the members, or were cut off, wait longer.

Test recover_members_that_start_last_are_not_replaced calls the new function.

--- a/src/libturns/monitor_pvt.h
+++ b/src/libturns/monitor_pvt.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -51,6 +52,20 @@
     return Row != Watched.end() && Row->second.HasReplied;
   }
 
+  /// Whether a read quorum of \p Set has replied and is responsive, for as long
+  /// as a host may be silent. Members that start together after a common fault
+  /// do not become responsive at the same time; the last ones are not lost.
+  bool hasSteadyQuorum(const disk_set &Set, time_point Now) {
+    bool HasQuorum = isReadQuorum(Set, [&](std::string_view Address) {
+      return hasReplied(Address) && responds(Address, Now);
+    });
+    if (!HasQuorum)
+      QuorumSince.reset();
+    else if (!QuorumSince)
+      QuorumSince = Now;
+    return QuorumSince && Now - *QuorumSince >= UnresponsiveAfter;
+  }
+
 private:
   struct watched_host {
     time_point HeardAt; ///< When it last replied or was first pinged.
@@ -59,6 +74,7 @@
 
   milliseconds UnresponsiveAfter;
   std::map<std::string, watched_host, std::less<>> Watched; ///< By address.
+  std::optional<time_point> QuorumSince; ///< See hasSteadyQuorum().
 };
 
 } // namespace turmerichead::turns
--- a/src/libturns/monitor_test.cpp
+++ b/src/libturns/monitor_test.cpp
@@ -47,3 +47,29 @@
   Monitor.watch(Hosts, {5000});
   CHECK(Monitor.responds("a", {6000}));
 }
+
+TEST_CASE("recover_members_that_start_last_are_not_replaced") {
+  // After a kill of all hosts, spare hosts replaced the member that was the
+  // last to read its log. Its records were copied and each turn was written to
+  // all members, until the disks were full.
+  host_monitor Monitor(UnresponsiveAfter);
+  disk_set Set{1, 2, {hostAt("a"), hostAt("b"), hostAt("c")}, {}};
+  Monitor.watch(Set.Members, {0});
+  CHECK(!Monitor.hasSteadyQuorum(Set, {1000}));
+  Monitor.recordReply("a", {1000});
+  CHECK(!Monitor.hasSteadyQuorum(Set, {1100}));
+  Monitor.recordReply("b", {1200});
+  CHECK(!Monitor.hasSteadyQuorum(Set, {1200}));
+  for (std::int64_t At = 1450; At < 2700; At += 250) {
+    Monitor.recordReply("a", {At});
+    Monitor.recordReply("b", {At});
+    CHECK(!Monitor.hasSteadyQuorum(Set, {At}));
+  }
+  CHECK(!Monitor.responds("c", {2700}));
+  CHECK(Monitor.hasSteadyQuorum(Set, {2700}));
+  // A host that is cut off itself begins anew.
+  CHECK(!Monitor.hasSteadyQuorum(Set, {9000}));
+  Monitor.recordReply("a", {9100});
+  Monitor.recordReply("b", {9100});
+  CHECK(!Monitor.hasSteadyQuorum(Set, {9200}));
+}
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -74,7 +74,7 @@
   void pingForFirstStart();
   void ping(const std::string &Address);
   void propose();
-  std::vector<std::string> findUnresponsiveHosts() const;
+  std::vector<std::string> findUnresponsiveHosts();
 
   std::optional<platform_set> PlatformSet;
   set_restore Restore{Settings.RestoreDelay};
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -61,19 +61,17 @@
        [](const peer_result &) {}});
 }
 
-std::vector<std::string> replica::impl::findUnresponsiveHosts() const {
+std::vector<std::string> replica::impl::findUnresponsiveHosts() {
   const disk_set &Set = Core->set();
   time_point Now = steadyNow();
   std::vector<std::string> Unresponsive;
-  auto Responds = [&](std::string_view Address) {
-    return Monitor.responds(Address, Now);
-  };
   // A host that receives replies from fewer members than a read quorum is
   // itself partitioned, so it reports no other host as unresponsive.
-  if (!isReadQuorum(Set, Responds))
+  if (!Monitor.hasSteadyQuorum(Set, Now))
     return Unresponsive;
   for (const disk_host &Host : Set.allMembers())
-    if (Host.Address != Settings.Self.Address && !Responds(Host.Address))
+    if (Host.Address != Settings.Self.Address &&
+        !Monitor.responds(Host.Address, Now))
       Unresponsive.push_back(Host.Address);
   return Unresponsive;
 }
