--- a/src/libturns/full_log_test.cpp
+++ b/src/libturns/full_log_test.cpp
@@ -75,6 +75,20 @@
   CHECK(Disk.add("after"));
 }
 
+TEST_CASE("recover_log_has_room_for_the_turns_of_a_whole_day") {
+  // New turns were refused above three quarters of the maximum, so that no turn
+  // was served after the restart that ended a long day.
+  constexpr std::uint64_t Percent = 80;
+  small_disk Disk;
+  turn_record Turn{"", "", "p", RetentionMs, "", std::string(TurnBytes, 'o'),
+                   "u"};
+  do
+    Turn.Id += "t";
+  while (Disk.Store->add(Turn, {0}, record_purpose::NewWork) &&
+         Disk.Store->sync());
+  CHECK(Disk.Store->bytes() > MaxBytes / 100 * Percent);
+}
+
 TEST_CASE("a_full_log_can_be_opened_again") {
   // The state is written at each start; a full log refused it, and the process
   // ended.
--- a/src/libturns/log.cpp
+++ b/src/libturns/log.cpp
@@ -26,12 +26,11 @@
 constexpr std::string_view Prefix = "segment-";
 constexpr std::string_view Suffix = ".log";
 
-// A new turn is refused above 75 % of the maximum size, its end above 80 %. A
+// A new turn is refused above 85 % of the maximum size, its end above 90 %. A
 // host that catches up stores the turns that it has lost, about as many as each
-// other member has. If two members catch up at the same time, each stores up to
-// 1.5 times as many.
-constexpr std::uint64_t NewWorkPercent = 75;
-constexpr std::uint64_t CompletionPercent = 80;
+// other member has, and what it copies twice.
+constexpr std::uint64_t NewWorkPercent = 85;
+constexpr std::uint64_t CompletionPercent = 90;
 constexpr std::uint64_t Hundred = 100;
 
 std::uint64_t limitFor(record_purpose Purpose, std::uint64_t MaxBytes) {
