Replica: the configured times of its monitor and of a restore are used

The members were made before the settings were given, so that UnresponsiveAfter and RestoreDelay always had their defaults. Found on reading; no caller sets them, and libturns_test passes.

--- a/src/libturns/replica.cpp
+++ b/src/libturns/replica.cpp
@@ -175,6 +175,8 @@
   impl *Raw = Impl.get();
   Raw->Settings = std::move(Settings);
   Raw->Events = std::move(Events);
+  Raw->Monitor = host_monitor(Raw->Settings.UnresponsiveAfter);
+  Raw->Restore = set_restore(Raw->Settings.RestoreDelay);
   Raw->Repairs = chain_repair(Raw->Settings.Self.Address);
   // The port comes first: a process that still holds it may write to the log.
   peer_settings Peer = linkSettings(Raw->Settings.Self.Address);
--- a/src/libturns/replica_pvt.h
+++ b/src/libturns/replica_pvt.h
@@ -65,7 +65,7 @@
   std::vector<disk_host> Registered;
   time_point RegisteredAt; ///< When Registered changed last.
   std::vector<std::string> Retiring;
-  host_monitor Monitor{Settings.UnresponsiveAfter};
+  host_monitor Monitor{{}};
   loop_source TickTimer;
 
   void onTick();
@@ -77,7 +77,7 @@
   std::vector<std::string> findUnresponsiveHosts();
 
   std::optional<platform_set> PlatformSet;
-  set_restore Restore{Settings.RestoreDelay};
+  set_restore Restore{{}};
 
   /// Writes the set to the platform again if it is lost there.
   void restoreSet();
--- a/src/libturns/replica_set.cpp
+++ b/src/libturns/replica_set.cpp
@@ -9,9 +9,9 @@
 
 void replica::impl::onTick() {
   const disk_set &Set = Core->set();
+  Restore.update(PlatformSet, Set, steadyNow());
   // The members of a set that is not joint never propose a change, so they need
   // not monitor other hosts.
-  Restore.update(PlatformSet, Set, steadyNow());
   bool IsMonitoring = Set.Epoch > 0 && (Set.isJoint() || !Core->isMember());
   Monitor.watch(IsMonitoring ? Set.allMembers() : std::vector<disk_host>(),
                 steadyNow());
