--- a/testsuite/fleet/foreign_entries_test.cpp
+++ b/testsuite/fleet/foreign_entries_test.cpp
@@ -34,6 +34,14 @@
   startAll(Fleet, false);
 }
 
+/// Makes lists of one row a page, with odd names in each kind.
+void putOddNames(fleet &Fleet) {
+  Fleet.order("store", {{"page_rows", 1}});
+  for (const std::string &Kind : foreign_entries::kinds())
+    for (const char *Name : {"a a", "a#a", "a%41", "a%zz", "a&b", "a+a"})
+      put(Fleet, Kind, Name, {{"slots", "many"}});
+}
+
 /// Ends of hosts that no signal of the test asked for.
 std::size_t ownEnds(const fleet &Fleet) {
   return static_cast<std::size_t>(
@@ -41,6 +49,17 @@
                     [](const process_end &End) { return End.isOwn(); }));
 }
 
+/// Restarts all hosts while the store does not continue lists after odd names.
+/// \p Mode is a name of odd_continuation.h.
+void judgeOddContinuation(const std::string &Mode) {
+  fleet Fleet(recoverySettings(("odd-continuation-" + Mode).c_str()));
+  REQUIRE(Fleet.start());
+  putOddNames(Fleet);
+  Fleet.order("store", {{"odd_continuation", Mode}});
+  judgeRecovery(Fleet, [&] { restartAll(Fleet); });
+  CHECK(ownEnds(Fleet) == 0);
+}
+
 /// Restarts all hosts while \p Count entries of the largest size stand in each
 /// kind, and checks the service and the memory of the hosts.
 void judgeLargeEntries(const char *Name, int Count) {
@@ -74,14 +93,35 @@
 TEST_CASE("recover_entry_with_an_odd_name_hides_the_rest_of_a_list") {
   fleet Fleet(recoverySettings("odd-names"));
   REQUIRE(Fleet.start());
-  Fleet.order("store", {{"page_rows", 1}});
-  for (const std::string &Kind : foreign_entries::kinds())
-    for (const char *Name : {"a a", "a#a", "a%41", "a%zz", "a&b", "a+a"})
-      put(Fleet, Kind, Name, {{"slots", "many"}});
+  putOddNames(Fleet);
   judgeRecovery(Fleet, [&] { restartAll(Fleet); });
   CHECK(ownEnds(Fleet) == 0);
 }
 
+TEST_CASE("recover_store_rejects_lists_after_odd_names") {
+  judgeOddContinuation("rejected");
+}
+
+TEST_CASE("recover_store_fails_lists_after_odd_names") {
+  judgeOddContinuation("failed");
+}
+
+TEST_CASE("recover_store_is_busy_for_lists_after_odd_names") {
+  judgeOddContinuation("busy");
+}
+
+TEST_CASE("recover_store_resets_lists_after_odd_names") {
+  judgeOddContinuation("reset");
+}
+
+TEST_CASE("recover_store_is_silent_to_lists_after_odd_names") {
+  judgeOddContinuation("silent");
+}
+
+TEST_CASE("recover_store_does_not_decode_odd_names_in_lists") {
+  judgeOddContinuation("not_decoded");
+}
+
 TEST_CASE("retirement_beside_an_odd_name_has_no_status") {
   fleet Fleet(recoverySettings("odd-retirement"));
   REQUIRE(Fleet.start());
--- a/testsuite/standins/object_store.h
+++ b/testsuite/standins/object_store.h
@@ -3,6 +3,7 @@
 /// the same process, or as a process of its own (store_main.cpp).
 #pragma once
 
+#include "odd_continuation.h"
 #include "store_target.h"
 #include "turmerichead/http1_server.h"
 #include "turmerichead/net_loop.h"
@@ -144,12 +145,24 @@
       reply(Id, 200, Page);
   }
 
+  /// Whether a request for the object HeldName waits for answerGets().
+  bool hasHeldGet() const { return !HeldGets.empty(); }
+  /// Answers the requests that wait with \p Object.
+  void answerGets(const nlohmann::json &Object) {
+    for (http1::exchange_id Id : std::exchange(HeldGets, {}))
+      reply(Id, 200, Object);
+  }
+
   mood Mood = mood::Fine;
+  std::string HeldName;    ///< See hasHeldGet(); empty if none waits.
   bool HoldsLists = false; ///< Lists wait for answerLists().
   /// A list is split into pages of so many objects, or of this size unless a
   /// single object is larger.
   std::size_t MaxPageRows = 500;
   std::size_t MaxPageBytes = 1U << 20U;
+  odd_continuation OddContinuation = odd_continuation::Decoded;
+  /// A page with the object of this name gets 500, unless it is empty.
+  std::string UnreadableName;
   /// Longer targets get 414.
   std::size_t MaxTargetBytes = 8000;
   /// Stands for the byte 0xFF, which no text in UTF-8 has, in names and
@@ -247,13 +260,37 @@
     std::string After = replaced(Target.Query["after"], NoTextByte, NoTextMark);
     if (HoldsLists)
       HeldLists.push_back(Id);
-    else
-      reply(Id, 200, listOf(Target.Kind, After));
+    else if (!isOddContinuation(After) || !failOddContinuation(Id))
+      replyWithPage(Id, Target.Kind, continuationOf(OddContinuation, After));
+  }
+
+  /// Returns false if the store responds with a page.
+  bool failOddContinuation(http1::exchange_id Id) {
+    if (OddContinuation == odd_continuation::Reset)
+      Server->abort(Id);
+    int Status = statusOf(OddContinuation);
+    if (Status != 0)
+      reply(Id, Status, nullptr);
+    return Status != 0 || OddContinuation == odd_continuation::Reset ||
+           OddContinuation == odd_continuation::Silent;
+  }
+
+  void replyWithPage(http1::exchange_id Id, const std::string &Kind,
+                     const std::string &After) {
+    nlohmann::json Page = listOf(Kind, After);
+    for (const nlohmann::json &Item : Page["items"])
+      if (Item["metadata"]["name"] == UnreadableName) {
+        reply(Id, 500, nullptr);
+        return;
+      }
+    reply(Id, 200, Page);
   }
 
   void get(http1::exchange_id Id, const store_target &Target) {
     auto Row = Objects.find({Target.Kind, Target.Name});
-    if (Row == Objects.end())
+    if (Target.Name == HeldName)
+      HeldGets.push_back(Id);
+    else if (Row == Objects.end())
       reply(Id, 404, nullptr);
     else
       reply(Id, 200, Row->second);
@@ -303,6 +340,7 @@
   std::vector<change> History;
   std::vector<watcher> Watchers;
   std::vector<http1::exchange_id> HeldLists;
+  std::vector<http1::exchange_id> HeldGets;
   std::uint64_t Revision = 100;
   std::uint64_t HistoryFrom = 0;
   loop_source Ticker;
--- a/testsuite/standins/store_main.cpp
+++ b/testsuite/standins/store_main.cpp
@@ -3,8 +3,9 @@
 ///
 /// `POST /control` takes {"mood": "fine"|"busy"|"silent"|"reset"|"lossy",
 /// "forget_history": true, "put": {"kind", "name", "spec", "status"},
-/// "remove": {"kind", "name"}, "page_rows": N, "look": {"kind", "name"}}. The
-/// answer has the number of calls so far, and the "object" that was looked up.
+/// "remove": {"kind", "name"}, "page_rows": N, "odd_continuation": a name of
+/// odd_continuation.h, "look": {"kind", "name"}}. The answer has the number of
+/// calls so far, and the "object" that was looked up.
 
 #include "object_store.h"
 
@@ -56,6 +57,9 @@
                  (*Gone)["name"].get<std::string>());
   if (auto Rows = Order.find("page_rows"); Rows != Order.end())
     Store.MaxPageRows = Rows->get<std::size_t>();
+  if (auto Mode = Order.find("odd_continuation"); Mode != Order.end())
+    Store.OddContinuation =
+        standin::oddContinuationNamed(Mode->get<std::string>());
   auto Look = Order.find("look");
   if (Look == Order.end())
     return nullptr;
