FAULT: a chat request whose model is no string ended the host

What callers saw: {"model":7,...} with a valid token, at the own interface: the connection ended without a response and the process with type_error.302.

Cause: http_front::onChat() read the field with json::value(), which throws on a value of another type, and nothing catches it; parseChatRequest() checked the other fields before.

The request gets 400 invalid_input, which names the field.

Why this works: the field is checked where all others are, and read as an optional string.

--- a/src/libhost/chat.cpp
+++ b/src/libhost/chat.cpp
@@ -194,6 +194,12 @@
     if (!(*Messages)[I].is_object() || textAt((*Messages)[I], "role").empty())
       return fail(error_code::InvalidInput,
                   "messages[" + std::to_string(I) + "].role: must be a string");
+  auto Model = Request.Body.find("model");
+  if (Model != Request.Body.end()) {
+    if (!Model->is_string())
+      return fail(error_code::InvalidInput, "model: must be a string");
+    Request.Model = Model->get<std::string>();
+  }
   auto Stream = Request.Body.find("stream");
   if (Stream != Request.Body.end()) {
     if (!Stream->is_boolean())
--- a/src/libhost/chat_pvt.h
+++ b/src/libhost/chat_pvt.h
@@ -75,6 +75,7 @@
 struct chat_request {
   nlohmann::json Body;
   bool Stream = false;
+  std::optional<std::string> Model;       ///< As requested by the caller.
   std::optional<std::uint64_t> MaxTokens; ///< As requested by the caller.
 };
 
--- a/src/libhost/chat_test.cpp
+++ b/src/libhost/chat_test.cpp
@@ -76,6 +76,8 @@
   CHECK(lastError().Text == "messages[0].role: must be a string");
   CHECK_FALSE(
       parseChatRequest(R"({"messages":[{"role":"user"}],"max_tokens":0})"));
+  CHECK_FALSE(parseChatRequest(R"({"messages":[{"role":"user"}],"model":7})"));
+  CHECK(lastError().Text == "model: must be a string");
   CHECK(parseChatRequest(R"({"messages":[{"role":"user"}],"stream":true})")
             ->Stream);
 }
--- a/src/libhost/front.cpp
+++ b/src/libhost/front.cpp
@@ -285,7 +285,7 @@
     fail(Request.Exchange, 400, "invalid_input", lastError().Text, "body");
     return;
   }
-  std::string Model = Chat->Body.value("model", Caller->Rules->Model);
+  std::string Model = Chat->Model.value_or(Caller->Rules->Model);
   if (Model != Caller->Rules->Model) {
     fail(Request.Exchange, 400, "invalid_input",
          "the entry grants the model " + Caller->Rules->Model, "body: model");
