Tools: a log line or entry with a field of another type ended the command

What operators saw: losses, explain, audit and get ended with SIGABRT, type_error.302 or 305, as soon as one line or entry of another writer had a field of another type, so that all others were not shown.

Cause: json::value() throws on a field of another type, and operator[] on a value that is no object.

Why this works: fields are read by functions that treat another type as absent.

--- a/src/turmericheadctl/audit.cpp
+++ b/src/turmericheadctl/audit.cpp
@@ -2,6 +2,7 @@
 
 #include "commands.h"
 #include "turmerichead/file.h"
+#include "turmerichead/json_fields.h"
 #include "turmerichead/wall_time.h"
 
 #include "turmerichead/error.h"
@@ -66,7 +67,7 @@
   std::istringstream Lines(*Text);
   for (std::string Line; std::getline(Lines, Line);) {
     json Record = json::parse(Line, nullptr, false);
-    bool IsAudit = Record.is_object() && Record.value("level", "") == "audit";
+    bool IsAudit = textAt(Record, "level") == "audit";
     if (!IsAudit)
       continue;
     Records.push_back(std::move(Record));
--- a/src/turmericheadctl/entries.cpp
+++ b/src/turmericheadctl/entries.cpp
@@ -6,6 +6,7 @@
 
 #include "turmerichead/catalogue.h"
 #include "turmerichead/error.h"
+#include "turmerichead/json_fields.h"
 
 #include <algorithm>
 #include <iostream>
@@ -153,7 +154,9 @@
       return unreachable(Name, Reply.Outcome == platform_outcome::NotFound
                                    ? "no such entry"
                                    : Reply.Text);
-    json Shown = Reply.Object.value("spec", json::object());
+    json Shown = valueAt(Reply.Object, "spec");
+    if (!Shown.is_object())
+      Shown = {{"spec", Shown}};
     Shown["name"] = Name;
     std::cerr << Name << ": " << versionText(Reply.Object) << '\n';
     constexpr int Indent = 2;
--- a/src/turmericheadctl/explain.cpp
+++ b/src/turmericheadctl/explain.cpp
@@ -37,9 +37,9 @@
 
 story_line storyLine(nlohmann::ordered_json Line) {
   story_line Row;
-  Row.TimeMs = Line.value("time_ms", std::int64_t(0));
-  Row.Host = Line.value("host", std::string("?"));
-  Row.Event = Line.value("event", std::string("?"));
+  Row.TimeMs = integerAt(Line, "time_ms");
+  Row.Host = textAt(Line, "host", "?");
+  Row.Event = textAt(Line, "event", "?");
   for (const char *Key : {"time_ms", "host", "event", "level"})
     Line.erase(Key);
   Row.Fields = std::move(Line);
--- a/src/turmericheadctl/hosts.cpp
+++ b/src/turmericheadctl/hosts.cpp
@@ -3,6 +3,7 @@
 #include "commands.h"
 #include "session.h"
 #include "turmerichead/file.h"
+#include "turmerichead/json_fields.h"
 
 #include "turmerichead/endpoint.h"
 #include "turmerichead/error.h"
@@ -90,7 +91,7 @@
   std::cout << "host " << textAt(Status, "host") << ", map version "
             << textAt(Status, "map_version") << ", configuration version "
             << textAt(Status, "config_version")
-            << (Status.value("draining", false) ? ", draining" : "") << "\n\n";
+            << (flagAt(Status, "draining") ? ", draining" : "") << "\n\n";
   printRows(Status.value("hosts", json::array()),
             {"id", "data_centre", "state", "health", "shards", "http"});
   std::cout << '\n';
--- a/src/turmericheadctl/log_lines.cpp
+++ b/src/turmericheadctl/log_lines.cpp
@@ -43,4 +43,18 @@
   return true;
 }
 
+std::int64_t integerAt(const nlohmann::ordered_json &Line, const char *Key,
+                       std::int64_t Default) {
+  auto Value = Line.find(Key);
+  bool IsInteger = Value != Line.end() && Value->is_number_integer();
+  return IsInteger ? Value->get<std::int64_t>() : Default;
+}
+
+std::string textAt(const nlohmann::ordered_json &Line, const char *Key,
+                   const char *Default) {
+  auto Value = Line.find(Key);
+  bool IsText = Value != Line.end() && Value->is_string();
+  return IsText ? Value->get<std::string>() : Default;
+}
+
 } // namespace turmerichead::ctl
--- a/src/turmericheadctl/log_lines.h
+++ b/src/turmericheadctl/log_lines.h
@@ -4,9 +4,11 @@
 
 #include "commands.h"
 
+#include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace turmerichead::ctl {
@@ -19,4 +21,13 @@
     arguments Files, std::span<const std::string_view> Words,
     const std::function<void(const nlohmann::ordered_json &Line)> &Take);
 
+/// Returns a whole number of a line; \p Default if it is absent or of another
+/// type.
+std::int64_t integerAt(const nlohmann::ordered_json &Line, const char *Key,
+                       std::int64_t Default = 0);
+
+/// Returns a text of a line; \p Default if it is absent or of another type.
+std::string textAt(const nlohmann::ordered_json &Line, const char *Key,
+                   const char *Default = "");
+
 } // namespace turmerichead::ctl
--- a/src/turmericheadctl/losses.cpp
+++ b/src/turmericheadctl/losses.cpp
@@ -66,34 +66,31 @@
 void addLegs(route_row &Row, const nlohmann::ordered_json &Line) {
   if (!Line.contains("sent_ms"))
     return;
-  auto At = [&](const char *Key, std::int64_t Default) {
-    return Line.value(Key, Default);
-  };
-  std::int64_t SentMs = At("sent_ms", 0);
-  std::int64_t FirstMs = At("first_ms", SentMs);
-  std::int64_t LastMs = At("last_ms", FirstMs);
+  std::int64_t SentMs = integerAt(Line, "sent_ms");
+  std::int64_t FirstMs = integerAt(Line, "first_ms", SentMs);
+  std::int64_t LastMs = integerAt(Line, "last_ms", FirstMs);
   ++Row.Sent;
   Row.Legs.BeforeSend += SentMs;
   Row.Legs.FirstEvent += FirstMs - SentMs;
   Row.Legs.Stream += LastMs - FirstMs;
-  Row.Legs.Rest += At("took_ms", 0) - LastMs;
+  Row.Legs.Rest += integerAt(Line, "took_ms") - LastMs;
 }
 
 void addCall(summary &Summary, const nlohmann::ordered_json &Line) {
-  int Status = Line.value("status", 0);
-  route_row &Row = Summary.Routes[Line.value("route", std::string("?"))];
-  Row.TookMs.push_back(Line.value("took_ms", std::int64_t(0)));
+  auto Status = static_cast<int>(integerAt(Line, "status"));
+  route_row &Row = Summary.Routes[textAt(Line, "route", "?")];
+  Row.TookMs.push_back(integerAt(Line, "took_ms"));
   countStatus(Row, Status);
   addLegs(Row, Line);
-  std::string Reason = Line.value("reason", std::string());
+  std::string Reason = textAt(Line, "reason");
   if (Status != Answered)
     ++Summary
           .Reasons[{Status, Reason.empty() ? "the upstream's answer" : Reason}];
-  std::int64_t HeldMs = Line.value("held_ms", std::int64_t(0));
+  std::int64_t HeldMs = integerAt(Line, "held_ms");
   Summary.Held += HeldMs > 0 ? 1 : 0;
   Summary.HeldMs += HeldMs;
   Summary.Denied += Line.contains("denied") ? 1 : 0;
-  std::string Program = Line.value("program", std::string());
+  std::string Program = textAt(Line, "program");
   if (!Program.empty())
     Summary.Programs[Program] |= Status == Answered;
 }
@@ -154,7 +151,7 @@
   summary Summary;
   constexpr std::array<std::string_view, 1> Words = {"call ended"};
   bool Read = readLogs(Rest, Words, [&](const auto &Line) {
-    if (Line.value("event", std::string()) == "call ended")
+    if (textAt(Line, "event") == "call ended")
       addCall(Summary, Line);
   });
   if (!Read)
--- a/src/turmericheadctl/turmericheadctl_test.sh
+++ b/src/turmericheadctl/turmericheadctl_test.sh
@@ -76,6 +76,12 @@
   apply "$folder/other.toml" --who tomas --platform "$url"
 expect 0 'yard  version [0-9]* by tomas' get --platform "$url"
 expect 0 '"tokens": 70000' get yard --platform "$url"
+# An entry of another writer, which is no object.
+curl -s -o "$folder/odd" -X POST -d '{"metadata":{"name":"odd"},"spec":[7]}' \
+  "$url/apis/turmerichead.io/v1/namespaces/default/entries"
+expect 0 '^odd .*DOES NOT CHECK' get --platform "$url"
+expect 0 'yard  version [0-9]* by tomas' get --platform "$url"
+expect 0 '"spec": \[' get odd --platform "$url"
 expect 1 '' get --platform http://127.0.0.1:1
 expect 1 '' report --host 127.0.0.1:1
 expect 2 'address of a host' status
@@ -117,6 +123,15 @@
 expect 0 '^ *2 *503 *no room for a new program$' losses "$folder/c.log"
 expect 0 '^2 programs, 1 without an answered call$' losses "$folder/c.log"
 expect 0 '^limits of upstreams: 1 calls waited 30 ms on average, 1 were denied' losses "$folder/c.log"
+# Lines of another writer, whose fields have other types.
+cat >"$folder/odd.log" <<'LOG'
+{"event":7,"note":"call ended","id":"c1"}
+{"time_ms":"then","host":[],"event":"call ended","id":"c1","route":7,"program":{},"status":"good","took_ms":null,"sent_ms":"x","reason":1,"held_ms":[]}
+LOG
+expect 0 '^/plan/ *3 *1 *2 *0 *0 *0 *4 *300 *10 *100 *180 *10$' losses "$folder/odd.log" "$folder/c.log"
+expect 0 'call ended  id=c1' explain c1 "$folder/odd.log"
+(echo '{"level":7,"entry":"yard"}'; cat "$folder/audit.jsonl") >"$folder/odd.jsonl"
+expect 0 'yard version 7 by ines' audit "$folder/odd.jsonl"
 expect 1 'no call has ended' losses "$folder/audit.jsonl"
 expect 2 'cannot be read' losses "$folder/none.log"
 expect 2 'cannot be read' explain c1 "$folder/none.log"
