FAULT: a deeply nested value in a request or an object ended the host

What callers saw: a chat request of 400,000 nested arrays ended the host at the own interface; so did an object of its platform, on each host that watches it. One object that is no text (a byte outside of UTF-8) made the whole list or watch unreadable, for good.

Cause: a copy or dump of a decoded value recurses once a level and overflows the stack.

Evidence: the new case of chat_test ended with SIGSEGV before; that of libnet_test with SIGSEGV in the copy of a value (seen in a debugger, as the test program hangs in its own report of the signal). Both pass now.

--- a/platform/json_text.h
+++ b/src/include/turmerichead/json_text.h
@@ -6,7 +6,11 @@
 
 #include <string_view>
 
-namespace turmerichead::platform {
+namespace turmerichead {
+
+/// Whether values in \p Text, which need not be JSON, are nested so deeply that
+/// a copy or dump of them may need more stack than there is.
+bool isNestedTooDeeply(std::string_view Text);
 
 /// Parses \p Text. One odd value leaves the rest readable: a string that is not
 /// valid becomes empty; a number that is too large, an unknown literal or a
@@ -14,4 +18,4 @@
 /// is discarded (nlohmann) if \p Text is no JSON apart from such values.
 nlohmann::json parseLenient(std::string_view Text);
 
-} // namespace turmerichead::platform
+} // namespace turmerichead
--- a/platform/json_text.cpp
+++ b/src/libbase/json_text.cpp
@@ -1,9 +1,9 @@
-#include "json_text.h"
+#include "turmerichead/json_text.h"
 
 #include <algorithm>
 #include <string>
 
-namespace turmerichead::platform {
+namespace turmerichead {
 
 namespace {
 
@@ -35,17 +35,6 @@
   return std::min(End, Text.size());
 }
 
-bool isNestedTooDeeply(std::string_view Text) {
-  std::size_t Depth = 0;
-  for (std::size_t At = 0; At < Text.size(); At = endOfToken(Text, At)) {
-    Depth += isOpening(Text[At]) ? 1 : 0;
-    Depth -= isClosing(Text[At]) && Depth > 0 ? 1 : 0;
-    if (Depth > MaxDepth)
-      return true;
-  }
-  return false;
-}
-
 /// Returns \p Text without the values that the parser would not accept.
 std::string withoutOddValues(std::string_view Text) {
   std::string Result;
@@ -68,6 +57,17 @@
 
 } // namespace
 
+bool isNestedTooDeeply(std::string_view Text) {
+  std::size_t Depth = 0;
+  for (std::size_t At = 0; At < Text.size(); At = endOfToken(Text, At)) {
+    Depth += isOpening(Text[At]) ? 1 : 0;
+    Depth -= isClosing(Text[At]) && Depth > 0 ? 1 : 0;
+    if (Depth > MaxDepth)
+      return true;
+  }
+  return false;
+}
+
 json parseLenient(std::string_view Text) {
   if (!isNestedTooDeeply(Text)) {
     json Value = json::parse(Text, nullptr, false);
@@ -77,4 +77,4 @@
   return json::parse(withoutOddValues(Text), nullptr, false);
 }
 
-} // namespace turmerichead::platform
+} // namespace turmerichead
--- a/platform/json_text_test.cpp
+++ b/src/libbase/json_text_test.cpp
@@ -1,9 +1,9 @@
-#include "json_text.h"
+#include "turmerichead/json_text.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-using namespace turmerichead::platform;
+using namespace turmerichead;
 using nlohmann::json;
 
 TEST_CASE("odd values leave the rest of a text readable") {
--- a/src/libhost/chat.cpp
+++ b/src/libhost/chat.cpp
@@ -2,6 +2,7 @@
 
 #include "turmerichead/error.h"
 #include "turmerichead/json_fields.h"
+#include "turmerichead/json_text.h"
 
 #include <algorithm>
 
@@ -171,6 +172,8 @@
 }
 
 std::optional<chat_request> parseChatRequest(std::string_view Body) {
+  if (isNestedTooDeeply(Body))
+    return fail(error_code::InvalidInput, "body: is nested too deeply");
   chat_request Request;
   Request.Body = json::parse(Body, nullptr, false);
   if (Request.Body.is_discarded()) {
--- a/src/libhost/chat_test.cpp
+++ b/src/libhost/chat_test.cpp
@@ -82,6 +82,17 @@
             ->Stream);
 }
 
+TEST_CASE("a request that is nested too deeply to be copied is refused") {
+  constexpr std::size_t Depth = 400'000;
+  std::string Body = R"({"messages":[{"role":"user"}],"extra":)" +
+                     std::string(Depth, '[') + std::string(Depth, ']') + "}";
+  auto Request = parseChatRequest(Body);
+  CHECK_FALSE(Request);
+  CHECK(lastError().Text == "body: is nested too deeply");
+  if (Request)
+    engineBody(Request->Body, 1);
+}
+
 TEST_CASE("the engine is asked to stream with a bounded answer") {
   json Request = {{"messages", json::array()}, {"max_completion_tokens", 500}};
   json Body = json::parse(engineBody(Request, 64));
--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "platform_pvt.h"
 
 #include "turmerichead/error.h"
+#include "turmerichead/json_text.h"
 
 #include <algorithm>
 #include <charconv>
@@ -173,7 +174,7 @@
   if (Answer.Result.Code != error_code::None)
     return Answer.Result.Text;
   std::string Text = "status " + std::to_string(Answer.Result.Status);
-  json Body = json::parse(Answer.Body, nullptr, false);
+  json Body = parseLenient(Answer.Body);
   if (Body.is_object() && Body.contains("message") &&
       Body["message"].is_string())
     Text += ": " + Body["message"].get<std::string>();
@@ -316,7 +317,7 @@
            Done(Reply);
            return;
          }
-         Reply.Object = json::parse(Answer.Body, nullptr, false);
+         Reply.Object = parseLenient(Answer.Body);
          if (!Reply.Object.is_object() && Verb != platform_verb::Delete) {
            Reply.Outcome = isWrite(Verb) ? platform_outcome::Unknown
                                          : platform_outcome::Unavailable;
@@ -357,7 +358,7 @@
     Job->Done(Reply);
     return;
   }
-  json Page = json::parse(Answer.Body, nullptr, false);
+  json Page = parseLenient(Answer.Body);
   if (!Page.is_object() || !Page.contains("items") ||
       !Page["items"].is_array()) {
     Reply.Outcome = platform_outcome::Unavailable;
--- a/src/libnet/platform_test.cpp
+++ b/src/libnet/platform_test.cpp
@@ -224,6 +224,43 @@
   CHECK(Platform.Client->counters().of(platform_verb::List).Calls == 4);
 }
 
+TEST_CASE("one odd object leaves the others of a list and watch readable") {
+  constexpr std::size_t Depth = 400'000;
+  const std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  for (const std::string &Odd : {Nested, std::string("\"a\xFF\"")}) {
+    fake_platform Platform;
+    std::optional<http_exchange_id> Stream;
+    std::string OddObject =
+        R"({"metadata":{"name":"odd","resourceVersion":"4"},"spec":)" + Odd +
+        "}";
+    Platform.OnRequest = [&](const auto &Request) {
+      if (fake_platform::isWatch(Request)) {
+        Stream = Request.Exchange;
+        Platform.Server->beginStream(*Stream, 200, {});
+        return;
+      }
+      Platform.Server->respond(Request.Exchange, 200, {},
+                               R"({"metadata":{"resourceVersion":"10"},)"
+                               R"("items":[)" +
+                                   OddObject + "," + objectOf("b", 5).dump() +
+                                   "]}");
+    };
+    watch_log Log;
+    Platform.Client->watch("entries", Log.events());
+    REQUIRE(turnUntil([&] { return Stream.has_value(); }));
+    Platform.Server->writeChunk(
+        *Stream,
+        R"({"type":"ADDED","object":)"
+        R"({"metadata":{"name":"odder","resourceVersion":"11"},"spec":)" +
+            Odd + "}}\n");
+    Platform.event(*Stream, "ADDED", objectOf("c", 12));
+    REQUIRE(turnUntil([&] { return Log.has("=12"); }));
+    for (const char *Line : {"+odd@4", "+b@5", "+odder@11", "+c@12"})
+      CHECK(Log.has(Line));
+    CHECK(Log.Lost == 0);
+  }
+}
+
 TEST_CASE("calls over the budget wait, and too many are refused") {
   platform_settings Settings;
   Settings.WritesPerSecond = 50;
--- a/src/libnet/platform_watch.cpp
+++ b/src/libnet/platform_watch.cpp
@@ -1,5 +1,7 @@
 #include "platform_pvt.h"
 
+#include "turmerichead/json_text.h"
+
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -240,7 +242,7 @@
 /// Returns false if events are missing and the list must be read again.
 bool platform_client::state::takeLine(platform_watch_id Id,
                                       std::string_view Line) {
-  json Event = json::parse(Line, nullptr, false);
+  json Event = parseLenient(Line);
   if (!Event.is_object() || !Event.contains("type") ||
       !Event["type"].is_string() || !Event.contains("object"))
     return false;
