--- a/testsuite/fleet/foreign_entries.cpp
+++ b/testsuite/fleet/foreign_entries.cpp
@@ -1,5 +1,6 @@
 #include "foreign_entries.h"
 
+#include "odd_continuation.h"
 #include "odd_entries.h"
 
 namespace turmerichead::fleet_harness {
@@ -7,6 +8,7 @@
 namespace {
 
 constexpr milliseconds ChangeInterval{400};
+constexpr std::uint64_t ChangesPerContinuation = 10;
 constexpr milliseconds LossInterval{5000};
 constexpr const char *SetKind = "turmerichead-hosts";
 constexpr const char *SetName = "disk-set";
@@ -28,6 +30,7 @@
 foreign_entries::foreign_entries(fleet &Fleet, std::uint64_t Seed)
     : Fleet(Fleet), Random(Seed) {
   Fleet.order("store", {{"page_rows", 1 + Random() % MaxPageRows}});
+  changeContinuation();
   std::vector<std::string> Names = standin::oddNames();
   for (const std::string &Kind : kinds())
     put(Kind, pickFrom(Names, Random));
@@ -37,7 +40,16 @@
   });
 }
 
+void foreign_entries::changeContinuation() {
+  std::string Mode(
+      standin::OddContinuations.at(Random() % standin::OddContinuations.size())
+          .first);
+  Fleet.order("store", {{"odd_continuation", Mode}});
+}
+
 void foreign_entries::change() {
+  if (Random() % ChangesPerContinuation == 0)
+    changeContinuation();
   std::vector<std::string> Names = standin::oddNames();
   std::string Kind = pickFrom(kinds(), Random);
   std::string Name = pickFrom(Names, Random);
--- a/testsuite/fleet/foreign_entries.h
+++ b/testsuite/fleet/foreign_entries.h
@@ -14,7 +14,8 @@
 
 /// Keeps odd entries in all kinds of the store while it lives: some always, the
 /// others written, changed and removed in turn. The store's lists have a few
-/// rows a page from then on, so that each entry ends a page at times.
+/// rows a page from then on, so that each entry ends a page at times, and what
+/// the store makes of a list after an odd name changes every few seconds.
 class foreign_entries {
 public:
   foreign_entries(fleet &Fleet, std::uint64_t Seed);
@@ -28,6 +29,7 @@
 
 private:
   void change();
+  void changeContinuation();
   void loseDiskSet();
   void put(const std::string &Kind, const std::string &Name);
 
