Stand-in: one function tells whether the store serves a page after an odd name

Found on the last reading: object_store and the fuzz of lists each listed the modes in which no page comes. Checks on this commit: formatter, linter on the files that include the header, the cases of lists in libplatform_test (32,925 checks), four fleet_recover_store_* cases.

--- a/testsuite/standins/object_store.h
+++ b/testsuite/standins/object_store.h
@@ -271,8 +271,7 @@
     int Status = statusOf(OddContinuation);
     if (Status != 0)
       reply(Id, Status, nullptr);
-    return Status != 0 || OddContinuation == odd_continuation::Reset ||
-           OddContinuation == odd_continuation::Silent;
+    return !servesPage(OddContinuation);
   }
 
   void replyWithPage(http1::exchange_id Id, const std::string &Kind,
--- a/testsuite/standins/odd_continuation.h
+++ b/testsuite/standins/odd_continuation.h
@@ -65,6 +65,12 @@
   return Mode == odd_continuation::Busy ? 503 : 0;
 }
 
+/// Whether the store responds with a page.
+inline bool servesPage(odd_continuation Mode) {
+  return statusOf(Mode) == 0 && Mode != odd_continuation::Reset &&
+         Mode != odd_continuation::Silent;
+}
+
 /// Returns the name that the store continues after, for the decoded \p Name.
 inline std::string continuationOf(odd_continuation Mode,
                                   const std::string &Name) {
